--- /dev/null
+++ b/commander/job.go
@@ -0,0 +1,44 @@
+package commander
+
+import (
+	"time"
+
+	"corianderroad/identifier"
+)
+
+// MaxGang is the largest number of members of a gang.
+const MaxGang = 128
+
+// Adjacency says how close the members of a gang must be.
+type Adjacency uint8
+
+// Adjacencies.
+const (
+	AnyRack  Adjacency = iota // members may stand in any rack of the region
+	SameRack                  // all members stand in one rack
+)
+
+// Shape is the resources of a gang or of a guarantee.
+type Shape struct {
+	// Members is the number of workers, 1 to MaxGang.
+	Members int
+	// Accelerators is the number of accelerators on each member.
+	Accelerators int
+	Adjacency    Adjacency
+}
+
+// Total returns the number of accelerators of the whole shape.
+func (shape Shape) Total() int { return shape.Members * shape.Accelerators }
+
+// JobSpec describes a job. It never changes after acceptance.
+type JobSpec struct {
+	Job       identifier.Job
+	Workspace identifier.Workspace
+	// Region is where the job must run, empty for the region of the entry node.
+	Region identifier.Region
+	Shape  Shape
+	// RunTime is the declared run time, zero if not declared.
+	RunTime time.Duration
+	// Urgent jobs are placed first and may preempt work above its guarantee.
+	Urgent bool
+}
--- /dev/null
+++ b/decider/wiring.go
@@ -0,0 +1,88 @@
+package decider
+
+import (
+	"corianderroad/commander"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// Internal returns the duties that receive an action of a machine as their
+// event. An action without receivers is external: an I/O duty carries it out.
+func Internal(action messenger.Action) []Duty {
+	switch action.(type) {
+	case messenger.MembersChanged:
+		return []Duty{Application, Routing, Scheduling}
+	case messenger.PeerHeard:
+		return []Duty{Application, Routing}
+	case messenger.ConfigurationChanged:
+		return []Duty{Routing, Scheduling}
+	case messenger.DigestChanged, messenger.LoadChanged:
+		return []Duty{Detection}
+	case messenger.IntentFolded:
+		return []Duty{Routing}
+	case messenger.JobAccepted, messenger.JobCancelled, messenger.JobConcluded, messenger.ClaimFolded:
+		return []Duty{Scheduling}
+	default:
+		return nil
+	}
+}
+
+// Receivers returns the duties that receive an event from outside the machines.
+func Receivers(event messenger.Event) []Duty {
+	switch event := event.(type) {
+	case messenger.PeerReceived:
+		return peerReceivers(event.Message)
+	case messenger.PeerLost:
+		return peerReceivers(event.Message)
+	case messenger.CommandArrived:
+		return commandReceivers(event.Command)
+	case messenger.VMsListed:
+		return []Duty{Detection, Routing, Scheduling}
+	case messenger.DrainArrived:
+		return []Duty{Detection, Routing, Scheduling}
+	case messenger.AppendRead, messenger.StreamRead, messenger.StreamSilent:
+		return []Duty{Application}
+	case messenger.AppendFailed:
+		return streamReceivers(event.Stream)
+	case messenger.CallArrived, messenger.CallerLeft, messenger.MinionAnswered, messenger.SlotsAnswered:
+		return []Duty{Routing}
+	case messenger.WorkerAnswered:
+		return []Duty{Scheduling}
+	default:
+		return nil
+	}
+}
+
+func peerReceivers(message messenger.Peer) []Duty {
+	switch message.(type) {
+	case messenger.Probe, messenger.ProbeAnswer, messenger.ProbeRequest, messenger.ProbeReport:
+		return []Duty{Detection}
+	case messenger.EntriesAsk, messenger.EntriesTell:
+		return []Duty{Application}
+	case messenger.Forward, messenger.ForwardAnswer, messenger.ForwardCancel,
+		messenger.OutcomeAsk, messenger.OutcomeTell:
+		return []Duty{Routing}
+	default:
+		return nil
+	}
+}
+
+func commandReceivers(command commander.Command) []Duty {
+	switch command.(type) {
+	case commander.Drain:
+		return []Duty{Detection}
+	default:
+		return []Duty{Application}
+	}
+}
+
+func streamReceivers(stream identifier.Stream) []Duty {
+	switch stream {
+	case identifier.Intents:
+		return []Duty{Routing}
+	case identifier.Jobs:
+		return []Duty{Application, Scheduling}
+	default:
+		return []Duty{Application}
+	}
+}
--- /dev/null
+++ b/messenger/membership.go
@@ -0,0 +1,184 @@
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"corianderroad/identifier"
+)
+
+// MemberState is the state of a node as another node sees it. A higher state
+// overrides a lower one within the same incarnation.
+type MemberState uint8
+
+// States of a member.
+const (
+	Alive MemberState = iota + 1
+	Suspect
+	Departing
+	Dead
+)
+
+// String returns the state as it stands in answers.
+func (state MemberState) String() string {
+	switch state {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Departing:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Identity is what a process learns about itself from its settings.
+type Identity struct {
+	Node          identifier.Node
+	Address       netip.AddrPort
+	Region        identifier.Region
+	FailureDomain identifier.FailureDomain
+	Incarnation   identifier.Incarnation
+}
+
+// Digest is what every heartbeat says about its sender.
+type Digest struct {
+	Configuration identifier.Offset
+	Jobs          identifier.Offset
+	Intents       identifier.Offset
+	// Queued is the number of requests that wait at the sender's minions.
+	Queued int
+	// FreeSlots is the number of free slots of the sender's minions.
+	FreeSlots int
+}
+
+// Member is a node with its state.
+type Member struct {
+	Identity
+	State  MemberState
+	Digest Digest
+}
+
+// Probe asks a node for a sign of life.
+type Probe struct {
+	Sequence uint64
+	From     Member
+	Changes  []Member
+}
+
+// ProbeAnswer answers a Probe.
+type ProbeAnswer struct {
+	Sequence uint64
+	From     Member
+	Changes  []Member
+}
+
+// ProbeRequest asks a node to probe another on the sender's behalf.
+type ProbeRequest struct {
+	Sequence uint64
+	Target   Identity
+}
+
+// ProbeReport tells the requester that its target answered.
+type ProbeReport struct {
+	Sequence uint64
+	Target   Member
+}
+
+func (Probe) peer()        {}
+func (ProbeAnswer) peer()  {}
+func (ProbeRequest) peer() {}
+func (ProbeReport) peer()  {}
+
+// PeerReceived delivers a peer message.
+type PeerReceived struct {
+	From    identifier.Node
+	Message Peer
+}
+
+// SendPeer asks the transporter to send a message. Delivery is not guaranteed.
+type SendPeer struct {
+	To      identifier.Node
+	Address netip.AddrPort
+	Message Peer
+}
+
+// PeerLost says that a message could surely not be sent.
+type PeerLost struct {
+	To      identifier.Node
+	Message Peer
+}
+
+// MembersChanged carries the members that are not dead, the node itself included,
+// in the order of their names.
+type MembersChanged struct {
+	Members []Member
+}
+
+// DigestChanged tells the detector what to put into heartbeats.
+type DigestChanged struct {
+	Configuration, Jobs, Intents identifier.Offset
+}
+
+// LoadChanged tells the detector the load to put into heartbeats.
+type LoadChanged struct {
+	Queued, FreeSlots int
+}
+
+// DrainArrived tells the detector to announce that this node leaves.
+type DrainArrived struct{}
+
+// VMRole is the role of a VM in the list.
+type VMRole uint8
+
+// Roles of VMs.
+const (
+	EntryVM VMRole = iota + 1
+	WorkerVM
+	MinionVM
+)
+
+// VM is one entry of the platform's VM list.
+type VM struct {
+	Name          string
+	Role          VMRole
+	Address       netip.AddrPort
+	Leaving       bool
+	Region        identifier.Region
+	FailureDomain identifier.FailureDomain
+	Rack          identifier.Rack
+	Service       identifier.Service
+	Accelerators  int
+}
+
+// VMsListed carries the VM list, which lags.
+type VMsListed struct {
+	At  time.Time
+	VMs []VM
+}
+
+func (PeerReceived) event()   {}
+func (PeerLost) event()       {}
+func (MembersChanged) event() {}
+func (DigestChanged) event()  {}
+func (LoadChanged) event()    {}
+func (DrainArrived) event()   {}
+func (VMsListed) event()      {}
+
+func (SendPeer) action()       {}
+func (MembersChanged) action() {}
+func (DigestChanged) action()  {}
+func (LoadChanged) action()    {}
+
+// PeerHeard carries the digest of a heartbeat to the other machines.
+type PeerHeard struct {
+	Node    identifier.Node
+	Address netip.AddrPort
+	Digest  Digest
+}
+
+func (PeerHeard) event()  {}
+func (PeerHeard) action() {}
--- /dev/null
+++ b/messenger/requests.go
@@ -0,0 +1,137 @@
+package messenger
+
+import (
+	"net/netip"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/identifier"
+)
+
+// CallArrived delivers a checked and authorised service request.
+type CallArrived struct {
+	Request identifier.Request
+	Call    commander.Call
+}
+
+// CallerLeft says that the caller's connection ended before the answer.
+type CallerLeft struct {
+	Request identifier.Request
+}
+
+// CallAnswered is the answer to a caller, sent exactly once for each CallArrived.
+type CallAnswered struct {
+	Request identifier.Request
+	// Err is nil if Body is the whole answer.
+	Err  *classifier.Error
+	Body []byte
+}
+
+// Forward hands a request from its entry node to the owner of a minion.
+type Forward struct {
+	Request identifier.Request
+	Attempt identifier.Attempt
+	Call    commander.Call
+}
+
+// ForwardAnswer is the owner's answer to a Forward.
+type ForwardAnswer struct {
+	Request identifier.Request
+	Attempt identifier.Attempt
+	// Err is nil if Body is the whole answer. Its code says whether the attempt ran.
+	Err  *classifier.Error
+	Body []byte
+	// Queued and FreeSlots are the load of the owner after this answer.
+	Queued    int
+	FreeSlots int
+}
+
+// ForwardCancel tells the owner to drop an attempt that has not started.
+type ForwardCancel struct {
+	Request identifier.Request
+	Attempt identifier.Attempt
+}
+
+// OutcomeAsk asks the holder of a key for the outcome of its request.
+type OutcomeAsk struct {
+	Key identifier.Key
+	// Request is the repeated request that awaits the outcome.
+	Request identifier.Request
+}
+
+// OutcomeTell answers an OutcomeAsk.
+type OutcomeTell struct {
+	Key     identifier.Key
+	Request identifier.Request
+	Err     *classifier.Error
+	Body    []byte
+}
+
+func (Forward) peer()       {}
+func (ForwardAnswer) peer() {}
+func (ForwardCancel) peer() {}
+func (OutcomeAsk) peer()    {}
+func (OutcomeTell) peer()   {}
+
+// IntentFolded says that this node's intent was read back from the log.
+type IntentFolded struct {
+	Key     identifier.Key
+	Request identifier.Request
+	// First says that this intent is the only one that may run.
+	First bool
+	// Holder is the node whose intent is the first, empty if it can't be known:
+	// then the outcome is unknown.
+	Holder identifier.Node
+}
+
+// CallMinion asks the dispatcher to send an attempt to a minion.
+type CallMinion struct {
+	Minion  identifier.Minion
+	Address netip.AddrPort
+	Request identifier.Request
+	Attempt identifier.Attempt
+	Call    commander.Call
+	// Timeout bounds the attempt from the start of sending.
+	Timeout time.Duration
+}
+
+// MinionAnswered is the result of a CallMinion, sent exactly once for each.
+type MinionAnswered struct {
+	Minion  identifier.Minion
+	Request identifier.Request
+	Attempt identifier.Attempt
+	// Err is nil if Body is the whole and verified answer of this attempt.
+	Err  *classifier.Error
+	Body []byte
+	// Busy is the number of busy slots that the minion reported, -1 if none.
+	Busy int
+	// Leaving says that the minion announced its stop.
+	Leaving bool
+}
+
+// AskSlots asks a minion for its busy slots.
+type AskSlots struct {
+	Minion  identifier.Minion
+	Address netip.AddrPort
+}
+
+// SlotsAnswered is the result of an AskSlots.
+type SlotsAnswered struct {
+	Minion  identifier.Minion
+	Err     *classifier.Error
+	Slots   int
+	Busy    int
+	Leaving bool
+}
+
+func (CallArrived) event()    {}
+func (CallerLeft) event()     {}
+func (IntentFolded) event()   {}
+func (MinionAnswered) event() {}
+func (SlotsAnswered) event()  {}
+
+func (CallAnswered) action() {}
+func (IntentFolded) action() {}
+func (CallMinion) action()   {}
+func (AskSlots) action()     {}
