--- /dev/null
+++ b/acceptor/call.go
@@ -0,0 +1,117 @@
+package acceptor
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// Bounds of a caller's timeout. The default applies to a request that names none.
+const (
+	defaultTimeout = 30 * time.Second
+	maxTimeout     = 24 * time.Hour
+	// answerGrace is how long the handler waits beyond the deadline for the
+	// machine's own answer, which says whether the request ran.
+	answerGrace = 2 * time.Second
+)
+
+func (acceptor *Acceptor) call(ctx iris.Context) {
+	call, err := acceptor.readCall(ctx)
+	if err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	request := newRequest()
+	ctx.Header("Request-Id", string(request))
+	answer, err := acceptor.await(ctx.Request().Context(), request, call)
+	if err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	ctx.ContentType("application/octet-stream")
+	ctx.Header("Content-Length", strconv.Itoa(len(answer.Body)))
+	_, _ = ctx.Write(answer.Body)
+}
+
+func (acceptor *Acceptor) await(ctx context.Context, request identifier.Request, call commander.Call,
+) (messenger.CallAnswered, error) {
+	reply, err := acceptor.Calls.Register(request)
+	if err != nil {
+		return messenger.CallAnswered{}, err
+	}
+	if err := acceptor.Inlet.Offer(messenger.CallArrived{Request: request, Call: call}); err != nil {
+		_ = acceptor.Calls.Forget(ctx, request)
+		return messenger.CallAnswered{}, err
+	}
+	timer := time.NewTimer(time.Until(call.Deadline) + answerGrace)
+	defer timer.Stop()
+	select {
+	case answer := <-reply:
+		if answer.Err != nil {
+			return answer, answer.Err
+		}
+		return answer, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	detached := context.WithoutCancel(ctx)
+	_ = acceptor.Calls.Forget(detached, request)
+	_ = acceptor.Inlet.Deliver(detached, messenger.CallerLeft{Request: request})
+	return messenger.CallAnswered{}, classifier.New(classifier.TimedOut, "no answer before the deadline")
+}
+
+func (acceptor *Acceptor) readCall(ctx iris.Context) (commander.Call, error) {
+	workspace, err := acceptor.Access.Workspace(Bearer(ctx))
+	if err != nil {
+		return commander.Call{}, err
+	}
+	timeout, err := duration(ctx, "Timeout", defaultTimeout)
+	if err != nil {
+		return commander.Call{}, err
+	}
+	if timeout <= 0 || timeout > maxTimeout {
+		return commander.Call{}, classifier.New(classifier.BadRequest, "header Timeout is %s, must be above 0 and at most %s", timeout, maxTimeout)
+	}
+	runTime, err := duration(ctx, "Run-Time", 0)
+	if err != nil {
+		return commander.Call{}, err
+	}
+	idempotent := ctx.GetHeader("Idempotent")
+	if idempotent != "" && idempotent != "true" && idempotent != "false" {
+		return commander.Call{}, classifier.New(classifier.BadRequest, "header Idempotent is %q, must be true or false", idempotent)
+	}
+	body, err := readBody(ctx, commander.MaxBody)
+	if err != nil {
+		return commander.Call{}, err
+	}
+	call := commander.Call{
+		Workspace:  workspace,
+		Service:    identifier.Service(ctx.Params().Get("service")),
+		Method:     identifier.Method(ctx.Params().Get("method")),
+		Key:        identifier.Key(ctx.GetHeader("Idempotency-Key")),
+		Idempotent: idempotent == "true",
+		RunTime:    runTime,
+		Deadline:   time.Now().Add(timeout),
+		Body:       body,
+	}
+	return call, call.Check()
+}
+
+func duration(ctx iris.Context, header string, missing time.Duration) (time.Duration, error) {
+	text := ctx.GetHeader(header)
+	if text == "" {
+		return missing, nil
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, classifier.New(classifier.BadRequest, "header %s is %q, must be a duration with a unit such as 500ms", header, text)
+	}
+	return parsed, nil
+}
--- /dev/null
+++ b/acceptor/jobs.go
@@ -0,0 +1,84 @@
+package acceptor
+
+import (
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/identifier"
+)
+
+// Submit is the JSON form of commander.Submit. The workspace is that of the token.
+type Submit struct {
+	Job          identifier.Job    `json:"job"`
+	Region       identifier.Region `json:"region,omitempty"`
+	Members      int               `json:"members"`
+	Accelerators int               `json:"accelerators"`
+	// Adjacency is "any-rack" or "same-rack", empty for any-rack.
+	Adjacency string `json:"adjacency,omitempty"`
+	// RunTime is a duration such as "2h", empty if not declared.
+	RunTime string `json:"run-time,omitempty"`
+	Urgent  bool   `json:"urgent,omitempty"`
+}
+
+// Cancel is the JSON form of commander.Cancel. The workspace is that of the token.
+type Cancel struct {
+	Job identifier.Job `json:"job"`
+}
+
+func (acceptor *Acceptor) submit(ctx iris.Context) {
+	var submit Submit
+	if err := readJSON(ctx, maxCommand, &submit); err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	workspace, err := acceptor.Access.Workspace(Bearer(ctx))
+	if err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	spec, err := submit.spec(workspace)
+	if err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	acceptor.finish(ctx, commander.Submit{Workspace: workspace, Job: spec})
+}
+
+func (submit Submit) spec(workspace identifier.Workspace) (commander.JobSpec, error) {
+	spec := commander.JobSpec{
+		Job: submit.Job, Workspace: workspace, Region: submit.Region, Urgent: submit.Urgent,
+		Shape: commander.Shape{Members: submit.Members, Accelerators: submit.Accelerators},
+	}
+	switch submit.Adjacency {
+	case "", "any-rack":
+	case "same-rack":
+		spec.Shape.Adjacency = commander.SameRack
+	default:
+		return spec, classifier.New(classifier.BadRequest, "adjacency is %q, must be any-rack or same-rack", submit.Adjacency)
+	}
+	if submit.RunTime != "" {
+		runTime, err := time.ParseDuration(submit.RunTime)
+		if err != nil {
+			return spec, classifier.New(classifier.BadRequest, "run-time is %q, must be a duration with a unit such as 2h", submit.RunTime)
+		}
+		spec.RunTime = runTime
+	}
+	return spec, nil
+}
+
+func (acceptor *Acceptor) cancel(ctx iris.Context) {
+	var cancel Cancel
+	if err := readJSON(ctx, maxCommand, &cancel); err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	workspace, err := acceptor.Access.Workspace(Bearer(ctx))
+	if err != nil {
+		acceptor.refuse(ctx, err)
+		return
+	}
+	acceptor.finish(ctx, commander.Cancel{Workspace: workspace, Job: cancel.Job})
+}
--- /dev/null
+++ b/authenticator/authenticator.go
@@ -0,0 +1,105 @@
+// Package authenticator tells from a token which workspace or organisation a
+// caller acts for. It compares digests in constant time and never stores tokens.
+package authenticator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"sync/atomic"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// Digest is the SHA-256 of a token.
+type Digest [sha256.Size]byte
+
+// Of returns the digest of a token.
+func Of(token string) Digest { return sha256.Sum256([]byte(token)) }
+
+// Equal compares two digests in constant time.
+func (digest Digest) Equal(other Digest) bool {
+	return subtle.ConstantTimeCompare(digest[:], other[:]) == 1
+}
+
+// Authenticator knows the digests of the configuration in force and of the
+// founders, whose operators publish before there is any configuration. It is
+// safe for concurrent use: readers see an immutable configuration.
+type Authenticator struct {
+	founders      map[identifier.Organisation]Digest
+	configuration atomic.Pointer[messenger.Configuration]
+}
+
+// New returns an Authenticator with the founders' digests.
+func New(founders map[identifier.Organisation]Digest) *Authenticator {
+	authenticator := &Authenticator{founders: founders}
+	authenticator.configuration.Store(&messenger.Configuration{})
+	return authenticator
+}
+
+// Update puts a configuration into force.
+func (authenticator *Authenticator) Update(configuration *messenger.Configuration) {
+	authenticator.configuration.Store(configuration)
+}
+
+// Version returns the version in force, zero before the first.
+func (authenticator *Authenticator) Version() identifier.Offset {
+	return authenticator.configuration.Load().Version
+}
+
+// Workspace returns the workspace of a caller's token. The error has code
+// Unauthenticated.
+func (authenticator *Authenticator) Workspace(token string) (identifier.Workspace, error) {
+	digest := Of(token)
+	var found identifier.Workspace
+	for _, organisation := range authenticator.configuration.Load().Organisations {
+		for _, workspace := range organisation.Workspaces {
+			if digest.Equal(workspace.TokenDigest) {
+				found = workspace.Workspace
+			}
+		}
+	}
+	if found == "" {
+		return "", classifier.New(classifier.Unauthenticated, "the token belongs to no workspace of the configuration in force")
+	}
+	return found, nil
+}
+
+// Operator returns the organisation of an operator's token. The error has code
+// Unauthenticated.
+func (authenticator *Authenticator) Operator(token string) (identifier.Organisation, error) {
+	digest := Of(token)
+	var found identifier.Organisation
+	published := make(map[identifier.Organisation]bool)
+	for _, organisation := range authenticator.configuration.Load().Organisations {
+		published[organisation.Organisation] = true
+		if digest.Equal(organisation.OperatorDigest) {
+			found = organisation.Organisation
+		}
+	}
+	for organisation, founder := range authenticator.founders {
+		// A founder's text replaces the digest of the settings, so that a token
+		// can be withdrawn by publishing.
+		if !published[organisation] && digest.Equal(founder) {
+			found = organisation
+		}
+	}
+	if found == "" {
+		return "", classifier.New(classifier.Unauthenticated, "the token belongs to no member organisation")
+	}
+	return found, nil
+}
+
+// Member reports whether the organisation is a founder or has a text in force.
+func (authenticator *Authenticator) Member(organisation identifier.Organisation) bool {
+	if _, ok := authenticator.founders[organisation]; ok {
+		return true
+	}
+	for _, text := range authenticator.configuration.Load().Organisations {
+		if text.Organisation == organisation {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/exporter/exporter.go
@@ -0,0 +1,84 @@
+// Package exporter keeps the counters of a node with client_golang and serves
+// them together with the gauges of the machines and rings.
+package exporter
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/querier"
+)
+
+// Ring is a ring whose depth and refusals are exported.
+type Ring interface {
+	Name() string
+	Depth() int
+	Refused() uint64
+}
+
+// Gauges answers with the gauges of the machines.
+type Gauges interface {
+	Inspect(ctx context.Context, query querier.Query) (querier.Answer, error)
+}
+
+// Exporter keeps the counters of one node. It is safe for concurrent use.
+type Exporter struct {
+	registry    *prometheus.Registry
+	refusals    *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	transitions *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
+}
+
+// New returns an Exporter of the given rings and gauges.
+func New(rings []Ring, gauges Gauges) *Exporter {
+	exporter := &Exporter{
+		registry:    prometheus.NewRegistry(),
+		refusals:    counter("refusals_total", "Refused requests by the reason's name.", "reason"),
+		retries:     counter("retries_total", "Repeated attempts by the reason's name.", "reason"),
+		transitions: counter("transitions_total", "Changes of state by their reason.", "reason"),
+		bytes:       counter("peer_bytes_total", "Bytes of frames by peer, its region and direction.", "peer", "region", "direction"),
+	}
+	exporter.registry.MustRegister(exporter.refusals, exporter.retries, exporter.transitions, exporter.bytes,
+		newRingCollector(rings), newGaugeCollector(gauges),
+		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return exporter
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+// Handler returns the handler of /metrics.
+func (exporter *Exporter) Handler() http.Handler {
+	return promhttp.HandlerFor(exporter.registry, promhttp.HandlerOpts{})
+}
+
+// Refused counts a refusal at this node's front.
+func (exporter *Exporter) Refused(code classifier.Code) {
+	exporter.refusals.WithLabelValues(code.Name()).Inc()
+}
+
+// Count carries out a machine's Count.
+func (exporter *Exporter) Count(count messenger.Count) {
+	switch count.Counter {
+	case messenger.Refusals:
+		exporter.refusals.WithLabelValues(count.Reason).Inc()
+	case messenger.Retries:
+		exporter.retries.WithLabelValues(count.Reason).Inc()
+	default:
+		exporter.transitions.WithLabelValues(count.Reason).Inc()
+	}
+}
+
+// CountBytes counts bytes of frames exchanged with a peer.
+func (exporter *Exporter) CountBytes(peer identifier.Node, region identifier.Region, direction string, bytes int) {
+	exporter.bytes.WithLabelValues(string(peer), string(region), direction).Add(float64(bytes))
+}
--- /dev/null
+++ b/gatherer/gatherer.go
@@ -0,0 +1,93 @@
+// Package gatherer answers queries for the whole deployment: it asks this node
+// and every member, within a bounded time, and names those that did not answer.
+package gatherer
+
+import (
+	"context"
+	"net/netip"
+	"sort"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/querier"
+)
+
+// timeout bounds a query. The slowest path is one round trip between regions,
+// which takes 60 ms, so that a node that needs longer does not answer at all.
+const timeout = 2 * time.Second
+
+// Local answers from the machines of this node.
+type Local interface {
+	Inspect(ctx context.Context, query querier.Query) (querier.Answer, error)
+}
+
+// Remote asks another node.
+type Remote interface {
+	Ask(ctx context.Context, node identifier.Node, address netip.AddrPort, query querier.Query) (querier.Answer, error)
+}
+
+// Members lists the other nodes that are not dead, with their peer addresses.
+type Members interface {
+	Others() map[identifier.Node]netip.AddrPort
+}
+
+// Part is the answer of one node.
+type Part struct {
+	Node   identifier.Node
+	Answer querier.Answer
+}
+
+// Report is the answer of a deployment.
+type Report struct {
+	// Parts are the answers, ordered by node.
+	Parts []Part
+	// Silent are the nodes that did not answer in time, in order.
+	Silent []identifier.Node
+}
+
+// Gatherer asks all nodes. It is safe for concurrent use.
+type Gatherer struct {
+	node    identifier.Node
+	local   Local
+	remote  Remote
+	members Members
+}
+
+// New returns a Gatherer for the given node.
+func New(node identifier.Node, local Local, remote Remote, members Members) *Gatherer {
+	return &Gatherer{node: node, local: local, remote: remote, members: members}
+}
+
+// Gather returns the answers that arrive within 2 s.
+func (gatherer *Gatherer) Gather(ctx context.Context, query querier.Query) Report {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	type reply struct {
+		part Part
+		err  error
+	}
+	others := gatherer.members.Others()
+	replies := make(chan reply, len(others)+1)
+	go func() {
+		answer, err := gatherer.local.Inspect(ctx, query)
+		replies <- reply{Part{gatherer.node, answer}, err}
+	}()
+	for node, address := range others {
+		go func() {
+			answer, err := gatherer.remote.Ask(ctx, node, address, query)
+			replies <- reply{Part{node, answer}, err}
+		}()
+	}
+	var report Report
+	for range len(others) + 1 {
+		reply := <-replies
+		if reply.err != nil {
+			report.Silent = append(report.Silent, reply.part.Node)
+			continue
+		}
+		report.Parts = append(report.Parts, reply.part)
+	}
+	sort.Slice(report.Parts, func(i, j int) bool { return report.Parts[i].Node < report.Parts[j].Node })
+	sort.Slice(report.Silent, func(i, j int) bool { return report.Silent[i] < report.Silent[j] })
+	return report
+}
--- /dev/null
+++ b/responder/responder.go
@@ -0,0 +1,99 @@
+// Package responder serves the queries of callers and operators over HTTP, and
+// metrics and health. It changes nothing. Commands are served by package acceptor.
+package responder
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"corianderroad/acceptor"
+	"corianderroad/classifier"
+	"corianderroad/gatherer"
+	"corianderroad/identifier"
+	"corianderroad/querier"
+)
+
+// Gatherer answers for the whole deployment.
+type Gatherer interface {
+	Gather(ctx context.Context, query querier.Query) gatherer.Report
+}
+
+// Access tells whom a token stands for.
+type Access interface {
+	Workspace(token string) (identifier.Workspace, error)
+	Operator(token string) (identifier.Organisation, error)
+}
+
+// Readiness tells whether this node should get calls.
+type Readiness interface {
+	// Check returns nil, or an error with code NotReady or Leaving.
+	Check() error
+}
+
+// Dependencies are what a Responder works with. All are required.
+type Dependencies struct {
+	Gatherer  Gatherer
+	Access    Access
+	Readiness Readiness
+	Metrics   http.Handler
+}
+
+// Responder serves queries. It is safe for concurrent use.
+type Responder struct {
+	Dependencies
+}
+
+// New returns a Responder.
+func New(dependencies Dependencies) *Responder {
+	return &Responder{dependencies}
+}
+
+// Register adds the routes of all queries.
+func (responder *Responder) Register(app *iris.Application) {
+	queries := app.Party("/v1/queries")
+	queries.Get("/status", responder.answer(querier.Status))
+	queries.Get("/explain", responder.answer(querier.Explain))
+	queries.Get("/shares", responder.answer(querier.Shares))
+	app.Get("/metrics", iris.FromStd(responder.Metrics))
+	app.Get("/health/live", func(ctx iris.Context) { _, _ = ctx.WriteString("live\n") })
+	app.Get("/health/ready", responder.ready)
+}
+
+func (responder *Responder) ready(ctx iris.Context) {
+	if err := responder.Readiness.Check(); err != nil {
+		acceptor.WriteRefusal(ctx, err)
+		return
+	}
+	_, _ = ctx.WriteString("ready\n")
+}
+
+func (responder *Responder) answer(kind querier.Kind) iris.Handler {
+	return func(ctx iris.Context) {
+		query := querier.Query{Kind: kind, Subject: ctx.URLParam("subject")}
+		if kind == querier.Explain && (query.Subject == "" || len(query.Subject) > maxSubject) {
+			acceptor.WriteRefusal(ctx, classifier.New(classifier.BadRequest,
+				"parameter subject has %d bytes, must be 1 to %d", len(query.Subject), maxSubject))
+			return
+		}
+		workspace, err := responder.authorise(acceptor.Bearer(ctx))
+		if err != nil {
+			acceptor.WriteRefusal(ctx, err)
+			return
+		}
+		query.Workspace = workspace
+		report := responder.Gatherer.Gather(ctx.Request().Context(), query)
+		_ = ctx.JSON(render(report, workspace))
+	}
+}
+
+const maxSubject = 256
+
+// authorise returns the workspace that limits the answer, empty for an operator.
+func (responder *Responder) authorise(token string) (identifier.Workspace, error) {
+	if _, err := responder.Access.Operator(token); err == nil {
+		return "", nil
+	}
+	return responder.Access.Workspace(token)
+}
