State the worker protocol with marks for leases

The lease of a task counted from the receipt of a call, so that a call delayed on its way could keep part of a gang running after the rest had lapsed. Leases now count from a reading of the worker's own clock that an earlier answer carried. Answers also carry the worker's fence, and calls a sequence number that the answer returns, so that a late answer is not taken for a newer one. Not measured: documentation and types only.

--- a/messenger/jobs.go
+++ b/messenger/jobs.go
@@ -62,12 +62,16 @@
 	Placement uint32
 }
 
-// AskWorker asks the controller to call a worker.
+// AskWorker asks the controller to call a worker. docs/WORKER-PROTOCOL.md
+// describes the calls.
 type AskWorker struct {
-	Worker  identifier.Worker
-	Address netip.AddrPort
-	Kind    WorkerCallKind
-	Term    identifier.Term
+	// Sequence is copied into the answer, so that an answer can be told from
+	// that of an earlier call to the same worker.
+	Sequence uint64
+	Worker   identifier.Worker
+	Address  netip.AddrPort
+	Kind     WorkerCallKind
+	Term     identifier.Term
 	// Gang is the subject of every kind but RenewTasks and ReadState.
 	Gang Gang
 	// Gangs are the subjects of RenewTasks.
@@ -75,10 +79,25 @@
 	Accelerators int
 	// Members are the workers of the whole gang, sent with ReserveTask.
 	Members []identifier.Worker
-	// Lease is how long the worker may run the task without renewal.
+	// Lease is how long the worker may run the task without renewal, counted
+	// from Mark. The lease of ReserveTask counts from the receipt of the call.
 	Lease time.Duration
+	// Mark is the worker's clock as it stood in an earlier answer. A call that was
+	// delayed on its way cannot prolong a lease that counts from it.
+	Mark time.Duration
 	// RunTime is the declared run time, sent with StartTask.
 	RunTime time.Duration
+	// Progress is the run time that the job's newest checkpoint holds, sent with StartTask.
+	Progress time.Duration
+	// Grace bounds the time that a checkpoint may take, sent with CheckpointTask.
+	Grace time.Duration
+}
+
+// Refused returns the answer to a call that was not carried out.
+func (ask AskWorker) Refused(err *classifier.Error) WorkerAnswered {
+	return WorkerAnswered{
+		Sequence: ask.Sequence, Worker: ask.Worker, Kind: ask.Kind, Gang: ask.Gang, Err: err,
+	}
 }
 
 // TaskState is the state of a task on its worker.
@@ -93,6 +112,24 @@
 	Lapsed
 )
 
+// String returns the state as it stands in the worker protocol.
+func (state TaskState) String() string {
+	switch state {
+	case Reserved:
+		return "reserved"
+	case Running:
+		return "running"
+	case Completed:
+		return "completed"
+	case Failed:
+		return "failed"
+	case Lapsed:
+		return "lapsed"
+	default:
+		return "unknown"
+	}
+}
+
 // Task is a task as its worker reports it.
 type Task struct {
 	Gang         Gang
@@ -105,15 +142,21 @@
 
 // WorkerAnswered is the result of an AskWorker, sent exactly once for each.
 type WorkerAnswered struct {
-	Worker identifier.Worker
-	Kind   WorkerCallKind
-	Gang   Gang
-	// Err is nil if the call took effect. Its code says whether it may have.
+	Sequence uint64
+	Worker   identifier.Worker
+	Kind     WorkerCallKind
+	Gang     Gang
+	// Err is nil if the call took effect. The fate of its code says whether it
+	// may have.
 	Err *classifier.Error
 	// Tasks are all tasks on the worker after the call.
 	Tasks []Task
 	// Accelerators is the worker's number of accelerators, zero if it did not answer.
 	Accelerators int
+	// Fence is the highest term that the worker has seen, zero if it did not answer.
+	Fence identifier.Term
+	// Mark is the worker's clock at the time of the answer.
+	Mark time.Duration
 }
 
 func (WorkerAnswered) event() {}
