Take a job from acceptance to its outcome

The scheduler was a stub. It now claims the regions that it owns, reads the state of the workers, places waiting jobs, renews whole gangs and appends outcomes.

--- /dev/null
+++ b/scheduler/calls.go
@@ -0,0 +1,170 @@
+package scheduler
+
+import (
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/leaser"
+	"corianderroad/messenger"
+)
+
+// Pauses before a worker that did not answer is asked again.
+const (
+	firstPoll = time.Second
+	lastPoll  = 30 * time.Second
+)
+
+// call is a call to a worker without an answer.
+type call struct {
+	region  *region
+	term    identifier.Term
+	worker  *worker
+	job     *job
+	askedAt time.Time
+}
+
+// ask sends a call to a worker of the region.
+func (scheduler *Scheduler) ask(now time.Time, region *region, worker *worker, job *job, ask messenger.AskWorker) uint64 {
+	scheduler.sequence++
+	ask.Sequence, ask.Term = scheduler.sequence, region.term
+	ask.Worker, ask.Address = worker.name, worker.vm.Address
+	scheduler.calls[ask.Sequence] = call{region, region.term, worker, job, now}
+	scheduler.emit(ask)
+	return ask.Sequence
+}
+
+// workerAnswered applies an answer to the worker, to the gang that it was for
+// and to every other gang on the worker.
+func (scheduler *Scheduler) workerAnswered(now time.Time, answer messenger.WorkerAnswered) {
+	call, ok := scheduler.calls[answer.Sequence]
+	delete(scheduler.calls, answer.Sequence)
+	if !ok || !call.region.held || call.term != call.region.term {
+		return
+	}
+	region, worker := call.region, call.worker
+	if answer.Fence > region.term || (answer.Err != nil && answer.Err.Code == classifier.StaleTerm) {
+		scheduler.stepDown(now, region, "a worker has seen a newer term")
+		return
+	}
+	sighting := leaser.Sighting{AskedAt: call.askedAt, AnsweredAt: now, Mark: answer.Mark}
+	switch answer.Kind {
+	case messenger.RenewTasks:
+		worker.renewing = 0
+	case messenger.ReadState:
+		worker.polling = 0
+	}
+	scheduler.hear(now, region, worker, answer)
+	if job := call.job; job != nil && job.gang != nil && job.gang.Order().Gang == answer.Gang {
+		job.gang.Answered(now, answer, sighting)
+		scheduler.agenda.schedule(job, now)
+	} else if answer.Kind == messenger.ReleaseTask {
+		worker.clearing = false
+	}
+	if answer.Err != nil {
+		if answer.Kind == messenger.RenewTasks && now.Sub(region.roundAt) < scheduler.parameters.RenewEvery/2 {
+			scheduler.renewWorker(now, region, worker)
+		}
+		return
+	}
+	scheduler.see(now, region, worker, sighting, answer)
+}
+
+// hear notes whether the worker answered.
+func (scheduler *Scheduler) hear(now time.Time, region *region, worker *worker, answer messenger.WorkerAnswered) {
+	if answer.Err != nil {
+		switch answer.Err.Code {
+		case classifier.RingFull:
+			worker.pollAt = now.Add(firstPoll)
+		case classifier.NoCapacity, classifier.LeaseExpired, classifier.BadRequest:
+			worker.health.avoidUntil = now.Add(avoidFor)
+			worker.pollAt = now.Add(avoidFor)
+		default:
+			worker.missed++
+			worker.pollAt = now.Add(min(firstPoll<<min(worker.missed-1, 8), lastPoll))
+		}
+		region.fleet.SetUsable(worker.name, worker.usable(now))
+		region.nextPoll = earliest(region.nextPoll, worker.pollAt)
+		return
+	}
+	worker.heard, worker.missed, worker.heardAt = true, 0, now
+	region.nextPoll = earliest(region.nextPoll, now.Add(scheduler.parameters.PollEvery))
+	if region.fleet.SetUsable(worker.name, worker.usable(now)) {
+		scheduler.change(now, region)
+	}
+	if answer.Accelerators != worker.accelerators {
+		worker.accelerators = answer.Accelerators
+		scheduler.rebuild(region)
+		scheduler.change(now, region)
+	}
+}
+
+// see compares the tasks on a worker with the gangs that should be there.
+func (scheduler *Scheduler) see(now time.Time, region *region, worker *worker, sighting leaser.Sighting, answer messenger.WorkerAnswered) {
+	for _, job := range worker.jobs {
+		if job.gang == nil {
+			continue
+		}
+		before := job.gang.Phase()
+		job.gang.Saw(now, worker.name, sighting, find(answer.Tasks, job.gang.Order().Gang))
+		if job.gang.Phase() != before {
+			scheduler.agenda.schedule(job, now)
+		}
+	}
+	for _, task := range answer.Tasks {
+		if job, ok := scheduler.jobs[task.Gang.Job]; ok {
+			job.placement = max(job.placement, task.Gang.Placement)
+			job.progress = max(job.progress, progressOf(job, task))
+		}
+		if !region.adoptUntil.IsZero() {
+			region.collect(worker.name, sighting, task)
+		} else if !scheduler.tracks(task.Gang) && !worker.clearing {
+			worker.clearing = true
+			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: task.Gang})
+		}
+	}
+}
+
+// progressOf returns what a task of an ended gang says about the job's
+// checkpoint. Only a gang of one member says it for the whole job.
+func progressOf(job *job, task messenger.Task) time.Duration {
+	if job.spec.Shape.Members == 1 {
+		return task.Progress
+	}
+	return 0
+}
+
+func find(tasks []messenger.Task, gang messenger.Gang) *messenger.Task {
+	for i := range tasks {
+		if tasks[i].Gang == gang {
+			return &tasks[i]
+		}
+	}
+	return nil
+}
+
+// tracks says whether a gang is the current one of its job.
+func (scheduler *Scheduler) tracks(gang messenger.Gang) bool {
+	job, ok := scheduler.jobs[gang.Job]
+	return ok && job.gang != nil && job.gang.Order().Gang == gang
+}
+
+// pollWorkers asks for the state of workers that have been silent.
+func (scheduler *Scheduler) pollWorkers(now time.Time, region *region) {
+	if region.nextPoll.IsZero() || now.Before(region.nextPoll) {
+		return
+	}
+	region.nextPoll = time.Time{}
+	for _, worker := range region.sortedWorkers() {
+		due := worker.pollAt
+		if due.IsZero() {
+			due = worker.heardAt.Add(scheduler.parameters.PollEvery)
+		}
+		if worker.polling == 0 && !now.Before(due) {
+			worker.pollAt = time.Time{}
+			worker.polling = scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReadState})
+		} else if worker.polling == 0 {
+			region.nextPoll = earliest(region.nextPoll, due)
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/claim.go
@@ -0,0 +1,154 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"corianderroad/hasher"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// claimPatience is how long a claim may wait in the appender.
+const claimPatience = 30 * time.Second
+
+// owner returns the node that should place for a region: the rendezvous owner
+// over the alive members in the region, or over all if it has none.
+func (scheduler *Scheduler) owner(name identifier.Region) identifier.Node {
+	var near, all []identifier.Node
+	for _, member := range scheduler.members {
+		if member.State != messenger.Alive {
+			continue
+		}
+		all = append(all, member.Node)
+		if member.Region == name {
+			near = append(near, member.Node)
+		}
+	}
+	if len(near) > 0 {
+		return hasher.Owner(string(name), near)
+	}
+	return hasher.Owner(string(name), all)
+}
+
+func (scheduler *Scheduler) alive(node identifier.Node, incarnation identifier.Incarnation) bool {
+	for _, member := range scheduler.members {
+		if member.Node == node {
+			return member.State == messenger.Alive && member.Incarnation <= incarnation
+		}
+	}
+	return false
+}
+
+// considerClaim claims a region that this node owns but does not hold.
+func (scheduler *Scheduler) considerClaim(now time.Time, region *region) {
+	if scheduler.draining || len(region.workers) == 0 || scheduler.owner(region.name) != scheduler.identity.Node {
+		region.ownedSince = time.Time{}
+		return
+	}
+	if region.ownedSince.IsZero() {
+		region.ownedSince = now
+	}
+	due := scheduler.claimDue(region)
+	if due.IsZero() || now.Before(due) {
+		return
+	}
+	region.claimID = fmt.Sprintf("claim/%s/%s/%d/%d", region.name, scheduler.identity.Node,
+		scheduler.identity.Incarnation, now.UnixNano())
+	region.claimDue = now.Add(2 * claimPatience)
+	scheduler.emit(messenger.AppendRecord{
+		Stream: identifier.Jobs,
+		Entry: messenger.Entry{ID: region.claimID, Record: messenger.RegionClaim{
+			Region: region.name, Node: scheduler.identity.Node, Incarnation: scheduler.identity.Incarnation,
+		}},
+		GiveUp: now.Add(claimPatience),
+	})
+}
+
+// claimDue returns when the region is to be claimed, zero for never.
+func (scheduler *Scheduler) claimDue(region *region) time.Time {
+	if region.ownedSince.IsZero() || region.held {
+		return time.Time{}
+	}
+	due := region.ownedSince.Add(scheduler.parameters.ClaimAfter)
+	if due.Before(region.claimDue) {
+		due = region.claimDue
+	}
+	other := region.claim.Node != scheduler.identity.Node
+	if other && scheduler.alive(region.claim.Node, region.claim.Incarnation) {
+		if contest := region.foldedAt.Add(scheduler.parameters.ContestAfter); due.Before(contest) {
+			due = contest
+		}
+	}
+	return due
+}
+
+// foldClaim follows the newest claim of a region.
+func (scheduler *Scheduler) foldClaim(now time.Time, event messenger.ClaimFolded) {
+	region := scheduler.region(event.Claim.Region)
+	if event.Term <= region.term {
+		return
+	}
+	if region.held {
+		scheduler.stepDown(now, region, "a newer claim was folded")
+	}
+	region.claim, region.term, region.foldedAt = event.Claim, event.Term, now
+	own := event.Claim.Node == scheduler.identity.Node && event.Claim.Incarnation == scheduler.identity.Incarnation
+	if !own {
+		return
+	}
+	region.claimID, region.claimDue = "", time.Time{}
+	region.held = true
+	region.settledAt = now.Add(scheduler.parameters.Timing.Lease)
+	scheduler.transition(string(region.name), "following", "adopting", fmt.Sprintf("claimed with term %d", event.Term))
+	scheduler.beginAdoption(now, region)
+}
+
+// stepDown stops all placement of a region. The tasks go on: the next holder
+// adopts them.
+func (scheduler *Scheduler) stepDown(now time.Time, region *region, reason string) {
+	region.held = false
+	region.adoptUntil, region.adopted = time.Time{}, nil
+	// A newer claim that is not folded yet shall not be answered by another one.
+	region.claimDue = now.Add(scheduler.parameters.RenewEvery)
+	scheduler.transition(string(region.name), "placing", "following", reason)
+	scheduler.decide(now, string(region.name), "stepped-down", reason)
+	for _, job := range scheduler.jobs {
+		if job.region == region.name {
+			job.forget()
+			region.enqueue(job)
+		}
+	}
+	for _, worker := range region.workers {
+		worker.jobs, worker.renewing, worker.polling, worker.clearing = nil, 0, 0, false
+	}
+	scheduler.rebuild(region)
+}
+
+// drain stops placing. Leases are renewed until the next holder has claimed.
+func (scheduler *Scheduler) drain(now time.Time) {
+	if scheduler.draining {
+		return
+	}
+	scheduler.draining = true
+	for _, region := range scheduler.sortedRegions() {
+		if region.held {
+			scheduler.decide(now, string(region.name), "draining", "the node leaves; the next holder places")
+		}
+	}
+}
+
+// appendFailed lets a claim or an outcome be appended again.
+func (scheduler *Scheduler) appendFailed(now time.Time, event messenger.AppendFailed) {
+	for _, region := range scheduler.regions {
+		if region.claimID != "" && region.claimID == event.ID {
+			region.claimID, region.claimDue = "", now.Add(time.Second)
+			return
+		}
+	}
+	scheduler.outcomeFailed(now, event.ID)
+}
+
+func (scheduler *Scheduler) transition(subject, from, to, reason string) {
+	scheduler.emit(messenger.Transition{Subject: subject, From: from, To: to, Reason: reason})
+}
--- /dev/null
+++ b/scheduler/configuration.go
@@ -0,0 +1,21 @@
+package scheduler
+
+import (
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// configure takes over the workspaces of a configuration.
+func (scheduler *Scheduler) configure(now time.Time, configuration *messenger.Configuration) {
+	scheduler.workspaces = make(map[identifier.Workspace]messenger.WorkspaceSpec)
+	for _, organisation := range configuration.Organisations {
+		for _, workspace := range organisation.Workspaces {
+			scheduler.workspaces[workspace.Workspace] = workspace
+		}
+	}
+	for _, region := range scheduler.regions {
+		scheduler.change(now, region)
+	}
+}
--- /dev/null
+++ b/scheduler/drive.go
@@ -0,0 +1,143 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/leaser"
+	"corianderroad/messenger"
+)
+
+// attemptsPerSet bounds the attempts of a job that cannot be placed on enough
+// different sets of workers.
+const attemptsPerSet = 3
+
+// occupy gives a gang to a job and its accelerators to the gang.
+func (scheduler *Scheduler) occupy(region *region, job *job, gang *leaser.Gang) {
+	order := gang.Order()
+	job.gang, job.holding = gang, slices.Clone(order.Workers)
+	job.placement = max(job.placement, order.Gang.Placement)
+	for _, name := range order.Workers {
+		region.fleet.Take(name, order.Accelerators)
+		worker := region.workers[name]
+		worker.jobs = append(worker.jobs, job)
+	}
+}
+
+// launch begins the gang protocol of a job on the given workers.
+func (scheduler *Scheduler) launch(now time.Time, region *region, job *job, workers []identifier.Worker) {
+	// Placement numbers of a term lie above those of earlier terms, also of
+	// gangs on workers that did not answer.
+	placement := max(job.placement, uint32(region.term)) + 1
+	order := leaser.Order{
+		Gang: messenger.Gang{Job: job.spec.Job, Placement: placement}, Workers: workers,
+		Accelerators: job.spec.Shape.Accelerators, RunTime: job.spec.RunTime, Progress: job.progress,
+	}
+	scheduler.occupy(region, job, leaser.New(now, order, scheduler.parameters.Timing))
+	job.become(now, reserving)
+	scheduler.decide(now, string(job.spec.Job), "placed", setOf(workers))
+	scheduler.driveGang(now, job)
+}
+
+// driveGang moves the gang of a job on and sends the calls that are due.
+func (scheduler *Scheduler) driveGang(now time.Time, job *job) {
+	region := scheduler.region(job.region)
+	if !region.held {
+		return
+	}
+	if job.outcome != nil && scheduler.jobs[job.spec.Job] == job && !job.outcomeDue.IsZero() && !now.Before(job.outcomeDue) {
+		scheduler.appendOutcome(now, job)
+	}
+	if job.gang == nil {
+		scheduler.agenda.schedule(job, job.outcomeDue)
+		return
+	}
+	for _, ask := range job.gang.Advance(now) {
+		scheduler.ask(now, region, region.workers[ask.Worker], job, ask)
+	}
+	scheduler.giveBack(now, region, job)
+	switch job.gang.Phase() {
+	case leaser.Running:
+		if job.state == reserving {
+			job.become(now, running)
+			scheduler.decide(now, string(job.spec.Job), "started", "")
+		}
+	case leaser.Finished:
+		scheduler.finish(now, region, job)
+	case leaser.Releasing, leaser.Checkpointing:
+		if job.outcome == nil {
+			job.become(now, stopping)
+		}
+	case leaser.Ended:
+		scheduler.gangEnded(now, region, job)
+	}
+	if job.gang != nil {
+		scheduler.agenda.schedule(job, job.gang.Next())
+	}
+	if scheduler.jobs[job.spec.Job] == job {
+		scheduler.agenda.schedule(job, job.outcomeDue)
+	}
+}
+
+// giveBack frees the accelerators of members that were released.
+func (scheduler *Scheduler) giveBack(now time.Time, region *region, job *job) {
+	kept := job.holding[:0]
+	for _, name := range job.holding {
+		if job.gang.Holds(name) {
+			kept = append(kept, name)
+			continue
+		}
+		region.fleet.Give(name, job.spec.Shape.Accelerators)
+		if worker, ok := region.workers[name]; ok {
+			worker.remove(job)
+		}
+		scheduler.change(now, region)
+	}
+	job.holding = kept
+}
+
+// finish states the outcome of a completed gang and keeps the gang for a while.
+func (scheduler *Scheduler) finish(now time.Time, region *region, job *job) {
+	if job.outcome == nil {
+		region.clear(job.gang.Order().Workers)
+		scheduler.conclude(now, job, messenger.Outcome{Code: classifier.OK})
+	}
+	if release := job.since.Add(keepFinished); now.Before(release) {
+		scheduler.agenda.schedule(job, release)
+	} else {
+		job.gang.Stop(now, leaser.Completed)
+		scheduler.agenda.schedule(job, now)
+	}
+}
+
+// gangEnded returns the job to the queue or ends it, by the result of its gang.
+func (scheduler *Scheduler) gangEnded(now time.Time, region *region, job *job) {
+	gang := job.gang
+	job.progress = max(job.progress, gang.Progress())
+	if gang.Result() == leaser.Failed && job.outcome == nil {
+		scheduler.recordFailure(now, region, job, gang.Blamed()[0])
+	}
+	job.gang = nil
+	scheduler.change(now, region)
+	switch {
+	case job.outcome != nil:
+		return
+	case job.cancelled:
+		scheduler.conclude(now, job, cancelledOutcome())
+	case job.sets() >= scheduler.parameters.FailureSets,
+		job.attempts >= attemptsPerSet*scheduler.parameters.FailureSets:
+		region.exonerate(job)
+		scheduler.conclude(now, job, repeatedFailure(job))
+	default:
+		job.become(now, waiting)
+		region.enqueue(job)
+		scheduler.decide(now, string(job.spec.Job), "waits-again", fmt.Sprintf("%s at %s", gang.Result(), setOf(gang.Blamed())))
+	}
+}
+
+func cancelledOutcome() messenger.Outcome {
+	return messenger.Outcome{Code: classifier.JobEnded, Cancelled: true, Reason: "cancelled by the caller"}
+}
--- /dev/null
+++ b/scheduler/health.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"corianderroad/identifier"
+)
+
+// avoidFor is how long a worker is passed over after it refused a gang, so that
+// its state is read before it is chosen again.
+const avoidFor = 2 * time.Second
+
+// maxQuarantine bounds the doubling of quarantines.
+const maxQuarantine = 4 * time.Hour
+
+// health is the failure evidence against a worker.
+type health struct {
+	// failed are the different jobs that failed on the worker since its last
+	// quarantine.
+	failed map[identifier.Job]bool
+	// until is the end of the quarantine. Afterwards the worker is on probation:
+	// one failure returns it to quarantine, one completion clears it.
+	until       time.Time
+	quarantines int
+	avoidUntil  time.Time
+}
+
+// failure is one failure of a job: where it ran and on which worker it failed.
+type failure struct {
+	set    string
+	worker identifier.Worker
+}
+
+// setOf names a set of workers.
+func setOf(workers []identifier.Worker) string {
+	names := make([]string, len(workers))
+	for i, worker := range workers {
+		names[i] = string(worker)
+	}
+	slices.Sort(names)
+	return strings.Join(names, ",")
+}
+
+// recordFailure counts a failure against the job and against the worker.
+func (scheduler *Scheduler) recordFailure(now time.Time, region *region, job *job, blamed identifier.Worker) {
+	job.failures = append(job.failures, failure{setOf(job.gang.Order().Workers), blamed})
+	job.attempts++
+	scheduler.decide(now, string(job.spec.Job), "failed", fmt.Sprintf("the task on %s failed", blamed))
+	worker, ok := region.workers[blamed]
+	if !ok || !scheduler.parameters.uses(Quarantine) {
+		return
+	}
+	if worker.health.failed == nil {
+		worker.health.failed = make(map[identifier.Job]bool)
+	}
+	worker.health.failed[job.spec.Job] = true
+	limit := scheduler.parameters.FailureJobs
+	if worker.health.quarantines > 0 {
+		limit = 1
+	}
+	if len(worker.health.failed) >= limit {
+		scheduler.quarantine(now, region, worker)
+	}
+}
+
+// quarantine takes a worker out of use for a while and withdraws the failures
+// on it from the jobs that they were counted against.
+func (scheduler *Scheduler) quarantine(now time.Time, region *region, worker *worker) {
+	length := min(scheduler.parameters.QuarantineFor<<min(worker.health.quarantines, 16), maxQuarantine)
+	detail := fmt.Sprintf("%d jobs failed on it, until %s", len(worker.health.failed), now.Add(length).UTC().Format(time.RFC3339))
+	for name := range worker.health.failed {
+		if job, ok := scheduler.jobs[name]; ok {
+			job.failures = slices.DeleteFunc(job.failures, func(failure failure) bool { return failure.worker == worker.name })
+		}
+	}
+	worker.health.until = now.Add(length)
+	worker.health.quarantines++
+	worker.health.failed = nil
+	region.nextPoll = earliest(region.nextPoll, worker.health.until)
+	worker.pollAt = worker.health.until
+	scheduler.transition(string(worker.name), "usable", "quarantined", detail)
+	scheduler.decide(now, string(worker.name), "quarantined", detail)
+}
+
+// sets returns the number of different sets of workers on which the job failed.
+func (job *job) sets() int {
+	different := make(map[string]bool, len(job.failures))
+	for _, failure := range job.failures {
+		different[failure.set] = true
+	}
+	return len(different)
+}
+
+// exonerate withdraws the failures of a job that failed everywhere from the
+// workers that they were counted against.
+func (region *region) exonerate(job *job) {
+	for _, failure := range job.failures {
+		if worker, ok := region.workers[failure.worker]; ok {
+			delete(worker.health.failed, job.spec.Job)
+		}
+	}
+}
+
+// clear ends the probation of workers on which a gang completed.
+func (region *region) clear(workers []identifier.Worker) {
+	for _, name := range workers {
+		if worker, ok := region.workers[name]; ok {
+			worker.health.quarantines = 0
+			worker.health.failed = nil
+		}
+	}
+}
--- /dev/null
+++ b/scheduler/job.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/identifier"
+	"corianderroad/leaser"
+	"corianderroad/messenger"
+)
+
+// state is the state of a job.
+type state uint8
+
+const (
+	waiting state = iota
+	reserving
+	running
+	stopping
+	concluding
+)
+
+// String returns the state as it stands in answers.
+func (state state) String() string {
+	return [...]string{"waiting", "reserving", "running", "stopping", "concluding"}[state]
+}
+
+// job is an accepted job without a folded outcome.
+type job struct {
+	spec   commander.JobSpec
+	offset identifier.Offset
+	at     time.Time
+	region identifier.Region
+	state  state
+	since  time.Time
+	// reason is why the job waits.
+	reason    classifier.Code
+	cancelled bool
+
+	gang *leaser.Gang
+	// holding are the workers whose accelerators the gang occupies.
+	holding   []identifier.Worker
+	placement uint32
+	progress  time.Duration
+	renewed   time.Time
+	wake      time.Time
+
+	failures []failure
+	attempts int
+
+	outcome   *messenger.Outcome
+	outcomeID string
+	// outcomeDue is when the outcome is appended again.
+	outcomeDue time.Time
+}
+
+func (job *job) become(now time.Time, state state) {
+	if job.state != state {
+		job.state, job.since = state, now
+	}
+}
+
+// forget drops what only the holder of the region knows.
+func (job *job) forget() {
+	job.gang, job.holding, job.state = nil, nil, waiting
+	job.failures, job.attempts = nil, 0
+	job.outcome, job.outcomeID, job.outcomeDue = nil, "", time.Time{}
+	job.wake = time.Time{}
+}
+
+// queue is the waiting jobs of one workspace, urgent ones first, then in the
+// order of acceptance. Jobs that no longer wait are removed lazily.
+type queue struct{ jobs []*job }
+
+func compareJobs(a, b *job) int {
+	if a.spec.Urgent != b.spec.Urgent {
+		if a.spec.Urgent {
+			return -1
+		}
+		return 1
+	}
+	// Jobs of one group commit have the same offset.
+	return cmp.Or(cmp.Compare(a.offset, b.offset), cmp.Compare(a.spec.Job, b.spec.Job))
+}
+
+// enqueue adds a waiting job to the queue of its workspace.
+func (region *region) enqueue(job *job) {
+	waiting, ok := region.queues[job.spec.Workspace]
+	if !ok {
+		waiting = &queue{}
+		region.queues[job.spec.Workspace] = waiting
+	}
+	at, found := slices.BinarySearchFunc(waiting.jobs, job, compareJobs)
+	if !found {
+		waiting.jobs = slices.Insert(waiting.jobs, at, job)
+	}
+}
+
+// compact removes jobs that do not wait.
+func (queue *queue) compact() {
+	queue.jobs = slices.DeleteFunc(queue.jobs, func(job *job) bool { return job.state != waiting })
+}
+
+func (scheduler *Scheduler) acceptJob(now time.Time, event messenger.JobAccepted) {
+	if _, ok := scheduler.jobs[event.Spec.Job]; ok {
+		return
+	}
+	accepted := &job{
+		spec: event.Spec, offset: event.Offset, at: now, since: now,
+		region: event.Spec.Region, reason: classifier.NoCapacity,
+	}
+	scheduler.jobs[event.Spec.Job] = accepted
+	region := scheduler.region(accepted.region)
+	region.enqueue(accepted)
+	scheduler.change(now, region)
+}
+
+func (scheduler *Scheduler) cancelJob(now time.Time, name identifier.Job) {
+	job, ok := scheduler.jobs[name]
+	if !ok {
+		return
+	}
+	job.cancelled = true
+	region := scheduler.region(job.region)
+	if region.held && job.gang != nil && job.gang.Phase() != leaser.Finished {
+		job.gang.Stop(now, leaser.Stopped)
+		scheduler.agenda.schedule(job, now)
+	}
+	scheduler.change(now, region)
+}
+
+// concludeJob ends the job with the first outcome in the log.
+func (scheduler *Scheduler) concludeJob(now time.Time, outcome messenger.Outcome) {
+	job, ok := scheduler.jobs[outcome.Job]
+	if !ok {
+		return
+	}
+	region := scheduler.region(job.region)
+	detail := outcome.Reason
+	if outcome.Cancelled {
+		detail = "cancelled by the caller"
+	}
+	scheduler.decide(now, string(outcome.Job), "ended: "+outcome.Code.Name(), detail)
+	job.outcome = &outcome
+	if job.gang != nil {
+		job.gang.Stop(now, leaser.Stopped)
+	}
+	job.become(now, concluding)
+	delete(scheduler.jobs, outcome.Job)
+	scheduler.agenda.schedule(job, now)
+	scheduler.change(now, region)
+}
--- /dev/null
+++ b/scheduler/outcome.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+const (
+	// outcomePatience is how long an outcome may wait in the appender.
+	outcomePatience = time.Minute
+	// keepFinished is how long a completed gang keeps its accelerators while its
+	// outcome is not in the log, so that another holder can still learn it.
+	keepFinished = 30 * time.Second
+)
+
+// conclude appends the outcome of a job. The job stays until it was folded.
+func (scheduler *Scheduler) conclude(now time.Time, job *job, outcome messenger.Outcome) {
+	if job.outcome != nil {
+		return
+	}
+	outcome.Job = job.spec.Job
+	job.outcome = &outcome
+	job.become(now, concluding)
+	scheduler.appendOutcome(now, job)
+}
+
+func (scheduler *Scheduler) appendOutcome(now time.Time, job *job) {
+	job.outcomeID = fmt.Sprintf("outcome/%s/%d/%d", job.spec.Job, scheduler.regions[job.region].term, now.UnixNano())
+	job.outcomeDue = now.Add(2 * outcomePatience)
+	scheduler.emit(messenger.AppendRecord{
+		Stream: identifier.Jobs,
+		Entry:  messenger.Entry{ID: job.outcomeID, Record: *job.outcome},
+		GiveUp: now.Add(outcomePatience),
+	})
+	scheduler.agenda.schedule(job, job.outcomeDue)
+}
+
+// outcomeFailed lets an outcome that could not be appended be appended again.
+// A second record of the same job has no effect if the first is in the log.
+func (scheduler *Scheduler) outcomeFailed(now time.Time, id string) {
+	for _, job := range scheduler.jobs {
+		if job.outcomeID == id {
+			job.outcomeDue = now.Add(time.Second)
+			scheduler.agenda.schedule(job, job.outcomeDue)
+			return
+		}
+	}
+}
+
+// repeatedFailure is the outcome of a job that failed on several sets of workers.
+func repeatedFailure(job *job) messenger.Outcome {
+	last := job.failures[len(job.failures)-1]
+	return messenger.Outcome{
+		Code: classifier.RepeatedFailure,
+		Reason: fmt.Sprintf("failed %d times on %d sets of workers, last on %s",
+			job.attempts, job.sets(), last.worker),
+	}
+}
--- /dev/null
+++ b/scheduler/region.go
@@ -0,0 +1,99 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/placer"
+)
+
+// region is the state of one region's placement.
+type region struct {
+	name    identifier.Region
+	workers map[identifier.Worker]*worker
+	fleet   *placer.Fleet
+	queues  map[identifier.Workspace]*queue
+
+	// claim is the newest claim; term is its offset.
+	claim messenger.RegionClaim
+	term  identifier.Term
+	// held says that this node placed the newest claim and no worker has shown
+	// a higher term.
+	held     bool
+	foldedAt time.Time
+	// ownedSince is when this node became the rendezvous owner, zero if it is not.
+	ownedSince time.Time
+	// claimID is the record that is being appended, empty if there is none.
+	claimID  string
+	claimDue time.Time
+
+	// adoptUntil ends the reading of the workers' state, zero if it is done.
+	adoptUntil time.Time
+	adopted    map[messenger.Gang]*remains
+	// settledAt is when tasks of earlier holders have surely ended.
+	settledAt time.Time
+
+	roundAt   time.Time
+	nextRound time.Time
+	nextPoll  time.Time
+
+	dirty     bool
+	plannedAt time.Time
+	nextPlan  time.Time
+}
+
+func (scheduler *Scheduler) region(name identifier.Region) *region {
+	if known, ok := scheduler.regions[name]; ok {
+		return known
+	}
+	created := &region{
+		name: name, workers: make(map[identifier.Worker]*worker),
+		fleet: placer.NewFleet(nil), queues: make(map[identifier.Workspace]*queue),
+	}
+	scheduler.regions[name] = created
+	return created
+}
+
+// sortedRegions returns the regions by name, so that equal runs decide alike.
+func (scheduler *Scheduler) sortedRegions() []*region {
+	sorted := make([]*region, 0, len(scheduler.regions))
+	for _, region := range scheduler.regions {
+		sorted = append(sorted, region)
+	}
+	slices.SortFunc(sorted, func(a, b *region) int { return cmp.Compare(a.name, b.name) })
+	return sorted
+}
+
+// sortedWorkers returns the workers by name.
+func (region *region) sortedWorkers() []*worker {
+	sorted := make([]*worker, 0, len(region.workers))
+	for _, worker := range region.workers {
+		sorted = append(sorted, worker)
+	}
+	slices.SortFunc(sorted, func(a, b *worker) int { return cmp.Compare(a.name, b.name) })
+	return sorted
+}
+
+// placing says whether the holder may place gangs now.
+func (scheduler *Scheduler) placing(region *region) bool {
+	return region.held && region.adoptUntil.IsZero() && !scheduler.draining
+}
+
+// change asks for a pass over the waiting jobs.
+func (scheduler *Scheduler) change(now time.Time, region *region) {
+	due := region.plannedAt.Add(scheduler.parameters.PlanEvery)
+	if due.Before(now) {
+		due = now
+	}
+	scheduler.changeAt(region, due)
+}
+
+// changeAt asks for a pass at the given time or earlier.
+func (scheduler *Scheduler) changeAt(region *region, at time.Time) {
+	if !region.dirty || at.Before(region.nextPlan) {
+		region.dirty, region.nextPlan = true, at
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -1,35 +1,149 @@
-// Package scheduler decides where and when jobs run.
+// Package scheduler decides where and when jobs run. It owns the placement of
+// the regions that this node claimed and follows the jobs of all others.
 package scheduler
 
 import (
 	"math/rand/v2"
 	"time"
 
+	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/querier"
 )
 
-// Parameters are the parameters of a Scheduler. The zero value is useful.
-type Parameters struct{}
-
 // Scheduler is the machine that decides where and when jobs run.
 type Scheduler struct {
-	identity messenger.Identity
-	random   *rand.Rand
+	identity   messenger.Identity
+	parameters Parameters
+	random     *rand.Rand
+
+	jobs       map[identifier.Job]*job
+	regions    map[identifier.Region]*region
+	members    []messenger.Member
+	workspaces map[identifier.Workspace]messenger.WorkspaceSpec
+	draining   bool
+
+	calls    map[uint64]call
+	sequence uint64
+	agenda   agenda
+	history  history
+	// wanted is the time for which Next asked after the last step.
+	wanted  time.Time
+	actions []messenger.Action
 }
 
 // New returns a Scheduler with the given source of randomness.
-func New(identity messenger.Identity, _ Parameters, random *rand.Rand) *Scheduler {
-	return &Scheduler{identity: identity, random: random}
+func New(identity messenger.Identity, parameters Parameters, random *rand.Rand) *Scheduler {
+	return &Scheduler{
+		identity: identity, parameters: parameters.withDefaults(), random: random,
+		jobs:       make(map[identifier.Job]*job),
+		regions:    make(map[identifier.Region]*region),
+		workspaces: make(map[identifier.Workspace]messenger.WorkspaceSpec),
+		calls:      make(map[uint64]call),
+	}
 }
 
 // Step implements decider.Machine.
-func (scheduler *Scheduler) Step(_ time.Time, _ messenger.Event) []messenger.Action { return nil }
+func (scheduler *Scheduler) Step(now time.Time, event messenger.Event) []messenger.Action {
+	scheduler.actions = nil
+	scheduler.checkPause(now)
+	switch event := event.(type) {
+	case messenger.JobAccepted:
+		scheduler.acceptJob(now, event)
+	case messenger.JobCancelled:
+		scheduler.cancelJob(now, event.Job)
+	case messenger.JobConcluded:
+		scheduler.concludeJob(now, event.Outcome)
+	case messenger.ClaimFolded:
+		scheduler.foldClaim(now, event)
+	case messenger.WorkerAnswered:
+		scheduler.workerAnswered(now, event)
+	case messenger.MembersChanged:
+		scheduler.members = event.Members
+	case messenger.ConfigurationChanged:
+		scheduler.configure(now, event.Configuration)
+	case messenger.VMsListed:
+		scheduler.listWorkers(now, event.VMs)
+	case messenger.DrainArrived:
+		scheduler.drain(now)
+	case messenger.AppendFailed:
+		scheduler.appendFailed(now, event)
+	}
+	scheduler.advance(now)
+	scheduler.wanted = scheduler.next()
+	return scheduler.actions
+}
 
 // Next implements decider.Machine.
-func (scheduler *Scheduler) Next() time.Time { return time.Time{} }
+func (scheduler *Scheduler) Next() time.Time { return scheduler.wanted }
 
 // View implements decider.Machine.
-func (scheduler *Scheduler) View(_ time.Time, _ querier.Query) querier.Answer {
-	return querier.Answer{}
+func (scheduler *Scheduler) View(now time.Time, query querier.Query) querier.Answer {
+	return scheduler.view(now, query)
+}
+
+// advance does what is due at the given time.
+func (scheduler *Scheduler) advance(now time.Time) {
+	for _, region := range scheduler.sortedRegions() {
+		scheduler.considerClaim(now, region)
+	}
+	for _, job := range scheduler.agenda.due(now) {
+		scheduler.driveGang(now, job)
+	}
+	for _, region := range scheduler.sortedRegions() {
+		if !region.held {
+			continue
+		}
+		scheduler.pollWorkers(now, region)
+		scheduler.adopt(now, region)
+		scheduler.renew(now, region)
+		scheduler.plan(now, region)
+	}
+}
+
+func (scheduler *Scheduler) next() time.Time {
+	next := scheduler.agenda.next()
+	for _, region := range scheduler.regions {
+		next = earliest(next, scheduler.claimDue(region))
+		if !region.held {
+			continue
+		}
+		next = earliest(next, region.nextPoll, region.adoptUntil)
+		if region.adoptUntil.IsZero() {
+			next = earliest(next, region.nextRound)
+		}
+		if region.dirty && scheduler.placing(region) {
+			next = earliest(next, region.nextPlan)
+		}
+	}
+	return next
+}
+
+// earliest returns the earliest time that is not zero.
+func earliest(times ...time.Time) time.Time {
+	var first time.Time
+	for _, at := range times {
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
+func (scheduler *Scheduler) emit(action messenger.Action) {
+	scheduler.actions = append(scheduler.actions, action)
+}
+
+// checkPause makes the node look at its regions anew if it was paused: leases
+// may have ended and another node may have claimed in the meantime.
+func (scheduler *Scheduler) checkPause(now time.Time) {
+	if scheduler.wanted.IsZero() || now.Sub(scheduler.wanted) < scheduler.parameters.PauseAfter {
+		return
+	}
+	for _, region := range scheduler.sortedRegions() {
+		if region.held {
+			scheduler.transition(string(region.name), "placing", "verifying", "resumed after a pause")
+			scheduler.beginAdoption(now, region)
+		}
+	}
 }
--- /dev/null
+++ b/scheduler/worker.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/placer"
+)
+
+// worker is a worker as the holder of its region knows it.
+type worker struct {
+	name         identifier.Worker
+	vm           messenger.VM
+	listed       bool
+	accelerators int
+	// heard says that the worker has answered in this term. missed is the number
+	// of calls without an answer since.
+	heard   bool
+	missed  int
+	heardAt time.Time
+	pollAt  time.Time
+	// polling and renewing are the sequences of the open calls, zero for none.
+	polling, renewing uint64
+	// clearing says that a release of a task without a job is open.
+	clearing bool
+	// jobs are the jobs whose gangs hold something on the worker.
+	jobs   []*job
+	health health
+}
+
+// usable says whether gangs may be placed on the worker.
+func (worker *worker) usable(now time.Time) bool {
+	return worker.listed && !worker.vm.Leaving && worker.heard && worker.missed == 0 &&
+		!now.Before(worker.health.until) && !now.Before(worker.health.avoidUntil)
+}
+
+// state returns the worker's state as it stands in answers.
+func (worker *worker) state(now time.Time) string {
+	switch {
+	case now.Before(worker.health.until):
+		return "quarantined"
+	case worker.vm.Leaving:
+		return "leaving"
+	case !worker.listed:
+		return "unlisted"
+	case !worker.heard:
+		return "unknown"
+	case worker.missed > 0:
+		return "unreachable"
+	}
+	return "usable"
+}
+
+func (worker *worker) remove(gone *job) {
+	worker.jobs = slices.DeleteFunc(worker.jobs, func(job *job) bool { return job == gone })
+}
+
+// listWorkers follows the VM list. A worker that left the list is kept as long
+// as a gang uses it, because the list lags and answers decide.
+func (scheduler *Scheduler) listWorkers(now time.Time, vms []messenger.VM) {
+	for _, region := range scheduler.regions {
+		for _, worker := range region.workers {
+			worker.listed = false
+		}
+	}
+	changed := make(map[*region]bool)
+	for _, vm := range vms {
+		if vm.Role != messenger.WorkerVM {
+			continue
+		}
+		region := scheduler.region(vm.Region)
+		name := identifier.Worker(vm.Name)
+		known, ok := region.workers[name]
+		if !ok {
+			known = &worker{name: name, accelerators: vm.Accelerators, pollAt: now}
+			region.workers[name] = known
+			region.nextPoll = earliest(region.nextPoll, now)
+		}
+		if !ok || known.vm != vm {
+			changed[region] = true
+		}
+		if ok && known.vm.Address != vm.Address {
+			known.heard, known.pollAt = false, now
+			region.nextPoll = earliest(region.nextPoll, now)
+		}
+		known.vm, known.listed = vm, true
+	}
+	for _, region := range scheduler.sortedRegions() {
+		for name, worker := range region.workers {
+			if !worker.listed {
+				changed[region] = true
+				if len(worker.jobs) == 0 {
+					delete(region.workers, name)
+				}
+			}
+		}
+		if changed[region] {
+			scheduler.rebuild(region)
+			scheduler.change(now, region)
+		}
+	}
+}
+
+// rebuild makes the fleet anew after workers came, went or changed.
+func (scheduler *Scheduler) rebuild(region *region) {
+	workers := make([]placer.Worker, 0, len(region.workers))
+	for _, worker := range region.workers {
+		workers = append(workers, placer.Worker{
+			Worker: worker.name, Rack: worker.vm.Rack, Accelerators: worker.accelerators,
+		})
+	}
+	region.fleet = placer.NewFleet(workers)
+	for _, worker := range region.workers {
+		for _, job := range worker.jobs {
+			region.fleet.Take(worker.name, job.spec.Shape.Accelerators)
+		}
+	}
+}
