Add membership, frames and peer connections in a first form

Cause: the detector was a stub and no message could leave a node.

Change: the detector state machine, the msgpack wire types of all peer messages, queries and answers (log records excepted), frames with the shared-key handshake, the transporter with its query side, and the poller of the VM list.

Measured: go vet and the tests of transporter pass with -race; the detector has no property tests yet.

--- /dev/null
+++ b/detector/change.go
@@ -0,0 +1,174 @@
+package detector
+
+import (
+	"slices"
+	"time"
+
+	"corianderroad/messenger"
+)
+
+// hear takes what a node says about itself.
+func (detector *Detector) hear(now time.Time, from messenger.Member) {
+	if from.Node == detector.self.Node {
+		return
+	}
+	detector.accept(now, from)
+	known := detector.table.find(from.Node)
+	if known == nil || known.Incarnation != from.Incarnation {
+		return
+	}
+	known.visited = now
+	detector.listen(from)
+}
+
+// listen passes the digest of a heartbeat on.
+func (detector *Detector) listen(from messenger.Member) {
+	known := detector.table.find(from.Node)
+	if known == nil || known.Incarnation != from.Incarnation {
+		return
+	}
+	known.Digest = from.Digest
+	heard := messenger.PeerHeard{Node: from.Node, Address: known.Address, Digest: from.Digest}
+	detector.emit(heard)
+	if len(detector.heard) < maxChanges {
+		detector.heard = append(detector.heard, heard)
+	}
+}
+
+// repeat passes the digests of the last period on once more, since a full ring
+// may have refused them.
+func (detector *Detector) repeat() {
+	for _, heard := range detector.heard {
+		if known := detector.table.find(heard.Node); known != nil {
+			heard.Digest = known.Digest
+			detector.emit(heard)
+		}
+	}
+	detector.heard = nil
+}
+
+// accept takes a change about a member. A higher incarnation overrides a lower
+// one; within an incarnation a higher state overrides a lower one.
+func (detector *Detector) accept(now time.Time, change messenger.Member) {
+	if change.Node == detector.self.Node {
+		detector.refute(now, change)
+		return
+	}
+	known := detector.table.find(change.Node)
+	if known == nil {
+		if change.State == messenger.Dead {
+			return
+		}
+		if known = detector.table.add(change.Node); known == nil {
+			return
+		}
+	}
+	newer := known.State == candidate || change.Incarnation > known.Incarnation
+	if !newer && (change.Incarnation < known.Incarnation || change.State <= known.State) {
+		return
+	}
+	state, reason := change.State, "told-by-peer"
+	if state == messenger.Dead && (known.State == messenger.Alive || known.State == candidate) {
+		// A member that is alive here gets the time to refute: the change may
+		// come from a region that was parted.
+		state = messenger.Suspect
+	}
+	if newer {
+		if known.State == candidate {
+			// A random age spreads the first probes of a new member over the nodes.
+			known.visited = now.Add(-detector.draw(time.Duration(len(detector.table.members)) * detector.parameters.Period))
+		}
+		known.Identity = change.Identity
+		detector.changed = true
+	}
+	if state != known.State {
+		detector.turn(now, known, state, reason)
+		return
+	}
+	if newer && state == messenger.Suspect {
+		known.deadline = now.Add(detector.patience(known))
+	}
+	if newer {
+		detector.note(known.Node)
+	}
+}
+
+// refute answers a change about this node. It takes a higher incarnation, so
+// that its own state overrides the change.
+func (detector *Detector) refute(now time.Time, change messenger.Member) {
+	switch {
+	case change.Incarnation < detector.self.Incarnation:
+		return
+	case change.Incarnation == detector.self.Incarnation && change.State <= detector.self.State:
+		return
+	case change.Incarnation > detector.self.Incarnation && change.Address != detector.self.Address &&
+		change.State != messenger.Dead:
+		// Another process holds the name, for example the replacement of this VM
+		// after a long pause. Two processes that refute each other would never
+		// end, so the one with the lower incarnation leaves.
+		if !detector.superseded {
+			detector.superseded = true
+			detector.depart(now, "superseded")
+		}
+		return
+	}
+	detector.self.Incarnation = change.Incarnation + 1
+	if detector.superseded && !detector.draining {
+		detector.self.State = messenger.Alive
+	}
+	detector.superseded = false
+	detector.changed = true
+	detector.record(now, detector.self.Node, change.State, detector.self.State, "refuted")
+}
+
+// list takes the VM list as a hint: it adds candidates and shortens the time
+// of suspects, and never changes the state of a member that answers.
+func (detector *Detector) list(now time.Time, vms []messenger.VM) {
+	live := make(map[string]bool)
+	for _, vm := range vms {
+		if vm.Role != messenger.EntryVM {
+			continue
+		}
+		live[vm.Name] = !vm.Leaving
+		detector.suggest(now, vm)
+	}
+	if len(live) == 0 {
+		// A list without any entry VM is taken as a fault of the list.
+		return
+	}
+	for _, member := range slices.Clone(detector.table.members) {
+		member.unlisted = !live[string(member.Node)]
+		if limit := now.Add(detector.parameters.UnlistedFor); member.unlisted && member.deadline.After(limit) {
+			member.deadline = limit
+		}
+		if _, listed := live[string(member.Node)]; !listed && member.State == candidate && !member.seed {
+			detector.table.remove(member.Node)
+		}
+	}
+}
+
+// suggest takes one entry VM of the list.
+func (detector *Detector) suggest(now time.Time, vm messenger.VM) {
+	identity := messenger.Identity{Node: node(vm), Region: vm.Region, FailureDomain: vm.FailureDomain}
+	if identity.Node == detector.self.Node {
+		return
+	}
+	known := detector.table.find(identity.Node)
+	if known == nil && !vm.Leaving {
+		if known = detector.table.add(identity.Node); known != nil {
+			known.Identity, known.since = identity, now
+		}
+	}
+	if known != nil {
+		known.listed = vm.Address
+	}
+}
+
+// forget removes members that have been dead for long.
+func (detector *Detector) forget(now time.Time) {
+	for _, member := range slices.Clone(detector.table.members) {
+		if member.State == messenger.Dead && !member.seed && now.Sub(member.since) >= detector.parameters.ForgetAfter {
+			detector.table.remove(member.Node)
+		}
+	}
+}
--- /dev/null
+++ b/detector/parameters.go
@@ -0,0 +1,73 @@
+package detector
+
+import (
+	"time"
+
+	"corianderroad/messenger"
+)
+
+// Parameters are the parameters of a Detector. Zero values stand for the
+// defaults in brackets.
+type Parameters struct {
+	// Seeds are nodes to join through. Their incarnation is not used.
+	Seeds []messenger.Identity
+	// Period is the time between two probes (1 s).
+	Period time.Duration
+	// AnswerWithin is when an unanswered probe is repeated through other
+	// members (500 ms).
+	AnswerWithin time.Duration
+	// SuspectFor is how long a suspect may refute before it is dead (3 s).
+	SuspectFor time.Duration
+	// UnlistedFor replaces SuspectFor for a suspect that the VM list does not
+	// show as live (1 s).
+	UnlistedFor time.Duration
+	// RediscoverEvery is the time between probes of the same dead member or
+	// candidate (10 s).
+	RediscoverEvery time.Duration
+	// ForgetAfter is how long a dead member is kept. It exceeds the hour for
+	// which regions may be parted (3 h).
+	ForgetAfter time.Duration
+}
+
+const (
+	// maxMembers bounds the table, the node itself included.
+	maxMembers = 1024
+	// maxChanges bounds the changes of a message.
+	maxChanges = 8
+	// spreadFactor times the binary logarithm of the number of members is how
+	// often a change is sent. At 3 a change misses a member with a probability
+	// of a few in a thousand; the background changes correct that.
+	spreadFactor = 3
+	// helpers is the number of members that probe on another's behalf.
+	helpers = 3
+	// joinProbes is the number of seeds that a node probes at its start.
+	joinProbes = 3
+	// drainProbes is the number of members that learn at once that the node leaves.
+	drainProbes = 16
+	// maxRelays bounds the probes on behalf of others that await an answer.
+	maxRelays = 64
+	// maxDecisions bounds the record of changes of state.
+	maxDecisions = 256
+	// stall is the lateness of a step from which on the node takes itself to
+	// have been paused, so that missing answers say nothing about others.
+	stall = 500 * time.Millisecond
+)
+
+func (parameters Parameters) withDefaults() Parameters {
+	for _, value := range []struct {
+		field    *time.Duration
+		standard time.Duration
+	}{
+		{&parameters.Period, time.Second},
+		{&parameters.AnswerWithin, 500 * time.Millisecond},
+		{&parameters.SuspectFor, 3 * time.Second},
+		{&parameters.UnlistedFor, time.Second},
+		{&parameters.RediscoverEvery, 10 * time.Second},
+		{&parameters.ForgetAfter, 3 * time.Hour},
+	} {
+		if *value.field == 0 {
+			*value.field = value.standard
+		}
+	}
+	return parameters
+}
--- /dev/null
+++ b/detector/probe.go
@@ -0,0 +1,241 @@
+package detector
+
+import (
+	"net/netip"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// probe is this node's own probe of the current period.
+type probe struct {
+	sequence uint64
+	target   messenger.Identity
+	// helpAt is when others are asked to probe, zero if they were.
+	helpAt time.Time
+	// failAt is when the target is taken to have failed.
+	failAt time.Time
+}
+
+func (probe *probe) due() time.Time {
+	if probe.helpAt.IsZero() {
+		return probe.failAt
+	}
+	return earlier(probe.helpAt, probe.failAt)
+}
+
+// relay is a probe on behalf of another node.
+type relay struct {
+	requester messenger.Identity
+	sequence  uint64
+	target    identifier.Node
+	expires   time.Time
+}
+
+func (detector *Detector) nextSequence() uint64 {
+	detector.sequence++
+	return detector.sequence
+}
+
+// startProbe probes the member that was visited least recently. Hearing from a
+// member counts as a visit, which halves the time to the first probe of a
+// failed member against a fixed order.
+func (detector *Detector) startProbe(now time.Time) {
+	peers := detector.peers()
+	if len(peers) == 0 {
+		return
+	}
+	start := detector.random.IntN(len(peers))
+	target := peers[start]
+	for offset := range peers {
+		if peer := peers[(start+offset)%len(peers)]; peer.visited.Before(target.visited) {
+			target = peer
+		}
+	}
+	target.visited = now
+	detector.probe = &probe{
+		sequence: detector.nextSequence(),
+		target:   target.Identity,
+		helpAt:   now.Add(detector.parameters.AnswerWithin),
+		failAt:   now.Add(detector.parameters.Period),
+	}
+	detector.sendProbe(target.Identity, detector.probe.sequence)
+}
+
+func (detector *Detector) sendProbe(to messenger.Identity, sequence uint64) {
+	detector.send(to.Node, to, messenger.Probe{
+		Sequence: sequence, From: detector.self, Changes: detector.changes(to.Node, maxChanges),
+	})
+}
+
+// concludeProbe asks for help and declares a failure when they are due.
+func (detector *Detector) concludeProbe(now time.Time) {
+	probe := detector.probe
+	if probe == nil {
+		return
+	}
+	if !probe.helpAt.IsZero() && !now.Before(probe.helpAt) {
+		detector.askHelp()
+	}
+	if now.Before(probe.failAt) {
+		return
+	}
+	detector.probe = nil
+	target := detector.table.find(probe.target.Node)
+	if target == nil || target.Incarnation != probe.target.Incarnation {
+		return
+	}
+	switch target.State {
+	case messenger.Alive:
+		detector.turn(now, target, messenger.Suspect, "probe-not-answered")
+		// The suspect hears of the suspicion at once, to refute it in time.
+		detector.sendProbe(target.Identity, detector.nextSequence())
+	case messenger.Departing:
+		// The end of a departing member is expected and needs no grace.
+		detector.turn(now, target, messenger.Dead, "departed")
+	}
+}
+
+func (detector *Detector) askHelp() {
+	probe := detector.probe
+	probe.helpAt = time.Time{}
+	peers := detector.peers()
+	asked := 0
+	for _, position := range detector.random.Perm(len(peers)) {
+		peer := peers[position]
+		if asked == helpers {
+			return
+		}
+		if peer.State == messenger.Alive && peer.Node != probe.target.Node {
+			detector.send(peer.Node, peer.Identity, messenger.ProbeRequest{Sequence: probe.sequence, Target: probe.target})
+			asked++
+		}
+	}
+}
+
+// lose takes the refusal of a message: the target of the probe can't be reached
+// directly, and there is no reason to wait for its answer.
+func (detector *Detector) lose(now time.Time, lost messenger.PeerLost) {
+	sent, ok := lost.Message.(messenger.Probe)
+	probe := detector.probe
+	if !ok || probe == nil || sent.Sequence != probe.sequence || probe.helpAt.IsZero() {
+		return
+	}
+	detector.askHelp()
+	probe.failAt = earlier(probe.failAt, now.Add(detector.parameters.AnswerWithin))
+}
+
+// receive handles a message of another node.
+func (detector *Detector) receive(now time.Time, received messenger.PeerReceived) {
+	switch message := received.Message.(type) {
+	case messenger.Probe:
+		if message.From.Node == received.From {
+			detector.answer(now, message)
+		}
+	case messenger.ProbeAnswer:
+		if message.From.Node == received.From {
+			detector.conclude(now, message)
+		}
+	case messenger.ProbeRequest:
+		detector.relay(now, received.From, message)
+	case messenger.ProbeReport:
+		probe := detector.probe
+		if probe != nil && probe.sequence == message.Sequence && probe.target.Node == message.Target.Node {
+			detector.probe = nil
+			detector.accept(now, message.Target)
+			detector.listen(message.Target)
+		}
+	}
+}
+
+// answer answers a probe. A node that was not known before gets the members
+// at once, in place of a few with each message.
+func (detector *Detector) answer(now time.Time, probe messenger.Probe) {
+	known := detector.table.find(probe.From.Node)
+	limit := maxChanges
+	if known == nil || known.State == candidate {
+		limit = maxMembers
+	}
+	detector.hear(now, probe.From)
+	for _, change := range probe.Changes {
+		detector.accept(now, change)
+	}
+	detector.send(probe.From.Node, probe.From.Identity, messenger.ProbeAnswer{
+		Sequence: probe.Sequence, From: detector.self, Changes: detector.changesFor(probe.From, limit),
+	})
+}
+
+// conclude takes the answer to a probe.
+func (detector *Detector) conclude(now time.Time, answer messenger.ProbeAnswer) {
+	before := detector.self.Incarnation
+	detector.hear(now, answer.From)
+	for _, change := range answer.Changes {
+		detector.accept(now, change)
+	}
+	if detector.self.Incarnation != before {
+		// The other node believes this one to be suspect or dead, and learns better at once.
+		detector.sendProbe(answer.From.Identity, detector.nextSequence())
+	}
+	if detector.probe != nil && detector.probe.sequence == answer.Sequence {
+		detector.probe = nil
+	}
+	if relay, ok := detector.relays[answer.Sequence]; ok && relay.target == answer.From.Node {
+		delete(detector.relays, answer.Sequence)
+		detector.send(relay.requester.Node, relay.requester, messenger.ProbeReport{Sequence: relay.sequence, Target: answer.From})
+	}
+}
+
+// relay probes a target on behalf of another node.
+func (detector *Detector) relay(now time.Time, from identifier.Node, request messenger.ProbeRequest) {
+	for sequence, relay := range detector.relays {
+		if !now.Before(relay.expires) {
+			delete(detector.relays, sequence)
+		}
+	}
+	requester := detector.table.find(from)
+	if requester == nil || len(detector.relays) >= maxRelays || !request.Target.Address.IsValid() {
+		return
+	}
+	if request.Target.Node == detector.self.Node {
+		return
+	}
+	sequence := detector.nextSequence()
+	detector.relays[sequence] = relay{
+		requester: requester.Identity,
+		sequence:  request.Sequence,
+		target:    request.Target.Node,
+		expires:   now.Add(detector.parameters.Period),
+	}
+	detector.sendProbe(request.Target, sequence)
+}
+
+// rediscover probes the dead member or candidate that was tried least recently.
+// It limits the probes of a node however many members are dead.
+func (detector *Detector) rediscover(now time.Time) {
+	var target *member
+	var address netip.AddrPort
+	members := detector.table.members
+	if len(members) == 0 {
+		return
+	}
+	// The random start keeps nodes that join together from probing the same seed.
+	start := detector.random.IntN(len(members))
+	for offset := range members {
+		member := members[(start+offset)%len(members)]
+		if member.active() || now.Before(member.tried.Add(detector.parameters.RediscoverEvery)) {
+			continue
+		}
+		if at := member.target(); at.IsValid() && (target == nil || member.tried.Before(target.tried)) {
+			target, address = member, at
+		}
+	}
+	if target == nil {
+		return
+	}
+	target.tried = now
+	target.tries++
+	identity := target.Identity
+	identity.Address = address
+	detector.sendProbe(identity, detector.nextSequence())
+}
--- /dev/null
+++ b/encoder/peer_schema.go
@@ -0,0 +1,146 @@
+package encoder
+
+import "time"
+
+//go:generate msgp -file peer_schema.go -o peer_schema_gen.go -tests=false -io=true
+
+// The limit of bytes is that of a frame; the limits of arrays keep a frame that
+// declares a huge array from allocating it. 1,024 is the largest number of members.
+//msgp:limit arrays:1048576 maps:64
+//msgp:timezone utc
+
+// WirePeer is a peer message. Exactly one field is set.
+type WirePeer struct {
+	Probe         *WireProbe         `msg:"probe,omitempty"`
+	ProbeAnswer   *WireProbe         `msg:"probe-answer,omitempty"`
+	ProbeRequest  *WireProbeRequest  `msg:"probe-request,omitempty"`
+	ProbeReport   *WireProbeReport   `msg:"probe-report,omitempty"`
+	EntriesAsk    *WireEntriesAsk    `msg:"entries-ask,omitempty"`
+	EntriesTell   *WireEntriesTell   `msg:"entries-tell,omitempty"`
+	Forward       *WireForward       `msg:"forward,omitempty"`
+	ForwardAnswer *WireForwardAnswer `msg:"forward-answer,omitempty"`
+	ForwardCancel *WireForwardCancel `msg:"forward-cancel,omitempty"`
+	OutcomeAsk    *WireOutcomeAsk    `msg:"outcome-ask,omitempty"`
+	OutcomeTell   *WireOutcomeTell   `msg:"outcome-tell,omitempty"`
+}
+
+// WireMember is a node with its state. The address is in the binary form of
+// netip.AddrPort.
+type WireMember struct {
+	Node          string `msg:"node"`
+	Address       []byte `msg:"address"`
+	Region        string `msg:"region"`
+	FailureDomain string `msg:"failure-domain"`
+	Incarnation   uint64 `msg:"incarnation"`
+	State         uint8  `msg:"state,omitempty"`
+	Configuration uint64 `msg:"configuration,omitempty"`
+	Jobs          uint64 `msg:"jobs,omitempty"`
+	Intents       uint64 `msg:"intents,omitempty"`
+	Queued        int    `msg:"queued,omitempty"`
+	FreeSlots     int    `msg:"free-slots,omitempty"`
+}
+
+// WireProbe is a messenger.Probe or a messenger.ProbeAnswer.
+type WireProbe struct {
+	Sequence uint64       `msg:"sequence"`
+	From     WireMember   `msg:"from"`
+	Changes  []WireMember `msg:"changes,omitempty,limit=1024"`
+}
+
+// WireProbeRequest is a messenger.ProbeRequest.
+type WireProbeRequest struct {
+	Sequence uint64     `msg:"sequence"`
+	Target   WireMember `msg:"target"`
+}
+
+// WireProbeReport is a messenger.ProbeReport.
+type WireProbeReport struct {
+	Sequence uint64     `msg:"sequence"`
+	Target   WireMember `msg:"target"`
+}
+
+// WireEntriesAsk is a messenger.EntriesAsk.
+type WireEntriesAsk struct {
+	Stream string `msg:"stream"`
+	From   uint64 `msg:"from"`
+}
+
+// WireEntriesTell is a messenger.EntriesTell.
+type WireEntriesTell struct {
+	Stream   string        `msg:"stream"`
+	Appends  []WireAppend  `msg:"appends,omitempty,limit=8192"`
+	Snapshot *WireSnapshot `msg:"snapshot,omitempty"`
+}
+
+// WireAppend is a messenger.AppendRead. The batch has the form in which the
+// log holds it.
+type WireAppend struct {
+	Stream     string    `msg:"stream"`
+	Offset     uint64    `msg:"offset"`
+	AppendedAt time.Time `msg:"appended-at"`
+	Batch      []byte    `msg:"batch"`
+	Reset      bool      `msg:"reset,omitempty"`
+}
+
+// WireSnapshot is a messenger.Snapshot.
+type WireSnapshot struct {
+	Covered uint64 `msg:"covered"`
+	Digest  uint64 `msg:"digest"`
+	State   []byte `msg:"state"`
+}
+
+// WireCall is a commander.Call.
+type WireCall struct {
+	Workspace  string        `msg:"workspace"`
+	Service    string        `msg:"service"`
+	Method     string        `msg:"method"`
+	Key        string        `msg:"key,omitempty"`
+	Idempotent bool          `msg:"idempotent,omitempty"`
+	RunTime    time.Duration `msg:"run-time,omitempty"`
+	Deadline   time.Time     `msg:"deadline"`
+	Body       []byte        `msg:"body"`
+}
+
+// WireError is a classifier.Error.
+type WireError struct {
+	Code       uint16        `msg:"code"`
+	Message    string        `msg:"message"`
+	RetryAfter time.Duration `msg:"retry-after,omitempty"`
+}
+
+// WireForward is a messenger.Forward.
+type WireForward struct {
+	Request string   `msg:"request"`
+	Attempt uint32   `msg:"attempt"`
+	Call    WireCall `msg:"call"`
+}
+
+// WireForwardAnswer is a messenger.ForwardAnswer.
+type WireForwardAnswer struct {
+	Request   string     `msg:"request"`
+	Attempt   uint32     `msg:"attempt"`
+	Err       *WireError `msg:"err,omitempty"`
+	Body      []byte     `msg:"body"`
+	Queued    int        `msg:"queued"`
+	FreeSlots int        `msg:"free-slots"`
+}
+
+// WireForwardCancel is a messenger.ForwardCancel.
+type WireForwardCancel struct {
+	Request string `msg:"request"`
+	Attempt uint32 `msg:"attempt"`
+}
+
+// WireOutcomeAsk is a messenger.OutcomeAsk.
+type WireOutcomeAsk struct {
+	Key     string `msg:"key"`
+	Request string `msg:"request"`
+}
+
+// WireOutcomeTell is a messenger.OutcomeTell.
+type WireOutcomeTell struct {
+	Key     string     `msg:"key"`
+	Request string     `msg:"request"`
+	Err     *WireError `msg:"err,omitempty"`
+	Body    []byte     `msg:"body"`
+}
--- /dev/null
+++ b/encoder/query.go
@@ -0,0 +1,160 @@
+package encoder
+
+import (
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/querier"
+)
+
+// MarshalQuery returns the msgpack form of a query.
+func MarshalQuery(query querier.Query) ([]byte, error) {
+	wire := WireQuery{Kind: uint8(query.Kind), Subject: query.Subject, Workspace: string(query.Workspace)}
+	body, err := wire.MarshalMsg(nil)
+	if err != nil {
+		return nil, classifier.New(classifier.Internal, "encode query: %v", err)
+	}
+	return body, nil
+}
+
+// UnmarshalQuery returns the query of a frame's body. The error has code
+// BadFrame.
+func UnmarshalQuery(body []byte) (querier.Query, error) {
+	var wire WireQuery
+	rest, err := wire.UnmarshalMsg(body)
+	if err != nil || len(rest) != 0 {
+		return querier.Query{}, classifier.New(classifier.BadFrame, "query: %v, followed by %d bytes", err, len(rest))
+	}
+	return querier.Query{
+		Kind: querier.Kind(wire.Kind), Subject: wire.Subject, Workspace: identifier.Workspace(wire.Workspace),
+	}, nil
+}
+
+// MarshalAnswer returns the msgpack form of an answer.
+func MarshalAnswer(answer querier.Answer) ([]byte, error) {
+	wire := answerToWire(answer)
+	body, err := wire.MarshalMsg(nil)
+	if err != nil {
+		return nil, classifier.New(classifier.Internal, "encode answer: %v", err)
+	}
+	return body, nil
+}
+
+// UnmarshalAnswer returns the answer of a frame's body. The error has code
+// BadFrame.
+func UnmarshalAnswer(body []byte) (querier.Answer, error) {
+	var wire WireAnswer
+	rest, err := wire.UnmarshalMsg(body)
+	if err != nil || len(rest) != 0 {
+		return querier.Answer{}, classifier.New(classifier.BadFrame, "answer: %v, followed by %d bytes", err, len(rest))
+	}
+	return answerFromWire(&wire), nil
+}
+
+func answerToWire(answer querier.Answer) *WireAnswer {
+	wire := &WireAnswer{
+		Members: convert(answer.Members, func(row querier.Member) WireMemberRow {
+			return WireMemberRow{
+				Node: string(row.Node), Region: string(row.Region), FailureDomain: string(row.FailureDomain),
+				State: row.State, Incarnation: uint64(row.Incarnation), Configuration: uint64(row.Configuration),
+			}
+		}),
+		Configuration: convert(answer.Configuration, func(row querier.Organisation) WireOrganisationRow {
+			return WireOrganisationRow{
+				Organisation: string(row.Organisation), Version: uint64(row.Version), Pending: uint64(row.Pending),
+				Missing: names[identifier.Organisation, string](row.Missing),
+			}
+		}),
+		Jobs: convert(answer.Jobs, func(row querier.Job) WireJobRow {
+			return WireJobRow{
+				Job: string(row.Job), Workspace: string(row.Workspace), Region: string(row.Region), State: row.State,
+				Reason: row.Reason, Workers: names[identifier.Worker, string](row.Workers), Since: row.Since,
+			}
+		}),
+		Minions: convert(answer.Minions, func(row querier.Minion) WireMinionRow {
+			return WireMinionRow{
+				Minion: string(row.Minion), Service: string(row.Service), Busy: row.Busy, Slots: row.Slots, State: row.State,
+			}
+		}),
+		Workers: convert(answer.Workers, func(row querier.Worker) WireWorkerRow {
+			return WireWorkerRow{
+				Worker: string(row.Worker), Rack: string(row.Rack), Free: row.Free, Total: row.Total, State: row.State,
+			}
+		}),
+		Decisions: convert(answer.Decisions, func(row querier.Decision) WireDecisionRow {
+			return WireDecisionRow{
+				At: row.At, Node: string(row.Node), Subject: row.Subject, Reason: row.Reason, Detail: row.Detail,
+			}
+		}),
+		Shares: convert(answer.Shares, func(row querier.Share) WireShareRow {
+			return WireShareRow{
+				Workspace: string(row.Workspace), Guaranteed: row.Guaranteed, Used: row.Used, Covered: row.Covered,
+			}
+		}),
+		Gauges: convert(answer.Gauges, func(row querier.Gauge) WireGaugeRow { return WireGaugeRow(row) }),
+	}
+	return wire
+}
+
+func answerFromWire(wire *WireAnswer) querier.Answer {
+	return querier.Answer{
+		Members: convert(wire.Members, func(row WireMemberRow) querier.Member {
+			return querier.Member{
+				Node: identifier.Node(row.Node), Region: identifier.Region(row.Region),
+				FailureDomain: identifier.FailureDomain(row.FailureDomain), State: row.State,
+				Incarnation: identifier.Incarnation(row.Incarnation), Configuration: identifier.Offset(row.Configuration),
+			}
+		}),
+		Configuration: convert(wire.Configuration, func(row WireOrganisationRow) querier.Organisation {
+			return querier.Organisation{
+				Organisation: identifier.Organisation(row.Organisation), Version: identifier.Offset(row.Version),
+				Pending: identifier.Offset(row.Pending), Missing: names[string, identifier.Organisation](row.Missing),
+			}
+		}),
+		Jobs: convert(wire.Jobs, func(row WireJobRow) querier.Job {
+			return querier.Job{
+				Job: identifier.Job(row.Job), Workspace: identifier.Workspace(row.Workspace),
+				Region: identifier.Region(row.Region), State: row.State, Reason: row.Reason,
+				Workers: names[string, identifier.Worker](row.Workers), Since: row.Since,
+			}
+		}),
+		Minions: convert(wire.Minions, func(row WireMinionRow) querier.Minion {
+			return querier.Minion{
+				Minion: identifier.Minion(row.Minion), Service: identifier.Service(row.Service),
+				Busy: row.Busy, Slots: row.Slots, State: row.State,
+			}
+		}),
+		Workers: convert(wire.Workers, func(row WireWorkerRow) querier.Worker {
+			return querier.Worker{
+				Worker: identifier.Worker(row.Worker), Rack: identifier.Rack(row.Rack),
+				Free: row.Free, Total: row.Total, State: row.State,
+			}
+		}),
+		Decisions: convert(wire.Decisions, func(row WireDecisionRow) querier.Decision {
+			return querier.Decision{
+				At: row.At, Node: identifier.Node(row.Node), Subject: row.Subject, Reason: row.Reason, Detail: row.Detail,
+			}
+		}),
+		Shares: convert(wire.Shares, func(row WireShareRow) querier.Share {
+			return querier.Share{
+				Workspace: identifier.Workspace(row.Workspace), Guaranteed: row.Guaranteed,
+				Used: row.Used, Covered: row.Covered,
+			}
+		}),
+		Gauges: convert(wire.Gauges, func(row WireGaugeRow) querier.Gauge { return querier.Gauge(row) }),
+	}
+}
+
+func convert[From, To any](rows []From, one func(From) To) []To {
+	if len(rows) == 0 {
+		return nil
+	}
+	converted := make([]To, 0, len(rows))
+	for _, row := range rows {
+		converted = append(converted, one(row))
+	}
+	return converted
+}
+
+func names[From, To ~string](rows []From) []To {
+	return convert(rows, func(name From) To { return To(name) })
+}
--- /dev/null
+++ b/transporter/asker.go
@@ -0,0 +1,73 @@
+package transporter
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderroad/classifier"
+	"corianderroad/encoder"
+	"corianderroad/framer"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/querier"
+)
+
+// Asker asks other nodes queries, each over a connection of its own: a query
+// never waits behind messages or on a connection that has gone silent. It is
+// safe for concurrent use.
+type Asker struct {
+	opener  opener
+	meter   Meter
+	timeout time.Duration
+}
+
+// NewAsker returns an Asker that dials with dialer.
+func NewAsker(identity messenger.Identity, key framer.Key, parameters Parameters, dialer Dialer, meter Meter) *Asker {
+	parameters = parameters.withDefaults()
+	return &Asker{
+		opener:  newOpener(identity, key, parameters, dialer),
+		meter:   meter,
+		timeout: parameters.QueryTimeout,
+	}
+}
+
+// Ask asks one node a query and waits for the answer, at most QueryTimeout. The
+// error has code NodeUnreachable if the node does not answer in time.
+func (asker *Asker) Ask(ctx context.Context, node identifier.Node, address netip.AddrPort, query querier.Query) (querier.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, asker.timeout)
+	defer cancel()
+	answer, err := asker.ask(ctx, peerKey{node, address}, query)
+	if err != nil && classifier.Of(err) == classifier.Internal {
+		return querier.Answer{}, classifier.New(classifier.NodeUnreachable, "query to %q: %v", node, err)
+	}
+	return answer, err
+}
+
+func (asker *Asker) ask(ctx context.Context, key peerKey, query querier.Query) (querier.Answer, error) {
+	body, err := encoder.MarshalQuery(query)
+	if err != nil {
+		return querier.Answer{}, err
+	}
+	connection, other, err := asker.opener.open(ctx, key, framer.Queries)
+	if err != nil {
+		return querier.Answer{}, err
+	}
+	defer func() { _ = connection.Close() }()
+	release := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
+	defer release()
+	if err := framer.Write(connection, framer.Frame{Kind: framer.Query, Body: body}); err != nil {
+		return querier.Answer{}, err
+	}
+	frame, err := framer.Read(connection)
+	if err != nil {
+		return querier.Answer{}, err
+	}
+	if frame.Kind != framer.Answer {
+		return querier.Answer{}, errors.Errorf("frame of kind %d in place of an answer", frame.Kind)
+	}
+	asker.meter.Transferred(other.Node, other.Region, framer.Overhead+len(body), framer.Overhead+len(frame.Body))
+	return encoder.UnmarshalAnswer(frame.Body)
+}
--- /dev/null
+++ b/transporter/transporter.go
@@ -0,0 +1,224 @@
+// Package transporter carries peer messages and queries between nodes over TCP.
+// Each connection has one reader and one writer duty, each peer one duty that
+// dials. No connection outlives Run.
+package transporter
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"corianderroad/buffer"
+	"corianderroad/framer"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/querier"
+)
+
+// Sink receives the events of peers. Deliver waits for room until the context
+// ends, and returns an error only then. It is called by many goroutines.
+type Sink interface {
+	Deliver(ctx context.Context, event messenger.Event) error
+}
+
+// Responder answers the queries of peers for this node. It is called by many
+// goroutines.
+type Responder interface {
+	Respond(ctx context.Context, query querier.Query) (querier.Answer, error)
+}
+
+// Meter counts the bytes of frames and the ends of connections by their reason
+// in kebab case. It is called by many goroutines.
+type Meter interface {
+	Transferred(node identifier.Node, region identifier.Region, sent, received int)
+	Closed(node identifier.Node, reason string)
+}
+
+// Dialer opens connections.
+type Dialer interface {
+	Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error)
+}
+
+// TCP dials by TCP. It is safe for concurrent use.
+type TCP struct{}
+
+// Dial implements Dialer.
+func (TCP) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp", address.String())
+	return connection, errors.Wrap(err, "dial")
+}
+
+// Parameters are the bounds of a Transporter. Zero values stand for the
+// defaults in brackets.
+type Parameters struct {
+	// DialTimeout bounds dialling and the handshake (1 s).
+	DialTimeout time.Duration
+	// RetryAfter is the first pause after a failed dial; it doubles up to
+	// RetryAtMost (100 ms, 2 s). Messages are refused during the pause.
+	RetryAfter  time.Duration
+	RetryAtMost time.Duration
+	// WriteTimeout bounds one write (1 s).
+	WriteTimeout time.Duration
+	// KeepAliveAfter is when written messages are followed by a keep-alive, and
+	// KeepAliveTimeout how long its answer may take (250 ms, 750 ms).
+	KeepAliveAfter   time.Duration
+	KeepAliveTimeout time.Duration
+	// IdleTimeout is when an unused connection is closed (30 s).
+	IdleTimeout time.Duration
+	// QueryTimeout bounds the answer to one query (1.5 s).
+	QueryTimeout time.Duration
+	// Queue is the capacity of the ring of each peer (256).
+	Queue int
+}
+
+const (
+	// maxPeers is twice the bound of members, since a replaced node may have
+	// two addresses for a while.
+	maxPeers = 2048
+	// maxHandshakes bounds the connections that have not proven the key.
+	maxHandshakes = 64
+	// maxQueries bounds the connections that ask queries.
+	maxQueries = 64
+	// maxConnections is the bound of open connections per peer.
+	maxConnections = 2
+)
+
+func (parameters Parameters) withDefaults() Parameters {
+	setDefault(&parameters.DialTimeout, time.Second)
+	setDefault(&parameters.RetryAfter, 100*time.Millisecond)
+	setDefault(&parameters.RetryAtMost, 2*time.Second)
+	setDefault(&parameters.WriteTimeout, time.Second)
+	setDefault(&parameters.KeepAliveAfter, 250*time.Millisecond)
+	setDefault(&parameters.KeepAliveTimeout, 750*time.Millisecond)
+	setDefault(&parameters.IdleTimeout, 30*time.Second)
+	setDefault(&parameters.QueryTimeout, 1500*time.Millisecond)
+	setDefault(&parameters.Queue, 256)
+	return parameters
+}
+
+func setDefault[T comparable](value *T, standard T) {
+	var zero T
+	if *value == zero {
+		*value = standard
+	}
+}
+
+// Transporter is the duties that carry peer messages. Only Run uses it.
+type Transporter struct {
+	opener     opener
+	parameters Parameters
+	listener   net.Listener
+	outbox     *buffer.Ring[messenger.SendPeer]
+	sink       Sink
+	responder  Responder
+	meter      Meter
+	// accepted and idle bring the owner of peers what other duties found.
+	accepted   *buffer.Ring[accepted]
+	idle       *buffer.Ring[*peer]
+	handshakes chan struct{}
+	queries    chan struct{}
+	peers      map[peerKey]*peer
+}
+
+// peerKey tells processes apart that use the same name at the same time.
+type peerKey struct {
+	node    identifier.Node
+	address netip.AddrPort
+}
+
+type accepted struct {
+	connection net.Conn
+	endpoint   framer.Endpoint
+}
+
+// New returns a Transporter that accepts from listener, sends the messages of
+// outbox and delivers events to sink. Run closes the listener.
+func New(identity messenger.Identity, key framer.Key, parameters Parameters, listener net.Listener, dialer Dialer,
+	outbox *buffer.Ring[messenger.SendPeer], sink Sink, responder Responder, meter Meter,
+) *Transporter {
+	parameters = parameters.withDefaults()
+	return &Transporter{
+		opener:     newOpener(identity, key, parameters, dialer),
+		parameters: parameters,
+		listener:   listener,
+		outbox:     outbox,
+		sink:       sink,
+		responder:  responder,
+		meter:      meter,
+		accepted:   buffer.New[accepted]("accepted-connections", maxHandshakes),
+		idle:       buffer.New[*peer]("idle-peers", maxPeers),
+		handshakes: make(chan struct{}, maxHandshakes),
+		queries:    make(chan struct{}, maxQueries),
+		peers:      make(map[peerKey]*peer),
+	}
+}
+
+// Run carries messages until the context ends or the listener fails. All its
+// goroutines have ended when it returns.
+func (transporter *Transporter) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return transporter.accept(ctx, group) })
+	group.Go(func() error { return transporter.route(ctx, group) })
+	group.Go(func() error {
+		<-ctx.Done()
+		_ = transporter.listener.Close()
+		return ctx.Err()
+	})
+	return group.Wait()
+}
+
+// route is the duty that owns the table of peers.
+func (transporter *Transporter) route(ctx context.Context, group *errgroup.Group) error {
+	for {
+		select {
+		case message := <-transporter.outbox.Entries():
+			if err := transporter.forward(ctx, group, message); err != nil {
+				return err
+			}
+		case accepted := <-transporter.accepted.Entries():
+			key := peerKey{accepted.endpoint.Node, accepted.endpoint.Address}
+			peer := transporter.peer(ctx, group, key)
+			if peer == nil || peer.accepted.Offer(accepted) != nil {
+				_ = accepted.connection.Close()
+			}
+		case peer := <-transporter.idle.Entries():
+			delete(transporter.peers, peer.key)
+			peer.cancel()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (transporter *Transporter) forward(ctx context.Context, group *errgroup.Group, message messenger.SendPeer) error {
+	peer := transporter.peer(ctx, group, peerKey{message.To, message.Address})
+	if peer == nil || peer.queue.Offer(message) != nil {
+		return transporter.lost(ctx, message)
+	}
+	return nil
+}
+
+func (transporter *Transporter) lost(ctx context.Context, message messenger.SendPeer) error {
+	return transporter.sink.Deliver(ctx, messenger.PeerLost{To: message.To, Message: message.Message})
+}
+
+// peer returns the peer with the key and starts its duty if it is new. It
+// returns nil if there are too many.
+func (transporter *Transporter) peer(ctx context.Context, group *errgroup.Group, key peerKey) *peer {
+	if known := transporter.peers[key]; known != nil {
+		return known
+	}
+	if len(transporter.peers) >= maxPeers {
+		return nil
+	}
+	peerCtx, cancel := context.WithCancel(ctx)
+	added := newPeer(transporter, key, cancel)
+	transporter.peers[key] = added
+	group.Go(func() error { return added.run(peerCtx, ctx) })
+	return added
+}
