Serve requests from the entry over the owner to the minion and back

Cause: the router was a stub, and nothing carried requests to minions. Change: router serves keyed and unkeyed requests in both roles, entry and owner, on limiter, estimator, retrier and recorder; dispatcher is the HTTP client for minions. Forward names the owner's life and its time of sending, so that an owner can tell a second copy; OutcomeAsk names the workspace and a fingerprint, so that a reused key never shows the answer to another request. Faults, load and the HTTP client are not tested yet, and the retry budget and the region link's price are not applied yet.

--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,111 @@
+// Package dispatcher carries requests to minions over HTTP.
+package dispatcher
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"corianderroad/buffer"
+	"corianderroad/messenger"
+)
+
+// Sink takes the results of calls.
+type Sink interface {
+	// Deliver hands an event to the duty that made the call. It may wait.
+	Deliver(ctx context.Context, event messenger.Event) error
+}
+
+// Parameters are the parameters of a Dispatcher. The zero value is useful.
+type Parameters struct {
+	// Callers is the number of calls that run at the same time, 512 if zero.
+	Callers int
+	// Askers is the number of questions for slots at the same time, 16 if zero.
+	Askers int
+	// Connections bounds the connections to one minion, 8 if zero.
+	Connections int
+	// DialTimeout bounds the making of a connection, 1 s if zero.
+	DialTimeout time.Duration
+	// AskTimeout bounds a question for slots, 1 s if zero.
+	AskTimeout time.Duration
+	// Now is the clock by which deadlines are checked, time.Now if nil.
+	Now func() time.Time
+}
+
+func (parameters Parameters) withDefaults() Parameters {
+	positive := func(value *int, preset int) {
+		if *value <= 0 {
+			*value = preset
+		}
+	}
+	positive(&parameters.Callers, 512)
+	positive(&parameters.Askers, 16)
+	positive(&parameters.Connections, 8)
+	if parameters.DialTimeout <= 0 {
+		parameters.DialTimeout = time.Second
+	}
+	if parameters.AskTimeout <= 0 {
+		parameters.AskTimeout = time.Second
+	}
+	if parameters.Now == nil {
+		parameters.Now = time.Now
+	}
+	return parameters
+}
+
+// Dispatcher is the duty that talks to minions: a bounded pool of goroutines,
+// each of which carries one request at a time.
+type Dispatcher struct {
+	calls      *buffer.Ring[messenger.CallMinion]
+	asks       *buffer.Ring[messenger.AskSlots]
+	sink       Sink
+	parameters Parameters
+	transport  *http.Transport
+}
+
+// New returns a Dispatcher that reads from the two rings and delivers exactly
+// one result for each entry to the sink.
+func New(calls *buffer.Ring[messenger.CallMinion], asks *buffer.Ring[messenger.AskSlots], sink Sink, parameters Parameters) *Dispatcher {
+	parameters = parameters.withDefaults()
+	return &Dispatcher{
+		calls: calls, asks: asks, sink: sink, parameters: parameters,
+		transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: parameters.DialTimeout}).DialContext,
+			MaxConnsPerHost:     parameters.Connections,
+			MaxIdleConnsPerHost: parameters.Connections,
+			// A minion counts the connections of all owners, so one that lost a
+			// minion must not keep its connections for long.
+			IdleConnTimeout:    5 * time.Second,
+			DisableCompression: true,
+		},
+	}
+}
+
+// Run carries requests until the context ends.
+func (dispatcher *Dispatcher) Run(ctx context.Context) error {
+	defer dispatcher.transport.CloseIdleConnections()
+	group, ctx := errgroup.WithContext(ctx)
+	for range dispatcher.parameters.Callers {
+		group.Go(func() error { return serve(ctx, dispatcher.calls, dispatcher.sink, dispatcher.call) })
+	}
+	for range dispatcher.parameters.Askers {
+		group.Go(func() error { return serve(ctx, dispatcher.asks, dispatcher.sink, dispatcher.ask) })
+	}
+	return group.Wait()
+}
+
+func serve[T any](ctx context.Context, ring *buffer.Ring[T], sink Sink, carry func(context.Context, T) messenger.Event) error {
+	for {
+		select {
+		case entry := <-ring.Entries():
+			if err := sink.Deliver(ctx, carry(ctx, entry)); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/estimator/class.go
@@ -0,0 +1,32 @@
+// Package estimator learns run times and sorts requests into classes by them.
+package estimator
+
+import "time"
+
+// Class is the class of a request by its run time.
+type Class uint8
+
+// Classes of requests, in the order in which they are served.
+const (
+	Short Class = iota
+	Long
+	// Classes is the number of classes.
+	Classes
+)
+
+// String returns the class as it stands in records.
+func (class Class) String() string {
+	if class == Short {
+		return "short"
+	}
+	return "long"
+}
+
+// Classify returns the class of a run time. A request whose run time is not
+// known is short: it counts as long once it has outgrown the bound.
+func Classify(runTime, shortBelow time.Duration) Class {
+	if runTime < shortBelow {
+		return Short
+	}
+	return Long
+}
--- a/messenger/requests.go
+++ b/messenger/requests.go
@@ -32,7 +32,12 @@
 type Forward struct {
 	Request identifier.Request
 	Attempt identifier.Attempt
-	Call    commander.Call
+	// Owner is the life of the owner that is meant. A later life can't know
+	// whether an earlier one ran the attempt.
+	Owner identifier.Incarnation
+	// Sent bounds how long an owner must remember the attempts that it has seen.
+	Sent time.Time
+	Call commander.Call
 }
 
 // ForwardAnswer is the owner's answer to a Forward.
@@ -58,6 +63,10 @@
 	Key identifier.Key
 	// Request is the repeated request that awaits the outcome.
 	Request identifier.Request
+	// Workspace and Fingerprint must be those of the request that used the key
+	// first, so that no caller reads the answer to another request.
+	Workspace   identifier.Workspace
+	Fingerprint uint64
 }
 
 // OutcomeTell answers an OutcomeAsk.
--- /dev/null
+++ b/router/admission.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/estimator"
+)
+
+// admit classes an attempt and refuses what can't be served in time.
+func (router *Router) admit(now time.Time, admitted *work) *classifier.Error {
+	call := admitted.call
+	if !call.Deadline.After(now) {
+		return classifier.New(classifier.DeadlineUnmet, "the deadline has passed")
+	}
+	if router.draining && !router.alone() {
+		return classifier.New(classifier.Leaving, "owner %s is leaving", router.identity.Node)
+	}
+	waiting := router.queues[call.Service]
+	if waiting == nil || !waiting.usable() {
+		return classifier.New(classifier.NoMinion, "the owner has no live minion of service %q", call.Service).WithRetryAfter(time.Second)
+	}
+	expected := router.learned.Estimate(subject(call), router.catalogue.runTime(call))
+	admitted.estimate = max(expected.Typical, time.Millisecond)
+	admitted.class = estimator.Classify(expected.High, router.catalogue.service(call.Service).shortBelow)
+	if refusal := router.makeRoom(now, waiting, admitted); refusal != nil {
+		return refusal
+	}
+	wait := router.estimateWait(waiting, admitted)
+	if late := now.Add(wait + admitted.estimate).Sub(call.Deadline); late > 0 {
+		return classifier.New(classifier.DeadlineUnmet, "the estimated wait of %s passes the deadline by %s",
+			wait.Round(time.Millisecond), late.Round(time.Millisecond)).WithRetryAfter(late)
+	}
+	return nil
+}
+
+// makeRoom refuses an attempt if the queue is full. A workspace that waits
+// with less than its share takes the place of the one that waits with the most.
+func (router *Router) makeRoom(now time.Time, waiting *queue, admitted *work) *classifier.Error {
+	if waiting.length() < maxQueued && (admitted.class == estimator.Short || waiting.classes[estimator.Long].count < maxQueuedLong) {
+		return nil
+	}
+	class := &waiting.classes[admitted.class]
+	full := classifier.New(classifier.QueueFull, "the owner's queue is full").WithRetryAfter(router.drainTime(waiting))
+	worst, ratio := waiting.longest(admitted.class)
+	own := 1.0
+	if entries := class.byWorkspace[admitted.call.Workspace]; entries != nil {
+		own += float64(entries.Len())
+	}
+	if worst == "" || own/float64(router.catalogue.weight(admitted.call.Workspace)) >= ratio {
+		return full
+	}
+	var last *work
+	for _, candidate := range *class.byWorkspace[worst] {
+		if last == nil || candidate.call.Deadline.After(last.call.Deadline) ||
+			(candidate.call.Deadline.Equal(last.call.Deadline) && candidate.sequence > last.sequence) {
+			last = candidate
+		}
+	}
+	router.reject(now, last, full)
+	return nil
+}
+
+// drainTime is the hint when a full queue may have room again.
+func (router *Router) drainTime(waiting *queue) time.Duration {
+	expected := waiting.classes[estimator.Short].expected + waiting.classes[estimator.Long].expected
+	return max(100*time.Millisecond, expected/time.Duration(max(1, waiting.slots()))/4)
+}
+
+// slots returns the number of slots of the minions in use.
+func (queue *queue) slots() int {
+	slots := 0
+	for _, member := range queue.minions {
+		if member.state == serving || member.state == asking {
+			slots += member.limiter.Slots()
+		}
+	}
+	return slots
+}
+
+// estimateWait returns how long an attempt would wait. A workspace never waits
+// longer than its own requests take on its part of the slots.
+func (router *Router) estimateWait(waiting *queue, admitted *work) time.Duration {
+	for _, member := range waiting.minions {
+		if member.state == serving && member.limiter.Admits(admitted.class) && waiting.first(admitted.class) == nil {
+			return 0
+		}
+	}
+	slots := float64(max(1, waiting.slots()))
+	short := waiting.classes[estimator.Short]
+	ahead := float64(short.expected)
+	if admitted.class == estimator.Long {
+		service := router.catalogue.service(admitted.call.Service)
+		// Long requests run on a part of the slots.
+		ahead += float64(waiting.classes[estimator.Long].expected) * float64(service.slots) / float64(service.longSlots)
+	}
+	var own time.Duration
+	if entries := waiting.classes[admitted.class].byWorkspace[admitted.call.Workspace]; entries != nil {
+		for _, entry := range *entries {
+			own += entry.estimate
+		}
+	}
+	part := waiting.shares.part(admitted.call.Workspace, router.catalogue.weight(admitted.call.Workspace))
+	return time.Duration(min(ahead, float64(own)/part) / slots)
+}
--- /dev/null
+++ b/router/dispatch.go
@@ -0,0 +1,167 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/estimator"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+func subject(call commander.Call) estimator.Subject {
+	return estimator.Subject{Workspace: call.Workspace, Service: call.Service, Method: call.Method}
+}
+
+// dispatch starts what waits for a service while there are slots.
+func (router *Router) dispatch(now time.Time, service identifier.Service) {
+	waiting := router.queues[service]
+	if waiting == nil {
+		return
+	}
+	for class := estimator.Short; class < estimator.Classes; class++ {
+		for {
+			next := waiting.first(class)
+			if next == nil {
+				break
+			}
+			if !next.call.Deadline.After(now) {
+				router.reject(now, next, classifier.New(classifier.DeadlineUnmet, "the deadline passed in the queue"))
+				continue
+			}
+			free := waiting.freest(class)
+			if free == nil {
+				break
+			}
+			router.start(now, waiting, next, free)
+		}
+	}
+}
+
+func (router *Router) dispatchAll(now time.Time) {
+	for _, taken := range router.owned {
+		router.limit(taken)
+	}
+	services := make([]identifier.Service, 0, len(router.queues))
+	for name := range router.queues {
+		services = append(services, name)
+	}
+	slices.Sort(services)
+	for _, name := range services {
+		router.dispatch(now, name)
+	}
+}
+
+// freest returns the minion with the most free slots that admits the class.
+func (queue *queue) freest(class estimator.Class) *minion {
+	var best *minion
+	for _, member := range queue.minions {
+		if member.state != serving || !member.limiter.Admits(class) {
+			continue
+		}
+		if best == nil || member.limiter.Free() > best.limiter.Free() {
+			best = member
+		}
+	}
+	return best
+}
+
+// start dispatches an attempt to a minion.
+func (router *Router) start(now time.Time, waiting *queue, started *work, at *minion) {
+	waiting.remove(started)
+	waiting.shares.start(started.call.Workspace, started.estimate)
+	router.alarms.cancel(started.pending)
+	started.minion, started.started = at, now
+	at.limiter.Take(started.class)
+	started.pending = nil
+	if started.class == estimator.Short {
+		bound := router.catalogue.service(started.call.Service).shortBelow
+		started.pending = router.alarms.set(now.Add(bound), func(time.Time) {
+			started.class = estimator.Long
+			at.limiter.Outgrow()
+		})
+	}
+	router.record(now, started, "dispatched", string(at.name))
+	router.emit(messenger.CallMinion{
+		Minion: at.name, Address: at.at.address, Request: started.id.request, Attempt: started.id.attempt,
+		Call: started.call, Timeout: started.call.Deadline.Sub(now),
+	})
+}
+
+// conclude takes the result of a dispatched attempt. A result that belongs to
+// no open attempt at this minion reaches nobody.
+func (router *Router) conclude(now time.Time, answer messenger.MinionAnswered) {
+	id := attemptID{answer.Request, answer.Attempt}
+	ended := router.works[id]
+	if ended == nil || ended.minion == nil || ended.minion.name != answer.Minion {
+		return
+	}
+	delete(router.works, id)
+	router.alarms.cancel(ended.pending)
+	ran := now.Sub(ended.started)
+	fate := classifier.Ran
+	if answer.Err != nil {
+		fate = answer.Err.Code.Fate()
+	}
+	charged := ran
+	if fate == classifier.NotRun {
+		charged = 0
+	} else {
+		router.learned.Observe(subject(ended.call), ran)
+	}
+	if waiting := router.queues[ended.call.Service]; waiting != nil {
+		waiting.shares.end(ended.call.Workspace, ended.estimate, charged)
+	}
+	router.heed(now, ended, answer)
+	if answer.Err != nil {
+		router.record(now, ended, answer.Err.Code.Name(), answer.Err.Message)
+	}
+	router.answer(ended.entry, id, answer.Err, answer.Body)
+	router.dispatch(now, ended.call.Service)
+}
+
+// heed learns from a result what state the minion is in.
+func (router *Router) heed(now time.Time, ended *work, answer messenger.MinionAnswered) {
+	at := ended.minion
+	code := classifier.OK
+	if answer.Err != nil {
+		code = answer.Err.Code
+	}
+	if code.Fate() == classifier.Unknown {
+		at.limiter.Stray(ended.class)
+	} else {
+		at.limiter.Release(ended.class)
+	}
+	if at.state == released {
+		if at.limiter.Open() == 0 && !at.asked {
+			delete(router.owned, at.name)
+		}
+		return
+	}
+	if answer.Leaving && at.state != departing {
+		router.depart(now, at, "it said so")
+	}
+	if at.state != serving {
+		return
+	}
+	switch {
+	case code == classifier.OK:
+		at.failures, at.silent = 0, 0
+	case code == classifier.MinionBusy:
+		// Others keep its slots busy.
+		at.limiter.SetForeign(at.limiter.Slots() - at.limiter.Open())
+		router.askLater(now, at, foreignInterval)
+	case code == classifier.MinionUnreachable:
+		router.quarantine(now, at, code.Name())
+	case code.Fate() == classifier.Unknown:
+		if code == classifier.TimedOut {
+			at.silent++
+		}
+		// The request may run on. The minion is out of use until it has said
+		// how many of its slots are busy.
+		router.turn(at, asking, code.Name())
+		router.askSlots(now, at)
+	}
+}
--- /dev/null
+++ b/router/minion.go
@@ -0,0 +1,214 @@
+package router
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/limiter"
+	"corianderroad/messenger"
+)
+
+// minionState says whether an owner dispatches to a minion.
+type minionState uint8
+
+const (
+	// asking: the minion's busy slots are not known.
+	asking minionState = iota
+	serving
+	// quarantined: the minion failed and is asked again after a while.
+	quarantined
+	// departing: the minion announced its stop.
+	departing
+	// released: another node owns the minion.
+	released
+)
+
+// String returns the state as it stands in answers.
+func (state minionState) String() string {
+	return [...]string{"asking", "serving", "quarantined", "leaving", "released"}[state]
+}
+
+// Times of the care for minions.
+const (
+	// firstQuarantine doubles with each failure in a row up to lastQuarantine.
+	firstQuarantine = time.Second
+	lastQuarantine  = time.Minute
+	// foreignInterval is how often foreign slots are asked for until they are free.
+	foreignInterval = 500 * time.Millisecond
+	// leavingInterval is how often a minion that announced its stop, and that
+	// the VM list still names as live, is asked whether it is a new one.
+	leavingInterval = 10 * time.Second
+	// settleTime is how long after its dispatch a request is surely counted by
+	// the minion.
+	settleTime = time.Second
+	// maxSilent is how many attempts in a row may time out before a minion is
+	// quarantined although it answers when it is asked for its slots.
+	maxSilent = 3
+)
+
+// minion is a minion that this node owns or has open attempts at.
+type minion struct {
+	name    identifier.Minion
+	at      endpoint
+	state   minionState
+	limiter limiter.Limiter
+	// asked says that an AskSlots is open.
+	asked   bool
+	askedAt time.Time
+	// failures counts the failures in a row, silent the attempts that timed out.
+	failures int
+	silent   int
+	pending  *alarm
+}
+
+func (router *Router) sortedMinions() []*minion {
+	sorted := make([]*minion, 0, len(router.owned))
+	for _, taken := range router.owned {
+		sorted = append(sorted, taken)
+	}
+	slices.SortFunc(sorted, func(a, b *minion) int { return strings.Compare(string(a.name), string(b.name)) })
+	return sorted
+}
+
+// reassign brings a minion in line with the VM list and its owner.
+func (router *Router) reassign(now time.Time, taken *minion, listed endpoint, mine bool) {
+	fresh := taken.at.address != listed.address || taken.state == released || (taken.at.leaving && !listed.leaving)
+	if mine {
+		taken.at = listed
+	}
+	router.limit(taken)
+	switch {
+	case !mine:
+		router.turn(taken, released, "another node owns it")
+		if taken.limiter.Open() == 0 && !taken.asked {
+			delete(router.owned, taken.name)
+		}
+	case listed.leaving:
+		router.turn(taken, departing, "the VM list says so")
+	case fresh:
+		// Another owner or another life may have left slots busy.
+		router.turn(taken, asking, "taken over")
+		taken.failures, taken.silent = 0, 0
+		router.askSlots(now, taken)
+	}
+}
+
+func (router *Router) limit(taken *minion) {
+	limits := router.catalogue.service(taken.at.service)
+	taken.limiter.SetLimits(limiter.Limits{
+		Slots: limits.slots, LongSlots: limits.longSlots, Connections: limits.slots,
+	})
+}
+
+// turn changes the state of a minion.
+func (router *Router) turn(turned *minion, to minionState, reason string) {
+	router.alarms.cancel(turned.pending)
+	turned.pending = nil
+	if turned.state == to {
+		return
+	}
+	if to == quarantined || turned.state == quarantined || to == departing {
+		router.emit(messenger.Transition{
+			Subject: string(turned.name), From: turned.state.String(), To: to.String(), Reason: reason,
+		})
+	}
+	turned.state = to
+}
+
+func (router *Router) askSlots(now time.Time, asked *minion) {
+	if asked.asked {
+		return
+	}
+	asked.asked, asked.askedAt = true, now
+	router.emit(messenger.AskSlots{Minion: asked.name, Address: asked.at.address})
+}
+
+func (router *Router) askLater(now time.Time, asked *minion, wait time.Duration) {
+	router.alarms.cancel(asked.pending)
+	asked.pending = router.alarms.set(now.Add(wait), func(now time.Time) {
+		asked.pending = nil
+		router.askSlots(now, asked)
+	})
+}
+
+// learnSlots takes a minion's own count of its busy slots.
+func (router *Router) learnSlots(now time.Time, answer messenger.SlotsAnswered) {
+	told := router.owned[answer.Minion]
+	if told == nil || !told.asked {
+		return
+	}
+	told.asked = false
+	switch {
+	case told.state == released:
+		if told.limiter.Open() == 0 {
+			delete(router.owned, told.name)
+		}
+		return
+	case answer.Err != nil && answer.Err.Code == classifier.RingFull:
+		router.askLater(now, told, foreignInterval)
+		return
+	case answer.Err != nil:
+		if told.state != departing {
+			router.quarantine(now, told, answer.Err.Code.Name())
+		}
+		return
+	case answer.Leaving:
+		router.depart(now, told, "it said so")
+		return
+	case told.at.leaving:
+		return
+	}
+	router.countForeign(told, answer.Busy)
+	if told.silent >= maxSilent {
+		told.silent = 0
+		router.quarantine(now, told, "attempts time out")
+		return
+	}
+	router.turn(told, serving, "it answers")
+	if told.limiter.Foreign() > 0 {
+		router.askLater(now, told, foreignInterval)
+	}
+	router.dispatch(now, told.at.service)
+}
+
+// countForeign sets the foreign slots from the minion's own count. Requests
+// that were dispatched shortly before may not be counted there yet, so only
+// settled ones are taken off.
+func (router *Router) countForeign(told *minion, busy int) {
+	settled := 0
+	for _, running := range router.works {
+		if running.minion == told && told.askedAt.Sub(running.started) >= settleTime {
+			settled++
+		}
+	}
+	foreign := max(0, busy-settled)
+	if told.state == serving {
+		// While the owner dispatches, the count includes its own requests that
+		// have not settled: it may only lower the foreign slots.
+		foreign = min(foreign, told.limiter.Foreign())
+	} else {
+		foreign = min(foreign, max(0, told.limiter.Slots()-told.limiter.Open()))
+	}
+	told.limiter.SetForeign(foreign)
+}
+
+// quarantine keeps a minion that failed out of use for a growing time.
+func (router *Router) quarantine(now time.Time, failed *minion, reason string) {
+	wait := min(firstQuarantine<<min(failed.failures, 10), lastQuarantine)
+	failed.failures++
+	router.turn(failed, quarantined, reason)
+	router.askLater(now, failed, wait)
+	router.refuseStranded(now, failed.at.service)
+}
+
+// depart stops dispatch to a minion that announced its stop.
+func (router *Router) depart(now time.Time, left *minion, reason string) {
+	router.turn(left, departing, reason)
+	if !left.at.leaving {
+		router.askLater(now, left, leavingInterval)
+	}
+	router.refuseStranded(now, left.at.service)
+}
--- /dev/null
+++ b/router/outcome.go
@@ -0,0 +1,103 @@
+package router
+
+import (
+	"container/list"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+)
+
+// Bounds of the outcome store.
+const (
+	maxOutcomes     = 16_384
+	maxOutcomeBytes = 8 << 20
+	maxWaiters      = 16
+	// outcomeTime is how long after its issue a key may be used.
+	outcomeTime = 10 * time.Minute
+)
+
+// outcome is what became of the first request with a key at this node.
+type outcome struct {
+	key         identifier.Key
+	workspace   identifier.Workspace
+	fingerprint uint64
+	done        bool
+	at          time.Time
+	err         *classifier.Error
+	body        []byte
+	waiters     []waiter
+	position    *list.Element
+}
+
+// waiter is a repetition of a request that awaits the outcome.
+type waiter struct {
+	node    identifier.Node
+	request identifier.Request
+}
+
+// outcomes is the bounded store of outcomes. What it no longer holds is
+// answered with "outcome unknown", which is always true.
+type outcomes struct {
+	byKey map[identifier.Key]*outcome
+	// finished holds done outcomes, the oldest first.
+	finished *list.List
+	bytes    int
+}
+
+func newOutcomes() outcomes {
+	return outcomes{byKey: map[identifier.Key]*outcome{}, finished: list.New()}
+}
+
+// open adds the outcome of a request that has just begun.
+func (outcomes *outcomes) open(key identifier.Key, workspace identifier.Workspace, fingerprint uint64) {
+	outcomes.byKey[key] = &outcome{key: key, workspace: workspace, fingerprint: fingerprint}
+}
+
+// finish stores the end of a request and returns who waits for it.
+func (outcomes *outcomes) finish(now time.Time, key identifier.Key, err *classifier.Error, body []byte) []waiter {
+	stored := outcomes.byKey[key]
+	if stored == nil || stored.done {
+		return nil
+	}
+	stored.done, stored.at, stored.err, stored.body = true, now, err, body
+	stored.position = outcomes.finished.PushBack(stored)
+	outcomes.bytes += len(body)
+	outcomes.trim(now)
+	waiters := stored.waiters
+	stored.waiters = nil
+	return waiters
+}
+
+// drop forgets the outcome of a request whose intent is not the first.
+func (outcomes *outcomes) drop(key identifier.Key) []waiter {
+	stored := outcomes.byKey[key]
+	if stored == nil || stored.done {
+		return nil
+	}
+	delete(outcomes.byKey, key)
+	return stored.waiters
+}
+
+// trim removes outcomes that are too old or too many. Above the bound on bytes
+// the bodies go first, and what remains says that the request ran.
+func (outcomes *outcomes) trim(now time.Time) {
+	for element := outcomes.finished.Front(); element != nil && outcomes.bytes > maxOutcomeBytes; element = element.Next() {
+		stored := element.Value.(*outcome)
+		if len(stored.body) == 0 {
+			continue
+		}
+		outcomes.bytes -= len(stored.body)
+		stored.body = nil
+		stored.err = classifier.New(classifier.AlreadyRun, "the request with this key ran; its answer is no longer kept")
+	}
+	for outcomes.finished.Len() > 0 {
+		oldest := outcomes.finished.Front().Value.(*outcome)
+		if outcomes.finished.Len() <= maxOutcomes && now.Sub(oldest.at) <= outcomeTime {
+			return
+		}
+		outcomes.finished.Remove(oldest.position)
+		outcomes.bytes -= len(oldest.body)
+		delete(outcomes.byKey, oldest.key)
+	}
+}
--- /dev/null
+++ b/router/view.go
@@ -0,0 +1,54 @@
+package router
+
+import (
+	"time"
+
+	"corianderroad/querier"
+)
+
+// View implements decider.Machine.
+func (router *Router) View(_ time.Time, query querier.Query) querier.Answer {
+	switch query.Kind {
+	case querier.Status:
+		return querier.Answer{Minions: router.viewMinions(), Gauges: router.viewGauges()}
+	case querier.Explain:
+		return querier.Answer{Decisions: router.recorder.Find(query.Subject)}
+	default:
+		return querier.Answer{}
+	}
+}
+
+func (router *Router) viewMinions() []querier.Minion {
+	var rows []querier.Minion
+	for _, taken := range router.sortedMinions() {
+		rows = append(rows, querier.Minion{
+			Minion: taken.name, Service: taken.at.service,
+			Busy: taken.limiter.Busy(), Slots: taken.limiter.Slots(), State: taken.state.String(),
+		})
+	}
+	return rows
+}
+
+// viewGauges counts as open what a leaving process must finish: the requests
+// of its own callers and the attempts of other entries.
+func (router *Router) viewGauges() []querier.Gauge {
+	queued, free := router.measure()
+	open := len(router.calls)
+	for _, attempt := range router.works {
+		if router.calls[attempt.id.request] == nil {
+			open++
+		}
+	}
+	return []querier.Gauge{
+		{Name: "open-calls", Value: float64(open)},
+		{Name: "queued-calls", Value: float64(queued)},
+		{Name: "free-slots", Value: float64(free)},
+		{Name: "kept-outcomes", Value: float64(len(router.outcomes.byKey))},
+		{Name: "learned-run-times", Value: float64(router.learned.Len())},
+	}
+}
+
+// record keeps a decision about an attempt for explain.
+func (router *Router) record(now time.Time, about *work, reason, details string) {
+	router.recorder.Record(now, string(about.id.request), string(about.call.Workspace), reason, details)
+}
