Serve stand-ins of the log service, the VM list, minions and workers

Cause: the nodes need outside systems that speak the published protocols, and the demo and tests need them to fail on request. No tests yet.

--- /dev/null
+++ b/cmd/standins/injector/injector.go
@@ -0,0 +1,202 @@
+// Package injector applies faults to the stand-ins over HTTP.
+package injector
+
+import (
+	"context"
+	"net/http"
+	"path"
+	"time"
+
+	"corianderroad/cmd/standins/executor"
+	"corianderroad/cmd/standins/host"
+	"corianderroad/cmd/standins/logserver"
+	"corianderroad/cmd/standins/minion"
+	"corianderroad/cmd/standins/vmlister"
+	"corianderroad/cmd/standins/worker"
+)
+
+// Targets are the stand-ins that can be given faults.
+type Targets struct {
+	Log     *executor.Executor[*logserver.Log]
+	List    *executor.Executor[*vmlister.List]
+	Minions map[string]*executor.Executor[*minion.Minion]
+	Workers map[string]*executor.Executor[*worker.Worker]
+	// Listeners hold the connections of every stand-in by name; those of the
+	// log service and the VM list are named log and vm-list.
+	Listeners map[string]*host.Listener
+	// Names are the names of all VMs of the list.
+	Names []string
+}
+
+// faults is the body of POST /faults. Each section that is present replaces the
+// faults of its targets; a section with zero values makes them healthy. Match
+// is a name or a pattern with * as in path.Match.
+type faults struct {
+	Log *struct {
+		Mode        logserver.Mode `json:"mode"`
+		Delay       span           `json:"delay"`
+		LostAnswers float64        `json:"lost-answers"`
+	} `json:"log"`
+	VMList *struct {
+		Frozen bool `json:"frozen"`
+	} `json:"vm-list"`
+	Minions *struct {
+		Match       string      `json:"match"`
+		Mode        minion.Mode `json:"mode"`
+		Truncated   float64     `json:"truncated"`
+		Crossed     float64     `json:"crossed"`
+		LostAnswers float64     `json:"lost-answers"`
+	} `json:"minions"`
+	Workers *struct {
+		Match string      `json:"match"`
+		Mode  worker.Mode `json:"mode"`
+	} `json:"workers"`
+	// Listed changes the state that the VM list shows after its lag.
+	Listed *struct {
+		Match string `json:"match"`
+		State string `json:"state"`
+	} `json:"listed"`
+	// Silence makes the open connections of the targets silent for good.
+	Silence *struct {
+		Match string `json:"match"`
+	} `json:"silence"`
+}
+
+type span time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (span *span) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	*(*time.Duration)(span) = parsed
+	return err
+}
+
+// New returns the handler of POST /faults. It answers with the number of
+// targets that were given faults.
+func New(targets Targets) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		var requested faults
+		if !host.Decode(writer, request, &requested) {
+			return
+		}
+		if reason := requested.check(); reason != "" {
+			host.Refuse(writer, http.StatusBadRequest, reason)
+			return
+		}
+		reached, err := targets.apply(request.Context(), requested)
+		if err != nil {
+			host.Refuse(writer, http.StatusServiceUnavailable, err.Error())
+			return
+		}
+		host.Answer(writer, http.StatusOK, struct {
+			Targets int `json:"targets"`
+		}{reached})
+	})
+}
+
+func (targets Targets) apply(ctx context.Context, requested faults) (int, error) {
+	reached := 0
+	for _, apply := range []func(context.Context, faults) (int, error){
+		targets.applyLog, targets.applyList, targets.applyMinions, targets.applyWorkers, targets.applyListed, targets.applySilence,
+	} {
+		count, err := apply(ctx, requested)
+		reached += count
+		if err != nil {
+			return reached, err
+		}
+	}
+	return reached, nil
+}
+
+func (targets Targets) applyLog(ctx context.Context, requested faults) (int, error) {
+	if requested.Log == nil {
+		return 0, nil
+	}
+	return 1, targets.Log.Do(ctx, func(_ time.Time, log *logserver.Log) {
+		log.Inject(logserver.Faults{
+			Mode: requested.Log.Mode, Delay: time.Duration(requested.Log.Delay), LostAnswers: requested.Log.LostAnswers,
+		})
+	})
+}
+
+func (targets Targets) applyList(ctx context.Context, requested faults) (int, error) {
+	if requested.VMList == nil {
+		return 0, nil
+	}
+	return 1, targets.List.Do(ctx, func(now time.Time, list *vmlister.List) {
+		list.VMs(now) // Changes that were due before the freeze are shown.
+		list.Freeze(requested.VMList.Frozen)
+	})
+}
+
+func (targets Targets) applyMinions(ctx context.Context, requested faults) (int, error) {
+	if requested.Minions == nil {
+		return 0, nil
+	}
+	injected := minion.Faults{
+		Mode: requested.Minions.Mode, Truncated: requested.Minions.Truncated,
+		Crossed: requested.Minions.Crossed, LostAnswers: requested.Minions.LostAnswers,
+	}
+	reached := 0
+	for name, target := range targets.Minions {
+		if !matches(requested.Minions.Match, name) {
+			continue
+		}
+		if err := target.Do(ctx, func(_ time.Time, minion *minion.Minion) { minion.Inject(injected) }); err != nil {
+			return reached, err
+		}
+		reached++
+	}
+	return reached, nil
+}
+
+func (targets Targets) applyWorkers(ctx context.Context, requested faults) (int, error) {
+	if requested.Workers == nil {
+		return 0, nil
+	}
+	reached := 0
+	for name, target := range targets.Workers {
+		if !matches(requested.Workers.Match, name) {
+			continue
+		}
+		if err := target.Do(ctx, func(now time.Time, worker *worker.Worker) { worker.Inject(now, requested.Workers.Mode) }); err != nil {
+			return reached, err
+		}
+		reached++
+	}
+	return reached, nil
+}
+
+func (targets Targets) applyListed(ctx context.Context, requested faults) (int, error) {
+	if requested.Listed == nil {
+		return 0, nil
+	}
+	reached := 0
+	err := targets.List.Do(ctx, func(now time.Time, list *vmlister.List) {
+		for _, name := range targets.Names {
+			if matches(requested.Listed.Match, name) && list.Change(now, name, requested.Listed.State) {
+				reached++
+			}
+		}
+	})
+	return reached, err
+}
+
+func (targets Targets) applySilence(_ context.Context, requested faults) (int, error) {
+	if requested.Silence == nil {
+		return 0, nil
+	}
+	reached := 0
+	for name, listener := range targets.Listeners {
+		if matches(requested.Silence.Match, name) {
+			listener.Silence()
+			reached++
+		}
+	}
+	return reached, nil
+}
+
+func matches(pattern, name string) bool {
+	matched, err := path.Match(pattern, name)
+	return err == nil && matched
+}
