--- /dev/null
+++ b/appender/log.go
@@ -0,0 +1,143 @@
+package appender
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderroad/classifier"
+	"corianderroad/encoder"
+	"corianderroad/identifier"
+)
+
+// Client sends HTTP requests. *http.Client is one.
+type Client interface {
+	Do(request *http.Request) (*http.Response, error)
+}
+
+const (
+	maxAnswer = 16 << 20
+	// readBackLimit is the number of appends of one page of a read-back.
+	readBackLimit = 16
+)
+
+// outcome is what is known about a posted append.
+type outcome uint8
+
+const (
+	appended outcome = iota
+	// notAppended means that the request surely had no effect and may be repeated.
+	notAppended
+	// refused means that the request had no effect and never will.
+	refused
+	// unknown means that the append may be in the log, now or later.
+	unknown
+)
+
+// log is the log service as seen from one stream.
+type log struct {
+	client  Client
+	address netip.AddrPort
+	stream  identifier.Stream
+	timeout time.Duration
+}
+
+// post appends a payload once.
+func (log log) post(ctx context.Context, id string, payload []byte) (uint64, outcome) {
+	body, err := json.Marshal(encoder.AppendRequest{ID: id, Payload: payload})
+	if err != nil {
+		return 0, refused
+	}
+	status, answer, err := log.do(ctx, http.MethodPost, "", body)
+	if err != nil {
+		// A request whose connection was never made had no effect.
+		var network *net.OpError
+		if errors.As(err, &network) && network.Op == "dial" {
+			return 0, notAppended
+		}
+		return 0, unknown
+	}
+	switch {
+	case status == http.StatusTooManyRequests:
+		return 0, notAppended
+	case status >= 400 && status < 500 && status != http.StatusRequestTimeout:
+		return 0, refused
+	case status != http.StatusOK:
+		return 0, unknown
+	}
+	var reply encoder.AppendAnswer
+	if err := json.Unmarshal(answer, &reply); err != nil || reply.Offset == 0 {
+		return 0, unknown
+	}
+	return reply.Offset, appended
+}
+
+// next returns the offset that the next append gets at the earliest.
+func (log log) next(ctx context.Context) (uint64, error) {
+	answer, _, err := log.read(ctx, 1, 1)
+	if err != nil {
+		return 0, err
+	}
+	return max(answer.Next, 1), nil
+}
+
+// find looks for an append by its ID from an offset on.
+func (log log) find(ctx context.Context, id string, from uint64) (uint64, bool, error) {
+	for {
+		answer, status, err := log.read(ctx, from, readBackLimit)
+		if err != nil {
+			return 0, false, err
+		}
+		if status == http.StatusGone {
+			// The append may have been among those that expired.
+			return 0, false, classifier.New(classifier.OutcomeUnknown, "offset %d is no longer retained", from)
+		}
+		for _, entry := range answer.Appends {
+			if entry.ID == id {
+				return entry.Offset, true, nil
+			}
+			from = entry.Offset + 1
+		}
+		if from >= answer.Next || len(answer.Appends) == 0 {
+			return 0, false, nil
+		}
+	}
+}
+
+func (log log) read(ctx context.Context, from uint64, limit int) (encoder.ReadAnswer, int, error) {
+	var answer encoder.ReadAnswer
+	status, body, err := log.do(ctx, http.MethodGet, fmt.Sprintf("?from=%d&limit=%d&wait=0s", from, limit), nil)
+	if err != nil {
+		return answer, 0, err
+	}
+	if status != http.StatusOK && status != http.StatusGone {
+		return answer, status, classifier.New(classifier.LogUnavailable, "the log answered with status %d", status)
+	}
+	return answer, status, errors.WithStack(json.Unmarshal(body, &answer))
+}
+
+func (log log) do(ctx context.Context, method, query string, body []byte) (int, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, log.timeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/streams/%s/appends%s", log.address, log.stream, query)
+	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := log.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	return response.StatusCode, answer, err
+}
--- /dev/null
+++ b/encoder/log.go
@@ -0,0 +1,168 @@
+// Package encoder converts the messages of package messenger from and to their
+// wire form. The wire types are declared in the schema files; msgp generates
+// their encoding.
+package encoder
+
+import (
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// MarshalBatch returns the payload of an append that carries the entries.
+func MarshalBatch(entries []messenger.Entry) ([]byte, error) {
+	batch := LogBatch{Entries: make([]LogEntry, len(entries))}
+	for i, entry := range entries {
+		wire, err := LogEntryOf(entry)
+		if err != nil {
+			return nil, err
+		}
+		batch.Entries[i] = wire
+	}
+	payload, err := batch.MarshalMsg(nil)
+	if err != nil {
+		return nil, classifier.New(classifier.Internal, "batch of %d entries: %v", len(entries), err)
+	}
+	return payload, nil
+}
+
+// UnmarshalBatch returns the entries of an append's payload. The error has code
+// BadFrame if the payload is not a batch.
+func UnmarshalBatch(payload []byte) ([]messenger.Entry, error) {
+	var batch LogBatch
+	rest, err := batch.UnmarshalMsg(payload)
+	if err != nil {
+		return nil, classifier.New(classifier.BadFrame, "log payload of %d bytes: %v", len(payload), err)
+	}
+	if len(rest) > 0 {
+		return nil, classifier.New(classifier.BadFrame, "log payload has %d bytes after its end", len(rest))
+	}
+	entries := make([]messenger.Entry, len(batch.Entries))
+	for i := range batch.Entries {
+		if entries[i], err = batch.Entries[i].Messenger(); err != nil {
+			return nil, err
+		}
+	}
+	return entries, nil
+}
+
+// LogEntryOf returns the wire form of an entry.
+func LogEntryOf(entry messenger.Entry) (LogEntry, error) {
+	wire := LogEntry{ID: entry.ID}
+	switch record := entry.Record.(type) {
+	case messenger.Publication:
+		wire.Publication = &LogPublication{string(record.Organisation), uint64(record.Base), record.Text}
+	case messenger.Approval:
+		wire.Approval = &LogApproval{string(record.Organisation), uint64(record.Publication)}
+	case messenger.Submission:
+		spec := logJobSpec(record.Spec)
+		wire.Submission = &spec
+	case messenger.Cancellation:
+		wire.Cancellation = &LogCancellation{string(record.Job)}
+	case messenger.Outcome:
+		outcome := logOutcome(record)
+		wire.Outcome = &outcome
+	case messenger.RegionClaim:
+		claim := logRegionClaim(record)
+		wire.RegionClaim = &claim
+	case messenger.Intent:
+		wire.Intent = &LogIntent{string(record.Key), string(record.Request), string(record.Node), uint64(record.Incarnation)}
+	case messenger.Snapshot:
+		snapshot, err := LogSnapshotOf(record)
+		if err != nil {
+			return LogEntry{}, err
+		}
+		wire.Snapshot = &snapshot
+	default:
+		return LogEntry{}, classifier.New(classifier.Internal, "record %T has no wire form", record)
+	}
+	return wire, nil
+}
+
+// Messenger returns the entry. The error has code BadFrame if the entry does
+// not hold exactly one record.
+func (wire *LogEntry) Messenger() (messenger.Entry, error) {
+	var records []messenger.Record
+	if publication := wire.Publication; publication != nil {
+		records = append(records, messenger.Publication{
+			Organisation: identifier.Organisation(publication.Organisation),
+			Base:         identifier.Offset(publication.Base), Text: publication.Text,
+		})
+	}
+	if approval := wire.Approval; approval != nil {
+		records = append(records, messenger.Approval{
+			Organisation: identifier.Organisation(approval.Organisation), Publication: identifier.Offset(approval.Publication),
+		})
+	}
+	if wire.Submission != nil {
+		records = append(records, messenger.Submission{Spec: wire.Submission.messenger()})
+	}
+	if wire.Cancellation != nil {
+		records = append(records, messenger.Cancellation{Job: identifier.Job(wire.Cancellation.Job)})
+	}
+	if wire.Outcome != nil {
+		records = append(records, wire.Outcome.messenger())
+	}
+	if wire.RegionClaim != nil {
+		records = append(records, wire.RegionClaim.messenger())
+	}
+	if intent := wire.Intent; intent != nil {
+		records = append(records, messenger.Intent{
+			Key: identifier.Key(intent.Key), Request: identifier.Request(intent.Request),
+			Node: identifier.Node(intent.Node), Incarnation: identifier.Incarnation(intent.Incarnation),
+		})
+	}
+	if wire.Snapshot != nil {
+		snapshot, err := wire.Snapshot.Messenger()
+		if err != nil {
+			return messenger.Entry{}, err
+		}
+		records = append(records, snapshot)
+	}
+	if len(records) != 1 {
+		return messenger.Entry{}, classifier.New(classifier.BadFrame, "entry %q holds %d records, must be 1", wire.ID, len(records))
+	}
+	return messenger.Entry{ID: wire.ID, Record: records[0]}, nil
+}
+
+func logJobSpec(spec commander.JobSpec) LogJobSpec {
+	return LogJobSpec{
+		Job: string(spec.Job), Workspace: string(spec.Workspace), Region: string(spec.Region),
+		Members: spec.Shape.Members, Accelerators: spec.Shape.Accelerators, Adjacency: uint8(spec.Shape.Adjacency),
+		RunTime: int64(spec.RunTime), Urgent: spec.Urgent,
+	}
+}
+
+func (wire *LogJobSpec) messenger() commander.JobSpec {
+	return commander.JobSpec{
+		Job: identifier.Job(wire.Job), Workspace: identifier.Workspace(wire.Workspace), Region: identifier.Region(wire.Region),
+		Shape: commander.Shape{
+			Members: wire.Members, Accelerators: wire.Accelerators, Adjacency: commander.Adjacency(wire.Adjacency),
+		},
+		RunTime: time.Duration(wire.RunTime), Urgent: wire.Urgent,
+	}
+}
+
+func logOutcome(outcome messenger.Outcome) LogOutcome {
+	return LogOutcome{string(outcome.Job), uint16(outcome.Code), outcome.Reason, outcome.Cancelled}
+}
+
+func (wire *LogOutcome) messenger() messenger.Outcome {
+	return messenger.Outcome{
+		Job: identifier.Job(wire.Job), Code: classifier.Code(wire.Code), Reason: wire.Reason, Cancelled: wire.Cancelled,
+	}
+}
+
+func logRegionClaim(claim messenger.RegionClaim) LogRegionClaim {
+	return LogRegionClaim{string(claim.Region), string(claim.Node), uint64(claim.Incarnation)}
+}
+
+func (wire *LogRegionClaim) messenger() messenger.RegionClaim {
+	return messenger.RegionClaim{
+		Region: identifier.Region(wire.Region), Node: identifier.Node(wire.Node),
+		Incarnation: identifier.Incarnation(wire.Incarnation),
+	}
+}
--- /dev/null
+++ b/follower/follower.go
@@ -0,0 +1,211 @@
+// Package follower reads one stream of the platform's log and delivers its
+// appends in offset order.
+package follower
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"corianderroad/buffer"
+	"corianderroad/encoder"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// Sink receives the events of a Follower in their order. Deliver waits for room
+// until the context ends.
+type Sink interface {
+	Deliver(ctx context.Context, event messenger.Event) error
+}
+
+// Parameters are the limits of a Follower. The zero value is useful.
+type Parameters struct {
+	// Wait is how long the log holds a read at the end of the stream, 5 s if zero.
+	Wait time.Duration
+	// Silence is the time without an answer after which the log counts as silent,
+	// 7 s if zero. It must be above Wait.
+	Silence time.Duration
+	// Limit is the largest number of appends of one read, 256 if zero.
+	Limit int
+	// Recent makes the first read start this long ago instead of at the first
+	// retained append, which is the case if it is zero.
+	Recent time.Duration
+}
+
+// IntentsRecent is Parameters.Recent for the stream of intents. A key is valid
+// from 1 minute before to 10 minutes after its time of issue; the rest makes up
+// for the difference between the clocks of the node and the log.
+const IntentsRecent = 12 * time.Minute
+
+const (
+	shortestPause = 100 * time.Millisecond
+	longestPause  = time.Second
+)
+
+// Follower reads one stream. Run is its only duty.
+type Follower struct {
+	stream     identifier.Stream
+	log        log
+	sink       Sink
+	advanced   *buffer.Ring[messenger.StreamAdvanced]
+	parameters Parameters
+
+	corrupt atomic.Uint64
+
+	// position is the offset of the next read, zero before the first.
+	position uint64
+	// reset is set until the first append after a start or a gap is delivered.
+	reset    bool
+	answered time.Time
+	reported time.Time
+	pause    time.Duration
+	limit    int
+}
+
+// New returns a Follower of a stream of the log service at an address. It takes
+// from advanced what was applied from other sources.
+func New(
+	stream identifier.Stream, address netip.AddrPort, client Client, sink Sink,
+	advanced *buffer.Ring[messenger.StreamAdvanced], parameters Parameters,
+) *Follower {
+	if parameters.Wait == 0 {
+		parameters.Wait = 5 * time.Second
+	}
+	if parameters.Silence == 0 {
+		parameters.Silence = 7 * time.Second
+	}
+	if parameters.Limit == 0 {
+		parameters.Limit = 256
+	}
+	return &Follower{
+		stream: stream, log: log{client: client, address: address, stream: stream}, sink: sink,
+		advanced: advanced, parameters: parameters, limit: parameters.Limit,
+	}
+}
+
+// Corrupt returns the number of appends whose payload could not be decoded. They
+// are delivered without entries, so that one of them does not stop the stream.
+// It is safe for concurrent use.
+func (follower *Follower) Corrupt() uint64 { return follower.corrupt.Load() }
+
+// reading is the result of one read.
+type reading struct {
+	answer encoder.ReadAnswer
+	// start is the offset at which the read began.
+	start uint64
+	err   error
+}
+
+// Run reads until the context ends or the sink fails.
+func (follower *Follower) Run(ctx context.Context) error {
+	follower.answered = time.Now()
+	follower.reset = true
+	for {
+		readCtx, cancel := context.WithTimeout(ctx, follower.parameters.Silence)
+		result := make(chan reading, 1)
+		go func() { result <- follower.read(readCtx, follower.pause) }()
+		var err error
+		select {
+		case <-ctx.Done():
+			err = ctx.Err()
+		case advanced := <-follower.advanced.Entries():
+			cancel()
+			<-result
+			follower.position = uint64(advanced.Applied) + 1
+			follower.reset = false
+			follower.pause = 0
+		case reading := <-result:
+			err = follower.deliver(ctx, reading)
+		}
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// read pauses after a failure and reads once.
+func (follower *Follower) read(ctx context.Context, pause time.Duration) reading {
+	if pause > 0 {
+		// Jitter keeps the nodes from returning to the log at the same moment.
+		timer := time.NewTimer(pause/2 + rand.N(pause/2))
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+			return reading{err: ctx.Err()}
+		case <-timer.C:
+		}
+	}
+	start := follower.position
+	if start == 0 {
+		found, err := follower.begin(ctx)
+		if err != nil {
+			return reading{err: err}
+		}
+		start = found
+	}
+	answer, err := follower.log.read(ctx, start, follower.limit, follower.parameters.Wait)
+	return reading{answer: answer, start: start, err: err}
+}
+
+// deliver passes on what was read.
+func (follower *Follower) deliver(ctx context.Context, reading reading) error {
+	now := time.Now()
+	if reading.err != nil {
+		return follower.failed(ctx, now, reading.err)
+	}
+	follower.answered, follower.pause = now, 0
+	follower.limit = follower.parameters.Limit
+	follower.position = reading.start
+	for _, entry := range reading.answer.Appends {
+		if entry.Offset != follower.position {
+			// The log answered with a gap or out of order. Reading again is safe.
+			return nil
+		}
+		entries, err := encoder.UnmarshalBatch(entry.Payload)
+		if err != nil {
+			follower.corrupt.Add(1)
+			entries = nil
+		}
+		read := messenger.AppendRead{
+			Stream: follower.stream, Offset: identifier.Offset(entry.Offset), AppendedAt: entry.AppendedAt,
+			Entries: entries, Reset: follower.reset,
+		}
+		if err := follower.sink.Deliver(ctx, read); err != nil {
+			return err
+		}
+		follower.reset = false
+		follower.position++
+	}
+	if follower.position < reading.answer.Next {
+		return nil
+	}
+	return follower.sink.Deliver(ctx, messenger.StreamRead{
+		Stream: follower.stream, Next: identifier.Offset(reading.answer.Next), At: now, Reset: follower.reset,
+	})
+}
+
+// failed prepares the next read and reports a log that is silent.
+func (follower *Follower) failed(ctx context.Context, now time.Time, err error) error {
+	switch fault := err.(type) {
+	case goneError:
+		// Retention has passed the position.
+		follower.position, follower.reset, follower.pause = fault.firstRetained, true, 0
+		follower.answered = now
+		if fault.firstRetained == 0 {
+			follower.pause = shortestPause
+		}
+		return nil
+	case tooLargeError:
+		follower.limit = max(follower.limit/4, 1)
+	}
+	follower.pause = min(max(2*follower.pause, shortestPause), longestPause)
+	if now.Sub(follower.answered) < follower.parameters.Silence || now.Sub(follower.reported) < follower.parameters.Silence {
+		return nil
+	}
+	follower.reported = now
+	return follower.sink.Deliver(ctx, messenger.StreamSilent{Stream: follower.stream, Since: follower.answered})
+}
--- a/messenger/log.go
+++ b/messenger/log.go
@@ -58,13 +58,6 @@
 	Incarnation identifier.Incarnation
 }
 
-// Snapshot is the folded state of a stream up to and including Covered.
-type Snapshot struct {
-	Covered identifier.Offset
-	Digest  uint64
-	State   []byte
-}
-
 func (Publication) record()  {}
 func (Approval) record()     {}
 func (Submission) record()   {}
@@ -72,7 +65,6 @@
 func (Outcome) record()      {}
 func (RegionClaim) record()  {}
 func (Intent) record()       {}
-func (Snapshot) record()     {}
 
 // Entry is one record as the log holds it.
 type Entry struct {
@@ -99,6 +91,9 @@
 	Stream identifier.Stream
 	Next   identifier.Offset
 	At     time.Time
+	// Reset says that no append was delivered since the reader started anew:
+	// nothing before Next is retained.
+	Reset bool
 }
 
 // StreamSilent says that the log has not answered since Since.
@@ -143,7 +138,8 @@
 type EntriesTell struct {
 	Stream  identifier.Stream
 	Appends []AppendRead
-	// Snapshot replaces Appends if the peer no longer keeps them.
+	// Snapshot replaces Appends if the peer no longer keeps them. Each part is a
+	// message of its own.
 	Snapshot *Snapshot
 }
 
--- /dev/null
+++ b/messenger/snapshot.go
@@ -0,0 +1,83 @@
+package messenger
+
+import (
+	"time"
+
+	"corianderroad/commander"
+	"corianderroad/identifier"
+)
+
+// Snapshot is one part of the folded state of a stream up to and including
+// Covered. The state is split because an append and a frame are limited in size.
+type Snapshot struct {
+	Covered identifier.Offset
+	// Digest is the xxhash digest of the whole state, all parts together.
+	Digest uint64
+	// Part counts from 0 to Parts-1.
+	Part  int
+	Parts int
+	State State
+}
+
+// State is the folded state of a stream, or a part of it.
+type State interface{ state() }
+
+// ConfigurationState is the folded state of the stream configuration.
+type ConfigurationState struct {
+	// Version is the offset of the newest record that changed the configuration.
+	Version       identifier.Offset
+	Organisations []PublishedText
+	Pending       []PendingText
+	Folded        []FoldedEntry
+}
+
+// PublishedText is the text in force of one organisation.
+type PublishedText struct {
+	Organisation identifier.Organisation
+	Version      identifier.Offset
+	Text         []byte
+}
+
+// PendingText is a newcomer's publication that awaits approvals.
+type PendingText struct {
+	Publication  identifier.Offset
+	Organisation identifier.Organisation
+	Text         []byte
+	Approvals    []identifier.Organisation
+}
+
+// JobsState is the folded state of the stream jobs.
+type JobsState struct {
+	Jobs   []JobState
+	Claims []ClaimState
+	Folded []FoldedEntry
+}
+
+// JobState is the folded state of one job.
+type JobState struct {
+	Spec       commander.JobSpec
+	Offset     identifier.Offset
+	AcceptedAt time.Time
+	// CancelledAt is the offset of the first cancellation, zero for none.
+	CancelledAt identifier.Offset
+	// EndedAt is the time of the outcome, zero for a job that has not ended.
+	EndedAt time.Time
+	Outcome Outcome
+}
+
+// ClaimState is the newest claim of a region.
+type ClaimState struct {
+	Claim RegionClaim
+	Term  identifier.Term
+}
+
+// FoldedEntry is the ID of a record that must not fold again.
+type FoldedEntry struct {
+	ID string
+	At time.Time
+}
+
+func (Snapshot) record() {}
+
+func (ConfigurationState) state() {}
+func (JobsState) state()          {}
