Run nine nodes as separate processes, from the command line to the back ends

Cause: the parts had not run together. Change: server assembles a node from its duties and runs them as one group; the command line (commands and queries apart); requester, the HTTP client. Frames carry the owner's life, the send time and the fingerprint of a request, which the encoder dropped; without them each owner took an attempt for one to an earlier life and answered 501.

--- /dev/null
+++ b/cmd/corianderroad/main.go
@@ -0,0 +1,29 @@
+// Corianderroad is the node of the scheduler and its command line.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"corianderroad/cmd/corianderroad/changer"
+	"corianderroad/cmd/corianderroad/reader"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "help")
+	subcommands.Register(subcommands.FlagsCommand(), "help")
+	subcommands.Register(&serve{}, "node")
+	for _, command := range []subcommands.Command{
+		&changer.Publish{}, &changer.Approve{}, &changer.Submit{}, &changer.Cancel{}, &changer.Call{}, &changer.Drain{},
+	} {
+		subcommands.Register(command, "commands")
+	}
+	for _, query := range []subcommands.Command{&reader.Status{}, &reader.Explain{}, &reader.Shares{}, &reader.Check{}} {
+		subcommands.Register(query, "queries")
+	}
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/corianderroad/serve.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+
+	"corianderroad/classifier"
+	"corianderroad/cmd/corianderroad/connector"
+	"corianderroad/loader"
+	"corianderroad/server"
+)
+
+// serve is the subcommand that runs a node until SIGTERM or SIGINT, on which
+// the node finishes its open work and exits.
+type serve struct {
+	settings string
+}
+
+// Name implements subcommands.Command.
+func (*serve) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*serve) Synopsis() string { return "run a node" }
+
+// Usage implements subcommands.Command.
+func (*serve) Usage() string { return "serve -settings FILE\n" }
+
+// SetFlags implements subcommands.Command.
+func (serve *serve) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&serve.settings, "settings", "", "settings file of the node")
+}
+
+// Execute implements subcommands.Command.
+func (serve *serve) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := loader.Load(serve.settings)
+	if err != nil {
+		return connector.Fail(err, false)
+	}
+	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	node, err := server.New(settings, time.Now)
+	if err != nil {
+		return connector.Fail(err, false)
+	}
+	if err := node.Run(ctx, stop.Done()); err != nil && !errors.Is(err, context.Canceled) {
+		return connector.Fail(classifier.New(classifier.Internal, "%v", err), false)
+	}
+	return subcommands.ExitSuccess
+}
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -58,7 +58,8 @@
 		return &WirePeer{EntriesTell: tell}, err
 	case messenger.Forward:
 		return &WirePeer{Forward: &WireForward{
-			Request: string(message.Request), Attempt: uint32(message.Attempt), Call: callToWire(message.Call),
+			Request: string(message.Request), Attempt: uint32(message.Attempt), Owner: uint64(message.Owner),
+			Sent: message.Sent, Call: callToWire(message.Call),
 		}}, nil
 	case messenger.ForwardAnswer:
 		return &WirePeer{ForwardAnswer: &WireForwardAnswer{
@@ -72,6 +73,7 @@
 	case messenger.OutcomeAsk:
 		return &WirePeer{OutcomeAsk: &WireOutcomeAsk{
 			Key: string(message.Key), Request: string(message.Request),
+			Workspace: string(message.Workspace), Fingerprint: message.Fingerprint,
 		}}, nil
 	case messenger.OutcomeTell:
 		return &WirePeer{OutcomeTell: &WireOutcomeTell{
@@ -117,6 +119,8 @@
 		return messenger.Forward{
 			Request: identifier.Request(wire.Forward.Request),
 			Attempt: identifier.Attempt(wire.Forward.Attempt),
+			Owner:   identifier.Incarnation(wire.Forward.Owner),
+			Sent:    wire.Forward.Sent,
 			Call:    callFromWire(wire.Forward.Call),
 		}
 	case wire.ForwardAnswer != nil:
@@ -135,8 +139,10 @@
 		}
 	case wire.OutcomeAsk != nil:
 		return messenger.OutcomeAsk{
-			Key:     identifier.Key(wire.OutcomeAsk.Key),
-			Request: identifier.Request(wire.OutcomeAsk.Request),
+			Key:         identifier.Key(wire.OutcomeAsk.Key),
+			Request:     identifier.Request(wire.OutcomeAsk.Request),
+			Workspace:   identifier.Workspace(wire.OutcomeAsk.Workspace),
+			Fingerprint: wire.OutcomeAsk.Fingerprint,
 		}
 	default:
 		return messenger.OutcomeTell{
--- a/encoder/peer_schema.go
+++ b/encoder/peer_schema.go
@@ -67,9 +67,10 @@
 
 // WireEntriesTell is a messenger.EntriesTell.
 type WireEntriesTell struct {
-	Stream   string        `msg:"stream"`
-	Appends  []WireAppend  `msg:"appends,omitempty,limit=8192"`
-	Snapshot *WireSnapshot `msg:"snapshot,omitempty"`
+	Stream  string       `msg:"stream"`
+	Appends []WireAppend `msg:"appends,omitempty,limit=8192"`
+	// Snapshot is a batch that holds one snapshot record, empty for none.
+	Snapshot []byte `msg:"snapshot,omitempty"`
 }
 
 // WireAppend is a messenger.AppendRead. The batch has the form in which the
@@ -82,13 +83,6 @@
 	Reset      bool      `msg:"reset,omitempty"`
 }
 
-// WireSnapshot is a messenger.Snapshot.
-type WireSnapshot struct {
-	Covered uint64 `msg:"covered"`
-	Digest  uint64 `msg:"digest"`
-	State   []byte `msg:"state"`
-}
-
 // WireCall is a commander.Call.
 type WireCall struct {
 	Workspace  string        `msg:"workspace"`
@@ -110,9 +104,11 @@
 
 // WireForward is a messenger.Forward.
 type WireForward struct {
-	Request string   `msg:"request"`
-	Attempt uint32   `msg:"attempt"`
-	Call    WireCall `msg:"call"`
+	Request string    `msg:"request"`
+	Attempt uint32    `msg:"attempt"`
+	Owner   uint64    `msg:"owner"`
+	Sent    time.Time `msg:"sent"`
+	Call    WireCall  `msg:"call"`
 }
 
 // WireForwardAnswer is a messenger.ForwardAnswer.
@@ -133,8 +129,10 @@
 
 // WireOutcomeAsk is a messenger.OutcomeAsk.
 type WireOutcomeAsk struct {
-	Key     string `msg:"key"`
-	Request string `msg:"request"`
+	Key         string `msg:"key"`
+	Request     string `msg:"request"`
+	Workspace   string `msg:"workspace"`
+	Fingerprint uint64 `msg:"fingerprint"`
 }
 
 // WireOutcomeTell is a messenger.OutcomeTell.
--- a/encoder/peer_schema_gen.go
+++ b/encoder/peer_schema_gen.go
@@ -825,64 +825,13 @@
 				}
 			}
 		case "snapshot":
-			if dc.IsNil() {
-				err = dc.ReadNil()
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
-					return
-				}
-				z.Snapshot = nil
-			} else {
-				if z.Snapshot == nil {
-					z.Snapshot = new(WireSnapshot)
-				}
-				var zb0003 uint32
-				zb0003, err = dc.ReadMapHeader()
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
-					return
-				}
-				if zb0003 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Snapshot")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "covered":
-						z.Snapshot.Covered, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot", "Covered")
-							return
-						}
-					case "digest":
-						z.Snapshot.Digest, err = dc.ReadUint64()
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot", "Digest")
-							return
-						}
-					case "state":
-						z.Snapshot.State, err = dc.ReadBytesLimit(z.Snapshot.State, z0e06409flimitArrays)
-						if err == nil && z.Snapshot.State == nil {
-							z.Snapshot.State = []byte{}
-						}
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot", "State")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot")
-							return
-						}
-					}
-				}
+			z.Snapshot, err = dc.ReadBytesLimit(z.Snapshot, z0e06409flimitArrays)
+			if err == nil && z.Snapshot == nil {
+				z.Snapshot = []byte{}
+			}
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
 			}
 		default:
 			err = dc.Skip()
@@ -952,43 +901,10 @@
 			if err != nil {
 				return
 			}
-			if z.Snapshot == nil {
-				err = en.WriteNil()
-				if err != nil {
-					return
-				}
-			} else {
-				// map header, size 3
-				// write "covered"
-				err = en.Append(0x83, 0xa7, 0x63, 0x6f, 0x76, 0x65, 0x72, 0x65, 0x64)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Snapshot.Covered)
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot", "Covered")
-					return
-				}
-				// write "digest"
-				err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint64(z.Snapshot.Digest)
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot", "Digest")
-					return
-				}
-				// write "state"
-				err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-				if err != nil {
-					return
-				}
-				err = en.WriteBytes(z.Snapshot.State)
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot", "State")
-					return
-				}
+			err = en.WriteBytes(z.Snapshot)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
 			}
 		}
 	}
@@ -1033,20 +949,7 @@
 		if (zb0001Mask & 0x4) == 0 { // if not omitted
 			// string "snapshot"
 			o = append(o, 0xa8, 0x73, 0x6e, 0x61, 0x70, 0x73, 0x68, 0x6f, 0x74)
-			if z.Snapshot == nil {
-				o = msgp.AppendNil(o)
-			} else {
-				// map header, size 3
-				// string "covered"
-				o = append(o, 0x83, 0xa7, 0x63, 0x6f, 0x76, 0x65, 0x72, 0x65, 0x64)
-				o = msgp.AppendUint64(o, z.Snapshot.Covered)
-				// string "digest"
-				o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-				o = msgp.AppendUint64(o, z.Snapshot.Digest)
-				// string "state"
-				o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-				o = msgp.AppendBytes(o, z.Snapshot.State)
-			}
+			o = msgp.AppendBytes(o, z.Snapshot)
 		}
 	}
 	return
@@ -1104,77 +1007,27 @@
 				}
 			}
 		case "snapshot":
-			if msgp.IsNil(bts) {
-				bts, err = msgp.ReadNilBytes(bts)
-				if err != nil {
-					return
-				}
-				z.Snapshot = nil
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Snapshot")
+				return
+			}
+			if zb0003 > z0e06409flimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Snapshot == nil || uint32(cap(z.Snapshot)) < zb0003 {
+				z.Snapshot = make([]byte, zb0003)
 			} else {
-				if z.Snapshot == nil {
-					z.Snapshot = new(WireSnapshot)
-				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Snapshot")
-					return
-				}
-				if zb0003 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Snapshot")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "covered":
-						z.Snapshot.Covered, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot", "Covered")
-							return
-						}
-					case "digest":
-						z.Snapshot.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot", "Digest")
-							return
-						}
-					case "state":
-						var zb0004 uint32
-						zb0004, bts, err = msgp.ReadBytesHeader(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot", "State")
-							return
-						}
-						if zb0004 > z0e06409flimitArrays {
-							err = msgp.ErrLimitExceeded
-							return
-						}
-						if z.Snapshot.State == nil || uint32(cap(z.Snapshot.State)) < zb0004 {
-							z.Snapshot.State = make([]byte, zb0004)
-						} else {
-							z.Snapshot.State = z.Snapshot.State[:zb0004]
-						}
-						if uint32(len(bts)) < zb0004 {
-							err = msgp.ErrShortBytes
-							return
-						}
-						copy(z.Snapshot.State, bts[:zb0004])
-						bts = bts[zb0004:]
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Snapshot")
-							return
-						}
-					}
-				}
+				z.Snapshot = z.Snapshot[:zb0003]
+			}
+			if uint32(len(bts)) < zb0003 {
+				err = msgp.ErrShortBytes
+				return
 			}
+			copy(z.Snapshot, bts[:zb0003])
+			bts = bts[zb0003:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1193,12 +1046,7 @@
 	for za0001 := range z.Appends {
 		s += z.Appends[za0001].Msgsize()
 	}
-	s += 9
-	if z.Snapshot == nil {
-		s += msgp.NilSize
-	} else {
-		s += 1 + 8 + msgp.Uint64Size + 7 + msgp.Uint64Size + 6 + msgp.BytesPrefixSize + len(z.Snapshot.State)
-	}
+	s += 9 + msgp.BytesPrefixSize + len(z.Snapshot)
 	return
 }
 
@@ -1430,6 +1278,18 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+		case "owner":
+			z.Owner, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
+		case "sent":
+			z.Sent, err = dc.ReadTimeUTC()
+			if err != nil {
+				err = msgp.WrapError(err, "Sent")
+				return
+			}
 		case "call":
 			err = z.Call.DecodeMsg(dc)
 			if err != nil {
@@ -1449,9 +1309,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WireForward) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
+	// map header, size 5
 	// write "request"
-	err = en.Append(0x83, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	err = en.Append(0x85, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	if err != nil {
 		return
 	}
@@ -1470,6 +1330,26 @@
 		err = msgp.WrapError(err, "Attempt")
 		return
 	}
+	// write "owner"
+	err = en.Append(0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Owner)
+	if err != nil {
+		err = msgp.WrapError(err, "Owner")
+		return
+	}
+	// write "sent"
+	err = en.Append(0xa4, 0x73, 0x65, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteTime(z.Sent)
+	if err != nil {
+		err = msgp.WrapError(err, "Sent")
+		return
+	}
 	// write "call"
 	err = en.Append(0xa4, 0x63, 0x61, 0x6c, 0x6c)
 	if err != nil {
@@ -1486,13 +1366,19 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *WireForward) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "request"
-	o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+	o = append(o, 0x85, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Request)
 	// string "attempt"
 	o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
 	o = msgp.AppendUint32(o, z.Attempt)
+	// string "owner"
+	o = append(o, 0xa5, 0x6f, 0x77, 0x6e, 0x65, 0x72)
+	o = msgp.AppendUint64(o, z.Owner)
+	// string "sent"
+	o = append(o, 0xa4, 0x73, 0x65, 0x6e, 0x74)
+	o = msgp.AppendTime(o, z.Sent)
 	// string "call"
 	o = append(o, 0xa4, 0x63, 0x61, 0x6c, 0x6c)
 	o, err = z.Call.MarshalMsg(o)
@@ -1537,6 +1423,18 @@
 				err = msgp.WrapError(err, "Attempt")
 				return
 			}
+		case "owner":
+			z.Owner, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Owner")
+				return
+			}
+		case "sent":
+			z.Sent, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Sent")
+				return
+			}
 		case "call":
 			bts, err = z.Call.UnmarshalMsg(bts)
 			if err != nil {
@@ -1557,7 +1455,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WireForward) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.Uint32Size + 5 + z.Call.Msgsize()
+	s = 1 + 8 + msgp.StringPrefixSize + len(z.Request) + 8 + msgp.Uint32Size + 6 + msgp.Uint64Size + 5 + msgp.TimeSize + 5 + z.Call.Msgsize()
 	return
 }
 
@@ -2678,6 +2576,18 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "workspace":
+			z.Workspace, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		case "fingerprint":
+			z.Fingerprint, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -2690,10 +2600,10 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z WireOutcomeAsk) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 2
+func (z *WireOutcomeAsk) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
 	// write "key"
-	err = en.Append(0x82, 0xa3, 0x6b, 0x65, 0x79)
+	err = en.Append(0x84, 0xa3, 0x6b, 0x65, 0x79)
 	if err != nil {
 		return
 	}
@@ -2712,19 +2622,45 @@
 		err = msgp.WrapError(err, "Request")
 		return
 	}
+	// write "workspace"
+	err = en.Append(0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Workspace)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	// write "fingerprint"
+	err = en.Append(0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint64(z.Fingerprint)
+	if err != nil {
+		err = msgp.WrapError(err, "Fingerprint")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WireOutcomeAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WireOutcomeAsk) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 4
 	// string "key"
-	o = append(o, 0x82, 0xa3, 0x6b, 0x65, 0x79)
+	o = append(o, 0x84, 0xa3, 0x6b, 0x65, 0x79)
 	o = msgp.AppendString(o, z.Key)
 	// string "request"
 	o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 	o = msgp.AppendString(o, z.Request)
+	// string "workspace"
+	o = append(o, 0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Workspace)
+	// string "fingerprint"
+	o = append(o, 0xab, 0x66, 0x69, 0x6e, 0x67, 0x65, 0x72, 0x70, 0x72, 0x69, 0x6e, 0x74)
+	o = msgp.AppendUint64(o, z.Fingerprint)
 	return
 }
 
@@ -2762,6 +2698,18 @@
 				err = msgp.WrapError(err, "Request")
 				return
 			}
+		case "workspace":
+			z.Workspace, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		case "fingerprint":
+			z.Fingerprint, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fingerprint")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2775,8 +2723,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WireOutcomeAsk) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 8 + msgp.StringPrefixSize + len(z.Request)
+func (z *WireOutcomeAsk) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 8 + msgp.StringPrefixSize + len(z.Request) + 10 + msgp.StringPrefixSize + len(z.Workspace) + 12 + msgp.Uint64Size
 	return
 }
 
@@ -3445,50 +3393,11 @@
 				if z.Forward == nil {
 					z.Forward = new(WireForward)
 				}
-				var zb0005 uint32
-				zb0005, err = dc.ReadMapHeader()
+				err = z.Forward.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Forward")
 					return
 				}
-				if zb0005 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Forward")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "request":
-						z.Forward.Request, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Forward", "Request")
-							return
-						}
-					case "attempt":
-						z.Forward.Attempt, err = dc.ReadUint32()
-						if err != nil {
-							err = msgp.WrapError(err, "Forward", "Attempt")
-							return
-						}
-					case "call":
-						err = z.Forward.Call.DecodeMsg(dc)
-						if err != nil {
-							err = msgp.WrapError(err, "Forward", "Call")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Forward")
-							return
-						}
-					}
-				}
 			}
 		case "forward-answer":
 			if dc.IsNil() {
@@ -3520,18 +3429,18 @@
 				if z.ForwardCancel == nil {
 					z.ForwardCancel = new(WireForwardCancel)
 				}
-				var zb0006 uint32
-				zb0006, err = dc.ReadMapHeader()
+				var zb0005 uint32
+				zb0005, err = dc.ReadMapHeader()
 				if err != nil {
 					err = msgp.WrapError(err, "ForwardCancel")
 					return
 				}
-				if zb0006 > z0e06409flimitMaps {
+				if zb0005 > z0e06409flimitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0005 > 0 {
+					zb0005--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
 						err = msgp.WrapError(err, "ForwardCancel")
@@ -3571,44 +3480,11 @@
 				if z.OutcomeAsk == nil {
 					z.OutcomeAsk = new(WireOutcomeAsk)
 				}
-				var zb0007 uint32
-				zb0007, err = dc.ReadMapHeader()
+				err = z.OutcomeAsk.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "OutcomeAsk")
 					return
 				}
-				if zb0007 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0007 > 0 {
-					zb0007--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "OutcomeAsk")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "key":
-						z.OutcomeAsk.Key, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "OutcomeAsk", "Key")
-							return
-						}
-					case "request":
-						z.OutcomeAsk.Request, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "OutcomeAsk", "Request")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "OutcomeAsk")
-							return
-						}
-					}
-				}
 			}
 		case "outcome-tell":
 			if dc.IsNil() {
@@ -3871,35 +3747,9 @@
 					return
 				}
 			} else {
-				// map header, size 3
-				// write "request"
-				err = en.Append(0x83, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-				if err != nil {
-					return
-				}
-				err = en.WriteString(z.Forward.Request)
-				if err != nil {
-					err = msgp.WrapError(err, "Forward", "Request")
-					return
-				}
-				// write "attempt"
-				err = en.Append(0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-				if err != nil {
-					return
-				}
-				err = en.WriteUint32(z.Forward.Attempt)
+				err = z.Forward.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "Forward", "Attempt")
-					return
-				}
-				// write "call"
-				err = en.Append(0xa4, 0x63, 0x61, 0x6c, 0x6c)
-				if err != nil {
-					return
-				}
-				err = z.Forward.Call.EncodeMsg(en)
-				if err != nil {
-					err = msgp.WrapError(err, "Forward", "Call")
+					err = msgp.WrapError(err, "Forward")
 					return
 				}
 			}
@@ -3970,25 +3820,9 @@
 					return
 				}
 			} else {
-				// map header, size 2
-				// write "key"
-				err = en.Append(0x82, 0xa3, 0x6b, 0x65, 0x79)
-				if err != nil {
-					return
-				}
-				err = en.WriteString(z.OutcomeAsk.Key)
+				err = z.OutcomeAsk.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk", "Key")
-					return
-				}
-				// write "request"
-				err = en.Append(0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-				if err != nil {
-					return
-				}
-				err = en.WriteString(z.OutcomeAsk.Request)
-				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk", "Request")
+					err = msgp.WrapError(err, "OutcomeAsk")
 					return
 				}
 			}
@@ -4170,18 +4004,9 @@
 			if z.Forward == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 3
-				// string "request"
-				o = append(o, 0x83, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-				o = msgp.AppendString(o, z.Forward.Request)
-				// string "attempt"
-				o = append(o, 0xa7, 0x61, 0x74, 0x74, 0x65, 0x6d, 0x70, 0x74)
-				o = msgp.AppendUint32(o, z.Forward.Attempt)
-				// string "call"
-				o = append(o, 0xa4, 0x63, 0x61, 0x6c, 0x6c)
-				o, err = z.Forward.Call.MarshalMsg(o)
+				o, err = z.Forward.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "Forward", "Call")
+					err = msgp.WrapError(err, "Forward")
 					return
 				}
 			}
@@ -4220,13 +4045,11 @@
 			if z.OutcomeAsk == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 2
-				// string "key"
-				o = append(o, 0x82, 0xa3, 0x6b, 0x65, 0x79)
-				o = msgp.AppendString(o, z.OutcomeAsk.Key)
-				// string "request"
-				o = append(o, 0xa7, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
-				o = msgp.AppendString(o, z.OutcomeAsk.Request)
+				o, err = z.OutcomeAsk.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "OutcomeAsk")
+					return
+				}
 			}
 		}
 		if (zb0001Mask & 0x400) == 0 { // if not omitted
@@ -4480,50 +4303,11 @@
 				if z.Forward == nil {
 					z.Forward = new(WireForward)
 				}
-				var zb0005 uint32
-				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Forward.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Forward")
 					return
 				}
-				if zb0005 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0005 > 0 {
-					zb0005--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Forward")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "request":
-						z.Forward.Request, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Forward", "Request")
-							return
-						}
-					case "attempt":
-						z.Forward.Attempt, bts, err = msgp.ReadUint32Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Forward", "Attempt")
-							return
-						}
-					case "call":
-						bts, err = z.Forward.Call.UnmarshalMsg(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Forward", "Call")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Forward")
-							return
-						}
-					}
-				}
 			}
 		case "forward-answer":
 			if msgp.IsNil(bts) {
@@ -4553,18 +4337,18 @@
 				if z.ForwardCancel == nil {
 					z.ForwardCancel = new(WireForwardCancel)
 				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "ForwardCancel")
 					return
 				}
-				if zb0006 > z0e06409flimitMaps {
+				if zb0005 > z0e06409flimitMaps {
 					err = msgp.ErrLimitExceeded
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0005 > 0 {
+					zb0005--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "ForwardCancel")
@@ -4603,44 +4387,11 @@
 				if z.OutcomeAsk == nil {
 					z.OutcomeAsk = new(WireOutcomeAsk)
 				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.OutcomeAsk.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "OutcomeAsk")
 					return
 				}
-				if zb0007 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0007 > 0 {
-					zb0007--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "OutcomeAsk")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "key":
-						z.OutcomeAsk.Key, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "OutcomeAsk", "Key")
-							return
-						}
-					case "request":
-						z.OutcomeAsk.Request, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "OutcomeAsk", "Request")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "OutcomeAsk")
-							return
-						}
-					}
-				}
 			}
 		case "outcome-tell":
 			if msgp.IsNil(bts) {
@@ -4713,7 +4464,7 @@
 	if z.Forward == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 8 + msgp.StringPrefixSize + len(z.Forward.Request) + 8 + msgp.Uint32Size + 5 + z.Forward.Call.Msgsize()
+		s += z.Forward.Msgsize()
 	}
 	s += 15
 	if z.ForwardAnswer == nil {
@@ -4731,7 +4482,7 @@
 	if z.OutcomeAsk == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 4 + msgp.StringPrefixSize + len(z.OutcomeAsk.Key) + 8 + msgp.StringPrefixSize + len(z.OutcomeAsk.Request)
+		s += z.OutcomeAsk.Msgsize()
 	}
 	s += 13
 	if z.OutcomeTell == nil {
@@ -5270,183 +5021,3 @@
 	s = 1 + 9 + msgp.Uint64Size + 7 + z.Target.Msgsize()
 	return
 }
-
-// DecodeMsg implements msgp.Decodable
-func (z *WireSnapshot) DecodeMsg(dc *msgp.Reader) (err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, err = dc.ReadMapHeader()
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z0e06409flimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, err = dc.ReadMapKeyPtr()
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "covered":
-			z.Covered, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Covered")
-				return
-			}
-		case "digest":
-			z.Digest, err = dc.ReadUint64()
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "state":
-			z.State, err = dc.ReadBytesLimit(z.State, z0e06409flimitArrays)
-			if err == nil && z.State == nil {
-				z.State = []byte{}
-			}
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-		default:
-			err = dc.Skip()
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z *WireSnapshot) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 3
-	// write "covered"
-	err = en.Append(0x83, 0xa7, 0x63, 0x6f, 0x76, 0x65, 0x72, 0x65, 0x64)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Covered)
-	if err != nil {
-		err = msgp.WrapError(err, "Covered")
-		return
-	}
-	// write "digest"
-	err = en.Append(0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-	if err != nil {
-		return
-	}
-	err = en.WriteUint64(z.Digest)
-	if err != nil {
-		err = msgp.WrapError(err, "Digest")
-		return
-	}
-	// write "state"
-	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	if err != nil {
-		return
-	}
-	err = en.WriteBytes(z.State)
-	if err != nil {
-		err = msgp.WrapError(err, "State")
-		return
-	}
-	return
-}
-
-// MarshalMsg implements msgp.Marshaler
-func (z *WireSnapshot) MarshalMsg(b []byte) (o []byte, err error) {
-	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "covered"
-	o = append(o, 0x83, 0xa7, 0x63, 0x6f, 0x76, 0x65, 0x72, 0x65, 0x64)
-	o = msgp.AppendUint64(o, z.Covered)
-	// string "digest"
-	o = append(o, 0xa6, 0x64, 0x69, 0x67, 0x65, 0x73, 0x74)
-	o = msgp.AppendUint64(o, z.Digest)
-	// string "state"
-	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendBytes(o, z.State)
-	return
-}
-
-// UnmarshalMsg implements msgp.Unmarshaler
-func (z *WireSnapshot) UnmarshalMsg(bts []byte) (o []byte, err error) {
-	var field []byte
-	_ = field
-	var zb0001 uint32
-	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err)
-		return
-	}
-	if zb0001 > z0e06409flimitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
-	for zb0001 > 0 {
-		zb0001--
-		field, bts, err = msgp.ReadMapKeyZC(bts)
-		if err != nil {
-			err = msgp.WrapError(err)
-			return
-		}
-		switch msgp.UnsafeString(field) {
-		case "covered":
-			z.Covered, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Covered")
-				return
-			}
-		case "digest":
-			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Digest")
-				return
-			}
-		case "state":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadBytesHeader(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "State")
-				return
-			}
-			if zb0002 > z0e06409flimitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.State == nil || uint32(cap(z.State)) < zb0002 {
-				z.State = make([]byte, zb0002)
-			} else {
-				z.State = z.State[:zb0002]
-			}
-			if uint32(len(bts)) < zb0002 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.State, bts[:zb0002])
-			bts = bts[zb0002:]
-		default:
-			bts, err = msgp.Skip(bts)
-			if err != nil {
-				err = msgp.WrapError(err)
-				return
-			}
-		}
-	}
-	o = bts
-	return
-}
-
-// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WireSnapshot) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 7 + msgp.Uint64Size + 6 + msgp.BytesPrefixSize + len(z.State)
-	return
-}
--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -35,6 +35,7 @@
 	retries     *prometheus.CounterVec
 	transitions *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
+	io          *prometheus.CounterVec
 }
 
 // New returns an Exporter of the given rings and gauges.
@@ -45,8 +46,9 @@
 		retries:     counter("retries_total", "Repeated attempts by the reason's name.", "reason"),
 		transitions: counter("transitions_total", "Changes of state by their reason.", "reason"),
 		bytes:       counter("peer_bytes_total", "Bytes of frames by peer, its region and direction.", "peer", "region", "direction"),
+		io:          counter("io_events_total", "Events of I/O duties by kind and result.", "kind", "result"),
 	}
-	exporter.registry.MustRegister(exporter.refusals, exporter.retries, exporter.transitions, exporter.bytes,
+	exporter.registry.MustRegister(exporter.refusals, exporter.retries, exporter.transitions, exporter.bytes, exporter.io,
 		newRingCollector(rings), newGaugeCollector(gauges),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return exporter
@@ -82,3 +84,9 @@
 func (exporter *Exporter) CountBytes(peer identifier.Node, region identifier.Region, direction string, bytes int) {
 	exporter.bytes.WithLabelValues(string(peer), string(region), direction).Add(float64(bytes))
 }
+
+// CountIO counts an event of an I/O duty, for example the end of a connection,
+// by its result in kebab case.
+func (exporter *Exporter) CountIO(kind, result string) {
+	exporter.io.WithLabelValues(kind, result).Inc()
+}
--- /dev/null
+++ b/requester/requester.go
@@ -0,0 +1,133 @@
+// Package requester is the HTTP client of a node's commands and queries. The
+// command line uses it, and other programs can.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderroad/acceptor"
+	"corianderroad/classifier"
+)
+
+// Requester talks to any of several nodes. It is safe for concurrent use.
+type Requester struct {
+	nodes  []netip.AddrPort
+	token  string
+	client *http.Client
+}
+
+// New returns a Requester that tries the nodes in their order. The timeout
+// bounds each request.
+func New(nodes []netip.AddrPort, token string, timeout time.Duration) *Requester {
+	return &Requester{nodes: nodes, token: token, client: &http.Client{Timeout: timeout}}
+}
+
+// Request is one request to a node.
+type Request struct {
+	Method string
+	// Path is the path with its query, for example /v1/queries/status.
+	Path   string
+	Header http.Header
+	Body   []byte
+}
+
+// Do sends a request and returns the whole body of a successful answer. It
+// tries the next node only if a connection could not be made, because then the
+// request surely did not run. A refusal is returned as its classifier.Error.
+func (requester *Requester) Do(ctx context.Context, request Request) ([]byte, error) {
+	err := error(classifier.New(classifier.NodeUnreachable, "no node was named"))
+	for _, node := range requester.nodes {
+		var body []byte
+		body, err = requester.try(ctx, node, request)
+		if classifier.Of(err) != classifier.NodeUnreachable {
+			return body, err
+		}
+	}
+	return nil, err
+}
+
+func (requester *Requester) try(ctx context.Context, node netip.AddrPort, request Request) ([]byte, error) {
+	url := "http://" + node.String() + request.Path
+	message, err := http.NewRequestWithContext(ctx, request.Method, url, bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, classifier.New(classifier.BadRequest, "%v", err)
+	}
+	message.GetBody = nil // without it net/http never repeats a request that may have been sent
+	if request.Header != nil {
+		message.Header = request.Header.Clone()
+	}
+	message.Header.Set("Authorization", "Bearer "+requester.token)
+	response, err := requester.client.Do(message)
+	if err != nil {
+		return nil, sendError(node, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return nil, classifier.New(classifier.OutcomeUnknown, "the answer of %s ended early: %v", node, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return body, nil
+	}
+	return nil, refusal(node, response.StatusCode, body)
+}
+
+func sendError(node netip.AddrPort, err error) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return classifier.New(classifier.NodeUnreachable,
+			"no node answers at %s (%v); name a running node with -node", node, operation.Err)
+	}
+	return classifier.New(classifier.OutcomeUnknown, "%s did not answer: %v", node, err)
+}
+
+func refusal(node netip.AddrPort, status int, body []byte) error {
+	var refusal acceptor.Refusal
+	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Code == classifier.OK {
+		return classifier.New(classifier.OutcomeUnknown, "%s answered with status %d", node, status)
+	}
+	hint, err := time.ParseDuration(refusal.RetryAfter)
+	if err != nil {
+		hint = 0 // an answer without a hint has an empty one
+	}
+	return classifier.New(refusal.Code, "%s", refusal.Message).WithRetryAfter(hint)
+}
+
+// Post sends a command and decodes its answer.
+func (requester *Requester) Post(ctx context.Context, path string, command any) (acceptor.Done, error) {
+	var done acceptor.Done
+	body, err := json.Marshal(command)
+	if err != nil {
+		return done, classifier.New(classifier.BadRequest, "%v", err)
+	}
+	answer, err := requester.Do(ctx, Request{Method: http.MethodPost, Path: path, Body: body})
+	if err != nil {
+		return done, err
+	}
+	return done, decode(answer, &done)
+}
+
+// Get sends a query and decodes its answer.
+func (requester *Requester) Get(ctx context.Context, path string, answer any) error {
+	body, err := requester.Do(ctx, Request{Method: http.MethodGet, Path: path})
+	if err != nil {
+		return err
+	}
+	return decode(body, answer)
+}
+
+func decode(body []byte, target any) error {
+	if err := json.Unmarshal(body, target); err != nil {
+		return classifier.New(classifier.OutcomeUnknown, "the answer can't be decoded: %v", err)
+	}
+	return nil
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -179,9 +179,9 @@
 	}
 }
 
-func (world *world) submit(spec commander.JobSpec, real behaviour) {
+func (world *world) submit(spec commander.JobSpec, actual behaviour) {
 	spec.Region = "r"
-	world.tasks[spec.Job] = real
+	world.tasks[spec.Job] = actual
 	world.append(messenger.Entry{Record: messenger.Submission{Spec: spec}})
 }
 
--- /dev/null
+++ b/server/members.go
@@ -0,0 +1,33 @@
+package server
+
+import (
+	"net/netip"
+	"sync/atomic"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// members is the newest list of members, for the query side. It is written by
+// the detection duty and read by handlers.
+type members struct {
+	node   identifier.Node
+	newest atomic.Pointer[[]messenger.Member]
+}
+
+func (members *members) update(changed []messenger.Member) { members.newest.Store(&changed) }
+
+// Others implements gatherer.Members.
+func (members *members) Others() map[identifier.Node]netip.AddrPort {
+	others := make(map[identifier.Node]netip.AddrPort)
+	newest := members.newest.Load()
+	if newest == nil {
+		return others
+	}
+	for _, member := range *newest {
+		if member.Node != members.node {
+			others[member.Node] = member.Address
+		}
+	}
+	return others
+}
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -135,12 +135,16 @@
 	defer timer.Stop()
 	for {
 		timer.Reset(time.Until(liveness.due()))
+		queue := connection.peer.queue.Entries()
+		if len(connection.first) > 0 {
+			queue = nil // the message for which the connection was dialled is the oldest
+		}
 		var err error
 		select {
 		case message := <-connection.first:
 			err = connection.send(ctx, message)
 			liveness.wrote(time.Now())
-		case message := <-connection.peer.queue.Entries():
+		case message := <-queue:
 			err = connection.send(ctx, message)
 			liveness.wrote(time.Now())
 		case <-connection.asked:
