Refuse a repeated request without a claim that it did not run

Cause: a caller whose connection broke repeats its key at another node. If that node refused (leaving, ring full), the answer said not-run, although the first request may have run; the caller would then issue the work anew. Change: the header Repeated marks a request whose key was sent before; any refusal of it says unknown, whatever its code.

--- a/acceptor/call.go
+++ b/acceptor/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
 
 	"corianderroad/classifier"
 	"corianderroad/commander"
@@ -23,16 +24,21 @@
 )
 
 func (acceptor *Acceptor) call(ctx iris.Context) {
-	call, err := acceptor.readCall(ctx)
+	repeated, err := flag(ctx, "Repeated")
 	if err != nil {
 		acceptor.refuse(ctx, err)
 		return
 	}
+	call, err := acceptor.readCall(ctx)
+	if err != nil {
+		acceptor.refuseCall(ctx, err, repeated)
+		return
+	}
 	request := newRequest()
 	ctx.Header("Request-Id", string(request))
 	answer, err := acceptor.await(ctx.Request().Context(), request, call)
 	if err != nil {
-		acceptor.refuse(ctx, err)
+		acceptor.refuseCall(ctx, err, repeated)
 		return
 	}
 	ctx.ContentType("application/octet-stream")
@@ -83,9 +89,9 @@
 	if err != nil {
 		return commander.Call{}, err
 	}
-	idempotent := ctx.GetHeader("Idempotent")
-	if idempotent != "" && idempotent != "true" && idempotent != "false" {
-		return commander.Call{}, classifier.New(classifier.BadRequest, "header Idempotent is %q, must be true or false", idempotent)
+	idempotent, err := flag(ctx, "Idempotent")
+	if err != nil {
+		return commander.Call{}, err
 	}
 	body, err := readBody(ctx, commander.MaxBody)
 	if err != nil {
@@ -96,7 +102,7 @@
 		Service:    identifier.Service(ctx.Params().Get("service")),
 		Method:     identifier.Method(ctx.Params().Get("method")),
 		Key:        identifier.Key(ctx.GetHeader("Idempotency-Key")),
-		Idempotent: idempotent == "true",
+		Idempotent: idempotent,
 		RunTime:    runTime,
 		Deadline:   time.Now().Add(timeout),
 		Body:       body,
@@ -104,6 +110,31 @@
 	return call, call.Check()
 }
 
+// refuseCall answers a call that was not served. A caller marks a request that
+// it sends again with the same key as repeated: then a refusal that only says
+// that this request did not run says nothing about the earlier one, and must
+// not let the caller believe that the work was not done.
+func (acceptor *Acceptor) refuseCall(ctx iris.Context, err error, repeated bool) {
+	var coded *classifier.Error
+	if repeated && errors.As(err, &coded) {
+		doubtful := *coded
+		doubtful.MayHaveRun = true
+		err = &doubtful
+	}
+	acceptor.refuse(ctx, err)
+}
+
+func flag(ctx iris.Context, header string) (bool, error) {
+	switch text := ctx.GetHeader(header); text {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	default:
+		return false, classifier.New(classifier.BadRequest, "header %s is %q, must be true or false", header, text)
+	}
+}
+
 func duration(ctx iris.Context, header string, missing time.Duration) (time.Duration, error) {
 	text := ctx.GetHeader(header)
 	if text == "" {
--- a/acceptor/transfer.go
+++ b/acceptor/transfer.go
@@ -28,7 +28,7 @@
 func WriteRefusal(ctx iris.Context, err error) {
 	code := classifier.Of(err)
 	meaning := code.Meaning()
-	refusal := Refusal{Code: code, Name: meaning.Name, Message: err.Error(), Ran: meaning.Fate.String()}
+	refusal := Refusal{Code: code, Name: meaning.Name, Message: err.Error(), Ran: classifier.FateOf(err).String()}
 	var coded *classifier.Error
 	if errors.As(err, &coded) {
 		refusal.Message = coded.Message
--- a/classifier/error.go
+++ b/classifier/error.go
@@ -13,6 +13,9 @@
 	Message string
 	// RetryAfter is a hint when a repetition may succeed, zero for none.
 	RetryAfter time.Duration
+	// MayHaveRun says that the work may have been done although the code alone
+	// says that it was not: the request repeats one whose fate is not known.
+	MayHaveRun bool
 }
 
 // New returns an Error with a formatted message.
@@ -32,6 +35,15 @@
 	return fmt.Sprintf("%d %s: %s", err.Code, err.Code.Name(), err.Message)
 }
 
+// FateOf returns what an error says about the request, Ran for nil.
+func FateOf(err error) Fate {
+	var coded *Error
+	if errors.As(err, &coded) && coded.MayHaveRun {
+		return Unknown
+	}
+	return Of(err).Fate()
+}
+
 // Of returns the code of the first Error in err's chain, OK for nil and
 // Internal for an error without a code.
 func Of(err error) Code {
--- a/cmd/corianderroad/changer/call.go
+++ b/cmd/corianderroad/changer/call.go
@@ -25,6 +25,7 @@
 	timeout    time.Duration
 	runTime    time.Duration
 	idempotent bool
+	repeated   bool
 }
 
 // Name implements subcommands.Command.
@@ -47,6 +48,7 @@
 	flags.StringVar(&call.body, "body", "", "body of the request")
 	flags.DurationVar(&call.timeout, "timeout", 2*time.Second, "time after which the answer is of no use")
 	flags.DurationVar(&call.runTime, "run-time", 0, "declared run time, 0 if not known")
+	flags.BoolVar(&call.repeated, "repeated", false, "a request with this key was sent before; a refusal then never says that it did not run")
 	flags.BoolVar(&call.idempotent, "idempotent", false, "the request may run more than once without harm")
 }
 
@@ -56,7 +58,11 @@
 	if err != nil {
 		return call.Fail(err)
 	}
-	header := http.Header{"Timeout": {call.timeout.String()}, "Idempotent": {strconv.FormatBool(call.idempotent)}}
+	header := http.Header{
+		"Timeout":    {call.timeout.String()},
+		"Idempotent": {strconv.FormatBool(call.idempotent)},
+		"Repeated":   {strconv.FormatBool(call.repeated)},
+	}
 	if call.key != "" {
 		header.Set("Idempotency-Key", call.key)
 	}
--- a/cmd/corianderroad/connector/connector.go
+++ b/cmd/corianderroad/connector/connector.go
@@ -89,7 +89,7 @@
 	meaning := code.Meaning()
 	if asJSON {
 		_ = json.NewEncoder(os.Stderr).Encode(map[string]any{
-			"code": code, "name": meaning.Name, "message": err.Error(), "ran": meaning.Fate.String(),
+			"code": code, "name": meaning.Name, "message": err.Error(), "ran": classifier.FateOf(err).String(),
 		})
 	} else {
 		fmt.Fprintf(os.Stderr, "corianderroad: %v (%s)\n", err, meaning.Action)
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -95,11 +95,11 @@
 	if err := json.Unmarshal(body, &refusal); err != nil || refusal.Code == classifier.OK {
 		return classifier.New(classifier.OutcomeUnknown, "%s answered with status %d", node, status)
 	}
-	hint, err := time.ParseDuration(refusal.RetryAfter)
-	if err != nil {
-		hint = 0 // an answer without a hint has an empty one
-	}
-	return classifier.New(refusal.Code, "%s", refusal.Message).WithRetryAfter(hint)
+	hint, _ := time.ParseDuration(refusal.RetryAfter) // empty if the answer has no hint
+	err := classifier.New(refusal.Code, "%s", refusal.Message)
+	err.RetryAfter = hint
+	err.MayHaveRun = refusal.Ran == classifier.Unknown.String()
+	return err
 }
 
 // Post sends a command and decodes its answer.
