--- a/cmd/standins/logserver/log.go
+++ b/cmd/standins/logserver/log.go
@@ -86,11 +86,9 @@
 		log.counts.RateLimited++
 		return 0, false
 	}
-	if now.After(log.newest) {
-		log.newest = now
-	}
+	now = log.advance(now)
 	target := log.streams[name]
-	added := Append{Offset: target.next, ID: id, Payload: payload, AppendedAt: log.newest}
+	added := Append{Offset: target.next, ID: id, Payload: payload, AppendedAt: now}
 	target.appends = append(target.appends, added)
 	target.next++
 	close(target.grown)
@@ -104,6 +102,7 @@
 // the offset is no longer retained. If there is nothing to read, the channel is
 // closed by the next append.
 func (log *Log) Read(now time.Time, name identifier.Stream, from identifier.Offset, limit int) (Page, <-chan struct{}, bool) {
+	now = log.advance(now)
 	source := log.streams[name]
 	log.trim(now, source)
 	log.counts.Reads++
@@ -131,6 +130,15 @@
 // Counts returns the log's counters.
 func (log *Log) Counts() Counts { return log.counts }
 
+// advance returns the log's own time, which never goes back: readers rely on it
+// to judge the age of appends alike.
+func (log *Log) advance(now time.Time) time.Time {
+	if now.After(log.newest) {
+		log.newest = now
+	}
+	return log.newest
+}
+
 func (log *Log) trim(now time.Time, target *stream) {
 	excess := 0
 	for excess < len(target.appends) {
