--- a/cmd/standins/deployment.go
+++ b/cmd/standins/deployment.go
@@ -148,18 +148,23 @@
 	return nil
 }
 
+// states returns the duties that own the states.
+func (built *deployment) states() []func(context.Context) error {
+	duties := []func(context.Context) error{built.log.Run, built.list.Run, built.record.Run, built.findings.Run}
+	for _, owner := range built.minions {
+		duties = append(duties, owner.Run)
+	}
+	for _, owner := range built.workers {
+		duties = append(duties, owner.Run)
+	}
+	return duties
+}
+
 // run runs all duties until the context ends.
 func (built *deployment) run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return built.log.Run(ctx) })
-	group.Go(func() error { return built.list.Run(ctx) })
-	group.Go(func() error { return built.record.Run(ctx) })
-	group.Go(func() error { return built.findings.Run(ctx) })
-	for _, duty := range built.minions {
-		group.Go(func() error { return duty.Run(ctx) })
-	}
-	for _, duty := range built.workers {
-		group.Go(func() error { return duty.Run(ctx) })
+	for _, duty := range built.states() {
+		group.Go(func() error { return duty(ctx) })
 	}
 	for _, endpoint := range built.endpoints {
 		group.Go(func() error { return host.Serve(ctx, endpoint.listener, endpoint.handler) })
--- /dev/null
+++ b/cmd/standins/loader/settings_test.go
@@ -0,0 +1,44 @@
+package loader
+
+import (
+	"os"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestExamplesLoad guards against example settings that the program refuses, or
+// that describe another deployment than the design page.
+func TestExamplesLoad(t *testing.T) {
+	c := quicktest.New(t)
+	for _, name := range []string{"hoop-and-mallet", "mekong"} {
+		settings, err := Load("../../../examples/" + name + "/standins.yaml")
+		c.Assert(err, quicktest.IsNil)
+		var minions, workers, accelerators int
+		for _, group := range settings.Minions {
+			minions += group.Count
+			c.Check(group.Slots, quicktest.Equals, 8)
+			c.Check(group.Connections, quicktest.Equals, 64)
+		}
+		for _, rack := range settings.Workers {
+			workers += rack.Count
+			accelerators += rack.Count * rack.Accelerators
+			c.Check(rack.Count, quicktest.Equals, 8)
+		}
+		c.Check(settings.Entries, quicktest.HasLen, 9)
+		c.Check([]int{minions, workers, accelerators}, quicktest.DeepEquals, []int{48, 48, 384})
+	}
+}
+
+// TestParseRefuses guards against settings that are read otherwise than meant.
+func TestParseRefuses(t *testing.T) {
+	c := quicktest.New(t)
+	text, err := os.ReadFile("../../../examples/mekong/standins.yaml")
+	c.Assert(err, quicktest.IsNil)
+	for _, mistake := range []string{"vm-lag: 2s\n", "minions: 7\n", "seed: -1\n"} {
+		_, err := Parse(append([]byte(mistake), text...))
+		c.Check(err, quicktest.IsNotNil, quicktest.Commentf("%s", mistake))
+	}
+	_, err = Parse([]byte("seed: 1\n"))
+	c.Check(err, quicktest.ErrorMatches, `(?s).*LogService.*required.*`)
+}
