--- a/router/attempt.go
+++ b/router/attempt.go
@@ -16,8 +16,12 @@
 	forwarded.pending = nil
 	owner := router.pick(now, forwarded)
 	if owner == "" {
-		router.finish(now, forwarded, classifier.New(classifier.NoMinion,
-			"no live minion of service %q can be reached", forwarded.command.Service).WithRetryAfter(time.Second), nil)
+		refusal := forwarded.refusal
+		if refusal == nil {
+			refusal = classifier.New(classifier.NoMinion, "no live minion of service %q can be reached",
+				forwarded.command.Service).WithRetryAfter(time.Second)
+		}
+		router.finish(now, forwarded, refusal, nil)
 		return
 	}
 	forwarded.attempt++
@@ -29,20 +33,6 @@
 	})
 }
 
-// pick chooses an owner in the nearest place that has one.
-func (router *Router) pick(_ time.Time, picking *call) identifier.Node {
-	groups := router.places.byService[picking.command.Service]
-	if groups == nil {
-		return ""
-	}
-	for _, group := range groups {
-		if owner := router.places.choose(router.random, group, picking.avoided); owner != "" {
-			return owner
-		}
-	}
-	return ""
-}
-
 // release ends the open attempt of a call.
 func (router *Router) release(released *call) {
 	if known := router.places.loads[released.owner]; known != nil && known.open > 0 {
@@ -101,14 +91,40 @@
 			return
 		}
 	}
+	failed.refusal = err
 	if !slices.Contains(failed.avoided, owner) {
 		failed.avoided = append(failed.avoided, owner)
 	}
 	at := now.Add(retrier.Backoff(router.random, int(failed.attempt)))
-	if failed.attempt >= maxAttempts || !at.Before(failed.command.Deadline) {
+	if !router.mayRetry(at, failed, err.Code) {
 		router.finish(now, failed, err, nil)
 		return
 	}
 	router.emit(messenger.Count{Counter: messenger.Retries, Reason: err.Code.Name()})
 	failed.pending = router.alarms.set(at, func(now time.Time) { router.forward(now, failed) })
 }
+
+// mayRetry says whether a request that failed with a code is tried again at a
+// time.
+func (router *Router) mayRetry(at time.Time, failed *call, code classifier.Code) bool {
+	if failed.attempt >= maxAttempts || at.Add(router.expected(failed)).After(failed.command.Deadline) {
+		return false
+	}
+	if isOverload(code) && router.isSaturated(failed) {
+		// Only the other region is left. The price of the link bounds such
+		// retries, and the budget is kept for failures.
+		return router.mayCross(at, failed)
+	}
+	return retrier.IsPlanned(code) || router.budget.Spend()
+}
+
+// expected returns the run time that a call is expected to take.
+func (router *Router) expected(expected *call) time.Duration {
+	return router.learned.Estimate(subject(expected.command), router.catalogue.runTime(expected.command)).Typical
+}
+
+// isOverload says whether a refusal means that the owner can't serve the
+// request in time.
+func isOverload(code classifier.Code) bool {
+	return code == classifier.QueueFull || code == classifier.DeadlineUnmet
+}
--- a/router/entry.go
+++ b/router/entry.go
@@ -28,8 +28,12 @@
 	mayHaveRun bool
 	attempt    identifier.Attempt
 	// owner is the node of the open attempt, empty if there is none.
-	owner    identifier.Node
-	avoided  []identifier.Node
+	owner identifier.Node
+	// avoided are the owners that failed, refusal is the last failure.
+	avoided []identifier.Node
+	refusal *classifier.Error
+	// holder is the node that is asked for the outcome of the key.
+	holder   identifier.Node
 	deadline *alarm
 	pending  *alarm
 }
@@ -59,6 +63,7 @@
 		return
 	}
 	router.calls[event.Request] = opened
+	router.budget.Earn()
 	opened.deadline = router.alarms.set(opened.command.Deadline, func(now time.Time) { router.expire(now, opened) })
 	if opened.command.Key != "" && !opened.command.Idempotent {
 		router.claim(now, opened)
@@ -106,7 +111,7 @@
 // expire ends a call whose deadline has passed.
 func (router *Router) expire(now time.Time, expired *call) {
 	switch {
-	case expired.owner == "" && !expired.awaitsIntent && expired.command.Key != "" && !expired.holds && !expired.command.Idempotent:
+	case expired.holder != "":
 		router.finish(now, expired, classifier.New(classifier.InProgress, "the first request with this key has not ended"), nil)
 	case expired.owner == "":
 		router.finish(now, expired, classifier.New(classifier.DeadlineUnmet, "the deadline passed before the request started"), nil)
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -68,7 +68,8 @@
 	case len(stored.waiters) >= maxWaiters:
 		router.finish(now, joining, classifier.New(classifier.InProgress, "the first request with this key has not ended").WithRetryAfter(time.Second), nil)
 	default:
-		stored.waiters = append(stored.waiters, waiter{router.identity.Node, joining.request})
+		joining.holder = router.identity.Node
+		stored.waiters = append(stored.waiters, waiter{joining.holder, joining.request})
 	}
 }
 
@@ -102,6 +103,7 @@
 		router.finish(now, asking, classifier.New(classifier.OutcomeUnknown, "node %s, which used the key first, is not a member", holder), nil)
 		return
 	}
+	asking.holder = holder
 	router.send(holder, messenger.OutcomeAsk{
 		Key: asking.command.Key, Request: asking.request,
 		Workspace: asking.command.Workspace, Fingerprint: fingerprint(asking.command),
@@ -144,9 +146,9 @@
 }
 
 // learnOutcome answers a repeated request with the outcome of the first.
-func (router *Router) learnOutcome(now time.Time, told messenger.OutcomeTell) {
+func (router *Router) learnOutcome(now time.Time, from identifier.Node, told messenger.OutcomeTell) {
 	waiting := router.calls[told.Request]
-	if waiting == nil || waiting.holds || waiting.owner != "" || waiting.command.Key != told.Key || waiting.command.Idempotent {
+	if waiting == nil || waiting.holder != from || waiting.command.Key != told.Key {
 		return
 	}
 	router.finish(now, waiting, told.Err, told.Body)
--- a/router/link.go
+++ b/router/link.go
@@ -12,15 +12,17 @@
 
 func newLink(rate int) link { return link{rate: float64(rate), tokens: float64(rate)} }
 
-// spend takes the bytes of a crossing and says whether they were left.
-func (link *link) spend(now time.Time, bytes int) bool {
-	if !link.at.IsZero() {
-		link.tokens = min(link.rate, link.tokens+link.rate*now.Sub(link.at).Seconds())
-	}
-	link.at = now
-	if link.tokens < float64(bytes) {
-		return false
+// allows says whether the bytes of a crossing are left at a time.
+func (link *link) allows(at time.Time, bytes int) bool { return link.left(at) >= float64(bytes) }
+
+// spend takes the bytes of a crossing.
+func (link *link) spend(now time.Time, bytes int) {
+	link.tokens, link.at = link.left(now)-float64(bytes), now
+}
+
+func (link *link) left(at time.Time) float64 {
+	if link.at.IsZero() {
+		return link.tokens
 	}
-	link.tokens -= float64(bytes)
-	return true
+	return min(link.rate, link.tokens+link.rate*max(0, at.Sub(link.at).Seconds()))
 }
--- a/router/minion.go
+++ b/router/minion.go
@@ -55,9 +55,11 @@
 	at      endpoint
 	state   minionState
 	limiter limiter.Limiter
-	// asked says that an AskSlots is open.
-	asked   bool
-	askedAt time.Time
+	// asked says that an AskSlots is open, outdated that its answer will not
+	// tell what became of the minion since.
+	asked    bool
+	outdated bool
+	askedAt  time.Time
 	// failures counts the failures in a row, silent the attempts that timed out.
 	failures int
 	silent   int
@@ -120,9 +122,10 @@
 
 func (router *Router) askSlots(now time.Time, asked *minion) {
 	if asked.asked {
+		asked.outdated = true
 		return
 	}
-	asked.asked, asked.askedAt = true, now
+	asked.asked, asked.outdated, asked.askedAt = true, false, now
 	router.emit(messenger.AskSlots{Minion: asked.name, Address: asked.at.address})
 }
 
@@ -147,6 +150,9 @@
 			delete(router.owned, told.name)
 		}
 		return
+	case told.outdated:
+		router.askSlots(now, told)
+		return
 	case answer.Err != nil && answer.Err.Code == classifier.RingFull:
 		router.askLater(now, told, foreignInterval)
 		return
--- a/router/router.go
+++ b/router/router.go
@@ -152,7 +152,7 @@
 	case messenger.OutcomeAsk:
 		router.tellOutcome(now, from, message)
 	case messenger.OutcomeTell:
-		router.learnOutcome(now, message)
+		router.learnOutcome(now, from, message)
 	}
 }
 
