Make the owner use its slots under overload and measure each rule

Slots of attempts that had timed out were held back for as long as the minion was busy, because fresh requests were never taken off its count. Healthy minions went into quarantine when attempts that had too little time timed out. The wait of a workspace that sends most of the load was underestimated, so its requests were admitted and dropped later, and requests with less time left than they run took slots. Change: foreign slots follow the lowest count, asked for every 200 ms; only an attempt that had time enough, without an answer to any other meanwhile, counts against a minion; the wait follows the rate at which the workspace was served lately; a request that has waited and has too little time left is refused; a node that does not know its members refuses with not-ready; the link is crossed after overload only to an owner with free slots.

--- a/router/admission.go
+++ b/router/admission.go
@@ -22,11 +22,18 @@
 	}
 	expected := router.learned.Estimate(subject(call), router.catalogue.runTime(call))
 	admitted.estimate = max(expected.Typical, time.Millisecond)
+	admitted.most = expected.High
 	admitted.class = estimator.Classify(expected.High, router.catalogue.service(call.Service).shortBelow)
+	if router.rules.noOrder {
+		admitted.class, admitted.fifo = estimator.Short, true
+	}
 	if refusal := router.makeRoom(now, waiting, admitted); refusal != nil {
 		return refusal
 	}
-	wait := router.estimateWait(waiting, admitted)
+	if router.rules.noRefusal {
+		return nil
+	}
+	wait := router.estimateWait(now, waiting, admitted)
 	if late := now.Add(wait + admitted.estimate).Sub(call.Deadline); late > 0 {
 		return classifier.New(classifier.DeadlineUnmet, "the estimated wait of %s passes the deadline by %s",
 			wait.Round(time.Millisecond), late.Round(time.Millisecond)).WithRetryAfter(late)
@@ -42,6 +49,9 @@
 	}
 	class := &waiting.classes[admitted.class]
 	full := classifier.New(classifier.QueueFull, "the owner's queue is full").WithRetryAfter(router.drainTime(waiting))
+	if router.rules.noShares {
+		return full
+	}
 	worst, ratio := waiting.longest(admitted.class)
 	own := 1.0
 	if entries := class.byWorkspace[admitted.call.Workspace]; entries != nil {
@@ -63,7 +73,12 @@
 
 // drainTime is the hint when a full queue may have room again.
 func (router *Router) drainTime(waiting *queue) time.Duration {
-	expected := waiting.classes[estimator.Short].expected + waiting.classes[estimator.Long].expected
+	var expected time.Duration
+	for _, class := range waiting.classes {
+		for _, part := range class.expected {
+			expected += part
+		}
+	}
 	return max(100*time.Millisecond, expected/time.Duration(max(1, waiting.slots()))/4)
 }
 
@@ -78,28 +93,25 @@
 	return slots
 }
 
-// estimateWait returns how long an attempt would wait. A workspace never waits
-// longer than its own requests take on its part of the slots.
-func (router *Router) estimateWait(waiting *queue, admitted *work) time.Duration {
+// estimateWait returns how long an attempt would wait: as long as the own
+// requests of its workspace and class take at the rate at which they were
+// served lately, or at the workspace's fair part if that is more.
+func (router *Router) estimateWait(now time.Time, waiting *queue, admitted *work) time.Duration {
+	class := &waiting.classes[admitted.class]
 	for _, member := range waiting.minions {
-		if member.state == serving && member.limiter.Admits(admitted.class) && waiting.first(admitted.class) == nil {
+		if class.count == 0 && member.state == serving && member.limiter.Admits(admitted.class) {
 			return 0
 		}
 	}
+	workspace := admitted.call.Workspace
 	slots := float64(max(1, waiting.slots()))
-	short := waiting.classes[estimator.Short]
-	ahead := float64(short.expected)
 	if admitted.class == estimator.Long {
 		service := router.catalogue.service(admitted.call.Service)
-		// Long requests run on a part of the slots.
-		ahead += float64(waiting.classes[estimator.Long].expected) * float64(service.slots) / float64(service.longSlots)
+		slots *= float64(service.longSlots) / float64(service.slots)
 	}
-	var own time.Duration
-	if entries := waiting.classes[admitted.class].byWorkspace[admitted.call.Workspace]; entries != nil {
-		for _, entry := range *entries {
-			own += entry.estimate
-		}
+	rate := slots * waiting.shares.part(workspace, router.catalogue.weight(workspace))
+	if known := waiting.shares.accounts[workspace]; known != nil {
+		rate = max(rate, known.served[admitted.class].read(now))
 	}
-	part := waiting.shares.part(admitted.call.Workspace, router.catalogue.weight(admitted.call.Workspace))
-	return time.Duration(min(ahead, float64(own)/part) / slots)
+	return time.Duration(float64(class.expected[workspace]) / max(rate, 1))
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -115,7 +115,7 @@
 		// retries, and the budget is kept for failures.
 		return router.mayCross(at, failed)
 	}
-	return retrier.IsPlanned(code) || router.budget.Spend()
+	return retrier.IsPlanned(code) || router.rules.noBudget || router.budget.Spend()
 }
 
 // expected returns the run time that a call is expected to take.
--- a/router/choice.go
+++ b/router/choice.go
@@ -27,7 +27,8 @@
 		return owner
 	}
 	if router.mayCross(now, picking) {
-		if owner := router.places.choose(router.random, groups[otherRegion], picking.avoided); owner != "" {
+		owner := router.places.choose(router.random, groups[otherRegion], picking.avoided)
+		if owner != "" && (!overloaded || router.places.pressure(owner) < 0) {
 			router.link.spend(now, linkOverhead+len(picking.command.Body))
 			router.recorder.Record(now, string(picking.request), string(picking.command.Workspace), "crossed", string(owner))
 			return owner
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -23,12 +23,12 @@
 	}
 	for class := estimator.Short; class < estimator.Classes; class++ {
 		for {
-			next := waiting.first(class)
+			next := waiting.first(class, router.rules)
 			if next == nil {
 				break
 			}
-			if !next.call.Deadline.After(now) {
-				router.reject(now, next, classifier.New(classifier.DeadlineUnmet, "the deadline passed in the queue"))
+			if router.isTooLate(now, next) {
+				router.reject(now, next, classifier.New(classifier.DeadlineUnmet, "too little time is left after the wait"))
 				continue
 			}
 			free := waiting.freest(class)
@@ -40,6 +40,13 @@
 	}
 }
 
+// isTooLate says whether what is left of the deadline after a wait is too
+// short for most requests of the kind. Running them would waste the slot.
+func (router *Router) isTooLate(now time.Time, next *work) bool {
+	left := next.call.Deadline.Sub(now)
+	return left <= 0 || (now.After(next.queued) && left < next.most && !router.rules.noRefusal)
+}
+
 func (router *Router) dispatchAll(now time.Time) {
 	for _, taken := range router.owned {
 		router.limit(taken)
@@ -71,7 +78,7 @@
 // start dispatches an attempt to a minion.
 func (router *Router) start(now time.Time, waiting *queue, started *work, at *minion) {
 	waiting.remove(started)
-	waiting.shares.start(started.call.Workspace, started.estimate)
+	waiting.shares.start(now, started.call.Workspace, started.class, started.estimate)
 	router.alarms.cancel(started.pending)
 	started.minion, started.started = at, now
 	at.limiter.Take(started.class)
@@ -109,7 +116,7 @@
 	if fate == classifier.NotRun {
 		charged = 0
 	} else {
-		router.learned.Observe(subject(ended.call), ran)
+		router.learn(ended, ran)
 	}
 	if waiting := router.queues[ended.call.Service]; waiting != nil {
 		waiting.shares.end(ended.call.Workspace, ended.estimate, charged)
@@ -122,6 +129,12 @@
 	router.dispatch(now, ended.call.Service)
 }
 
+func (router *Router) learn(ended *work, ran time.Duration) {
+	if !router.rules.noLearning {
+		router.learned.Observe(subject(ended.call), ran)
+	}
+}
+
 // heed learns from a result what state the minion is in.
 func (router *Router) heed(now time.Time, ended *work, answer messenger.MinionAnswered) {
 	at := ended.minion
@@ -148,15 +161,17 @@
 	}
 	switch {
 	case code == classifier.OK:
-		at.failures, at.silent = 0, 0
+		at.failures, at.silent, at.servedAt = 0, 0, now
 	case code == classifier.MinionBusy:
 		// Others keep its slots busy.
-		at.limiter.SetForeign(at.limiter.Slots() - at.limiter.Open())
+		at.occupy()
 		router.askLater(now, at, foreignInterval)
 	case code == classifier.MinionUnreachable:
 		router.quarantine(now, at, code.Name())
 	case code.Fate() == classifier.Unknown:
-		if code == classifier.TimedOut {
+		// An attempt that had too little time, or ran beside others that were
+		// answered, says nothing against the minion.
+		if code == classifier.TimedOut && now.Sub(ended.started) > 2*ended.estimate && at.servedAt.Before(ended.started) {
 			at.silent++
 		}
 		// The request may run on. The minion is out of use until it has said
--- a/router/entry.go
+++ b/router/entry.go
@@ -44,6 +44,8 @@
 	switch {
 	case router.draining:
 		refusal = classifier.New(classifier.Leaving, "node %s is leaving", router.identity.Node).WithRetryAfter(time.Second)
+	case refusal == nil && (len(router.places.members) == 0 || router.endpoints == nil):
+		refusal = classifier.New(classifier.NotReady, "the members or the VM list are not known yet").WithRetryAfter(time.Second)
 	case refusal == nil && len(router.calls) >= maxOpenCalls:
 		refusal = classifier.New(classifier.TooManyCalls, "node holds %d open calls", maxOpenCalls).WithRetryAfter(time.Second)
 	case refusal == nil && router.calls[event.Request] != nil:
--- a/router/minion.go
+++ b/router/minion.go
@@ -37,15 +37,17 @@
 	firstQuarantine = time.Second
 	lastQuarantine  = time.Minute
 	// foreignInterval is how often foreign slots are asked for until they are free.
-	foreignInterval = 500 * time.Millisecond
+	foreignInterval = 200 * time.Millisecond
 	// leavingInterval is how often a minion that announced its stop, and that
 	// the VM list still names as live, is asked whether it is a new one.
 	leavingInterval = 10 * time.Second
-	// settleTime is how long after its dispatch a request is surely counted by
-	// the minion.
-	settleTime = time.Second
-	// maxSilent is how many attempts in a row may time out before a minion is
-	// quarantined although it answers when it is asked for its slots.
+	// settleTime is how long after its dispatch a request is counted by the
+	// minion, many times the delay within a region. If a request takes longer
+	// to arrive, the minion refuses what is too much.
+	settleTime = 20 * time.Millisecond
+	// maxSilent is how many attempts may time out, without an answer to any
+	// other since the first of them started, before a minion is quarantined
+	// although it answers when it is asked for its slots.
 	maxSilent = 3
 )
 
@@ -63,6 +65,8 @@
 	// failures counts the failures in a row, silent the attempts that timed out.
 	failures int
 	silent   int
+	// servedAt is when an attempt was answered last.
+	servedAt time.Time
 	pending  *alarm
 }
 
@@ -94,12 +98,16 @@
 		// Another owner or another life may have left slots busy.
 		router.turn(taken, asking, "taken over")
 		taken.failures, taken.silent = 0, 0
+		taken.occupy()
 		router.askSlots(now, taken)
 	}
 }
 
 func (router *Router) limit(taken *minion) {
 	limits := router.catalogue.service(taken.at.service)
+	if router.rules.noReservation {
+		limits.longSlots = limits.slots
+	}
 	taken.limiter.SetLimits(limiter.Limits{
 		Slots: limits.slots, LongSlots: limits.longSlots, Connections: limits.slots,
 	})
@@ -180,9 +188,10 @@
 	router.dispatch(now, told.at.service)
 }
 
-// countForeign sets the foreign slots from the minion's own count. Requests
+// countForeign lowers the foreign slots to the minion's own count. Requests
 // that were dispatched shortly before may not be counted there yet, so only
-// settled ones are taken off.
+// settled ones are taken off. The count is then too high at times, but never
+// too low, and the lowest of several counts is the right one.
 func (router *Router) countForeign(told *minion, busy int) {
 	settled := 0
 	for _, running := range router.works {
@@ -190,21 +199,19 @@
 			settled++
 		}
 	}
-	foreign := max(0, busy-settled)
-	if told.state == serving {
-		// While the owner dispatches, the count includes its own requests that
-		// have not settled: it may only lower the foreign slots.
-		foreign = min(foreign, told.limiter.Foreign())
-	} else {
-		foreign = min(foreign, max(0, told.limiter.Slots()-told.limiter.Open()))
-	}
-	told.limiter.SetForeign(foreign)
+	told.limiter.SetForeign(min(busy-settled, told.limiter.Foreign()))
+}
+
+// occupy counts every slot as busy that this owner has no attempt at.
+func (taken *minion) occupy() {
+	taken.limiter.SetForeign(taken.limiter.Slots() - taken.limiter.Open())
 }
 
 // quarantine keeps a minion that failed out of use for a growing time.
 func (router *Router) quarantine(now time.Time, failed *minion, reason string) {
 	wait := min(firstQuarantine<<min(failed.failures, 10), lastQuarantine)
 	failed.failures++
+	failed.occupy()
 	router.turn(failed, quarantined, reason)
 	router.askLater(now, failed, wait)
 	router.refuseStranded(now, failed.at.service)
--- a/router/owner.go
+++ b/router/owner.go
@@ -18,11 +18,14 @@
 	entry identifier.Node
 	call  commander.Call
 	class estimator.Class
-	// estimate is the expected run time.
-	estimate time.Duration
+	// estimate is the expected run time, most that of most requests of the kind.
+	estimate, most time.Duration
+	queued         time.Time
 	// sequence keeps requests with the same deadline in the order of arrival.
 	sequence uint64
 	index    int
+	// fifo ignores the deadline in the order.
+	fifo bool
 	// minion is where the attempt runs, nil while it waits.
 	minion  *minion
 	started time.Time
@@ -62,7 +65,7 @@
 	}
 	router.seen.add(now, id)
 	router.sequence++
-	accepted := &work{id: id, entry: from, call: forward.Call, sequence: router.sequence}
+	accepted := &work{queued: now, id: id, entry: from, call: forward.Call, sequence: router.sequence}
 	if refusal := router.admit(now, accepted); refusal != nil {
 		router.record(now, accepted, refusal.Code.Name(), refusal.Message)
 		router.answer(from, id, refusal, nil)
--- a/router/places.go
+++ b/router/places.go
@@ -38,6 +38,7 @@
 	// byService holds the owners of a service's minions by distance.
 	byService map[identifier.Service]*[distances][]identifier.Node
 	loads     map[identifier.Node]*load
+	oneChoice bool
 }
 
 func newPlaces(identity messenger.Identity) places {
@@ -167,6 +168,9 @@
 		return candidates[0]
 	}
 	first := random.IntN(len(candidates))
+	if places.oneChoice {
+		return candidates[first]
+	}
 	second := random.IntN(len(candidates) - 1)
 	if second >= first {
 		second++
--- a/router/queue.go
+++ b/router/queue.go
@@ -20,14 +20,15 @@
 type classQueue struct {
 	byWorkspace map[identifier.Workspace]*byDeadline
 	count       int
-	// expected is the sum of the estimated run times.
-	expected time.Duration
+	// expected is the sum of the estimated run times by workspace.
+	expected map[identifier.Workspace]time.Duration
 }
 
 func newQueue() *queue {
 	added := &queue{shares: newShares()}
 	for class := range added.classes {
 		added.classes[class].byWorkspace = map[identifier.Workspace]*byDeadline{}
+		added.classes[class].expected = map[identifier.Workspace]time.Duration{}
 	}
 	return added
 }
@@ -46,7 +47,7 @@
 	}
 	heap.Push(waiting, added)
 	class.count++
-	class.expected += added.estimate
+	class.expected[added.call.Workspace] += added.estimate
 	queue.shares.enter(added.call.Workspace, weight)
 }
 
@@ -55,21 +56,28 @@
 	class := &queue.classes[removed.class]
 	waiting := class.byWorkspace[removed.call.Workspace]
 	heap.Remove(waiting, removed.index)
+	class.expected[removed.call.Workspace] -= removed.estimate
 	if waiting.Len() == 0 {
 		delete(class.byWorkspace, removed.call.Workspace)
+		delete(class.expected, removed.call.Workspace)
 	}
 	class.count--
-	class.expected -= removed.estimate
 }
 
 // first returns the request of a class that is served next, nil if none waits:
 // the earliest deadline of the workspace that has used the least for its weight.
-func (queue *queue) first(class estimator.Class) *work {
+func (queue *queue) first(class estimator.Class, rules rules) *work {
 	var next *work
 	var least time.Duration
 	for workspace, waiting := range queue.classes[class].byWorkspace {
 		head := (*waiting)[0]
 		used := queue.shares.accounts[workspace].used
+		if rules.noShares {
+			used = time.Duration(head.call.Deadline.UnixNano())
+		}
+		if rules.noOrder {
+			used = time.Duration(head.sequence)
+		}
 		if next == nil || used < least || (used == least && workspace < next.call.Workspace) {
 			next, least = head, used
 		}
@@ -108,7 +116,7 @@
 
 func (works byDeadline) Len() int { return len(works) }
 func (works byDeadline) Less(i, j int) bool {
-	if !works[i].call.Deadline.Equal(works[j].call.Deadline) {
+	if !works[i].fifo && !works[i].call.Deadline.Equal(works[j].call.Deadline) {
 		return works[i].call.Deadline.Before(works[j].call.Deadline)
 	}
 	return works[i].sequence < works[j].sequence
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	identity   messenger.Identity
 	parameters Parameters
 	random     *rand.Rand
+	rules      rules
 	alarms     alarms
 	// actions collects the actions of one Step, local the messages to itself.
 	actions []messenger.Action
--- a/router/share.go
+++ b/router/share.go
@@ -1,8 +1,10 @@
 package router
 
 import (
+	"math"
 	"time"
 
+	"corianderroad/estimator"
 	"corianderroad/identifier"
 )
 
@@ -14,6 +16,8 @@
 	weight int
 	// waiting and running count the workspace's requests.
 	waiting, running int
+	// served is the rate at which slot time was given out lately, by class.
+	served [estimator.Classes]meter
 }
 
 // shares are the accounts of a service.
@@ -41,12 +45,13 @@
 }
 
 // start moves a request from waiting to running and charges its estimate.
-func (shares *shares) start(workspace identifier.Workspace, estimate time.Duration) {
+func (shares *shares) start(now time.Time, workspace identifier.Workspace, class estimator.Class, estimate time.Duration) {
 	started := shares.accounts[workspace]
 	started.waiting--
 	started.running++
 	shares.virtual = max(shares.virtual, started.used)
 	started.used += estimate / time.Duration(started.weight)
+	started.served[class].add(now, estimate)
 }
 
 // leave takes off a waiting request that did not start.
@@ -82,3 +87,27 @@
 	}
 	return float64(weight) / float64(total)
 }
+
+// meterTime is the time over which a meter takes the mean. It covers a few
+// waits of short requests and follows a swing of the load within seconds.
+const meterTime = time.Second
+
+// meter is a decaying mean of slot time per time.
+type meter struct {
+	sum time.Duration
+	at  time.Time
+}
+
+func (meter *meter) add(now time.Time, amount time.Duration) {
+	meter.sum = time.Duration(float64(meter.sum)*meter.decay(now)) + amount
+	meter.at = now
+}
+
+// read returns the mean number of slots in use.
+func (meter *meter) read(now time.Time) float64 {
+	return float64(meter.sum) * meter.decay(now) / float64(meterTime)
+}
+
+func (meter *meter) decay(now time.Time) float64 {
+	return math.Exp(-float64(now.Sub(meter.at)) / float64(meterTime))
+}
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -43,7 +43,11 @@
 }
 
 // faults are probabilities in percent.
-type faults struct{ lost, duplicated, unsent, stale, forget, appendFails int }
+type faults struct {
+	lost, duplicated, unsent, stale, forget, appendFails int
+	// broken is the method whose answers break off.
+	broken identifier.Method
+}
 
 type happening struct {
 	at    time.Time
@@ -76,6 +80,8 @@
 	leaving  map[identifier.Minion]bool
 	hidden   map[identifier.Node]bool
 	state    messenger.MemberState
+	// ready says that the node knows its members, as the load balancer asks.
+	ready bool
 }
 
 type simMinion struct {
@@ -139,15 +145,16 @@
 	}
 	node.up, node.paused, node.held, node.wake = true, false, nil, time.Time{}
 	node.open, node.leaving = map[identifier.Minion]int{}, map[identifier.Minion]bool{}
-	node.state = messenger.Alive
+	node.state, node.ready = messenger.Alive, false
 	w.step(node, messenger.ConfigurationChanged{Configuration: &messenger.Configuration{
 		Organisations: []messenger.OrganisationText{{
 			Services: []messenger.ServiceSpec{{Service: "rota", Slots: 8, LongSlots: 5, ShortBelow: time.Second, Methods: []messenger.MethodSpec{
 				{Method: "swap", RunTime: 50 * time.Millisecond, Timeout: 2 * time.Second},
 				{Method: "look", RunTime: 50 * time.Millisecond, Timeout: 2 * time.Second, Idempotent: true},
+				{Method: "sketch", RunTime: 50 * time.Millisecond, Timeout: time.Minute},
 				{Method: "draw", RunTime: 3 * time.Second, Timeout: time.Minute},
 			}}},
-			Workspaces: []messenger.WorkspaceSpec{{Workspace: "a", Weight: 1}, {Workspace: "b", Weight: 1}, {Workspace: "c", Weight: 2}},
+			Workspaces: []messenger.WorkspaceSpec{{Workspace: "a", Weight: 1}, {Workspace: "b", Weight: 1}, {Workspace: "c", Weight: 2}, {Workspace: "d", Weight: 1}},
 		}},
 	}})
 }
@@ -272,6 +279,9 @@
 			w.bytes += linkOverhead + len(forward.Call.Body)
 		}
 	}
+	if _, ok := sent.Message.(messenger.Forward); ok {
+		w.counts["attempts"]++
+	}
 	copies := 1
 	if w.chance(w.faults.duplicated) {
 		copies = 2
@@ -332,6 +342,10 @@
 				if minion.dead || minion.silent || w.chance(w.faults.forget) {
 					return
 				}
+				if called.Call.Method == w.faults.broken {
+					end(classifier.New(classifier.OutcomeUnknown, "connection broke"), nil, false)
+					return
+				}
 				end(nil, called.Call.Body, minion.leaving)
 			})
 		}
@@ -409,6 +423,7 @@
 		}
 	}
 	w.step(to, messenger.MembersChanged{Members: members})
+	to.ready = true
 }
 
 func (w *world) showVMs(to *simNode) {
@@ -457,7 +472,7 @@
 		if asked.answers == 1 && asked.err != nil && asked.err.Code.Fate() == classifier.NotRun {
 			// Before its intent is read back, a refusal speaks of this request
 			// only: an earlier one with the same key may have run elsewhere.
-			unclaimed := slices.Contains([]classifier.Code{classifier.Leaving, classifier.LogUnavailable, classifier.DeadlineUnmet}, asked.err.Code)
+			unclaimed := slices.Contains([]classifier.Code{classifier.Leaving, classifier.NotReady, classifier.LogUnavailable, classifier.DeadlineUnmet}, asked.err.Code)
 			if asked.ran > 0 || (!unclaimed && w.runs[asked.op] > 0) {
 				w.fail("%s was refused as not run but ran: %v", asked.request, asked.err)
 			}
