--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,270 @@
+package dispatcher_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/buffer"
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/dispatcher"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+type sink chan messenger.Event
+
+// Deliver implements dispatcher.Sink.
+func (sink sink) Deliver(ctx context.Context, event messenger.Event) error {
+	select {
+	case sink <- event:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+type duty struct {
+	calls   *buffer.Ring[messenger.CallMinion]
+	asks    *buffer.Ring[messenger.AskSlots]
+	results sink
+}
+
+func run(t *testing.T, parameters dispatcher.Parameters) duty {
+	running := duty{
+		calls: buffer.New[messenger.CallMinion]("calls", 64),
+		asks:  buffer.New[messenger.AskSlots]("asks", 64), results: make(sink, 64),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- dispatcher.New(running.calls, running.asks, running.results, parameters).Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return running
+}
+
+func (duty duty) call(address netip.AddrPort, attempt identifier.Attempt, body string) messenger.CallMinion {
+	call := messenger.CallMinion{
+		Minion: "m", Address: address, Request: "q", Attempt: attempt, Timeout: 10 * time.Second,
+		Call: commander.Call{Workspace: "w", Method: "swap", Key: "k", Deadline: time.Now().Add(time.Minute), Body: []byte(body)},
+	}
+	return call
+}
+
+func (duty duty) result(t *testing.T, call messenger.CallMinion) messenger.MinionAnswered {
+	quicktest.Assert(t, duty.calls.Offer(call), quicktest.IsNil)
+	return (<-duty.results).(messenger.MinionAnswered)
+}
+
+// minion serves calls and echoes what the protocol asks for. Change alters the
+// answer before it is sent.
+func minion(t *testing.T, change func(http.ResponseWriter, *http.Request, []byte) bool) netip.AddrPort {
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		writer.Header().Set("Request-Id", request.Header.Get("Request-Id"))
+		writer.Header().Set("Attempt-Id", request.Header.Get("Attempt-Id"))
+		writer.Header().Set("Body-Digest", dispatcher.Digest(body))
+		writer.Header().Set("Slots-Busy", "3")
+		if change == nil || change(writer, request, body) {
+			_, _ = writer.Write(body)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// TestCodes guards against an answer that is passed on although it is not whole
+// or not for this attempt, and against "not run" for what may have run.
+func TestCodes(t *testing.T) {
+	set := func(name, value string, status int) func(http.ResponseWriter, *http.Request, []byte) bool {
+		return func(writer http.ResponseWriter, _ *http.Request, _ []byte) bool {
+			writer.Header().Set(name, value)
+			writer.WriteHeader(status)
+			return true
+		}
+	}
+	hijack := func(answer string) func(http.ResponseWriter, *http.Request, []byte) bool {
+		return func(writer http.ResponseWriter, _ *http.Request, _ []byte) bool {
+			connection, _, _ := writer.(http.Hijacker).Hijack()
+			_, _ = io.WriteString(connection, answer)
+			_ = connection.Close()
+			return false
+		}
+	}
+	whole := "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nAttempt-Id: 1\r\nBody-Digest: " + dispatcher.Digest([]byte("body")) + "\r\n"
+	tests := map[string]struct {
+		change func(http.ResponseWriter, *http.Request, []byte) bool
+		want   classifier.Code
+	}{
+		"whole":                {nil, classifier.OK},
+		"whole, no length":     {hijack(whole + "Connection: close\r\n\r\nbody"), classifier.OK},
+		"truncated":            {hijack(whole + "Content-Length: 9\r\n\r\nbody"), classifier.OutcomeUnknown},
+		"truncated, no length": {hijack(whole + "Connection: close\r\n\r\nbo"), classifier.CorruptAnswer},
+		"nothing":              {hijack(""), classifier.OutcomeUnknown},
+		"another request":      {set("Request-Id", "other", 200), classifier.CorruptAnswer},
+		"another attempt":      {set("Attempt-Id", "2", 200), classifier.CorruptAnswer},
+		"another digest":       {set("Body-Digest", "0", 200), classifier.CorruptAnswer},
+		"no digest":            {set("Body-Digest", "", 200), classifier.CorruptAnswer},
+		"refused":              {set("Not-Run", "true", 503), classifier.MinionBusy},
+		"503 without the word": {set("Retry-After", "1", 503), classifier.OutcomeUnknown},
+		"not-run in a success": {set("Not-Run", "true", 200), classifier.OK},
+		"error":                {set("Not-Run", "true", 500), classifier.OutcomeUnknown},
+		"redirect":             {set("Location", "/call/other", 307), classifier.OutcomeUnknown},
+		"refusal of an unknown": {func(w http.ResponseWriter, r *http.Request, b []byte) bool {
+			w.Header().Del("Attempt-Id")
+			return set("Not-Run", "true", 503)(w, r, b)
+		}, classifier.CorruptAnswer},
+	}
+	running := run(t, dispatcher.Parameters{})
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			answer := running.result(t, running.call(minion(t, test.change), 1, "body"))
+			if test.want == classifier.OK {
+				quicktest.Assert(t, answer.Err == nil, quicktest.IsTrue)
+				quicktest.Assert(t, string(answer.Body), quicktest.Equals, "body")
+				return
+			}
+			quicktest.Assert(t, answer.Err, quicktest.IsNotNil)
+			quicktest.Assert(t, answer.Err.Code, quicktest.Equals, test.want, quicktest.Commentf("%v", answer.Err))
+			quicktest.Assert(t, answer.Body, quicktest.IsNil)
+		})
+	}
+}
+
+// TestUnreachable guards against "may have run" for a minion that takes no
+// connection.
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	_ = listener.Close()
+	running := run(t, dispatcher.Parameters{})
+	answer := running.result(t, running.call(address, 1, "body"))
+	quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.MinionUnreachable)
+	quicktest.Assert(t, running.asks.Offer(messenger.AskSlots{Minion: "m", Address: address}), quicktest.IsNil)
+	quicktest.Assert(t, (<-running.results).(messenger.SlotsAnswered).Err, quicktest.IsNotNil)
+}
+
+// TestLate guards against a call that waited in the ring past its deadline, as
+// after a pause of the process, and is sent nevertheless.
+func TestLate(t *testing.T) {
+	var seen atomic.Int32
+	address := minion(t, func(http.ResponseWriter, *http.Request, []byte) bool { seen.Add(1); return true })
+	running := run(t, dispatcher.Parameters{Now: func() time.Time { return time.Now().Add(time.Hour) }})
+	answer := running.result(t, running.call(address, 1, "body"))
+	quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.DeadlineUnmet)
+	quicktest.Assert(t, seen.Load(), quicktest.Equals, int32(0))
+}
+
+// TestTimeout guards against a connection that stays open after its request
+// timed out: the late answer would be taken for that of the next request.
+func TestTimeout(t *testing.T) {
+	closed := make(chan struct{})
+	address := minion(t, func(_ http.ResponseWriter, request *http.Request, _ []byte) bool {
+		<-request.Context().Done()
+		close(closed)
+		return false
+	})
+	running := run(t, dispatcher.Parameters{})
+	call := running.call(address, 1, "body")
+	call.Timeout = 50 * time.Millisecond
+	answer := running.result(t, call)
+	quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.TimedOut)
+	<-closed
+}
+
+// TestNeverRepeated guards against net/http, which sends a request again if a
+// kept connection breaks and the request has an idempotency key.
+func TestNeverRepeated(t *testing.T) {
+	for _, body := range []string{"", "body"} {
+		t.Run(fmt.Sprintf("%d bytes", len(body)), func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			quicktest.Assert(t, err, quicktest.IsNil)
+			t.Cleanup(func() { _ = listener.Close() })
+			var second atomic.Int32
+			go func() {
+				for {
+					connection, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go breakSecond(connection, &second)
+				}
+			}()
+			address := netip.MustParseAddrPort(listener.Addr().String())
+			running := run(t, dispatcher.Parameters{})
+			quicktest.Assert(t, running.result(t, running.call(address, 1, body)).Err == nil, quicktest.IsTrue)
+			answer := running.result(t, running.call(address, 2, body))
+			quicktest.Assert(t, answer.Err, quicktest.IsNotNil)
+			quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.OutcomeUnknown)
+			quicktest.Assert(t, second.Load(), quicktest.Equals, int32(1))
+		})
+	}
+}
+
+// breakSecond answers the first attempt and breaks the connection on the
+// second, after it has read it.
+func breakSecond(connection net.Conn, second *atomic.Int32) {
+	defer connection.Close()
+	reader := bufio.NewReader(connection)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		attempt := request.Header.Get("Attempt-Id")
+		if attempt == "2" {
+			second.Add(1)
+			return
+		}
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nAttempt-Id: %s\r\nBody-Digest: %s\r\nContent-Length: %d\r\n\r\n%s",
+			attempt, dispatcher.Digest(body), len(body), body)
+	}
+}
+
+// TestConnections guards against more connections to a minion than its owner
+// may hold, and against a call without exactly one result.
+func TestConnections(t *testing.T) {
+	var open, most, started atomic.Int32
+	var group sync.WaitGroup
+	group.Add(3)
+	address := minion(t, func(http.ResponseWriter, *http.Request, []byte) bool {
+		now := open.Add(1)
+		defer open.Add(-1)
+		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		}
+		if started.Add(1) <= 3 {
+			group.Done()
+		}
+		group.Wait()
+		return true
+	})
+	running := run(t, dispatcher.Parameters{Connections: 3})
+	for attempt := range identifier.Attempt(20) {
+		quicktest.Assert(t, running.calls.Offer(running.call(address, attempt, "body")), quicktest.IsNil)
+	}
+	got := map[identifier.Attempt]int{}
+	for range 20 {
+		answer := (<-running.results).(messenger.MinionAnswered)
+		quicktest.Assert(t, answer.Err == nil, quicktest.IsTrue)
+		quicktest.Assert(t, answer.Busy, quicktest.Equals, 3)
+		got[answer.Attempt]++
+	}
+	quicktest.Assert(t, got, quicktest.HasLen, 20)
+	quicktest.Assert(t, most.Load(), quicktest.Equals, int32(3))
+}
