--- a/router/minion.go
+++ b/router/minion.go
@@ -37,15 +37,17 @@
 	firstQuarantine = time.Second
 	lastQuarantine  = time.Minute
 	// foreignInterval is how often foreign slots are asked for until they are free.
-	foreignInterval = 500 * time.Millisecond
+	foreignInterval = 200 * time.Millisecond
 	// leavingInterval is how often a minion that announced its stop, and that
 	// the VM list still names as live, is asked whether it is a new one.
 	leavingInterval = 10 * time.Second
-	// settleTime is how long after its dispatch a request is surely counted by
-	// the minion.
-	settleTime = time.Second
-	// maxSilent is how many attempts in a row may time out before a minion is
-	// quarantined although it answers when it is asked for its slots.
+	// settleTime is how long after its dispatch a request is counted by the
+	// minion, many times the delay within a region. If a request takes longer
+	// to arrive, the minion refuses what is too much.
+	settleTime = 20 * time.Millisecond
+	// maxSilent is how many attempts may time out, without an answer to any
+	// other since the first of them started, before a minion is quarantined
+	// although it answers when it is asked for its slots.
 	maxSilent = 3
 )
 
@@ -55,12 +57,16 @@
 	at      endpoint
 	state   minionState
 	limiter limiter.Limiter
-	// asked says that an AskSlots is open.
-	asked   bool
-	askedAt time.Time
+	// asked says that an AskSlots is open, outdated that its answer will not
+	// tell what became of the minion since.
+	asked    bool
+	outdated bool
+	askedAt  time.Time
 	// failures counts the failures in a row, silent the attempts that timed out.
 	failures int
 	silent   int
+	// servedAt is when an attempt was answered last.
+	servedAt time.Time
 	pending  *alarm
 }
 
@@ -92,12 +98,16 @@
 		// Another owner or another life may have left slots busy.
 		router.turn(taken, asking, "taken over")
 		taken.failures, taken.silent = 0, 0
+		taken.occupy()
 		router.askSlots(now, taken)
 	}
 }
 
 func (router *Router) limit(taken *minion) {
 	limits := router.catalogue.service(taken.at.service)
+	if router.rules.noReservation {
+		limits.longSlots = limits.slots
+	}
 	taken.limiter.SetLimits(limiter.Limits{
 		Slots: limits.slots, LongSlots: limits.longSlots, Connections: limits.slots,
 	})
@@ -120,9 +130,10 @@
 
 func (router *Router) askSlots(now time.Time, asked *minion) {
 	if asked.asked {
+		asked.outdated = true
 		return
 	}
-	asked.asked, asked.askedAt = true, now
+	asked.asked, asked.outdated, asked.askedAt = true, false, now
 	router.emit(messenger.AskSlots{Minion: asked.name, Address: asked.at.address})
 }
 
@@ -147,6 +158,9 @@
 			delete(router.owned, told.name)
 		}
 		return
+	case told.outdated:
+		router.askSlots(now, told)
+		return
 	case answer.Err != nil && answer.Err.Code == classifier.RingFull:
 		router.askLater(now, told, foreignInterval)
 		return
@@ -174,9 +188,10 @@
 	router.dispatch(now, told.at.service)
 }
 
-// countForeign sets the foreign slots from the minion's own count. Requests
+// countForeign lowers the foreign slots to the minion's own count. Requests
 // that were dispatched shortly before may not be counted there yet, so only
-// settled ones are taken off.
+// settled ones are taken off. The count is then too high at times, but never
+// too low, and the lowest of several counts is the right one.
 func (router *Router) countForeign(told *minion, busy int) {
 	settled := 0
 	for _, running := range router.works {
@@ -184,21 +199,19 @@
 			settled++
 		}
 	}
-	foreign := max(0, busy-settled)
-	if told.state == serving {
-		// While the owner dispatches, the count includes its own requests that
-		// have not settled: it may only lower the foreign slots.
-		foreign = min(foreign, told.limiter.Foreign())
-	} else {
-		foreign = min(foreign, max(0, told.limiter.Slots()-told.limiter.Open()))
-	}
-	told.limiter.SetForeign(foreign)
+	told.limiter.SetForeign(min(busy-settled, told.limiter.Foreign()))
+}
+
+// occupy counts every slot as busy that this owner has no attempt at.
+func (taken *minion) occupy() {
+	taken.limiter.SetForeign(taken.limiter.Slots() - taken.limiter.Open())
 }
 
 // quarantine keeps a minion that failed out of use for a growing time.
 func (router *Router) quarantine(now time.Time, failed *minion, reason string) {
 	wait := min(firstQuarantine<<min(failed.failures, 10), lastQuarantine)
 	failed.failures++
+	failed.occupy()
 	router.turn(failed, quarantined, reason)
 	router.askLater(now, failed, wait)
 	router.refuseStranded(now, failed.at.service)
--- a/router/router.go
+++ b/router/router.go
@@ -20,6 +20,7 @@
 	identity   messenger.Identity
 	parameters Parameters
 	random     *rand.Rand
+	rules      rules
 	alarms     alarms
 	// actions collects the actions of one Step, local the messages to itself.
 	actions []messenger.Action
@@ -152,7 +153,7 @@
 	case messenger.OutcomeAsk:
 		router.tellOutcome(now, from, message)
 	case messenger.OutcomeTell:
-		router.learnOutcome(now, message)
+		router.learnOutcome(now, from, message)
 	}
 }
 
