--- a/parser/check.go
+++ b/parser/check.go
@@ -97,14 +97,14 @@
 	case "required":
 		return check.fault(path, "is missing")
 	case "name":
-		return check.fault(path, "%q is not a name of 1 to 128 letters, digits, dots, hyphens and underscores", fault.Value())
+		return check.fault(path, "%.64q is not a name of 1 to 128 letters, digits, dots, hyphens and underscores", fault.Value())
 	case "sha256":
 		return check.fault(path, "is not a SHA-256 in 64 lower-case hexadecimal digits")
 	case "duration":
 		shortest, longest, _ := strings.Cut(fault.Param(), " ")
-		return check.fault(path, "%q is not a duration with unit between %s and %s", fault.Value(), shortest, longest)
+		return check.fault(path, "%.64q is not a duration with unit between %s and %s", fault.Value(), shortest, longest)
 	case "oneof":
-		return check.fault(path, "%q is not one of %s", fault.Value(), fault.Param())
+		return check.fault(path, "%.64q is not one of %s", fault.Value(), fault.Param())
 	default:
 		return check.fault(path, "must have %s %s", fault.Tag(), fault.Param())
 	}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -7,7 +7,9 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/lexer"
 	yamlparser "github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
 	"github.com/pkg/errors"
 
 	"corianderroad/classifier"
@@ -15,9 +17,11 @@
 	"corianderroad/messenger"
 )
 
-// maxDepth is above the depth of the schema. It keeps a small text with deep
-// nesting from costing much time and stack in the YAML library.
-const maxDepth = 16
+// Bounds of nesting in brackets and by indentation, above those of the schema.
+const (
+	maxDepth  = 16
+	maxColumn = 64
+)
 
 // Parser reads service texts. The zero value is useful and safe for concurrent
 // use.
@@ -49,65 +53,52 @@
 	return convert(&schema), nil
 }
 
-// document returns the single document of a text. Anchors and aliases are
-// refused, because nested aliases make a short text expand without bound.
-func document(text []byte) (root ast.Node, err error) {
-	if err := nesting(text); err != nil {
+// document returns the single document of a text.
+func document(text []byte) (ast.Node, error) {
+	tokens := lexer.Tokenize(string(text))
+	if err := restrict(tokens); err != nil {
 		return nil, err
 	}
-	file, err := yamlparser.ParseBytes(text, 0)
+	file, err := yamlparser.Parse(tokens, 0)
 	if err != nil {
 		return nil, syntaxError(err)
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return nil, classifier.New(classifier.InvalidText, "the text must hold one document")
 	}
-	body := file.Docs[0].Body
-	finder := &forbidden{}
-	ast.Walk(finder, body)
-	if finder.found != nil {
-		return nil, classifier.New(classifier.InvalidText, "line %d: anchors, aliases, tags and merge keys are not allowed",
-			finder.found.GetToken().Position.Line)
-	}
-	return body, nil
+	return file.Docs[0].Body, nil
 }
 
-// nesting refuses flow collections and indentation that are deeper than any
-// service text needs.
-func nesting(text []byte) error {
-	depth, line := 0, 1
-	for _, octet := range text {
-		switch octet {
-		case '\n':
-			line++
-		case '[', '{':
+// restrict refuses what no service text needs and what makes the YAML library
+// slow or lax: nested aliases expand without bound, deep nesting costs more than
+// linear time, and a fraction is rounded where the schema has a whole number.
+func restrict(tokens token.Tokens) error {
+	depth, line := 0, 0
+	for _, each := range tokens {
+		refuse := func(reason string) error {
+			return classifier.New(classifier.InvalidText, "line %d: %.64q: %s", each.Position.Line, each.Value, reason)
+		}
+		switch each.Type {
+		case token.AnchorType, token.AliasType, token.TagType, token.MergeKeyType, token.MappingKeyType, token.DirectiveType:
+			return refuse("anchors, aliases, tags, merge keys, explicit keys and directives are not allowed")
+		case token.FloatType, token.InfinityType, token.NanType:
+			return refuse("fractions are not allowed, quote it if it is a name")
+		case token.SequenceStartType, token.MappingStartType:
 			depth++
-		case ']', '}':
+		case token.SequenceEndType, token.MappingEndType:
 			depth--
 		}
+		if first := each.Position.Line != line; (first || each.Type == token.SequenceEntryType) && each.Position.Column > maxColumn {
+			return refuse("is indented too far")
+		}
 		if depth > maxDepth {
-			return classifier.New(classifier.InvalidText, "line %d: more than %d open brackets", line, maxDepth)
+			return refuse("is nested too deeply")
 		}
+		line = each.Position.Line
 	}
 	return nil
 }
 
-// forbidden finds the first node of a kind that a service text does not use.
-type forbidden struct{ found ast.Node }
-
-// Visit implements ast.Visitor.
-func (forbidden *forbidden) Visit(node ast.Node) ast.Visitor {
-	if forbidden.found != nil {
-		return nil
-	}
-	switch node.(type) {
-	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode, *ast.MergeKeyNode:
-		forbidden.found = node
-		return nil
-	}
-	return forbidden
-}
-
 // syntaxError returns an InvalidText error with the line at which the YAML
 // library stopped.
 func syntaxError(err error) error {
