Keep guaranteed shapes reclaimable by a packing

Nothing showed whether all guaranteed shapes fit at the same time beside work that may not be stopped. guarantor keeps a packing as a witness and refuses to count work for a guarantee that would break it.

--- /dev/null
+++ b/guarantor/guarantor_test.go
@@ -0,0 +1,167 @@
+package guarantor_test
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"corianderroad/commander"
+	"corianderroad/guarantor"
+	"corianderroad/identifier"
+)
+
+// packing searches all packings of claims beside uses. It shares no code with
+// the ledger.
+type packing struct {
+	workers []guarantor.Worker
+	claims  []guarantor.Claim
+	uses    []guarantor.Use
+	claimed []map[identifier.Workspace]int
+}
+
+// exists says whether every claim can be packed at the same time.
+func (packing *packing) exists() bool {
+	packing.claimed = make([]map[identifier.Workspace]int, len(packing.workers))
+	for i := range packing.claimed {
+		packing.claimed[i] = make(map[identifier.Workspace]int)
+	}
+	return packing.claim(0)
+}
+
+func (packing *packing) claim(n int) bool {
+	if n == len(packing.claims) {
+		return true
+	}
+	return packing.member(n, 0, 0, "")
+}
+
+// member chooses the worker of the next member of claim n, from worker from on.
+func (packing *packing) member(n, taken, from int, rack identifier.Rack) bool {
+	claim := packing.claims[n]
+	if taken == claim.Shape.Members {
+		return packing.claim(n + 1)
+	}
+	for i := from; i < len(packing.workers); i++ {
+		worker := packing.workers[i]
+		if taken > 0 && claim.Shape.Adjacency == commander.SameRack && worker.Rack != rack {
+			continue
+		}
+		packing.claimed[i][claim.Workspace] += claim.Shape.Accelerators
+		if packing.load(i) <= worker.Accelerators && packing.member(n, taken+1, i+1, worker.Rack) {
+			return true
+		}
+		packing.claimed[i][claim.Workspace] -= claim.Shape.Accelerators
+	}
+	return false
+}
+
+func (packing *packing) load(i int) int {
+	used := make(map[identifier.Workspace]int)
+	for _, use := range packing.uses {
+		for _, worker := range use.Workers {
+			if worker == packing.workers[i].Worker {
+				used[use.Workspace] += use.Accelerators
+			}
+		}
+	}
+	sum := 0
+	for workspace, accelerators := range packing.claimed[i] {
+		sum += max(accelerators, used[workspace])
+		delete(used, workspace)
+	}
+	for _, accelerators := range used {
+		sum += accelerators
+	}
+	return sum
+}
+
+func drawWorkers(t *rapid.T) []guarantor.Worker {
+	var workers []guarantor.Worker
+	for rack := range rapid.IntRange(1, 2).Draw(t, "racks") {
+		for i := range rapid.IntRange(1, 3).Draw(t, "per rack") {
+			workers = append(workers, guarantor.Worker{
+				Worker: identifier.Worker(fmt.Sprintf("w%d-%d", rack, i)), Rack: identifier.Rack(fmt.Sprint(rack)),
+				Accelerators: rapid.IntRange(1, 4).Draw(t, "accelerators"),
+			})
+		}
+	}
+	return workers
+}
+
+func drawShape(t *rapid.T) commander.Shape {
+	return commander.Shape{
+		Members: rapid.IntRange(1, 3).Draw(t, "members"), Accelerators: rapid.IntRange(1, 4).Draw(t, "each"),
+		Adjacency: commander.Adjacency(rapid.IntRange(0, 1).Draw(t, "adjacency")),
+	}
+}
+
+var workspaces = rapid.SampledFrom([]identifier.Workspace{"a", "b", "c"})
+
+// TestLedgerIsSound guards against a ledger that counts work for a guarantee
+// although the other guarantees could then not be reclaimed together. It logs
+// how often the ledger says no although a packing exists.
+func TestLedgerIsSound(t *testing.T) {
+	asked, wrong := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		workers := drawWorkers(t)
+		var claims []guarantor.Claim
+		for range rapid.IntRange(1, 3).Draw(t, "claims") {
+			claims = append(claims, guarantor.Claim{Workspace: workspaces.Draw(t, "workspace"), Shape: drawShape(t)})
+		}
+		ledger := guarantor.New(workers, claims, nil)
+		missing := ledger.Missing()
+		possible := (&packing{workers: workers, claims: claims}).exists()
+		asked++
+		if possible && len(missing) > 0 {
+			wrong++
+		}
+		if !possible && len(missing) == 0 {
+			t.Fatalf("claims %v are said to fit on %v", claims, workers)
+		}
+		if len(missing) > 0 {
+			return
+		}
+		var uses []guarantor.Use
+		for range rapid.IntRange(1, 6).Draw(t, "uses") {
+			if len(uses) > 0 && rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+				ledger.Remove(uses[0])
+				uses = uses[1:]
+				continue
+			}
+			shape := drawShape(t)
+			use := guarantor.Use{Workspace: workspaces.Draw(t, "user"), Accelerators: shape.Accelerators}
+			for _, i := range rapid.Permutation(workers).Draw(t, "workers")[:min(shape.Members, len(workers))] {
+				use.Workers = append(use.Workers, i.Worker)
+			}
+			all := append(uses[:len(uses):len(uses)], use)
+			added := ledger.Add(use)
+			packable := (&packing{workers: workers, claims: claims, uses: all}).exists() && within(workers, all)
+			asked++
+			switch {
+			case added && !packable:
+				t.Fatalf("%v was added to %v on %v with %v", use, uses, workers, claims)
+			case !added && packable:
+				wrong++
+			}
+			if added {
+				uses = all
+			}
+			if len(ledger.Missing()) > 0 {
+				t.Fatalf("a claim was lost by %v", use)
+			}
+		}
+	})
+	t.Logf("%d of %d answers were no although a packing exists", wrong, asked)
+}
+
+// within says whether the uses alone fit on the workers.
+func within(workers []guarantor.Worker, uses []guarantor.Use) bool {
+	check := &packing{workers: workers, uses: uses, claimed: make([]map[identifier.Workspace]int, len(workers))}
+	for i, worker := range workers {
+		if check.load(i) > worker.Accelerators {
+			return false
+		}
+	}
+	return true
+}
