Preempt borrowed accelerators for guarantees, test under failures

Jobs could only use accelerators that were free. Work within a workspace's guarantee is now protected, and may stop work beyond the guarantees of others by checkpoint; urgent work may stop borrowed work that is not urgent.

--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -102,6 +102,16 @@
 	return changed
 }
 
+// Available returns the accelerators that a gang may take now: those that are
+// neither occupied nor held, zero if the worker is not usable.
+func (fleet *Fleet) Available(worker identifier.Worker) int {
+	i, ok := fleet.index[worker]
+	if !ok {
+		return 0
+	}
+	return max(0, fleet.slots[i].available())
+}
+
 // Free returns the unoccupied and the total accelerators of a worker.
 func (fleet *Fleet) Free(worker identifier.Worker) (free, total int) {
 	i, ok := fleet.index[worker]
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -122,6 +122,7 @@
 	for _, worker := range region.workers {
 		worker.jobs, worker.renewing, worker.polling, worker.clearing = nil, 0, 0, false
 	}
+	region.clearing, region.ledger = nil, nil
 	scheduler.rebuild(region)
 }
 
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -12,7 +12,7 @@
 )
 
 // attemptsPerSet bounds the attempts of a job that cannot be placed on enough
-// different sets of workers.
+// different sets of workers, or whose failures were withdrawn with a quarantine.
 const attemptsPerSet = 3
 
 // occupy gives a gang to a job and its accelerators to the gang.
@@ -121,16 +121,16 @@
 		scheduler.recordFailure(now, region, job, gang.Blamed()[0])
 	}
 	job.gang = nil
+	scheduler.unprotect(now, region, job)
 	scheduler.change(now, region)
 	switch {
 	case job.outcome != nil:
 		return
 	case job.cancelled:
 		scheduler.conclude(now, job, cancelledOutcome())
-	case job.sets() >= scheduler.parameters.FailureSets,
-		job.attempts >= attemptsPerSet*scheduler.parameters.FailureSets:
+	case gang.Result() == leaser.Failed && scheduler.failedEnough(job):
 		region.exonerate(job)
-		scheduler.conclude(now, job, repeatedFailure(job))
+		scheduler.conclude(now, job, repeatedFailure(job, gang.Blamed()[0]))
 	default:
 		job.become(now, waiting)
 		region.enqueue(job)
@@ -138,6 +138,11 @@
 	}
 }
 
+func (scheduler *Scheduler) failedEnough(job *job) bool {
+	limit := scheduler.parameters.FailureSets
+	return job.sets() >= limit || job.attempts >= attemptsPerSet*limit
+}
+
 func cancelledOutcome() messenger.Outcome {
 	return messenger.Outcome{Code: classifier.JobEnded, Cancelled: true, Reason: "cancelled by the caller"}
 }
--- /dev/null
+++ b/scheduler/export_test.go
@@ -0,0 +1,32 @@
+package scheduler
+
+import "corianderroad/guarantor"
+
+// Guarded returns what the guarantees of a region rest on: the workers that
+// count, the claims that are said to be reclaimable and the protected work.
+// It returns false while this node does not place.
+func (scheduler *Scheduler) Guarded(name string) (workers []guarantor.Worker, claims []guarantor.Claim, uses []guarantor.Use, ok bool) {
+	for _, region := range scheduler.regions {
+		if string(region.name) != name || region.ledger == nil || region.ledgerStale || !scheduler.placing(region) {
+			continue
+		}
+		for _, worker := range region.sortedWorkers() {
+			if worker.counted {
+				workers = append(workers, guarantor.Worker{Worker: worker.name, Rack: worker.vm.Rack, Accelerators: worker.accelerators})
+			}
+		}
+		all, packing := region.ledger.Packing()
+		for i, claim := range all {
+			if packing[i] != nil {
+				claims = append(claims, claim)
+			}
+		}
+		for _, job := range scheduler.jobsOf(region) {
+			if job.protected {
+				uses = append(uses, job.use())
+			}
+		}
+		return workers, claims, uses, true
+	}
+	return nil, nil, nil, false
+}
--- /dev/null
+++ b/scheduler/guarantee.go
@@ -0,0 +1,174 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderroad/guarantor"
+	"corianderroad/identifier"
+)
+
+// lostAfter is the number of calls without an answer after which a worker no
+// longer counts for the guarantees. One lost answer shall not move them.
+const lostAfter = 3
+
+// counts says whether the guarantees may be packed on the worker.
+func (worker *worker) counts(now time.Time) bool {
+	return worker.listed && !worker.vm.Leaving && worker.missed < lostAfter && !now.Before(worker.health.until)
+}
+
+// refreshLedger packs the guarantees anew after workers or guarantees changed.
+func (scheduler *Scheduler) refreshLedger(now time.Time, region *region) {
+	workers := make([]guarantor.Worker, 0, len(region.workers))
+	counted := 0
+	for _, worker := range region.workers {
+		entry := guarantor.Worker{Worker: worker.name, Rack: worker.vm.Rack}
+		counts := worker.counts(now)
+		if counts {
+			entry.Accelerators = worker.accelerators
+			counted++
+		}
+		if counts != worker.counted {
+			worker.counted, region.ledgerStale = counts, true
+		}
+		workers = append(workers, entry)
+	}
+	if region.ledger != nil && !region.ledgerStale {
+		return
+	}
+	var uses []guarantor.Use
+	for _, job := range scheduler.jobsOf(region) {
+		if job.protected {
+			uses = append(uses, job.use())
+		}
+	}
+	region.counted, region.ledgerStale = counted, false
+	region.ledger = guarantor.New(workers, region.claims(scheduler), uses)
+	region.promoted = false
+	scheduler.reportMissing(now, region)
+}
+
+// claims returns the guaranteed shapes of all workspaces in the region.
+func (region *region) claims(scheduler *Scheduler) []guarantor.Claim {
+	var claims []guarantor.Claim
+	if !scheduler.parameters.uses(Guarantees) {
+		return nil
+	}
+	for _, workspace := range scheduler.workspaces {
+		for _, guarantee := range workspace.Guarantees {
+			if guarantee.Region == region.name {
+				claims = append(claims, guarantor.Claim{Workspace: workspace.Workspace, Shape: guarantee.Shape})
+			}
+		}
+	}
+	slices.SortFunc(claims, func(a, b guarantor.Claim) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return claims
+}
+
+// reportMissing names the workspaces whose guarantees can no longer be packed.
+func (scheduler *Scheduler) reportMissing(now time.Time, region *region) {
+	missing := make(map[identifier.Workspace]bool)
+	for _, claim := range region.ledger.Missing() {
+		missing[claim.Workspace] = true
+	}
+	for workspace := range scheduler.workspaces {
+		if missing[workspace] == region.missing[workspace] {
+			continue
+		}
+		from, to := "covered", "uncovered"
+		if !missing[workspace] {
+			from, to = to, from
+		}
+		detail := fmt.Sprintf("guarantee in region %s with %d workers that count", region.name, region.counted)
+		scheduler.transition(string(workspace), from, to, detail)
+		scheduler.decide(now, string(workspace), to, detail)
+	}
+	region.missing = missing
+}
+
+// guaranteed returns the guaranteed accelerators of a workspace in a region.
+func (scheduler *Scheduler) guaranteed(region *region, workspace identifier.Workspace) int {
+	total := 0
+	if !scheduler.parameters.uses(Guarantees) {
+		return 0
+	}
+	for _, guarantee := range scheduler.workspaces[workspace].Guarantees {
+		if guarantee.Region == region.name {
+			total += guarantee.Shape.Total()
+		}
+	}
+	return total
+}
+
+// protect counts the job's gang as part of its workspace's guarantee if all
+// guarantees stay reclaimable. Nobody else may stop a protected gang.
+func (scheduler *Scheduler) protect(region *region, job *job, workers []identifier.Worker) bool {
+	use := guarantor.Use{Workspace: job.spec.Workspace, Workers: workers, Accelerators: job.spec.Shape.Accelerators}
+	if region.ledger == nil || !region.ledger.Add(use) {
+		return false
+	}
+	job.protected, job.protectedOn = true, workers
+	return true
+}
+
+func (scheduler *Scheduler) unprotect(now time.Time, region *region, job *job) {
+	if !job.protected {
+		return
+	}
+	job.protected = false
+	if region.ledger != nil {
+		region.ledger.Remove(job.use())
+		scheduler.reportMissing(now, region)
+	}
+	region.promoted = false
+}
+
+func (job *job) use() guarantor.Use {
+	return guarantor.Use{
+		Workspace: job.spec.Workspace, Workers: job.protectedOn, Accelerators: job.spec.Shape.Accelerators,
+	}
+}
+
+// promote protects running gangs of workspaces that are below their guarantee,
+// the oldest first. Gangs come to be promoted after an adoption, or when other
+// work of the workspace ended.
+func (pass *pass) promote() {
+	if pass.region.promoted {
+		return
+	}
+	pass.region.promoted = true
+	refused := make(map[guarantor.Claim]bool)
+	for _, job := range pass.scheduler.jobsOf(pass.region) {
+		attempt := guarantor.Claim{Workspace: job.spec.Workspace, Shape: job.spec.Shape}
+		if job.protected || job.gang == nil || job.state > running || !pass.within(job) || refused[attempt] {
+			continue
+		}
+		if pass.scheduler.protect(pass.region, job, job.gang.Order().Workers) {
+			pass.protected[job.spec.Workspace] += job.spec.Shape.Total()
+		} else {
+			// The full packing is costly: one refusal stands for all alike.
+			refused[attempt] = true
+		}
+	}
+}
+
+// within says whether the job is part of what its workspace is guaranteed.
+func (pass *pass) within(job *job) bool {
+	guaranteed := pass.scheduler.guaranteed(pass.region, job.spec.Workspace)
+	total := job.spec.Shape.Total()
+	return total > 0 && pass.protected[job.spec.Workspace]+total <= guaranteed
+}
+
+// jobsOf returns the jobs of a region in the order of acceptance.
+func (scheduler *Scheduler) jobsOf(region *region) []*job {
+	var jobs []*job
+	for _, job := range scheduler.jobs {
+		if job.region == region.name {
+			jobs = append(jobs, job)
+		}
+	}
+	slices.SortFunc(jobs, compareJobs)
+	return jobs
+}
--- /dev/null
+++ b/scheduler/guarantee_test.go
@@ -0,0 +1,122 @@
+package scheduler_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"corianderroad/classifier"
+	"corianderroad/commander"
+	"corianderroad/guarantor"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/querier"
+	"corianderroad/scheduler"
+)
+
+// reclaimable searches for workers of all claims from n on, such that on each
+// worker the larger of the claims and the protected work of each workspace fits.
+func reclaimable(workers []guarantor.Worker, claims []guarantor.Claim, uses []guarantor.Use, taken []map[identifier.Workspace]int, n, from int, chosen []int) bool {
+	if n == len(claims) {
+		return true
+	}
+	claim := claims[n]
+	if len(chosen) == claim.Shape.Members {
+		return reclaimable(workers, claims, uses, taken, n+1, 0, nil)
+	}
+	for i := from; i < len(workers); i++ {
+		if len(chosen) > 0 && claim.Shape.Adjacency == commander.SameRack && workers[chosen[0]].Rack != workers[i].Rack {
+			continue
+		}
+		taken[i][claim.Workspace] += claim.Shape.Accelerators
+		if load(workers[i], uses, taken[i]) <= workers[i].Accelerators &&
+			reclaimable(workers, claims, uses, taken, n, i+1, append(chosen[:len(chosen):len(chosen)], i)) {
+			return true
+		}
+		taken[i][claim.Workspace] -= claim.Shape.Accelerators
+	}
+	return false
+}
+
+func load(worker guarantor.Worker, uses []guarantor.Use, taken map[identifier.Workspace]int) int {
+	used := make(map[identifier.Workspace]int)
+	for _, use := range uses {
+		if slices.Contains(use.Workers, worker.Worker) {
+			used[use.Workspace] += use.Accelerators
+		}
+	}
+	sum := 0
+	for _, workspace := range []identifier.Workspace{"a", "b"} {
+		sum += max(used[workspace], taken[workspace])
+	}
+	return sum
+}
+
+// checkGuarantees searches a packing for what the holders say is reclaimable.
+func (world *world) checkGuarantees() {
+	for _, node := range world.nodes {
+		workers, claims, uses, ok := node.scheduler.Guarded("r")
+		if !ok || len(claims) == 0 {
+			continue
+		}
+		taken := make([]map[identifier.Workspace]int, len(workers))
+		for i := range taken {
+			taken[i] = make(map[identifier.Workspace]int)
+		}
+		if !reclaimable(workers, claims, uses, taken, 0, 0, nil) {
+			world.t.Fatalf("at %s claims %v are not reclaimable beside %v on %v", world.now, claims, uses, workers)
+		}
+	}
+}
+
+// configure publishes workspaces to all nodes.
+func (world *world) configure(workspaces ...messenger.WorkspaceSpec) {
+	configuration := &messenger.Configuration{Organisations: []messenger.OrganisationText{{Workspaces: workspaces}}}
+	for _, node := range world.nodes {
+		world.after(world.delay(time.Second), func() { node.step(messenger.ConfigurationChanged{Configuration: configuration}) })
+	}
+}
+
+func drawWorkspace(t *rapid.T, name identifier.Workspace) messenger.WorkspaceSpec {
+	spec := messenger.WorkspaceSpec{Workspace: name, Weight: rapid.IntRange(1, 3).Draw(t, "weight")}
+	for range rapid.IntRange(0, 2).Draw(t, "guarantees") {
+		spec.Guarantees = append(spec.Guarantees, messenger.Guarantee{Region: "r", Shape: commander.Shape{
+			Members: rapid.IntRange(1, 3).Draw(t, "members"), Accelerators: rapid.IntRange(1, 8).Draw(t, "each"),
+			Adjacency: commander.Adjacency(rapid.IntRange(0, 1).Draw(t, "adjacency")),
+		}})
+	}
+	return spec
+}
+
+// TestGuaranteeIsReclaimed guards against a guaranteed gang that waits for the
+// borrowers of its accelerators to end by themselves.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	world := newWorld(t, 1)
+	holder := world.addNode(scheduler.Parameters{})
+	world.addWorkers(2, 4, 8)
+	world.members(holder)
+	shape := commander.Shape{Members: 4, Accelerators: 8, Adjacency: commander.SameRack}
+	world.configure(
+		messenger.WorkspaceSpec{Workspace: "a", Weight: 1, Guarantees: []messenger.Guarantee{{Region: "r", Shape: shape}}},
+		messenger.WorkspaceSpec{Workspace: "b", Weight: 1, Quota: 72},
+	)
+	world.run(5 * time.Second)
+	for _, job := range []identifier.Job{"b1", "b2", "b3", "b4"} {
+		world.submit(commander.JobSpec{Job: job, Workspace: "b", Shape: commander.Shape{Members: 8, Accelerators: 2}}, behaviour{runTime: time.Hour})
+	}
+	world.run(time.Minute)
+	world.submit(commander.JobSpec{Job: "a1", Workspace: "a", Shape: shape}, behaviour{runTime: time.Minute})
+	world.submit(commander.JobSpec{Job: "b5", Workspace: "b", Shape: commander.Shape{Members: 5, Accelerators: 2}}, behaviour{runTime: time.Minute})
+	submitted := world.now
+	world.run(20 * time.Second)
+	quicktest.Assert(t, world.started["a1"].Sub(submitted) <= 10*time.Second, quicktest.IsTrue, quicktest.Commentf("started %s", world.started["a1"].Sub(submitted)))
+	answer := holder.scheduler.View(world.now, querier.Query{Kind: querier.Shares, Workspace: "a"})
+	quicktest.Assert(t, answer.Shares, quicktest.DeepEquals, []querier.Share{{Workspace: "a", Guaranteed: 32, Used: 32, Covered: true}})
+	world.run(5 * time.Hour)
+	for _, job := range []identifier.Job{"a1", "b1", "b2", "b3", "b4", "b5"} {
+		quicktest.Assert(t, world.outcomes[job].Code, quicktest.Equals, classifier.OK)
+	}
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -17,6 +17,8 @@
 
 const (
 	waiting state = iota
+	// clearing waits for preempted gangs to end.
+	clearing
 	reserving
 	running
 	stopping
@@ -25,7 +27,7 @@
 
 // String returns the state as it stands in answers.
 func (state state) String() string {
-	return [...]string{"waiting", "reserving", "running", "stopping", "concluding"}[state]
+	return [...]string{"waiting", "clearing", "reserving", "running", "stopping", "concluding"}[state]
 }
 
 // job is an accepted job without a folded outcome.
@@ -42,11 +44,16 @@
 
 	gang *leaser.Gang
 	// holding are the workers whose accelerators the gang occupies.
-	holding   []identifier.Worker
-	placement uint32
-	progress  time.Duration
-	renewed   time.Time
-	wake      time.Time
+	holding []identifier.Worker
+	// target are the workers that are being cleared for the job.
+	target []identifier.Worker
+	// protected says that the gang is part of its workspace's guarantee.
+	protected   bool
+	protectedOn []identifier.Worker
+	placement   uint32
+	progress    time.Duration
+	renewed     time.Time
+	wake        time.Time
 
 	failures []failure
 	attempts int
@@ -65,7 +72,8 @@
 
 // forget drops what only the holder of the region knows.
 func (job *job) forget() {
-	job.gang, job.holding, job.state = nil, nil, waiting
+	job.gang, job.holding, job.target, job.state = nil, nil, nil, waiting
+	job.protected, job.protectedOn = false, nil
 	job.failures, job.attempts = nil, 0
 	job.outcome, job.outcomeID, job.outcomeDue = nil, "", time.Time{}
 	job.wake = time.Time{}
@@ -125,6 +133,9 @@
 	}
 	job.cancelled = true
 	region := scheduler.region(job.region)
+	if region.held && job.state == clearing {
+		scheduler.abandon(now, region, job)
+	}
 	if region.held && job.gang != nil && job.gang.Phase() != leaser.Finished {
 		job.gang.Stop(now, leaser.Stopped)
 		scheduler.agenda.schedule(job, now)
@@ -144,9 +155,12 @@
 		detail = "cancelled by the caller"
 	}
 	scheduler.decide(now, string(outcome.Job), "ended: "+outcome.Code.Name(), detail)
-	job.outcome = &outcome
+	job.outcome, job.outcomeDue = &outcome, time.Time{}
 	if job.gang != nil {
 		job.gang.Stop(now, leaser.Stopped)
+	} else {
+		region.unhold(job)
+		scheduler.unprotect(now, region, job)
 	}
 	job.become(now, concluding)
 	delete(scheduler.jobs, outcome.Job)
--- a/scheduler/line.go
+++ b/scheduler/line.go
@@ -10,6 +10,7 @@
 // line is the order in which a pass considers the waiting jobs: urgent jobs
 // first, then workspaces below their guarantee, then by share over weight.
 type line struct {
+	pass  *pass
 	turns []*turn
 }
 
@@ -17,41 +18,28 @@
 type turn struct {
 	workspace identifier.Workspace
 	jobs      []*job
-	used      int
 	weight    int
 }
 
-func (pass *pass) lines() *line {
-	used := pass.region.usage(pass.scheduler)
-	line := &line{}
+func (pass *pass) line() *line {
+	line := &line{pass: pass}
 	for workspace, queue := range pass.region.queues {
 		if len(queue.jobs) == 0 {
 			continue
 		}
 		line.turns = append(line.turns, &turn{
-			workspace: workspace, jobs: slices.Clone(queue.jobs), used: used[workspace],
+			workspace: workspace, jobs: slices.Clone(queue.jobs),
 			weight: max(1, pass.scheduler.workspaces[workspace].Weight),
 		})
 	}
 	return line
 }
 
-// usage returns the accelerators that each workspace occupies in the region.
-func (region *region) usage(scheduler *Scheduler) map[identifier.Workspace]int {
-	used := make(map[identifier.Workspace]int)
-	for _, job := range scheduler.jobs {
-		if job.region == region.name {
-			used[job.spec.Workspace] += len(job.holding) * job.spec.Shape.Accelerators
-		}
-	}
-	return used
-}
-
 // next returns the next job and moves the line on, nil at its end.
 func (line *line) next() *job {
 	var best *turn
 	for _, turn := range line.turns {
-		if len(turn.jobs) > 0 && (best == nil || turn.compare(best) < 0) {
+		if len(turn.jobs) > 0 && (best == nil || line.compare(turn, best) < 0) {
 			best = turn
 		}
 	}
@@ -63,19 +51,18 @@
 	return job
 }
 
-// placed counts what a job of the line now uses.
-func (line *line) placed(job *job) {
-	for _, turn := range line.turns {
-		if turn.workspace == job.spec.Workspace {
-			turn.used += job.spec.Shape.Total()
-		}
-	}
-}
-
-func (turn *turn) compare(other *turn) int {
-	a, b := turn.jobs[0], other.jobs[0]
-	if a.spec.Urgent != b.spec.Urgent {
+// compare orders the heads of two workspaces.
+func (line *line) compare(one, other *turn) int {
+	a, b := one.jobs[0], other.jobs[0]
+	if a.spec.Urgent != b.spec.Urgent || !line.pass.scheduler.parameters.uses(FairOrder) {
 		return compareJobs(a, b)
 	}
-	return cmp.Or(cmp.Compare(turn.used*other.weight, other.used*turn.weight), compareJobs(a, b))
+	if below := line.pass.within(a); below != line.pass.within(b) {
+		if below {
+			return -1
+		}
+		return 1
+	}
+	used := line.pass.used
+	return cmp.Or(cmp.Compare(used[one.workspace]*other.weight, used[other.workspace]*one.weight), compareJobs(a, b))
 }
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -52,11 +52,10 @@
 }
 
 // repeatedFailure is the outcome of a job that failed on several sets of workers.
-func repeatedFailure(job *job) messenger.Outcome {
-	last := job.failures[len(job.failures)-1]
+func repeatedFailure(job *job, last identifier.Worker) messenger.Outcome {
 	return messenger.Outcome{
 		Code: classifier.RepeatedFailure,
 		Reason: fmt.Sprintf("failed %d times on %d sets of workers, last on %s",
-			job.attempts, job.sets(), last.worker),
+			job.attempts, job.sets(), last),
 	}
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -19,10 +19,19 @@
 	for _, worker := range region.workers {
 		region.fleet.SetUsable(worker.name, worker.usable(now))
 	}
-	pass := &pass{scheduler: scheduler, region: region, now: now, unplaceable: make(map[commander.Shape]bool)}
+	scheduler.refreshLedger(now, region)
+	pass := &pass{scheduler: scheduler, region: region, now: now, unplaceable: make(map[commander.Shape]bool), unclearable: make(map[attempt]bool)}
+	pass.count()
 	pass.run()
 }
 
+// attempt is what makes attempts at preemption equal.
+type attempt struct {
+	workspace identifier.Workspace
+	shape     commander.Shape
+	within    bool
+}
+
 // pass is one pass over the waiting jobs of a region.
 type pass struct {
 	scheduler *Scheduler
@@ -30,19 +39,43 @@
 	now       time.Time
 	// unplaceable are shapes that did not fit in this pass.
 	unplaceable map[commander.Shape]bool
+	fits        map[commander.Shape]bool
+	// unclearable are attempts at preemption that failed in this pass.
+	unclearable map[attempt]bool
+	// used and protected are accelerators by workspace.
+	used, protected map[identifier.Workspace]int
+}
+
+// count adds up what the workspaces occupy in the region.
+func (pass *pass) count() {
+	pass.used = make(map[identifier.Workspace]int)
+	pass.protected = make(map[identifier.Workspace]int)
+	for _, job := range pass.scheduler.jobs {
+		if job.region != pass.region.name {
+			continue
+		}
+		if job.gang != nil || job.target != nil {
+			pass.used[job.spec.Workspace] += job.spec.Shape.Total()
+		}
+		if job.protected {
+			pass.protected[job.spec.Workspace] += job.spec.Shape.Total()
+		}
+	}
 }
 
 func (pass *pass) run() {
 	for _, queue := range pass.region.queues {
 		queue.compact()
 	}
-	for line := pass.lines(); ; {
-		job := line.next()
-		if job == nil {
-			return
-		}
+	pass.launchCleared()
+	pass.promote()
+	line := pass.line()
+	for job := line.next(); job != nil; job = line.next() {
 		if pass.consider(job) {
-			line.placed(job)
+			pass.used[job.spec.Workspace] += job.spec.Shape.Total()
+			if job.protected {
+				pass.protected[job.spec.Workspace] += job.spec.Shape.Total()
+			}
 		}
 	}
 }
@@ -54,36 +87,65 @@
 	case job.cancelled:
 		scheduler.conclude(pass.now, job, cancelledOutcome())
 		return false
-	case pass.unplaceable[job.spec.Shape] && len(job.failures) == 0:
-		job.reason = classifier.NoCapacity
-		return false
 	case job.offset <= identifier.Offset(region.term) && pass.now.Before(region.settledAt):
 		// Tasks of the job may still run on workers that did not answer.
 		job.reason = classifier.NotReady
 		scheduler.changeAt(region, region.settledAt)
 		return false
 	}
-	workers := region.fleet.Place(placer.Request{
-		Shape: job.spec.Shape, Avoid: job.avoided(), FirstFit: !scheduler.parameters.uses(BestFit),
-	})
+	if quota := scheduler.workspaces[job.spec.Workspace].Quota; quota > 0 && pass.used[job.spec.Workspace]+job.spec.Shape.Total() > quota {
+		job.reason = classifier.QuotaExceeded
+		return false
+	}
+	within := pass.within(job)
+	if pass.placeFree(job, within) || pass.preempt(job, within) {
+		return true
+	}
+	job.reason = classifier.NoCapacity
+	if !pass.feasible(job.spec.Shape) {
+		scheduler.conclude(pass.now, job, messenger.Outcome{
+			Code: classifier.Infeasible, Reason: "no set of workers of the region can hold the shape",
+		})
+	}
+	return false
+}
+
+// placeFree places a job on unoccupied accelerators. A job within its guarantee
+// that could not be protected there is left to preemption.
+func (pass *pass) placeFree(job *job, within bool) bool {
+	if pass.unplaceable[job.spec.Shape] && len(job.failures) == 0 {
+		return false
+	}
+	scheduler, region := pass.scheduler, pass.region
+	request := placer.Request{Shape: job.spec.Shape, Avoid: job.avoided(), FirstFit: !scheduler.parameters.uses(BestFit)}
+	workers := region.fleet.Place(request)
 	if workers == nil && len(job.failures) > 0 {
-		workers = region.fleet.Place(placer.Request{Shape: job.spec.Shape})
+		request.Avoid = nil
+		workers = region.fleet.Place(request)
 	}
 	if workers == nil {
-		if !region.fleet.Feasible(job.spec.Shape) {
-			scheduler.conclude(pass.now, job, messenger.Outcome{
-				Code: classifier.Infeasible, Reason: "no set of workers of the region can hold the shape",
-			})
-			return false
-		}
 		pass.unplaceable[job.spec.Shape] = true
-		job.reason = classifier.NoCapacity
 		return false
 	}
+	if within && !scheduler.protect(region, job, workers) && pass.preempt(job, true) {
+		return true
+	}
 	scheduler.launch(pass.now, region, job, workers)
 	return true
 }
 
+// feasible says whether the shape would fit if all workers were unoccupied.
+func (pass *pass) feasible(shape commander.Shape) bool {
+	if answer, ok := pass.fits[shape]; ok {
+		return answer
+	}
+	if pass.fits == nil {
+		pass.fits = make(map[commander.Shape]bool)
+	}
+	pass.fits[shape] = len(pass.region.workers) == 0 || pass.region.fleet.Feasible(shape)
+	return pass.fits[shape]
+}
+
 // avoided returns the workers on which the job failed.
 func (job *job) avoided() map[identifier.Worker]bool {
 	if len(job.failures) == 0 {
--- /dev/null
+++ b/scheduler/preemption.go
@@ -0,0 +1,179 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/leaser"
+	"corianderroad/placer"
+)
+
+// clearingPatience is how long a job waits for preempted gangs to end: the
+// grace period and one lease, after which their tasks have surely ended.
+const clearingPatience = 30 * time.Second
+
+// preempt places a job on accelerators that others occupy beyond their
+// guarantee. The occupants are checkpointed; the job starts when they ended.
+func (pass *pass) preempt(job *job, within bool) bool {
+	scheduler, region := pass.scheduler, pass.region
+	if !scheduler.parameters.uses(Preemption) || (!within && !job.spec.Urgent) {
+		return false
+	}
+	tried := attempt{job.spec.Workspace, job.spec.Shape, within}
+	if pass.unclearable[tried] && len(job.failures) == 0 {
+		return false
+	}
+	rooms := []func(identifier.Worker, int) int{func(name identifier.Worker, available int) int {
+		return available + pass.stoppable(region.workers[name], within)
+	}}
+	if within {
+		// The workspace's own claims come first: they need no new packing.
+		rooms = append([]func(identifier.Worker, int) int{func(name identifier.Worker, _ int) int {
+			return region.ledger.Room(job.spec.Workspace, name)
+		}}, rooms...)
+	}
+	for _, room := range rooms {
+		workers := region.fleet.Place(placer.Request{Shape: job.spec.Shape, Avoid: job.avoided(), Room: room})
+		if workers == nil {
+			continue
+		}
+		victims, ok := pass.victims(job, workers, within)
+		if !ok || (within && !scheduler.protect(region, job, workers)) {
+			continue
+		}
+		pass.clear(job, workers, victims)
+		return true
+	}
+	pass.unclearable[tried] = true
+	return false
+}
+
+// mayStop says whether the gang of another job may be stopped for the job.
+func mayStop(other *job, within bool) bool {
+	return other.gang != nil && !other.protected && other.state <= running && covers(other) &&
+		(within || !other.spec.Urgent)
+}
+
+func covers(job *job) bool { return job.spec.Shape.Accelerators > 0 }
+
+// stoppable returns the accelerators of a worker that can be cleared.
+func (pass *pass) stoppable(worker *worker, within bool) int {
+	sum := 0
+	for _, other := range worker.jobs {
+		if mayStop(other, within) {
+			sum += other.spec.Shape.Accelerators
+		}
+	}
+	return sum
+}
+
+// victims returns the gangs to stop, those with the fewest accelerators and the
+// shortest run first.
+func (pass *pass) victims(placed *job, workers []identifier.Worker, within bool) ([]*job, bool) {
+	chosen := make(map[*job]bool)
+	var victims []*job
+	for _, name := range workers {
+		worker := pass.region.workers[name]
+		need := placed.spec.Shape.Accelerators - pass.region.fleet.Available(name)
+		var others []*job
+		for _, other := range worker.jobs {
+			if chosen[other] {
+				need -= other.spec.Shape.Accelerators
+			} else if mayStop(other, within) {
+				others = append(others, other)
+			}
+		}
+		slices.SortFunc(others, func(a, b *job) int {
+			return cmp.Or(cmp.Compare(a.spec.Shape.Total(), b.spec.Shape.Total()), b.since.Compare(a.since), compareJobs(a, b))
+		})
+		for _, other := range others {
+			if need <= 0 {
+				break
+			}
+			need -= other.spec.Shape.Accelerators
+			chosen[other] = true
+			victims = append(victims, other)
+		}
+		if need > 0 {
+			return nil, false
+		}
+	}
+	return victims, true
+}
+
+// clear keeps the workers for the job and checkpoints the gangs on them.
+func (pass *pass) clear(job *job, workers []identifier.Worker, victims []*job) {
+	scheduler, region := pass.scheduler, pass.region
+	job.target = workers
+	job.become(pass.now, clearing)
+	job.reason = classifier.NoCapacity
+	for _, name := range workers {
+		region.fleet.Hold(name, job.spec.Shape.Accelerators)
+	}
+	region.clearing = append(region.clearing, job)
+	scheduler.changeAt(region, pass.now.Add(clearingPatience))
+	scheduler.decide(pass.now, string(job.spec.Job), "preempts", fmt.Sprintf("%d gangs on %s", len(victims), setOf(workers)))
+	for _, victim := range victims {
+		scheduler.move(pass.now, victim, "preempted", string(job.spec.Job))
+	}
+}
+
+// move ends a gang by checkpoint, so that its job is placed again elsewhere.
+func (scheduler *Scheduler) move(now time.Time, victim *job, reason, cause string) {
+	scheduler.decide(now, string(victim.spec.Job), reason, "for "+cause)
+	victim.gang.Checkpoint(now)
+	if victim.gang.Phase() >= leaser.Checkpointing {
+		victim.become(now, stopping)
+	}
+	scheduler.agenda.schedule(victim, now)
+}
+
+// launchCleared starts the jobs whose workers are clear.
+func (pass *pass) launchCleared() {
+	scheduler, region := pass.scheduler, pass.region
+	jobs := region.clearing
+	region.clearing = nil
+	for _, job := range jobs {
+		if job.state != clearing {
+			continue
+		}
+		ready, usable := true, true
+		for _, name := range job.target {
+			worker, ok := region.workers[name]
+			usable = usable && ok && worker.usable(pass.now)
+			free, _ := region.fleet.Free(name)
+			ready = ready && free >= job.spec.Shape.Accelerators
+		}
+		switch {
+		case job.cancelled || !usable || pass.now.Sub(job.since) >= clearingPatience:
+			scheduler.abandon(pass.now, region, job)
+		case ready:
+			workers := job.target
+			region.unhold(job)
+			scheduler.launch(pass.now, region, job, workers)
+		default:
+			region.clearing = append(region.clearing, job)
+			scheduler.changeAt(region, job.since.Add(clearingPatience))
+		}
+	}
+}
+
+// unhold gives up the hold on the workers that were cleared for a job.
+func (region *region) unhold(job *job) {
+	for _, name := range job.target {
+		region.fleet.Hold(name, -job.spec.Shape.Accelerators)
+	}
+	job.target = nil
+}
+
+// abandon returns a job to the queue whose workers cannot be cleared.
+func (scheduler *Scheduler) abandon(now time.Time, region *region, job *job) {
+	region.unhold(job)
+	scheduler.unprotect(now, region, job)
+	job.become(now, waiting)
+	region.enqueue(job)
+}
--- a/scheduler/region.go
+++ b/scheduler/region.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/guarantor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/placer"
@@ -40,6 +41,16 @@
 	nextRound time.Time
 	nextPoll  time.Time
 
+	ledger *guarantor.Ledger
+	// ledgerStale says that workers or guarantees changed since the ledger was made.
+	ledgerStale bool
+	counted     int
+	missing     map[identifier.Workspace]bool
+	// promoted says that no gang can be promoted since the last attempt.
+	promoted bool
+	// clearing are the jobs that wait for preempted gangs to end.
+	clearing []*job
+
 	dirty     bool
 	plannedAt time.Time
 	nextPlan  time.Time
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -2,9 +2,11 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
+	"corianderroad/identifier"
 	"corianderroad/querier"
 )
 
@@ -18,11 +20,52 @@
 			}
 		}
 	case querier.Explain:
-		answer.Decisions = scheduler.history.about(query.Subject)
+		answer.Decisions = scheduler.explain(now, query)
+	case querier.Shares:
+		for _, region := range scheduler.sortedRegions() {
+			if region.held {
+				answer.Shares = append(answer.Shares, scheduler.viewShares(region, query)...)
+			}
+		}
 	}
 	return answer
 }
 
+// explain returns the decisions about a subject and why a job waits now.
+func (scheduler *Scheduler) explain(now time.Time, query querier.Query) []querier.Decision {
+	decisions := scheduler.history.about(query.Subject)
+	job, ok := scheduler.jobs[identifier.Job(query.Subject)]
+	if ok && job.state == waiting && scheduler.region(job.region).held {
+		decisions = append(decisions, querier.Decision{
+			At: now, Node: scheduler.identity.Node, Subject: query.Subject, Reason: job.reason.Name(),
+			Detail: fmt.Sprintf("waits since %s, %d failures", job.since.UTC().Format(time.RFC3339), len(job.failures)),
+		})
+	}
+	return decisions
+}
+
+// viewShares returns the shares of a region that this node holds, by workspace.
+func (scheduler *Scheduler) viewShares(region *region, query querier.Query) []querier.Share {
+	used := make(map[identifier.Workspace]int)
+	for _, job := range scheduler.jobs {
+		if job.region == region.name && job.gang != nil {
+			used[job.spec.Workspace] += job.spec.Shape.Total()
+		}
+	}
+	shares := make([]querier.Share, 0, len(scheduler.workspaces))
+	for workspace := range scheduler.workspaces {
+		if query.Workspace != "" && query.Workspace != workspace {
+			continue
+		}
+		shares = append(shares, querier.Share{
+			Workspace: workspace, Guaranteed: scheduler.guaranteed(region, workspace),
+			Used: used[workspace], Covered: region.ledger != nil && !region.missing[workspace],
+		})
+	}
+	slices.SortFunc(shares, func(a, b querier.Share) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return shares
+}
+
 // viewRegion returns the jobs, workers and gauges of a region that this node holds.
 func (scheduler *Scheduler) viewRegion(now time.Time, region *region, query querier.Query) querier.Answer {
 	var answer querier.Answer
--- a/scheduler/vm_test.go
+++ b/scheduler/vm_test.go
@@ -126,9 +126,9 @@
 	known.State, known.Progress, known.began, known.from, known.expiry = messenger.Running, ask.Progress, world.now, ask.Progress, expiry
 	world.begin(known, vm.name)
 	vm.watch(known)
-	real := world.tasks[ask.Gang.Job]
-	left, state := max(0, real.runTime-ask.Progress), messenger.Completed
-	if vm.broken || real.fails {
+	actual := world.tasks[ask.Gang.Job]
+	left, state := max(0, actual.runTime-ask.Progress), messenger.Completed
+	if vm.broken || actual.fails {
 		left, state = time.Second, messenger.Failed
 	}
 	world.after(left, func() {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -9,6 +9,10 @@
 	"corianderroad/placer"
 )
 
+// keepUnlisted is how long a worker that left the list counts for the question
+// whether a shape can ever fit, so that a list with gaps ends no job.
+const keepUnlisted = 10 * time.Minute
+
 // worker is a worker as the holder of its region knows it.
 type worker struct {
 	name         identifier.Worker
@@ -17,10 +21,14 @@
 	accelerators int
 	// heard says that the worker has answered in this term. missed is the number
 	// of calls without an answer since.
-	heard   bool
-	missed  int
-	heardAt time.Time
-	pollAt  time.Time
+	heard bool
+	// counted says that the guarantees are packed on the worker.
+	counted bool
+	// listedAt is when the worker was last listed.
+	listedAt time.Time
+	missed   int
+	heardAt  time.Time
+	pollAt   time.Time
 	// polling and renewing are the sequences of the open calls, zero for none.
 	polling, renewing uint64
 	// clearing says that a release of a task without a job is open.
@@ -85,13 +93,13 @@
 			known.heard, known.pollAt = false, now
 			region.nextPoll = earliest(region.nextPoll, now)
 		}
-		known.vm, known.listed = vm, true
+		known.vm, known.listed, known.listedAt = vm, true, now
 	}
 	for _, region := range scheduler.sortedRegions() {
 		for name, worker := range region.workers {
 			if !worker.listed {
 				changed[region] = true
-				if len(worker.jobs) == 0 {
+				if len(worker.jobs) == 0 && now.Sub(worker.listedAt) > keepUnlisted {
 					delete(region.workers, name)
 				}
 			}
@@ -117,4 +125,10 @@
 			region.fleet.Take(worker.name, job.spec.Shape.Accelerators)
 		}
 	}
+	for _, job := range region.clearing {
+		for _, name := range job.target {
+			region.fleet.Hold(name, job.spec.Shape.Accelerators)
+		}
+	}
+	region.ledgerStale = true
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -25,10 +25,12 @@
 
 // world drives schedulers, workers and a log in one thread and virtual time.
 type world struct {
-	t       failer
-	now     time.Time
-	agenda  happenings
-	serial  int
+	t      failer
+	now    time.Time
+	agenda happenings
+	serial int
+	// idle counts what happened without time passing.
+	idle    int
 	random  *rand.Rand
 	nodes   []*node
 	workers map[identifier.Worker]*vm
@@ -113,6 +115,11 @@
 	end := world.now.Add(length)
 	for len(world.agenda) > 0 && !world.agenda[0].at.After(end) {
 		next := heap.Pop(&world.agenda).(happening)
+		if world.idle++; next.at.After(world.now) {
+			world.idle = 0
+		} else if world.idle > 100000 {
+			world.t.Fatalf("a scheduler asks for ticks without end at %s", world.now)
+		}
 		world.now = next.at
 		next.do()
 	}
@@ -179,9 +186,9 @@
 	}
 }
 
-func (world *world) submit(spec commander.JobSpec, real behaviour) {
+func (world *world) submit(spec commander.JobSpec, actual behaviour) {
 	spec.Region = "r"
-	world.tasks[spec.Job] = real
+	world.tasks[spec.Job] = actual
 	world.append(messenger.Entry{Record: messenger.Submission{Spec: spec}})
 }
 
@@ -229,7 +236,14 @@
 		node.inbox = append(node.inbox, event)
 		return
 	}
-	for _, action := range node.scheduler.Step(world.now, event) {
+	actions := node.scheduler.Step(world.now, event)
+	if slices.ContainsFunc(actions, func(action messenger.Action) bool {
+		ask, ok := action.(messenger.AskWorker)
+		return ok && ask.Kind == messenger.ReserveTask
+	}) {
+		world.checkGuarantees()
+	}
+	for _, action := range actions {
 		switch action := action.(type) {
 		case messenger.AskWorker:
 			node.call(action)
