--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -246,7 +246,11 @@
 	address := minion(t, func(http.ResponseWriter, *http.Request, []byte) bool {
 		now := open.Add(1)
 		defer open.Add(-1)
-		for seen := most.Load(); now > seen && !most.CompareAndSwap(seen, now); seen = most.Load() {
+		for {
+			seen := most.Load()
+			if now <= seen || most.CompareAndSwap(seen, now) {
+				break
+			}
 		}
 		if started.Add(1) <= 3 {
 			group.Done()
