--- a/cmd/standins/vmlister/server.go
+++ b/cmd/standins/vmlister/server.go
@@ -1,9 +1,13 @@
 package vmlister
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"corianderroad/cmd/standins/executor"
 	"corianderroad/cmd/standins/host"
 )
@@ -20,7 +24,19 @@
 			host.Refuse(writer, http.StatusServiceUnavailable, err.Error())
 			return
 		}
-		host.Answer(writer, http.StatusOK, body)
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			host.Refuse(writer, http.StatusInternalServerError, err.Error())
+			return
+		}
+		tag := fmt.Sprintf("\"%016x\"", xxhash.Sum64(encoded))
+		writer.Header().Set("ETag", tag)
+		if request.Header.Get("If-None-Match") == tag {
+			writer.WriteHeader(http.StatusNotModified)
+			return
+		}
+		writer.Header().Set("Content-Type", "application/json")
+		_, _ = writer.Write(encoded)
 	})
 	return mux
 }
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -2,6 +2,7 @@
 package lister
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -34,6 +35,15 @@
 	// maxList bounds the list in bytes: 4,500 workers and 1,024 minions and
 	// entry VMs of about 300 bytes each are 1.7 MB.
 	maxList = 8 << 20
+	// budget is the part of a node's 20 KB/s of control traffic that lists may
+	// take, in bytes per second.
+	budget = 8 << 10
+	// longestPause bounds the pause that keeps the budget, so that a long list
+	// still shows a change within a minute.
+	longestPause = time.Minute
+	// repeatAfter is when an unchanged list is delivered again, so that its
+	// receivers know that it is still current.
+	repeatAfter = 10 * time.Second
 )
 
 // Lister polls the VM list. Only Run uses it.
@@ -42,6 +52,11 @@
 	url    string
 	sink   Sink
 	meter  Meter
+
+	// The fields below belong to Run.
+	tag       string // entity tag of the newest list, empty if the platform sends none
+	vms       []messenger.VM
+	delivered time.Time
 }
 
 // New returns a Lister that polls GET base/vms with the client.
@@ -49,48 +64,93 @@
 	return &Lister{client: client, url: base + "/vms", sink: sink, meter: meter}
 }
 
-// Run polls once per second until the context ends. A poll that fails is
-// counted and leaves the list as it was.
+// Run polls until the context ends: once per second if the platform answers
+// unchanged lists by their entity tag, and otherwise as often as the budget of
+// bytes allows. A poll that fails is counted and leaves the list as it was.
 func (lister *Lister) Run(ctx context.Context) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		vms, err := lister.poll(ctx)
-		if err == nil {
-			err = lister.sink.Deliver(ctx, messenger.VMsListed{At: time.Now(), VMs: vms})
-		}
-		lister.meter.Polled(result(err))
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
+		answer, err := lister.poll(ctx)
+		if err == nil {
+			err = lister.take(ctx, time.Now(), answer)
+		}
+		lister.meter.Polled(result(answer, err))
+		timer.Reset(lister.pause(answer))
 	}
 }
 
-func result(err error) string {
-	if err != nil {
+// answer is the result of one poll.
+type answer struct {
+	unchanged bool
+	vms       []messenger.VM
+	tag       string
+	bytes     int64
+}
+
+func result(answer answer, err error) string {
+	switch {
+	case err != nil:
 		return "failed"
+	case answer.unchanged:
+		return "unchanged"
+	default:
+		return "listed"
 	}
-	return "listed"
 }
 
-func (lister *Lister) poll(ctx context.Context) ([]messenger.VM, error) {
+// take delivers a list that is new or was not delivered for a while.
+func (lister *Lister) take(ctx context.Context, now time.Time, answer answer) error {
+	if !answer.unchanged {
+		lister.vms, lister.tag = answer.vms, answer.tag
+	} else if now.Sub(lister.delivered) < repeatAfter {
+		return nil
+	}
+	lister.delivered = now
+	return lister.sink.Deliver(ctx, messenger.VMsListed{At: now, VMs: lister.vms})
+}
+
+// pause returns the time until the next poll.
+func (lister *Lister) pause(answer answer) time.Duration {
+	if answer.tag != "" || answer.unchanged {
+		return period
+	}
+	return min(max(time.Duration(answer.bytes)*time.Second/budget, period), longestPause)
+}
+
+func (lister *Lister) poll(ctx context.Context) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, lister.url, nil)
 	if err != nil {
-		return nil, errors.Wrap(err, "VM list")
+		return answer{}, errors.Wrap(err, "VM list")
+	}
+	if lister.tag != "" {
+		request.Header.Set("If-None-Match", lister.tag)
 	}
 	response, err := lister.client.Do(request)
 	if err != nil {
-		return nil, errors.Wrap(err, "VM list")
+		return answer{}, errors.Wrap(err, "VM list")
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("VM list: status %d", response.StatusCode)
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return answer{unchanged: true}, nil
+	case http.StatusOK:
+	default:
+		return answer{}, errors.Errorf("VM list: status %d", response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxList))
+	if err != nil {
+		return answer{}, errors.Wrap(err, "VM list")
 	}
-	return parse(io.LimitReader(response.Body, maxList))
+	vms, err := parse(bytes.NewReader(body))
+	return answer{vms: vms, tag: response.Header.Get("ETag"), bytes: int64(len(body))}, err
 }
 
 type list struct {
