Keep workers for large gangs and move small ones

A large gang waited as long as smaller jobs took what became free one by one. The first blocked job that waited for a minute now has workers kept for it; short jobs may use them meanwhile, and gangs that fit elsewhere are moved if the waiting gang gains more than the moves cost.

--- a/scheduler/chaos_test.go
+++ b/scheduler/chaos_test.go
@@ -108,6 +108,7 @@
 	case "log":
 		chaos.logDown = !chaos.logDown
 	case "loss":
+		chaos.transit = time.Duration(rapid.SampledFrom([]int{5, 5, 900}).Draw(chaos.t, "transit")) * time.Millisecond
 		chaos.loseRequest, chaos.loseAnswer = chance("requests lost"), chance("answers lost")
 	}
 	chaos.checkGuarantees()
@@ -116,7 +117,7 @@
 
 // heal ends all failures and lets the jobs run out.
 func (chaos *chaos) heal() {
-	chaos.logDown, chaos.loseRequest, chaos.loseAnswer = false, 0, 0
+	chaos.logDown, chaos.loseRequest, chaos.loseAnswer, chaos.transit = false, 0, 0, 5*time.Millisecond
 	for _, worker := range chaos.workers {
 		worker.broken = false
 		if !worker.up {
--- /dev/null
+++ b/scheduler/hold.go
@@ -0,0 +1,189 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"corianderroad/commander"
+	"corianderroad/identifier"
+	"corianderroad/placer"
+)
+
+const (
+	// moveCost is what a gang loses by a move: a checkpoint, a release and a new
+	// start, together with the work since the checkpoint.
+	moveCost = 30 * time.Second
+	// moveAgainAfter keeps a gang from being moved back and forth.
+	moveAgainAfter = 10 * time.Minute
+	// unknownRunTime stands for a run time that was not declared.
+	unknownRunTime = time.Hour
+)
+
+// hold keeps workers for the first job in the line that has waited long, so
+// that smaller jobs do not take what becomes free one by one.
+type hold struct {
+	job     *job
+	workers map[identifier.Worker]bool
+	// free is when the workers are expected to be unoccupied.
+	free time.Time
+}
+
+// blocked makes a hold for a job that could not be placed, if it is time.
+func (pass *pass) blocked(job *job) {
+	parameters := pass.scheduler.parameters
+	if pass.hold != nil || !parameters.uses(LargeHold) || job.state != waiting {
+		return
+	}
+	due := job.since.Add(parameters.HoldAfter)
+	if pass.now.Before(due) {
+		pass.scheduler.changeAt(pass.region, due)
+		return
+	}
+	pass.hold = pass.chooseHold(job)
+	if pass.hold != nil && parameters.uses(Migration) {
+		pass.migrate()
+	}
+}
+
+// availability is a worker with the time when a member is expected to fit.
+type availability struct {
+	worker *worker
+	at     time.Time
+}
+
+// chooseHold chooses the workers of one rack, or of the region, that are
+// expected to be free first.
+func (pass *pass) chooseHold(job *job) *hold {
+	byRack := make(map[identifier.Rack][]availability)
+	for _, worker := range pass.region.sortedWorkers() {
+		if !worker.usable(pass.now) || worker.accelerators < job.spec.Shape.Accelerators {
+			continue
+		}
+		rack := worker.vm.Rack
+		if job.spec.Shape.Adjacency != commander.SameRack {
+			rack = ""
+		}
+		byRack[rack] = append(byRack[rack], availability{worker, pass.freeAt(worker, job.spec.Shape.Accelerators)})
+	}
+	var best []availability
+	members := job.spec.Shape.Members
+	for _, rack := range byRack {
+		if len(rack) < members {
+			continue
+		}
+		slices.SortFunc(rack, compareAvailability)
+		if best == nil || compareAvailability(rack[members-1], best[members-1]) < 0 {
+			best = rack
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	chosen := &hold{job: job, workers: make(map[identifier.Worker]bool, members), free: best[members-1].at}
+	for _, availability := range best[:members] {
+		chosen.workers[availability.worker.name] = true
+	}
+	return chosen
+}
+
+func compareAvailability(a, b availability) int {
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.name, b.worker.name))
+}
+
+// freeAt returns when a worker is expected to have the accelerators.
+func (pass *pass) freeAt(worker *worker, accelerators int) time.Time {
+	room := pass.region.fleet.Available(worker.name)
+	jobs := slices.Clone(worker.jobs)
+	slices.SortFunc(jobs, func(a, b *job) int { return pass.endOf(a).Compare(pass.endOf(b)) })
+	at := pass.now
+	for _, job := range jobs {
+		if room >= accelerators {
+			break
+		}
+		room += job.spec.Shape.Accelerators
+		at = pass.endOf(job)
+	}
+	return at
+}
+
+// endOf returns the expected end of a gang. Declarations are often far off: a
+// gang that outlasts its own is expected to run half as long again.
+func (pass *pass) endOf(job *job) time.Time {
+	declared := job.spec.RunTime
+	if declared == 0 {
+		declared = unknownRunTime
+	}
+	elapsed := pass.now.Sub(job.since)
+	return pass.now.Add(max(declared-job.progress-elapsed, elapsed/2))
+}
+
+// avoid returns the workers that a job may not take, and whether the hold
+// applies to it. A job that is declared to end before the workers of the hold
+// are free may use them.
+func (pass *pass) avoid(job *job) (avoided map[identifier.Worker]bool, held bool) {
+	avoided = job.avoided()
+	if pass.hold == nil || pass.hold.job == job {
+		return avoided, false
+	}
+	ends := pass.now.Add(job.spec.RunTime - job.progress)
+	if job.spec.RunTime > 0 && pass.scheduler.parameters.uses(Backfill) && !ends.After(pass.hold.free) {
+		return avoided, false
+	}
+	if avoided == nil {
+		return pass.hold.workers, true
+	}
+	for worker := range pass.hold.workers {
+		avoided[worker] = true
+	}
+	return avoided, true
+}
+
+// migrate moves the gangs on the workers of the hold, if all of them fit
+// elsewhere now and the waiting gang gains more than the moves cost.
+func (pass *pass) migrate() {
+	region, waits := pass.region, pass.hold.job
+	gain := time.Duration(waits.spec.Shape.Total()) * pass.hold.free.Sub(pass.now)
+	var moved []*job
+	var trial []func()
+	defer func() {
+		for _, undo := range trial {
+			undo()
+		}
+	}()
+	for _, name := range sortedNames(pass.hold.workers) {
+		if region.fleet.Available(name) >= waits.spec.Shape.Accelerators {
+			continue
+		}
+		for _, job := range region.workers[name].jobs {
+			if !covers(job) || slices.Contains(moved, job) {
+				continue
+			}
+			gain -= time.Duration(job.spec.Shape.Total()) * moveCost
+			if job.gang == nil || job.state != running || job.spec.Urgent || gain <= 0 || pass.now.Sub(job.since) < moveAgainAfter {
+				return
+			}
+			workers := region.fleet.Place(placer.Request{Shape: job.spec.Shape, Avoid: pass.hold.workers})
+			if workers == nil {
+				return
+			}
+			for _, worker := range workers {
+				region.fleet.Hold(worker, job.spec.Shape.Accelerators)
+				trial = append(trial, func() { region.fleet.Hold(worker, -job.spec.Shape.Accelerators) })
+			}
+			moved = append(moved, job)
+		}
+	}
+	for _, job := range moved {
+		pass.scheduler.move(pass.now, job, "migrated", string(waits.spec.Job))
+	}
+}
+
+func sortedNames(workers map[identifier.Worker]bool) []identifier.Worker {
+	names := make([]identifier.Worker, 0, len(workers))
+	for name := range workers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -20,7 +20,7 @@
 		region.fleet.SetUsable(worker.name, worker.usable(now))
 	}
 	scheduler.refreshLedger(now, region)
-	pass := &pass{scheduler: scheduler, region: region, now: now, unplaceable: make(map[commander.Shape]bool), unclearable: make(map[attempt]bool)}
+	pass := &pass{scheduler: scheduler, region: region, now: now, unplaceable: make(map[fitting]bool), unclearable: make(map[attempt]bool)}
 	pass.count()
 	pass.run()
 }
@@ -32,13 +32,20 @@
 	within    bool
 }
 
+// fitting is what makes two placements on free accelerators equal.
+type fitting struct {
+	shape commander.Shape
+	held  bool
+}
+
 // pass is one pass over the waiting jobs of a region.
 type pass struct {
 	scheduler *Scheduler
 	region    *region
 	now       time.Time
 	// unplaceable are shapes that did not fit in this pass.
-	unplaceable map[commander.Shape]bool
+	unplaceable map[fitting]bool
+	hold        *hold
 	fits        map[commander.Shape]bool
 	// unclearable are attempts at preemption that failed in this pass.
 	unclearable map[attempt]bool
@@ -102,7 +109,9 @@
 		return true
 	}
 	job.reason = classifier.NoCapacity
-	if !pass.feasible(job.spec.Shape) {
+	if pass.feasible(job.spec.Shape) {
+		pass.blocked(job)
+	} else {
 		scheduler.conclude(pass.now, job, messenger.Outcome{
 			Code: classifier.Infeasible, Reason: "no set of workers of the region can hold the shape",
 		})
@@ -113,18 +122,20 @@
 // placeFree places a job on unoccupied accelerators. A job within its guarantee
 // that could not be protected there is left to preemption.
 func (pass *pass) placeFree(job *job, within bool) bool {
-	if pass.unplaceable[job.spec.Shape] && len(job.failures) == 0 {
+	avoided, held := pass.avoid(job)
+	tried := fitting{job.spec.Shape, held}
+	if pass.unplaceable[tried] && len(job.failures) == 0 {
 		return false
 	}
 	scheduler, region := pass.scheduler, pass.region
-	request := placer.Request{Shape: job.spec.Shape, Avoid: job.avoided(), FirstFit: !scheduler.parameters.uses(BestFit)}
+	request := placer.Request{Shape: job.spec.Shape, Avoid: avoided, FirstFit: !scheduler.parameters.uses(BestFit)}
 	workers := region.fleet.Place(request)
-	if workers == nil && len(job.failures) > 0 {
+	if workers == nil && len(job.failures) > 0 && !held {
 		request.Avoid = nil
 		workers = region.fleet.Place(request)
 	}
 	if workers == nil {
-		pass.unplaceable[job.spec.Shape] = true
+		pass.unplaceable[tried] = true
 		return false
 	}
 	if within && !scheduler.protect(region, job, workers) && pass.preempt(job, true) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,7 +9,9 @@
 
 	"corianderroad/classifier"
 	"corianderroad/commander"
+	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/querier"
 	"corianderroad/scheduler"
 )
 
@@ -28,3 +31,101 @@
 		quicktest.Assert(t, worker.tasks, quicktest.HasLen, 0)
 	}
 }
+
+// state returns the state of a worker as the node shows it.
+func (node *node) state(worker identifier.Worker) string {
+	for _, row := range node.scheduler.View(node.world.now, querier.Query{Kind: querier.Status}).Workers {
+		if row.Worker == worker {
+			return row.State
+		}
+	}
+	return ""
+}
+
+// TestBrokenWorkerIsQuarantined guards against a worker that fails every task
+// and draws job after job because it is always free, and against one that is
+// never used again after its repair.
+func TestBrokenWorkerIsQuarantined(t *testing.T) {
+	world := newWorld(t, 1)
+	holder := world.addNode(scheduler.Parameters{})
+	world.addWorkers(1, 2, 8)
+	world.members(holder)
+	world.workers["w00-00"].broken = true
+	submit := func(from, to int) {
+		for i := range to - from {
+			job := identifier.Job(fmt.Sprintf("job%d", from+i))
+			world.submit(commander.JobSpec{Job: job, Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 8}}, behaviour{runTime: time.Second})
+			world.run(time.Minute)
+		}
+	}
+	submit(0, 8)
+	quicktest.Assert(t, holder.state("w00-00"), quicktest.Equals, "quarantined")
+	world.run(5 * time.Minute)
+	submit(8, 12)
+	quicktest.Assert(t, holder.state("w00-00"), quicktest.Equals, "quarantined", quicktest.Commentf("one failure on probation"))
+	world.workers["w00-00"].broken = false
+	world.run(20 * time.Minute)
+	quicktest.Assert(t, holder.state("w00-00"), quicktest.Equals, "usable")
+	submit(12, 16)
+	for job, outcome := range world.outcomes {
+		quicktest.Assert(t, outcome.Code, quicktest.Equals, classifier.OK, quicktest.Commentf("%s: %+v", job, outcome))
+	}
+}
+
+// TestFailingJobEndsWithoutHarm guards against a job that always fails and
+// takes workers out of use that are not to blame.
+func TestFailingJobEndsWithoutHarm(t *testing.T) {
+	world := newWorld(t, 1)
+	holder := world.addNode(scheduler.Parameters{})
+	world.addWorkers(1, 4, 8)
+	world.members(holder)
+	for i := range 6 {
+		job := identifier.Job(fmt.Sprintf("bad%d", i))
+		world.submit(commander.JobSpec{Job: job, Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 8}}, behaviour{fails: true})
+		world.run(time.Minute)
+		quicktest.Assert(t, world.outcomes[job].Code, quicktest.Equals, classifier.RepeatedFailure)
+	}
+	for worker := range world.workers {
+		quicktest.Assert(t, holder.state(worker), quicktest.Equals, "usable")
+	}
+}
+
+// TestResumedHolderReadsBeforeItActs guards against a holder that acts on what
+// it knew before a pause that outlasted its leases.
+func TestResumedHolderReadsBeforeItActs(t *testing.T) {
+	world := newWorld(t, 1)
+	holder := world.addNode(scheduler.Parameters{PollEvery: time.Hour})
+	world.addWorkers(1, 2, 8)
+	world.members(holder)
+	world.run(time.Minute)
+	holder.pause(30 * time.Second)
+	world.submit(commander.JobSpec{Job: "draw", Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 8}}, behaviour{runTime: time.Second})
+	before := world.calls[messenger.ReadState]
+	world.onCall = func(ask messenger.AskWorker) {
+		if ask.Kind == messenger.ReserveTask && world.calls[messenger.ReadState] < before+2 {
+			t.Fatalf("reserved before the state of both workers was read")
+		}
+	}
+	world.run(2 * time.Minute)
+	quicktest.Assert(t, world.outcomes["draw"].Code, quicktest.Equals, classifier.OK)
+}
+
+// TestRestartedWorkerIsNoticed guards against a gang that waits for its lease
+// to end although a worker reported that it lost its task.
+func TestRestartedWorkerIsNoticed(t *testing.T) {
+	world := newWorld(t, 1)
+	world.members(world.addNode(scheduler.Parameters{}))
+	world.addWorkers(1, 2, 8)
+	world.submit(commander.JobSpec{Job: "draw", Workspace: "lawns", Shape: commander.Shape{Members: 2, Accelerators: 8}}, behaviour{runTime: time.Hour})
+	world.run(time.Minute)
+	world.workers["w00-00"].crash()
+	world.workers["w00-00"].restart()
+	world.run(10 * time.Second)
+	again := 0
+	for gang, known := range world.gangs {
+		if gang.Job == "draw" && len(known.running) == known.size {
+			again++
+		}
+	}
+	quicktest.Assert(t, again, quicktest.Equals, 1)
+}
--- a/scheduler/vm_test.go
+++ b/scheduler/vm_test.go
@@ -127,7 +127,8 @@
 	world.begin(known, vm.name)
 	vm.watch(known)
 	actual := world.tasks[ask.Gang.Job]
-	left, state := max(0, actual.runTime-ask.Progress), messenger.Completed
+	// Some members take longer than others.
+	left, state := max(0, actual.runTime-ask.Progress)+world.delay(20*time.Second), messenger.Completed
 	if vm.broken || actual.fails {
 		left, state = time.Second, messenger.Failed
 	}
@@ -190,6 +191,15 @@
 		world.gangs[task.Gang] = known
 	}
 	known.running[worker] = true
+	for gang, other := range world.gangs {
+		// Only a second holder can start a job whose earlier gang it cannot see.
+		if gang.Job == task.Gang.Job && gang != task.Gang && len(other.running) > 0 && len(world.nodes) == 1 {
+			world.t.Fatalf("gang %v starts while %v runs", task.Gang, gang)
+		}
+	}
+	if ended, ok := world.ended[task.Gang.Job]; ok && world.now.Sub(ended) > lease {
+		world.t.Fatalf("job %s starts %s after its outcome", task.Gang.Job, world.now.Sub(ended))
+	}
 	world.settle(task.Gang, known)
 }
 
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -41,13 +41,16 @@
 	// loseRequest and loseAnswer are the parts of the calls that are lost before
 	// and after their effect.
 	loseRequest, loseAnswer float64
-	tasks                   map[identifier.Job]behaviour
-	gangs                   map[messenger.Gang]*sighted
-	ended                   map[identifier.Job]time.Time
-	outcomes                map[identifier.Job]messenger.Outcome
-	accepted                map[identifier.Job]time.Time
-	started                 map[identifier.Job]time.Time
-	calls                   map[messenger.WorkerCallKind]int
+	// transit bounds the time that a call or an answer is on its way.
+	transit  time.Duration
+	tasks    map[identifier.Job]behaviour
+	gangs    map[messenger.Gang]*sighted
+	ended    map[identifier.Job]time.Time
+	outcomes map[identifier.Job]messenger.Outcome
+	accepted map[identifier.Job]time.Time
+	started  map[identifier.Job]time.Time
+	calls    map[messenger.WorkerCallKind]int
+	onCall   func(messenger.AskWorker)
 }
 
 // behaviour is what a job really does, whatever it declared.
@@ -97,7 +100,7 @@
 
 func newWorld(t failer, seed uint64) *world {
 	return &world{
-		t: t, now: epoch, random: rand.New(rand.NewPCG(seed, 1)),
+		t: t, now: epoch, transit: 5 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[identifier.Worker]*vm), tasks: make(map[identifier.Job]behaviour),
 		gangs: make(map[messenger.Gang]*sighted), ended: make(map[identifier.Job]time.Time),
 		outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
@@ -178,6 +181,9 @@
 		world.accepted[record.Spec.Job] = world.now
 	case messenger.Outcome:
 		if _, ok := world.outcomes[record.Job]; !ok {
+			if record.Code == classifier.OK && !world.whole(record.Job) {
+				world.t.Fatalf("job %s is said to have completed, but not every member has", record.Job)
+			}
 			world.outcomes[record.Job], world.ended[record.Job] = record, world.now
 		}
 	}
@@ -192,6 +198,16 @@
 	world.append(messenger.Entry{Record: messenger.Submission{Spec: spec}})
 }
 
+// whole says whether every member of a gang of the job completed.
+func (world *world) whole(job identifier.Job) bool {
+	for gang, known := range world.gangs {
+		if gang.Job == job && len(known.done) == known.size {
+			return true
+		}
+	}
+	return false
+}
+
 func (world *world) cancel(job identifier.Job) {
 	world.append(messenger.Entry{Record: messenger.Cancellation{Job: job}})
 }
@@ -283,6 +299,9 @@
 func (node *node) call(ask messenger.AskWorker) {
 	world := node.world
 	world.calls[ask.Kind]++
+	if world.onCall != nil {
+		world.onCall(ask)
+	}
 	worker := world.workers[ask.Worker]
 	timeout := func(code classifier.Code) {
 		world.after(2*time.Second, func() { node.step(ask.Refused(classifier.New(code, "no answer"))) })
@@ -291,7 +310,7 @@
 		timeout(classifier.NodeUnreachable)
 		return
 	}
-	world.after(world.delay(5*time.Millisecond), func() {
+	world.after(world.delay(world.transit), func() {
 		if worker == nil || !worker.up {
 			timeout(classifier.NodeUnreachable)
 			return
@@ -301,6 +320,6 @@
 			timeout(classifier.OutcomeUnknown)
 			return
 		}
-		world.after(world.delay(5*time.Millisecond), func() { node.step(answer) })
+		world.after(world.delay(world.transit), func() { node.step(answer) })
 	})
 }
