Test the front, the assembly and the client; name the call that was refused

Cause: the packages between the machines and HTTP had no tests. The test of refused actions showed a fault: a call to a worker for which the ring had no room was answered without its sequence number, so the scheduler could not tell which call had failed and waited for it. Change: the refusal carries the sequence. The command line's client can't repeat a request by itself: net/http repeats one with an Idempotency-Key header and an empty body on a connection that broke, and a refusal of that copy would have claimed that the request did not run.

--- /dev/null
+++ b/authenticator/authenticator_test.go
@@ -0,0 +1,45 @@
+package authenticator_test
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/authenticator"
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// TestTokensFollowTheConfiguration guards against a token that gives access to
+// another workspace, an empty token that gives any, and a withdrawn token that
+// still works.
+func TestTokensFollowTheConfiguration(t *testing.T) {
+	c := quicktest.New(t)
+	access := authenticator.New(map[identifier.Organisation]authenticator.Digest{"mallet": authenticator.Of("first")})
+	organisation, err := access.Operator("first")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(organisation, quicktest.Equals, identifier.Organisation("mallet"))
+	access.Update(&messenger.Configuration{Version: 4, Organisations: []messenger.OrganisationText{{
+		Organisation: "mallet", OperatorDigest: authenticator.Of("second"),
+		Workspaces: []messenger.WorkspaceSpec{
+			{Workspace: "county", TokenDigest: authenticator.Of("county token")},
+			{Workspace: "juniors", TokenDigest: authenticator.Of("juniors token")},
+		},
+	}}})
+	for _, token := range []string{"first", "", "county token"} {
+		_, err := access.Operator(token)
+		c.Assert(classifier.Of(err), quicktest.Equals, classifier.Unauthenticated, quicktest.Commentf("%q", token))
+	}
+	_, err = access.Operator("second")
+	c.Assert(err, quicktest.IsNil)
+	workspace, err := access.Workspace("juniors token")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(workspace, quicktest.Equals, identifier.Workspace("juniors"))
+	for _, token := range []string{"", "second", "county"} {
+		_, err := access.Workspace(token)
+		c.Assert(classifier.Of(err), quicktest.Equals, classifier.Unauthenticated, quicktest.Commentf("%q", token))
+	}
+	c.Assert(access.Member("mallet"), quicktest.IsTrue)
+	c.Assert(access.Member("lawn-care"), quicktest.IsFalse)
+}
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -57,11 +57,14 @@
 
 func (requester *Requester) try(ctx context.Context, node netip.AddrPort, request Request) ([]byte, error) {
 	url := "http://" + node.String() + request.Path
-	message, err := http.NewRequestWithContext(ctx, request.Method, url, bytes.NewReader(request.Body))
+	// A body that net/http can't read again, even if it is empty, keeps it from
+	// repeating a request that may have been sent.
+	body := struct{ io.Reader }{bytes.NewReader(request.Body)}
+	message, err := http.NewRequestWithContext(ctx, request.Method, url, body)
 	if err != nil {
 		return nil, classifier.New(classifier.BadRequest, "%v", err)
 	}
-	message.GetBody = nil // without it net/http never repeats a request that may have been sent
+	message.ContentLength = int64(len(request.Body))
 	if request.Header != nil {
 		message.Header = request.Header.Clone()
 	}
@@ -71,14 +74,14 @@
 		return nil, sendError(node, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	answer, err := io.ReadAll(response.Body)
 	if err != nil {
 		return nil, classifier.New(classifier.OutcomeUnknown, "the answer of %s ended early: %v", node, err)
 	}
 	if response.StatusCode == http.StatusOK {
-		return body, nil
+		return answer, nil
 	}
-	return nil, refusal(node, response.StatusCode, body)
+	return nil, refusal(node, response.StatusCode, answer)
 }
 
 func sendError(node netip.AddrPort, err error) error {
--- /dev/null
+++ b/requester/requester_test.go
@@ -0,0 +1,70 @@
+package requester_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/classifier"
+	"corianderroad/requester"
+)
+
+// TestOnlyAnUnreachableNodeIsPassedOver guards against a request that is sent
+// to a second node although the first may have run it, and against a refusal
+// whose fate is lost on the way to the caller.
+func TestOnlyAnUnreachableNodeIsPassedOver(t *testing.T) {
+	c := quicktest.New(t)
+	var sent atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		sent.Add(1)
+		switch request.URL.Path {
+		case "/whole":
+			_, _ = writer.Write([]byte("whole"))
+		case "/refused":
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = writer.Write([]byte(`{"code":301,"name":"queue-full","message":"m","ran":"unknown","retry-after":"1.5s"}`))
+		default:
+			panic(http.ErrAbortHandler) // the connection ends without an answer
+		}
+	}))
+	defer server.Close()
+	closed := httptest.NewServer(nil)
+	unreachable := address(c, closed.URL)
+	closed.Close()
+	nodes := requester.New([]netip.AddrPort{unreachable, address(c, server.URL), address(c, server.URL)}, "token", 5*time.Second)
+	post := func(path, body string) ([]byte, error) {
+		return nodes.Do(t.Context(), requester.Request{
+			Method: http.MethodPost, Path: path, Body: []byte(body),
+			Header: http.Header{"Idempotency-Key": {"k"}},
+		})
+	}
+	body, err := post("/whole", "x")
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(string(body), quicktest.Equals, "whole")
+	_, err = post("/refused", "x")
+	c.Assert(classifier.Of(err), quicktest.Equals, classifier.QueueFull)
+	c.Assert(classifier.FateOf(err), quicktest.Equals, classifier.Unknown)
+	c.Assert(err.(*classifier.Error).RetryAfter, quicktest.Equals, 1500*time.Millisecond)
+	for _, body := range []string{"x", ""} {
+		// The first answer leaves a connection that net/http uses again, and whose
+		// end it would take as a reason to repeat the request.
+		_, err = post("/whole", body)
+		c.Assert(err, quicktest.IsNil)
+		sent.Store(0)
+		_, err = post("/broken", body)
+		c.Assert(classifier.Of(err), quicktest.Equals, classifier.OutcomeUnknown)
+		c.Assert(sent.Load(), quicktest.Equals, int32(1))
+	}
+}
+
+func address(c *quicktest.C, url string) netip.AddrPort {
+	parsed, err := netip.ParseAddrPort(strings.TrimPrefix(url, "http://"))
+	c.Assert(err, quicktest.IsNil)
+	return parsed
+}
--- a/server/carrier.go
+++ b/server/carrier.go
@@ -77,7 +77,7 @@
 		}
 	case messenger.AskWorker:
 		if err := server.workerCalls.Offer(action); err != nil {
-			return messenger.WorkerAnswered{Worker: action.Worker, Kind: action.Kind, Gang: action.Gang, Err: coded(err)}, nil
+			return action.Refused(coded(err)), nil
 		}
 	case messenger.CallAnswered:
 		return nil, server.calls.Resolve(ctx, action.Request, action)
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,108 @@
+package server
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/buffer"
+	"corianderroad/classifier"
+	"corianderroad/decider"
+	"corianderroad/identifier"
+	"corianderroad/loader"
+	"corianderroad/messenger"
+)
+
+// newFullServer returns a server whose rings to the I/O duties have no room.
+func newFullServer() *Server {
+	server := &Server{
+		settings: &loader.Settings{Limits: loader.Limits{RingCapacity: 1}}, clock: time.Now,
+		readiness: newReadiness(time.Now), members: &members{},
+	}
+	server.makeRings()
+	server.sends = buffer.New[messenger.SendPeer]("sends", 0)
+	for _, stream := range streams() {
+		server.appends[stream] = buffer.New[messenger.AppendRecord]("appends", 0)
+	}
+	server.minionCalls = buffer.New[messenger.CallMinion]("minion-calls", 0)
+	server.slotAsks = buffer.New[messenger.AskSlots]("slot-asks", 0)
+	server.workerCalls = buffer.New[messenger.AskWorker]("worker-calls", 0)
+	return server
+}
+
+// TestRefusedActionsAreAnswered guards against a machine that waits forever
+// for the result of an action for which a ring had no room, and against a
+// refused action that is reported as possibly carried out.
+func TestRefusedActionsAreAnswered(t *testing.T) {
+	c := quicktest.New(t)
+	carrier := &carrier{server: newFullServer(), own: decider.Routing}
+	for _, action := range []messenger.Action{
+		messenger.SendPeer{To: "b"},
+		messenger.AppendRecord{Stream: identifier.Jobs, Entry: messenger.Entry{ID: "e"}},
+		messenger.CallMinion{Minion: "m", Request: "r", Attempt: 2},
+		messenger.AskSlots{Minion: "m"},
+		messenger.AskWorker{Worker: "w", Kind: messenger.ReserveTask, Sequence: 9},
+	} {
+		event, err := carrier.Carry(t.Context(), action)
+		c.Assert(err, quicktest.IsNil)
+		var refusal *classifier.Error
+		switch event := event.(type) {
+		case messenger.PeerLost:
+			c.Assert(event.To, quicktest.Equals, identifier.Node("b"))
+			continue
+		case messenger.AppendFailed:
+			c.Assert(event.ID, quicktest.Equals, "e")
+			c.Assert(event.Fate, quicktest.Equals, classifier.NotRun)
+			continue
+		case messenger.MinionAnswered:
+			c.Assert(event.Attempt, quicktest.Equals, identifier.Attempt(2))
+			refusal = event.Err
+		case messenger.SlotsAnswered:
+			refusal = event.Err
+		case messenger.WorkerAnswered:
+			c.Assert(event.Sequence, quicktest.Equals, uint64(9))
+			refusal = event.Err
+		}
+		c.Assert(refusal, quicktest.IsNotNil, quicktest.Commentf("%T was refused without an answer", action))
+		c.Assert(refusal.Code, quicktest.Equals, classifier.RingFull)
+	}
+}
+
+// TestInternalMessagesWaitForRoom guards against a lost internal message when
+// its receiver is slow, and against duties that block each other.
+func TestInternalMessagesWaitForRoom(t *testing.T) {
+	c := quicktest.New(t)
+	server := newFullServer()
+	carrier := &carrier{server: server, own: decider.Detection}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 2 {
+		_, err := carrier.Carry(ctx, messenger.LoadChanged{})
+		c.Assert(err, quicktest.IsNil)
+	}
+	c.Assert(server.events[decider.Detection].Refused(), quicktest.Equals, uint64(1))
+	c.Assert(server.events[decider.Scheduling].Offer(messenger.Tick{}), quicktest.IsNil)
+	_, err := carrier.Carry(ctx, messenger.ClaimFolded{})
+	c.Assert(err, quicktest.Equals, context.Canceled)
+}
+
+// TestReadiness guards against a balancer that sends calls to a node which has
+// no configuration, is cut off, or leaves.
+func TestReadiness(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	readiness := newReadiness(func() time.Time { return now })
+	c.Assert(classifier.Of(readiness.Check()), quicktest.Equals, classifier.NotReady)
+	for _, stream := range streams() {
+		readiness.hear(messenger.StreamRead{Stream: stream})
+	}
+	c.Assert(readiness.Check(), quicktest.IsNil)
+	now = now.Add(staleAfter + time.Millisecond)
+	c.Assert(classifier.Of(readiness.Check()), quicktest.Equals, classifier.NotReady)
+	readiness.hear(messenger.PeerReceived{From: "b"})
+	c.Assert(readiness.Check(), quicktest.IsNil)
+	readiness.draining.Store(true)
+	c.Assert(classifier.Of(readiness.Check()), quicktest.Equals, classifier.Leaving)
+}
