Decode every text and body that a node accepts

Cause: the first measurement of a text with 150 workspaces (19.5 KB) got no answer: 501 after 20 s. The record was in the log, but the generated decoder refused byte strings above 8,192, so each follower delivered the append without entries and no node folded it. Ruled out: the parser (check accepts the text), the log's bound (2 MiB). The same look found that a body of 1 MiB fits into no frame of 1 MiB. Change: texts have the limit of the command, 256 KiB; a body has at most 1 MiB - 64 KiB; a test writes and reads the largest values of both.

--- a/commander/check.go
+++ b/commander/check.go
@@ -11,7 +11,9 @@
 
 // Bounds of commands.
 const (
-	MaxBody         = 1 << 20
+	// MaxBody bounds the bodies of requests and answers in bytes. A frame between
+	// nodes has at most 1 MiB; the rest is room for the other fields.
+	MaxBody         = 1<<20 - 64<<10
 	MaxText         = 256 << 10
 	MaxName         = 128
 	MaxAccelerators = 64
--- /dev/null
+++ b/encoder/bounds_test.go
@@ -0,0 +1,45 @@
+package encoder_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/commander"
+	"corianderroad/encoder"
+	"corianderroad/framer"
+	"corianderroad/messenger"
+)
+
+// TestLargestValuesCanBeReadBack guards against a text or body that is accepted
+// and written but can't be decoded by its readers: a publication of more than
+// 8 KiB was once appended and then folded by no node.
+func TestLargestValuesCanBeReadBack(t *testing.T) {
+	c := quicktest.New(t)
+	text := bytes.Repeat([]byte("x"), commander.MaxText)
+	entry := messenger.Entry{ID: "largest", Record: messenger.Publication{Organisation: "mallet", Text: text}}
+	batch, err := encoder.MarshalBatch([]messenger.Entry{entry})
+	c.Assert(err, quicktest.IsNil)
+	entries, err := encoder.UnmarshalBatch(batch)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(entries[0].Record.(messenger.Publication).Text, quicktest.HasLen, commander.MaxText)
+
+	tell := messenger.EntriesTell{Stream: "configuration", Appends: []messenger.AppendRead{{
+		Stream: "configuration", Offset: 7, AppendedAt: time.Unix(1, 0), Entries: []messenger.Entry{entry},
+	}}}
+	frame, err := encoder.MarshalPeer(tell)
+	c.Assert(err, quicktest.IsNil)
+	told, err := encoder.UnmarshalPeer(frame)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(told.(messenger.EntriesTell).Appends[0].Entries, quicktest.HasLen, 1)
+
+	body := bytes.Repeat([]byte("x"), commander.MaxBody)
+	frame, err = encoder.MarshalPeer(messenger.Forward{Request: "r", Call: commander.Call{Body: body}})
+	c.Assert(err, quicktest.IsNil)
+	peer, err := encoder.UnmarshalPeer(frame)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(peer.(messenger.Forward).Call.Body, quicktest.HasLen, commander.MaxBody)
+	c.Assert(len(frame) < framer.MaxFrame-commander.MaxName*8, quicktest.IsTrue)
+}
--- a/encoder/log_schema.go
+++ b/encoder/log_schema.go
@@ -29,7 +29,7 @@
 type LogPublication struct {
 	Organisation string `msg:"organisation"`
 	Base         uint64 `msg:"base"`
-	Text         []byte `msg:"text"`
+	Text         []byte `msg:"text,limit=262144"`
 }
 
 // LogApproval is messenger.Approval on the wire.
@@ -101,7 +101,7 @@
 type LogPublishedText struct {
 	Organisation string `msg:"organisation"`
 	Version      uint64 `msg:"version"`
-	Text         []byte `msg:"text"`
+	Text         []byte `msg:"text,limit=262144"`
 }
 
 // LogPendingText is messenger.PendingText on the wire.
--- a/encoder/log_schema_gen.go
+++ b/encoder/log_schema_gen.go
@@ -746,7 +746,7 @@
 							return
 						}
 					case "text":
-						z.Organisations[za0001].Text, err = dc.ReadBytesLimit(z.Organisations[za0001].Text, z8b7af512limitArrays)
+						z.Organisations[za0001].Text, err = dc.ReadBytesLimit(z.Organisations[za0001].Text, 262144)
 						if err == nil && z.Organisations[za0001].Text == nil {
 							z.Organisations[za0001].Text = []byte{}
 						}
@@ -1091,7 +1091,7 @@
 							err = msgp.WrapError(err, "Organisations", za0001, "Text")
 							return
 						}
-						if zb0004 > z8b7af512limitArrays {
+						if zb0004 > 262144 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -1294,7 +1294,7 @@
 							return
 						}
 					case "text":
-						z.Publication.Text, err = dc.ReadBytesLimit(z.Publication.Text, z8b7af512limitArrays)
+						z.Publication.Text, err = dc.ReadBytesLimit(z.Publication.Text, 262144)
 						if err == nil && z.Publication.Text == nil {
 							z.Publication.Text = []byte{}
 						}
@@ -2075,7 +2075,7 @@
 							err = msgp.WrapError(err, "Publication", "Text")
 							return
 						}
-						if zb0003 > z8b7af512limitArrays {
+						if zb0003 > 262144 {
 							err = msgp.ErrLimitExceeded
 							return
 						}
@@ -4179,7 +4179,7 @@
 				return
 			}
 		case "text":
-			z.Text, err = dc.ReadBytesLimit(z.Text, z8b7af512limitArrays)
+			z.Text, err = dc.ReadBytesLimit(z.Text, 262144)
 			if err == nil && z.Text == nil {
 				z.Text = []byte{}
 			}
@@ -4291,7 +4291,7 @@
 				err = msgp.WrapError(err, "Text")
 				return
 			}
-			if zb0002 > z8b7af512limitArrays {
+			if zb0002 > 262144 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -4359,7 +4359,7 @@
 				return
 			}
 		case "text":
-			z.Text, err = dc.ReadBytesLimit(z.Text, z8b7af512limitArrays)
+			z.Text, err = dc.ReadBytesLimit(z.Text, 262144)
 			if err == nil && z.Text == nil {
 				z.Text = []byte{}
 			}
@@ -4471,7 +4471,7 @@
 				err = msgp.WrapError(err, "Text")
 				return
 			}
-			if zb0002 > z8b7af512limitArrays {
+			if zb0002 > 262144 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
