Restart all nodes under load and tell a failed entry from a lost call

Cause: a call without a key to a paused entry node was counted as lost, although nobody could answer on its connection, and the table did not say what lost calls met last; loadgen gave up 0.4 s into a restart of all nodes.

--- a/cmd/loadgen/balancer/balancer.go
+++ b/cmd/loadgen/balancer/balancer.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -44,6 +45,11 @@
 	return ready[first]
 }
 
+// IsReady returns whether an entry was ready when it was last asked.
+func (balancer *Balancer) IsReady(entry netip.AddrPort) bool {
+	return slices.Contains(*balancer.ready.Load(), entry)
+}
+
 // Ready returns the number of ready entries.
 func (balancer *Balancer) Ready() int { return len(*balancer.ready.Load()) }
 
--- a/cmd/loadgen/caller/caller.go
+++ b/cmd/loadgen/caller/caller.go
@@ -16,7 +16,8 @@
 	// answerGrace is how long after the timeout a node may still state what
 	// became of a call.
 	answerGrace = 3 * time.Second
-	// The wait before a repetition is the hint within these bounds.
+	// The wait before a repetition is the hint, or doubles from minPause on, so
+	// that the tries last through a restart of all nodes; at most maxPause.
 	minPause = 50 * time.Millisecond
 	maxPause = 2 * time.Second
 )
@@ -30,8 +31,8 @@
 	Whole Verdict = iota
 	// Refused says that the caller was told why it got no answer.
 	Refused
-	// Broken says that the connection broke and that the call must not be
-	// repeated: it has no key and is not idempotent.
+	// Broken says that the connection or the entry node failed, and that the
+	// call must not be repeated: it has no key and is not idempotent.
 	Broken
 	// Lost says that the caller was told nothing before the timeout.
 	Lost
@@ -60,6 +61,8 @@
 type Balancer interface {
 	// Choose returns an entry, another one than previous if there is one.
 	Choose(previous netip.AddrPort) netip.AddrPort
+	// IsReady returns whether an entry reports itself ready.
+	IsReady(entry netip.AddrPort) bool
 }
 
 // Sender sends one try and returns its reply.
@@ -89,7 +92,7 @@
 		reply := caller.try(ctx, entry, call)
 		result.Verdict, result.Code = reply.Verdict, reply.Code
 		result.SurelyNotRun = result.SurelyNotRun && reply.NotRun
-		pause, again := repetition(call, reply)
+		pause, again := repetition(call, reply, len(result.Retries))
 		again = again && len(result.Retries)+1 < maxTries && time.Now().Add(pause).Before(giveUp)
 		if again && sleep(ctx, pause) {
 			result.Retries = append(result.Retries, reply.Code)
@@ -106,13 +109,19 @@
 func (caller *Caller) try(ctx context.Context, entry netip.AddrPort, call planner.Call) Reply {
 	ctx, cancel := context.WithTimeout(ctx, call.Kind.Timeout+answerGrace)
 	defer cancel()
-	return caller.sender.Send(ctx, entry, call)
+	reply := caller.sender.Send(ctx, entry, call)
+	if reply.Code == noAnswer && !caller.balancer.IsReady(entry) {
+		// The node itself is dead or paused: nobody could answer on this connection.
+		reply.Verdict, reply.Code = Broken, "entry-failed"
+	}
+	return reply
 }
 
-// repetition returns whether a call may be sent again, and after which pause.
-func repetition(call planner.Call, reply Reply) (time.Duration, bool) {
+// repetition returns whether a call that was repeated a number of times may be
+// sent again, and after which pause.
+func repetition(call planner.Call, reply Reply, repeated int) (time.Duration, bool) {
 	repeatable := call.Key != "" || call.Kind.Idempotent
-	pause := min(max(reply.RetryAfter, minPause), maxPause)
+	pause := min(max(reply.RetryAfter, minPause<<repeated), maxPause)
 	switch reply.Verdict {
 	case Broken, Lost:
 		return pause, repeatable || reply.NotRun
--- a/cmd/loadgen/caller/sender.go
+++ b/cmd/loadgen/caller/sender.go
@@ -16,6 +16,9 @@
 	"corianderroad/identifier"
 )
 
+// noAnswer is the code of a try that got no answer before the timeout.
+const noAnswer = "no-answer"
+
 // maxAnswer bounds the bytes read of one answer.
 const maxAnswer = 1 << 20
 
@@ -83,7 +86,7 @@
 		return Reply{Verdict: Lost, Code: "connection-refused", NotRun: true}
 	}
 	if ctx.Err() != nil {
-		return Reply{Verdict: Lost, Code: "no-answer"}
+		return Reply{Verdict: Lost, Code: noAnswer}
 	}
 	return Reply{Verdict: Broken, Code: "connection-broken"}
 }
--- a/cmd/loadgen/collector/collector.go
+++ b/cmd/loadgen/collector/collector.go
@@ -24,7 +24,9 @@
 type Summary struct {
 	Verdicts map[caller.Verdict]int
 	Refusals map[string]int
-	Retries  map[string]int
+	// Losses are the calls without a whole answer or a refusal, by the last fault.
+	Losses  map[string]int
+	Retries map[string]int
 	// SurelyNotRun are the IDs of calls that were refused as not run.
 	SurelyNotRun []string
 	latencies    map[planner.Class]*hdrhistogram.Histogram
@@ -35,6 +37,7 @@
 	return &Summary{
 		Verdicts: make(map[caller.Verdict]int),
 		Refusals: make(map[string]int),
+		Losses:   make(map[string]int),
 		Retries:  make(map[string]int),
 		latencies: map[planner.Class]*hdrhistogram.Histogram{
 			planner.Short: hdrhistogram.New(1, maxLatency, digits),
@@ -54,6 +57,8 @@
 		latency := min(max(result.Latency.Microseconds(), 1), maxLatency)
 		// The value is within the histogram's bounds, so it can't be refused.
 		_ = summary.latencies[result.Call.Kind.Class].RecordValue(latency)
+	case caller.Lost, caller.Broken, caller.Incomplete, caller.Foreign:
+		summary.Losses[result.Code]++
 	case caller.Refused:
 		summary.Refusals[result.Code]++
 		if result.SurelyNotRun && len(summary.SurelyNotRun) < maxRefused {
--- a/cmd/loadgen/printer/table.go
+++ b/cmd/loadgen/printer/table.go
@@ -67,9 +67,12 @@
 	for _, reason := range slices.Sorted(maps.Keys(summary.Retries)) {
 		row("retried after "+reason, summary.Retries[reason])
 	}
-	row("connection broken, not repeatable", verdicts[caller.Broken])
+	row("entry failed, not repeatable", verdicts[caller.Broken])
 	row("abandoned by loadgen", verdicts[caller.Abandoned])
 	row("lost", verdicts[caller.Lost])
+	for _, code := range slices.Sorted(maps.Keys(summary.Losses)) {
+		row("  without an answer, "+code, summary.Losses[code])
+	}
 	row("incomplete answers", verdicts[caller.Incomplete])
 	row("answers of another caller", verdicts[caller.Foreign])
 	row("executions", evidence.Report.Record.Executions)
