Count released tasks of a worker apart from failed ones

Cause: a trial of preemption showed 8 failed tasks that had been released. Change: tasks that are released, or lost with their worker, count as stopped.

--- a/cmd/standins/worker/commands.go
+++ b/cmd/standins/worker/commands.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	if ending := worker.tasks[call.Gang]; ending != nil {
-		worker.stop(ending, Failed, now)
+		worker.stop(ending, stopped, now)
 		delete(worker.tasks, call.Gang)
 	}
 	worker.released[call.Gang] = now
--- a/cmd/standins/worker/queries.go
+++ b/cmd/standins/worker/queries.go
@@ -86,6 +86,7 @@
 		Completed: counts.Completed + other.Completed,
 		Failed:    counts.Failed + other.Failed,
 		Lapsed:    counts.Lapsed + other.Lapsed,
+		Stopped:   counts.Stopped + other.Stopped,
 		Refused:   counts.Refused + other.Refused,
 	}
 }
--- a/cmd/standins/worker/worker.go
+++ b/cmd/standins/worker/worker.go
@@ -51,6 +51,9 @@
 	Completed State = "completed"
 	Failed    State = "failed"
 	Lapsed    State = "lapsed"
+	// stopped is the state of a task that was released or died with its worker.
+	// Such a task is forgotten, so that the state is never reported.
+	stopped State = "stopped"
 )
 
 // Profile is how long tasks really run.
@@ -116,6 +119,7 @@
 	Completed uint64 `json:"completed"`
 	Failed    uint64 `json:"failed"`
 	Lapsed    uint64 `json:"lapsed"`
+	Stopped   uint64 `json:"stopped"`
 	Refused   uint64 `json:"refused"`
 }
 
@@ -137,7 +141,7 @@
 	worker.advance(now)
 	if mode == Dead && worker.mode != Dead {
 		for gang, lost := range worker.tasks {
-			worker.stop(lost, Failed, now)
+			worker.stop(lost, stopped, now)
 			delete(worker.tasks, gang)
 		}
 		worker.booted = now
@@ -187,6 +191,8 @@
 		worker.counts.Failed++
 	case Lapsed:
 		worker.counts.Lapsed++
+	case stopped:
+		worker.counts.Stopped++
 	}
 	if len(worker.runs) == maxRuns {
 		worker.runs = append(worker.runs[:0], worker.runs[1:]...)
