--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -6,12 +6,16 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"sync/atomic"
+	"time"
 
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
 
+// startHint is when a node that has just started has usually read the log.
+const startHint = time.Second
+
 // Digest is the SHA-256 of a token.
 type Digest [sha256.Size]byte
 
@@ -29,6 +33,7 @@
 type Authenticator struct {
 	founders      map[identifier.Organisation]Digest
 	configuration atomic.Pointer[messenger.Configuration]
+	read          atomic.Bool
 }
 
 // New returns an Authenticator with the founders' digests.
@@ -43,17 +48,26 @@
 	authenticator.configuration.Store(configuration)
 }
 
+// MarkRead says that the configuration stream was read to its end. Before, the
+// absence of a configuration proves nothing.
+func (authenticator *Authenticator) MarkRead() { authenticator.read.Store(true) }
+
 // Version returns the version in force, zero before the first.
 func (authenticator *Authenticator) Version() identifier.Offset {
 	return authenticator.configuration.Load().Version
 }
 
 // Workspace returns the workspace of a caller's token. The error has code
-// Unauthenticated.
+// Unauthenticated, or NotReady while no configuration is in force: a node that
+// has just started can't tell a valid token from another.
 func (authenticator *Authenticator) Workspace(token string) (identifier.Workspace, error) {
+	configuration := authenticator.configuration.Load()
+	if configuration.Version == 0 {
+		return "", classifier.New(classifier.NotReady, "no configuration is in force on this node").WithRetryAfter(startHint)
+	}
 	digest := Of(token)
 	var found identifier.Workspace
-	for _, organisation := range authenticator.configuration.Load().Organisations {
+	for _, organisation := range configuration.Organisations {
 		for _, workspace := range organisation.Workspaces {
 			if digest.Equal(workspace.TokenDigest) {
 				found = workspace.Workspace
@@ -67,8 +81,12 @@
 }
 
 // Operator returns the organisation of an operator's token. The error has code
-// Unauthenticated.
+// Unauthenticated, or NotReady while it is not known whether a configuration
+// has replaced the founders' digests.
 func (authenticator *Authenticator) Operator(token string) (identifier.Organisation, error) {
+	if authenticator.Version() == 0 && !authenticator.read.Load() {
+		return "", classifier.New(classifier.NotReady, "the configuration is not yet read").WithRetryAfter(startHint)
+	}
 	digest := Of(token)
 	var found identifier.Organisation
 	published := make(map[identifier.Organisation]bool)
--- a/authenticator/authenticator_test.go
+++ b/authenticator/authenticator_test.go
@@ -12,14 +12,19 @@
 )
 
 // TestTokensFollowTheConfiguration guards against a token that gives access to
-// another workspace, an empty token that gives any, and a withdrawn token that
-// still works.
+// another workspace, an empty token that gives any, a withdrawn token that still
+// works, and a valid token that a node refuses because it has just started.
 func TestTokensFollowTheConfiguration(t *testing.T) {
 	c := quicktest.New(t)
 	access := authenticator.New(map[identifier.Organisation]authenticator.Digest{"mallet": authenticator.Of("first")})
+	_, err := access.Operator("first")
+	c.Assert(classifier.Of(err), quicktest.Equals, classifier.NotReady)
+	access.MarkRead()
 	organisation, err := access.Operator("first")
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(organisation, quicktest.Equals, identifier.Organisation("mallet"))
+	_, err = access.Workspace("county token")
+	c.Assert(classifier.Of(err), quicktest.Equals, classifier.NotReady)
 	access.Update(&messenger.Configuration{Version: 4, Organisations: []messenger.OrganisationText{{
 		Organisation: "mallet", OperatorDigest: authenticator.Of("second"),
 		Workspaces: []messenger.WorkspaceSpec{
--- a/cmd/loadgen/caller/sender.go
+++ b/cmd/loadgen/caller/sender.go
@@ -16,6 +16,9 @@
 	"corianderroad/identifier"
 )
 
+// noAnswer is the code of a try that got no answer before the timeout.
+const noAnswer = "no-answer"
+
 // maxAnswer bounds the bytes read of one answer.
 const maxAnswer = 1 << 20
 
@@ -62,6 +65,7 @@
 	header.Set("Timeout", call.Kind.Timeout.String())
 	header.Set("Run-Time", call.Kind.RunTime.String())
 	header.Set("Idempotent", strconv.FormatBool(call.Kind.Idempotent))
+	header.Set("Repeated", strconv.FormatBool(call.Repeated))
 	if call.Key != "" {
 		header.Set("Idempotency-Key", string(call.Key))
 	}
@@ -83,7 +87,7 @@
 		return Reply{Verdict: Lost, Code: "connection-refused", NotRun: true}
 	}
 	if ctx.Err() != nil {
-		return Reply{Verdict: Lost, Code: "no-answer"}
+		return Reply{Verdict: Lost, Code: noAnswer}
 	}
 	return Reply{Verdict: Broken, Code: "connection-broken"}
 }
--- a/cmd/loadgen/planner/planner.go
+++ b/cmd/loadgen/planner/planner.go
@@ -61,6 +61,8 @@
 	Key       identifier.Key
 	Workspace Workspace
 	Body      []byte
+	// Repeated says that the call was sent before.
+	Repeated bool
 	// Due is when the call is sent. Latency counts from here, so that a late
 	// sender does not hide the wait.
 	Due time.Time
--- a/server/carrier.go
+++ b/server/carrier.go
@@ -113,6 +113,9 @@
 // Deliver hands on an event and waits for room.
 func (sink sink) Deliver(ctx context.Context, event messenger.Event) error {
 	sink.server.readiness.hear(event)
+	if read, ok := event.(messenger.StreamRead); ok && read.Stream == identifier.Configuration {
+		sink.server.authenticator.MarkRead()
+	}
 	for _, duty := range decider.Receivers(event) {
 		if err := sink.server.events[duty].Put(ctx, event); err != nil {
 			return err
