--- a/estimator/estimator_test.go
+++ b/estimator/estimator_test.go
@@ -53,6 +53,10 @@
 		}
 		learned.Observe(used, time.Minute)
 	}
+	for second := range 500 {
+		learned.Observe(estimator.Subject{Method: "changed"}, time.Duration(1+second/300*9)*time.Second)
+	}
+	c.Assert(learned.Estimate(estimator.Subject{Method: "changed"}, 0).Typical > 8*time.Second, quicktest.IsTrue)
 	c.Assert(learned.Len(), quicktest.Equals, 4096)
 	c.Assert(learned.Estimate(used, 0).Typical > 50*time.Second, quicktest.IsTrue)
 	c.Assert(learned.Estimate(estimator.Subject{Method: "0"}, 0).Typical, quicktest.Equals, time.Duration(0))
--- a/router/choice.go
+++ b/router/choice.go
@@ -48,8 +48,7 @@
 	owner := router.places.choose(router.random, groups[sameDomain], picking.avoided)
 	if owner == "" || router.places.pressure(owner) >= 0 {
 		// The delay between failure domains is small against a wait in a queue.
-		near := append(append([]identifier.Node(nil), groups[sameDomain]...), groups[sameRegion]...)
-		if other := router.places.choose(router.random, near, picking.avoided); other != "" &&
+		if other := router.places.choose(router.random, groups[sameRegion], picking.avoided); other != "" &&
 			(owner == "" || router.places.pressure(other) < router.places.pressure(owner)) {
 			owner = other
 		}
@@ -67,11 +66,9 @@
 	if groups == nil {
 		return true
 	}
-	for _, group := range groups[:otherRegion] {
-		for _, node := range group {
-			if router.places.pressure(node) < 0 && !slices.Contains(failed.avoided, node) {
-				return false
-			}
+	for _, node := range groups[sameRegion] {
+		if router.places.pressure(node) < 0 && !slices.Contains(failed.avoided, node) {
+			return false
 		}
 	}
 	return true
--- a/router/places.go
+++ b/router/places.go
@@ -35,7 +35,8 @@
 	regions map[identifier.Region][]identifier.Node
 	all     []identifier.Node
 	owners  map[identifier.Minion]identifier.Node
-	// byService holds the owners of a service's minions by distance.
+	// byService holds the owners of a service's minions by distance. Those in
+	// the same failure domain are in the same region too.
 	byService map[identifier.Service]*[distances][]identifier.Node
 	loads     map[identifier.Node]*load
 	oneChoice bool
@@ -100,8 +101,12 @@
 			places.byService[endpoint.service] = &[distances][]identifier.Node{}
 		}
 		seen[endpoint.service][owner] = true
-		group := &places.byService[endpoint.service][places.distance(owner)]
-		*group = append(*group, owner)
+		groups := places.byService[endpoint.service]
+		distance := places.distance(owner)
+		groups[distance] = append(groups[distance], owner)
+		if distance == sameDomain {
+			groups[sameRegion] = append(groups[sameRegion], owner)
+		}
 	}
 	for _, groups := range places.byService {
 		for _, group := range groups {
@@ -155,10 +160,13 @@
 
 // choose returns the less loaded of two random owners that are not avoided.
 func (places *places) choose(random *rand.Rand, group, avoided []identifier.Node) identifier.Node {
-	var candidates []identifier.Node
-	for _, node := range group {
-		if !slices.Contains(avoided, node) {
-			candidates = append(candidates, node)
+	candidates := group
+	if len(avoided) > 0 {
+		candidates = nil
+		for _, node := range group {
+			if !slices.Contains(avoided, node) {
+				candidates = append(candidates, node)
+			}
 		}
 	}
 	switch len(candidates) {
