Bound the bytes of open calls and attempts, and test determinism

Cause: 4,096 open calls and 512 queued attempts bounded the number of bodies, but with 1 MiB each not the memory. Change: 64 MiB of bodies in each role; more is refused with too-many-calls or queue-full. A test plays the same faults twice with one seed.

--- a/router/admission.go
+++ b/router/admission.go
@@ -27,6 +27,9 @@
 	if router.rules.noOrder {
 		admitted.class, admitted.fifo = estimator.Short, true
 	}
+	if router.workBytes+len(call.Body) > maxBytes {
+		return classifier.New(classifier.QueueFull, "the owner holds %d bytes of bodies", router.workBytes).WithRetryAfter(router.drainTime(waiting))
+	}
 	if refusal := router.makeRoom(now, waiting, admitted); refusal != nil {
 		return refusal
 	}
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -106,6 +106,7 @@
 		return
 	}
 	delete(router.works, id)
+	router.workBytes -= len(ended.call.Body)
 	router.alarms.cancel(ended.pending)
 	ran := now.Sub(ended.started)
 	fate := classifier.Ran
--- a/router/duties_test.go
+++ b/router/duties_test.go
@@ -102,6 +102,24 @@
 	})
 }
 
+// TestDeterminism guards against a decision that depends on the order of a map:
+// a seed would no longer reproduce a failure.
+func TestDeterminism(t *testing.T) {
+	play := func() string {
+		w := newWorld(5, faults{lost: 3, duplicated: 5, unsent: 3}, 4, 4, twoRegions, nil)
+		w.run(epoch.Add(time.Second))
+		for number := range 300 {
+			w.after(w.between(0, 6*time.Second), func() { w.begin(number) })
+		}
+		for range 6 {
+			w.after(w.between(0, 6*time.Second), w.disturb)
+		}
+		w.run(epoch.Add(time.Minute))
+		return fmt.Sprint(w.steps, w.counts, w.runs)
+	}
+	quicktest.Assert(t, play(), quicktest.Equals, play())
+}
+
 // TestKeyReuse guards against an outcome that is shown to a caller who used the
 // key of another request, here or at another node.
 func TestKeyReuse(t *testing.T) {
@@ -150,6 +168,11 @@
 		ask("a", "swap")
 	}
 	c.Assert(router.queues["rota"].length(), quicktest.Equals, maxQueued)
+	c.Assert(router.callBytes > 0 && router.workBytes > 0, quicktest.IsTrue)
+	router.callBytes, router.workBytes = maxBytes-1, 0
+	c.Assert(ask("b", "look").err.Code, quicktest.Equals, classifier.TooManyCalls)
+	router.callBytes, router.workBytes = 0, maxBytes-1
+	c.Assert(ask("b", "look").err.Code, quicktest.Equals, classifier.QueueFull)
 	outcomes := newOutcomes()
 	for number := range 2 * maxOutcomes {
 		key := identifier.Key(fmt.Sprint(number))
--- a/router/entry.go
+++ b/router/entry.go
@@ -46,8 +46,8 @@
 		refusal = classifier.New(classifier.Leaving, "node %s is leaving", router.identity.Node).WithRetryAfter(time.Second)
 	case refusal == nil && (len(router.places.members) == 0 || router.endpoints == nil):
 		refusal = classifier.New(classifier.NotReady, "the members or the VM list are not known yet").WithRetryAfter(time.Second)
-	case refusal == nil && len(router.calls) >= maxOpenCalls:
-		refusal = classifier.New(classifier.TooManyCalls, "node holds %d open calls", maxOpenCalls).WithRetryAfter(time.Second)
+	case refusal == nil && (len(router.calls) >= maxOpenCalls || router.callBytes+len(event.Call.Body) > maxBytes):
+		refusal = classifier.New(classifier.TooManyCalls, "node holds %d open calls with %d bytes", len(router.calls), router.callBytes).WithRetryAfter(time.Second)
 	case refusal == nil && router.calls[event.Request] != nil:
 		refusal = classifier.New(classifier.BadRequest, "request %q is open already", event.Request)
 	}
@@ -65,6 +65,7 @@
 		return
 	}
 	router.calls[event.Request] = opened
+	router.callBytes += len(event.Call.Body)
 	router.budget.Earn()
 	opened.deadline = router.alarms.set(opened.command.Deadline, func(now time.Time) { router.expire(now, opened) })
 	if opened.command.Key != "" && !opened.command.Idempotent {
@@ -96,6 +97,7 @@
 		err = classifier.New(classifier.OutcomeUnknown, "an earlier attempt may have run; the last was refused: %s", err.Message)
 	}
 	delete(router.calls, finished.request)
+	router.callBytes -= len(finished.command.Body)
 	router.release(finished)
 	router.alarms.cancel(finished.deadline)
 	router.alarms.cancel(finished.pending)
--- a/router/owner.go
+++ b/router/owner.go
@@ -72,6 +72,7 @@
 		return
 	}
 	router.works[id] = accepted
+	router.workBytes += len(accepted.call.Body)
 	router.queues[accepted.call.Service].push(accepted, router.catalogue.weight(accepted.call.Workspace))
 	accepted.pending = router.alarms.set(accepted.call.Deadline, func(now time.Time) {
 		router.reject(now, accepted, classifier.New(classifier.DeadlineUnmet, "the deadline passed in the queue"))
@@ -100,6 +101,7 @@
 	waiting.remove(dropped)
 	waiting.shares.leave(dropped.call.Workspace)
 	delete(router.works, dropped.id)
+	router.workBytes -= len(dropped.call.Body)
 	router.alarms.cancel(dropped.pending)
 }
 
--- a/router/parameters.go
+++ b/router/parameters.go
@@ -6,6 +6,9 @@
 const (
 	maxOpenCalls = 4096
 	maxQueued    = 512
+	// maxBytes bounds the bodies of open calls and those of attempts, which the
+	// bounds on their numbers would let grow to gigabytes.
+	maxBytes = 64 << 20
 	// maxQueuedLong keeps a quarter of the queue for short requests.
 	maxQueuedLong  = maxQueued * 3 / 4
 	maxAttempts    = 4
--- a/router/router.go
+++ b/router/router.go
@@ -49,6 +49,8 @@
 	// counts the answers that wait to be sent again.
 	sequence uint64
 	repeats  int
+	// callBytes and workBytes are the sums of the bodies held in each role.
+	callBytes, workBytes int
 }
 
 // attemptID names one attempt of a request.
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -488,6 +488,9 @@
 		if !node.up || node.paused {
 			continue
 		}
+		if node.router.callBytes != 0 || node.router.workBytes != 0 {
+			w.fail("%s still counts %d and %d bytes", node.identity.Node, node.router.callBytes, node.router.workBytes)
+		}
 		for _, gauge := range node.router.View(w.now, querier.Query{Kind: querier.Status}).Gauges {
 			if gauge.Name == "open-calls" && gauge.Value != 0 {
 				w.fail("%s still holds %v open calls", node.identity.Node, gauge.Value)
