--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -325,6 +325,39 @@
 	c.Assert([]bool{changed, accepted, advanced.Applied == 1}, quicktest.DeepEquals, []bool{true, true, true})
 }
 
+// TestGapIsReadAgain guards against an append that is folded without those
+// before it, and against a rewind for every append that follows a gap.
+func TestGapIsReadAgain(t *testing.T) {
+	c := quicktest.New(t)
+	bench := newBench(testParameters).caughtUp()
+	bench.read(identifier.Jobs, messenger.Submission{Spec: job("a")})
+	bench.offsets[identifier.Jobs] = 2
+	advanced, _ := find[messenger.StreamAdvanced](bench.read(identifier.Jobs, messenger.Submission{Spec: job("c")}))
+	c.Assert(advanced, quicktest.Equals, messenger.StreamAdvanced{Stream: identifier.Jobs, Applied: 1})
+	_, again := find[messenger.StreamAdvanced](bench.read(identifier.Jobs, messenger.Submission{Spec: job("d")}))
+	c.Assert(again, quicktest.IsFalse)
+	c.Assert(bench.jobs.jobs, quicktest.HasLen, 1)
+}
+
+// TestPeerTellsWhatIsMissing guards against a peer that sends what the other
+// has, and against a follower that reads again what a peer told.
+func TestPeerTellsWhatIsMissing(t *testing.T) {
+	c := quicktest.New(t)
+	source, target := newBench(testParameters).caughtUp(), newBench(testParameters).caughtUp()
+	for _, name := range []identifier.Job{"a", "b", "c"} {
+		source.read(identifier.Jobs, messenger.Submission{Spec: job(name)})
+	}
+	target.read(identifier.Jobs, messenger.Submission{Spec: job("a")})
+	source.Step(start, messenger.PeerHeard{Node: "node-t"})
+	target.Step(start, messenger.PeerHeard{Node: "node-s", Digest: messenger.Digest{Jobs: 3}})
+	ask, asked := find[messenger.SendPeer](target.Step(start.Add(time.Second), messenger.Tick{}))
+	c.Assert(asked, quicktest.IsTrue)
+	tell, _ := find[messenger.SendPeer](source.Step(start, messenger.PeerReceived{From: "node-t", Message: ask.Message}))
+	c.Assert(tell.Message.(messenger.EntriesTell).Appends, quicktest.HasLen, 2)
+	advanced, _ := find[messenger.StreamAdvanced](target.Step(start, messenger.PeerReceived{From: "node-s", Message: tell.Message}))
+	c.Assert(advanced.Applied, quicktest.Equals, identifier.Offset(3))
+}
+
 // TestJobsThatEndedUnseenAreConcluded guards against a scheduler that goes on
 // with a job whose outcome expired while the node was cut off.
 func TestJobsThatEndedUnseenAreConcluded(t *testing.T) {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -262,12 +262,23 @@
 			c := quicktest.New(t)
 			service := newService()
 			var asked atomic.Int64
-			service.fault = func() string { asked.Add(1); return fault }
 			began := time.Now()
+			service.fault = func() string {
+				if time.Since(began) < 12*time.Second {
+					return ""
+				}
+				asked.Add(1)
+				return fault
+			}
 			running := run(direct{service}, anyAddress, follower.Parameters{})
-			silent := (<-running.sink).(messenger.StreamSilent)
-			c.Assert(silent.Since.Equal(began), quicktest.IsTrue)
-			c.Assert(time.Since(began) >= 7*time.Second && time.Since(began) < 9*time.Second, quicktest.IsTrue)
+			event := <-running.sink
+			for _, ended := event.(messenger.StreamRead); ended; _, ended = event.(messenger.StreamRead) {
+				event = <-running.sink
+			}
+			silent := event.(messenger.StreamSilent)
+			c.Assert(silent.Since.Sub(began) > 10*time.Second, quicktest.IsTrue)
+			since := time.Since(silent.Since)
+			c.Assert(since >= 7*time.Second && since < 9*time.Second, quicktest.IsTrue)
 			c.Assert(asked.Load() >= 1 && asked.Load() < 40, quicktest.IsTrue)
 			running.stop()
 		})
