Hold intents by hash and measure the parser

Cause: 2^20 intents took 94 MiB, above the 64 MB of a node. Change: an intent holds the hashes of its key and request, and the ring is indexed by 32 bits. The key's octets are hashed, because a UUID has several spellings. Two keys with one hash cost the later one its answer, never a second run. A benchmark of the parser.

--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -220,6 +221,8 @@
 		bench := newBench(testParameters)
 		intent := messenger.Intent{Key: key(start, 1), Request: "1", Node: node, Incarnation: 6}
 		bench.read(identifier.Intents, intent)
+		// The same key in another spelling.
+		intent.Key = identifier.Key(strings.ToUpper(string(intent.Key)))
 		intent.Node, intent.Incarnation, intent.Request = "node-b", 7, "2"
 		folded, _ := find[messenger.IntentFolded](bench.read(identifier.Intents, intent))
 		c.Assert(folded, quicktest.Equals, messenger.IntentFolded{Key: intent.Key, Request: "2", Holder: want})
--- a/applier/intents.go
+++ b/applier/intents.go
@@ -31,14 +31,14 @@
 	incarnation identifier.Incarnation
 }
 
-// intent is the first valid intent of a key. It holds no pointers, so that the
-// garbage collector does not scan a million of them.
+// intent is the first valid intent of a key. A million of them must fit into a
+// part of the node's 64 MB: it holds hashes for the key and the request, and no
+// pointers that the garbage collector would scan. Two keys with one hash cost
+// the later one its answer, but never run a request twice.
 type intent struct {
-	key uuid.UUID
-	// request is the hash of the request's ID.
-	request uint64
-	// at is the log's time in Unix milliseconds.
-	at     int64
+	key, request uint64
+	// at is the log's time in Unix seconds, rounded down.
+	at     uint32
 	holder uint32
 }
 
@@ -48,8 +48,8 @@
 	capacity int
 	// since is the time after which every append of the stream was folded.
 	since time.Time
-	// first maps a key to the position of its intent, counted from the start.
-	first map[uuid.UUID]uint64
+	// first maps the hash of a key to the index of its intent in order.
+	first map[uint64]uint32
 	// order is a ring of the intents in the order of the log; from and next are
 	// the positions of its oldest and next intent.
 	order      []intent
@@ -61,7 +61,7 @@
 func newIntents(identity messenger.Identity, capacity int) *intents {
 	return &intents{
 		identity: identity, capacity: capacity,
-		first: map[uuid.UUID]uint64{}, holderOf: map[holder]uint32{},
+		first: map[uint64]uint32{}, holderOf: map[holder]uint32{},
 	}
 }
 
@@ -94,22 +94,24 @@
 // decide sets First or Holder of the answer to a valid intent. It returns true
 // if the intent is a copy of the first one, which was answered before.
 func (intents *intents) decide(appendedAt, issued time.Time, record messenger.Intent, answer *messenger.IntentFolded) bool {
-	// The text is a UUID, or IssuedAt would have failed.
-	key, _ := uuid.Parse(string(record.Key))
+	// A UUID has several spellings, so its octets are hashed and not its text,
+	// which IssuedAt has parsed before.
+	id, _ := uuid.Parse(string(record.Key))
+	key := xxhash.Sum64(id[:])
 	request := xxhash.Sum64String(string(record.Request))
 	// An earlier valid intent can't have been missed if the stream is folded since
 	// the earliest time at which it could have been appended.
 	covered := intents.since.Before(issued.Add(-issueSkew))
-	position, known := intents.first[key]
+	index, known := intents.first[key]
 	if !known {
 		intents.add(intent{
-			key: key, request: request, at: appendedAt.UnixMilli(),
+			key: key, request: request, at: uint32(appendedAt.Unix()),
 			holder: intents.intern(holder{record.Node, record.Incarnation}),
 		})
 		answer.First = covered
 		return false
 	}
-	first := intents.order[position%uint64(len(intents.order))]
+	first := intents.order[index]
 	firstHolder := intents.holders[first.holder]
 	if first.request == request && firstHolder == (holder{record.Node, record.Incarnation}) {
 		return true
@@ -126,24 +128,29 @@
 	if intents.next-intents.from == uint64(len(intents.order)) {
 		intents.grow()
 	}
-	intents.first[first.key] = intents.next
-	intents.order[intents.next%uint64(len(intents.order))] = first
+	index := intents.next % uint64(len(intents.order))
+	intents.first[first.key] = uint32(index)
+	intents.order[index] = first
 	intents.next++
 }
 
 // grow doubles the ring, or drops the oldest intent at capacity. Keys that could
-// have been dropped are then no longer covered, so that none runs twice.
+// have been dropped are then no longer covered, so that none runs twice. The
+// second makes up for the rounding of the intent's time.
 func (intents *intents) grow() {
 	if len(intents.order) >= intents.capacity {
-		intents.since = later(intents.since, time.UnixMilli(intents.oldest().at+1))
+		intents.since = later(intents.since, time.Unix(int64(intents.oldest().at)+1, 0))
 		intents.drop()
 		return
 	}
-	order := make([]intent, min(max(2*len(intents.order), 64), intents.capacity))
+	order := make([]intent, 0, min(max(2*len(intents.order), 64), intents.capacity))
 	for position := intents.from; position < intents.next; position++ {
-		order[position%uint64(len(order))] = intents.order[position%uint64(len(intents.order))]
+		first := intents.order[position%uint64(len(intents.order))]
+		intents.first[first.key] = uint32(len(order))
+		order = append(order, first)
 	}
-	intents.order = order
+	intents.from, intents.next = 0, uint64(len(order))
+	intents.order = order[:cap(order)]
 }
 
 func (intents *intents) oldest() intent {
@@ -157,8 +164,8 @@
 
 // advance forgets the intents whose keys are no longer valid.
 func (intents *intents) advance(read messenger.AppendRead) {
-	limit := read.AppendedAt.Add(-intentAge).UnixMilli()
-	for intents.from < intents.next && intents.oldest().at < limit {
+	limit := read.AppendedAt.Add(-intentAge).Unix()
+	for intents.from < intents.next && int64(intents.oldest().at) < limit {
 		intents.drop()
 	}
 	if len(intents.holders) > maxHolders {
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -213,3 +213,23 @@
 		}
 	})
 }
+
+// BenchmarkParse measures a text with the given number of workspaces. Every node
+// parses each publication when it folds it.
+func BenchmarkParse(b *testing.B) {
+	for _, count := range []int{2, 32, 256} {
+		text := append([]string(nil), lines[:19]...)
+		for i := range count {
+			text = append(text, fmt.Sprintf("  - name: w%d", i), fmt.Sprintf("    token-digest: %063xf", i), "    weight: 2")
+		}
+		body := []byte(strings.Join(text, "\n") + "\n")
+		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := (parser.Parser{}).Parse(body); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
