--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -288,6 +288,9 @@
 	}
 	bench.Step(bench.now, messenger.MembersChanged{Members: members})
 	bench.read(identifier.Jobs, messenger.Submission{Spec: job("a")})
+	bench.now = bench.now.Add(testRetention / 8)
+	// The first part of this snapshot never reached the log.
+	bench.read(identifier.Jobs, messenger.Snapshot{Covered: 1, Digest: bench.jobs.digest(), Part: 1, Parts: 2, State: messenger.JobsState{}})
 	for bench.now.Before(start.Add(testRetention/2 - time.Second)) {
 		bench.now = bench.now.Add(time.Second)
 		if _, written := find[messenger.AppendRecord](bench.Step(bench.now, messenger.Tick{})); written {
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -89,7 +89,9 @@
 // compare checks a snapshot from the log against the state that this node had
 // at the covered offset.
 func (applier *Applier) compare(stream *stream, read messenger.AppendRead, part messenger.Snapshot) {
-	if part.Part == part.Parts-1 {
+	// Only a snapshot whose parts are all in the log covers anything.
+	if stream.counted.add(messenger.Snapshot{Covered: part.Covered, Digest: part.Digest, Part: part.Part, Parts: part.Parts}) {
+		stream.counted = assembler{}
 		stream.snapshot.base = read.AppendedAt
 	}
 	at, found := slices.BinarySearchFunc(stream.digests, part.Covered,
--- a/applier/stream.go
+++ b/applier/stream.go
@@ -59,6 +59,8 @@
 	digests  []offsetDigest
 	window   window
 	snapshot snapshotSchedule
+	// counted collects the parts of the newest snapshot without their state.
+	counted  assembler
 	fromLog  assembler
 	fromPeer assembler
 	late     lateness
