--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -220,6 +221,8 @@
 		bench := newBench(testParameters)
 		intent := messenger.Intent{Key: key(start, 1), Request: "1", Node: node, Incarnation: 6}
 		bench.read(identifier.Intents, intent)
+		// The same key in another spelling.
+		intent.Key = identifier.Key(strings.ToUpper(string(intent.Key)))
 		intent.Node, intent.Incarnation, intent.Request = "node-b", 7, "2"
 		folded, _ := find[messenger.IntentFolded](bench.read(identifier.Intents, intent))
 		c.Assert(folded, quicktest.Equals, messenger.IntentFolded{Key: intent.Key, Request: "2", Holder: want})
@@ -285,6 +288,9 @@
 	}
 	bench.Step(bench.now, messenger.MembersChanged{Members: members})
 	bench.read(identifier.Jobs, messenger.Submission{Spec: job("a")})
+	bench.now = bench.now.Add(testRetention / 8)
+	// The first part of this snapshot never reached the log.
+	bench.read(identifier.Jobs, messenger.Snapshot{Covered: 1, Digest: bench.jobs.digest(), Part: 1, Parts: 2, State: messenger.JobsState{}})
 	for bench.now.Before(start.Add(testRetention/2 - time.Second)) {
 		bench.now = bench.now.Add(time.Second)
 		if _, written := find[messenger.AppendRecord](bench.Step(bench.now, messenger.Tick{})); written {
@@ -325,6 +331,39 @@
 	c.Assert([]bool{changed, accepted, advanced.Applied == 1}, quicktest.DeepEquals, []bool{true, true, true})
 }
 
+// TestGapIsReadAgain guards against an append that is folded without those
+// before it, and against a rewind for every append that follows a gap.
+func TestGapIsReadAgain(t *testing.T) {
+	c := quicktest.New(t)
+	bench := newBench(testParameters).caughtUp()
+	bench.read(identifier.Jobs, messenger.Submission{Spec: job("a")})
+	bench.offsets[identifier.Jobs] = 2
+	advanced, _ := find[messenger.StreamAdvanced](bench.read(identifier.Jobs, messenger.Submission{Spec: job("c")}))
+	c.Assert(advanced, quicktest.Equals, messenger.StreamAdvanced{Stream: identifier.Jobs, Applied: 1})
+	_, again := find[messenger.StreamAdvanced](bench.read(identifier.Jobs, messenger.Submission{Spec: job("d")}))
+	c.Assert(again, quicktest.IsFalse)
+	c.Assert(bench.jobs.jobs, quicktest.HasLen, 1)
+}
+
+// TestPeerTellsWhatIsMissing guards against a peer that sends what the other
+// has, and against a follower that reads again what a peer told.
+func TestPeerTellsWhatIsMissing(t *testing.T) {
+	c := quicktest.New(t)
+	source, target := newBench(testParameters).caughtUp(), newBench(testParameters).caughtUp()
+	for _, name := range []identifier.Job{"a", "b", "c"} {
+		source.read(identifier.Jobs, messenger.Submission{Spec: job(name)})
+	}
+	target.read(identifier.Jobs, messenger.Submission{Spec: job("a")})
+	source.Step(start, messenger.PeerHeard{Node: "node-t"})
+	target.Step(start, messenger.PeerHeard{Node: "node-s", Digest: messenger.Digest{Jobs: 3}})
+	ask, asked := find[messenger.SendPeer](target.Step(start.Add(time.Second), messenger.Tick{}))
+	c.Assert(asked, quicktest.IsTrue)
+	tell, _ := find[messenger.SendPeer](source.Step(start, messenger.PeerReceived{From: "node-t", Message: ask.Message}))
+	c.Assert(tell.Message.(messenger.EntriesTell).Appends, quicktest.HasLen, 2)
+	advanced, _ := find[messenger.StreamAdvanced](target.Step(start, messenger.PeerReceived{From: "node-s", Message: tell.Message}))
+	c.Assert(advanced.Applied, quicktest.Equals, identifier.Offset(3))
+}
+
 // TestJobsThatEndedUnseenAreConcluded guards against a scheduler that goes on
 // with a job whose outcome expired while the node was cut off.
 func TestJobsThatEndedUnseenAreConcluded(t *testing.T) {
