Test the calls to workers against the written protocol

Nothing showed that calls and answers have the form of docs/WORKER-PROTOCOL.md, nor which failures leave the effect unknown.

--- /dev/null
+++ b/controller/controller_test.go
@@ -0,0 +1,160 @@
+package controller_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/buffer"
+	"corianderroad/classifier"
+	"corianderroad/controller"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// inbox is a sink that hands answers to the test.
+type inbox chan messenger.WorkerAnswered
+
+// Deliver implements controller.Sink.
+func (inbox inbox) Deliver(ctx context.Context, event messenger.Event) error {
+	select {
+	case inbox <- event.(messenger.WorkerAnswered):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run starts a controller and returns its ring and its answers.
+func run(t *testing.T) (*buffer.Ring[messenger.AskWorker], inbox) {
+	ring, answers := buffer.New[messenger.AskWorker]("workers", 64), make(inbox)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	client := controller.New(ring, answers, controller.Parameters{Callers: 4, Timeout: 200 * time.Millisecond})
+	go func() { ended <- client.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		quicktest.Check(t, <-ended, quicktest.ErrorIs, context.Canceled)
+	})
+	return ring, answers
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+func respond(status int, body string) http.HandlerFunc {
+	return func(response http.ResponseWriter, _ *http.Request) {
+		response.WriteHeader(status)
+		_, _ = io.WriteString(response, body)
+	}
+}
+
+// hang reads the request, without which the server does not notice that the client left.
+func hang(_ http.ResponseWriter, request *http.Request) {
+	_, _ = io.Copy(io.Discard, request.Body)
+	<-request.Context().Done()
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// TestRefusalsSayWhetherTheCallTookEffect guards against a call that is
+// reported as not carried out although the worker may have acted on it.
+func TestRefusalsSayWhetherTheCallTookEffect(t *testing.T) {
+	ring, answers := run(t)
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	closed := netip.MustParseAddrPort(unused.Addr().String())
+	quicktest.Assert(t, unused.Close(), quicktest.IsNil)
+	for name, test := range map[string]struct {
+		address netip.AddrPort
+		code    classifier.Code
+		fence   identifier.Term
+	}{
+		"no listener":   {closed, classifier.NodeUnreachable, 0},
+		"stale term":    {serve(t, respond(409, `{"code":704,"message":"term 1","term":9}`)), classifier.StaleTerm, 9},
+		"no capacity":   {serve(t, respond(409, `{"code":705,"message":"full","term":2}`)), classifier.NoCapacity, 2},
+		"other code":    {serve(t, respond(409, `{"code":1,"message":"?"}`)), classifier.OutcomeUnknown, 0},
+		"other status":  {serve(t, respond(500, `{}`)), classifier.OutcomeUnknown, 0},
+		"redirect":      {serve(t, respond(302, `{}`)), classifier.OutcomeUnknown, 0},
+		"truncated":     {serve(t, respond(200, `{"worker":"w1","te`)), classifier.OutcomeUnknown, 0},
+		"other worker":  {serve(t, respond(200, `{"worker":"w2","mark":"1s"}`)), classifier.OutcomeUnknown, 0},
+		"unknown state": {serve(t, respond(200, `{"worker":"w1","mark":"1s","tasks":[{"state":"odd","progress":"0s"}]}`)), classifier.OutcomeUnknown, 0},
+		"broken off":    {serve(t, abort), classifier.OutcomeUnknown, 0},
+		"silent":        {serve(t, hang), classifier.TimedOut, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			quicktest.Assert(t, ring.Offer(messenger.AskWorker{Sequence: 7, Worker: "w1", Address: test.address, Kind: messenger.ReleaseTask, Term: 1}), quicktest.IsNil)
+			answer := <-answers
+			quicktest.Assert(t, answer.Err, quicktest.Not(quicktest.IsNil))
+			quicktest.Assert(t, answer.Err.Code, quicktest.Equals, test.code, quicktest.Commentf("%v", answer.Err))
+			quicktest.Assert(t, answer.Fence, quicktest.Equals, test.fence)
+			quicktest.Assert(t, answer.Sequence, quicktest.Equals, uint64(7))
+		})
+	}
+}
+
+// TestCallsFollowTheProtocol guards against calls and answers that differ from
+// docs/WORKER-PROTOCOL.md, and against calls without exactly one answer.
+func TestCallsFollowTheProtocol(t *testing.T) {
+	ring, answers := run(t)
+	calls := make(chan string, 64)
+	address := serve(t, func(response http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		calls <- fmt.Sprintf("%s %s %s", request.Method, request.URL, body)
+		respond(200, `{"worker":"w1","term":12,"mark":"1m0.5s","accelerators":8,"tasks":[{"gang":{"job":"j","placement":13},
+			"state":"running","accelerators":4,"members":["w1"],"progress":"10s"}]}`)(response, request)
+	})
+	gang := messenger.Gang{Job: "j", Placement: 13}
+	ask := messenger.AskWorker{
+		Worker: "w1", Address: address, Term: 12, Gang: gang, Gangs: []messenger.Gang{gang}, Accelerators: 4,
+		Members: []identifier.Worker{"w1"}, Lease: 15 * time.Second, Mark: 1500 * time.Millisecond,
+		RunTime: time.Hour, Progress: time.Second, Grace: 10 * time.Second,
+	}
+	for kind, want := range map[messenger.WorkerCallKind]string{
+		messenger.ReserveTask:    `POST /reserve {"term":12,"gang":{"job":"j","placement":13},"accelerators":4,"members":["w1"],"lease":"15s"}`,
+		messenger.StartTask:      `POST /start {"term":12,"gang":{"job":"j","placement":13},"mark":"1.5s","lease":"15s","run-time":"1h0m0s","progress":"1s"}`,
+		messenger.RenewTasks:     `POST /renew {"term":12,"gangs":[{"job":"j","placement":13}],"mark":"1.5s","lease":"15s"}`,
+		messenger.CheckpointTask: `POST /checkpoint {"term":12,"gang":{"job":"j","placement":13},"grace":"10s"}`,
+		messenger.ReleaseTask:    `POST /release {"term":12,"gang":{"job":"j","placement":13}}`,
+		messenger.ReadState:      `GET /state?term=12 `,
+	} {
+		ask.Kind = kind
+		ask.Sequence++
+		quicktest.Assert(t, ring.Offer(ask), quicktest.IsNil)
+		answer := <-answers
+		quicktest.Assert(t, <-calls, quicktest.Equals, want)
+		quicktest.Assert(t, answer, quicktest.DeepEquals, messenger.WorkerAnswered{
+			Sequence: ask.Sequence, Worker: "w1", Kind: kind, Gang: gang, Accelerators: 8, Fence: 12, Mark: 60500 * time.Millisecond,
+			Tasks: []messenger.Task{{Gang: gang, State: messenger.Running, Accelerators: 4, Members: []identifier.Worker{"w1"}, Progress: 10 * time.Second}},
+		})
+	}
+}
+
+// FuzzAnswer guards against a panic on, or a success from, an answer that is
+// not one of the worker that was asked.
+func FuzzAnswer(f *testing.F) {
+	f.Add(200, []byte(`{"worker":"w1","mark":"1s","tasks":[]}`))
+	f.Add(409, []byte(`{"code":705}`))
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		answer := controller.Decode(messenger.AskWorker{Worker: "w1"}, status, body)
+		var content struct {
+			Worker string `json:"worker"`
+		}
+		_ = json.Unmarshal(body, &content)
+		if answer.Err == nil && (status != http.StatusOK || content.Worker != "w1") {
+			t.Fatalf("status %d with %q is taken for a success", status, body)
+		}
+	})
+}
--- /dev/null
+++ b/controller/export_test.go
@@ -0,0 +1,4 @@
+package controller
+
+// Decode is decode for the fuzz target.
+var Decode = decode
