--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -117,7 +117,10 @@
 			job.progress = max(job.progress, progressOf(job, task))
 		}
 		if !region.adoptUntil.IsZero() {
-			region.collect(worker.name, sighting, task)
+			// Only the answer to ReadState surely names the members.
+			if answer.Kind == messenger.ReadState {
+				region.collect(worker.name, sighting, task)
+			}
 		} else if !scheduler.tracks(task.Gang) && !worker.clearing {
 			worker.clearing = true
 			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: task.Gang})
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -119,17 +119,13 @@
 }
 
 // avoid returns the workers that a job may not take, and whether the hold
-// applies to it. A job that is declared to end before the workers of the hold
-// are free may use them.
+// applies to it. It applies to short jobs too: letting those use the workers
+// that are declared to end in time showed no gain, because declarations are off.
 func (pass *pass) avoid(job *job) (avoided map[identifier.Worker]bool, held bool) {
 	avoided = job.avoided()
 	if pass.hold == nil || pass.hold.job == job {
 		return avoided, false
 	}
-	ends := pass.now.Add(job.spec.RunTime - job.progress)
-	if job.spec.RunTime > 0 && pass.scheduler.parameters.uses(Backfill) && !ends.After(pass.hold.free) {
-		return avoided, false
-	}
 	if avoided == nil {
 		return pass.hold.workers, true
 	}
--- a/scheduler/parameters.go
+++ b/scheduler/parameters.go
@@ -17,7 +17,6 @@
 	Preemption
 	Quarantine
 	LargeHold
-	Backfill
 	Migration
 )
 
--- a/scheduler/vm_test.go
+++ b/scheduler/vm_test.go
@@ -53,6 +53,9 @@
 	answer.Accelerators, answer.Fence, answer.Mark = vm.accelerators, vm.fence, vm.world.now.Sub(vm.boot)
 	for _, task := range vm.tasks {
 		answer.Tasks = append(answer.Tasks, task.Task)
+		if ask.Kind != messenger.ReadState {
+			answer.Tasks[len(answer.Tasks)-1].Members = nil
+		}
 	}
 	return answer
 }
@@ -197,7 +200,7 @@
 			world.t.Fatalf("gang %v starts while %v runs", task.Gang, gang)
 		}
 	}
-	if ended, ok := world.ended[task.Gang.Job]; ok && world.now.Sub(ended) > lease {
+	if ended, ok := world.ended[task.Gang.Job]; ok && world.now.Sub(ended) > world.lease {
 		world.t.Fatalf("job %s starts %s after its outcome", task.Gang.Job, world.now.Sub(ended))
 	}
 	world.settle(task.Gang, known)
@@ -219,7 +222,7 @@
 			world.started[gang.Job] = world.now
 		}
 	}
-	if !known.partial.IsZero() && world.now.Sub(known.partial) > lease {
+	if !known.partial.IsZero() && world.now.Sub(known.partial) > world.lease {
 		world.t.Fatalf("part of gang %v ran %s without the whole", gang, world.now.Sub(known.partial))
 	}
 	switch {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -14,8 +14,6 @@
 	"corianderroad/scheduler"
 )
 
-const lease = 15 * time.Second
-
 var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
 // failer takes the violations that the world notices.
@@ -38,6 +36,7 @@
 	log     []messenger.Entry
 	// logDown makes appends fail.
 	logDown bool
+	lease   time.Duration
 	// loseRequest and loseAnswer are the parts of the calls that are lost before
 	// and after their effect.
 	loseRequest, loseAnswer float64
@@ -100,7 +99,7 @@
 
 func newWorld(t failer, seed uint64) *world {
 	return &world{
-		t: t, now: epoch, transit: 5 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 1)),
+		t: t, now: epoch, transit: 5 * time.Millisecond, lease: 15 * time.Second, random: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[identifier.Worker]*vm), tasks: make(map[identifier.Job]behaviour),
 		gangs: make(map[messenger.Gang]*sighted), ended: make(map[identifier.Job]time.Time),
 		outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
