Test the read-back past other clients' appends and a moving retention

Cause: four breaks of the follower and the appender stayed green. Change: the fake log holds more than a page of foreign appends before a lost one; a record that arrived after its time is not reported; retention goes on during the search for the start of the intents.

--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -77,6 +77,7 @@
 		recorder.WriteHeader(http.StatusRequestEntityTooLarge)
 		return recorder.Result(), nil
 	case "lost":
+		service.crowd()
 		service.ServeHTTP(recorder, request)
 		<-request.Context().Done()
 		return nil, request.Context().Err()
@@ -93,6 +94,15 @@
 	return recorder.Result(), nil
 }
 
+// crowd appends what other clients wrote, more than one page of a read-back.
+func (service *service) crowd() {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	for range 20 {
+		service.appends = append(service.appends, encoder.ReadEntry{Offset: uint64(len(service.appends)) + 1, ID: "other"})
+	}
+}
+
 // counts returns how often each record stands in the log.
 func (service *service) counts() map[string]int {
 	service.mutex.Lock()
@@ -263,3 +273,20 @@
 	c.Assert(service.counts(), quicktest.DeepEquals, map[string]int{"0": 1, "1": 1, "2": 1})
 	c.Assert(sink.failed, quicktest.HasLen, 0)
 }
+
+// TestRecordThatArrivedIsNotGivenUp guards against an AppendFailed for a record
+// whose answer was lost and whose time passed before the read-back.
+func TestRecordThatArrivedIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		service := newService(func(method string) string {
+			if method == http.MethodPost {
+				return "lost"
+			}
+			return ""
+		})
+		sink := run(identifier.Jobs, service, anyAddress, appender.NewLimiter(), records(1, time.Second), after(time.Minute))
+		c.Assert(service.counts()["0"], quicktest.Equals, 1)
+		c.Assert(sink.failed, quicktest.HasLen, 0)
+	})
+}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -288,7 +288,7 @@
 // TestIntentsStartRecently guards against a start that reads the whole stream,
 // or so late that the first append proves nothing about recent keys.
 func TestIntentsStartRecently(t *testing.T) {
-	for _, expired := range []uint64{0, 20, 55} {
+	for _, expired := range []uint64{0, 20, 55, 57} {
 		synctest.Test(t, func(t *testing.T) {
 			c := quicktest.New(t)
 			service := newService()
@@ -297,6 +297,16 @@
 				time.Sleep(time.Minute)
 			}
 			service.first = expired + 1
+			if asked := 0; expired == 57 {
+				// Retention goes on during the search.
+				service.first = 1
+				service.fault = func() string {
+					if asked++; asked == 3 {
+						service.first = expired + 1
+					}
+					return ""
+				}
+			}
 			running := run(direct{service}, anyAddress, follower.Parameters{Recent: follower.IntentsRecent})
 			first := running.appendRead()
 			// The append at offset 49 is 12 minutes old.
