--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -69,6 +69,9 @@
 	case "error":
 		writer.WriteHeader(http.StatusInternalServerError)
 		return
+	case "gap":
+		_ = json.NewEncoder(writer).Encode(encoder.ReadAnswer{FirstRetained: 1, Next: 9, Appends: []encoder.ReadEntry{{Offset: 7}}})
+		return
 	case "garbage":
 		_, _ = writer.Write([]byte("{"))
 		return
@@ -257,7 +260,7 @@
 // TestSilentLogIsReported guards against a log that hangs without notice, and
 // against a loop that asks without pause.
 func TestSilentLogIsReported(t *testing.T) {
-	for _, fault := range []string{"hang", "error"} {
+	for _, fault := range []string{"hang", "error", "gap"} {
 		synctest.Test(t, func(t *testing.T) {
 			c := quicktest.New(t)
 			service := newService()
@@ -288,7 +291,7 @@
 // TestIntentsStartRecently guards against a start that reads the whole stream,
 // or so late that the first append proves nothing about recent keys.
 func TestIntentsStartRecently(t *testing.T) {
-	for _, expired := range []uint64{0, 20, 55} {
+	for _, expired := range []uint64{0, 20, 55, 57} {
 		synctest.Test(t, func(t *testing.T) {
 			c := quicktest.New(t)
 			service := newService()
@@ -297,6 +300,16 @@
 				time.Sleep(time.Minute)
 			}
 			service.first = expired + 1
+			if asked := 0; expired == 57 {
+				// Retention goes on during the search.
+				service.first = 1
+				service.fault = func() string {
+					if asked++; asked == 3 {
+						service.first = expired + 1
+					}
+					return ""
+				}
+			}
 			running := run(direct{service}, anyAddress, follower.Parameters{Recent: follower.IntentsRecent})
 			first := running.appendRead()
 			// The append at offset 49 is 12 minutes old.
