Count refutations apart from the incarnation and carry every field of errors

Cause: a member that refutes a suspicion needs a record that overrides the old one. A higher incarnation would do, but placement and owners take a higher incarnation for a restart. The round-trip test found that the wire form of an error had lost MayHaveRun, so that a refusal of a repeated request arrived as not run.

Change: messenger.Member has Refutations; wire errors have may-have-run.

--- a/encoder/convert.go
+++ b/encoder/convert.go
@@ -52,6 +52,7 @@
 
 func memberToWire(member messenger.Member) WireMember {
 	wire := identityToWire(member.Identity)
+	wire.Refutations = member.Refutations
 	wire.State = uint8(member.State)
 	wire.Configuration = uint64(member.Digest.Configuration)
 	wire.Jobs = uint64(member.Digest.Jobs)
@@ -71,8 +72,9 @@
 		return messenger.Member{}, classifier.New(classifier.BadFrame, "member %q has state %d", wire.Node, wire.State)
 	}
 	return messenger.Member{
-		Identity: identity,
-		State:    state,
+		Identity:    identity,
+		Refutations: wire.Refutations,
+		State:       state,
 		Digest: messenger.Digest{
 			Configuration: identifier.Offset(wire.Configuration),
 			Jobs:          identifier.Offset(wire.Jobs),
@@ -111,14 +113,18 @@
 	if err == nil {
 		return nil
 	}
-	return &WireError{Code: uint16(err.Code), Message: err.Message, RetryAfter: err.RetryAfter}
+	return &WireError{
+		Code: uint16(err.Code), Message: err.Message, RetryAfter: err.RetryAfter, MayHaveRun: err.MayHaveRun,
+	}
 }
 
 func errorFromWire(wire *WireError) *classifier.Error {
 	if wire == nil {
 		return nil
 	}
-	return &classifier.Error{Code: classifier.Code(wire.Code), Message: wire.Message, RetryAfter: wire.RetryAfter}
+	return &classifier.Error{
+		Code: classifier.Code(wire.Code), Message: wire.Message, RetryAfter: wire.RetryAfter, MayHaveRun: wire.MayHaveRun,
+	}
 }
 
 func callToWire(call commander.Call) WireCall {
--- a/encoder/peer_schema.go
+++ b/encoder/peer_schema.go
@@ -32,6 +32,7 @@
 	Region        string `msg:"region"`
 	FailureDomain string `msg:"failure-domain"`
 	Incarnation   uint64 `msg:"incarnation"`
+	Refutations   uint32 `msg:"refutations,omitempty"`
 	State         uint8  `msg:"state,omitempty"`
 	Configuration uint64 `msg:"configuration,omitempty"`
 	Jobs          uint64 `msg:"jobs,omitempty"`
@@ -100,6 +101,7 @@
 	Code       uint16        `msg:"code"`
 	Message    string        `msg:"message"`
 	RetryAfter time.Duration `msg:"retry-after,omitempty"`
+	MayHaveRun bool          `msg:"may-have-run,omitempty"`
 }
 
 // WireForward is a messenger.Forward.
--- a/encoder/peer_schema_gen.go
+++ b/encoder/peer_schema_gen.go
@@ -1090,6 +1090,12 @@
 				err = msgp.WrapError(err, "RetryAfter")
 				return
 			}
+		case "may-have-run":
+			z.MayHaveRun, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveRun")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1102,15 +1108,19 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z WireError) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *WireError) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.RetryAfter == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.MayHaveRun == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -1151,21 +1161,37 @@
 				return
 			}
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "may-have-run"
+			err = en.Append(0xac, 0x6d, 0x61, 0x79, 0x2d, 0x68, 0x61, 0x76, 0x65, 0x2d, 0x72, 0x75, 0x6e)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.MayHaveRun)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveRun")
+				return
+			}
+		}
 	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WireError) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WireError) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
 	_ = zb0001Mask
 	if z.RetryAfter == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.MayHaveRun == false {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1182,6 +1208,11 @@
 			o = append(o, 0xab, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72)
 			o = msgp.AppendDuration(o, z.RetryAfter)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "may-have-run"
+			o = append(o, 0xac, 0x6d, 0x61, 0x79, 0x2d, 0x68, 0x61, 0x76, 0x65, 0x2d, 0x72, 0x75, 0x6e)
+			o = msgp.AppendBool(o, z.MayHaveRun)
+		}
 	}
 	return
 }
@@ -1226,6 +1257,12 @@
 				err = msgp.WrapError(err, "RetryAfter")
 				return
 			}
+		case "may-have-run":
+			z.MayHaveRun, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MayHaveRun")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1239,8 +1276,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WireError) Msgsize() (s int) {
-	s = 1 + 5 + msgp.Uint16Size + 8 + msgp.StringPrefixSize + len(z.Message) + 12 + msgp.DurationSize
+func (z *WireError) Msgsize() (s int) {
+	s = 1 + 5 + msgp.Uint16Size + 8 + msgp.StringPrefixSize + len(z.Message) + 12 + msgp.DurationSize + 13 + msgp.BoolSize
 	return
 }
 
@@ -1505,50 +1542,11 @@
 				if z.Err == nil {
 					z.Err = new(WireError)
 				}
-				var zb0002 uint32
-				zb0002, err = dc.ReadMapHeader()
+				err = z.Err.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Err")
 					return
 				}
-				if zb0002 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0002 > 0 {
-					zb0002--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Err")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "code":
-						z.Err.Code, err = dc.ReadUint16()
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Code")
-							return
-						}
-					case "message":
-						z.Err.Message, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Message")
-							return
-						}
-					case "retry-after":
-						z.Err.RetryAfter, err = dc.ReadDuration()
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "RetryAfter")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Err")
-							return
-						}
-					}
-				}
 			}
 		case "body":
 			z.Body, err = dc.ReadBytesLimit(z.Body, z0e06409flimitArrays)
@@ -1632,55 +1630,11 @@
 					return
 				}
 			} else {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Err.RetryAfter == 0 {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				err = en.Append(0x80 | uint8(zb0002Len))
+				err = z.Err.EncodeMsg(en)
 				if err != nil {
+					err = msgp.WrapError(err, "Err")
 					return
 				}
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// write "code"
-					err = en.Append(0xa4, 0x63, 0x6f, 0x64, 0x65)
-					if err != nil {
-						return
-					}
-					err = en.WriteUint16(z.Err.Code)
-					if err != nil {
-						err = msgp.WrapError(err, "Err", "Code")
-						return
-					}
-					// write "message"
-					err = en.Append(0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
-					if err != nil {
-						return
-					}
-					err = en.WriteString(z.Err.Message)
-					if err != nil {
-						err = msgp.WrapError(err, "Err", "Message")
-						return
-					}
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// write "retry-after"
-						err = en.Append(0xab, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72)
-						if err != nil {
-							return
-						}
-						err = en.WriteDuration(z.Err.RetryAfter)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "RetryAfter")
-							return
-						}
-					}
-				}
 			}
 		}
 		// write "body"
@@ -1745,30 +1699,10 @@
 			if z.Err == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Err.RetryAfter == 0 {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				o = append(o, 0x80|uint8(zb0002Len))
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// string "code"
-					o = append(o, 0xa4, 0x63, 0x6f, 0x64, 0x65)
-					o = msgp.AppendUint16(o, z.Err.Code)
-					// string "message"
-					o = append(o, 0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
-					o = msgp.AppendString(o, z.Err.Message)
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// string "retry-after"
-						o = append(o, 0xab, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72)
-						o = msgp.AppendDuration(o, z.Err.RetryAfter)
-					}
+				o, err = z.Err.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Err")
+					return
 				}
 			}
 		}
@@ -1830,73 +1764,34 @@
 				if z.Err == nil {
 					z.Err = new(WireError)
 				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Err.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Err")
 					return
 				}
-				if zb0002 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0002 > 0 {
-					zb0002--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Err")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "code":
-						z.Err.Code, bts, err = msgp.ReadUint16Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Code")
-							return
-						}
-					case "message":
-						z.Err.Message, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Message")
-							return
-						}
-					case "retry-after":
-						z.Err.RetryAfter, bts, err = msgp.ReadDurationBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "RetryAfter")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err")
-							return
-						}
-					}
-				}
 			}
 		case "body":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0003 > z0e06409flimitArrays {
+			if zb0002 > z0e06409flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if z.Body == nil || uint32(cap(z.Body)) < zb0003 {
-				z.Body = make([]byte, zb0003)
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
 			} else {
-				z.Body = z.Body[:zb0003]
+				z.Body = z.Body[:zb0002]
 			}
-			if uint32(len(bts)) < zb0003 {
+			if uint32(len(bts)) < zb0002 {
 				err = msgp.ErrShortBytes
 				return
 			}
-			copy(z.Body, bts[:zb0003])
-			bts = bts[zb0003:]
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		case "queued":
 			z.Queued, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1927,7 +1822,7 @@
 	if z.Err == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 5 + msgp.Uint16Size + 8 + msgp.StringPrefixSize + len(z.Err.Message) + 12 + msgp.DurationSize
+		s += z.Err.Msgsize()
 	}
 	s += 5 + msgp.BytesPrefixSize + len(z.Body) + 7 + msgp.IntSize + 11 + msgp.IntSize
 	return
@@ -2124,6 +2019,12 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "refutations":
+			z.Refutations, err = dc.ReadUint32()
+			if err != nil {
+				err = msgp.WrapError(err, "Refutations")
+				return
+			}
 		case "state":
 			z.State, err = dc.ReadUint8()
 			if err != nil {
@@ -2174,33 +2075,37 @@
 // EncodeMsg implements msgp.Encodable
 func (z *WireMember) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
-	if z.State == 0 {
+	if z.Refutations == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.Configuration == 0 {
+	if z.State == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Jobs == 0 {
+	if z.Configuration == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Intents == 0 {
+	if z.Jobs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Queued == 0 {
+	if z.Intents == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.FreeSlots == 0 {
+	if z.Queued == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.FreeSlots == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -2260,6 +2165,18 @@
 			return
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "refutations"
+			err = en.Append(0xab, 0x72, 0x65, 0x66, 0x75, 0x74, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteUint32(z.Refutations)
+			if err != nil {
+				err = msgp.WrapError(err, "Refutations")
+				return
+			}
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// write "state"
 			err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 			if err != nil {
@@ -2271,7 +2188,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// write "configuration"
 			err = en.Append(0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 			if err != nil {
@@ -2283,7 +2200,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// write "jobs"
 			err = en.Append(0xa4, 0x6a, 0x6f, 0x62, 0x73)
 			if err != nil {
@@ -2295,7 +2212,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// write "intents"
 			err = en.Append(0xa7, 0x69, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x73)
 			if err != nil {
@@ -2307,7 +2224,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// write "queued"
 			err = en.Append(0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
 			if err != nil {
@@ -2319,7 +2236,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// write "free-slots"
 			err = en.Append(0xaa, 0x66, 0x72, 0x65, 0x65, 0x2d, 0x73, 0x6c, 0x6f, 0x74, 0x73)
 			if err != nil {
@@ -2339,33 +2256,37 @@
 func (z *WireMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(12)
+	var zb0001Mask uint16 /* 12 bits */
 	_ = zb0001Mask
-	if z.State == 0 {
+	if z.Refutations == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.Configuration == 0 {
+	if z.State == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
-	if z.Jobs == 0 {
+	if z.Configuration == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
-	if z.Intents == 0 {
+	if z.Jobs == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.Queued == 0 {
+	if z.Intents == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.FreeSlots == 0 {
+	if z.Queued == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
+	if z.FreeSlots == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2387,31 +2308,36 @@
 		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 		o = msgp.AppendUint64(o, z.Incarnation)
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "refutations"
+			o = append(o, 0xab, 0x72, 0x65, 0x66, 0x75, 0x74, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendUint32(o, z.Refutations)
+		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "state"
 			o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 			o = msgp.AppendUint8(o, z.State)
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "configuration"
 			o = append(o, 0xad, 0x63, 0x6f, 0x6e, 0x66, 0x69, 0x67, 0x75, 0x72, 0x61, 0x74, 0x69, 0x6f, 0x6e)
 			o = msgp.AppendUint64(o, z.Configuration)
 		}
-		if (zb0001Mask & 0x80) == 0 { // if not omitted
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
 			// string "jobs"
 			o = append(o, 0xa4, 0x6a, 0x6f, 0x62, 0x73)
 			o = msgp.AppendUint64(o, z.Jobs)
 		}
-		if (zb0001Mask & 0x100) == 0 { // if not omitted
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
 			// string "intents"
 			o = append(o, 0xa7, 0x69, 0x6e, 0x74, 0x65, 0x6e, 0x74, 0x73)
 			o = msgp.AppendUint64(o, z.Intents)
 		}
-		if (zb0001Mask & 0x200) == 0 { // if not omitted
+		if (zb0001Mask & 0x400) == 0 { // if not omitted
 			// string "queued"
 			o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x64)
 			o = msgp.AppendInt(o, z.Queued)
 		}
-		if (zb0001Mask & 0x400) == 0 { // if not omitted
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
 			// string "free-slots"
 			o = append(o, 0xaa, 0x66, 0x72, 0x65, 0x65, 0x2d, 0x73, 0x6c, 0x6f, 0x74, 0x73)
 			o = msgp.AppendInt(o, z.FreeSlots)
@@ -2488,6 +2414,12 @@
 				err = msgp.WrapError(err, "Incarnation")
 				return
 			}
+		case "refutations":
+			z.Refutations, bts, err = msgp.ReadUint32Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Refutations")
+				return
+			}
 		case "state":
 			z.State, bts, err = msgp.ReadUint8Bytes(bts)
 			if err != nil {
@@ -2538,7 +2470,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WireMember) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 8 + msgp.BytesPrefixSize + len(z.Address) + 7 + msgp.StringPrefixSize + len(z.Region) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 12 + msgp.Uint64Size + 6 + msgp.Uint8Size + 14 + msgp.Uint64Size + 5 + msgp.Uint64Size + 8 + msgp.Uint64Size + 7 + msgp.IntSize + 11 + msgp.IntSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 8 + msgp.BytesPrefixSize + len(z.Address) + 7 + msgp.StringPrefixSize + len(z.Region) + 15 + msgp.StringPrefixSize + len(z.FailureDomain) + 12 + msgp.Uint64Size + 12 + msgp.Uint32Size + 6 + msgp.Uint8Size + 14 + msgp.Uint64Size + 5 + msgp.Uint64Size + 8 + msgp.Uint64Size + 7 + msgp.IntSize + 11 + msgp.IntSize
 	return
 }
 
@@ -2774,50 +2706,11 @@
 				if z.Err == nil {
 					z.Err = new(WireError)
 				}
-				var zb0002 uint32
-				zb0002, err = dc.ReadMapHeader()
+				err = z.Err.DecodeMsg(dc)
 				if err != nil {
 					err = msgp.WrapError(err, "Err")
 					return
 				}
-				if zb0002 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0002 > 0 {
-					zb0002--
-					field, err = dc.ReadMapKeyPtr()
-					if err != nil {
-						err = msgp.WrapError(err, "Err")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "code":
-						z.Err.Code, err = dc.ReadUint16()
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Code")
-							return
-						}
-					case "message":
-						z.Err.Message, err = dc.ReadString()
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Message")
-							return
-						}
-					case "retry-after":
-						z.Err.RetryAfter, err = dc.ReadDuration()
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "RetryAfter")
-							return
-						}
-					default:
-						err = dc.Skip()
-						if err != nil {
-							err = msgp.WrapError(err, "Err")
-							return
-						}
-					}
-				}
 			}
 		case "body":
 			z.Body, err = dc.ReadBytesLimit(z.Body, z0e06409flimitArrays)
@@ -2889,55 +2782,11 @@
 					return
 				}
 			} else {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Err.RetryAfter == 0 {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				err = en.Append(0x80 | uint8(zb0002Len))
+				err = z.Err.EncodeMsg(en)
 				if err != nil {
+					err = msgp.WrapError(err, "Err")
 					return
 				}
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// write "code"
-					err = en.Append(0xa4, 0x63, 0x6f, 0x64, 0x65)
-					if err != nil {
-						return
-					}
-					err = en.WriteUint16(z.Err.Code)
-					if err != nil {
-						err = msgp.WrapError(err, "Err", "Code")
-						return
-					}
-					// write "message"
-					err = en.Append(0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
-					if err != nil {
-						return
-					}
-					err = en.WriteString(z.Err.Message)
-					if err != nil {
-						err = msgp.WrapError(err, "Err", "Message")
-						return
-					}
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// write "retry-after"
-						err = en.Append(0xab, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72)
-						if err != nil {
-							return
-						}
-						err = en.WriteDuration(z.Err.RetryAfter)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "RetryAfter")
-							return
-						}
-					}
-				}
 			}
 		}
 		// write "body"
@@ -2982,30 +2831,10 @@
 			if z.Err == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Err.RetryAfter == 0 {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				o = append(o, 0x80|uint8(zb0002Len))
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// string "code"
-					o = append(o, 0xa4, 0x63, 0x6f, 0x64, 0x65)
-					o = msgp.AppendUint16(o, z.Err.Code)
-					// string "message"
-					o = append(o, 0xa7, 0x6d, 0x65, 0x73, 0x73, 0x61, 0x67, 0x65)
-					o = msgp.AppendString(o, z.Err.Message)
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// string "retry-after"
-						o = append(o, 0xab, 0x72, 0x65, 0x74, 0x72, 0x79, 0x2d, 0x61, 0x66, 0x74, 0x65, 0x72)
-						o = msgp.AppendDuration(o, z.Err.RetryAfter)
-					}
+				o, err = z.Err.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Err")
+					return
 				}
 			}
 		}
@@ -3061,73 +2890,34 @@
 				if z.Err == nil {
 					z.Err = new(WireError)
 				}
-				var zb0002 uint32
-				zb0002, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Err.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Err")
 					return
 				}
-				if zb0002 > z0e06409flimitMaps {
-					err = msgp.ErrLimitExceeded
-					return
-				}
-				for zb0002 > 0 {
-					zb0002--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Err")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "code":
-						z.Err.Code, bts, err = msgp.ReadUint16Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Code")
-							return
-						}
-					case "message":
-						z.Err.Message, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "Message")
-							return
-						}
-					case "retry-after":
-						z.Err.RetryAfter, bts, err = msgp.ReadDurationBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err", "RetryAfter")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Err")
-							return
-						}
-					}
-				}
 			}
 		case "body":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadBytesHeader(bts)
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Body")
 				return
 			}
-			if zb0003 > z0e06409flimitArrays {
+			if zb0002 > z0e06409flimitArrays {
 				err = msgp.ErrLimitExceeded
 				return
 			}
-			if z.Body == nil || uint32(cap(z.Body)) < zb0003 {
-				z.Body = make([]byte, zb0003)
+			if z.Body == nil || uint32(cap(z.Body)) < zb0002 {
+				z.Body = make([]byte, zb0002)
 			} else {
-				z.Body = z.Body[:zb0003]
+				z.Body = z.Body[:zb0002]
 			}
-			if uint32(len(bts)) < zb0003 {
+			if uint32(len(bts)) < zb0002 {
 				err = msgp.ErrShortBytes
 				return
 			}
-			copy(z.Body, bts[:zb0003])
-			bts = bts[zb0003:]
+			copy(z.Body, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3146,7 +2936,7 @@
 	if z.Err == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 5 + msgp.Uint16Size + 8 + msgp.StringPrefixSize + len(z.Err.Message) + 12 + msgp.DurationSize
+		s += z.Err.Msgsize()
 	}
 	s += 5 + msgp.BytesPrefixSize + len(z.Body)
 	return
--- a/messenger/membership.go
+++ b/messenger/membership.go
@@ -58,8 +58,11 @@
 // Member is a node with its state.
 type Member struct {
 	Identity
-	State  MemberState
-	Digest Digest
+	// Refutations counts how often the node has overridden a false state within
+	// its incarnation. A member with a higher count is newer.
+	Refutations uint32
+	State       MemberState
+	Digest      Digest
 }
 
 // Probe asks a node for a sign of life.
