Prove membership in virtual time and make it faster without more cost

Change: changes that were never sent go to three members at once, at most six messages per period; a new member gets all members with its first answers; the target of a probe is drawn from the half that was visited least recently; refutations are counted apart from incarnations. Property tests drive many detectors in one thread with loss, pauses, kills, restarts, partings and broken pairs.

--- /dev/null
+++ b/detector/bounds_test.go
@@ -0,0 +1,265 @@
+package detector_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"corianderroad/detector"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/querier"
+)
+
+func drawMember(t *rapid.T, names int) messenger.Member {
+	state := messenger.MemberState(rapid.Uint8Range(1, 4).Draw(t, "state"))
+	member := memberOf(rapid.IntRange(0, names).Draw(t, "index"), state)
+	member.Incarnation = identifier.Incarnation(rapid.Uint64Range(1, 4).Draw(t, "incarnation"))
+	return member
+}
+
+func memberOf(index int, state messenger.MemberState) messenger.Member {
+	return messenger.Member{
+		Identity: messenger.Identity{
+			Node: identifier.Node(fmt.Sprintf("entry-%03d", index)), Address: addressOf(index), Incarnation: 1,
+		},
+		State: state,
+	}
+}
+
+// crowd returns members of whom every third is suspect.
+func crowd(size int) []messenger.Member {
+	var members []messenger.Member
+	for index := range size {
+		members = append(members, memberOf(index+1, messenger.Alive+messenger.MemberState(index%3/2)))
+	}
+	return members
+}
+
+func drawEvent(t *rapid.T) messenger.Event {
+	from := drawMember(t, 5)
+	changes := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) messenger.Member { return drawMember(t, 2000) }), 0, 1024)
+	sequence := rapid.Uint64Range(0, 3).Draw(t, "sequence")
+	var message messenger.Peer
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		return messenger.Tick{}
+	case 1:
+		return messenger.VMsListed{VMs: []messenger.VM{{Name: string(from.Node), Role: messenger.EntryVM, Address: from.Address}}}
+	case 2:
+		message = messenger.ProbeAnswer{Sequence: sequence, From: from, Changes: changes.Draw(t, "changes")}
+	case 3:
+		message = messenger.ProbeRequest{Sequence: sequence, Target: from.Identity}
+	case 4:
+		message = messenger.ProbeReport{Sequence: sequence, Target: from}
+	default:
+		message = messenger.Probe{Sequence: sequence, From: from, Changes: changes.Draw(t, "changes")}
+	}
+	return messenger.PeerReceived{From: from.Node, Message: message}
+}
+
+// TestAnyMessagesKeepTheBounds guards against a table or message that grows
+// beyond its bound, a step that is not deterministic, and a machine that never
+// wants to be woken again.
+func TestAnyMessagesKeepTheBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		identity := messenger.Identity{Node: "entry-000", Address: addressOf(0), Incarnation: 2}
+		start := func() *detector.Detector {
+			return detector.New(identity, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
+		}
+		first, second, now := start(), start(), epoch
+		if rapid.Bool().Draw(t, "full") {
+			crowd := messenger.PeerReceived{From: "entry-001", Message: messenger.ProbeAnswer{
+				From: memberOf(1, messenger.Alive), Changes: crowd(1100),
+			}}
+			first.Step(now, crowd)
+			second.Step(now, crowd)
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait-ms")) * time.Millisecond)
+			event := drawEvent(t)
+			actions := first.Step(now, event)
+			if !reflect.DeepEqual(actions, second.Step(now, event)) {
+				t.Fatalf("%T gives different actions", event)
+			}
+			lists := 0
+			for _, action := range actions {
+				switch action := action.(type) {
+				case messenger.SendPeer:
+					count := changesOf(action.Message)
+					if count > 1024 {
+						t.Fatalf("a message has %d changes", count)
+					}
+					if count > 8 {
+						lists++
+					}
+				case messenger.MembersChanged:
+					if len(action.Members) > 1024 {
+						t.Fatalf("%d members", len(action.Members))
+					}
+				}
+			}
+			if lists > 1 {
+				t.Fatalf("one event sends the members to %d nodes", lists)
+			}
+			if rows := first.View(now, querier.Query{Kind: querier.Status}).Members; len(rows) > 1024 {
+				t.Fatalf("%d members in the table", len(rows))
+			}
+			if next := first.Next(); next.IsZero() || next.After(now.Add(time.Second)) {
+				t.Fatalf("the next step is at %s, now is %s", next, now)
+			}
+		}
+	})
+}
+
+func changesOf(message messenger.Peer) int {
+	switch message := message.(type) {
+	case messenger.Probe:
+		return len(message.Changes)
+	case messenger.ProbeAnswer:
+		return len(message.Changes)
+	default:
+		return 0
+	}
+}
+
+// TestDeadMemberIsForgotten guards against a table that fills with nodes that
+// will never return, and against a seed that is forgotten.
+func TestDeadMemberIsForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	cluster := newCluster(4, 2, 1)
+	cluster.settle(time.Minute)
+	seed, member, at := cluster.nodes[1], cluster.nodes[3], cluster.nodes[0]
+	cluster.kill(seed, false)
+	cluster.kill(member, false)
+	cluster.run(2 * time.Hour)
+	c.Check(stateAt(cluster, at, member), quicktest.Equals, "dead")
+	cluster.run(2 * time.Hour)
+	c.Check(stateAt(cluster, at, member), quicktest.Equals, "")
+	c.Check(stateAt(cluster, at, seed), quicktest.Equals, "dead")
+}
+
+// stateAt returns the state of a node in the answers of another.
+func stateAt(cluster *cluster, at, of *process) string {
+	answer := at.machine.View(cluster.now, querier.Query{Kind: querier.Explain, Subject: string(of.identity.Node)})
+	for _, member := range answer.Members {
+		return member.State
+	}
+	return ""
+}
+
+// TestVMListIsAHint guards against a lagging list that removes a living node,
+// and shows that it lets nodes without seeds join and speeds up removal.
+func TestVMListIsAHint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cluster := newCluster(rapid.IntRange(3, 12).Draw(t, "nodes"), 3, rapid.Uint64().Draw(t, "seed"))
+		cluster.seeds = nil
+		for _, node := range cluster.nodes {
+			cluster.start(node)
+		}
+		list := func(left *process) {
+			var vms []messenger.VM
+			for _, node := range cluster.nodes {
+				if node != left {
+					vms = append(vms, messenger.VM{Name: string(node.identity.Node), Role: messenger.EntryVM, Address: node.identity.Address})
+				}
+			}
+			for _, node := range cluster.nodes {
+				cluster.plan(cluster.now, node, messenger.VMsListed{At: cluster.now, VMs: vms})
+			}
+		}
+		list(nil)
+		if took, ok := cluster.settle(15 * time.Second); !ok {
+			t.Fatalf("nodes without seeds are apart after %s", took)
+		}
+		cluster.forbidDead(t)
+		victim := cluster.pick()
+		list(victim)
+		cluster.run(20 * time.Second)
+		late := rapid.Bool().Draw(t, "late")
+		if late {
+			list(nil)
+			cluster.run(time.Second)
+		}
+		cluster.kill(victim, true)
+		var suspected, dead time.Time
+		cluster.observe = func(_ *process, transition messenger.Transition) {
+			if transition.To == messenger.Suspect.String() && suspected.IsZero() {
+				suspected = cluster.now
+				if late {
+					list(victim)
+				}
+			}
+			if transition.To == messenger.Dead.String() && dead.IsZero() {
+				dead = cluster.now
+			}
+		}
+		if _, ok := cluster.settle(10 * time.Second); !ok {
+			t.Fatalf("the dead node is still a member")
+		}
+		if took := dead.Sub(suspected); took > time.Second {
+			t.Fatalf("an unlisted suspect is dead after %s", took)
+		}
+	})
+}
+
+// TestDigestReachesOthers guards against offsets and load that are not passed
+// on with heartbeats, and against a heartbeat in the name of another node.
+func TestDigestReachesOthers(t *testing.T) {
+	c := quicktest.New(t)
+	machine := detector.New(messenger.Identity{Node: "a", Address: addressOf(1)}, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
+	machine.Step(epoch, messenger.DigestChanged{Configuration: 5, Jobs: 6, Intents: 7})
+	machine.Step(epoch, messenger.LoadChanged{Queued: 8, FreeSlots: 9})
+	other := messenger.Member{
+		Identity: messenger.Identity{Node: "b", Address: addressOf(2), Incarnation: 1},
+		State:    messenger.Alive, Digest: messenger.Digest{Configuration: 4},
+	}
+	c.Check(machine.Step(epoch, messenger.PeerReceived{From: "c", Message: messenger.Probe{From: other}}), quicktest.HasLen, 0)
+	var heard []messenger.PeerHeard
+	var answers []messenger.ProbeAnswer
+	for _, action := range machine.Step(epoch, messenger.PeerReceived{From: "b", Message: messenger.Probe{Sequence: 3, From: other}}) {
+		switch action := action.(type) {
+		case messenger.PeerHeard:
+			heard = append(heard, action)
+		case messenger.SendPeer:
+			if answer := action.Message.(messenger.ProbeAnswer); answer.Sequence == 3 {
+				answers = append(answers, answer)
+			}
+		}
+	}
+	c.Assert(heard, quicktest.HasLen, 1)
+	c.Check(heard[0], quicktest.Equals, messenger.PeerHeard{Node: "b", Address: addressOf(2), Digest: other.Digest})
+	c.Assert(answers, quicktest.HasLen, 1)
+	c.Check(answers[0].From.Digest, quicktest.Equals,
+		messenger.Digest{Configuration: 5, Jobs: 6, Intents: 7, Queued: 8, FreeSlots: 9})
+}
+
+// TestRefutationIsPushed guards against a suspect whose refutation waits for the
+// next probe while others declare it dead.
+func TestRefutationIsPushed(t *testing.T) {
+	machine := detector.New(memberOf(1, messenger.Alive).Identity, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
+	now := epoch
+	hear := func(changes ...messenger.Member) []messenger.Action {
+		return machine.Step(now, messenger.PeerReceived{
+			From: "entry-002", Message: messenger.ProbeAnswer{From: memberOf(2, messenger.Alive), Changes: changes},
+		})
+	}
+	hear(memberOf(3, messenger.Alive))
+	// The next period allows pushes again.
+	now = machine.Next()
+	machine.Step(now, messenger.Tick{})
+	told := make(map[identifier.Node]bool)
+	for _, action := range hear(memberOf(1, messenger.Suspect)) {
+		if sent, ok := action.(messenger.SendPeer); ok {
+			if push, ok := sent.Message.(messenger.ProbeAnswer); ok && push.From.Refutations == 1 {
+				told[sent.To] = true
+			}
+		}
+	}
+	quicktest.Assert(t, told, quicktest.DeepEquals, map[identifier.Node]bool{"entry-002": true, "entry-003": true})
+}
--- a/detector/change.go
+++ b/detector/change.go
@@ -7,8 +7,10 @@
 	"corianderroad/messenger"
 )
 
-// hear takes what a node says about itself.
-func (detector *Detector) hear(now time.Time, from messenger.Member) {
+// hear takes what a node says about itself. A visit is a message that no other
+// node got at the same time: if all took a push for a visit, none of them
+// would probe its sender for long.
+func (detector *Detector) hear(now time.Time, from messenger.Member, visit bool) {
 	if from.Node == detector.self.Node {
 		return
 	}
@@ -17,7 +19,9 @@
 	if known == nil || known.Incarnation != from.Incarnation {
 		return
 	}
-	known.visited = now
+	if visit {
+		known.visited = now
+	}
 	detector.listen(from)
 }
 
@@ -47,8 +51,17 @@
 	detector.heard = nil
 }
 
-// accept takes a change about a member. A higher incarnation overrides a lower
-// one; within an incarnation a higher state overrides a lower one.
+// later reports whether the first of two records of a node was made after the
+// second: by a later process, or after a refutation.
+func later(first, second messenger.Member) bool {
+	if first.Incarnation != second.Incarnation {
+		return first.Incarnation > second.Incarnation
+	}
+	return first.Refutations > second.Refutations
+}
+
+// accept takes a change about a member. A later record overrides an earlier
+// one; of two that are neither, the one with the higher state overrides.
 func (detector *Detector) accept(now time.Time, change messenger.Member) {
 	if change.Node == detector.self.Node {
 		detector.refute(now, change)
@@ -63,8 +76,8 @@
 			return
 		}
 	}
-	newer := known.State == candidate || change.Incarnation > known.Incarnation
-	if !newer && (change.Incarnation < known.Incarnation || change.State <= known.State) {
+	newer := known.State == candidate || later(change, known.Member)
+	if !newer && (later(known.Member, change) || change.State <= known.State) {
 		return
 	}
 	state, reason := change.State, "told-by-peer"
@@ -78,8 +91,10 @@
 			// A random age spreads the first probes of a new member over the nodes.
 			known.visited = now.Add(-detector.draw(time.Duration(len(detector.table.members)) * detector.parameters.Period))
 		}
-		known.Identity = change.Identity
-		detector.changed = true
+		if known.Identity != change.Identity {
+			known.Identity, known.joined, detector.changed = change.Identity, now, true
+		}
+		known.Refutations = change.Refutations
 	}
 	if state != known.State {
 		detector.turn(now, known, state, reason)
@@ -93,13 +108,14 @@
 	}
 }
 
-// refute answers a change about this node. It takes a higher incarnation, so
-// that its own state overrides the change.
+// refute answers a change about this node. It makes its own record the later
+// one. It takes over a higher incarnation, which an earlier process of the node
+// has had if the clock was set back since.
 func (detector *Detector) refute(now time.Time, change messenger.Member) {
 	switch {
-	case change.Incarnation < detector.self.Incarnation:
+	case later(detector.self, change):
 		return
-	case change.Incarnation == detector.self.Incarnation && change.State <= detector.self.State:
+	case !later(change, detector.self) && change.State <= detector.self.State:
 		return
 	case change.Incarnation > detector.self.Incarnation && change.Address != detector.self.Address &&
 		change.State != messenger.Dead:
@@ -112,12 +128,13 @@
 		}
 		return
 	}
-	detector.self.Incarnation = change.Incarnation + 1
+	detector.changed = detector.changed || detector.self.Incarnation != change.Incarnation
+	detector.self.Incarnation, detector.self.Refutations = change.Incarnation, change.Refutations+1
 	if detector.superseded && !detector.draining {
-		detector.self.State = messenger.Alive
+		detector.self.State, detector.changed = messenger.Alive, true
 	}
 	detector.superseded = false
-	detector.changed = true
+	detector.announce = true
 	detector.record(now, detector.self.Node, change.State, detector.self.State, "refuted")
 }
 
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -27,8 +27,14 @@
 	// draining says that this node was told to leave.
 	draining bool
 
-	table     table
-	spreads   []spread
+	table   table
+	spreads []spread
+	// allowance is the number of pushes left in this period.
+	allowance int
+	// lists is the number of answers with all members left in this period.
+	lists int
+	// announce says that members have still to learn this node's own state.
+	announce  bool
 	probe     *probe
 	relays    map[uint64]relay
 	sequence  uint64
@@ -50,7 +56,10 @@
 		self:       messenger.Member{Identity: identity, State: messenger.Alive},
 		relays:     make(map[uint64]relay),
 		// The answers to probes of an earlier process of this node do not match.
-		sequence: random.Uint64(),
+		// Zero stands for an answer that no probe asked for.
+		sequence:  random.Uint64()>>1 + 1,
+		allowance: pushes,
+		lists:     lists,
 	}
 }
 
@@ -64,6 +73,7 @@
 	}
 	detector.handle(now, event)
 	detector.advance(now)
+	detector.push()
 	if detector.changed {
 		detector.emit(messenger.MembersChanged{Members: detector.active()})
 	}
@@ -179,6 +189,7 @@
 	if !now.Before(detector.period) {
 		detector.period = now.Add(detector.parameters.Period)
 	}
+	detector.allowance, detector.lists = pushes, lists
 	detector.forget(now)
 	detector.repeat()
 	detector.startProbe(now)
@@ -269,10 +280,8 @@
 	}
 	detector.depart(now, "drained")
 	members := detector.peers()
-	for _, position := range detector.random.Perm(len(members)) {
-		if position < drainProbes {
-			detector.sendProbe(members[position].Member.Identity, detector.nextSequence())
-		}
+	for _, position := range detector.random.Perm(len(members))[:min(drainPushes, len(members))] {
+		detector.tell(members[position])
 	}
 }
 
--- a/detector/parameters.go
+++ b/detector/parameters.go
@@ -34,16 +34,31 @@
 	maxMembers = 1024
 	// maxChanges bounds the changes of a message.
 	maxChanges = 8
-	// spreadFactor times the binary logarithm of the number of members is how
-	// often a change is sent. At 3 a change misses a member with a probability
-	// of a few in a thousand; the background changes correct that.
+	// joinTime is how long a new member gets all members with each answer: with
+	// 8 changes in a message it would learn 300 others in a minute only. lists
+	// bounds these answers per period.
+	joinTime = 5 * time.Second
+	lists    = 4
+	// pushes bounds the messages per period that carry fresh changes ahead of
+	// the probes; each change goes to pushTargets members at once. Probes alone
+	// take several seconds to reach 300 members.
+	pushes      = 6
+	pushTargets = 3
+	// spreadFactor times the natural logarithm of the number of members is how
+	// often a change is sent.
 	spreadFactor = 3
+	// refreshes is how many changes of a message are members at random, also
+	// while many changes wait. They reach members that a change has missed.
+	refreshes = 1
+	// probeChoice is the part of the members, those visited least recently, from
+	// which the target of a probe is drawn.
+	probeChoice = 2
 	// helpers is the number of members that probe on another's behalf.
 	helpers = 3
 	// joinProbes is the number of seeds that a node probes at its start.
 	joinProbes = 3
-	// drainProbes is the number of members that learn at once that the node leaves.
-	drainProbes = 16
+	// drainPushes is the number of members that learn at once that the node leaves.
+	drainPushes = 16
 	// maxRelays bounds the probes on behalf of others that await an answer.
 	maxRelays = 64
 	// maxDecisions bounds the record of changes of state.
--- a/detector/probe.go
+++ b/detector/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"corianderroad/identifier"
@@ -11,7 +12,7 @@
 // probe is this node's own probe of the current period.
 type probe struct {
 	sequence uint64
-	target   messenger.Identity
+	target   messenger.Member
 	// helpAt is when others are asked to probe, zero if they were.
 	helpAt time.Time
 	// failAt is when the target is taken to have failed.
@@ -38,25 +39,21 @@
 	return detector.sequence
 }
 
-// startProbe probes the member that was visited least recently. Hearing from a
-// member counts as a visit, which halves the time to the first probe of a
-// failed member against a fixed order.
+// startProbe probes one of the members that were visited least recently.
+// Hearing from a member counts as a visit, which halves the time to the first
+// probe of a failed member against a fixed order. The random choice keeps the
+// nodes from visiting a member at the same time, round after round.
 func (detector *Detector) startProbe(now time.Time) {
 	peers := detector.peers()
 	if len(peers) == 0 {
 		return
 	}
-	start := detector.random.IntN(len(peers))
-	target := peers[start]
-	for offset := range peers {
-		if peer := peers[(start+offset)%len(peers)]; peer.visited.Before(target.visited) {
-			target = peer
-		}
-	}
+	slices.SortStableFunc(peers, func(first, second *member) int { return first.visited.Compare(second.visited) })
+	target := peers[detector.random.IntN((len(peers)+probeChoice-1)/probeChoice)]
 	target.visited = now
 	detector.probe = &probe{
 		sequence: detector.nextSequence(),
-		target:   target.Identity,
+		target:   target.Member,
 		helpAt:   now.Add(detector.parameters.AnswerWithin),
 		failAt:   now.Add(detector.parameters.Period),
 	}
@@ -83,7 +80,7 @@
 	}
 	detector.probe = nil
 	target := detector.table.find(probe.target.Node)
-	if target == nil || target.Incarnation != probe.target.Incarnation {
+	if target == nil || later(target.Member, probe.target) {
 		return
 	}
 	switch target.State {
@@ -108,7 +105,7 @@
 			return
 		}
 		if peer.State == messenger.Alive && peer.Node != probe.target.Node {
-			detector.send(peer.Node, peer.Identity, messenger.ProbeRequest{Sequence: probe.sequence, Target: probe.target})
+			detector.send(peer.Node, peer.Identity, messenger.ProbeRequest{Sequence: probe.sequence, Target: probe.target.Identity})
 			asked++
 		}
 	}
@@ -149,18 +146,19 @@
 	}
 }
 
-// answer answers a probe. A node that was not known before gets the members
-// at once, in place of a few with each message.
+// answer answers a probe. A new member gets all members at once, in place of a
+// few with each message.
 func (detector *Detector) answer(now time.Time, probe messenger.Probe) {
-	known := detector.table.find(probe.From.Node)
-	limit := maxChanges
-	if known == nil || known.State == candidate {
-		limit = maxMembers
-	}
-	detector.hear(now, probe.From)
+	detector.hear(now, probe.From, true)
 	for _, change := range probe.Changes {
 		detector.accept(now, change)
 	}
+	limit := maxChanges
+	known := detector.table.find(probe.From.Node)
+	if known != nil && now.Sub(known.joined) < joinTime && detector.lists > 0 {
+		detector.lists--
+		limit = maxMembers
+	}
 	detector.send(probe.From.Node, probe.From.Identity, messenger.ProbeAnswer{
 		Sequence: probe.Sequence, From: detector.self, Changes: detector.changesFor(probe.From, limit),
 	})
@@ -168,12 +166,12 @@
 
 // conclude takes the answer to a probe.
 func (detector *Detector) conclude(now time.Time, answer messenger.ProbeAnswer) {
-	before := detector.self.Incarnation
-	detector.hear(now, answer.From)
+	before := detector.self
+	detector.hear(now, answer.From, answer.Sequence != 0)
 	for _, change := range answer.Changes {
 		detector.accept(now, change)
 	}
-	if detector.self.Incarnation != before {
+	if later(detector.self, before) {
 		// The other node believes this one to be suspect or dead, and learns better at once.
 		detector.sendProbe(answer.From.Identity, detector.nextSequence())
 	}
--- a/detector/spread.go
+++ b/detector/spread.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"math/bits"
+	"math"
 	"slices"
 
 	"corianderroad/identifier"
@@ -21,12 +21,38 @@
 	detector.spreads = append(detector.spreads, spread{node: node})
 }
 
+// push sends changes that were never sent to some members at once.
+func (detector *Detector) push() {
+	for detector.allowance >= pushTargets {
+		fresh := func(spread spread) bool { return spread.sent == 0 }
+		if !detector.announce && !slices.ContainsFunc(detector.spreads, fresh) {
+			return
+		}
+		peers := detector.peers()
+		if len(peers) == 0 {
+			return
+		}
+		detector.announce = false
+		detector.allowance -= pushTargets
+		for _, position := range detector.random.Perm(len(peers))[:min(pushTargets, len(peers))] {
+			detector.tell(peers[position])
+		}
+	}
+}
+
+// tell sends a message that asks for no answer.
+func (detector *Detector) tell(to *member) {
+	detector.send(to.Node, to.Identity, messenger.ProbeAnswer{
+		From: detector.self, Changes: detector.changes(to.Node, maxChanges),
+	})
+}
+
 // changesFor returns the changes for an answer. A node that claims less than
 // what is known about it learns what is known.
 func (detector *Detector) changesFor(from messenger.Member, limit int) []messenger.Member {
 	known := detector.table.find(from.Node)
 	changes := detector.changes(from.Node, limit)
-	if known != nil && known.active() && known.State != messenger.Suspect && known.Incarnation > from.Incarnation {
+	if known != nil && known.active() && known.State != messenger.Suspect && later(known.Member, from) {
 		changes = append([]messenger.Member{stripped(known.Member)}, changes...)
 	}
 	return changes
@@ -41,10 +67,10 @@
 	if known := detector.table.find(to); known != nil && (known.State == messenger.Suspect || known.State == messenger.Dead) {
 		changes = append(changes, stripped(known.Member))
 	}
-	times := spreadFactor * bits.Len(uint(detector.table.count()+1))
+	times := int(math.Ceil(spreadFactor * math.Log(float64(detector.table.count()+2))))
 	slices.SortStableFunc(detector.spreads, func(first, second spread) int { return cmp.Compare(first.sent, second.sent) })
 	for index := range detector.spreads {
-		if len(changes) >= limit {
+		if len(changes) >= limit-refreshes {
 			break
 		}
 		spread := &detector.spreads[index]
--- a/detector/table.go
+++ b/detector/table.go
@@ -25,6 +25,8 @@
 	unlisted bool
 	// visited is when the member was last probed or heard directly.
 	visited time.Time
+	// joined is when this incarnation was learned.
+	joined time.Time
 	// since is when the member took its state.
 	since time.Time
 	// deadline is when a suspect is declared dead.
