--- a/transporter/asker.go
+++ b/transporter/asker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"corianderroad/classifier"
 	"corianderroad/encoder"
@@ -15,6 +16,9 @@
 	"corianderroad/querier"
 )
 
+// maxAsked bounds the connections that one query opens at the same time.
+const maxAsked = 256
+
 // Asker asks other nodes queries, each over a connection of its own: a query
 // never waits behind messages or on a connection that has gone silent. It is
 // safe for concurrent use.
@@ -46,6 +50,33 @@
 	return answer, err
 }
 
+// Reply is the result of one node's query.
+type Reply struct {
+	Node   identifier.Node
+	Answer querier.Answer
+	// Err is nil if the node answered.
+	Err error
+}
+
+// AskAll asks all members a query at the same time and returns their replies in
+// the order of members. It takes at most QueryTimeout as a whole.
+func (asker *Asker) AskAll(ctx context.Context, members []messenger.Identity, query querier.Query) []Reply {
+	ctx, cancel := context.WithTimeout(ctx, asker.timeout)
+	defer cancel()
+	replies := make([]Reply, len(members))
+	var group errgroup.Group
+	group.SetLimit(maxAsked)
+	for index, member := range members {
+		group.Go(func() error {
+			answer, err := asker.Ask(ctx, member.Node, member.Address, query)
+			replies[index] = Reply{Node: member.Node, Answer: answer, Err: err}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return replies
+}
+
 func (asker *Asker) ask(ctx context.Context, key peerKey, query querier.Query) (querier.Answer, error) {
 	body, err := encoder.MarshalQuery(query)
 	if err != nil {
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -28,11 +28,9 @@
 	peer     *peer
 	net      net.Conn
 	endpoint framer.Endpoint
-	// initiated says that this node dialled. The dialling side closes an unused
-	// connection, so that the two sides do not close two at the same time.
-	initiated bool
-	// first holds the message for which the connection was dialled.
-	first chan messenger.SendPeer
+	// first is the message for which the connection was dialled, nil if accepted.
+	// It goes before those that were queued meanwhile.
+	first *messenger.SendPeer
 	// asked and answered bring keep-alives from the reader to the writer.
 	asked    chan struct{}
 	answered chan struct{}
@@ -40,15 +38,14 @@
 	received atomic.Int64
 }
 
-func newConnection(peer *peer, opened net.Conn, endpoint framer.Endpoint, initiated bool) *connection {
+func newConnection(peer *peer, opened net.Conn, endpoint framer.Endpoint, first *messenger.SendPeer) *connection {
 	return &connection{
-		peer:      peer,
-		net:       opened,
-		endpoint:  endpoint,
-		initiated: initiated,
-		first:     make(chan messenger.SendPeer, 1),
-		asked:     make(chan struct{}, 1),
-		answered:  make(chan struct{}, 1),
+		peer:     peer,
+		net:      opened,
+		endpoint: endpoint,
+		first:    first,
+		asked:    make(chan struct{}, 1),
+		answered: make(chan struct{}, 1),
 	}
 }
 
@@ -133,18 +130,17 @@
 	}
 	timer := time.NewTimer(parameters.IdleTimeout)
 	defer timer.Stop()
+	if connection.first != nil {
+		if err := connection.send(ctx, *connection.first); err != nil {
+			return err
+		}
+		liveness.wrote(time.Now())
+	}
 	for {
 		timer.Reset(time.Until(liveness.due()))
-		queue := connection.peer.queue.Entries()
-		if len(connection.first) > 0 {
-			queue = nil // the message for which the connection was dialled is the oldest
-		}
 		var err error
 		select {
-		case message := <-connection.first:
-			err = connection.send(ctx, message)
-			liveness.wrote(time.Now())
-		case message := <-queue:
+		case message := <-connection.peer.queue.Entries():
 			err = connection.send(ctx, message)
 			liveness.wrote(time.Now())
 		case <-connection.asked:
@@ -178,7 +174,9 @@
 	case silent:
 		return false, errSilent
 	case unused:
-		if connection.initiated {
+		// Only the dialling side closes an unused connection, so that the two
+		// sides do not close one each.
+		if connection.first != nil {
 			return connection.finish()
 		}
 		// An accepted connection whose other side is gone ends with this check.
--- a/transporter/peer.go
+++ b/transporter/peer.go
@@ -90,7 +90,7 @@
 			}
 		case accepted := <-peer.accepted.Entries():
 			peer.retryAt, peer.retryStep = time.Time{}, 0
-			peer.open(ctx, group, newConnection(peer, accepted.connection, accepted.endpoint, false))
+			peer.open(ctx, group, newConnection(peer, accepted.connection, accepted.endpoint, nil))
 		case ended := <-peer.ended.Entries():
 			peer.remove(ended)
 		case <-idle.C:
@@ -122,14 +122,14 @@
 	return nil
 }
 
-// settle takes the result of a dial.
+// settle takes the result of a dial. After a failure the queued messages are
+// taken one by one and refused during the pause.
 func (peer *peer) settle(ctx context.Context, group *errgroup.Group, result dialled) error {
 	peer.dialling = false
 	if result.err == nil {
 		peer.retryAt, peer.retryStep = time.Time{}, 0
-		connection := newConnection(peer, result.connection, result.endpoint, true)
-		connection.first <- peer.first
-		peer.open(ctx, group, connection)
+		first := peer.first
+		peer.open(ctx, group, newConnection(peer, result.connection, result.endpoint, &first))
 		return nil
 	}
 	peer.transporter.meter.Closed(peer.key.node, "dial-failed")
@@ -137,10 +137,7 @@
 	peer.retryStep = min(max(2*peer.retryStep, parameters.RetryAfter), parameters.RetryAtMost)
 	// Jitter keeps the nodes from dialling a returning node at the same moment.
 	peer.retryAt = time.Now().Add(peer.retryStep/2 + rand.N(peer.retryStep/2+1))
-	if err := peer.transporter.lost(ctx, peer.first); err != nil || len(peer.connections) > 0 {
-		return err
-	}
-	return peer.refuse(ctx)
+	return peer.transporter.lost(ctx, peer.first)
 }
 
 // refuse returns all queued messages to their senders.
--- a/transporter/respond.go
+++ b/transporter/respond.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"corianderroad/classifier"
 	"corianderroad/encoder"
 	"corianderroad/framer"
 )
@@ -34,6 +35,9 @@
 	if err != nil {
 		return err
 	}
+	if frame.Kind != framer.Query {
+		return classifier.New(classifier.BadFrame, "frame of kind %d on a connection for queries", frame.Kind)
+	}
 	query, err := encoder.UnmarshalQuery(frame.Body)
 	if err != nil {
 		return err
