Test rules of the detector that no scenario depends on

Cause: four rules could be taken out without a red test, since other rules covered for them: a death by hearsay counts as a suspicion, a suspect hears of its suspicion at once, a refuting node probes its accuser, and the time of suspects was only seen red by a run without end.

Change: a test of one detector for each of the first three. Long tests run in parallel.

--- a/detector/bounds_test.go
+++ b/detector/bounds_test.go
@@ -67,6 +67,7 @@
 // beyond its bound, a step that is not deterministic, and a machine that never
 // wants to be woken again.
 func TestAnyMessagesKeepTheBounds(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		identity := messenger.Identity{Node: "entry-000", Address: addressOf(0), Incarnation: 2}
 		start := func() *detector.Detector {
@@ -253,13 +254,62 @@
 	// The next period allows pushes again.
 	now = machine.Next()
 	machine.Step(now, messenger.Tick{})
-	told := make(map[identifier.Node]bool)
+	told, probed := make(map[identifier.Node]bool), false
 	for _, action := range hear(memberOf(1, messenger.Suspect)) {
 		if sent, ok := action.(messenger.SendPeer); ok {
 			if push, ok := sent.Message.(messenger.ProbeAnswer); ok && push.From.Refutations == 1 {
 				told[sent.To] = true
 			}
+			if probe, ok := sent.Message.(messenger.Probe); ok && probe.From.Refutations == 1 && sent.To == "entry-002" {
+				probed = true
+			}
+		}
+	}
+	quicktest.Check(t, told, quicktest.DeepEquals, map[identifier.Node]bool{"entry-002": true, "entry-003": true})
+	quicktest.Check(t, probed, quicktest.IsTrue, quicktest.Commentf("the accuser is not probed"))
+}
+
+// TestSuspectHearsOfItsSuspicion guards against a suspect that can't refute in
+// time because it learns of the suspicion from others only.
+func TestSuspectHearsOfItsSuspicion(t *testing.T) {
+	c := quicktest.New(t)
+	machine := detector.New(memberOf(1, messenger.Alive).Identity, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
+	machine.Step(epoch, messenger.PeerReceived{From: "entry-002", Message: messenger.Probe{From: memberOf(2, messenger.Alive)}})
+	probes := func(now time.Time, event messenger.Event) (probes []messenger.Probe) {
+		for _, action := range machine.Step(now, event) {
+			sent, _ := action.(messenger.SendPeer)
+			if probe, ok := sent.Message.(messenger.Probe); ok {
+				probes = append(probes, probe)
+			}
 		}
+		return probes
+	}
+	now := machine.Next()
+	first := probes(now, messenger.Tick{})
+	c.Assert(first, quicktest.HasLen, 1)
+	// The refusal ends the probe before the next period.
+	machine.Step(now, messenger.PeerLost{To: "entry-002", Message: first[0]})
+	second := probes(machine.Next(), messenger.Tick{})
+	c.Assert(second, quicktest.HasLen, 1)
+	c.Assert(second[0].Changes, quicktest.HasLen, 1)
+	c.Check(second[0].Changes[0].State, quicktest.Equals, messenger.Suspect)
+}
+
+// TestDeathByHearsayCanBeRefuted guards against a living member that is dropped
+// because a region that was parted still spreads its death.
+func TestDeathByHearsayCanBeRefuted(t *testing.T) {
+	c := quicktest.New(t)
+	machine := detector.New(memberOf(1, messenger.Alive).Identity, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
+	state := func(change messenger.Member) string {
+		machine.Step(epoch, messenger.PeerReceived{
+			From: "entry-002", Message: messenger.ProbeAnswer{From: memberOf(2, messenger.Alive), Changes: []messenger.Member{change}},
+		})
+		return machine.View(epoch, querier.Query{Kind: querier.Explain, Subject: "entry-003"}).Members[0].State
 	}
-	quicktest.Assert(t, told, quicktest.DeepEquals, map[identifier.Node]bool{"entry-002": true, "entry-003": true})
+	c.Check(state(memberOf(3, messenger.Alive)), quicktest.Equals, "alive")
+	c.Check(state(memberOf(3, messenger.Dead)), quicktest.Equals, "suspect")
+	refuted := memberOf(3, messenger.Alive)
+	refuted.Refutations = 1
+	c.Check(state(refuted), quicktest.Equals, "alive")
+	c.Check(state(memberOf(3, messenger.Dead)), quicktest.Equals, "alive")
 }
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -47,6 +47,7 @@
 // TestTimesOfDetection guards against detection that is slower than the design
 // says on average: suspected in about 1.5 s, dead everywhere in about 5 s.
 func TestTimesOfDetection(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{10, 100} {
 		var suspected, dropped time.Duration
 		const kills = 60
@@ -79,6 +80,7 @@
 // TestNodesFindEachOtherWithinSeconds guards against a new or restarted
 // deployment whose nodes learn of each other one by one.
 func TestNodesFindEachOtherWithinSeconds(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{9, 100, 300} {
 		took, ok := newCluster(size, 3, 3).settle(10 * time.Second)
 		t.Logf("%d nodes found each other in %s", size, took)
@@ -89,6 +91,7 @@
 // TestCostPerNodeIsFlat guards against control traffic that grows with the
 // number of nodes or passes 20 KB/s per node in both directions together.
 func TestCostPerNodeIsFlat(t *testing.T) {
+	t.Parallel()
 	perNode := make(map[int]float64)
 	for _, size := range []int{10, 100, 300} {
 		cluster := newCluster(size, 3, 5)
@@ -115,6 +118,7 @@
 // although others reach it: messages are lost at random and some pairs of nodes
 // can't talk at all.
 func TestReachableNodeIsNotDeclaredDead(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cluster := drawCluster(t, 6)
 		cluster.forbidDead(t)
@@ -136,6 +140,7 @@
 // TestBrokenPairCausesNoSuspicion guards against a node that is suspected as
 // soon as one other node can't reach it.
 func TestBrokenPairCausesNoSuspicion(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cluster := drawCluster(t, 4)
 		first, second := cluster.nodes[0], cluster.nodes[1]
@@ -223,6 +228,7 @@
 // an hour without a link, and against members that fall for a moment because
 // the other side still spreads their death.
 func TestPartedRegionsFindEachOther(t *testing.T) {
+	t.Parallel()
 	for size, parted := range map[int]time.Duration{9: time.Hour, 60: 2 * time.Minute} {
 		cluster := newCluster(size, 3, 11)
 		cluster.settle(time.Minute)
@@ -265,6 +271,7 @@
 // TestNewerProcessKeepsTheName guards against two processes with one name that
 // refute each other without end.
 func TestNewerProcessKeepsTheName(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		cluster := drawCluster(t, 4)
 		// The last node is no seed, so that the newer process has a way to join.
