Probe the member visited least recently without a draw

Cause: the draw among the older half was meant to keep nodes from probing a member at the same time.

Change: the draw is gone.

--- a/detector/parameters.go
+++ b/detector/parameters.go
@@ -50,9 +50,6 @@
 	// refreshes is how many changes of a message are members at random, also
 	// while many changes wait. They reach members that a change has missed.
 	refreshes = 1
-	// probeChoice is the part of the members, those visited least recently, from
-	// which the target of a probe is drawn.
-	probeChoice = 2
 	// helpers is the number of members that probe on another's behalf.
 	helpers = 3
 	// joinProbes is the number of seeds that a node probes at its start.
--- a/detector/probe.go
+++ b/detector/probe.go
@@ -39,17 +39,14 @@
 	return detector.sequence
 }
 
-// startProbe probes one of the members that were visited least recently.
-// Hearing from a member counts as a visit, which halves the time to the first
-// probe of a failed member against a fixed order. The random choice keeps the
-// nodes from visiting a member at the same time, round after round.
+// startProbe probes the member that was visited least recently. Hearing from a
+// member counts as a visit, since it was alive then.
 func (detector *Detector) startProbe(now time.Time) {
 	peers := detector.peers()
 	if len(peers) == 0 {
 		return
 	}
-	slices.SortStableFunc(peers, func(first, second *member) int { return first.visited.Compare(second.visited) })
-	target := peers[detector.random.IntN((len(peers)+probeChoice-1)/probeChoice)]
+	target := slices.MinFunc(peers, func(first, second *member) int { return first.visited.Compare(second.visited) })
 	target.visited = now
 	detector.probe = &probe{
 		sequence: detector.nextSequence(),
