Make the test of connections fail when their bound is missing

Cause: the test passed with the bound taken out. Change: it is as strict and no longer depends on timing: three calls hold the three connections, and a fourth must end as not run.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -238,34 +238,38 @@
 }
 
 // TestConnections guards against more connections to a minion than its owner
-// may hold, and against a call without exactly one result.
+// may hold, against a call without exactly one result, and against "may have
+// run" for one that waited for a connection in vain.
 func TestConnections(t *testing.T) {
-	var open, most, started atomic.Int32
-	var group sync.WaitGroup
-	group.Add(3)
-	address := minion(t, func(http.ResponseWriter, *http.Request, []byte) bool {
-		now := open.Add(1)
-		defer open.Add(-1)
-		for seen := most.Load(); now > seen; seen = most.Load() {
-			most.CompareAndSwap(seen, now)
+	release := make(chan struct{})
+	var started sync.WaitGroup
+	started.Add(3)
+	address := minion(t, func(_ http.ResponseWriter, request *http.Request, _ []byte) bool {
+		if request.Header.Get("Attempt-Id") != "4" {
+			started.Done()
 		}
-		if started.Add(1) <= 3 {
-			group.Done()
+		select {
+		case <-release:
+		case <-request.Context().Done():
 		}
-		group.Wait()
 		return true
 	})
 	running := run(t, dispatcher.Parameters{Connections: 3})
-	for attempt := range identifier.Attempt(20) {
-		quicktest.Assert(t, running.calls.Offer(running.call(address, attempt, "body")), quicktest.IsNil)
+	for attempt := range identifier.Attempt(3) {
+		quicktest.Assert(t, running.calls.Offer(running.call(address, attempt+1, "body")), quicktest.IsNil)
 	}
-	got := map[identifier.Attempt]int{}
-	for range 20 {
+	started.Wait()
+	fourth := running.call(address, 4, "body")
+	fourth.Timeout = 50 * time.Millisecond
+	answer := running.result(t, fourth)
+	quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.MinionUnreachable)
+	close(release)
+	got := map[identifier.Attempt]bool{}
+	for range 3 {
 		answer := (<-running.results).(messenger.MinionAnswered)
 		quicktest.Assert(t, answer.Err == nil, quicktest.IsTrue)
 		quicktest.Assert(t, answer.Busy, quicktest.Equals, 3)
-		got[answer.Attempt]++
+		got[answer.Attempt] = true
 	}
-	quicktest.Assert(t, got, quicktest.HasLen, 20)
-	quicktest.Assert(t, most.Load(), quicktest.Equals, int32(3))
+	quicktest.Assert(t, got, quicktest.HasLen, 3)
 }
