List each job once, and give up silent reads of the log sooner

Cause: status named a job twice, once from the log's fold and once from the scheduler; after all open connections went silent, a submission was answered 7.05 s after it was sent. Change: the inspector keeps the newest state of each job; reads of the log wait 2 s and are given up after 4 s.

--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -3,7 +3,9 @@
 package inspector
 
 import (
+	"cmp"
 	"context"
+	"slices"
 
 	"corianderroad/buffer"
 	"corianderroad/querier"
@@ -39,5 +41,15 @@
 			return querier.Answer{}, ctx.Err()
 		}
 	}
+	answer.Jobs = newest(answer.Jobs)
 	return answer, nil
 }
+
+// newest keeps one row for each job. The applier knows every job, and the
+// scheduler of the region what becomes of it now; the later state is the true one.
+func newest(rows []querier.Job) []querier.Job {
+	slices.SortFunc(rows, func(a, b querier.Job) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), b.Since.Compare(a.Since), len(b.Workers)-len(a.Workers), cmp.Compare(a.State, b.State))
+	})
+	return slices.CompactFunc(rows, func(a, b querier.Job) bool { return a.Job == b.Job })
+}
--- a/server/peripherals.go
+++ b/server/peripherals.go
@@ -66,11 +66,20 @@
 // slow answer is not worth waiting for.
 const listTimeout = 2 * time.Second
 
+// Reads of the log. A read on a connection that has gone silent ends after
+// readTimeout and another connection is made; with the default of 7 s a
+// submission was answered 7.05 s after its record was appended.
+const (
+	readWait    = 2 * time.Second
+	readTimeout = 4 * time.Second
+)
+
 // addLog adds a reader and a writer for each stream of the log.
 func (server *Server) addLog(events sink) {
 	limiter := appender.NewLimiter()
 	for _, stream := range streams() {
-		reading, writing := follower.Parameters{}, appender.Parameters{}
+		reading := follower.Parameters{Wait: readWait, Silence: readTimeout}
+		writing := appender.Parameters{}
 		switch stream {
 		case identifier.Intents:
 			reading.Recent = follower.IntentsRecent
