Wait for the release of an earlier holder's tasks

A holder that restarted released an incomplete gang and placed its job again before the release had arrived, so that the job ran twice for up to one lease (rapid, found when restarts of nodes joined the property test). The job now waits until every worker confirmed the release, or one lease.

--- a/scheduler/adoption.go
+++ b/scheduler/adoption.go
@@ -120,10 +120,29 @@
 	return true
 }
 
+// released notes that a worker no longer runs what an earlier holder left.
+func (scheduler *Scheduler) released(now time.Time, region *region, answer messenger.WorkerAnswered) {
+	job, ok := scheduler.jobs[answer.Gang.Job]
+	if !ok || answer.Err != nil || !job.remains[answer.Worker] {
+		return
+	}
+	delete(job.remains, answer.Worker)
+	if len(job.remains) == 0 {
+		scheduler.change(now, region)
+	}
+}
+
 // releaseRemains ends what is left of a gang. A release that is lost is sent
 // again when the worker reports the task again.
 func (scheduler *Scheduler) releaseRemains(now time.Time, region *region, gang messenger.Gang, found *remains) {
+	job := scheduler.jobs[gang.Job]
+	if job != nil && job.remains == nil {
+		job.remains, job.remainsUntil = make(map[identifier.Worker]bool), now.Add(scheduler.parameters.Timing.Lease)
+	}
 	for _, worker := range region.sortedWorkers() {
+		if _, ok := found.tasks[worker.name]; ok && job != nil {
+			job.remains[worker.name] = true
+		}
 		if _, ok := found.tasks[worker.name]; ok && !worker.clearing {
 			worker.clearing = true
 			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: gang})
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -60,6 +60,7 @@
 		scheduler.agenda.schedule(job, now)
 	} else if answer.Kind == messenger.ReleaseTask {
 		worker.clearing = false
+		scheduler.released(now, region, answer)
 	}
 	if answer.Err != nil {
 		if answer.Kind == messenger.RenewTasks && now.Sub(region.roundAt) < scheduler.parameters.RenewEvery/2 {
--- a/scheduler/chaos_test.go
+++ b/scheduler/chaos_test.go
@@ -86,7 +86,7 @@
 
 func (chaos *chaos) act() {
 	chance := func(label string) float64 { return rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(chaos.t, label) }
-	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "cancel", "crash", "restart", "break", "pause", "split", "log", "loss", "configure"}).Draw(chaos.t, "act") {
+	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "cancel", "crash", "restart", "break", "pause", "split", "log", "loss", "configure", "reboot"}).Draw(chaos.t, "act") {
 	case "submit":
 		chaos.submitAny()
 	case "cancel":
@@ -107,6 +107,8 @@
 		chaos.split()
 	case "log":
 		chaos.logDown = !chaos.logDown
+	case "reboot":
+		rapid.SampledFrom(chaos.nodes).Draw(chaos.t, "rebooted").reboot()
 	case "configure":
 		chaos.configure(drawWorkspace(chaos.t, "a"), drawWorkspace(chaos.t, "b"))
 	case "loss":
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -55,6 +55,11 @@
 	renewed     time.Time
 	wake        time.Time
 
+	// remains are the workers of an earlier holder's gang that were not yet
+	// released. Their tasks have surely ended at remainsUntil.
+	remains      map[identifier.Worker]bool
+	remainsUntil time.Time
+
 	failures []failure
 	attempts int
 	// blamed are all workers on which the job failed, also those whose failures
@@ -79,7 +84,7 @@
 	job.protected, job.protectedOn = false, nil
 	job.failures, job.attempts, job.blamed = nil, 0, nil
 	job.outcome, job.outcomeID, job.outcomeDue = nil, "", time.Time{}
-	job.wake = time.Time{}
+	job.wake, job.remains, job.remainsUntil = time.Time{}, nil, time.Time{}
 }
 
 // queue is the waiting jobs of one workspace, urgent ones first, then in the
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -102,6 +102,11 @@
 		scheduler.changeAt(region, region.settledAt)
 		return false
 	}
+	if len(job.remains) > 0 && pass.now.Before(job.remainsUntil) {
+		job.reason = classifier.NotReady
+		scheduler.changeAt(region, job.remainsUntil)
+		return false
+	}
 	if quota := scheduler.workspaces[job.spec.Workspace].Quota; quota > 0 && pass.used[job.spec.Workspace]+job.spec.Shape.Total() > quota {
 		job.reason = classifier.QuotaExceeded
 		return false
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -96,9 +96,12 @@
 	identity  messenger.Identity
 	scheduler *scheduler.Scheduler
 	folded    int
-	until     time.Time // end of a pause
-	inbox     []messenger.Event
-	wake      time.Time
+	// claim is the newest claim that the node has folded, term its offset.
+	claim messenger.RegionClaim
+	term  identifier.Term
+	until time.Time // end of a pause
+	inbox []messenger.Event
+	wake  time.Time
 }
 
 func newWorld(t failer, seed uint64) *world {
@@ -230,6 +233,7 @@
 		case messenger.Cancellation:
 			node.step(messenger.JobCancelled{Job: record.Job})
 		case messenger.RegionClaim:
+			node.claim, node.term = record, identifier.Term(position)
 			node.step(messenger.ClaimFolded{Claim: record, Term: identifier.Term(position)})
 		case messenger.Outcome:
 			node.step(messenger.JobConcluded{Outcome: node.world.outcomes[record.Job]})
@@ -303,13 +307,17 @@
 // call carries a call to a worker and its answer back.
 func (node *node) call(ask messenger.AskWorker) {
 	world := node.world
+	process := node.scheduler
 	world.calls[ask.Kind]++
 	if world.onCall != nil {
 		world.onCall(ask)
 	}
+	if node.claim.Node != node.identity.Node || ask.Term != node.term {
+		world.t.Fatalf("node %s calls a worker with term %d after the claim %+v with term %d", node.identity.Node, ask.Term, node.claim, node.term)
+	}
 	worker := world.workers[ask.Worker]
 	timeout := func(code classifier.Code) {
-		world.after(2*time.Second, func() { node.step(ask.Refused(classifier.New(code, "no answer"))) })
+		world.after(2*time.Second, func() { node.answer(process, ask.Refused(classifier.New(code, "no answer"))) })
 	}
 	if world.random.Float64() < world.loseRequest {
 		timeout(classifier.NodeUnreachable)
@@ -325,6 +333,28 @@
 			timeout(classifier.OutcomeUnknown)
 			return
 		}
-		world.after(world.delay(world.transit), func() { node.step(answer) })
+		world.after(world.delay(world.transit), func() { node.answer(process, answer) })
 	})
 }
+
+// answer delivers an answer to the process that asked.
+func (node *node) answer(process *scheduler.Scheduler, answer messenger.WorkerAnswered) {
+	if node.scheduler == process {
+		node.step(answer)
+	}
+}
+
+// reboot replaces the node's process by a new one, which folds the log anew.
+func (node *node) reboot() {
+	world := node.world
+	node.identity.Incarnation++
+	node.scheduler = scheduler.New(node.identity, scheduler.Parameters{}, world.random)
+	node.folded, node.until, node.inbox, node.wake = 0, time.Time{}, nil, time.Time{}
+	node.claim, node.term = messenger.RegionClaim{}, 0
+	node.fold(identifier.Offset(len(world.log)))
+	node.step(messenger.VMsListed{At: world.now, VMs: slices.Clone(world.vms)})
+	if world.configuration != nil {
+		node.step(messenger.ConfigurationChanged{Configuration: world.configuration})
+	}
+	world.members(world.nodes...)
+}
