--- /dev/null
+++ b/lister/lister.go
@@ -0,0 +1,204 @@
+// Package lister polls the platform's VM list.
+package lister
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// Sink receives the VM list. Deliver waits for room until the context ends, and
+// returns an error only then.
+type Sink interface {
+	Deliver(ctx context.Context, event messenger.Event) error
+}
+
+// Meter counts polls by their result in kebab case.
+type Meter interface {
+	Polled(result string)
+}
+
+const (
+	// period is the time between the starts of two polls.
+	period = time.Second
+	// timeout bounds one poll.
+	timeout = time.Second
+	// maxList bounds the list in bytes: 4,500 workers and 1,024 minions and
+	// entry VMs of about 300 bytes each are 1.7 MB.
+	maxList = 8 << 20
+	// budget is the part of a node's 20 KB/s of control traffic that lists may
+	// take, in bytes per second.
+	budget = 8 << 10
+	// longestPause bounds the pause that keeps the budget, so that a long list
+	// still shows a change within a minute.
+	longestPause = time.Minute
+	// repeatAfter is when an unchanged list is delivered again, so that its
+	// receivers know that it is still current.
+	repeatAfter = 10 * time.Second
+)
+
+// Lister polls the VM list. Only Run uses it.
+type Lister struct {
+	client *http.Client
+	url    string
+	sink   Sink
+	meter  Meter
+
+	// The fields below belong to Run.
+	tag       string // entity tag of the newest list, empty if the platform sends none
+	vms       []messenger.VM
+	delivered time.Time
+}
+
+// New returns a Lister that polls GET base/vms with the client.
+func New(client *http.Client, base string, sink Sink, meter Meter) *Lister {
+	return &Lister{client: client, url: base + "/vms", sink: sink, meter: meter}
+}
+
+// Run polls until the context ends: once per second if the platform answers
+// unchanged lists by their entity tag, and otherwise as often as the budget of
+// bytes allows. A poll that fails is counted and leaves the list as it was.
+func (lister *Lister) Run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		answer, err := lister.poll(ctx)
+		if err == nil {
+			err = lister.take(ctx, time.Now(), answer)
+		}
+		lister.meter.Polled(result(answer, err))
+		timer.Reset(lister.pause(answer))
+	}
+}
+
+// answer is the result of one poll.
+type answer struct {
+	unchanged bool
+	vms       []messenger.VM
+	tag       string
+	bytes     int64
+}
+
+func result(answer answer, err error) string {
+	switch {
+	case err != nil:
+		return "failed"
+	case answer.unchanged:
+		return "unchanged"
+	default:
+		return "listed"
+	}
+}
+
+// take delivers a list that is new or was not delivered for a while.
+func (lister *Lister) take(ctx context.Context, now time.Time, answer answer) error {
+	if !answer.unchanged {
+		lister.vms, lister.tag = answer.vms, answer.tag
+	} else if now.Sub(lister.delivered) < repeatAfter {
+		return nil
+	}
+	lister.delivered = now
+	return lister.sink.Deliver(ctx, messenger.VMsListed{At: now, VMs: lister.vms})
+}
+
+// pause returns the time until the next poll.
+func (lister *Lister) pause(answer answer) time.Duration {
+	if answer.tag != "" || answer.unchanged {
+		return period
+	}
+	return min(max(time.Duration(answer.bytes)*time.Second/budget, period), longestPause)
+}
+
+func (lister *Lister) poll(ctx context.Context) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, lister.url, nil)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "VM list")
+	}
+	if lister.tag != "" {
+		request.Header.Set("If-None-Match", lister.tag)
+	}
+	response, err := lister.client.Do(request)
+	if err != nil {
+		return answer{}, errors.Wrap(err, "VM list")
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusNotModified:
+		return answer{unchanged: true}, nil
+	case http.StatusOK:
+	default:
+		return answer{}, errors.Errorf("VM list: status %d", response.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxList))
+	if err != nil {
+		return answer{}, errors.Wrap(err, "VM list")
+	}
+	vms, err := parse(bytes.NewReader(body))
+	return answer{vms: vms, tag: response.Header.Get("ETag"), bytes: int64(len(body))}, err
+}
+
+type list struct {
+	VMs []vm `json:"vms"`
+}
+
+type vm struct {
+	Name          string         `json:"name"`
+	Role          string         `json:"role"`
+	Address       netip.AddrPort `json:"address"`
+	State         string         `json:"state"`
+	Region        string         `json:"region"`
+	FailureDomain string         `json:"failure-domain"`
+	Rack          string         `json:"rack"`
+	Service       string         `json:"service"`
+	Accelerators  int            `json:"accelerators"`
+}
+
+// parse reads a list. An entry with an unknown role is left out, so that a new
+// kind of VM does not hide the others.
+func parse(reader io.Reader) ([]messenger.VM, error) {
+	var listed list
+	if err := json.NewDecoder(reader).Decode(&listed); err != nil {
+		return nil, errors.Wrap(err, "VM list")
+	}
+	vms := make([]messenger.VM, 0, len(listed.VMs))
+	for _, vm := range listed.VMs {
+		role, ok := roles[vm.Role]
+		if !ok {
+			continue
+		}
+		vms = append(vms, messenger.VM{
+			Name:          vm.Name,
+			Role:          role,
+			Address:       vm.Address,
+			Leaving:       vm.State == "leaving",
+			Region:        identifier.Region(vm.Region),
+			FailureDomain: identifier.FailureDomain(vm.FailureDomain),
+			Rack:          identifier.Rack(vm.Rack),
+			Service:       identifier.Service(vm.Service),
+			Accelerators:  vm.Accelerators,
+		})
+	}
+	return vms, nil
+}
+
+var roles = map[string]messenger.VMRole{
+	"entry":  messenger.EntryVM,
+	"worker": messenger.WorkerVM,
+	"minion": messenger.MinionVM,
+}
--- /dev/null
+++ b/transporter/asker.go
@@ -0,0 +1,104 @@
+package transporter
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"corianderroad/classifier"
+	"corianderroad/encoder"
+	"corianderroad/framer"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/querier"
+)
+
+// maxAsked bounds the connections that one query opens at the same time.
+const maxAsked = 256
+
+// Asker asks other nodes queries, each over a connection of its own: a query
+// never waits behind messages or on a connection that has gone silent. It is
+// safe for concurrent use.
+type Asker struct {
+	opener  opener
+	meter   Meter
+	timeout time.Duration
+}
+
+// NewAsker returns an Asker that dials with dialer.
+func NewAsker(identity messenger.Identity, key framer.Key, parameters Parameters, dialer Dialer, meter Meter) *Asker {
+	parameters = parameters.withDefaults()
+	return &Asker{
+		opener:  newOpener(identity, key, parameters, dialer),
+		meter:   meter,
+		timeout: parameters.QueryTimeout,
+	}
+}
+
+// Ask asks one node a query and waits for the answer, at most QueryTimeout. The
+// error has code NodeUnreachable if the node does not answer in time.
+func (asker *Asker) Ask(ctx context.Context, node identifier.Node, address netip.AddrPort, query querier.Query) (querier.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, asker.timeout)
+	defer cancel()
+	answer, err := asker.ask(ctx, peerKey{node, address}, query)
+	if err != nil && classifier.Of(err) == classifier.Internal {
+		return querier.Answer{}, classifier.New(classifier.NodeUnreachable, "query to %q: %v", node, err)
+	}
+	return answer, err
+}
+
+// Reply is the result of one node's query.
+type Reply struct {
+	Node   identifier.Node
+	Answer querier.Answer
+	// Err is nil if the node answered.
+	Err error
+}
+
+// AskAll asks all members a query at the same time and returns their replies in
+// the order of members. It takes at most QueryTimeout as a whole.
+func (asker *Asker) AskAll(ctx context.Context, members []messenger.Identity, query querier.Query) []Reply {
+	ctx, cancel := context.WithTimeout(ctx, asker.timeout)
+	defer cancel()
+	replies := make([]Reply, len(members))
+	var group errgroup.Group
+	group.SetLimit(maxAsked)
+	for index, member := range members {
+		group.Go(func() error {
+			answer, err := asker.Ask(ctx, member.Node, member.Address, query)
+			replies[index] = Reply{Node: member.Node, Answer: answer, Err: err}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return replies
+}
+
+func (asker *Asker) ask(ctx context.Context, key peerKey, query querier.Query) (querier.Answer, error) {
+	body, err := encoder.MarshalQuery(query)
+	if err != nil {
+		return querier.Answer{}, err
+	}
+	connection, other, err := asker.opener.open(ctx, key, framer.Queries)
+	if err != nil {
+		return querier.Answer{}, err
+	}
+	defer func() { _ = connection.Close() }()
+	release := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
+	defer release()
+	if err := framer.Write(connection, framer.Frame{Kind: framer.Query, Body: body}); err != nil {
+		return querier.Answer{}, err
+	}
+	frame, err := framer.Read(connection)
+	if err != nil {
+		return querier.Answer{}, err
+	}
+	if frame.Kind != framer.Answer {
+		return querier.Answer{}, errors.Errorf("frame of kind %d in place of an answer", frame.Kind)
+	}
+	asker.meter.Transferred(other.Node, other.Region, framer.Overhead+len(body), framer.Overhead+len(frame.Body))
+	return encoder.UnmarshalAnswer(frame.Body)
+}
