Prove requests under a changing configuration and the word of a leaving minion

Cause: two cells of the table of proofs were empty: requests while the configuration changes, and new work at an endpoint that has announced its stop.

--- a/decider/fakes_test.go
+++ b/decider/fakes_test.go
@@ -102,13 +102,17 @@
 // fakeMinion runs requests and remembers them.
 type fakeMinion struct {
 	*deployment
-	name       identifier.Minion
-	region     identifier.Region
-	address    netip.AddrPort
-	busy       int
-	peak       int
-	dead       bool
-	leaving    bool
+	name    identifier.Minion
+	region  identifier.Region
+	address netip.AddrPort
+	busy    int
+	peak    int
+	dead    bool
+	leaving bool
+	// leftAt is when the minion announced that it leaves.
+	leftAt time.Time
+	// late counts requests that began more than a few seconds after that.
+	late       int
 	unlisted   bool
 	loseAnswer float64
 	executions []execution
@@ -116,6 +120,9 @@
 
 const minionSlots = 8
 
+// leavingGrace is the "few seconds" after which a leaving endpoint gets no new work.
+const leavingGrace = 3 * time.Second
+
 func (deployment *deployment) minion(name identifier.Minion) *fakeMinion {
 	for _, minion := range deployment.minions {
 		if minion.name == name {
@@ -155,6 +162,9 @@
 
 func (minion *fakeMinion) execute(process *process, life int, call messenger.CallMinion, answered messenger.MinionAnswered) {
 	minion.busy++
+	if minion.leaving && minion.now.Sub(minion.leftAt) > leavingGrace {
+		minion.late++
+	}
 	minion.peak = max(minion.peak, minion.busy)
 	minion.executions = append(minion.executions, execution{call.Request, call.Call.Key, minion.now})
 	lost := minion.random.Float64() < minion.loseAnswer
--- a/decider/promises_test.go
+++ b/decider/promises_test.go
@@ -126,7 +126,7 @@
 	case "lost answers":
 		return func() { deployment.loseAnswers(0.5) }, func() { deployment.loseAnswers(0) }
 	default:
-		return func() { minion.leaving = true }, func() { minion.leaving = false }
+		return func() { minion.leaving, minion.leftAt = true, minion.now }, func() { minion.leaving = false }
 	}
 }
 
@@ -145,8 +145,9 @@
 
 // TestServiceRequestsKeepTheirPromises guards against a request that runs twice,
 // a refusal as not run of work that ran, an answer that is missing, repeated or
-// another caller's, and a minion with more requests than slots, under random
-// faults of nodes, network, log and minions.
+// another caller's, a minion with more requests than slots, and new requests at
+// a minion that left, under random faults of nodes, network, log and minions and
+// while the configuration changes.
 func TestServiceRequestsKeepTheirPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		deployment := newDeployment(rapid.Uint64().Draw(t, "seed"), 5)
@@ -167,6 +168,15 @@
 				caller.send(entry)
 			})
 		}
+		for number := range rapid.IntRange(0, 4).Draw(t, "publications") {
+			entry := deployment.nodes[rapid.IntRange(0, 4).Draw(t, "publisher")]
+			at := time.Duration(rapid.IntRange(0, int(faultSpan/time.Millisecond)).Draw(t, "published")) * time.Millisecond
+			deployment.after(at, func() {
+				if entry.up {
+					deployment.publish(number+1, entry, entry.version("mallet"))
+				}
+			})
+		}
 		deployment.run(faultSpan + settleSpan)
 		for _, caller := range callers {
 			caller.check(t)
@@ -175,6 +185,9 @@
 			if minion.peak > minionSlots {
 				t.Fatalf("%s ran %d requests in %d slots", minion.name, minion.peak, minionSlots)
 			}
+			if minion.late > 0 {
+				t.Fatalf("%s began %d requests more than %s after it left", minion.name, minion.late, leavingGrace)
+			}
 		}
 	})
 }
