Refuse keyed requests at once while the log does not answer

Cause: in demo/faults each keyed request of an outage waited 3.2 s for its intent before it was refused as not run, or passed its deadline, and held a place among the open calls meanwhile. Change: a circuit breaker in the router: after a failure one keyed request per second goes on to the log, the others are refused at once with a hint; a folded intent closes it. Result: the new test fails without the rule (the second request is appended) and passes with it; router's and decider's property tests pass.

--- a/router/focus_test.go
+++ b/router/focus_test.go
@@ -109,3 +109,34 @@
 	})
 	quicktest.Assert(t, has[messenger.CallAnswered](refused)[0].Err.Code, quicktest.Equals, classifier.OutcomeUnknown)
 }
+
+// TestKeyedRequestsAreRefusedEarlyInAnOutage guards against callers that each
+// wait out the time of an intent while the log is known not to answer, and
+// against a node that does not notice that the log answers again.
+func TestKeyedRequestsAreRefusedEarlyInAnOutage(t *testing.T) {
+	c := quicktest.New(t)
+	w, router := lone(0)
+	now := w.now
+	number := 0
+	call := func(at time.Time) (identifier.Request, []messenger.Action) {
+		number++
+		request := identifier.Request(fmt.Sprintf("q%d", number))
+		return request, router.Step(at, messenger.CallArrived{Request: request, Call: commander.Call{
+			Workspace: "a", Service: "rota", Method: "swap", Key: w.key(number), Deadline: at.Add(20 * time.Second),
+		}})
+	}
+	first, actions := call(now)
+	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 1)
+	failed := messenger.AppendFailed{Stream: identifier.Intents, ID: string(first), Code: classifier.LogUnavailable}
+	c.Assert(has[messenger.CallAnswered](router.Step(now, failed)), quicktest.HasLen, 1)
+	_, actions = call(now)
+	answers := has[messenger.CallAnswered](actions)
+	c.Assert(answers, quicktest.HasLen, 1)
+	c.Assert(answers[0].Err.Code, quicktest.Equals, classifier.LogUnavailable)
+	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 0)
+	probe, actions := call(now.Add(probeInterval))
+	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 1)
+	router.Step(now.Add(probeInterval), messenger.IntentFolded{Key: w.key(number), Request: probe, First: true})
+	_, actions = call(now.Add(probeInterval))
+	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 1)
+}
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -38,6 +38,10 @@
 		router.join(now, claiming, stored)
 		return
 	}
+	if !router.breaker.admits(now) {
+		router.refuseLog(now, claiming, classifier.LogUnavailable)
+		return
+	}
 	router.outcomes.open(key, claiming.command.Workspace, fingerprint(claiming.command))
 	claiming.holds, claiming.awaitsIntent = true, true
 	giveUp := now.Add(router.parameters.IntentWait)
@@ -76,6 +80,7 @@
 // foldIntent starts a keyed request whose intent is the first, and asks the
 // holder of the first intent for the outcome otherwise.
 func (router *Router) foldIntent(now time.Time, folded messenger.IntentFolded) {
+	router.breaker.succeed()
 	claimed := router.calls[folded.Request]
 	if claimed == nil || !claimed.awaitsIntent || claimed.command.Key != folded.Key {
 		return
@@ -170,6 +175,11 @@
 	}
 	if code != classifier.RateLimited && code != classifier.RingFull {
 		code = classifier.LogUnavailable
+		router.breaker.fail()
 	}
-	router.finish(now, claimed, classifier.New(code, "the intent of the key could not be read back from the log").WithRetryAfter(time.Second), nil)
+	router.refuseLog(now, claimed, code)
+}
+
+func (router *Router) refuseLog(now time.Time, refused *call, code classifier.Code) {
+	router.finish(now, refused, classifier.New(code, "the intent of the key could not be read back from the log").WithRetryAfter(time.Second), nil)
 }
--- a/router/router.go
+++ b/router/router.go
@@ -43,6 +43,7 @@
 	learned   *estimator.Estimator
 	budget    retrier.Budget
 	link      link
+	breaker   breaker
 	recorder  *recorder.Recorder
 	load      loadReport
 	// sequence numbers the attempts in the order of their arrival, repeats
