--- a/cmd/corianderroad/serve.go
+++ b/cmd/corianderroad/serve.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,6 +18,11 @@
 	"corianderroad/server"
 )
 
+// gcPercent is the growth of the heap between two collections. With the
+// runtime's default of 100 the holder of a region with 1,500 workers took 66 MB,
+// above the 64 MB that a node may use; with 50 it took 59 MB.
+const gcPercent = 50
+
 // serve is the subcommand that runs a node until SIGTERM or SIGINT, on which
 // the node finishes its open work and exits.
 type serve struct {
@@ -42,6 +49,9 @@
 	if err != nil {
 		return connector.Fail(err, false)
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	node, err := server.New(settings, time.Now)
