Keep all decisions for explain in package recorder

applier, detector and scheduler each had a bounded list of decisions of their own beside package recorder, with the same logic written four times.

All three now use recorder.Recorder with their previous capacities. The scheduler no longer stores a source of randomness that it never used; New keeps the parameter, as the other state machines have it.

--- a/applier/applier.go
+++ b/applier/applier.go
@@ -8,6 +8,7 @@
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/recorder"
 )
 
 // TextParser reads a service text. An error has code InvalidText.
@@ -36,12 +37,14 @@
 const (
 	// tickPeriod is how often newest values are repeated and deadlines are checked.
 	tickPeriod = time.Second
-	// staleAfter is how long a node without a word from the log or a peer stays
-	// ready.
+	// staleAfter is how long a node stays ready that receives nothing from the log
+	// or a peer.
 	staleAfter = 7 * time.Second
+	// maxDecisions bounds the decisions that are kept for explain.
+	maxDecisions = 1024
 )
 
-// Applier is the machine that owns what the log decides. Its state is always
+// Applier is the state machine that owns what the log decides. Its state is always
 // complete up to the applied offset of each stream.
 type Applier struct {
 	identity   messenger.Identity
@@ -53,7 +56,7 @@
 	intents       *intents
 	commands      *commands
 	peers         *peers
-	decisions     decisions
+	decisions     *recorder.Recorder
 
 	heardAt  time.Time
 	nextTick time.Time
@@ -72,7 +75,7 @@
 		intents:       newIntents(identity, parameters.MaxIntents),
 		commands:      newCommands(),
 		peers:         newPeers(),
-		decisions:     decisions{node: identity.Node},
+		decisions:     recorder.New(identity.Node, maxDecisions),
 	}
 	applier.streams = []*stream{
 		newStream(identifier.Configuration, applier.configuration),
--- a/applier/stream.go
+++ b/applier/stream.go
@@ -141,7 +141,7 @@
 			applier.emit(verdict.actions...)
 		}
 		if verdict.subject != "" {
-			applier.decisions.add(read.AppendedAt, verdict)
+			applier.record(read.AppendedAt, verdict)
 		}
 		applier.answer(entry.ID, verdict)
 	}
@@ -163,6 +163,16 @@
 	}
 }
 
+// record keeps the effect of a log record for explain.
+func (applier *Applier) record(at time.Time, verdict verdict) {
+	reason, detail := classifier.OK.Name(), verdict.detail
+	if verdict.err != nil {
+		reason = verdict.err.Code.Name()
+		detail += ": " + verdict.err.Message
+	}
+	applier.decisions.Record(at, verdict.subject, "", reason, detail)
+}
+
 // setCurrent tells the other machines the state when it is known for the first
 // time. They get no history: a job that ended long ago must not be placed.
 func (applier *Applier) setCurrent(stream *stream) {
--- a/applier/view.go
+++ b/applier/view.go
@@ -40,7 +40,7 @@
 			answer.Configuration = append(answer.Configuration, organisation)
 		}
 	}
-	answer.Decisions = applier.decisions.about(query.Subject)
+	answer.Decisions = applier.decisions.Find(query.Subject)
 	return answer
 }
 
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -13,10 +13,10 @@
 	"corianderroad/commander"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
-	"corianderroad/querier"
+	"corianderroad/recorder"
 )
 
-// Detector is the machine that detects which nodes are alive.
+// Detector is the state machine that detects which nodes are alive.
 type Detector struct {
 	parameters Parameters
 	random     *rand.Rand
@@ -41,7 +41,7 @@
 	started   bool
 	period    time.Time
 	heard     []messenger.PeerHeard
-	decisions []querier.Decision
+	decisions *recorder.Recorder
 
 	// actions and changed belong to the current step.
 	actions []messenger.Action
@@ -60,6 +60,7 @@
 		sequence:  random.Uint64()>>1 + 1,
 		allowance: pushes,
 		lists:     lists,
+		decisions: recorder.New(identity.Node, maxDecisions),
 	}
 }
 
@@ -221,12 +222,7 @@
 // record keeps and reports a change of state.
 func (detector *Detector) record(now time.Time, node identifier.Node, from, to messenger.MemberState, reason string) {
 	detector.emit(messenger.Transition{Subject: string(node), From: name(from), To: name(to), Reason: reason})
-	if len(detector.decisions) == maxDecisions {
-		detector.decisions = slices.Delete(detector.decisions, 0, 1)
-	}
-	detector.decisions = append(detector.decisions, querier.Decision{
-		At: now, Node: detector.self.Node, Subject: string(node), Reason: reason, Detail: name(from) + " to " + name(to),
-	})
+	detector.decisions.Record(now, string(node), "", reason, name(from)+" to "+name(to))
 }
 
 func (detector *Detector) emit(action messenger.Action) {
--- a/detector/view.go
+++ b/detector/view.go
@@ -31,11 +31,7 @@
 				answer.Members = append(answer.Members, row)
 			}
 		}
-		for _, decision := range detector.decisions {
-			if decision.Subject == query.Subject {
-				answer.Decisions = append(answer.Decisions, decision)
-			}
-		}
+		answer.Decisions = detector.decisions.Find(query.Subject)
 	}
 	return answer
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,5 +1,5 @@
-// Package recorder keeps a bounded record of decisions with their reasons, from
-// which explain answers.
+// Package recorder keeps a bounded record of decisions with their reasons. The
+// query explain is answered from it.
 package recorder
 
 import (
@@ -9,7 +9,7 @@
 	"corianderroad/querier"
 )
 
-// Recorder holds the newest decisions of one machine. It is not safe for
+// Recorder holds the newest decisions of one state machine. It is not safe for
 // concurrent use.
 type Recorder struct {
 	node    identifier.Node
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,13 +9,16 @@
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/querier"
+	"corianderroad/recorder"
 )
 
-// Scheduler is the machine that decides where and when jobs run.
+// maxDecisions bounds the decisions that are kept for explain.
+const maxDecisions = 2048
+
+// Scheduler is the state machine that decides where and when jobs run.
 type Scheduler struct {
 	identity   messenger.Identity
 	parameters Parameters
-	random     *rand.Rand
 
 	jobs       map[identifier.Job]*job
 	regions    map[identifier.Region]*region
@@ -23,23 +26,25 @@
 	workspaces map[identifier.Workspace]messenger.WorkspaceSpec
 	draining   bool
 
-	calls    map[uint64]call
-	sequence uint64
-	agenda   agenda
-	history  history
+	calls     map[uint64]call
+	sequence  uint64
+	agenda    agenda
+	decisions *recorder.Recorder
 	// wanted is the time for which Next asked after the last step.
 	wanted  time.Time
 	actions []messenger.Action
 }
 
-// New returns a Scheduler with the given source of randomness.
-func New(identity messenger.Identity, parameters Parameters, random *rand.Rand) *Scheduler {
+// New returns a Scheduler. It takes a source of randomness as the other state
+// machines do, and makes no random choice.
+func New(identity messenger.Identity, parameters Parameters, _ *rand.Rand) *Scheduler {
 	return &Scheduler{
-		identity: identity, parameters: parameters.withDefaults(), random: random,
+		identity: identity, parameters: parameters.withDefaults(),
 		jobs:       make(map[identifier.Job]*job),
 		regions:    make(map[identifier.Region]*region),
 		workspaces: make(map[identifier.Workspace]messenger.WorkspaceSpec),
 		calls:      make(map[uint64]call),
+		decisions:  recorder.New(identity.Node, maxDecisions),
 	}
 }
 
@@ -130,6 +135,11 @@
 	return first
 }
 
+// decide records a decision about a subject for explain.
+func (scheduler *Scheduler) decide(now time.Time, subject, reason, detail string) {
+	scheduler.decisions.Record(now, subject, "", reason, detail)
+}
+
 func (scheduler *Scheduler) emit(action messenger.Action) {
 	scheduler.actions = append(scheduler.actions, action)
 }
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -33,7 +33,7 @@
 
 // explain returns the decisions about a subject and why a job waits now.
 func (scheduler *Scheduler) explain(now time.Time, query querier.Query) []querier.Decision {
-	decisions := scheduler.history.about(query.Subject)
+	decisions := scheduler.decisions.Find(query.Subject)
 	job, ok := scheduler.jobs[identifier.Job(query.Subject)]
 	if ok && job.state == waiting && scheduler.region(job.region).held {
 		decisions = append(decisions, querier.Decision{
