Remove unused code and unexport what one package uses

leaser.Gang.Expiry and the rack of a guarantor slot had no reader.

The unused code is gone, the others are unexported, and one package comment is left.

--- a/encoder/log.go
+++ b/encoder/log.go
@@ -1,6 +1,3 @@
-// Package encoder converts the messages of package messenger from and to their
-// wire form. The wire types are declared in the schema files; msgp generates
-// their encoding.
 package encoder
 
 import (
@@ -16,7 +13,7 @@
 func MarshalBatch(entries []messenger.Entry) ([]byte, error) {
 	batch := LogBatch{Entries: make([]LogEntry, len(entries))}
 	for i, entry := range entries {
-		wire, err := LogEntryOf(entry)
+		wire, err := logEntry(entry)
 		if err != nil {
 			return nil, err
 		}
@@ -42,15 +39,15 @@
 	}
 	entries := make([]messenger.Entry, len(batch.Entries))
 	for i := range batch.Entries {
-		if entries[i], err = batch.Entries[i].Messenger(); err != nil {
+		if entries[i], err = batch.Entries[i].messenger(); err != nil {
 			return nil, err
 		}
 	}
 	return entries, nil
 }
 
-// LogEntryOf returns the wire form of an entry.
-func LogEntryOf(entry messenger.Entry) (LogEntry, error) {
+// logEntry returns the wire form of an entry.
+func logEntry(entry messenger.Entry) (LogEntry, error) {
 	wire := LogEntry{ID: entry.ID}
 	switch record := entry.Record.(type) {
 	case messenger.Publication:
@@ -71,7 +68,7 @@
 	case messenger.Intent:
 		wire.Intent = &LogIntent{string(record.Key), string(record.Request), string(record.Node), uint64(record.Incarnation)}
 	case messenger.Snapshot:
-		snapshot, err := LogSnapshotOf(record)
+		snapshot, err := logSnapshot(record)
 		if err != nil {
 			return LogEntry{}, err
 		}
@@ -82,9 +79,9 @@
 	return wire, nil
 }
 
-// Messenger returns the entry. The error has code BadFrame if the entry does
+// messenger returns the entry. The error has code BadFrame if the entry does
 // not hold exactly one record.
-func (wire *LogEntry) Messenger() (messenger.Entry, error) {
+func (wire *LogEntry) messenger() (messenger.Entry, error) {
 	var records []messenger.Record
 	if publication := wire.Publication; publication != nil {
 		records = append(records, messenger.Publication{
@@ -116,7 +113,7 @@
 		})
 	}
 	if wire.Snapshot != nil {
-		snapshot, err := wire.Snapshot.Messenger()
+		snapshot, err := wire.Snapshot.messenger()
 		if err != nil {
 			return messenger.Entry{}, err
 		}
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -8,8 +8,8 @@
 	"corianderroad/messenger"
 )
 
-// LogSnapshotOf returns the wire form of a part of a snapshot.
-func LogSnapshotOf(snapshot messenger.Snapshot) (LogSnapshot, error) {
+// logSnapshot returns the wire form of a part of a snapshot.
+func logSnapshot(snapshot messenger.Snapshot) (LogSnapshot, error) {
 	wire := LogSnapshot{
 		Covered: uint64(snapshot.Covered), Digest: snapshot.Digest, Part: snapshot.Part, Parts: snapshot.Parts,
 	}
@@ -24,9 +24,9 @@
 	return wire, nil
 }
 
-// Messenger returns the part of a snapshot. The error has code BadFrame if it
+// messenger returns the part of a snapshot. The error has code BadFrame if it
 // does not hold exactly one state.
-func (wire *LogSnapshot) Messenger() (messenger.Snapshot, error) {
+func (wire *LogSnapshot) messenger() (messenger.Snapshot, error) {
 	snapshot := messenger.Snapshot{
 		Covered: identifier.Offset(wire.Covered), Digest: wire.Digest, Part: wire.Part, Parts: wire.Parts,
 	}
--- a/framer/frame.go
+++ b/framer/frame.go
@@ -74,11 +74,11 @@
 
 // Read reads a frame. The error has code BadFrame if the frame is malformed,
 // and wraps that of the reader otherwise.
-func Read(reader io.Reader) (Frame, error) { return ReadLimited(reader, MaxFrame) }
+func Read(reader io.Reader) (Frame, error) { return readLimited(reader, MaxFrame) }
 
-// ReadLimited reads a frame of at most limit bytes. The handshake uses it, so
-// that a stranger can't make a node hold a large frame.
-func ReadLimited(reader io.Reader, limit int) (Frame, error) {
+// readLimited reads a frame of at most limit bytes. The handshake uses it, so
+// that a peer without the key can't make a node allocate a large frame.
+func readLimited(reader io.Reader, limit int) (Frame, error) {
 	var header [Overhead]byte
 	if _, err := io.ReadFull(reader, header[:]); err != nil {
 		return Frame{}, errors.Wrap(err, "read frame")
--- a/framer/handshake.go
+++ b/framer/handshake.go
@@ -169,7 +169,7 @@
 }
 
 func receive(connection io.Reader, kind Kind, wire msgp.Unmarshaler) error {
-	frame, err := ReadLimited(connection, maxHandshake)
+	frame, err := readLimited(connection, maxHandshake)
 	if err != nil {
 		return err
 	}
--- a/guarantor/guarantor.go
+++ b/guarantor/guarantor.go
@@ -42,7 +42,6 @@
 
 type slot struct {
 	Worker
-	rack int
 	// load is the sum over all workspaces of the larger of claimed and used:
 	// a workspace's own work stands on its own claim.
 	load  int
@@ -78,7 +77,7 @@
 			ledger.racks = append(ledger.racks, span{i, i})
 		}
 		ledger.racks[len(ledger.racks)-1].to = i + 1
-		ledger.slots[i] = slot{Worker: worker, rack: len(ledger.racks) - 1, cells: make(map[identifier.Workspace]cell)}
+		ledger.slots[i] = slot{Worker: worker, cells: make(map[identifier.Workspace]cell)}
 		ledger.index[worker.Worker] = i
 	}
 	for _, use := range uses {
--- a/leaser/gang.go
+++ b/leaser/gang.go
@@ -172,9 +172,6 @@
 // Order returns what was asked for.
 func (gang *Gang) Order() Order { return gang.order }
 
-// Expiry returns a time after which no task of the gang runs without renewal.
-func (gang *Gang) Expiry() time.Time { return gang.expiry }
-
 // Holds says whether the worker still holds accelerators for the gang.
 func (gang *Gang) Holds(worker identifier.Worker) bool {
 	i, ok := gang.index[worker]
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -10,9 +10,9 @@
 	"corianderroad/identifier"
 )
 
-// MaxTasks is the largest number of tasks on one worker. It bounds gangs that
+// maxTasks is the largest number of tasks on one worker. It bounds gangs that
 // use no accelerators: 17,000 tasks on 4,500 workers are 4 on average.
-const MaxTasks = 32
+const maxTasks = 32
 
 // Worker is a worker as it enters a Fleet.
 type Worker struct {
@@ -32,7 +32,7 @@
 
 // available returns the accelerators that a gang may take now.
 func (slot *slot) available() int {
-	if !slot.usable || slot.tasks >= MaxTasks {
+	if !slot.usable || slot.tasks >= maxTasks {
 		return -1
 	}
 	return max(0, slot.Accelerators-slot.used-slot.held)
