Name the parts of scheduler and leaser by the terms of the field

Some names were figurative or did not say what they do: agenda and appointment for a timer queue, remains for a reported gang, sighting, patience, hear and see, change for a request of a planning pass. Two functions and a flag were all called clear or clearing.

They are now wakeups, reportedGang, Observation, AnswerTimeout, recordAnswer, reconcile, requestPlan, endProbation, clearWorkers and releasing, and placer.Give is Release. Fields without a comment got one. Behaviour, log lines and assertions are as before.

--- a/leaser/advance.go
+++ b/leaser/advance.go
@@ -17,7 +17,7 @@
 	var asks []messenger.AskWorker
 	for i := range gang.members {
 		member := &gang.members[i]
-		kind := gang.wanted(member)
+		kind := gang.neededCall(member)
 		if kind == 0 || member.open != 0 || now.Before(member.askAt) {
 			continue
 		}
@@ -34,20 +34,20 @@
 		if gang.all(func(member *member) bool { return member.reserved }) {
 			// No start was sent yet, so that tasks run until now plus lease at most.
 			gang.phase, gang.began, gang.expiry = Starting, now, now.Add(gang.timing.Lease)
-		} else if now.Sub(gang.began) >= gang.timing.Patience {
+		} else if now.Sub(gang.began) >= gang.timing.AnswerTimeout {
 			gang.blameUnless(func(member *member) bool { return member.reserved })
 			gang.Stop(now, Lost)
 		}
 	case Starting:
 		if gang.all(func(member *member) bool { return member.started }) {
 			gang.phase = Running
-		} else if now.Sub(gang.began) >= gang.timing.Patience {
+		} else if now.Sub(gang.began) >= gang.timing.AnswerTimeout {
 			gang.blameUnless(func(member *member) bool { return member.started })
 			gang.Stop(now, Lost)
 		}
 	case Running:
 		if !now.Before(gang.expiry) {
-			gang.blameOldest()
+			gang.blameLeastRecent()
 			gang.Stop(now, Lost)
 		}
 	case Checkpointing:
@@ -97,7 +97,7 @@
 	}
 }
 
-// Next returns when Advance wants to be called, the zero time for never.
+// Next returns when Advance is to be called next, the zero time for never.
 func (gang *Gang) Next() time.Time {
 	var next time.Time
 	earlier := func(at time.Time) {
@@ -109,7 +109,7 @@
 	case Finished, Ended:
 		return next
 	case Reserving, Starting:
-		earlier(gang.began.Add(gang.timing.Patience))
+		earlier(gang.began.Add(gang.timing.AnswerTimeout))
 	case Checkpointing:
 		earlier(gang.began.Add(gang.timing.Grace))
 		earlier(gang.expiry)
@@ -120,15 +120,15 @@
 		return next
 	}
 	for i := range gang.members {
-		if member := &gang.members[i]; member.open == 0 && gang.wanted(member) != 0 {
+		if member := &gang.members[i]; member.open == 0 && gang.neededCall(member) != 0 {
 			earlier(member.askAt)
 		}
 	}
 	return next
 }
 
-// wanted returns the call that a member needs in this phase, zero for none.
-func (gang *Gang) wanted(member *member) messenger.WorkerCallKind {
+// neededCall returns the call that a member needs in this phase, zero for none.
+func (gang *Gang) neededCall(member *member) messenger.WorkerCallKind {
 	switch {
 	case gang.phase == Reserving && !member.reserved:
 		return messenger.ReserveTask
@@ -148,7 +148,7 @@
 	case messenger.ReserveTask:
 		ask.Accelerators, ask.Members, ask.Lease = gang.order.Accelerators, gang.order.Workers, gang.timing.Lease
 	case messenger.StartTask:
-		ask.Mark, ask.Lease = member.alive.Mark, gang.expiry.Sub(member.alive.AnsweredAt)
+		ask.Mark, ask.Lease = member.newest.Mark, gang.expiry.Sub(member.newest.AnsweredAt)
 		ask.RunTime, ask.Progress = gang.order.RunTime, gang.order.Progress
 	case messenger.CheckpointTask:
 		ask.Grace = gang.timing.Grace
@@ -173,8 +173,8 @@
 	}
 }
 
-// blameOldest blames the members whose newest sighting is the oldest.
-func (gang *Gang) blameOldest() {
+// blameLeastRecent blames the members whose newest observation is the oldest.
+func (gang *Gang) blameLeastRecent() {
 	oldest := gang.evidence()
-	gang.blameUnless(func(member *member) bool { return member.alive.AskedAt.After(oldest) })
+	gang.blameUnless(func(member *member) bool { return member.newest.AskedAt.After(oldest) })
 }
--- a/leaser/answer.go
+++ b/leaser/answer.go
@@ -9,7 +9,7 @@
 )
 
 // Answered applies the answer to a call of this gang other than a renewal.
-func (gang *Gang) Answered(now time.Time, answer messenger.WorkerAnswered, sighting Sighting) {
+func (gang *Gang) Answered(now time.Time, answer messenger.WorkerAnswered, observation Observation) {
 	i, ok := gang.index[answer.Worker]
 	if !ok || gang.members[i].open != answer.Kind {
 		return
@@ -22,7 +22,7 @@
 	}
 	switch answer.Kind {
 	case messenger.ReserveTask:
-		member.reserved, member.alive = true, sighting
+		member.reserved, member.newest = true, observation
 	case messenger.StartTask:
 		member.started, member.startedAt = true, now
 	case messenger.CheckpointTask:
@@ -50,9 +50,9 @@
 	}
 }
 
-// Saw applies what a worker reported about its tasks in any answer. task is nil
+// Observe applies what a worker reported about its tasks in any answer. task is nil
 // if the gang was not among them.
-func (gang *Gang) Saw(now time.Time, worker identifier.Worker, sighting Sighting, task *messenger.Task) {
+func (gang *Gang) Observe(now time.Time, worker identifier.Worker, observation Observation, task *messenger.Task) {
 	i, ok := gang.index[worker]
 	if !ok || gang.phase < Starting || gang.phase > Checkpointing {
 		return
@@ -60,7 +60,7 @@
 	member := &gang.members[i]
 	// An answer to a call that was sent before the start was confirmed may
 	// have been given before the task ran.
-	settled := member.started && !sighting.AskedAt.Before(member.startedAt)
+	settled := member.started && !observation.AskedAt.Before(member.startedAt)
 	if task == nil {
 		if settled {
 			gang.lose(now, Lost, worker)
@@ -70,9 +70,9 @@
 	member.progress = max(member.progress, task.Progress)
 	switch task.State {
 	case messenger.Running:
-		gang.sight(member, sighting)
+		gang.keepNewest(member, observation)
 	case messenger.Completed:
-		gang.sight(member, sighting)
+		gang.keepNewest(member, observation)
 		member.completed = true
 		gang.finish()
 	case messenger.Failed:
@@ -90,11 +90,11 @@
 	}
 }
 
-// sight keeps the newest sighting. Sightings before the start was confirmed
+// keepNewest keeps the newest observation. Observations before the start was confirmed
 // carry the mark that the start needs, and are not evidence that the task runs.
-func (gang *Gang) sight(member *member, sighting Sighting) {
-	if member.started && sighting.AskedAt.After(member.alive.AskedAt) {
-		member.alive = sighting
+func (gang *Gang) keepNewest(member *member, observation Observation) {
+	if member.started && observation.AskedAt.After(member.newest.AskedAt) {
+		member.newest = observation
 	}
 }
 
--- a/leaser/gang.go
+++ b/leaser/gang.go
@@ -10,7 +10,7 @@
 	"corianderroad/messenger"
 )
 
-// Phase is the phase of a gang.
+// Phase is a step of the protocol.
 type Phase uint8
 
 // Phases of a gang.
@@ -75,8 +75,8 @@
 type Timing struct {
 	// Lease is how long a task runs without renewal.
 	Lease time.Duration
-	// Patience is how long a worker may leave reserve or start unanswered.
-	Patience time.Duration
+	// AnswerTimeout is how long a worker may leave reserve or start unanswered.
+	AnswerTimeout time.Duration
 	// Grace bounds a checkpoint.
 	Grace time.Duration
 	// Retry is the pause before an unanswered call is repeated.
@@ -92,9 +92,9 @@
 	Progress     time.Duration
 }
 
-// Sighting is an answer of a worker: it was given at some time between AskedAt
+// Observation is an answer of a worker: it was given at some time between AskedAt
 // and AnsweredAt, when the worker's clock stood at Mark.
-type Sighting struct {
+type Observation struct {
 	AskedAt    time.Time
 	AnsweredAt time.Time
 	Mark       time.Duration
@@ -111,8 +111,8 @@
 	reserved, started, saved, released bool
 	// startedAt is when the answer to the start came.
 	startedAt time.Time
-	// alive is the newest sighting of the running or completed task.
-	alive     Sighting
+	// newest is the newest observation of the running or completed task.
+	newest    Observation
 	completed bool
 	progress  time.Duration
 }
@@ -147,15 +147,15 @@
 }
 
 // Adopt returns a Gang that runs already, as its workers reported. The order's
-// workers must all have been sighted.
-func Adopt(now time.Time, order Order, timing Timing, sightings map[identifier.Worker]Sighting) *Gang {
+// workers must all have been observed.
+func Adopt(now time.Time, order Order, timing Timing, observations map[identifier.Worker]Observation) *Gang {
 	gang := New(now, order, timing)
 	gang.phase = Running
 	for i := range gang.members {
 		member := &gang.members[i]
 		member.reserved, member.started = true, true
-		member.alive = sightings[member.worker]
-		member.startedAt = member.alive.AskedAt
+		member.newest = observations[member.worker]
+		member.startedAt = member.newest.AskedAt
 	}
 	return gang
 }
--- a/leaser/renewal.go
+++ b/leaser/renewal.go
@@ -16,9 +16,9 @@
 // after the time at which the whole gang surely ran.
 func (gang *Gang) Deadline() time.Time { return gang.evidence().Add(gang.timing.Lease) }
 
-// Sighting returns the newest sighting of a member's task.
-func (gang *Gang) Sighting(worker identifier.Worker) Sighting {
-	return gang.members[gang.index[worker]].alive
+// Observation returns the newest observation of a member's task.
+func (gang *Gang) Observation(worker identifier.Worker) Observation {
+	return gang.members[gang.index[worker]].newest
 }
 
 // Extend notes that renewals with the given end are being sent.
@@ -28,11 +28,11 @@
 	}
 }
 
-// evidence returns the latest time at which every member was sighted since.
+// evidence returns the latest time since which every member has been observed.
 func (gang *Gang) evidence() time.Time {
-	oldest := gang.members[0].alive.AskedAt
+	oldest := gang.members[0].newest.AskedAt
 	for i := range gang.members {
-		if at := gang.members[i].alive.AskedAt; at.Before(oldest) {
+		if at := gang.members[i].newest.AskedAt; at.Before(oldest) {
 			oldest = at
 		}
 	}
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// Give returns what Take occupied.
-func (fleet *Fleet) Give(worker identifier.Worker, accelerators int) {
+// Release returns what Take occupied.
+func (fleet *Fleet) Release(worker identifier.Worker, accelerators int) {
 	if i, ok := fleet.index[worker]; ok {
 		fleet.slots[i].used -= accelerators
 		fleet.slots[i].tasks--
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -21,7 +21,7 @@
 	now     time.Time
 	random  *rand.Rand
 	faults  faults
-	pending happenings
+	pending eventQueue
 	count   int
 	steps   int
 	// killAt kills the node that takes the step with this number.
@@ -49,21 +49,21 @@
 	broken identifier.Method
 }
 
-type happening struct {
+type timedEvent struct {
 	at    time.Time
 	order int
 	do    func()
 }
 
-type happenings []happening
+type eventQueue []timedEvent
 
-func (h happenings) Len() int { return len(h) }
-func (h happenings) Less(i, j int) bool {
+func (h eventQueue) Len() int { return len(h) }
+func (h eventQueue) Less(i, j int) bool {
 	return h[i].at.Before(h[j].at) || (h[i].at.Equal(h[j].at) && h[i].order < h[j].order)
 }
-func (h happenings) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *happenings) Push(x any)   { *h = append(*h, x.(happening)) }
-func (h *happenings) Pop() any {
+func (h eventQueue) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventQueue) Push(x any)   { *h = append(*h, x.(timedEvent)) }
+func (h *eventQueue) Pop() any {
 	last := (*h)[len(*h)-1]
 	*h = (*h)[:len(*h)-1]
 	return last
@@ -165,7 +165,7 @@
 
 func (w *world) after(wait time.Duration, do func()) {
 	w.count++
-	heap.Push(&w.pending, happening{w.now.Add(wait), w.count, do})
+	heap.Push(&w.pending, timedEvent{w.now.Add(wait), w.count, do})
 }
 
 func (w *world) chance(percent int) bool { return w.random.IntN(100) < percent }
@@ -178,7 +178,7 @@
 // until the given time.
 func (w *world) run(until time.Time) {
 	for w.pending.Len() > 0 && !w.pending[0].at.After(until) {
-		next := heap.Pop(&w.pending).(happening)
+		next := heap.Pop(&w.pending).(timedEvent)
 		w.now = next.at
 		next.do()
 	}
--- a/scheduler/adoption.go
+++ b/scheduler/adoption.go
@@ -11,35 +11,35 @@
 	"corianderroad/messenger"
 )
 
-// adoptionPatience is how long the reading of the workers' state may take. The
+// adoptionTimeout is how long the reading of the workers' state may take. The
 // leases of running gangs last longer.
-const adoptionPatience = 4 * time.Second
+const adoptionTimeout = 4 * time.Second
 
-// remains is a gang of an earlier holder as its workers report it.
-type remains struct {
-	tasks     map[identifier.Worker]messenger.Task
-	sightings map[identifier.Worker]leaser.Sighting
+// reportedGang is a gang of an earlier holder as its workers report it.
+type reportedGang struct {
+	tasks        map[identifier.Worker]messenger.Task
+	observations map[identifier.Worker]leaser.Observation
 }
 
 // beginAdoption reads the state of all workers of the region. Nothing is
-// placed until they answered or the patience is over.
+// placed until they answered or the timeout has passed.
 func (scheduler *Scheduler) beginAdoption(now time.Time, region *region) {
-	region.adoptUntil = now.Add(adoptionPatience)
-	region.adopted = make(map[messenger.Gang]*remains)
+	region.adoptUntil = now.Add(adoptionTimeout)
+	region.adopted = make(map[messenger.Gang]*reportedGang)
 	region.nextPoll = now
 	for _, worker := range region.workers {
-		worker.heard, worker.pollAt = false, now
+		worker.answered, worker.pollAt = false, now
 	}
 }
 
 // collect notes a task that a worker reported.
-func (region *region) collect(worker identifier.Worker, sighting leaser.Sighting, task messenger.Task) {
+func (region *region) collect(worker identifier.Worker, observation leaser.Observation, task messenger.Task) {
 	found, ok := region.adopted[task.Gang]
 	if !ok {
-		found = &remains{make(map[identifier.Worker]messenger.Task), make(map[identifier.Worker]leaser.Sighting)}
+		found = &reportedGang{make(map[identifier.Worker]messenger.Task), make(map[identifier.Worker]leaser.Observation)}
 		region.adopted[task.Gang] = found
 	}
-	found.tasks[worker], found.sightings[worker] = task, sighting
+	found.tasks[worker], found.observations[worker] = task, observation
 }
 
 // adopt ends the reading of the workers' state once all answered: complete
@@ -50,7 +50,7 @@
 	}
 	silent := 0
 	for _, worker := range region.workers {
-		if !worker.heard {
+		if !worker.answered {
 			silent++
 		}
 	}
@@ -75,18 +75,18 @@
 		case scheduler.adoptGang(now, region, gang, found[gang]):
 			adopted++
 		default:
-			scheduler.releaseRemains(now, region, gang, found[gang])
+			scheduler.releaseReported(now, region, gang, found[gang])
 		}
 	}
 	scheduler.transition(string(region.name), "adopting", "placing",
 		fmt.Sprintf("adopted %d of %d gangs, %d workers silent", adopted, len(gangs), silent))
-	region.roundAt = now.Add(-adoptionPatience)
+	region.roundAt = now.Add(-adoptionTimeout)
 	region.nextRound = now
-	scheduler.change(now, region)
+	scheduler.requestPlan(now, region)
 }
 
 // adoptGang takes over a gang of which every member runs or completed.
-func (scheduler *Scheduler) adoptGang(now time.Time, region *region, gang messenger.Gang, found *remains) bool {
+func (scheduler *Scheduler) adoptGang(now time.Time, region *region, gang messenger.Gang, found *reportedGang) bool {
 	job, ok := scheduler.jobs[gang.Job]
 	if !ok || job.region != region.name || job.gang != nil || job.cancelled || job.outcome != nil {
 		return false
@@ -109,42 +109,42 @@
 		}
 	}
 	job.progress = max(job.progress, order.Progress)
-	scheduler.occupy(region, job, leaser.Adopt(now, order, scheduler.parameters.Timing, found.sightings))
+	scheduler.occupy(region, job, leaser.Adopt(now, order, scheduler.parameters.Timing, found.observations))
 	job.become(now, running)
 	for _, name := range order.Workers {
 		task := found.tasks[name]
-		job.gang.Saw(now, name, found.sightings[name], &task)
+		job.gang.Observe(now, name, found.observations[name], &task)
 	}
 	scheduler.decide(now, string(gang.Job), "adopted", setOf(order.Workers))
-	scheduler.agenda.schedule(job, now)
+	scheduler.wakeups.schedule(job, now)
 	return true
 }
 
 // released notes that a worker no longer runs what an earlier holder left.
 func (scheduler *Scheduler) released(now time.Time, region *region, answer messenger.WorkerAnswered) {
 	job, ok := scheduler.jobs[answer.Gang.Job]
-	if !ok || answer.Err != nil || !job.remains[answer.Worker] {
+	if !ok || answer.Err != nil || !job.unreleased[answer.Worker] {
 		return
 	}
-	delete(job.remains, answer.Worker)
-	if len(job.remains) == 0 {
-		scheduler.change(now, region)
+	delete(job.unreleased, answer.Worker)
+	if len(job.unreleased) == 0 {
+		scheduler.requestPlan(now, region)
 	}
 }
 
-// releaseRemains ends what is left of a gang. A release that is lost is sent
+// releaseReported ends what is left of a gang. A release that is lost is sent
 // again when the worker reports the task again.
-func (scheduler *Scheduler) releaseRemains(now time.Time, region *region, gang messenger.Gang, found *remains) {
+func (scheduler *Scheduler) releaseReported(now time.Time, region *region, gang messenger.Gang, found *reportedGang) {
 	job := scheduler.jobs[gang.Job]
-	if job != nil && job.remains == nil {
-		job.remains, job.remainsUntil = make(map[identifier.Worker]bool), now.Add(scheduler.parameters.Timing.Lease)
+	if job != nil && job.unreleased == nil {
+		job.unreleased, job.unreleasedUntil = make(map[identifier.Worker]bool), now.Add(scheduler.parameters.Timing.Lease)
 	}
 	for _, worker := range region.sortedWorkers() {
 		if _, ok := found.tasks[worker.name]; ok && job != nil {
-			job.remains[worker.name] = true
+			job.unreleased[worker.name] = true
 		}
-		if _, ok := found.tasks[worker.name]; ok && !worker.clearing {
-			worker.clearing = true
+		if _, ok := found.tasks[worker.name]; ok && !worker.releasing {
+			worker.releasing = true
 			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: gang})
 		}
 	}
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -47,19 +47,19 @@
 		scheduler.stepDown(now, region, "a worker has seen a newer term")
 		return
 	}
-	sighting := leaser.Sighting{AskedAt: call.askedAt, AnsweredAt: now, Mark: answer.Mark}
+	observation := leaser.Observation{AskedAt: call.askedAt, AnsweredAt: now, Mark: answer.Mark}
 	switch answer.Kind {
 	case messenger.RenewTasks:
 		worker.renewing = 0
 	case messenger.ReadState:
 		worker.polling = 0
 	}
-	scheduler.hear(now, region, worker, answer)
+	scheduler.recordAnswer(now, region, worker, answer)
 	if job := call.job; job != nil && job.gang != nil && job.gang.Order().Gang == answer.Gang {
-		job.gang.Answered(now, answer, sighting)
-		scheduler.agenda.schedule(job, now)
+		job.gang.Answered(now, answer, observation)
+		scheduler.wakeups.schedule(job, now)
 	} else if answer.Kind == messenger.ReleaseTask {
-		worker.clearing = false
+		worker.releasing = false
 		scheduler.released(now, region, answer)
 	}
 	if answer.Err != nil {
@@ -68,11 +68,11 @@
 		}
 		return
 	}
-	scheduler.see(now, region, worker, sighting, answer)
+	scheduler.reconcile(now, region, worker, observation, answer)
 }
 
-// hear notes whether the worker answered.
-func (scheduler *Scheduler) hear(now time.Time, region *region, worker *worker, answer messenger.WorkerAnswered) {
+// recordAnswer updates the reachability of a worker after an answer or its lack.
+func (scheduler *Scheduler) recordAnswer(now time.Time, region *region, worker *worker, answer messenger.WorkerAnswered) {
 	if answer.Err != nil {
 		switch answer.Err.Code {
 		case classifier.RingFull:
@@ -88,28 +88,28 @@
 		region.nextPoll = earliest(region.nextPoll, worker.pollAt)
 		return
 	}
-	worker.heard, worker.missed, worker.heardAt = true, 0, now
+	worker.answered, worker.missed, worker.answeredAt = true, 0, now
 	region.nextPoll = earliest(region.nextPoll, now.Add(scheduler.parameters.PollEvery))
 	if region.fleet.SetUsable(worker.name, worker.usable(now)) {
-		scheduler.change(now, region)
+		scheduler.requestPlan(now, region)
 	}
 	if answer.Accelerators != worker.accelerators {
 		worker.accelerators = answer.Accelerators
 		scheduler.rebuild(region)
-		scheduler.change(now, region)
+		scheduler.requestPlan(now, region)
 	}
 }
 
-// see compares the tasks on a worker with the gangs that should be there.
-func (scheduler *Scheduler) see(now time.Time, region *region, worker *worker, sighting leaser.Sighting, answer messenger.WorkerAnswered) {
+// reconcile compares the tasks on a worker with the gangs that should be there.
+func (scheduler *Scheduler) reconcile(now time.Time, region *region, worker *worker, observation leaser.Observation, answer messenger.WorkerAnswered) {
 	for _, job := range worker.jobs {
 		if job.gang == nil {
 			continue
 		}
 		before := job.gang.Phase()
-		job.gang.Saw(now, worker.name, sighting, find(answer.Tasks, job.gang.Order().Gang))
+		job.gang.Observe(now, worker.name, observation, find(answer.Tasks, job.gang.Order().Gang))
 		if job.gang.Phase() != before {
-			scheduler.agenda.schedule(job, now)
+			scheduler.wakeups.schedule(job, now)
 		}
 	}
 	for _, task := range answer.Tasks {
@@ -120,10 +120,10 @@
 		if !region.adoptUntil.IsZero() {
 			// Only the answer to ReadState surely names the members.
 			if answer.Kind == messenger.ReadState {
-				region.collect(worker.name, sighting, task)
+				region.collect(worker.name, observation, task)
 			}
-		} else if !scheduler.tracks(task.Gang) && !worker.clearing {
-			worker.clearing = true
+		} else if !scheduler.tracks(task.Gang) && !worker.releasing {
+			worker.releasing = true
 			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: task.Gang})
 		}
 	}
@@ -162,7 +162,7 @@
 	for _, worker := range region.sortedWorkers() {
 		due := worker.pollAt
 		if due.IsZero() {
-			due = worker.heardAt.Add(scheduler.parameters.PollEvery)
+			due = worker.answeredAt.Add(scheduler.parameters.PollEvery)
 		}
 		if worker.polling == 0 && !now.Before(due) {
 			worker.pollAt = time.Time{}
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -9,8 +9,8 @@
 	"corianderroad/messenger"
 )
 
-// claimPatience is how long a claim may wait in the appender.
-const claimPatience = 30 * time.Second
+// claimTimeout is how long a claim may wait in the appender.
+const claimTimeout = 30 * time.Second
 
 // owner returns the node that should place for a region: the rendezvous owner
 // over the alive members in the region, or over all if it has none.
@@ -55,13 +55,13 @@
 	}
 	region.claimID = fmt.Sprintf("claim/%s/%s/%d/%d", region.name, scheduler.identity.Node,
 		scheduler.identity.Incarnation, now.UnixNano())
-	region.claimDue = now.Add(2 * claimPatience)
+	region.claimDue = now.Add(2 * claimTimeout)
 	scheduler.emit(messenger.AppendRecord{
 		Stream: identifier.Jobs,
 		Entry: messenger.Entry{ID: region.claimID, Record: messenger.RegionClaim{
 			Region: region.name, Node: scheduler.identity.Node, Incarnation: scheduler.identity.Incarnation,
 		}},
-		GiveUp: now.Add(claimPatience),
+		GiveUp: now.Add(claimTimeout),
 	})
 }
 
@@ -115,12 +115,12 @@
 	scheduler.decide(now, string(region.name), "stepped-down", reason)
 	for _, job := range scheduler.jobs {
 		if job.region == region.name {
-			job.forget()
+			job.resetPlacement()
 			region.enqueue(job)
 		}
 	}
 	for _, worker := range region.workers {
-		worker.jobs, worker.renewing, worker.polling, worker.clearing = nil, 0, 0, false
+		worker.jobs, worker.renewing, worker.polling, worker.releasing = nil, 0, 0, false
 	}
 	region.clearing, region.ledger = nil, nil
 	scheduler.rebuild(region)
--- a/scheduler/configuration.go
+++ b/scheduler/configuration.go
@@ -16,6 +16,6 @@
 		}
 	}
 	for _, region := range scheduler.regions {
-		scheduler.change(now, region)
+		scheduler.requestPlan(now, region)
 	}
 }
--- a/scheduler/drive.go
+++ b/scheduler/drive.go
@@ -39,11 +39,11 @@
 	scheduler.occupy(region, job, leaser.New(now, order, scheduler.parameters.Timing))
 	job.become(now, reserving)
 	scheduler.decide(now, string(job.spec.Job), "placed", setOf(workers))
-	scheduler.driveGang(now, job)
+	scheduler.advanceGang(now, job)
 }
 
-// driveGang moves the gang of a job on and sends the calls that are due.
-func (scheduler *Scheduler) driveGang(now time.Time, job *job) {
+// advanceGang advances the gang of a job and sends the calls that are due.
+func (scheduler *Scheduler) advanceGang(now time.Time, job *job) {
 	region := scheduler.region(job.region)
 	if !region.held {
 		return
@@ -52,13 +52,13 @@
 		scheduler.appendOutcome(now, job)
 	}
 	if job.gang == nil {
-		scheduler.agenda.schedule(job, job.outcomeDue)
+		scheduler.wakeups.schedule(job, job.outcomeDue)
 		return
 	}
 	for _, ask := range job.gang.Advance(now) {
 		scheduler.ask(now, region, region.workers[ask.Worker], job, ask)
 	}
-	scheduler.giveBack(now, region, job)
+	scheduler.freeReleased(now, region, job)
 	switch job.gang.Phase() {
 	case leaser.Running:
 		if job.state == reserving {
@@ -75,26 +75,26 @@
 		scheduler.gangEnded(now, region, job)
 	}
 	if job.gang != nil {
-		scheduler.agenda.schedule(job, job.gang.Next())
+		scheduler.wakeups.schedule(job, job.gang.Next())
 	}
 	if scheduler.jobs[job.spec.Job] == job {
-		scheduler.agenda.schedule(job, job.outcomeDue)
+		scheduler.wakeups.schedule(job, job.outcomeDue)
 	}
 }
 
-// giveBack frees the accelerators of members that were released.
-func (scheduler *Scheduler) giveBack(now time.Time, region *region, job *job) {
+// freeReleased frees the accelerators of members that were released.
+func (scheduler *Scheduler) freeReleased(now time.Time, region *region, job *job) {
 	kept := job.holding[:0]
 	for _, name := range job.holding {
 		if job.gang.Holds(name) {
 			kept = append(kept, name)
 			continue
 		}
-		region.fleet.Give(name, job.spec.Shape.Accelerators)
+		region.fleet.Release(name, job.spec.Shape.Accelerators)
 		if worker, ok := region.workers[name]; ok {
 			worker.remove(job)
 		}
-		scheduler.change(now, region)
+		scheduler.requestPlan(now, region)
 	}
 	job.holding = kept
 }
@@ -102,14 +102,14 @@
 // finish states the outcome of a completed gang and keeps the gang for a while.
 func (scheduler *Scheduler) finish(now time.Time, region *region, job *job) {
 	if job.outcome == nil {
-		region.clear(job.gang.Order().Workers)
+		region.endProbation(job.gang.Order().Workers)
 		scheduler.conclude(now, job, messenger.Outcome{Code: classifier.OK})
 	}
 	if release := job.since.Add(keepFinished); now.Before(release) {
-		scheduler.agenda.schedule(job, release)
+		scheduler.wakeups.schedule(job, release)
 	} else {
 		job.gang.Stop(now, leaser.Completed)
-		scheduler.agenda.schedule(job, now)
+		scheduler.wakeups.schedule(job, now)
 	}
 }
 
@@ -122,14 +122,14 @@
 	}
 	job.gang = nil
 	scheduler.unprotect(now, region, job)
-	scheduler.change(now, region)
+	scheduler.requestPlan(now, region)
 	switch {
 	case job.outcome != nil:
 		return
 	case job.cancelled:
 		scheduler.conclude(now, job, cancelledOutcome())
 	case gang.Result() == leaser.Failed && scheduler.failedEnough(job):
-		region.exonerate(job)
+		region.withdrawFailures(job)
 		scheduler.conclude(now, job, repeatedFailure(job, gang.Blamed()[0]))
 	default:
 		job.become(now, waiting)
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -105,9 +105,9 @@
 	return len(different)
 }
 
-// exonerate withdraws the failures of a job that failed everywhere from the
+// withdrawFailures withdraws the failures of a job that failed everywhere from the
 // workers that they were counted against.
-func (region *region) exonerate(job *job) {
+func (region *region) withdrawFailures(job *job) {
 	for _, failure := range job.failures {
 		if worker, ok := region.workers[failure.worker]; ok {
 			delete(worker.health.failed, job.spec.Job)
@@ -115,8 +115,8 @@
 	}
 }
 
-// clear ends the probation of workers on which a gang completed.
-func (region *region) clear(workers []identifier.Worker) {
+// endProbation ends the probation of workers on which a gang completed.
+func (region *region) endProbation(workers []identifier.Worker) {
 	for _, name := range workers {
 		if worker, ok := region.workers[name]; ok {
 			worker.health.quarantines = 0
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -29,15 +29,16 @@
 	free time.Time
 }
 
-// blocked makes a hold for a job that could not be placed, if it is time.
-func (pass *pass) blocked(job *job) {
+// considerHold makes a hold for a job that could not be placed and has waited for
+// HoldAfter.
+func (pass *pass) considerHold(job *job) {
 	parameters := pass.scheduler.parameters
 	if pass.hold != nil || !parameters.uses(LargeHold) || job.state != waiting {
 		return
 	}
 	due := job.since.Add(parameters.HoldAfter)
 	if pass.now.Before(due) {
-		pass.scheduler.changeAt(pass.region, due)
+		pass.scheduler.requestPlanAt(pass.region, due)
 		return
 	}
 	pass.hold = pass.chooseHold(job)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -55,10 +55,10 @@
 	renewed     time.Time
 	wake        time.Time
 
-	// remains are the workers of an earlier holder's gang that were not yet
-	// released. Their tasks have surely ended at remainsUntil.
-	remains      map[identifier.Worker]bool
-	remainsUntil time.Time
+	// unreleased are the workers of an earlier holder's gang that were not yet
+	// released. Their tasks have surely ended at unreleasedUntil.
+	unreleased      map[identifier.Worker]bool
+	unreleasedUntil time.Time
 
 	failures []failure
 	attempts int
@@ -78,13 +78,13 @@
 	}
 }
 
-// forget drops what only the holder of the region knows.
-func (job *job) forget() {
+// resetPlacement drops the state that only the holder of the region keeps.
+func (job *job) resetPlacement() {
 	job.gang, job.holding, job.target, job.state = nil, nil, nil, waiting
 	job.protected, job.protectedOn = false, nil
 	job.failures, job.attempts, job.blamed = nil, 0, nil
 	job.outcome, job.outcomeID, job.outcomeDue = nil, "", time.Time{}
-	job.wake, job.remains, job.remainsUntil = time.Time{}, nil, time.Time{}
+	job.wake, job.unreleased, job.unreleasedUntil = time.Time{}, nil, time.Time{}
 }
 
 // queue is the waiting jobs of one workspace, urgent ones first, then in the
@@ -131,7 +131,7 @@
 	scheduler.jobs[event.Spec.Job] = accepted
 	region := scheduler.region(accepted.region)
 	region.enqueue(accepted)
-	scheduler.change(now, region)
+	scheduler.requestPlan(now, region)
 }
 
 func (scheduler *Scheduler) cancelJob(now time.Time, name identifier.Job) {
@@ -146,9 +146,9 @@
 	}
 	if region.held && job.gang != nil && job.gang.Phase() != leaser.Finished {
 		job.gang.Stop(now, leaser.Stopped)
-		scheduler.agenda.schedule(job, now)
+		scheduler.wakeups.schedule(job, now)
 	}
-	scheduler.change(now, region)
+	scheduler.requestPlan(now, region)
 }
 
 // concludeJob ends the job with the first outcome in the log.
@@ -167,11 +167,11 @@
 	if job.gang != nil {
 		job.gang.Stop(now, leaser.Stopped)
 	} else {
-		region.unhold(job)
+		region.releaseHold(job)
 		scheduler.unprotect(now, region, job)
 	}
 	job.become(now, concluding)
 	delete(scheduler.jobs, outcome.Job)
-	scheduler.agenda.schedule(job, now)
-	scheduler.change(now, region)
+	scheduler.wakeups.schedule(job, now)
+	scheduler.requestPlan(now, region)
 }
--- a/scheduler/outcome.go
+++ b/scheduler/outcome.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// outcomePatience is how long an outcome may wait in the appender.
-	outcomePatience = time.Minute
+	// outcomeTimeout is how long an outcome may wait in the appender.
+	outcomeTimeout = time.Minute
 	// keepFinished is how long a completed gang keeps its accelerators while its
 	// outcome is not in the log, so that another holder can still learn it.
 	keepFinished = 30 * time.Second
@@ -30,13 +30,13 @@
 
 func (scheduler *Scheduler) appendOutcome(now time.Time, job *job) {
 	job.outcomeID = fmt.Sprintf("outcome/%s/%d/%d", job.spec.Job, scheduler.regions[job.region].term, now.UnixNano())
-	job.outcomeDue = now.Add(2 * outcomePatience)
+	job.outcomeDue = now.Add(2 * outcomeTimeout)
 	scheduler.emit(messenger.AppendRecord{
 		Stream: identifier.Jobs,
 		Entry:  messenger.Entry{ID: job.outcomeID, Record: *job.outcome},
-		GiveUp: now.Add(outcomePatience),
+		GiveUp: now.Add(outcomeTimeout),
 	})
-	scheduler.agenda.schedule(job, job.outcomeDue)
+	scheduler.wakeups.schedule(job, job.outcomeDue)
 }
 
 // outcomeFailed lets an outcome that could not be appended be appended again.
@@ -45,7 +45,7 @@
 	for _, job := range scheduler.jobs {
 		if job.outcomeID == id {
 			job.outcomeDue = now.Add(time.Second)
-			scheduler.agenda.schedule(job, job.outcomeDue)
+			scheduler.wakeups.schedule(job, job.outcomeDue)
 			return
 		}
 	}
--- a/scheduler/parameters.go
+++ b/scheduler/parameters.go
@@ -37,8 +37,8 @@
 	// ContestAfter is how long the owner leaves a region to an alive holder that
 	// claimed it, so that nodes with different views do not claim in turns.
 	ContestAfter time.Duration
-	// PauseAfter is how late a step may come before the node looks at its
-	// regions anew.
+	// PauseAfter is how late a step may come before the node verifies the state
+	// of the regions that it holds.
 	PauseAfter time.Duration
 	// FailureSets is the number of sets of workers on which a job may fail.
 	FailureSets int
@@ -60,7 +60,7 @@
 		}
 	}
 	set(&parameters.Timing.Lease, 15*time.Second)
-	set(&parameters.Timing.Patience, 5*time.Second)
+	set(&parameters.Timing.AnswerTimeout, 5*time.Second)
 	set(&parameters.Timing.Grace, 10*time.Second)
 	set(&parameters.Timing.Retry, 500*time.Millisecond)
 	set(&parameters.RenewEvery, 5*time.Second)
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -99,12 +99,12 @@
 	case job.offset <= identifier.Offset(region.term) && pass.now.Before(region.settledAt):
 		// Tasks of the job may still run on workers that did not answer.
 		job.reason = classifier.NotReady
-		scheduler.changeAt(region, region.settledAt)
+		scheduler.requestPlanAt(region, region.settledAt)
 		return false
 	}
-	if len(job.remains) > 0 && pass.now.Before(job.remainsUntil) {
+	if len(job.unreleased) > 0 && pass.now.Before(job.unreleasedUntil) {
 		job.reason = classifier.NotReady
-		scheduler.changeAt(region, job.remainsUntil)
+		scheduler.requestPlanAt(region, job.unreleasedUntil)
 		return false
 	}
 	if quota := scheduler.workspaces[job.spec.Workspace].Quota; quota > 0 && pass.used[job.spec.Workspace]+job.spec.Shape.Total() > quota {
@@ -117,7 +117,7 @@
 	}
 	job.reason = classifier.NoCapacity
 	if pass.feasible(job.spec.Shape) {
-		pass.blocked(job)
+		pass.considerHold(job)
 	} else {
 		scheduler.conclude(pass.now, job, messenger.Outcome{
 			Code: classifier.Infeasible, Reason: "no set of workers of the region can hold the shape",
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -12,9 +12,9 @@
 	"corianderroad/placer"
 )
 
-// clearingPatience is how long a job waits for preempted gangs to end: the
+// clearingTimeout is how long a job waits for preempted gangs to end: the
 // grace period and one lease, after which their tasks have surely ended.
-const clearingPatience = 30 * time.Second
+const clearingTimeout = 30 * time.Second
 
 // preempt places a job on accelerators that others occupy beyond their
 // guarantee. The occupants are checkpointed; the job starts when they ended.
@@ -45,7 +45,7 @@
 		if !ok || (within && !scheduler.protect(region, job, workers)) {
 			continue
 		}
-		pass.clear(job, workers, victims)
+		pass.clearWorkers(job, workers, victims)
 		return true
 	}
 	pass.unclearable[tried] = true
@@ -105,8 +105,8 @@
 	return victims, true
 }
 
-// clear keeps the workers for the job and checkpoints the gangs on them.
-func (pass *pass) clear(job *job, workers []identifier.Worker, victims []*job) {
+// clearWorkers holds the workers for the job and checkpoints the gangs on them.
+func (pass *pass) clearWorkers(job *job, workers []identifier.Worker, victims []*job) {
 	scheduler, region := pass.scheduler, pass.region
 	job.target = workers
 	job.become(pass.now, clearing)
@@ -115,7 +115,7 @@
 		region.fleet.Hold(name, job.spec.Shape.Accelerators)
 	}
 	region.clearing = append(region.clearing, job)
-	scheduler.changeAt(region, pass.now.Add(clearingPatience))
+	scheduler.requestPlanAt(region, pass.now.Add(clearingTimeout))
 	scheduler.decide(pass.now, string(job.spec.Job), "preempts", fmt.Sprintf("%d gangs on %s", len(victims), setOf(workers)))
 	for _, victim := range victims {
 		scheduler.move(pass.now, victim, "preempted", string(job.spec.Job))
@@ -129,7 +129,7 @@
 	if victim.gang.Phase() >= leaser.Checkpointing {
 		victim.become(now, stopping)
 	}
-	scheduler.agenda.schedule(victim, now)
+	scheduler.wakeups.schedule(victim, now)
 }
 
 // launchCleared starts the jobs whose workers are clear.
@@ -149,21 +149,21 @@
 			ready = ready && free >= job.spec.Shape.Accelerators
 		}
 		switch {
-		case job.cancelled || !usable || pass.now.Sub(job.since) >= clearingPatience:
+		case job.cancelled || !usable || pass.now.Sub(job.since) >= clearingTimeout:
 			scheduler.abandon(pass.now, region, job)
 		case ready:
 			workers := job.target
-			region.unhold(job)
+			region.releaseHold(job)
 			scheduler.launch(pass.now, region, job, workers)
 		default:
 			region.clearing = append(region.clearing, job)
-			scheduler.changeAt(region, job.since.Add(clearingPatience))
+			scheduler.requestPlanAt(region, job.since.Add(clearingTimeout))
 		}
 	}
 }
 
-// unhold gives up the hold on the workers that were cleared for a job.
-func (region *region) unhold(job *job) {
+// releaseHold gives up the hold on the workers that were cleared for a job.
+func (region *region) releaseHold(job *job) {
 	for _, name := range job.target {
 		region.fleet.Hold(name, -job.spec.Shape.Accelerators)
 	}
@@ -172,7 +172,7 @@
 
 // abandon returns a job to the queue whose workers cannot be cleared.
 func (scheduler *Scheduler) abandon(now time.Time, region *region, job *job) {
-	region.unhold(job)
+	region.releaseHold(job)
 	scheduler.unprotect(now, region, job)
 	job.become(now, waiting)
 	region.enqueue(job)
--- a/scheduler/region.go
+++ b/scheduler/region.go
@@ -41,10 +41,11 @@
 
 	// adoptUntil ends the reading of the workers' state, zero if it is done.
 	adoptUntil time.Time
-	adopted    map[messenger.Gang]*remains
+	adopted    map[messenger.Gang]*reportedGang
 	// settledAt is when tasks of earlier holders have surely ended.
 	settledAt time.Time
 
+	// roundAt is the start of the newest round of renewals.
 	roundAt   time.Time
 	nextRound time.Time
 	nextPoll  time.Time
@@ -52,7 +53,8 @@
 	ledger *guarantor.Ledger
 	// ledgerStale says that workers or guarantees changed since the ledger was made.
 	ledgerStale bool
-	counted     int
+	// counted is the number of workers on which the guarantees are packed.
+	counted int
 	// claimed are the guaranteed shapes that the ledger packs.
 	claimed []guarantor.Claim
 	missing map[identifier.Workspace]bool
@@ -61,6 +63,7 @@
 	// clearing are the jobs that wait for preempted gangs to end.
 	clearing []*job
 
+	// dirty says that a pass over the waiting jobs is due at nextPlan.
 	dirty     bool
 	plannedAt time.Time
 	// waits is the number of jobs that the last pass considered.
@@ -105,18 +108,18 @@
 	return region.held && region.adoptUntil.IsZero() && !scheduler.draining
 }
 
-// change asks for a pass over the waiting jobs.
-func (scheduler *Scheduler) change(now time.Time, region *region) {
+// requestPlan asks for a pass over the waiting jobs.
+func (scheduler *Scheduler) requestPlan(now time.Time, region *region) {
 	pause := scheduler.parameters.PlanEvery + time.Duration(region.waits)*planPerJob
 	due := region.plannedAt.Add(min(pause, maxPlanEvery))
 	if due.Before(now) {
 		due = now
 	}
-	scheduler.changeAt(region, due)
+	scheduler.requestPlanAt(region, due)
 }
 
-// changeAt asks for a pass at the given time or earlier.
-func (scheduler *Scheduler) changeAt(region *region, at time.Time) {
+// requestPlanAt asks for a pass at the given time or earlier.
+func (scheduler *Scheduler) requestPlanAt(region *region, at time.Time) {
 	if !region.dirty || at.Before(region.nextPlan) {
 		region.dirty, region.nextPlan = true, at
 	}
--- a/scheduler/renewal.go
+++ b/scheduler/renewal.go
@@ -27,7 +27,7 @@
 }
 
 // renewWorker asks a worker to renew all gangs of the current round. The lease
-// is that of the gang whose members were sighted the longest ago.
+// is that of the gang whose members were observed the longest ago.
 func (scheduler *Scheduler) renewWorker(now time.Time, region *region, worker *worker) {
 	if worker.renewing != 0 || len(worker.jobs) == 0 {
 		return
@@ -40,8 +40,8 @@
 		}
 		ask.Gangs = append(ask.Gangs, job.gang.Order().Gang)
 		deadline = earliest(deadline, job.gang.Deadline())
-		if sighting := job.gang.Sighting(worker.name); sighting.AnsweredAt.After(answeredAt) {
-			answeredAt, ask.Mark = sighting.AnsweredAt, sighting.Mark
+		if observation := job.gang.Observation(worker.name); observation.AnsweredAt.After(answeredAt) {
+			answeredAt, ask.Mark = observation.AnsweredAt, observation.Mark
 		}
 	}
 	ask.Lease = deadline.Sub(answeredAt)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -28,11 +28,11 @@
 
 	calls     map[uint64]call
 	sequence  uint64
-	agenda    agenda
+	wakeups   wakeups
 	decisions *recorder.Recorder
-	// wanted is the time for which Next asked after the last step.
-	wanted  time.Time
-	actions []messenger.Action
+	// nextStep is the time that Next returns after the last step.
+	nextStep time.Time
+	actions  []messenger.Action
 }
 
 // New returns a Scheduler. It takes a source of randomness as the other state
@@ -75,12 +75,12 @@
 		scheduler.appendFailed(now, event)
 	}
 	scheduler.advance(now)
-	scheduler.wanted = scheduler.next()
+	scheduler.nextStep = scheduler.next()
 	return scheduler.actions
 }
 
 // Next implements decider.Machine.
-func (scheduler *Scheduler) Next() time.Time { return scheduler.wanted }
+func (scheduler *Scheduler) Next() time.Time { return scheduler.nextStep }
 
 // View implements decider.Machine.
 func (scheduler *Scheduler) View(now time.Time, query querier.Query) querier.Answer {
@@ -92,8 +92,8 @@
 	for _, region := range scheduler.sortedRegions() {
 		scheduler.considerClaim(now, region)
 	}
-	for _, job := range scheduler.agenda.due(now) {
-		scheduler.driveGang(now, job)
+	for _, job := range scheduler.wakeups.due(now) {
+		scheduler.advanceGang(now, job)
 	}
 	for _, region := range scheduler.sortedRegions() {
 		if !region.held {
@@ -107,7 +107,7 @@
 }
 
 func (scheduler *Scheduler) next() time.Time {
-	next := scheduler.agenda.next()
+	next := scheduler.wakeups.next()
 	for _, region := range scheduler.regions {
 		next = earliest(next, scheduler.claimDue(region))
 		if !region.held {
@@ -144,10 +144,10 @@
 	scheduler.actions = append(scheduler.actions, action)
 }
 
-// checkPause makes the node look at its regions anew if it was paused: leases
+// checkPause verifies the state of the held regions after a pause: leases
 // may have ended and another node may have claimed in the meantime.
 func (scheduler *Scheduler) checkPause(now time.Time) {
-	if scheduler.wanted.IsZero() || now.Sub(scheduler.wanted) < scheduler.parameters.PauseAfter {
+	if scheduler.nextStep.IsZero() || now.Sub(scheduler.nextStep) < scheduler.parameters.PauseAfter {
 		return
 	}
 	for _, region := range scheduler.sortedRegions() {
--- a/scheduler/vm_test.go
+++ b/scheduler/vm_test.go
@@ -190,7 +190,7 @@
 func (world *world) begin(task *task, worker identifier.Worker) {
 	known, ok := world.gangs[task.Gang]
 	if !ok {
-		known = &sighted{size: len(task.Members), running: make(map[identifier.Worker]bool), done: make(map[identifier.Worker]bool)}
+		known = &observedGang{size: len(task.Members), running: make(map[identifier.Worker]bool), done: make(map[identifier.Worker]bool)}
 		world.gangs[task.Gang] = known
 	}
 	known.running[worker] = true
@@ -215,7 +215,7 @@
 	world.settle(task.Gang, known)
 }
 
-func (world *world) settle(gang messenger.Gang, known *sighted) {
+func (world *world) settle(gang messenger.Gang, known *observedGang) {
 	whole := len(known.running)+len(known.done) == known.size
 	if whole {
 		if _, ok := world.started[gang.Job]; !ok {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -19,20 +19,20 @@
 	vm           messenger.VM
 	listed       bool
 	accelerators int
-	// heard says that the worker has answered in this term. missed is the number
+	// answered says that the worker has answered in this term. missed is the number
 	// of calls without an answer since.
-	heard bool
+	answered bool
 	// counted says that the guarantees are packed on the worker.
 	counted bool
 	// listedAt is when the worker was last listed.
-	listedAt time.Time
-	missed   int
-	heardAt  time.Time
-	pollAt   time.Time
+	listedAt   time.Time
+	missed     int
+	answeredAt time.Time
+	pollAt     time.Time
 	// polling and renewing are the sequences of the open calls, zero for none.
 	polling, renewing uint64
-	// clearing says that a release of a task without a job is open.
-	clearing bool
+	// releasing says that a release of a task without a job is open.
+	releasing bool
 	// jobs are the jobs whose gangs hold something on the worker.
 	jobs   []*job
 	health health
@@ -40,7 +40,7 @@
 
 // usable says whether gangs may be placed on the worker.
 func (worker *worker) usable(now time.Time) bool {
-	return worker.listed && !worker.vm.Leaving && worker.heard && worker.missed == 0 &&
+	return worker.listed && !worker.vm.Leaving && worker.answered && worker.missed == 0 &&
 		!now.Before(worker.health.until) && !now.Before(worker.health.avoidUntil)
 }
 
@@ -53,7 +53,7 @@
 		return "leaving"
 	case !worker.listed:
 		return "unlisted"
-	case !worker.heard:
+	case !worker.answered:
 		return "unknown"
 	case worker.missed > 0:
 		return "unreachable"
@@ -90,7 +90,7 @@
 			changed[region] = true
 		}
 		if ok && known.vm.Address != vm.Address {
-			known.heard, known.pollAt = false, now
+			known.answered, known.pollAt = false, now
 			region.nextPoll = earliest(region.nextPoll, now)
 		}
 		known.vm, known.listed, known.listedAt = vm, true, now
@@ -106,7 +106,7 @@
 		}
 		if changed[region] {
 			scheduler.rebuild(region)
-			scheduler.change(now, region)
+			scheduler.requestPlan(now, region)
 		}
 	}
 }
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -16,7 +16,7 @@
 
 var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
-// failer takes the violations that the world notices.
+// failer receives the violations that the world detects.
 type failer interface {
 	Fatalf(format string, arguments ...any)
 }
@@ -25,9 +25,9 @@
 type world struct {
 	t      failer
 	now    time.Time
-	agenda happenings
+	queue  eventQueue
 	serial int
-	// idle counts what happened without time passing.
+	// idle counts the events since virtual time last advanced.
 	idle    int
 	random  *rand.Rand
 	nodes   []*node
@@ -47,7 +47,7 @@
 	// transit bounds the time that a call or an answer is on its way.
 	transit  time.Duration
 	tasks    map[identifier.Job]behaviour
-	gangs    map[messenger.Gang]*sighted
+	gangs    map[messenger.Gang]*observedGang
 	ended    map[identifier.Job]time.Time
 	outcomes map[identifier.Job]messenger.Outcome
 	accepted map[identifier.Job]time.Time
@@ -62,29 +62,29 @@
 	fails   bool
 }
 
-// sighted is what the world knows of a running gang.
-type sighted struct {
+// observedGang is the state of a running gang as the world observes it.
+type observedGang struct {
 	size    int
 	running map[identifier.Worker]bool
 	done    map[identifier.Worker]bool
 	partial time.Time
 }
 
-type happening struct {
+type timedEvent struct {
 	at     time.Time
 	serial int
 	do     func()
 }
 
-type happenings []happening
+type eventQueue []timedEvent
 
-func (list happenings) Len() int { return len(list) }
-func (list happenings) Less(i, j int) bool {
+func (list eventQueue) Len() int { return len(list) }
+func (list eventQueue) Less(i, j int) bool {
 	return list[i].at.Before(list[j].at) || (list[i].at.Equal(list[j].at) && list[i].serial < list[j].serial)
 }
-func (list happenings) Swap(i, j int) { list[i], list[j] = list[j], list[i] }
-func (list *happenings) Push(x any)   { *list = append(*list, x.(happening)) }
-func (list *happenings) Pop() any {
+func (list eventQueue) Swap(i, j int) { list[i], list[j] = list[j], list[i] }
+func (list *eventQueue) Push(x any)   { *list = append(*list, x.(timedEvent)) }
+func (list *eventQueue) Pop() any {
 	last := (*list)[len(*list)-1]
 	*list = (*list)[:len(*list)-1]
 	return last
@@ -108,7 +108,7 @@
 	return &world{
 		t: t, now: epoch, transit: 5 * time.Millisecond, lease: 15 * time.Second, random: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[identifier.Worker]*vm), tasks: make(map[identifier.Job]behaviour),
-		gangs: make(map[messenger.Gang]*sighted), ended: make(map[identifier.Job]time.Time),
+		gangs: make(map[messenger.Gang]*observedGang), ended: make(map[identifier.Job]time.Time),
 		outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
 		started: make(map[identifier.Job]time.Time), calls: make(map[messenger.WorkerCallKind]int),
 	}
@@ -116,14 +116,14 @@
 
 func (world *world) after(delay time.Duration, do func()) {
 	world.serial++
-	heap.Push(&world.agenda, happening{world.now.Add(delay), world.serial, do})
+	heap.Push(&world.queue, timedEvent{world.now.Add(delay), world.serial, do})
 }
 
 // run lets the given time pass.
 func (world *world) run(length time.Duration) {
 	end := world.now.Add(length)
-	for len(world.agenda) > 0 && !world.agenda[0].at.After(end) {
-		next := heap.Pop(&world.agenda).(happening)
+	for len(world.queue) > 0 && !world.queue[0].at.After(end) {
+		next := heap.Pop(&world.queue).(timedEvent)
 		if world.idle++; next.at.After(world.now) {
 			world.idle = 0
 		} else if world.idle > 100000 {
@@ -148,7 +148,7 @@
 	return added
 }
 
-// members tells every node which nodes are alive.
+// members sends every node the list of live nodes.
 func (world *world) members(alive ...*node) {
 	var event messenger.MembersChanged
 	for _, node := range alive {
