Say what the remaining parts do in plain terms

Several comments, names and one error were figurative: a node that takes itself to have been paused, greet, excuse, tell and told, lives that are remembered, a minion that does not tell its slots.

Defaults are set with cmp.Or and stated at each parameter. The functions are authenticate, compensatePause, suspicionTimeout, answerPeer, applyAnswer and checkLiveness, and the comments name the mechanism. Behaviour and assertions are as before.

The race tests of applier, detector, transporter, appender, follower, controller, dispatcher, scheduler, server and decider pass.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -3,6 +3,7 @@
 package appender
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"sync/atomic"
@@ -68,18 +69,12 @@
 	stream identifier.Stream, address netip.AddrPort, client Client, sink Sink,
 	records *buffer.Ring[messenger.AppendRecord], limiter *rate.Limiter, parameters Parameters,
 ) *Appender {
-	if parameters.Collect == 0 {
-		parameters.Collect = 5 * time.Millisecond
-	}
-	if parameters.MaxEntries == 0 {
-		parameters.MaxEntries = 200
-		if stream == identifier.Configuration {
-			parameters.MaxEntries = 1
-		}
-	}
-	if parameters.Timeout == 0 {
-		parameters.Timeout = 2 * time.Second
+	parameters.Collect = cmp.Or(parameters.Collect, 5*time.Millisecond)
+	if stream == identifier.Configuration {
+		parameters.MaxEntries = cmp.Or(parameters.MaxEntries, 1)
 	}
+	parameters.MaxEntries = cmp.Or(parameters.MaxEntries, 200)
+	parameters.Timeout = cmp.Or(parameters.Timeout, 2*time.Second)
 	return &Appender{
 		stream: stream, log: log{client: client, address: address, stream: stream, timeout: parameters.Timeout},
 		sink: sink, records: records, limiter: limiter, parameters: parameters,
--- a/applier/announce.go
+++ b/applier/announce.go
@@ -5,8 +5,8 @@
 	"corianderroad/messenger"
 )
 
-// announce returns what the other machines must learn if before is the state
-// that they know, nil for none.
+// announce returns the changes for the other state machines, whose last known
+// state is before, nil for none.
 func (jobs *jobs) announce(before *jobs) []messenger.Action {
 	var actions []messenger.Action
 	for _, claim := range jobs.sortedClaims() {
--- a/applier/applier.go
+++ b/applier/applier.go
@@ -3,6 +3,7 @@
 package applier
 
 import (
+	"cmp"
 	"time"
 
 	"corianderroad/classifier"
@@ -30,7 +31,7 @@
 	GiveUp time.Duration
 	// MaxCommands is the number of commands that may await the log, 1,024 if zero.
 	MaxCommands int
-	// MaxIntents is the number of keys that are remembered, 2^20 if zero.
+	// MaxIntents is the number of keys that are kept, 2^20 if zero.
 	MaxIntents int
 }
 
@@ -86,18 +87,10 @@
 }
 
 func (parameters Parameters) withDefaults() Parameters {
-	if parameters.Retention == 0 {
-		parameters.Retention = time.Hour
-	}
-	if parameters.GiveUp == 0 {
-		parameters.GiveUp = 10 * time.Second
-	}
-	if parameters.MaxCommands == 0 {
-		parameters.MaxCommands = 1024
-	}
-	if parameters.MaxIntents == 0 {
-		parameters.MaxIntents = 1 << 20
-	}
+	parameters.Retention = cmp.Or(parameters.Retention, time.Hour)
+	parameters.GiveUp = cmp.Or(parameters.GiveUp, 10*time.Second)
+	parameters.MaxCommands = cmp.Or(parameters.MaxCommands, 1024)
+	parameters.MaxIntents = cmp.Or(parameters.MaxIntents, 1<<20)
 	return parameters
 }
 
--- a/applier/configuration.go
+++ b/applier/configuration.go
@@ -191,7 +191,7 @@
 	return published || slices.Contains(configuration.founders, organisation)
 }
 
-// value returns the configuration for the other machines.
+// value returns the configuration for the other state machines.
 func (configuration *configuration) value() *messenger.Configuration {
 	value := &messenger.Configuration{Version: configuration.version}
 	for _, organisation := range configuration.members() {
--- a/applier/folded.go
+++ b/applier/folded.go
@@ -8,12 +8,12 @@
 
 const (
 	// foldedAge is above the time for which an appender repeats a record, so that
-	// no repetition arrives after its ID was forgotten.
+	// no repetition arrives after its ID was dropped.
 	foldedAge = 10 * time.Minute
 	maxFolded = 4096
 )
 
-// folded remembers the IDs of recent records, so that a record that was
+// folded keeps the IDs of recent records, so that a record that was
 // appended twice folds once. It is part of the state: a node that starts from a
 // snapshot must treat a repetition as the others do.
 type folded struct {
@@ -42,7 +42,7 @@
 	return true
 }
 
-// expire forgets the IDs that are old by the log's time.
+// expire drops the IDs that are old by the log's time.
 func (folded *folded) expire(now time.Time) {
 	expired := 0
 	for expired < len(folded.order) &&
--- a/applier/intents.go
+++ b/applier/intents.go
@@ -116,7 +116,7 @@
 	if first.request == request && firstHolder == (holder{record.Node, record.Incarnation}) {
 		return true
 	}
-	// The memory of an earlier life of this node is lost.
+	// The outcomes that an earlier process of this node kept are lost.
 	ownEarlier := firstHolder.node == intents.identity.Node && firstHolder.incarnation != intents.identity.Incarnation
 	if covered && !ownEarlier {
 		answer.Holder = firstHolder.node
@@ -162,7 +162,7 @@
 	intents.from++
 }
 
-// advance forgets the intents whose keys are no longer valid.
+// advance drops the intents whose keys are no longer valid.
 func (intents *intents) advance(read messenger.AppendRead) {
 	limit := read.AppendedAt.Add(-intentAge).Unix()
 	for intents.from < intents.next && int64(intents.oldest().at) < limit {
@@ -184,7 +184,7 @@
 // reads the last minutes of it from the log.
 func (intents *intents) digest() uint64 { return 0 }
 
-// maxHolders bounds the lives of nodes that are remembered by number.
+// maxHolders bounds the processes that are kept by number.
 const maxHolders = 4096
 
 func (intents *intents) intern(holder holder) uint32 {
@@ -197,7 +197,7 @@
 	return number
 }
 
-// compactHolders forgets the lives without an intent.
+// compactHolders drops the processes without an intent.
 func (intents *intents) compactHolders() {
 	old := intents.holders
 	intents.holders, intents.holderOf = nil, map[holder]uint32{}
--- a/applier/jobs.go
+++ b/applier/jobs.go
@@ -14,7 +14,7 @@
 	// maxJobs bounds the accepted jobs. It is not a parameter, because every node
 	// must refuse the same submission.
 	maxJobs = 100_000
-	// endedAge is how long an ended job is known.
+	// endedAge is how long an ended job is kept.
 	endedAge = 24 * time.Hour
 )
 
@@ -62,7 +62,7 @@
 		job := jobs.ended[expired]
 		jobs.items -= jobFingerprint(job)
 		delete(jobs.jobs, job.Spec.Job)
-		// The backing array would keep the job alive.
+		// The backing array would keep the job reachable.
 		jobs.ended[expired] = nil
 		expired++
 	}
--- a/applier/peers.go
+++ b/applier/peers.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// lateness tells whether the log is late with an append that a peer has applied.
+// lateness detects that the log is late with an append that a peer has applied.
 type lateness struct {
 	target identifier.Offset
 	since  time.Time
@@ -161,15 +161,15 @@
 	}
 	switch message := received.Message.(type) {
 	case messenger.EntriesAsk:
-		applier.tell(now, applier.peers.all[at], message)
+		applier.answerPeer(now, applier.peers.all[at], message)
 	case messenger.EntriesTell:
-		applier.told(now, applier.peers.all[at], message)
+		applier.applyAnswer(now, applier.peers.all[at], message)
 	}
 }
 
-// tell answers a peer with appends, or with a copy of the state if they are no
+// answerPeer answers a peer with appends, or with a copy of the state if they are no
 // longer kept.
-func (applier *Applier) tell(now time.Time, peer peer, ask messenger.EntriesAsk) {
+func (applier *Applier) answerPeer(now time.Time, peer peer, ask messenger.EntriesAsk) {
 	stream := applier.stream(ask.Stream)
 	if stream == nil || ask.From > stream.applied {
 		return
@@ -191,8 +191,8 @@
 	}
 }
 
-// told applies a peer's answer.
-func (applier *Applier) told(now time.Time, peer peer, tell messenger.EntriesTell) {
+// applyAnswer applies a peer's answer.
+func (applier *Applier) applyAnswer(now time.Time, peer peer, tell messenger.EntriesTell) {
 	stream := applier.stream(tell.Stream)
 	if stream == nil {
 		return
--- a/applier/stream.go
+++ b/applier/stream.go
@@ -173,8 +173,8 @@
 	applier.decisions.Record(at, verdict.subject, "", reason, detail)
 }
 
-// setCurrent tells the other machines the state when it is known for the first
-// time. They get no history: a job that ended long ago must not be placed.
+// setCurrent sends the state to the other state machines when it is complete for
+// the first time. They get no history: a job that ended long ago must not be placed.
 func (applier *Applier) setCurrent(stream *stream) {
 	if stream.current {
 		return
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -23,11 +24,13 @@
 
 // Parameters are the parameters of a Controller. The zero value is useful.
 type Parameters struct {
-	// Callers is the number of calls that are open at the same time.
+	// Callers is the number of calls that are open at the same time, 32 if zero.
 	Callers int
-	// Timeout bounds a call. A checkpoint has its grace period in addition.
+	// Timeout bounds a call, 2 s if zero. A checkpoint has its grace period in
+	// addition.
 	Timeout time.Duration
-	// IdleConnections bounds the connections that are kept open in all.
+	// IdleConnections bounds the idle connections to all workers together, 512 if
+	// zero.
 	IdleConnections int
 }
 
@@ -43,15 +46,9 @@
 // answers to the sink. The ring should hold a call for each worker of a region,
 // because renewals are sent together.
 func New(ring *buffer.Ring[messenger.AskWorker], sink Sink, parameters Parameters) *Controller {
-	if parameters.Callers == 0 {
-		parameters.Callers = 32
-	}
-	if parameters.Timeout == 0 {
-		parameters.Timeout = 2 * time.Second
-	}
-	if parameters.IdleConnections == 0 {
-		parameters.IdleConnections = 512
-	}
+	parameters.Callers = cmp.Or(parameters.Callers, 32)
+	parameters.Timeout = cmp.Or(parameters.Timeout, 2*time.Second)
+	parameters.IdleConnections = cmp.Or(parameters.IdleConnections, 512)
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: parameters.Timeout}).DialContext,
 		MaxIdleConns:        parameters.IdleConnections,
--- a/detector/change.go
+++ b/detector/change.go
@@ -7,9 +7,9 @@
 	"corianderroad/messenger"
 )
 
-// hear takes what a node says about itself. A visit is a message that no other
-// node got at the same time: if all took a push for a visit, none of them
-// would probe its sender for long.
+// hear applies a node's own record. A visit is a message that no other node got
+// at the same time: if all counted a push as a visit, none of them would probe
+// its sender for long.
 func (detector *Detector) hear(now time.Time, from messenger.Member, visit bool) {
 	if from.Node == detector.self.Node {
 		return
@@ -83,7 +83,7 @@
 	state, reason := change.State, "told-by-peer"
 	if state == messenger.Dead && (known.State == messenger.Alive || known.State == candidate) {
 		// A member that is alive here gets the time to refute: the change may
-		// come from a region that was parted.
+		// come from a region that was partitioned.
 		state = messenger.Suspect
 	}
 	if newer {
@@ -97,11 +97,11 @@
 		known.Refutations = change.Refutations
 	}
 	if state != known.State {
-		detector.turn(now, known, state, reason)
+		detector.setState(now, known, state, reason)
 		return
 	}
 	if newer && state == messenger.Suspect {
-		known.deadline = now.Add(detector.patience(known))
+		known.deadline = now.Add(detector.suspicionTimeout(known))
 	}
 	if newer {
 		detector.note(known.Node)
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -22,7 +22,7 @@
 	random     *rand.Rand
 	self       messenger.Member
 	since      time.Time
-	// superseded says that another process holds this node's name.
+	// superseded says that another process uses this node's name.
 	superseded bool
 	// draining says that this node was told to leave.
 	draining bool
@@ -68,7 +68,7 @@
 func (detector *Detector) Step(now time.Time, event messenger.Event) []messenger.Action {
 	detector.actions, detector.changed = nil, false
 	if detector.started {
-		detector.excuse(now)
+		detector.compensatePause(now)
 	} else {
 		detector.start(now)
 	}
@@ -159,8 +159,9 @@
 	return time.Duration(detector.random.Int64N(int64(limit)))
 }
 
-// excuse keeps a pause of this node from counting against others.
-func (detector *Detector) excuse(now time.Time) {
+// compensatePause keeps a pause of this node from counting against others: the
+// open probe is dropped and the deadlines of suspects are extended.
+func (detector *Detector) compensatePause(now time.Time) {
 	late := now.Sub(detector.Next())
 	if late < stall {
 		return
@@ -180,7 +181,7 @@
 	detector.concludeProbe(now)
 	for _, member := range detector.table.members {
 		if !member.deadline.IsZero() && !now.Before(member.deadline) {
-			detector.turn(now, member, messenger.Dead, "suspicion-not-refuted")
+			detector.setState(now, member, messenger.Dead, "suspicion-not-refuted")
 		}
 	}
 	if now.Before(detector.period) {
@@ -197,12 +198,12 @@
 	detector.rediscover(now)
 }
 
-// turn gives a member a new state.
-func (detector *Detector) turn(now time.Time, member *member, state messenger.MemberState, reason string) {
+// setState gives a member a new state.
+func (detector *Detector) setState(now time.Time, member *member, state messenger.MemberState, reason string) {
 	from := member.State
 	member.State, member.since, member.deadline = state, now, time.Time{}
 	if state == messenger.Suspect {
-		member.deadline = now.Add(detector.patience(member))
+		member.deadline = now.Add(detector.suspicionTimeout(member))
 	}
 	if state == messenger.Dead {
 		member.tried = now
@@ -212,14 +213,14 @@
 	detector.record(now, member.Node, from, state, reason)
 }
 
-func (detector *Detector) patience(member *member) time.Duration {
+func (detector *Detector) suspicionTimeout(member *member) time.Duration {
 	if member.unlisted {
 		return detector.parameters.UnlistedFor
 	}
 	return detector.parameters.SuspectFor
 }
 
-// record keeps and reports a change of state.
+// record keeps a change of state for explain and reports it.
 func (detector *Detector) record(now time.Time, node identifier.Node, from, to messenger.MemberState, reason string) {
 	detector.emit(messenger.Transition{Subject: string(node), From: name(from), To: name(to), Reason: reason})
 	detector.decisions.Record(now, string(node), "", reason, name(from)+" to "+name(to))
--- a/detector/parameters.go
+++ b/detector/parameters.go
@@ -1,6 +1,7 @@
 package detector
 
 import (
+	"cmp"
 	"time"
 
 	"corianderroad/messenger"
@@ -25,7 +26,7 @@
 	// candidate (10 s).
 	RediscoverEvery time.Duration
 	// ForgetAfter is how long a dead member is kept. It exceeds the hour for
-	// which regions may be parted (3 h).
+	// which regions may be partitioned (3 h).
 	ForgetAfter time.Duration
 }
 
@@ -60,26 +61,17 @@
 	maxRelays = 64
 	// maxDecisions bounds the record of changes of state.
 	maxDecisions = 256
-	// stall is the lateness of a step from which on the node takes itself to
-	// have been paused, so that missing answers say nothing about others.
+	// stall is the lateness of a step from which on the node assumes that it
+	// was paused itself, so that missing answers are no evidence against others.
 	stall = 500 * time.Millisecond
 )
 
 func (parameters Parameters) withDefaults() Parameters {
-	for _, value := range []struct {
-		field    *time.Duration
-		standard time.Duration
-	}{
-		{&parameters.Period, time.Second},
-		{&parameters.AnswerWithin, 500 * time.Millisecond},
-		{&parameters.SuspectFor, 3 * time.Second},
-		{&parameters.UnlistedFor, time.Second},
-		{&parameters.RediscoverEvery, 10 * time.Second},
-		{&parameters.ForgetAfter, 3 * time.Hour},
-	} {
-		if *value.field == 0 {
-			*value.field = value.standard
-		}
-	}
+	parameters.Period = cmp.Or(parameters.Period, time.Second)
+	parameters.AnswerWithin = cmp.Or(parameters.AnswerWithin, 500*time.Millisecond)
+	parameters.SuspectFor = cmp.Or(parameters.SuspectFor, 3*time.Second)
+	parameters.UnlistedFor = cmp.Or(parameters.UnlistedFor, time.Second)
+	parameters.RediscoverEvery = cmp.Or(parameters.RediscoverEvery, 10*time.Second)
+	parameters.ForgetAfter = cmp.Or(parameters.ForgetAfter, 3*time.Hour)
 	return parameters
 }
--- a/detector/probe.go
+++ b/detector/probe.go
@@ -13,7 +13,7 @@
 type probe struct {
 	sequence uint64
 	target   messenger.Member
-	// helpAt is when others are asked to probe, zero if they were.
+	// helpAt is when others are asked to probe, zero once they were asked.
 	helpAt time.Time
 	// failAt is when the target is taken to have failed.
 	failAt time.Time
@@ -82,12 +82,12 @@
 	}
 	switch target.State {
 	case messenger.Alive:
-		detector.turn(now, target, messenger.Suspect, "probe-not-answered")
-		// The suspect hears of the suspicion at once, to refute it in time.
+		detector.setState(now, target, messenger.Suspect, "probe-not-answered")
+		// The suspect is informed at once, so that it can refute in time.
 		detector.sendProbe(target.Identity, detector.nextSequence())
 	case messenger.Departing:
 		// The end of a departing member is expected and needs no grace.
-		detector.turn(now, target, messenger.Dead, "departed")
+		detector.setState(now, target, messenger.Dead, "departed")
 	}
 }
 
@@ -169,7 +169,7 @@
 		detector.accept(now, change)
 	}
 	if later(detector.self, before) {
-		// The other node believes this one to be suspect or dead, and learns better at once.
+		// The other node believes this one to be suspect or dead, and is corrected at once.
 		detector.sendProbe(answer.From.Identity, detector.nextSequence())
 	}
 	if detector.probe != nil && detector.probe.sequence == answer.Sequence {
--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -27,20 +27,20 @@
 	}
 	response, err := dispatcher.transport.RoundTrip(request)
 	if err != nil {
-		answered.Err = classifier.New(classifier.MinionUnreachable, "the minion does not tell its slots: %v", err)
+		answered.Err = classifier.New(classifier.MinionUnreachable, "the query for the slots failed: %v", err)
 		return answered
 	}
 	defer response.Body.Close()
-	var told struct {
+	var answer struct {
 		Slots   int  `json:"slots"`
 		Busy    int  `json:"busy"`
 		Leaving bool `json:"leaving"`
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxSlotsAnswer)).Decode(&told)
-	if err != nil || response.StatusCode != http.StatusOK || told.Slots <= 0 || told.Busy < 0 {
+	err = json.NewDecoder(io.LimitReader(response.Body, maxSlotsAnswer)).Decode(&answer)
+	if err != nil || response.StatusCode != http.StatusOK || answer.Slots <= 0 || answer.Busy < 0 {
 		answered.Err = classifier.New(classifier.CorruptAnswer, "the minion's answer about its slots has status %d and can't be read", response.StatusCode)
 		return answered
 	}
-	answered.Slots, answered.Busy, answered.Leaving = told.Slots, told.Busy, told.Leaving
+	answered.Slots, answered.Busy, answered.Leaving = answer.Slots, answer.Busy, answer.Leaving
 	return answered
 }
--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -69,7 +69,7 @@
 
 // newRequest forms the request so that net/http never sends it twice. It
 // repeats a request on a broken connection if that is declared idempotent by
-// an Idempotency-Key header and its body is empty or can be had again. The
+// an Idempotency-Key header and its body is empty or can be read again. The
 // body is therefore never nil and has no GetBody.
 func newRequest(ctx context.Context, call messenger.CallMinion) (*http.Request, error) {
 	target := url.URL{Scheme: "http", Host: call.Address.String(), Path: "/call/" + string(call.Call.Method)}
@@ -113,7 +113,7 @@
 	return classifier.New(classifier.OutcomeUnknown, "the answer was lost: %v", err)
 }
 
-// read takes what the minion says about itself.
+// read takes the state of the minion from the headers of an answer.
 func read(response *http.Response, answered *messenger.MinionAnswered) {
 	if busy, err := strconv.Atoi(response.Header.Get(headerBusy)); err == nil && busy >= 0 {
 		answered.Busy = busy
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,7 +27,7 @@
 	Askers int
 	// Connections bounds the connections to one minion, 8 if zero.
 	Connections int
-	// DialTimeout bounds the making of a connection, 1 s if zero.
+	// DialTimeout bounds the dialling of a connection, 1 s if zero.
 	DialTimeout time.Duration
 	// AskTimeout bounds a question for slots, 1 s if zero.
 	AskTimeout time.Duration
@@ -56,7 +56,7 @@
 	return parameters
 }
 
-// Dispatcher is the duty that talks to minions: a bounded pool of goroutines,
+// Dispatcher is the duty that calls minions: a bounded pool of goroutines,
 // each of which carries one request at a time.
 type Dispatcher struct {
 	calls      *buffer.Ring[messenger.CallMinion]
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -3,6 +3,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -72,15 +73,9 @@
 	stream identifier.Stream, address netip.AddrPort, client Client, sink Sink,
 	advanced *buffer.Ring[messenger.StreamAdvanced], parameters Parameters,
 ) *Follower {
-	if parameters.Wait == 0 {
-		parameters.Wait = 5 * time.Second
-	}
-	if parameters.Silence == 0 {
-		parameters.Silence = 7 * time.Second
-	}
-	if parameters.Limit == 0 {
-		parameters.Limit = 256
-	}
+	parameters.Wait = cmp.Or(parameters.Wait, 5*time.Second)
+	parameters.Silence = cmp.Or(parameters.Silence, 7*time.Second)
+	parameters.Limit = cmp.Or(parameters.Limit, 256)
 	return &Follower{
 		stream: stream, log: log{client: client, address: address, stream: stream}, sink: sink,
 		advanced: advanced, parameters: parameters, limit: parameters.Limit,
--- a/scheduler/parameters.go
+++ b/scheduler/parameters.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"time"
 
 	"corianderroad/leaser"
@@ -20,63 +21,57 @@
 	Migration
 )
 
-// Parameters are the parameters of a Scheduler. The zero value is useful.
+// Parameters are the parameters of a Scheduler. Zero values stand for the
+// defaults in brackets.
 type Parameters struct {
-	// Timing holds the durations of the gang protocol.
+	// Timing holds the durations of the gang protocol (Lease 15 s, AnswerTimeout
+	// 5 s, Grace 10 s, Retry 500 ms).
 	Timing leaser.Timing
-	// RenewEvery is the period of renewals, a third of the lease.
+	// RenewEvery is the period of renewals, a third of the lease (5 s).
 	RenewEvery time.Duration
-	// PollEvery is the pause after which an idle worker is asked for its state.
+	// PollEvery is the pause after which an idle worker is asked for its state (30 s).
 	PollEvery time.Duration
 	// PlanEvery is the least time between two passes over the waiting jobs. It
-	// bounds the cost of a burst of submissions; urgent work starts within 1.9 s.
+	// bounds the cost of a burst of submissions; urgent work starts within 1.9 s
+	// (100 ms).
 	PlanEvery time.Duration
 	// ClaimAfter is how long a node must be a region's owner before it claims,
-	// so that a short suspicion moves nothing.
+	// so that a short suspicion moves nothing (1 s).
 	ClaimAfter time.Duration
 	// ContestAfter is how long the owner leaves a region to an alive holder that
-	// claimed it, so that nodes with different views do not claim in turns.
+	// claimed it, so that nodes with different views do not claim in turns (30 s).
 	ContestAfter time.Duration
 	// PauseAfter is how late a step may come before the node verifies the state
-	// of the regions that it holds.
+	// of the regions that it holds (2 s).
 	PauseAfter time.Duration
-	// FailureSets is the number of sets of workers on which a job may fail.
+	// FailureSets is the number of sets of workers on which a job may fail (3).
 	FailureSets int
-	// FailureJobs is the number of jobs that may fail on a worker.
+	// FailureJobs is the number of jobs that may fail on a worker (3).
 	FailureJobs int
 	// QuarantineFor is the length of a worker's first quarantine. Each further
-	// one is twice as long.
+	// one is twice as long (10 min).
 	QuarantineFor time.Duration
-	// HoldAfter is how long a large gang waits before workers are kept for it.
+	// HoldAfter is how long a large gang waits before workers are kept for it (1 min).
 	HoldAfter time.Duration
 	// Without names rules that are off. It is for measurements.
 	Without Rule
 }
 
 func (parameters Parameters) withDefaults() Parameters {
-	set := func(value *time.Duration, standard time.Duration) {
-		if *value == 0 {
-			*value = standard
-		}
-	}
-	set(&parameters.Timing.Lease, 15*time.Second)
-	set(&parameters.Timing.AnswerTimeout, 5*time.Second)
-	set(&parameters.Timing.Grace, 10*time.Second)
-	set(&parameters.Timing.Retry, 500*time.Millisecond)
-	set(&parameters.RenewEvery, 5*time.Second)
-	set(&parameters.PollEvery, 30*time.Second)
-	set(&parameters.PlanEvery, 100*time.Millisecond)
-	set(&parameters.ClaimAfter, time.Second)
-	set(&parameters.ContestAfter, 30*time.Second)
-	set(&parameters.PauseAfter, 2*time.Second)
-	set(&parameters.QuarantineFor, 10*time.Minute)
-	set(&parameters.HoldAfter, time.Minute)
-	if parameters.FailureSets == 0 {
-		parameters.FailureSets = 3
-	}
-	if parameters.FailureJobs == 0 {
-		parameters.FailureJobs = 3
-	}
+	parameters.Timing.Lease = cmp.Or(parameters.Timing.Lease, 15*time.Second)
+	parameters.Timing.AnswerTimeout = cmp.Or(parameters.Timing.AnswerTimeout, 5*time.Second)
+	parameters.Timing.Grace = cmp.Or(parameters.Timing.Grace, 10*time.Second)
+	parameters.Timing.Retry = cmp.Or(parameters.Timing.Retry, 500*time.Millisecond)
+	parameters.RenewEvery = cmp.Or(parameters.RenewEvery, 5*time.Second)
+	parameters.PollEvery = cmp.Or(parameters.PollEvery, 30*time.Second)
+	parameters.PlanEvery = cmp.Or(parameters.PlanEvery, 100*time.Millisecond)
+	parameters.ClaimAfter = cmp.Or(parameters.ClaimAfter, time.Second)
+	parameters.ContestAfter = cmp.Or(parameters.ContestAfter, 30*time.Second)
+	parameters.PauseAfter = cmp.Or(parameters.PauseAfter, 2*time.Second)
+	parameters.QuarantineFor = cmp.Or(parameters.QuarantineFor, 10*time.Minute)
+	parameters.HoldAfter = cmp.Or(parameters.HoldAfter, time.Minute)
+	parameters.FailureSets = cmp.Or(parameters.FailureSets, 3)
+	parameters.FailureJobs = cmp.Or(parameters.FailureJobs, 3)
 	return parameters
 }
 
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -117,7 +117,7 @@
 	select {
 	case signal <- struct{}{}:
 	default:
-		// The writer has still to handle the one before, which is the same.
+		// The previous signal is still pending and stands for this one too.
 	}
 }
 
@@ -149,7 +149,7 @@
 			liveness.answered()
 		case <-timer.C:
 			var ended bool
-			if ended, err = connection.judge(&liveness); ended {
+			if ended, err = connection.checkLiveness(&liveness); ended {
 				return nil
 			}
 		case <-open.Done():
@@ -161,8 +161,8 @@
 	}
 }
 
-// judge carries out the verdict of liveness. It reports whether the writer ends.
-func (connection *connection) judge(liveness *liveness) (ended bool, err error) {
+// checkLiveness carries out the verdict of liveness. It reports whether the writer ends.
+func (connection *connection) checkLiveness(liveness *liveness) (ended bool, err error) {
 	if received := time.Unix(0, connection.received.Load()); received.After(liveness.used) {
 		liveness.used = received
 	}
--- a/transporter/listen.go
+++ b/transporter/listen.go
@@ -25,7 +25,7 @@
 		select {
 		case transporter.handshakes <- struct{}{}:
 			group.Go(func() error {
-				transporter.greet(ctx, connection)
+				transporter.authenticate(ctx, connection)
 				return nil
 			})
 		default:
@@ -34,8 +34,8 @@
 	}
 }
 
-// greet performs the handshake and hands the connection on by its purpose.
-func (transporter *Transporter) greet(ctx context.Context, connection net.Conn) {
+// authenticate performs the handshake and hands the connection on by its purpose.
+func (transporter *Transporter) authenticate(ctx context.Context, connection net.Conn) {
 	release := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	_ = connection.SetDeadline(time.Now().Add(transporter.parameters.DialTimeout))
 	other, purpose, err := framer.Accept(connection, transporter.opener.key, transporter.opener.self)
--- a/transporter/liveness.go
+++ b/transporter/liveness.go
@@ -12,8 +12,8 @@
 	unused         // close: neither side has sent anything for long
 )
 
-// liveness decides when a connection is checked and when it is given up. What
-// arrives is no proof that what is written arrives, so only the answer to a
+// liveness decides when a connection is checked and when it is closed. Received
+// data does not show that written data arrives, so only the answer to a
 // keep-alive counts.
 type liveness struct {
 	after, timeout, idle time.Duration
--- a/transporter/peer.go
+++ b/transporter/peer.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// open starts the duties of a connection. The oldest one gives way, since it
-// may be the end of a connection that the other side has given up.
+// open starts the duties of a connection. The oldest one is closed if there
+// are too many, since the other side may have given it up.
 func (peer *peer) open(ctx context.Context, group *errgroup.Group, added *connection) {
 	if len(peer.connections) == maxConnections {
 		peer.connections[0].close()
@@ -177,7 +177,7 @@
 	}
 }
 
-// abandon closes what nobody has taken when the peer ends.
+// abandon closes the connections that are still queued when the peer ends.
 func (peer *peer) abandon() {
 	for {
 		select {
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -4,6 +4,7 @@
 package transporter
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -80,7 +81,7 @@
 	// maxPeers is twice the bound of members, since a replaced node may have
 	// two addresses for a while.
 	maxPeers = 2048
-	// maxHandshakes bounds the connections that have not proven the key.
+	// maxHandshakes bounds the connections that are not authenticated yet.
 	maxHandshakes = 64
 	// maxQueries bounds the connections that ask queries.
 	maxQueries = 64
@@ -89,25 +90,18 @@
 )
 
 func (parameters Parameters) withDefaults() Parameters {
-	setDefault(&parameters.DialTimeout, time.Second)
-	setDefault(&parameters.RetryAfter, 100*time.Millisecond)
-	setDefault(&parameters.RetryAtMost, 2*time.Second)
-	setDefault(&parameters.WriteTimeout, time.Second)
-	setDefault(&parameters.KeepAliveAfter, 250*time.Millisecond)
-	setDefault(&parameters.KeepAliveTimeout, 750*time.Millisecond)
-	setDefault(&parameters.IdleTimeout, 30*time.Second)
-	setDefault(&parameters.QueryTimeout, 1500*time.Millisecond)
-	setDefault(&parameters.Queue, 256)
+	parameters.DialTimeout = cmp.Or(parameters.DialTimeout, time.Second)
+	parameters.RetryAfter = cmp.Or(parameters.RetryAfter, 100*time.Millisecond)
+	parameters.RetryAtMost = cmp.Or(parameters.RetryAtMost, 2*time.Second)
+	parameters.WriteTimeout = cmp.Or(parameters.WriteTimeout, time.Second)
+	parameters.KeepAliveAfter = cmp.Or(parameters.KeepAliveAfter, 250*time.Millisecond)
+	parameters.KeepAliveTimeout = cmp.Or(parameters.KeepAliveTimeout, 750*time.Millisecond)
+	parameters.IdleTimeout = cmp.Or(parameters.IdleTimeout, 30*time.Second)
+	parameters.QueryTimeout = cmp.Or(parameters.QueryTimeout, 1500*time.Millisecond)
+	parameters.Queue = cmp.Or(parameters.Queue, 256)
 	return parameters
 }
 
-func setDefault[T comparable](value *T, standard T) {
-	var zero T
-	if *value == zero {
-		*value = standard
-	}
-}
-
 // Transporter is the duties that carry peer messages. Only Run uses it.
 type Transporter struct {
 	opener     opener
@@ -125,7 +119,7 @@
 	peers      map[peerKey]*peer
 }
 
-// peerKey tells processes apart that use the same name at the same time.
+// peerKey distinguishes processes that use the same name at the same time.
 type peerKey struct {
 	node    identifier.Node
 	address netip.AddrPort
