--- /dev/null
+++ b/leaser/example_test.go
@@ -0,0 +1,36 @@
+package leaser_test
+
+import (
+	"fmt"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/leaser"
+	"corianderroad/messenger"
+)
+
+// A gang starts on no worker before all of them have reserved.
+func Example() {
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	order := leaser.Order{
+		Gang: messenger.Gang{Job: "draw", Placement: 1}, Workers: []identifier.Worker{"w1", "w2"}, Accelerators: 8,
+	}
+	gang := leaser.New(now, order, leaser.Timing{
+		Lease: 15 * time.Second, AnswerTimeout: 5 * time.Second, Grace: 10 * time.Second, Retry: 500 * time.Millisecond,
+	})
+	for gang.Phase() != leaser.Running {
+		for _, ask := range gang.Advance(now) {
+			now = now.Add(time.Millisecond)
+			answer := messenger.WorkerAnswered{Worker: ask.Worker, Kind: ask.Kind, Gang: ask.Gang}
+			gang.Answered(now, answer, leaser.Observation{AskedAt: now, AnsweredAt: now})
+			fmt.Println(gang.Phase(), ask.Worker)
+		}
+	}
+	fmt.Println(gang.Phase())
+	// Output:
+	// reserving w1
+	// reserving w2
+	// starting w1
+	// starting w2
+	// running
+}
--- /dev/null
+++ b/limiter/example_test.go
@@ -0,0 +1,16 @@
+package limiter_test
+
+import (
+	"fmt"
+
+	"corianderroad/estimator"
+	"corianderroad/limiter"
+)
+
+// Long requests leave the reserved slots to short ones.
+func Example() {
+	limited := limiter.New(limiter.Limits{Slots: 3, LongSlots: 1, Connections: 3})
+	limited.Take(estimator.Long)
+	fmt.Println(limited.Admits(estimator.Long), limited.Admits(estimator.Short))
+	// Output: false true
+}
--- /dev/null
+++ b/placer/example_test.go
@@ -0,0 +1,23 @@
+package placer_test
+
+import (
+	"fmt"
+
+	"corianderroad/commander"
+	"corianderroad/placer"
+)
+
+// A gang takes the rack that it fills, so that the empty rack stays whole.
+func Example() {
+	fleet := placer.NewFleet([]placer.Worker{
+		{Worker: "a1", Rack: "a", Accelerators: 8},
+		{Worker: "a2", Rack: "a", Accelerators: 8},
+		{Worker: "b1", Rack: "b", Accelerators: 8},
+		{Worker: "b2", Rack: "b", Accelerators: 8},
+	})
+	fleet.Take("b1", 4)
+	fleet.Take("b2", 4)
+	shape := commander.Shape{Members: 2, Accelerators: 4, Adjacency: commander.SameRack}
+	fmt.Println(fleet.Place(placer.Request{Shape: shape}))
+	// Output: [b1 b2]
+}
