Split long test functions and test files

Networks, actions, benchmarks and repeated checks stand in files and functions of their own. All assertions are kept as they were.

--- a/applier/world_test.go
+++ b/applier/world_test.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"pgregory.net/rapid"
 
 	"corianderroad/classifier"
@@ -359,17 +358,6 @@
 	}})
 }
 
-// key returns a UUIDv7 that was issued at the given time.
-func key(issued time.Time, serial int) identifier.Key {
-	var id uuid.UUID
-	milliseconds := issued.UnixMilli()
-	for i := range 6 {
-		id[i] = byte(milliseconds >> (40 - 8*i))
-	}
-	id[6], id[8], id[15] = 0x70, 0x80, byte(serial)
-	return identifier.Key(id.String())
-}
-
 // settle ends every disturbance and lets all nodes finish.
 func (world *world) settle() {
 	world.down = false
@@ -406,58 +394,3 @@
 		}
 	}
 }
-
-func (world *world) anyNode() *worldNode { return rapid.SampledFrom(world.nodes).Draw(world.t, "node") }
-
-func (world *world) publish() {
-	organisation := rapid.SampledFrom([]identifier.Organisation{"ash", "birch", "cedar", "dogwood"}).Draw(world.t, "organisation")
-	node := world.anyNode()
-	base, _ := node.applier.configuration.current(organisation)
-	if rapid.IntRange(0, 5).Draw(world.t, "stale") == 0 {
-		base = 0
-	}
-	service := rapid.SampledFrom([]string{"rota", "planner", "seals"}).Draw(world.t, "service")
-	text := fmt.Sprintf("%s %s %d", organisation, service, world.serial)
-	world.command(node, commander.Publish{Organisation: organisation, Base: base, Text: []byte(text)})
-}
-
-func (world *world) approve() {
-	node := world.anyNode()
-	newcomers := node.applier.configuration.newcomers()
-	publication := identifier.Offset(rapid.IntRange(1, 9).Draw(world.t, "publication"))
-	if len(newcomers) > 0 {
-		publication = rapid.SampledFrom(newcomers).Draw(world.t, "newcomer").offset
-	}
-	organisation := rapid.SampledFrom(append(slices.Clone(testParameters.Founders), "cedar")).Draw(world.t, "approver")
-	world.command(node, commander.Approve{Organisation: organisation, Publication: publication})
-}
-
-func (world *world) submit() {
-	job := identifier.Job(fmt.Sprintf("job-%d", rapid.IntRange(0, 9).Draw(world.t, "job")))
-	spec := commander.JobSpec{Job: job, Workspace: "clubs", Shape: commander.Shape{Members: rapid.IntRange(1, 2).Draw(world.t, "members")}}
-	world.command(world.anyNode(), commander.Submit{Workspace: "clubs", Job: spec})
-}
-
-func (world *world) conclude() {
-	node := world.anyNode()
-	job := identifier.Job(fmt.Sprintf("job-%d", rapid.IntRange(0, 9).Draw(world.t, "job")))
-	world.serial++
-	entry := messenger.Entry{ID: fmt.Sprintf("scheduler/%d", world.serial), Record: messenger.Outcome{Job: job, Reason: "done"}}
-	if rapid.Bool().Draw(world.t, "claim") {
-		entry.Record = messenger.RegionClaim{Region: "gulf", Node: node.name, Incarnation: node.incarnation}
-	}
-	node.pending = append(node.pending, messenger.AppendRecord{Stream: identifier.Jobs, Entry: entry})
-}
-
-func (world *world) intend() {
-	node := world.anyNode()
-	world.serial++
-	issued := world.now.Add(time.Duration(rapid.IntRange(-11, 2).Draw(world.t, "age")) * time.Minute).Truncate(5 * time.Minute)
-	record := messenger.Intent{
-		Key: key(issued, rapid.IntRange(0, 1).Draw(world.t, "key")), Node: node.name, Incarnation: node.incarnation,
-		Request: identifier.Request(fmt.Sprintf("call-%d", world.serial)),
-	}
-	node.pending = append(node.pending, messenger.AppendRecord{
-		Stream: identifier.Intents, Entry: messenger.Entry{ID: fmt.Sprintf("intent/%d", world.serial), Record: record},
-	})
-}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -87,46 +87,53 @@
 	return netip.MustParseAddrPort(server.Listener.Addr().String())
 }
 
+// change alters an answer and says whether the body follows.
+type change = func(http.ResponseWriter, *http.Request, []byte) bool
+
+// withHeader sets a header and the status of an answer.
+func withHeader(name, value string, status int) change {
+	return func(writer http.ResponseWriter, _ *http.Request, _ []byte) bool {
+		writer.Header().Set(name, value)
+		writer.WriteHeader(status)
+		return true
+	}
+}
+
+// hijacked sends raw bytes in place of an answer and closes the connection.
+func hijacked(answer string) change {
+	return func(writer http.ResponseWriter, _ *http.Request, _ []byte) bool {
+		connection, _, _ := writer.(http.Hijacker).Hijack()
+		_, _ = io.WriteString(connection, answer)
+		_ = connection.Close()
+		return false
+	}
+}
+
 // TestCodes guards against an answer that is passed on although it is not whole
 // or not for this attempt, and against "not run" for what may have run.
 func TestCodes(t *testing.T) {
-	set := func(name, value string, status int) func(http.ResponseWriter, *http.Request, []byte) bool {
-		return func(writer http.ResponseWriter, _ *http.Request, _ []byte) bool {
-			writer.Header().Set(name, value)
-			writer.WriteHeader(status)
-			return true
-		}
-	}
-	hijack := func(answer string) func(http.ResponseWriter, *http.Request, []byte) bool {
-		return func(writer http.ResponseWriter, _ *http.Request, _ []byte) bool {
-			connection, _, _ := writer.(http.Hijacker).Hijack()
-			_, _ = io.WriteString(connection, answer)
-			_ = connection.Close()
-			return false
-		}
-	}
 	whole := "HTTP/1.1 200 OK\r\nRequest-Id: q\r\nAttempt-Id: 1\r\nBody-Digest: " + dispatcher.Digest([]byte("body")) + "\r\n"
 	tests := map[string]struct {
-		change func(http.ResponseWriter, *http.Request, []byte) bool
+		change change
 		want   classifier.Code
 	}{
 		"whole":                {nil, classifier.OK},
-		"whole, no length":     {hijack(whole + "Connection: close\r\n\r\nbody"), classifier.OK},
-		"truncated":            {hijack(whole + "Content-Length: 9\r\n\r\nbody"), classifier.OutcomeUnknown},
-		"truncated, no length": {hijack(whole + "Connection: close\r\n\r\nbo"), classifier.CorruptAnswer},
-		"nothing":              {hijack(""), classifier.OutcomeUnknown},
-		"another request":      {set("Request-Id", "other", 200), classifier.CorruptAnswer},
-		"another attempt":      {set("Attempt-Id", "2", 200), classifier.CorruptAnswer},
-		"another digest":       {set("Body-Digest", "0", 200), classifier.CorruptAnswer},
-		"no digest":            {set("Body-Digest", "", 200), classifier.CorruptAnswer},
-		"refused":              {set("Not-Run", "true", 503), classifier.MinionBusy},
-		"503 without the word": {set("Retry-After", "1", 503), classifier.OutcomeUnknown},
-		"not-run in a success": {set("Not-Run", "true", 200), classifier.OK},
-		"error":                {set("Not-Run", "true", 500), classifier.OutcomeUnknown},
-		"redirect":             {set("Location", "/call/other", 307), classifier.OutcomeUnknown},
+		"whole, no length":     {hijacked(whole + "Connection: close\r\n\r\nbody"), classifier.OK},
+		"truncated":            {hijacked(whole + "Content-Length: 9\r\n\r\nbody"), classifier.OutcomeUnknown},
+		"truncated, no length": {hijacked(whole + "Connection: close\r\n\r\nbo"), classifier.CorruptAnswer},
+		"nothing":              {hijacked(""), classifier.OutcomeUnknown},
+		"another request":      {withHeader("Request-Id", "other", 200), classifier.CorruptAnswer},
+		"another attempt":      {withHeader("Attempt-Id", "2", 200), classifier.CorruptAnswer},
+		"another digest":       {withHeader("Body-Digest", "0", 200), classifier.CorruptAnswer},
+		"no digest":            {withHeader("Body-Digest", "", 200), classifier.CorruptAnswer},
+		"refused":              {withHeader("Not-Run", "true", 503), classifier.MinionBusy},
+		"503 without Not-Run":  {withHeader("Retry-After", "1", 503), classifier.OutcomeUnknown},
+		"not-run in a success": {withHeader("Not-Run", "true", 200), classifier.OK},
+		"error":                {withHeader("Not-Run", "true", 500), classifier.OutcomeUnknown},
+		"redirect":             {withHeader("Location", "/call/other", 307), classifier.OutcomeUnknown},
 		"refusal of an unknown": {func(w http.ResponseWriter, r *http.Request, b []byte) bool {
 			w.Header().Del("Attempt-Id")
-			return set("Not-Run", "true", 503)(w, r, b)
+			return withHeader("Not-Run", "true", 503)(w, r, b)
 		}, classifier.CorruptAnswer},
 	}
 	running := run(t, dispatcher.Parameters{})
--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -16,7 +16,7 @@
 	"corianderroad/querier"
 )
 
-// fill gives a value random contents. The types that msgpack knows of by
+// fill gives a value random contents. The types that msgpack encodes in
 // another form have their own rules, all others follow their structure.
 func fill(t *rapid.T, value reflect.Value) {
 	switch value.Interface().(type) {
@@ -55,6 +55,14 @@
 		record := reflect.New(reflect.TypeFor[messenger.Intent]()).Elem()
 		fill(t, record)
 		value.Set(record)
+	default:
+		fillScalar(t, value)
+	}
+}
+
+// fillScalar gives a value without parts random contents.
+func fillScalar(t *rapid.T, value reflect.Value) {
+	switch value.Kind() {
 	case reflect.String:
 		value.SetString(rapid.String().Draw(t, "text"))
 	case reflect.Bool:
--- a/guarantor/guarantor_test.go
+++ b/guarantor/guarantor_test.go
@@ -96,6 +96,15 @@
 	}
 }
 
+func drawUse(t *rapid.T, workers []guarantor.Worker) guarantor.Use {
+	shape := drawShape(t)
+	use := guarantor.Use{Workspace: workspaces.Draw(t, "user"), Accelerators: shape.Accelerators}
+	for _, worker := range rapid.Permutation(workers).Draw(t, "workers")[:min(shape.Members, len(workers))] {
+		use.Workers = append(use.Workers, worker.Worker)
+	}
+	return use
+}
+
 var workspaces = rapid.SampledFrom([]identifier.Workspace{"a", "b", "c"})
 
 // TestLedgerIsSound guards against a ledger that counts work for a guarantee
@@ -129,11 +138,7 @@
 				uses = uses[1:]
 				continue
 			}
-			shape := drawShape(t)
-			use := guarantor.Use{Workspace: workspaces.Draw(t, "user"), Accelerators: shape.Accelerators}
-			for _, i := range rapid.Permutation(workers).Draw(t, "workers")[:min(shape.Members, len(workers))] {
-				use.Workers = append(use.Workers, i.Worker)
-			}
+			use := drawUse(t, workers)
 			all := append(uses[:len(uses):len(uses)], use)
 			added := ledger.Add(use)
 			packable := (&packing{workers: workers, claims: claims, uses: all}).exists() && within(workers, all)
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -9,6 +9,16 @@
 	"corianderroad/limiter"
 )
 
+// check compares a limiter with its limits and the number of open requests.
+func check(t *rapid.T, limited *limiter.Limiter, limits limiter.Limits, open int) {
+	if limited.Open() != open || limited.Busy() > limits.Slots || open > limits.Connections {
+		t.Fatalf("%d open, %d busy of %+v", open, limited.Busy(), limits)
+	}
+	if limited.Busy() < limits.Slots && open < limits.Connections && !limited.Admits(estimator.Short) {
+		t.Fatal("a free slot admits no short request")
+	}
+}
+
 // TestBounds guards against a sequence of starts and ends by which requests or
 // connections exceed their bounds or long requests take the reserved slots.
 func TestBounds(t *testing.T) {
@@ -55,13 +65,7 @@
 				limited.SetForeign(rapid.IntRange(0, limited.Foreign()).Draw(t, "foreign"))
 			},
 			"": func(t *rapid.T) {
-				open := running[estimator.Short] + running[estimator.Long]
-				if limited.Open() != open || limited.Busy() > limits.Slots || open > limits.Connections {
-					t.Fatalf("%d open, %d busy of %+v", open, limited.Busy(), limits)
-				}
-				if limited.Busy() < limits.Slots && open < limits.Connections && !limited.Admits(estimator.Short) {
-					t.Fatal("a free slot admits no short request")
-				}
+				check(t, &limited, limits, running[estimator.Short]+running[estimator.Long])
 			},
 		})
 	})
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -12,6 +12,22 @@
 	"corianderroad/placer"
 )
 
+// fitting returns the largest number of members of a shape that fit together.
+func fitting(shape commander.Shape, free, racks map[identifier.Worker]int) int {
+	byRack, region, largest := make(map[int]int), 0, 0
+	for worker, room := range free {
+		if room >= shape.Accelerators {
+			byRack[racks[worker]]++
+			region++
+			largest = max(largest, byRack[racks[worker]])
+		}
+	}
+	if shape.Adjacency == commander.AnyRack {
+		return region
+	}
+	return largest
+}
+
 // TestPlaceFindsWhatFits guards against placements that take too much, repeat a
 // worker or leave the rack, and against a gang that is said not to fit although
 // a rack, or the region, has the room.
@@ -36,17 +52,7 @@
 				Members: rapid.IntRange(1, 5).Draw(t, "members"), Accelerators: rapid.IntRange(0, 8).Draw(t, "each"),
 				Adjacency: commander.Adjacency(rapid.IntRange(0, 1).Draw(t, "adjacency")),
 			}
-			byRack, region, largest := make(map[int]int), 0, 0
-			for worker, room := range free {
-				if room >= shape.Accelerators {
-					byRack[racks[worker]]++
-					region++
-					largest = max(largest, byRack[racks[worker]])
-				}
-			}
-			if shape.Adjacency == commander.AnyRack {
-				largest = region
-			}
+			largest := fitting(shape, free, racks)
 			chosen := fleet.Place(placer.Request{Shape: shape})
 			if (chosen != nil) != (largest >= shape.Members) {
 				t.Fatalf("%+v got %v where %d members fit", shape, chosen, largest)
