Split two long tests of detector and name tests plainly

The check of message sizes and the VM list of a cluster are functions of their own. Assertions are as before.

--- a/detector/bounds_test.go
+++ b/detector/bounds_test.go
@@ -64,8 +64,8 @@
 }
 
 // TestAnyMessagesKeepTheBounds guards against a table or message that grows
-// beyond its bound, a step that is not deterministic, and a machine that never
-// wants to be woken again.
+// beyond its bound, a step that is not deterministic, and a state machine
+// that asks for no further step.
 func TestAnyMessagesKeepTheBounds(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -88,26 +88,7 @@
 			if !reflect.DeepEqual(actions, second.Step(now, event)) {
 				t.Fatalf("%T gives different actions", event)
 			}
-			lists := 0
-			for _, action := range actions {
-				switch action := action.(type) {
-				case messenger.SendPeer:
-					count := changesOf(action.Message)
-					if count > 1024 {
-						t.Fatalf("a message has %d changes", count)
-					}
-					if count > 8 {
-						lists++
-					}
-				case messenger.MembersChanged:
-					if len(action.Members) > 1024 {
-						t.Fatalf("%d members", len(action.Members))
-					}
-				}
-			}
-			if lists > 1 {
-				t.Fatalf("one event sends the members to %d nodes", lists)
-			}
+			checkBounds(t, actions)
 			if rows := first.View(now, querier.Query{Kind: querier.Status}).Members; len(rows) > 1024 {
 				t.Fatalf("%d members in the table", len(rows))
 			}
@@ -118,6 +99,30 @@
 	})
 }
 
+// checkBounds checks the sizes of the messages and member lists of one step.
+func checkBounds(t *rapid.T, actions []messenger.Action) {
+	lists := 0
+	for _, action := range actions {
+		switch action := action.(type) {
+		case messenger.SendPeer:
+			count := changesOf(action.Message)
+			if count > 1024 {
+				t.Fatalf("a message has %d changes", count)
+			}
+			if count > 8 {
+				lists++
+			}
+		case messenger.MembersChanged:
+			if len(action.Members) > 1024 {
+				t.Fatalf("%d members", len(action.Members))
+			}
+		}
+	}
+	if lists > 1 {
+		t.Fatalf("one event sends the members to %d nodes", lists)
+	}
+}
+
 func changesOf(message messenger.Peer) int {
 	switch message := message.(type) {
 	case messenger.Probe:
@@ -154,6 +159,19 @@
 	return ""
 }
 
+// list sends all nodes a VM list that holds every node but one.
+func (cluster *cluster) list(left *process) {
+	var vms []messenger.VM
+	for _, node := range cluster.nodes {
+		if node != left {
+			vms = append(vms, messenger.VM{Name: string(node.identity.Node), Role: messenger.EntryVM, Address: node.identity.Address})
+		}
+	}
+	for _, node := range cluster.nodes {
+		cluster.plan(cluster.now, node, messenger.VMsListed{At: cluster.now, VMs: vms})
+	}
+}
+
 // TestVMListIsAHint guards against a lagging list that removes a living node,
 // and shows that it lets nodes without seeds join and speeds up removal.
 func TestVMListIsAHint(t *testing.T) {
@@ -163,28 +181,17 @@
 		for _, node := range cluster.nodes {
 			cluster.start(node)
 		}
-		list := func(left *process) {
-			var vms []messenger.VM
-			for _, node := range cluster.nodes {
-				if node != left {
-					vms = append(vms, messenger.VM{Name: string(node.identity.Node), Role: messenger.EntryVM, Address: node.identity.Address})
-				}
-			}
-			for _, node := range cluster.nodes {
-				cluster.plan(cluster.now, node, messenger.VMsListed{At: cluster.now, VMs: vms})
-			}
-		}
-		list(nil)
+		cluster.list(nil)
 		if took, ok := cluster.settle(15 * time.Second); !ok {
 			t.Fatalf("nodes without seeds are apart after %s", took)
 		}
 		cluster.forbidDead(t)
 		victim := cluster.pick()
-		list(victim)
+		cluster.list(victim)
 		cluster.run(20 * time.Second)
 		late := rapid.Bool().Draw(t, "late")
 		if late {
-			list(nil)
+			cluster.list(nil)
 			cluster.run(time.Second)
 		}
 		cluster.kill(victim, true)
@@ -193,7 +200,7 @@
 			if transition.To == messenger.Suspect.String() && suspected.IsZero() {
 				suspected = cluster.now
 				if late {
-					list(victim)
+					cluster.list(victim)
 				}
 			}
 			if transition.To == messenger.Dead.String() && dead.IsZero() {
@@ -269,9 +276,9 @@
 	quicktest.Check(t, probed, quicktest.IsTrue, quicktest.Commentf("the accuser is not probed"))
 }
 
-// TestSuspectHearsOfItsSuspicion guards against a suspect that can't refute in
+// TestSuspectIsInformed guards against a suspect that can't refute in
 // time because it learns of the suspicion from others only.
-func TestSuspectHearsOfItsSuspicion(t *testing.T) {
+func TestSuspectIsInformed(t *testing.T) {
 	c := quicktest.New(t)
 	machine := detector.New(memberOf(1, messenger.Alive).Identity, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
 	machine.Step(epoch, messenger.PeerReceived{From: "entry-002", Message: messenger.Probe{From: memberOf(2, messenger.Alive)}})
@@ -295,9 +302,9 @@
 	c.Check(second[0].Changes[0].State, quicktest.Equals, messenger.Suspect)
 }
 
-// TestDeathByHearsayCanBeRefuted guards against a living member that is dropped
-// because a region that was parted still spreads its death.
-func TestDeathByHearsayCanBeRefuted(t *testing.T) {
+// TestReportedDeathCanBeRefuted guards against a living member that is dropped
+// because a region that was partitioned still reports it dead.
+func TestReportedDeathCanBeRefuted(t *testing.T) {
 	c := quicktest.New(t)
 	machine := detector.New(memberOf(1, messenger.Alive).Identity, detector.Parameters{}, rand.New(rand.NewPCG(1, 2)))
 	state := func(change messenger.Member) string {
--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -116,7 +116,7 @@
 
 // TestReachableNodeIsNotDeclaredDead guards against a node that is dropped
 // although others reach it: messages are lost at random and some pairs of nodes
-// can't talk at all.
+// can't communicate at all.
 func TestReachableNodeIsNotDeclaredDead(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
@@ -154,8 +154,8 @@
 	})
 }
 
-// TestResumedNodeDeclaresNobodyDead guards against a paused node that takes its
-// own pause for the silence of all others, and against a return that looks like
+// TestResumedNodeDeclaresNobodyDead guards against a paused node that counts its
+// own pause as the silence of all others, and against a return that looks like
 // a restart.
 func TestResumedNodeDeclaresNobodyDead(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -224,10 +224,10 @@
 	})
 }
 
-// TestPartedRegionsFindEachOther guards against regions that stay parted after
-// an hour without a link, and against members that fall for a moment because
-// the other side still spreads their death.
-func TestPartedRegionsFindEachOther(t *testing.T) {
+// TestPartitionedRegionsRejoin guards against regions that stay apart after
+// an hour without a link, and against members that are dropped for a moment
+// because the other side still reports them dead.
+func TestPartitionedRegionsRejoin(t *testing.T) {
 	t.Parallel()
 	for size, parted := range map[int]time.Duration{9: time.Hour, 60: 2 * time.Minute} {
 		cluster := newCluster(size, 3, 11)
