--- a/applier/applier.go
+++ b/applier/applier.go
@@ -3,11 +3,13 @@
 package applier
 
 import (
+	"cmp"
 	"time"
 
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/recorder"
 )
 
 // TextParser reads a service text. An error has code InvalidText.
@@ -29,19 +31,21 @@
 	GiveUp time.Duration
 	// MaxCommands is the number of commands that may await the log, 1,024 if zero.
 	MaxCommands int
-	// MaxIntents is the number of keys that are remembered, 2^20 if zero.
+	// MaxIntents is the number of keys that are kept, 2^20 if zero.
 	MaxIntents int
 }
 
 const (
 	// tickPeriod is how often newest values are repeated and deadlines are checked.
 	tickPeriod = time.Second
-	// staleAfter is how long a node without a word from the log or a peer stays
-	// ready.
+	// staleAfter is how long a node stays ready that receives nothing from the log
+	// or a peer.
 	staleAfter = 7 * time.Second
+	// maxDecisions bounds the decisions that are kept for explain.
+	maxDecisions = 1024
 )
 
-// Applier is the machine that owns what the log decides. Its state is always
+// Applier is the state machine that owns what the log decides. Its state is always
 // complete up to the applied offset of each stream.
 type Applier struct {
 	identity   messenger.Identity
@@ -53,7 +57,7 @@
 	intents       *intents
 	commands      *commands
 	peers         *peers
-	decisions     decisions
+	decisions     *recorder.Recorder
 
 	heardAt  time.Time
 	nextTick time.Time
@@ -72,7 +76,7 @@
 		intents:       newIntents(identity, parameters.MaxIntents),
 		commands:      newCommands(),
 		peers:         newPeers(),
-		decisions:     decisions{node: identity.Node},
+		decisions:     recorder.New(identity.Node, maxDecisions),
 	}
 	applier.streams = []*stream{
 		newStream(identifier.Configuration, applier.configuration),
@@ -83,18 +87,10 @@
 }
 
 func (parameters Parameters) withDefaults() Parameters {
-	if parameters.Retention == 0 {
-		parameters.Retention = time.Hour
-	}
-	if parameters.GiveUp == 0 {
-		parameters.GiveUp = 10 * time.Second
-	}
-	if parameters.MaxCommands == 0 {
-		parameters.MaxCommands = 1024
-	}
-	if parameters.MaxIntents == 0 {
-		parameters.MaxIntents = 1 << 20
-	}
+	parameters.Retention = cmp.Or(parameters.Retention, time.Hour)
+	parameters.GiveUp = cmp.Or(parameters.GiveUp, 10*time.Second)
+	parameters.MaxCommands = cmp.Or(parameters.MaxCommands, 1024)
+	parameters.MaxIntents = cmp.Or(parameters.MaxIntents, 1<<20)
 	return parameters
 }
 
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -9,6 +9,16 @@
 	"corianderroad/limiter"
 )
 
+// check compares a limiter with its limits and the number of open requests.
+func check(t *rapid.T, limited *limiter.Limiter, limits limiter.Limits, open int) {
+	if limited.Open() != open || limited.Busy() > limits.Slots || open > limits.Connections {
+		t.Fatalf("%d open, %d busy of %+v", open, limited.Busy(), limits)
+	}
+	if limited.Busy() < limits.Slots && open < limits.Connections && !limited.Admits(estimator.Short) {
+		t.Fatal("a free slot admits no short request")
+	}
+}
+
 // TestBounds guards against a sequence of starts and ends by which requests or
 // connections exceed their bounds or long requests take the reserved slots.
 func TestBounds(t *testing.T) {
@@ -39,29 +49,23 @@
 				}
 				running[class]--
 				if rapid.Bool().Draw(t, "stray") {
-					limited.Stray(class)
+					limited.MarkForeign(class)
 				} else {
 					limited.Release(class)
 				}
 			},
-			"outgrow": func(*rapid.T) {
+			"reclassify": func(*rapid.T) {
 				if running[estimator.Short] > 0 {
 					running[estimator.Short]--
 					running[estimator.Long]++
-					limited.Outgrow()
+					limited.Reclassify()
 				}
 			},
 			"learn": func(t *rapid.T) {
 				limited.SetForeign(rapid.IntRange(0, limited.Foreign()).Draw(t, "foreign"))
 			},
 			"": func(t *rapid.T) {
-				open := running[estimator.Short] + running[estimator.Long]
-				if limited.Open() != open || limited.Busy() > limits.Slots || open > limits.Connections {
-					t.Fatalf("%d open, %d busy of %+v", open, limited.Busy(), limits)
-				}
-				if limited.Busy() < limits.Slots && open < limits.Connections && !limited.Admits(estimator.Short) {
-					t.Fatal("a free slot admits no short request")
-				}
+				check(t, &limited, limits, running[estimator.Short]+running[estimator.Long])
 			},
 		})
 	})
--- a/placer/fleet.go
+++ b/placer/fleet.go
@@ -10,9 +10,9 @@
 	"corianderroad/identifier"
 )
 
-// MaxTasks is the largest number of tasks on one worker. It bounds gangs that
+// maxTasks is the largest number of tasks on one worker. It bounds gangs that
 // use no accelerators: 17,000 tasks on 4,500 workers are 4 on average.
-const MaxTasks = 32
+const maxTasks = 32
 
 // Worker is a worker as it enters a Fleet.
 type Worker struct {
@@ -32,7 +32,7 @@
 
 // available returns the accelerators that a gang may take now.
 func (slot *slot) available() int {
-	if !slot.usable || slot.tasks >= MaxTasks {
+	if !slot.usable || slot.tasks >= maxTasks {
 		return -1
 	}
 	return max(0, slot.Accelerators-slot.used-slot.held)
@@ -76,8 +76,8 @@
 	}
 }
 
-// Give returns what Take occupied.
-func (fleet *Fleet) Give(worker identifier.Worker, accelerators int) {
+// Release returns what Take occupied.
+func (fleet *Fleet) Release(worker identifier.Worker, accelerators int) {
 	if i, ok := fleet.index[worker]; ok {
 		fleet.slots[i].used -= accelerators
 		fleet.slots[i].tasks--
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,13 +9,16 @@
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/querier"
+	"corianderroad/recorder"
 )
 
-// Scheduler is the machine that decides where and when jobs run.
+// maxDecisions bounds the decisions that are kept for explain.
+const maxDecisions = 2048
+
+// Scheduler is the state machine that decides where and when jobs run.
 type Scheduler struct {
 	identity   messenger.Identity
 	parameters Parameters
-	random     *rand.Rand
 
 	jobs       map[identifier.Job]*job
 	regions    map[identifier.Region]*region
@@ -23,23 +26,25 @@
 	workspaces map[identifier.Workspace]messenger.WorkspaceSpec
 	draining   bool
 
-	calls    map[uint64]call
-	sequence uint64
-	agenda   agenda
-	history  history
-	// wanted is the time for which Next asked after the last step.
-	wanted  time.Time
-	actions []messenger.Action
+	calls     map[uint64]call
+	sequence  uint64
+	wakeups   wakeups
+	decisions *recorder.Recorder
+	// nextStep is the time that Next returns after the last step.
+	nextStep time.Time
+	actions  []messenger.Action
 }
 
-// New returns a Scheduler with the given source of randomness.
-func New(identity messenger.Identity, parameters Parameters, random *rand.Rand) *Scheduler {
+// New returns a Scheduler. It takes a source of randomness as the other state
+// machines do, and makes no random choice.
+func New(identity messenger.Identity, parameters Parameters, _ *rand.Rand) *Scheduler {
 	return &Scheduler{
-		identity: identity, parameters: parameters.withDefaults(), random: random,
+		identity: identity, parameters: parameters.withDefaults(),
 		jobs:       make(map[identifier.Job]*job),
 		regions:    make(map[identifier.Region]*region),
 		workspaces: make(map[identifier.Workspace]messenger.WorkspaceSpec),
 		calls:      make(map[uint64]call),
+		decisions:  recorder.New(identity.Node, maxDecisions),
 	}
 }
 
@@ -70,12 +75,12 @@
 		scheduler.appendFailed(now, event)
 	}
 	scheduler.advance(now)
-	scheduler.wanted = scheduler.next()
+	scheduler.nextStep = scheduler.next()
 	return scheduler.actions
 }
 
 // Next implements decider.Machine.
-func (scheduler *Scheduler) Next() time.Time { return scheduler.wanted }
+func (scheduler *Scheduler) Next() time.Time { return scheduler.nextStep }
 
 // View implements decider.Machine.
 func (scheduler *Scheduler) View(now time.Time, query querier.Query) querier.Answer {
@@ -87,8 +92,8 @@
 	for _, region := range scheduler.sortedRegions() {
 		scheduler.considerClaim(now, region)
 	}
-	for _, job := range scheduler.agenda.due(now) {
-		scheduler.driveGang(now, job)
+	for _, job := range scheduler.wakeups.due(now) {
+		scheduler.advanceGang(now, job)
 	}
 	for _, region := range scheduler.sortedRegions() {
 		if !region.held {
@@ -102,7 +107,7 @@
 }
 
 func (scheduler *Scheduler) next() time.Time {
-	next := scheduler.agenda.next()
+	next := scheduler.wakeups.next()
 	for _, region := range scheduler.regions {
 		next = earliest(next, scheduler.claimDue(region))
 		if !region.held {
@@ -130,14 +135,19 @@
 	return first
 }
 
+// decide records a decision about a subject for explain.
+func (scheduler *Scheduler) decide(now time.Time, subject, reason, detail string) {
+	scheduler.decisions.Record(now, subject, "", reason, detail)
+}
+
 func (scheduler *Scheduler) emit(action messenger.Action) {
 	scheduler.actions = append(scheduler.actions, action)
 }
 
-// checkPause makes the node look at its regions anew if it was paused: leases
+// checkPause verifies the state of the held regions after a pause: leases
 // may have ended and another node may have claimed in the meantime.
 func (scheduler *Scheduler) checkPause(now time.Time) {
-	if scheduler.wanted.IsZero() || now.Sub(scheduler.wanted) < scheduler.parameters.PauseAfter {
+	if scheduler.nextStep.IsZero() || now.Sub(scheduler.nextStep) < scheduler.parameters.PauseAfter {
 		return
 	}
 	for _, region := range scheduler.sortedRegions() {
