Let a suspect refute through members that reach it

Cause: TestReachableNodeIsNotDeclaredDead failed: a node that could not reach the suspect directly, with 5 % of messages lost, got the refutation too late and declared an alive member dead. The relayed probes did not tell the suspect what to refute, and were not repeated during the suspicion.

--- a/detector/bounds_test.go
+++ b/detector/bounds_test.go
@@ -54,7 +54,7 @@
 	case 2:
 		message = messenger.ProbeAnswer{Sequence: sequence, From: from, Changes: changes.Draw(t, "changes")}
 	case 3:
-		message = messenger.ProbeRequest{Sequence: sequence, Target: from.Identity}
+		message = messenger.ProbeRequest{Sequence: sequence, Target: from}
 	case 4:
 		message = messenger.ProbeReport{Sequence: sequence, Target: from}
 	default:
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -195,6 +195,7 @@
 	detector.forget(now)
 	detector.repeat()
 	detector.startProbe(now)
+	detector.remindSuspect()
 	detector.rediscover(now)
 }
 
--- a/detector/probe.go
+++ b/detector/probe.go
@@ -94,6 +94,26 @@
 func (detector *Detector) askHelp() {
 	probe := detector.probe
 	probe.helpAt = time.Time{}
+	detector.askHelpers(probe.sequence, probe.target)
+}
+
+// remindSuspect asks others to probe the member that is suspect longest. The
+// suspect may be unreachable from here and alive: the probes tell it what it must
+// refute, and their reports bring the refutation before the suspicion ends.
+func (detector *Detector) remindSuspect() {
+	var suspect *member
+	for _, member := range detector.table.members {
+		if member.State == messenger.Suspect && (suspect == nil || member.since.Before(suspect.since)) {
+			suspect = member
+		}
+	}
+	if suspect != nil {
+		detector.askHelpers(detector.nextSequence(), suspect.Member)
+	}
+}
+
+// askHelpers asks a few random members to probe the target.
+func (detector *Detector) askHelpers(sequence uint64, target messenger.Member) {
 	peers := detector.peers()
 	asked := 0
 	for _, position := range detector.random.Perm(len(peers)) {
@@ -101,8 +121,8 @@
 		if asked == helpers {
 			return
 		}
-		if peer.State == messenger.Alive && peer.Node != probe.target.Node {
-			detector.send(peer.Node, peer.Identity, messenger.ProbeRequest{Sequence: probe.sequence, Target: probe.target.Identity})
+		if peer.State == messenger.Alive && peer.Node != target.Node {
+			detector.send(peer.Node, peer.Identity, messenger.ProbeRequest{Sequence: sequence, Target: stripped(target)})
 			asked++
 		}
 	}
@@ -134,10 +154,10 @@
 	case messenger.ProbeRequest:
 		detector.relay(now, received.From, message)
 	case messenger.ProbeReport:
+		detector.accept(now, message.Target)
 		probe := detector.probe
 		if probe != nil && probe.sequence == message.Sequence && probe.target.Node == message.Target.Node {
 			detector.probe = nil
-			detector.accept(now, message.Target)
 			detector.listen(message.Target)
 		}
 	}
@@ -195,6 +215,7 @@
 	if request.Target.Node == detector.self.Node {
 		return
 	}
+	detector.accept(now, request.Target)
 	sequence := detector.nextSequence()
 	detector.relays[sequence] = relay{
 		requester: requester.Identity,
@@ -202,7 +223,7 @@
 		target:    request.Target.Node,
 		expires:   now.Add(detector.parameters.Period),
 	}
-	detector.sendProbe(request.Target, sequence)
+	detector.sendProbe(request.Target.Identity, sequence)
 }
 
 // rediscover probes the dead member or candidate that was tried least recently.
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -45,7 +45,7 @@
 		return &WirePeer{ProbeAnswer: probeToWire(message.Sequence, message.From, message.Changes)}, nil
 	case messenger.ProbeRequest:
 		return &WirePeer{ProbeRequest: &WireProbeRequest{
-			Sequence: message.Sequence, Target: identityToWire(message.Target),
+			Sequence: message.Sequence, Target: memberToWire(message.Target),
 		}}, nil
 	case messenger.ProbeReport:
 		return &WirePeer{ProbeReport: &WireProbeReport{
@@ -96,7 +96,7 @@
 		probe, err := probeFromWire(wire.ProbeAnswer)
 		return asPeer(messenger.ProbeAnswer(probe), err)
 	case wire.ProbeRequest != nil:
-		target, err := identityFromWire(wire.ProbeRequest.Target)
+		target, err := memberFromWire(wire.ProbeRequest.Target)
 		return asPeer(messenger.ProbeRequest{Sequence: wire.ProbeRequest.Sequence, Target: target}, err)
 	case wire.ProbeReport != nil:
 		target, err := memberFromWire(wire.ProbeReport.Target)
--- a/messenger/membership.go
+++ b/messenger/membership.go
@@ -82,7 +82,9 @@
 // ProbeRequest asks a node to probe another on the sender's behalf.
 type ProbeRequest struct {
 	Sequence uint64
-	Target   Identity
+	// Target is the requester's record of the member, so that a suspect learns
+	// from the probe what it must refute.
+	Target Member
 }
 
 // ProbeReport tells the requester that its target answered.
