Charge no retry for an owner that could not be reached

Cause: when the demo killed a node, 6 requests were refused with node-unreachable, as not run and without a hint, though other owners were free: the burst of attempts that could not be sent used up the retry budget. Change: such a retry is not charged, as for leaving and no-minion, because it took nobody's time; the refusal carries a hint. Result: of 200 requests at a node whose peer has just died 160 were refused before, none now (TestDeadOwnerExhaustsNoBudget, red before the change); the property tests of router and decider pass.

--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -53,9 +53,14 @@
 	return interval/2 + time.Duration(random.Int64N(int64(interval/2)+1))
 }
 
-// IsPlanned says whether a refusal comes from a planned stop or a change of
-// owners. Its retry is not charged to the budget: planned stops interrupt no
-// request, and each request is handed over at most a few times.
-func IsPlanned(code classifier.Code) bool {
-	return code == classifier.Leaving || code == classifier.NoMinion
+// IsUncharged says whether the retry of a refused attempt is not charged to the
+// budget: the attempt took nobody's time, because the owner stops, has changed or
+// could not be reached. The bound of attempts per request still holds.
+func IsUncharged(code classifier.Code) bool {
+	switch code {
+	case classifier.Leaving, classifier.NoMinion, classifier.NodeUnreachable:
+		return true
+	default:
+		return false
+	}
 }
--- a/router/attempt.go
+++ b/router/attempt.go
@@ -62,7 +62,7 @@
 	if settled == nil || settled.owner != to || settled.attempt != lost.Attempt {
 		return
 	}
-	router.reconsider(now, settled, classifier.New(classifier.NodeUnreachable, "node %s could not be reached", to))
+	router.reconsider(now, settled, classifier.New(classifier.NodeUnreachable, "node %s could not be reached", to).WithRetryAfter(time.Second))
 }
 
 // failLostOwners ends the attempts whose owner is no longer a member. The owner
@@ -115,7 +115,7 @@
 		// retries, and the budget is kept for failures.
 		return router.mayCross(at, failed)
 	}
-	return retrier.IsPlanned(code) || router.rules.noBudget || router.budget.Spend()
+	return retrier.IsUncharged(code) || router.rules.noBudget || router.budget.Spend()
 }
 
 // expected returns the run time that a call is expected to take.
--- a/router/single_node_test.go
+++ b/router/single_node_test.go
@@ -140,3 +140,27 @@
 	_, actions = call(now.Add(probeInterval))
 	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 1)
 }
+
+// TestDeadOwnerExhaustsNoBudget guards against requests that are refused when a
+// node dies, although other owners could serve them: the attempts that could not
+// be sent once used up the budget of retries.
+func TestDeadOwnerExhaustsNoBudget(t *testing.T) {
+	c := quicktest.New(t)
+	w := newWorld(1, faults{}, 2, 8, twoRegions[:1], nil)
+	w.showMembers(w.nodes[0])
+	w.run(epoch.Add(time.Second))
+	router := w.nodes[0].router
+	refused := 0
+	for number := range 200 {
+		request := identifier.Request(fmt.Sprintf("q%d", number))
+		actions := router.Step(w.now, messenger.CallArrived{Request: request, Call: commander.Call{
+			Workspace: "a", Service: "rota", Method: "swap", Deadline: w.now.Add(20 * time.Second),
+		}})
+		for _, send := range has[messenger.SendPeer](actions) {
+			if forward, ok := send.Message.(messenger.Forward); ok {
+				refused += len(has[messenger.CallAnswered](router.Step(w.now, messenger.PeerLost{To: send.To, Message: forward})))
+			}
+		}
+	}
+	c.Assert(refused, quicktest.Equals, 0)
+}
