Count a request that expires while it waits for the log as a failure of the log

Cause: demo/faults still showed 485 refusals with deadline-unmet and none with log-unavailable: its keyed requests have a timeout of 2 s, which ends before the wait for the intent does, and the circuit breaker never saw a failure.

--- a/router/entry.go
+++ b/router/entry.go
@@ -21,6 +21,8 @@
 	holds bool
 	// awaitsIntent says that the intent was not read back yet.
 	awaitsIntent bool
+	// claimedAt is when the intent was handed to the log.
+	claimedAt time.Time
 	// abandoned says that the caller left. A keyed request runs on, so that a
 	// repetition gets its outcome.
 	abandoned bool
@@ -115,6 +117,8 @@
 // expire ends a call whose deadline has passed.
 func (router *Router) expire(now time.Time, expired *call) {
 	switch {
+	case expired.awaitsIntent && now.Sub(expired.claimedAt) >= logPatience:
+		router.refuseIntent(now, expired, classifier.LogUnavailable)
 	case expired.holder != "":
 		router.finish(now, expired, classifier.New(classifier.InProgress, "the first request with this key has not ended"), nil)
 	case expired.owner == "":
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -43,7 +43,7 @@
 		return
 	}
 	router.outcomes.open(key, claiming.command.Workspace, fingerprint(claiming.command))
-	claiming.holds, claiming.awaitsIntent = true, true
+	claiming.holds, claiming.awaitsIntent, claiming.claimedAt = true, true, now
 	giveUp := now.Add(router.parameters.IntentWait)
 	if claiming.command.Deadline.Before(giveUp) {
 		giveUp = claiming.command.Deadline
@@ -175,7 +175,7 @@
 	}
 	if code != classifier.RateLimited && code != classifier.RingFull {
 		code = classifier.LogUnavailable
-		router.breaker.fail()
+		router.breaker.fail(now)
 	}
 	router.refuseLog(now, claimed, code)
 }
--- a/router/single_node_test.go
+++ b/router/single_node_test.go
@@ -134,6 +134,21 @@
 	c.Assert(answers, quicktest.HasLen, 1)
 	c.Assert(answers[0].Err.Code, quicktest.Equals, classifier.LogUnavailable)
 	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 0)
+	// The next request expires before its intent has failed.
+	expiring, actions := call(now.Add(probeInterval))
+	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 1)
+	router.Step(now.Add(probeInterval), messenger.IntentFolded{Key: w.key(number), Request: expiring, First: true})
+	number++
+	expired := commander.Call{
+		Workspace: "a", Service: "rota", Method: "swap", Key: w.key(number), Deadline: now.Add(probeInterval + logPatience),
+	}
+	router.Step(now.Add(probeInterval), messenger.CallArrived{Request: "expired", Call: expired})
+	now = now.Add(probeInterval + logPatience)
+	answers = has[messenger.CallAnswered](router.Step(now, messenger.Tick{}))
+	c.Assert(answers, quicktest.HasLen, 1)
+	c.Assert(answers[0].Err.Code, quicktest.Equals, classifier.LogUnavailable)
+	_, actions = call(now)
+	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 0)
 	probe, actions := call(now.Add(probeInterval))
 	c.Assert(has[messenger.AppendRecord](actions), quicktest.HasLen, 1)
 	router.Step(now.Add(probeInterval), messenger.IntentFolded{Key: w.key(number), Request: probe, First: true})
