Wait for answers of commands and calls in one place

Cause: acceptor registered, handed on and waited for a request twice, in the same lines. Change: exchange does it for both; the front's address is a netip.AddrPort.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
 
 	"corianderroad/classifier"
 	"corianderroad/commander"
@@ -24,15 +25,9 @@
 	Deliver(ctx context.Context, event messenger.Event) error
 }
 
-// Calls joins answers of service requests to their callers.
-type Calls interface {
-	Register(request identifier.Request) (<-chan messenger.CallAnswered, error)
-	Forget(ctx context.Context, request identifier.Request) error
-}
-
-// Commands joins answers of other commands to their callers.
-type Commands interface {
-	Register(request identifier.Request) (<-chan messenger.CommandAnswered, error)
+// Registry joins answers of type T to the callers that wait for them.
+type Registry[T any] interface {
+	Register(request identifier.Request) (<-chan T, error)
 	Forget(ctx context.Context, request identifier.Request) error
 }
 
@@ -61,8 +56,8 @@
 // Dependencies are what an Acceptor works with. All are required.
 type Dependencies struct {
 	Inlet     Inlet
-	Calls     Calls
-	Commands  Commands
+	Calls     Registry[messenger.CallAnswered]
+	Commands  Registry[messenger.CommandAnswered]
 	Access    Access
 	Newcomers Newcomers
 	Drainer   Drainer
@@ -101,27 +96,45 @@
 		return messenger.CommandAnswered{}, err
 	}
 	request := newRequest()
-	reply, err := acceptor.Commands.Register(request)
+	event := messenger.CommandArrived{Request: request, Command: command}
+	answer, err := exchange(ctx, acceptor.Commands, acceptor.Inlet, request, event, commandTimeout)
+	switch {
+	case errors.Is(err, errNoAnswer):
+		return answer, classifier.New(classifier.OutcomeUnknown, "the command was not confirmed in time")
+	case err != nil:
+		return answer, err
+	case answer.Err != nil:
+		return answer, answer.Err
+	}
+	return answer, nil
+}
+
+// errNoAnswer says that the caller left or the limit passed before the answer.
+var errNoAnswer = errors.New("no answer")
+
+// exchange hands an event to a machine and waits for the answer to its request.
+func exchange[T any](ctx context.Context, registry Registry[T], inlet Inlet, request identifier.Request,
+	event messenger.Event, limit time.Duration,
+) (T, error) {
+	var none T
+	reply, err := registry.Register(request)
 	if err != nil {
-		return messenger.CommandAnswered{}, err
+		return none, err
 	}
-	if err := acceptor.Inlet.Offer(messenger.CommandArrived{Request: request, Command: command}); err != nil {
-		_ = acceptor.Commands.Forget(ctx, request)
-		return messenger.CommandAnswered{}, err
+	if err := inlet.Offer(event); err != nil {
+		_ = registry.Forget(ctx, request)
+		return none, err
 	}
-	timer := time.NewTimer(commandTimeout)
+	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case answer := <-reply:
-		if answer.Err != nil {
-			return answer, answer.Err
-		}
 		return answer, nil
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	_ = acceptor.Commands.Forget(context.WithoutCancel(ctx), request)
-	return messenger.CommandAnswered{}, classifier.New(classifier.OutcomeUnknown, "the command was not confirmed in time")
+	_ = registry.Forget(context.WithoutCancel(ctx), request)
+	return none, errNoAnswer
 }
 
 // newRequest returns an ID that is unique over all nodes.
--- a/acceptor/call.go
+++ b/acceptor/call.go
@@ -48,29 +48,18 @@
 
 func (acceptor *Acceptor) await(ctx context.Context, request identifier.Request, call commander.Call,
 ) (messenger.CallAnswered, error) {
-	reply, err := acceptor.Calls.Register(request)
-	if err != nil {
-		return messenger.CallAnswered{}, err
-	}
-	if err := acceptor.Inlet.Offer(messenger.CallArrived{Request: request, Call: call}); err != nil {
-		_ = acceptor.Calls.Forget(ctx, request)
-		return messenger.CallAnswered{}, err
-	}
-	timer := time.NewTimer(time.Until(call.Deadline) + answerGrace)
-	defer timer.Stop()
-	select {
-	case answer := <-reply:
-		if answer.Err != nil {
-			return answer, answer.Err
-		}
-		return answer, nil
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	detached := context.WithoutCancel(ctx)
-	_ = acceptor.Calls.Forget(detached, request)
-	_ = acceptor.Inlet.Deliver(detached, messenger.CallerLeft{Request: request})
-	return messenger.CallAnswered{}, classifier.New(classifier.TimedOut, "no answer before the deadline")
+	event := messenger.CallArrived{Request: request, Call: call}
+	answer, err := exchange(ctx, acceptor.Calls, acceptor.Inlet, request, event, time.Until(call.Deadline)+answerGrace)
+	switch {
+	case errors.Is(err, errNoAnswer):
+		_ = acceptor.Inlet.Deliver(context.WithoutCancel(ctx), messenger.CallerLeft{Request: request})
+		return answer, classifier.New(classifier.TimedOut, "no answer before the deadline")
+	case err != nil:
+		return answer, err
+	case answer.Err != nil:
+		return answer, answer.Err
+	}
+	return answer, nil
 }
 
 func (acceptor *Acceptor) readCall(ctx iris.Context) (commander.Call, error) {
--- a/acceptor/jobs.go
+++ b/acceptor/jobs.go
@@ -30,11 +30,7 @@
 
 func (acceptor *Acceptor) submit(ctx iris.Context) {
 	var submit Submit
-	if err := readJSON(ctx, maxCommand, &submit); err != nil {
-		acceptor.refuse(ctx, err)
-		return
-	}
-	workspace, err := acceptor.Access.Workspace(Bearer(ctx))
+	workspace, err := acceptor.readWorkspaceCommand(ctx, &submit)
 	if err != nil {
 		acceptor.refuse(ctx, err)
 		return
@@ -71,14 +67,18 @@
 
 func (acceptor *Acceptor) cancel(ctx iris.Context) {
 	var cancel Cancel
-	if err := readJSON(ctx, maxCommand, &cancel); err != nil {
-		acceptor.refuse(ctx, err)
-		return
-	}
-	workspace, err := acceptor.Access.Workspace(Bearer(ctx))
+	workspace, err := acceptor.readWorkspaceCommand(ctx, &cancel)
 	if err != nil {
 		acceptor.refuse(ctx, err)
 		return
 	}
 	acceptor.finish(ctx, commander.Cancel{Workspace: workspace, Job: cancel.Job})
 }
+
+// readWorkspaceCommand decodes a command and returns the workspace of its token.
+func (acceptor *Acceptor) readWorkspaceCommand(ctx iris.Context, command any) (identifier.Workspace, error) {
+	if err := readJSON(ctx, maxCommand, command); err != nil {
+		return "", err
+	}
+	return acceptor.Access.Workspace(Bearer(ctx))
+}
--- a/server/front.go
+++ b/server/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/kataras/iris/v12"
@@ -30,7 +31,7 @@
 
 // front is the HTTP listener of commands and queries.
 type front struct {
-	address string
+	address netip.AddrPort
 	server  *http.Server
 }
 
@@ -62,7 +63,7 @@
 
 func (server *Server) front() *front {
 	return &front{
-		address: server.settings.HTTPAddress.String(),
+		address: server.settings.HTTPAddress.AddrPort,
 		server: &http.Server{
 			Handler:           server.handler,
 			MaxHeaderBytes:    maxHeader,
@@ -74,7 +75,7 @@
 }
 
 func (front *front) run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", front.address)
+	listener, err := net.Listen("tcp", front.address.String())
 	if err != nil {
 		return classifier.New(classifier.InvalidSettings, "http-address: %v", err)
 	}
