--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -359,7 +359,7 @@
 	ask, asked := find[messenger.SendPeer](target.Step(start.Add(time.Second), messenger.Tick{}))
 	c.Assert(asked, quicktest.IsTrue)
 	tell, _ := find[messenger.SendPeer](source.Step(start, messenger.PeerReceived{From: "node-t", Message: ask.Message}))
-	c.Assert(tell.Message.(messenger.EntriesTell).Appends, quicktest.HasLen, 2)
+	c.Assert(tell.Message.(messenger.EntriesResponse).Appends, quicktest.HasLen, 2)
 	advanced, _ := find[messenger.StreamAdvanced](target.Step(start, messenger.PeerReceived{From: "node-s", Message: tell.Message}))
 	c.Assert(advanced.Applied, quicktest.Equals, identifier.Offset(3))
 }
--- a/applier/peers.go
+++ b/applier/peers.go
@@ -149,7 +149,7 @@
 func (applier *Applier) ask(stream *stream, peer peer) {
 	applier.emit(messenger.SendPeer{
 		To: peer.node, Address: peer.address,
-		Message: messenger.EntriesAsk{Stream: stream.name, From: stream.applied + 1},
+		Message: messenger.EntriesRequest{Stream: stream.name, From: stream.applied + 1},
 	})
 }
 
@@ -160,26 +160,26 @@
 		return
 	}
 	switch message := received.Message.(type) {
-	case messenger.EntriesAsk:
+	case messenger.EntriesRequest:
 		applier.answerPeer(now, applier.peers.all[at], message)
-	case messenger.EntriesTell:
+	case messenger.EntriesResponse:
 		applier.applyAnswer(now, applier.peers.all[at], message)
 	}
 }
 
 // answerPeer answers a peer with appends, or with a copy of the state if they are no
 // longer kept.
-func (applier *Applier) answerPeer(now time.Time, peer peer, ask messenger.EntriesAsk) {
+func (applier *Applier) answerPeer(now time.Time, peer peer, ask messenger.EntriesRequest) {
 	stream := applier.stream(ask.Stream)
 	if stream == nil || ask.From > stream.applied {
 		return
 	}
-	answer := func(tell messenger.EntriesTell) {
+	answer := func(tell messenger.EntriesResponse) {
 		tell.Stream = stream.name
 		applier.emit(messenger.SendPeer{To: peer.node, Address: peer.address, Message: tell})
 	}
 	if appends := stream.window.from(ask.From); len(appends) > 0 {
-		answer(messenger.EntriesTell{Appends: appends})
+		answer(messenger.EntriesResponse{Appends: appends})
 		return
 	}
 	if stream.name == identifier.Intents || now.Sub(stream.late.copied) < copyPeriod {
@@ -187,12 +187,12 @@
 	}
 	stream.late.copied = now
 	for _, part := range stream.parts() {
-		answer(messenger.EntriesTell{Snapshot: &part})
+		answer(messenger.EntriesResponse{Snapshot: &part})
 	}
 }
 
 // applyAnswer applies a peer's answer.
-func (applier *Applier) applyAnswer(now time.Time, peer peer, tell messenger.EntriesTell) {
+func (applier *Applier) applyAnswer(now time.Time, peer peer, tell messenger.EntriesResponse) {
 	stream := applier.stream(tell.Stream)
 	if stream == nil {
 		return
--- a/controller/body.go
+++ b/controller/body.go
@@ -48,7 +48,7 @@
 	Message      string            `json:"message"`
 }
 
-func encode(ask messenger.AskWorker) callBody {
+func encode(ask messenger.CallWorker) callBody {
 	body := callBody{Term: ask.Term}
 	if ask.Kind != messenger.RenewTasks {
 		body.Gang = &gangBody{ask.Gang.Job, ask.Gang.Placement}
@@ -72,7 +72,7 @@
 
 // decode turns the answer of a worker into an event. An answer that cannot be
 // read, or that comes from another worker, leaves the effect unknown.
-func decode(ask messenger.AskWorker, status int, content []byte) messenger.WorkerAnswered {
+func decode(ask messenger.CallWorker, status int, content []byte) messenger.WorkerAnswered {
 	var body answerBody
 	if len(content) > maxAnswer {
 		return ask.Refused(classifier.New(classifier.OutcomeUnknown, "answer of worker %s has more than %d bytes", ask.Worker, maxAnswer))
@@ -101,7 +101,7 @@
 	return classifier.OutcomeUnknown
 }
 
-func decodeState(ask messenger.AskWorker, body answerBody) messenger.WorkerAnswered {
+func decodeState(ask messenger.CallWorker, body answerBody) messenger.WorkerAnswered {
 	unknown := func(format string, arguments ...any) messenger.WorkerAnswered {
 		return ask.Refused(classifier.New(classifier.OutcomeUnknown, format, arguments...))
 	}
--- a/controller/call.go
+++ b/controller/call.go
@@ -30,7 +30,7 @@
 }
 
 // call carries out one call and returns its answer.
-func (controller *Controller) call(ctx context.Context, ask messenger.AskWorker) messenger.WorkerAnswered {
+func (controller *Controller) call(ctx context.Context, ask messenger.CallWorker) messenger.WorkerAnswered {
 	ctx, cancel := context.WithTimeout(ctx, controller.parameters.Timeout+ask.Grace)
 	defer cancel()
 	// The request may have taken effect as soon as a connection was there to
@@ -56,7 +56,7 @@
 }
 
 // failed says whether a call without an answer may have taken effect.
-func failed(ask messenger.AskWorker, err error, connected bool) *classifier.Error {
+func failed(ask messenger.CallWorker, err error, connected bool) *classifier.Error {
 	switch {
 	case !connected:
 		return classifier.New(classifier.NodeUnreachable, "worker %s: %v", ask.Worker, err)
@@ -66,7 +66,7 @@
 	return classifier.New(classifier.OutcomeUnknown, "worker %s: %v", ask.Worker, err)
 }
 
-func newRequest(ctx context.Context, ask messenger.AskWorker) (*http.Request, error) {
+func newRequest(ctx context.Context, ask messenger.CallWorker) (*http.Request, error) {
 	target := "http://" + ask.Address.String() + paths[ask.Kind]
 	if ask.Kind == messenger.ReadState {
 		target += "?term=" + strconv.FormatUint(uint64(ask.Term), 10)
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -36,7 +36,7 @@
 
 // Controller calls workers. It is safe for concurrent use.
 type Controller struct {
-	ring       *buffer.Ring[messenger.AskWorker]
+	ring       *buffer.Ring[messenger.CallWorker]
 	sink       Sink
 	client     *http.Client
 	parameters Parameters
@@ -45,7 +45,7 @@
 // New returns a Controller that takes calls from the ring and delivers the
 // answers to the sink. The ring should hold a call for each worker of a region,
 // because renewals are sent together.
-func New(ring *buffer.Ring[messenger.AskWorker], sink Sink, parameters Parameters) *Controller {
+func New(ring *buffer.Ring[messenger.CallWorker], sink Sink, parameters Parameters) *Controller {
 	parameters.Callers = cmp.Or(parameters.Callers, 32)
 	parameters.Timeout = cmp.Or(parameters.Timeout, 2*time.Second)
 	parameters.IdleConnections = cmp.Or(parameters.IdleConnections, 512)
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -35,8 +35,8 @@
 }
 
 // run starts a controller and returns its ring and its answers.
-func run(t *testing.T) (*buffer.Ring[messenger.AskWorker], inbox) {
-	ring, answers := buffer.New[messenger.AskWorker]("workers", 64), make(inbox)
+func run(t *testing.T) (*buffer.Ring[messenger.CallWorker], inbox) {
+	ring, answers := buffer.New[messenger.CallWorker]("workers", 64), make(inbox)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	client := controller.New(ring, answers, controller.Parameters{Callers: 4, Timeout: 200 * time.Millisecond})
@@ -95,7 +95,7 @@
 		"silent":        {serve(t, hang), classifier.TimedOut, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			quicktest.Assert(t, ring.Offer(messenger.AskWorker{Sequence: 7, Worker: "w1", Address: test.address, Kind: messenger.ReleaseTask, Term: 1}), quicktest.IsNil)
+			quicktest.Assert(t, ring.Offer(messenger.CallWorker{Sequence: 7, Worker: "w1", Address: test.address, Kind: messenger.ReleaseTask, Term: 1}), quicktest.IsNil)
 			answer := <-answers
 			quicktest.Assert(t, answer.Err, quicktest.Not(quicktest.IsNil))
 			quicktest.Assert(t, answer.Err.Code, quicktest.Equals, test.code, quicktest.Commentf("%v", answer.Err))
@@ -117,7 +117,7 @@
 			"state":"running","accelerators":4,"members":["w1"],"progress":"10s"}]}`)(response, request)
 	})
 	gang := messenger.Gang{Job: "j", Placement: 13}
-	ask := messenger.AskWorker{
+	ask := messenger.CallWorker{
 		Worker: "w1", Address: address, Term: 12, Gang: gang, Gangs: []messenger.Gang{gang}, Accelerators: 4,
 		Members: []identifier.Worker{"w1"}, Lease: 15 * time.Second, Mark: 1500 * time.Millisecond,
 		RunTime: time.Hour, Progress: time.Second, Grace: 10 * time.Second,
@@ -148,7 +148,7 @@
 	f.Add(200, []byte(`{"worker":"w1","mark":"1s","tasks":[]}`))
 	f.Add(409, []byte(`{"code":705}`))
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
-		answer := controller.Decode(messenger.AskWorker{Worker: "w1"}, status, body)
+		answer := controller.Decode(messenger.CallWorker{Worker: "w1"}, status, body)
 		var content struct {
 			Worker string `json:"worker"`
 		}
--- a/decider/deployment_test.go
+++ b/decider/deployment_test.go
@@ -175,7 +175,7 @@
 		process.log.append(process, action, classifier.NotRun)
 	case messenger.CallMinion:
 		process.minion(action.Minion).call(process, action)
-	case messenger.AskSlots:
+	case messenger.QuerySlots:
 		process.minion(action.Minion).ask(process, action)
 	case messenger.CallAnswered:
 		process.answers[action.Request] = append(process.answers[action.Request], action)
--- a/decider/fakes_test.go
+++ b/decider/fakes_test.go
@@ -189,7 +189,7 @@
 	})
 }
 
-func (minion *fakeMinion) ask(process *process, ask messenger.AskSlots) {
+func (minion *fakeMinion) ask(process *process, ask messenger.QuerySlots) {
 	answered := messenger.SlotsAnswered{Minion: ask.Minion, Slots: minionSlots, Busy: minion.busy, Leaving: minion.leaving}
 	if minion.dead || minion.isCut(process.identity.Region, minion.region) {
 		answered.Err = classifier.New(classifier.MinionUnreachable, "no connection")
--- a/decider/wiring.go
+++ b/decider/wiring.go
@@ -57,10 +57,10 @@
 	switch message.(type) {
 	case messenger.Probe, messenger.ProbeAnswer, messenger.ProbeRequest, messenger.ProbeReport:
 		return []Duty{Detection}
-	case messenger.EntriesAsk, messenger.EntriesTell:
+	case messenger.EntriesRequest, messenger.EntriesResponse:
 		return []Duty{Application}
 	case messenger.Forward, messenger.ForwardAnswer, messenger.ForwardCancel,
-		messenger.OutcomeAsk, messenger.OutcomeTell:
+		messenger.OutcomeRequest, messenger.OutcomeResponse:
 		return []Duty{Routing}
 	default:
 		return nil
--- a/dispatcher/ask.go
+++ b/dispatcher/ask.go
@@ -15,7 +15,7 @@
 const maxSlotsAnswer = 4 << 10
 
 // ask asks a minion for its busy slots.
-func (dispatcher *Dispatcher) ask(ctx context.Context, asked messenger.AskSlots) messenger.Event {
+func (dispatcher *Dispatcher) ask(ctx context.Context, asked messenger.QuerySlots) messenger.Event {
 	ctx, cancel := context.WithTimeout(ctx, dispatcher.parameters.AskTimeout)
 	defer cancel()
 	answered := messenger.SlotsAnswered{Minion: asked.Minion}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -60,7 +60,7 @@
 // each of which carries one request at a time.
 type Dispatcher struct {
 	calls      *buffer.Ring[messenger.CallMinion]
-	asks       *buffer.Ring[messenger.AskSlots]
+	asks       *buffer.Ring[messenger.QuerySlots]
 	sink       Sink
 	parameters Parameters
 	transport  *http.Transport
@@ -68,7 +68,7 @@
 
 // New returns a Dispatcher that reads from the two rings and delivers exactly
 // one result for each entry to the sink.
-func New(calls *buffer.Ring[messenger.CallMinion], asks *buffer.Ring[messenger.AskSlots], sink Sink, parameters Parameters) *Dispatcher {
+func New(calls *buffer.Ring[messenger.CallMinion], asks *buffer.Ring[messenger.QuerySlots], sink Sink, parameters Parameters) *Dispatcher {
 	parameters = parameters.withDefaults()
 	return &Dispatcher{
 		calls: calls, asks: asks, sink: sink, parameters: parameters,
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -38,14 +38,14 @@
 
 type duty struct {
 	calls   *buffer.Ring[messenger.CallMinion]
-	asks    *buffer.Ring[messenger.AskSlots]
+	asks    *buffer.Ring[messenger.QuerySlots]
 	results sink
 }
 
 func run(t *testing.T, parameters dispatcher.Parameters) duty {
 	running := duty{
 		calls: buffer.New[messenger.CallMinion]("calls", 64),
-		asks:  buffer.New[messenger.AskSlots]("asks", 64), results: make(sink, 64),
+		asks:  buffer.New[messenger.QuerySlots]("asks", 64), results: make(sink, 64),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
@@ -162,7 +162,7 @@
 	running := run(t, dispatcher.Parameters{})
 	answer := running.result(t, running.call(address, 1, "body"))
 	quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.MinionUnreachable)
-	quicktest.Assert(t, running.asks.Offer(messenger.AskSlots{Minion: "m", Address: address}), quicktest.IsNil)
+	quicktest.Assert(t, running.asks.Offer(messenger.QuerySlots{Minion: "m", Address: address}), quicktest.IsNil)
 	quicktest.Assert(t, (<-running.results).(messenger.SlotsAnswered).Err, quicktest.IsNotNil)
 }
 
--- a/encoder/bounds_test.go
+++ b/encoder/bounds_test.go
@@ -26,14 +26,14 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(entries[0].Record.(messenger.Publication).Text, quicktest.HasLen, commander.MaxText)
 
-	tell := messenger.EntriesTell{Stream: "configuration", Appends: []messenger.AppendRead{{
+	tell := messenger.EntriesResponse{Stream: "configuration", Appends: []messenger.AppendRead{{
 		Stream: "configuration", Offset: 7, AppendedAt: time.Unix(1, 0), Entries: []messenger.Entry{entry},
 	}}}
 	frame, err := encoder.MarshalPeer(tell)
 	c.Assert(err, quicktest.IsNil)
 	told, err := encoder.UnmarshalPeer(frame)
 	c.Assert(err, quicktest.IsNil)
-	c.Assert(told.(messenger.EntriesTell).Appends[0].Entries, quicktest.HasLen, 1)
+	c.Assert(told.(messenger.EntriesResponse).Appends[0].Entries, quicktest.HasLen, 1)
 
 	body := bytes.Repeat([]byte("x"), commander.MaxBody)
 	frame, err = encoder.MarshalPeer(messenger.Forward{Request: "r", Call: commander.Call{Body: body}})
--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -117,12 +117,12 @@
 		messenger.ProbeAnswer{},
 		messenger.ProbeRequest{},
 		messenger.ProbeReport{},
-		messenger.EntriesAsk{},
+		messenger.EntriesRequest{},
 		messenger.Forward{},
 		messenger.ForwardAnswer{},
 		messenger.ForwardCancel{},
-		messenger.OutcomeAsk{},
-		messenger.OutcomeTell{},
+		messenger.OutcomeRequest{},
+		messenger.OutcomeResponse{},
 	}
 }
 
@@ -178,7 +178,7 @@
 
 // TestPeerMessageHasOneField guards against a message of no or of two kinds.
 func TestPeerMessageHasOneField(t *testing.T) {
-	both := encoder.WirePeer{EntriesAsk: &encoder.WireEntriesAsk{}, OutcomeAsk: &encoder.WireOutcomeAsk{}}
+	both := encoder.WirePeer{EntriesRequest: &encoder.WireEntriesRequest{}, OutcomeRequest: &encoder.WireOutcomeRequest{}}
 	for _, wire := range []encoder.WirePeer{{}, both} {
 		body, err := wire.MarshalMsg(nil)
 		quicktest.Assert(t, err, quicktest.IsNil)
--- a/encoder/entries.go
+++ b/encoder/entries.go
@@ -6,8 +6,8 @@
 	"corianderroad/messenger"
 )
 
-func entriesToWire(tell messenger.EntriesTell) (*WireEntriesTell, error) {
-	wire := &WireEntriesTell{Stream: string(tell.Stream)}
+func entriesToWire(tell messenger.EntriesResponse) (*WireEntriesResponse, error) {
+	wire := &WireEntriesResponse{Stream: string(tell.Stream)}
 	for _, read := range tell.Appends {
 		batch, err := MarshalBatch(read.Entries)
 		if err != nil {
@@ -26,12 +26,12 @@
 	return wire, err
 }
 
-func entriesFromWire(wire *WireEntriesTell) (messenger.EntriesTell, error) {
-	tell := messenger.EntriesTell{Stream: identifier.Stream(wire.Stream)}
+func entriesFromWire(wire *WireEntriesResponse) (messenger.EntriesResponse, error) {
+	tell := messenger.EntriesResponse{Stream: identifier.Stream(wire.Stream)}
 	for _, read := range wire.Appends {
 		entries, err := UnmarshalBatch(read.Batch)
 		if err != nil {
-			return messenger.EntriesTell{}, err
+			return messenger.EntriesResponse{}, err
 		}
 		tell.Appends = append(tell.Appends, messenger.AppendRead{
 			Stream: identifier.Stream(read.Stream), Offset: identifier.Offset(read.Offset),
@@ -43,7 +43,7 @@
 	}
 	entries, err := UnmarshalBatch(wire.Snapshot)
 	if err != nil {
-		return messenger.EntriesTell{}, err
+		return messenger.EntriesResponse{}, err
 	}
 	if len(entries) == 1 {
 		if snapshot, ok := entries[0].Record.(messenger.Snapshot); ok {
@@ -51,5 +51,5 @@
 			return tell, nil
 		}
 	}
-	return messenger.EntriesTell{}, classifier.New(classifier.BadFrame, "a snapshot frame holds another record")
+	return messenger.EntriesResponse{}, classifier.New(classifier.BadFrame, "a snapshot frame holds another record")
 }
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -51,11 +51,11 @@
 		return &WirePeer{ProbeReport: &WireProbeReport{
 			Sequence: message.Sequence, Target: memberToWire(message.Target),
 		}}, nil
-	case messenger.EntriesAsk:
-		return &WirePeer{EntriesAsk: &WireEntriesAsk{Stream: string(message.Stream), From: uint64(message.From)}}, nil
-	case messenger.EntriesTell:
+	case messenger.EntriesRequest:
+		return &WirePeer{EntriesRequest: &WireEntriesRequest{Stream: string(message.Stream), From: uint64(message.From)}}, nil
+	case messenger.EntriesResponse:
 		tell, err := entriesToWire(message)
-		return &WirePeer{EntriesTell: tell}, err
+		return &WirePeer{EntriesResponse: tell}, err
 	case messenger.Forward:
 		return &WirePeer{Forward: &WireForward{
 			Request: string(message.Request), Attempt: uint32(message.Attempt), Owner: uint64(message.Owner),
@@ -70,13 +70,13 @@
 		return &WirePeer{ForwardCancel: &WireForwardCancel{
 			Request: string(message.Request), Attempt: uint32(message.Attempt),
 		}}, nil
-	case messenger.OutcomeAsk:
-		return &WirePeer{OutcomeAsk: &WireOutcomeAsk{
+	case messenger.OutcomeRequest:
+		return &WirePeer{OutcomeRequest: &WireOutcomeRequest{
 			Key: string(message.Key), Request: string(message.Request),
 			Workspace: string(message.Workspace), Fingerprint: message.Fingerprint,
 		}}, nil
-	case messenger.OutcomeTell:
-		return &WirePeer{OutcomeTell: &WireOutcomeTell{
+	case messenger.OutcomeResponse:
+		return &WirePeer{OutcomeResponse: &WireOutcomeResponse{
 			Key: string(message.Key), Request: string(message.Request), Err: errorToWire(message.Err), Body: message.Body,
 		}}, nil
 	default:
@@ -101,12 +101,12 @@
 	case wire.ProbeReport != nil:
 		target, err := memberFromWire(wire.ProbeReport.Target)
 		return asPeer(messenger.ProbeReport{Sequence: wire.ProbeReport.Sequence, Target: target}, err)
-	case wire.EntriesAsk != nil:
-		return messenger.EntriesAsk{
-			Stream: identifier.Stream(wire.EntriesAsk.Stream), From: identifier.Offset(wire.EntriesAsk.From),
+	case wire.EntriesRequest != nil:
+		return messenger.EntriesRequest{
+			Stream: identifier.Stream(wire.EntriesRequest.Stream), From: identifier.Offset(wire.EntriesRequest.From),
 		}, nil
-	case wire.EntriesTell != nil:
-		tell, err := entriesFromWire(wire.EntriesTell)
+	case wire.EntriesResponse != nil:
+		tell, err := entriesFromWire(wire.EntriesResponse)
 		return asPeer(tell, err)
 	default:
 		return requestFromWire(wire), nil
@@ -137,19 +137,19 @@
 			Request: identifier.Request(wire.ForwardCancel.Request),
 			Attempt: identifier.Attempt(wire.ForwardCancel.Attempt),
 		}
-	case wire.OutcomeAsk != nil:
-		return messenger.OutcomeAsk{
-			Key:         identifier.Key(wire.OutcomeAsk.Key),
-			Request:     identifier.Request(wire.OutcomeAsk.Request),
-			Workspace:   identifier.Workspace(wire.OutcomeAsk.Workspace),
-			Fingerprint: wire.OutcomeAsk.Fingerprint,
+	case wire.OutcomeRequest != nil:
+		return messenger.OutcomeRequest{
+			Key:         identifier.Key(wire.OutcomeRequest.Key),
+			Request:     identifier.Request(wire.OutcomeRequest.Request),
+			Workspace:   identifier.Workspace(wire.OutcomeRequest.Workspace),
+			Fingerprint: wire.OutcomeRequest.Fingerprint,
 		}
 	default:
-		return messenger.OutcomeTell{
-			Key:     identifier.Key(wire.OutcomeTell.Key),
-			Request: identifier.Request(wire.OutcomeTell.Request),
-			Err:     errorFromWire(wire.OutcomeTell.Err),
-			Body:    wire.OutcomeTell.Body,
+		return messenger.OutcomeResponse{
+			Key:     identifier.Key(wire.OutcomeResponse.Key),
+			Request: identifier.Request(wire.OutcomeResponse.Request),
+			Err:     errorFromWire(wire.OutcomeResponse.Err),
+			Body:    wire.OutcomeResponse.Body,
 		}
 	}
 }
@@ -159,8 +159,8 @@
 	set := 0
 	for _, present := range []bool{
 		wire.Probe != nil, wire.ProbeAnswer != nil, wire.ProbeRequest != nil, wire.ProbeReport != nil,
-		wire.EntriesAsk != nil, wire.EntriesTell != nil, wire.Forward != nil, wire.ForwardAnswer != nil,
-		wire.ForwardCancel != nil, wire.OutcomeAsk != nil, wire.OutcomeTell != nil,
+		wire.EntriesRequest != nil, wire.EntriesResponse != nil, wire.Forward != nil, wire.ForwardAnswer != nil,
+		wire.ForwardCancel != nil, wire.OutcomeRequest != nil, wire.OutcomeResponse != nil,
 	} {
 		if present {
 			set++
--- a/encoder/peer_schema.go
+++ b/encoder/peer_schema.go
@@ -11,17 +11,17 @@
 
 // WirePeer is a peer message. Exactly one field is set.
 type WirePeer struct {
-	Probe         *WireProbe         `msg:"probe,omitempty"`
-	ProbeAnswer   *WireProbe         `msg:"probe-answer,omitempty"`
-	ProbeRequest  *WireProbeRequest  `msg:"probe-request,omitempty"`
-	ProbeReport   *WireProbeReport   `msg:"probe-report,omitempty"`
-	EntriesAsk    *WireEntriesAsk    `msg:"entries-ask,omitempty"`
-	EntriesTell   *WireEntriesTell   `msg:"entries-tell,omitempty"`
-	Forward       *WireForward       `msg:"forward,omitempty"`
-	ForwardAnswer *WireForwardAnswer `msg:"forward-answer,omitempty"`
-	ForwardCancel *WireForwardCancel `msg:"forward-cancel,omitempty"`
-	OutcomeAsk    *WireOutcomeAsk    `msg:"outcome-ask,omitempty"`
-	OutcomeTell   *WireOutcomeTell   `msg:"outcome-tell,omitempty"`
+	Probe           *WireProbe           `msg:"probe,omitempty"`
+	ProbeAnswer     *WireProbe           `msg:"probe-answer,omitempty"`
+	ProbeRequest    *WireProbeRequest    `msg:"probe-request,omitempty"`
+	ProbeReport     *WireProbeReport     `msg:"probe-report,omitempty"`
+	EntriesRequest  *WireEntriesRequest  `msg:"entries-request,omitempty"`
+	EntriesResponse *WireEntriesResponse `msg:"entries-response,omitempty"`
+	Forward         *WireForward         `msg:"forward,omitempty"`
+	ForwardAnswer   *WireForwardAnswer   `msg:"forward-answer,omitempty"`
+	ForwardCancel   *WireForwardCancel   `msg:"forward-cancel,omitempty"`
+	OutcomeRequest  *WireOutcomeRequest  `msg:"outcome-request,omitempty"`
+	OutcomeResponse *WireOutcomeResponse `msg:"outcome-response,omitempty"`
 }
 
 // WireMember is a node with its state. The address is in the binary form of
@@ -60,14 +60,14 @@
 	Target   WireMember `msg:"target"`
 }
 
-// WireEntriesAsk is a messenger.EntriesAsk.
-type WireEntriesAsk struct {
+// WireEntriesRequest is a messenger.EntriesRequest.
+type WireEntriesRequest struct {
 	Stream string `msg:"stream"`
 	From   uint64 `msg:"from"`
 }
 
-// WireEntriesTell is a messenger.EntriesTell.
-type WireEntriesTell struct {
+// WireEntriesResponse is a messenger.EntriesResponse.
+type WireEntriesResponse struct {
 	Stream  string       `msg:"stream"`
 	Appends []WireAppend `msg:"appends,omitempty,limit=8192"`
 	// Snapshot is a batch that holds one snapshot record, empty for none.
@@ -129,16 +129,16 @@
 	Attempt uint32 `msg:"attempt"`
 }
 
-// WireOutcomeAsk is a messenger.OutcomeAsk.
-type WireOutcomeAsk struct {
+// WireOutcomeRequest is a messenger.OutcomeRequest.
+type WireOutcomeRequest struct {
 	Key         string `msg:"key"`
 	Request     string `msg:"request"`
 	Workspace   string `msg:"workspace"`
 	Fingerprint uint64 `msg:"fingerprint"`
 }
 
-// WireOutcomeTell is a messenger.OutcomeTell.
-type WireOutcomeTell struct {
+// WireOutcomeResponse is a messenger.OutcomeResponse.
+type WireOutcomeResponse struct {
 	Key     string     `msg:"key"`
 	Request string     `msg:"request"`
 	Err     *WireError `msg:"err,omitempty"`
--- a/encoder/peer_schema_gen.go
+++ b/encoder/peer_schema_gen.go
@@ -638,7 +638,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *WireEntriesAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *WireEntriesRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -683,7 +683,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z WireEntriesAsk) EncodeMsg(en *msgp.Writer) (err error) {
+func (z WireEntriesRequest) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 2
 	// write "stream"
 	err = en.Append(0x82, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
@@ -709,7 +709,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WireEntriesAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z WireEntriesRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 2
 	// string "stream"
@@ -722,7 +722,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *WireEntriesAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WireEntriesRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -768,13 +768,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WireEntriesAsk) Msgsize() (s int) {
+func (z WireEntriesRequest) Msgsize() (s int) {
 	s = 1 + 7 + msgp.StringPrefixSize + len(z.Stream) + 5 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *WireEntriesTell) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *WireEntriesResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -845,7 +845,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *WireEntriesTell) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *WireEntriesResponse) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
 	zb0001Len := uint32(3)
 	var zb0001Mask uint8 /* 3 bits */
@@ -912,7 +912,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *WireEntriesTell) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WireEntriesResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
 	zb0001Len := uint32(3)
@@ -956,7 +956,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *WireEntriesTell) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WireEntriesResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -1041,7 +1041,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WireEntriesTell) Msgsize() (s int) {
+func (z *WireEntriesResponse) Msgsize() (s int) {
 	s = 1 + 7 + msgp.StringPrefixSize + len(z.Stream) + 8 + msgp.ArrayHeaderSize
 	for za0001 := range z.Appends {
 		s += z.Appends[za0001].Msgsize()
@@ -2475,7 +2475,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *WireOutcomeAsk) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *WireOutcomeRequest) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2532,7 +2532,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *WireOutcomeAsk) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *WireOutcomeRequest) EncodeMsg(en *msgp.Writer) (err error) {
 	// map header, size 4
 	// write "key"
 	err = en.Append(0x84, 0xa3, 0x6b, 0x65, 0x79)
@@ -2578,7 +2578,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *WireOutcomeAsk) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WireOutcomeRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// map header, size 4
 	// string "key"
@@ -2597,7 +2597,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *WireOutcomeAsk) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WireOutcomeRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2655,13 +2655,13 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WireOutcomeAsk) Msgsize() (s int) {
+func (z *WireOutcomeRequest) Msgsize() (s int) {
 	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 8 + msgp.StringPrefixSize + len(z.Request) + 10 + msgp.StringPrefixSize + len(z.Workspace) + 12 + msgp.Uint64Size
 	return
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *WireOutcomeTell) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *WireOutcomeResponse) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2733,7 +2733,7 @@
 }
 
 // EncodeMsg implements msgp.Encodable
-func (z *WireOutcomeTell) EncodeMsg(en *msgp.Writer) (err error) {
+func (z *WireOutcomeResponse) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
 	zb0001Len := uint32(4)
 	var zb0001Mask uint8 /* 4 bits */
@@ -2804,7 +2804,7 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *WireOutcomeTell) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WireOutcomeResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
 	zb0001Len := uint32(4)
@@ -2846,7 +2846,7 @@
 }
 
 // UnmarshalMsg implements msgp.Unmarshaler
-func (z *WireOutcomeTell) UnmarshalMsg(bts []byte) (o []byte, err error) {
+func (z *WireOutcomeResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -2931,7 +2931,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WireOutcomeTell) Msgsize() (s int) {
+func (z *WireOutcomeResponse) Msgsize() (s int) {
 	s = 1 + 4 + msgp.StringPrefixSize + len(z.Key) + 8 + msgp.StringPrefixSize + len(z.Request) + 4
 	if z.Err == nil {
 		s += msgp.NilSize
@@ -3102,22 +3102,22 @@
 					}
 				}
 			}
-		case "entries-ask":
+		case "entries-request":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesAsk")
+					err = msgp.WrapError(err, "EntriesRequest")
 					return
 				}
-				z.EntriesAsk = nil
+				z.EntriesRequest = nil
 			} else {
-				if z.EntriesAsk == nil {
-					z.EntriesAsk = new(WireEntriesAsk)
+				if z.EntriesRequest == nil {
+					z.EntriesRequest = new(WireEntriesRequest)
 				}
 				var zb0004 uint32
 				zb0004, err = dc.ReadMapHeader()
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesAsk")
+					err = msgp.WrapError(err, "EntriesRequest")
 					return
 				}
 				if zb0004 > z0e06409flimitMaps {
@@ -3128,46 +3128,46 @@
 					zb0004--
 					field, err = dc.ReadMapKeyPtr()
 					if err != nil {
-						err = msgp.WrapError(err, "EntriesAsk")
+						err = msgp.WrapError(err, "EntriesRequest")
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "stream":
-						z.EntriesAsk.Stream, err = dc.ReadString()
+						z.EntriesRequest.Stream, err = dc.ReadString()
 						if err != nil {
-							err = msgp.WrapError(err, "EntriesAsk", "Stream")
+							err = msgp.WrapError(err, "EntriesRequest", "Stream")
 							return
 						}
 					case "from":
-						z.EntriesAsk.From, err = dc.ReadUint64()
+						z.EntriesRequest.From, err = dc.ReadUint64()
 						if err != nil {
-							err = msgp.WrapError(err, "EntriesAsk", "From")
+							err = msgp.WrapError(err, "EntriesRequest", "From")
 							return
 						}
 					default:
 						err = dc.Skip()
 						if err != nil {
-							err = msgp.WrapError(err, "EntriesAsk")
+							err = msgp.WrapError(err, "EntriesRequest")
 							return
 						}
 					}
 				}
 			}
-		case "entries-tell":
+		case "entries-response":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesTell")
+					err = msgp.WrapError(err, "EntriesResponse")
 					return
 				}
-				z.EntriesTell = nil
+				z.EntriesResponse = nil
 			} else {
-				if z.EntriesTell == nil {
-					z.EntriesTell = new(WireEntriesTell)
+				if z.EntriesResponse == nil {
+					z.EntriesResponse = new(WireEntriesResponse)
 				}
-				err = z.EntriesTell.DecodeMsg(dc)
+				err = z.EntriesResponse.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesTell")
+					err = msgp.WrapError(err, "EntriesResponse")
 					return
 				}
 			}
@@ -3258,39 +3258,39 @@
 					}
 				}
 			}
-		case "outcome-ask":
+		case "outcome-request":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk")
+					err = msgp.WrapError(err, "OutcomeRequest")
 					return
 				}
-				z.OutcomeAsk = nil
+				z.OutcomeRequest = nil
 			} else {
-				if z.OutcomeAsk == nil {
-					z.OutcomeAsk = new(WireOutcomeAsk)
+				if z.OutcomeRequest == nil {
+					z.OutcomeRequest = new(WireOutcomeRequest)
 				}
-				err = z.OutcomeAsk.DecodeMsg(dc)
+				err = z.OutcomeRequest.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk")
+					err = msgp.WrapError(err, "OutcomeRequest")
 					return
 				}
 			}
-		case "outcome-tell":
+		case "outcome-response":
 			if dc.IsNil() {
 				err = dc.ReadNil()
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeTell")
+					err = msgp.WrapError(err, "OutcomeResponse")
 					return
 				}
-				z.OutcomeTell = nil
+				z.OutcomeResponse = nil
 			} else {
-				if z.OutcomeTell == nil {
-					z.OutcomeTell = new(WireOutcomeTell)
+				if z.OutcomeResponse == nil {
+					z.OutcomeResponse = new(WireOutcomeResponse)
 				}
-				err = z.OutcomeTell.DecodeMsg(dc)
+				err = z.OutcomeResponse.DecodeMsg(dc)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeTell")
+					err = msgp.WrapError(err, "OutcomeResponse")
 					return
 				}
 			}
@@ -3327,11 +3327,11 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.EntriesAsk == nil {
+	if z.EntriesRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.EntriesTell == nil {
+	if z.EntriesResponse == nil {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
@@ -3347,11 +3347,11 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.OutcomeAsk == nil {
+	if z.OutcomeRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.OutcomeTell == nil {
+	if z.OutcomeResponse == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
@@ -3472,12 +3472,12 @@
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// write "entries-ask"
-			err = en.Append(0xab, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x61, 0x73, 0x6b)
+			// write "entries-request"
+			err = en.Append(0xaf, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if err != nil {
 				return
 			}
-			if z.EntriesAsk == nil {
+			if z.EntriesRequest == nil {
 				err = en.WriteNil()
 				if err != nil {
 					return
@@ -3489,9 +3489,9 @@
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.EntriesAsk.Stream)
+				err = en.WriteString(z.EntriesRequest.Stream)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesAsk", "Stream")
+					err = msgp.WrapError(err, "EntriesRequest", "Stream")
 					return
 				}
 				// write "from"
@@ -3499,28 +3499,28 @@
 				if err != nil {
 					return
 				}
-				err = en.WriteUint64(z.EntriesAsk.From)
+				err = en.WriteUint64(z.EntriesRequest.From)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesAsk", "From")
+					err = msgp.WrapError(err, "EntriesRequest", "From")
 					return
 				}
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// write "entries-tell"
-			err = en.Append(0xac, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x74, 0x65, 0x6c, 0x6c)
+			// write "entries-response"
+			err = en.Append(0xb0, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x72, 0x65, 0x73, 0x70, 0x6f, 0x6e, 0x73, 0x65)
 			if err != nil {
 				return
 			}
-			if z.EntriesTell == nil {
+			if z.EntriesResponse == nil {
 				err = en.WriteNil()
 				if err != nil {
 					return
 				}
 			} else {
-				err = z.EntriesTell.EncodeMsg(en)
+				err = z.EntriesResponse.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesTell")
+					err = msgp.WrapError(err, "EntriesResponse")
 					return
 				}
 			}
@@ -3599,39 +3599,39 @@
 			}
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// write "outcome-ask"
-			err = en.Append(0xab, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x61, 0x73, 0x6b)
+			// write "outcome-request"
+			err = en.Append(0xaf, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
 			if err != nil {
 				return
 			}
-			if z.OutcomeAsk == nil {
+			if z.OutcomeRequest == nil {
 				err = en.WriteNil()
 				if err != nil {
 					return
 				}
 			} else {
-				err = z.OutcomeAsk.EncodeMsg(en)
+				err = z.OutcomeRequest.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk")
+					err = msgp.WrapError(err, "OutcomeRequest")
 					return
 				}
 			}
 		}
 		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// write "outcome-tell"
-			err = en.Append(0xac, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x74, 0x65, 0x6c, 0x6c)
+			// write "outcome-response"
+			err = en.Append(0xb0, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x72, 0x65, 0x73, 0x70, 0x6f, 0x6e, 0x73, 0x65)
 			if err != nil {
 				return
 			}
-			if z.OutcomeTell == nil {
+			if z.OutcomeResponse == nil {
 				err = en.WriteNil()
 				if err != nil {
 					return
 				}
 			} else {
-				err = z.OutcomeTell.EncodeMsg(en)
+				err = z.OutcomeResponse.EncodeMsg(en)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeTell")
+					err = msgp.WrapError(err, "OutcomeResponse")
 					return
 				}
 			}
@@ -3663,11 +3663,11 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.EntriesAsk == nil {
+	if z.EntriesRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.EntriesTell == nil {
+	if z.EntriesResponse == nil {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
@@ -3683,11 +3683,11 @@
 		zb0001Len--
 		zb0001Mask |= 0x100
 	}
-	if z.OutcomeAsk == nil {
+	if z.OutcomeRequest == nil {
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
-	if z.OutcomeTell == nil {
+	if z.OutcomeResponse == nil {
 		zb0001Len--
 		zb0001Mask |= 0x400
 	}
@@ -3761,29 +3761,29 @@
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
-			// string "entries-ask"
-			o = append(o, 0xab, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x61, 0x73, 0x6b)
-			if z.EntriesAsk == nil {
+			// string "entries-request"
+			o = append(o, 0xaf, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+			if z.EntriesRequest == nil {
 				o = msgp.AppendNil(o)
 			} else {
 				// map header, size 2
 				// string "stream"
 				o = append(o, 0x82, 0xa6, 0x73, 0x74, 0x72, 0x65, 0x61, 0x6d)
-				o = msgp.AppendString(o, z.EntriesAsk.Stream)
+				o = msgp.AppendString(o, z.EntriesRequest.Stream)
 				// string "from"
 				o = append(o, 0xa4, 0x66, 0x72, 0x6f, 0x6d)
-				o = msgp.AppendUint64(o, z.EntriesAsk.From)
+				o = msgp.AppendUint64(o, z.EntriesRequest.From)
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
-			// string "entries-tell"
-			o = append(o, 0xac, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x74, 0x65, 0x6c, 0x6c)
-			if z.EntriesTell == nil {
+			// string "entries-response"
+			o = append(o, 0xb0, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x2d, 0x72, 0x65, 0x73, 0x70, 0x6f, 0x6e, 0x73, 0x65)
+			if z.EntriesResponse == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				o, err = z.EntriesTell.MarshalMsg(o)
+				o, err = z.EntriesResponse.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesTell")
+					err = msgp.WrapError(err, "EntriesResponse")
 					return
 				}
 			}
@@ -3830,27 +3830,27 @@
 			}
 		}
 		if (zb0001Mask & 0x200) == 0 { // if not omitted
-			// string "outcome-ask"
-			o = append(o, 0xab, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x61, 0x73, 0x6b)
-			if z.OutcomeAsk == nil {
+			// string "outcome-request"
+			o = append(o, 0xaf, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x72, 0x65, 0x71, 0x75, 0x65, 0x73, 0x74)
+			if z.OutcomeRequest == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				o, err = z.OutcomeAsk.MarshalMsg(o)
+				o, err = z.OutcomeRequest.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk")
+					err = msgp.WrapError(err, "OutcomeRequest")
 					return
 				}
 			}
 		}
 		if (zb0001Mask & 0x400) == 0 { // if not omitted
-			// string "outcome-tell"
-			o = append(o, 0xac, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x74, 0x65, 0x6c, 0x6c)
-			if z.OutcomeTell == nil {
+			// string "outcome-response"
+			o = append(o, 0xb0, 0x6f, 0x75, 0x74, 0x63, 0x6f, 0x6d, 0x65, 0x2d, 0x72, 0x65, 0x73, 0x70, 0x6f, 0x6e, 0x73, 0x65)
+			if z.OutcomeResponse == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				o, err = z.OutcomeTell.MarshalMsg(o)
+				o, err = z.OutcomeResponse.MarshalMsg(o)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeTell")
+					err = msgp.WrapError(err, "OutcomeResponse")
 					return
 				}
 			}
@@ -4015,21 +4015,21 @@
 					}
 				}
 			}
-		case "entries-ask":
+		case "entries-request":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
 				}
-				z.EntriesAsk = nil
+				z.EntriesRequest = nil
 			} else {
-				if z.EntriesAsk == nil {
-					z.EntriesAsk = new(WireEntriesAsk)
+				if z.EntriesRequest == nil {
+					z.EntriesRequest = new(WireEntriesRequest)
 				}
 				var zb0004 uint32
 				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesAsk")
+					err = msgp.WrapError(err, "EntriesRequest")
 					return
 				}
 				if zb0004 > z0e06409flimitMaps {
@@ -4040,45 +4040,45 @@
 					zb0004--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "EntriesAsk")
+						err = msgp.WrapError(err, "EntriesRequest")
 						return
 					}
 					switch msgp.UnsafeString(field) {
 					case "stream":
-						z.EntriesAsk.Stream, bts, err = msgp.ReadStringBytes(bts)
+						z.EntriesRequest.Stream, bts, err = msgp.ReadStringBytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "EntriesAsk", "Stream")
+							err = msgp.WrapError(err, "EntriesRequest", "Stream")
 							return
 						}
 					case "from":
-						z.EntriesAsk.From, bts, err = msgp.ReadUint64Bytes(bts)
+						z.EntriesRequest.From, bts, err = msgp.ReadUint64Bytes(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "EntriesAsk", "From")
+							err = msgp.WrapError(err, "EntriesRequest", "From")
 							return
 						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
-							err = msgp.WrapError(err, "EntriesAsk")
+							err = msgp.WrapError(err, "EntriesRequest")
 							return
 						}
 					}
 				}
 			}
-		case "entries-tell":
+		case "entries-response":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
 				}
-				z.EntriesTell = nil
+				z.EntriesResponse = nil
 			} else {
-				if z.EntriesTell == nil {
-					z.EntriesTell = new(WireEntriesTell)
+				if z.EntriesResponse == nil {
+					z.EntriesResponse = new(WireEntriesResponse)
 				}
-				bts, err = z.EntriesTell.UnmarshalMsg(bts)
+				bts, err = z.EntriesResponse.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "EntriesTell")
+					err = msgp.WrapError(err, "EntriesResponse")
 					return
 				}
 			}
@@ -4166,37 +4166,37 @@
 					}
 				}
 			}
-		case "outcome-ask":
+		case "outcome-request":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
 				}
-				z.OutcomeAsk = nil
+				z.OutcomeRequest = nil
 			} else {
-				if z.OutcomeAsk == nil {
-					z.OutcomeAsk = new(WireOutcomeAsk)
+				if z.OutcomeRequest == nil {
+					z.OutcomeRequest = new(WireOutcomeRequest)
 				}
-				bts, err = z.OutcomeAsk.UnmarshalMsg(bts)
+				bts, err = z.OutcomeRequest.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeAsk")
+					err = msgp.WrapError(err, "OutcomeRequest")
 					return
 				}
 			}
-		case "outcome-tell":
+		case "outcome-response":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
 				if err != nil {
 					return
 				}
-				z.OutcomeTell = nil
+				z.OutcomeResponse = nil
 			} else {
-				if z.OutcomeTell == nil {
-					z.OutcomeTell = new(WireOutcomeTell)
+				if z.OutcomeResponse == nil {
+					z.OutcomeResponse = new(WireOutcomeResponse)
 				}
-				bts, err = z.OutcomeTell.UnmarshalMsg(bts)
+				bts, err = z.OutcomeResponse.UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "OutcomeTell")
+					err = msgp.WrapError(err, "OutcomeResponse")
 					return
 				}
 			}
@@ -4238,17 +4238,17 @@
 	} else {
 		s += 1 + 9 + msgp.Uint64Size + 7 + z.ProbeReport.Target.Msgsize()
 	}
-	s += 12
-	if z.EntriesAsk == nil {
+	s += 16
+	if z.EntriesRequest == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 7 + msgp.StringPrefixSize + len(z.EntriesAsk.Stream) + 5 + msgp.Uint64Size
+		s += 1 + 7 + msgp.StringPrefixSize + len(z.EntriesRequest.Stream) + 5 + msgp.Uint64Size
 	}
-	s += 13
-	if z.EntriesTell == nil {
+	s += 17
+	if z.EntriesResponse == nil {
 		s += msgp.NilSize
 	} else {
-		s += z.EntriesTell.Msgsize()
+		s += z.EntriesResponse.Msgsize()
 	}
 	s += 8
 	if z.Forward == nil {
@@ -4268,17 +4268,17 @@
 	} else {
 		s += 1 + 8 + msgp.StringPrefixSize + len(z.ForwardCancel.Request) + 8 + msgp.Uint32Size
 	}
-	s += 12
-	if z.OutcomeAsk == nil {
+	s += 16
+	if z.OutcomeRequest == nil {
 		s += msgp.NilSize
 	} else {
-		s += z.OutcomeAsk.Msgsize()
+		s += z.OutcomeRequest.Msgsize()
 	}
-	s += 13
-	if z.OutcomeTell == nil {
+	s += 17
+	if z.OutcomeResponse == nil {
 		s += msgp.NilSize
 	} else {
-		s += z.OutcomeTell.Msgsize()
+		s += z.OutcomeResponse.Msgsize()
 	}
 	return
 }
--- a/leaser/advance.go
+++ b/leaser/advance.go
@@ -9,12 +9,12 @@
 // Advance moves the gang on to the given time and returns the calls that are
 // due. The caller fills in sequence, term and address. It must be called after
 // every change and at Next.
-func (gang *Gang) Advance(now time.Time) []messenger.AskWorker {
+func (gang *Gang) Advance(now time.Time) []messenger.CallWorker {
 	gang.settle(now)
 	if gang.phase == Running || gang.phase == Finished || gang.phase == Ended {
 		return nil
 	}
-	var asks []messenger.AskWorker
+	var asks []messenger.CallWorker
 	for i := range gang.members {
 		member := &gang.members[i]
 		kind := gang.neededCall(member)
@@ -142,8 +142,8 @@
 	return 0
 }
 
-func (gang *Gang) ask(member *member, kind messenger.WorkerCallKind) messenger.AskWorker {
-	ask := messenger.AskWorker{Worker: member.worker, Kind: kind, Gang: gang.order.Gang}
+func (gang *Gang) ask(member *member, kind messenger.WorkerCallKind) messenger.CallWorker {
+	ask := messenger.CallWorker{Worker: member.worker, Kind: kind, Gang: gang.order.Gang}
 	switch kind {
 	case messenger.ReserveTask:
 		ask.Accelerators, ask.Members, ask.Lease = gang.order.Accelerators, gang.order.Workers, gang.timing.Lease
--- a/messenger/jobs.go
+++ b/messenger/jobs.go
@@ -62,9 +62,9 @@
 	Placement uint32
 }
 
-// AskWorker asks the controller to call a worker. docs/WORKER-PROTOCOL.md
+// CallWorker asks the controller to call a worker. docs/WORKER-PROTOCOL.md
 // describes the calls.
-type AskWorker struct {
+type CallWorker struct {
 	// Sequence is copied into the answer, so that an answer can be told from
 	// that of an earlier call to the same worker.
 	Sequence uint64
@@ -94,7 +94,7 @@
 }
 
 // Refused returns the answer to a call that was not carried out.
-func (ask AskWorker) Refused(err *classifier.Error) WorkerAnswered {
+func (ask CallWorker) Refused(err *classifier.Error) WorkerAnswered {
 	return WorkerAnswered{
 		Sequence: ask.Sequence, Worker: ask.Worker, Kind: ask.Kind, Gang: ask.Gang, Err: err,
 	}
@@ -140,7 +140,7 @@
 	Progress time.Duration
 }
 
-// WorkerAnswered is the result of an AskWorker, sent exactly once for each.
+// WorkerAnswered is the result of an CallWorker, sent exactly once for each.
 type WorkerAnswered struct {
 	Sequence uint64
 	Worker   identifier.Worker
@@ -161,4 +161,4 @@
 
 func (WorkerAnswered) event() {}
 
-func (AskWorker) action() {}
+func (CallWorker) action() {}
--- a/messenger/log.go
+++ b/messenger/log.go
@@ -127,15 +127,15 @@
 
 func (AppendRecord) action() {}
 
-// EntriesAsk asks a peer for the appends of a stream from an offset on. Peers
+// EntriesRequest asks a peer for the appends of a stream from an offset on. Peers
 // pass on what the log does not deliver to everyone in time.
-type EntriesAsk struct {
+type EntriesRequest struct {
 	Stream identifier.Stream
 	From   identifier.Offset
 }
 
-// EntriesTell answers an EntriesAsk with appends in offset order, without gaps.
-type EntriesTell struct {
+// EntriesResponse answers an EntriesRequest with appends in offset order, without gaps.
+type EntriesResponse struct {
 	Stream  identifier.Stream
 	Appends []AppendRead
 	// Snapshot replaces Appends if the peer no longer keeps them. Each part is a
@@ -143,8 +143,8 @@
 	Snapshot *Snapshot
 }
 
-func (EntriesAsk) peer()  {}
-func (EntriesTell) peer() {}
+func (EntriesRequest) peer()  {}
+func (EntriesResponse) peer() {}
 
 // StreamAdvanced tells the follower that a stream was applied up to and
 // including Applied from another source than the follower's own reads.
--- a/messenger/requests.go
+++ b/messenger/requests.go
@@ -58,8 +58,8 @@
 	Attempt identifier.Attempt
 }
 
-// OutcomeAsk asks the holder of a key for the outcome of its request.
-type OutcomeAsk struct {
+// OutcomeRequest asks the holder of a key for the outcome of its request.
+type OutcomeRequest struct {
 	Key identifier.Key
 	// Request is the repeated request that awaits the outcome.
 	Request identifier.Request
@@ -69,19 +69,19 @@
 	Fingerprint uint64
 }
 
-// OutcomeTell answers an OutcomeAsk.
-type OutcomeTell struct {
+// OutcomeResponse answers an OutcomeRequest.
+type OutcomeResponse struct {
 	Key     identifier.Key
 	Request identifier.Request
 	Err     *classifier.Error
 	Body    []byte
 }
 
-func (Forward) peer()       {}
-func (ForwardAnswer) peer() {}
-func (ForwardCancel) peer() {}
-func (OutcomeAsk) peer()    {}
-func (OutcomeTell) peer()   {}
+func (Forward) peer()         {}
+func (ForwardAnswer) peer()   {}
+func (ForwardCancel) peer()   {}
+func (OutcomeRequest) peer()  {}
+func (OutcomeResponse) peer() {}
 
 // IntentFolded says that this node's intent was read back from the log.
 type IntentFolded struct {
@@ -119,13 +119,13 @@
 	Leaving bool
 }
 
-// AskSlots asks a minion for its busy slots.
-type AskSlots struct {
+// QuerySlots asks a minion for its busy slots.
+type QuerySlots struct {
 	Minion  identifier.Minion
 	Address netip.AddrPort
 }
 
-// SlotsAnswered is the result of an AskSlots.
+// SlotsAnswered is the result of an QuerySlots.
 type SlotsAnswered struct {
 	Minion  identifier.Minion
 	Err     *classifier.Error
@@ -143,4 +143,4 @@
 func (CallAnswered) action() {}
 func (IntentFolded) action() {}
 func (CallMinion) action()   {}
-func (AskSlots) action()     {}
+func (QuerySlots) action()   {}
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -109,7 +109,7 @@
 		return
 	}
 	asking.holder = holder
-	router.send(holder, messenger.OutcomeAsk{
+	router.send(holder, messenger.OutcomeRequest{
 		Key: asking.command.Key, Request: asking.request,
 		Workspace: asking.command.Workspace, Fingerprint: fingerprint(asking.command),
 	})
@@ -117,10 +117,10 @@
 }
 
 // answerOutcome answers a node that asks for the outcome of a key.
-func (router *Router) answerOutcome(now time.Time, from identifier.Node, asked messenger.OutcomeAsk) {
+func (router *Router) answerOutcome(now time.Time, from identifier.Node, asked messenger.OutcomeRequest) {
 	router.outcomes.trim(now)
 	stored := router.outcomes.byKey[asked.Key]
-	tell := messenger.OutcomeTell{Key: asked.Key, Request: asked.Request}
+	tell := messenger.OutcomeResponse{Key: asked.Key, Request: asked.Request}
 	switch {
 	case stored == nil:
 		tell.Err = classifier.New(classifier.OutcomeUnknown, "node %s does not keep the outcome of the key", router.identity.Node)
@@ -146,12 +146,12 @@
 // notifyWaiters sends an outcome to those who wait for it.
 func (router *Router) notifyWaiters(key identifier.Key, waiters []waiter, err *classifier.Error, body []byte) {
 	for _, waiting := range waiters {
-		router.send(waiting.node, messenger.OutcomeTell{Key: key, Request: waiting.request, Err: err, Body: body})
+		router.send(waiting.node, messenger.OutcomeResponse{Key: key, Request: waiting.request, Err: err, Body: body})
 	}
 }
 
 // takeOutcome answers a repeated request with the outcome of the first.
-func (router *Router) takeOutcome(now time.Time, from identifier.Node, told messenger.OutcomeTell) {
+func (router *Router) takeOutcome(now time.Time, from identifier.Node, told messenger.OutcomeResponse) {
 	waiting := router.calls[told.Request]
 	if waiting == nil || waiting.holder != from || waiting.command.Key != told.Key {
 		return
--- a/router/minion.go
+++ b/router/minion.go
@@ -57,7 +57,7 @@
 	endpoint endpoint
 	state    minionState
 	limiter  limiter.Limiter
-	// asked says that an AskSlots is open, outdated that its answer will not
+	// asked says that an QuerySlots is open, outdated that its answer will not
 	// reflect a change of the minion since then.
 	asked    bool
 	outdated bool
@@ -134,7 +134,7 @@
 		return
 	}
 	asked.asked, asked.outdated, asked.askedAt = true, false, now
-	router.emit(messenger.AskSlots{Minion: asked.name, Address: asked.endpoint.address})
+	router.emit(messenger.QuerySlots{Minion: asked.name, Address: asked.endpoint.address})
 }
 
 func (router *Router) askLater(now time.Time, asked *minion, wait time.Duration) {
--- a/router/router.go
+++ b/router/router.go
@@ -153,9 +153,9 @@
 		router.settle(now, from, message)
 	case messenger.ForwardCancel:
 		router.withdraw(now, from, message)
-	case messenger.OutcomeAsk:
+	case messenger.OutcomeRequest:
 		router.answerOutcome(now, from, message)
-	case messenger.OutcomeTell:
+	case messenger.OutcomeResponse:
 		router.takeOutcome(now, from, message)
 	}
 }
--- a/router/world_network_test.go
+++ b/router/world_network_test.go
@@ -100,7 +100,7 @@
 	})
 }
 
-func (w *world) askSlots(node *simNode, asked messenger.AskSlots) {
+func (w *world) askSlots(node *simNode, asked messenger.QuerySlots) {
 	minion := w.minion(asked.Minion)
 	life := node.identity.Incarnation
 	w.after(w.between(200*time.Microsecond, time.Millisecond), func() {
--- a/router/world_test.go
+++ b/router/world_test.go
@@ -235,7 +235,7 @@
 		w.transmit(node, action)
 	case messenger.CallMinion:
 		w.callMinion(node, action)
-	case messenger.AskSlots:
+	case messenger.QuerySlots:
 		w.askSlots(node, action)
 	case messenger.AppendRecord:
 		w.append(node, action)
--- a/scheduler/adoption.go
+++ b/scheduler/adoption.go
@@ -145,7 +145,7 @@
 		}
 		if _, ok := found.tasks[worker.name]; ok && !worker.releasing {
 			worker.releasing = true
-			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: gang})
+			scheduler.ask(now, region, worker, nil, messenger.CallWorker{Kind: messenger.ReleaseTask, Gang: gang})
 		}
 	}
 	scheduler.decide(now, string(gang.Job), "released", "the gang was incomplete or its job has ended")
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -25,7 +25,7 @@
 }
 
 // ask sends a call to a worker of the region.
-func (scheduler *Scheduler) ask(now time.Time, region *region, worker *worker, job *job, ask messenger.AskWorker) uint64 {
+func (scheduler *Scheduler) ask(now time.Time, region *region, worker *worker, job *job, ask messenger.CallWorker) uint64 {
 	scheduler.sequence++
 	ask.Sequence, ask.Term = scheduler.sequence, region.term
 	ask.Worker, ask.Address = worker.name, worker.vm.Address
@@ -124,7 +124,7 @@
 			}
 		} else if !scheduler.tracks(task.Gang) && !worker.releasing {
 			worker.releasing = true
-			scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReleaseTask, Gang: task.Gang})
+			scheduler.ask(now, region, worker, nil, messenger.CallWorker{Kind: messenger.ReleaseTask, Gang: task.Gang})
 		}
 	}
 }
@@ -166,7 +166,7 @@
 		}
 		if worker.polling == 0 && !now.Before(due) {
 			worker.pollAt = time.Time{}
-			worker.polling = scheduler.ask(now, region, worker, nil, messenger.AskWorker{Kind: messenger.ReadState})
+			worker.polling = scheduler.ask(now, region, worker, nil, messenger.CallWorker{Kind: messenger.ReadState})
 		} else if worker.polling == 0 {
 			region.nextPoll = earliest(region.nextPoll, due)
 		}
--- a/scheduler/renewal.go
+++ b/scheduler/renewal.go
@@ -32,7 +32,7 @@
 	if worker.renewing != 0 || len(worker.jobs) == 0 {
 		return
 	}
-	ask := messenger.AskWorker{Kind: messenger.RenewTasks}
+	ask := messenger.CallWorker{Kind: messenger.RenewTasks}
 	var deadline, answeredAt time.Time
 	for _, job := range worker.jobs {
 		if job.gang == nil || !job.renewed.Equal(region.roundAt) {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -101,7 +101,7 @@
 	holder.pause(30 * time.Second)
 	world.submit(commander.JobSpec{Job: "draw", Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 8}}, behaviour{runTime: time.Second})
 	before := world.calls[messenger.ReadState]
-	world.onCall = func(ask messenger.AskWorker) {
+	world.onCall = func(ask messenger.CallWorker) {
 		if ask.Kind == messenger.ReserveTask && world.calls[messenger.ReadState] < before+2 {
 			t.Fatalf("reserved before the state of both workers was read")
 		}
--- a/scheduler/vm_test.go
+++ b/scheduler/vm_test.go
@@ -37,7 +37,7 @@
 	return nil
 }
 
-func (vm *vm) handle(ask messenger.AskWorker) messenger.WorkerAnswered {
+func (vm *vm) handle(ask messenger.CallWorker) messenger.WorkerAnswered {
 	if ask.Term < vm.fence {
 		refused := ask.Refused(classifier.New(classifier.StaleTerm, "term %d is below %d", ask.Term, vm.fence))
 		refused.Fence = vm.fence
@@ -60,7 +60,7 @@
 	return answer
 }
 
-func (vm *vm) apply(ask messenger.AskWorker) classifier.Code {
+func (vm *vm) apply(ask messenger.CallWorker) classifier.Code {
 	now := vm.world.now
 	known := vm.find(ask.Gang)
 	switch ask.Kind {
@@ -91,7 +91,7 @@
 	return classifier.OK
 }
 
-func (vm *vm) reserve(ask messenger.AskWorker, known *task) classifier.Code {
+func (vm *vm) reserve(ask messenger.CallWorker, known *task) classifier.Code {
 	if known != nil {
 		return classifier.OK
 	}
@@ -117,7 +117,7 @@
 	return classifier.OK
 }
 
-func (vm *vm) start(ask messenger.AskWorker, known *task) classifier.Code {
+func (vm *vm) start(ask messenger.CallWorker, known *task) classifier.Code {
 	world := vm.world
 	expiry := vm.boot.Add(ask.Mark + ask.Lease)
 	if known == nil || (known.State == messenger.Reserved && (!world.now.Before(expiry) || ask.Mark > world.now.Sub(vm.boot))) {
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -53,7 +53,7 @@
 	accepted map[identifier.Job]time.Time
 	started  map[identifier.Job]time.Time
 	calls    map[messenger.WorkerCallKind]int
-	onCall   func(messenger.AskWorker)
+	onCall   func(messenger.CallWorker)
 }
 
 // behaviour is what a job really does, whatever it declared.
@@ -263,14 +263,14 @@
 	actions := node.scheduler.Step(world.now, event)
 	world.deciding += time.Since(began)
 	if slices.ContainsFunc(actions, func(action messenger.Action) bool {
-		ask, ok := action.(messenger.AskWorker)
+		ask, ok := action.(messenger.CallWorker)
 		return ok && ask.Kind == messenger.ReserveTask
 	}) && len(world.workers) < 20 {
 		world.checkGuarantees()
 	}
 	for _, action := range actions {
 		switch action := action.(type) {
-		case messenger.AskWorker:
+		case messenger.CallWorker:
 			node.call(action)
 		case messenger.AppendRecord:
 			node.record(action)
@@ -305,7 +305,7 @@
 }
 
 // call carries a call to a worker and its answer back.
-func (node *node) call(ask messenger.AskWorker) {
+func (node *node) call(ask messenger.CallWorker) {
 	world := node.world
 	process := node.scheduler
 	world.calls[ask.Kind]++
--- a/server/carrier.go
+++ b/server/carrier.go
@@ -71,11 +71,11 @@
 				Minion: action.Minion, Request: action.Request, Attempt: action.Attempt, Err: coded(err), Busy: -1,
 			}, nil
 		}
-	case messenger.AskSlots:
+	case messenger.QuerySlots:
 		if err := server.slotAsks.Offer(action); err != nil {
 			return messenger.SlotsAnswered{Minion: action.Minion, Err: coded(err)}, nil
 		}
-	case messenger.AskWorker:
+	case messenger.CallWorker:
 		if err := server.workerCalls.Offer(action); err != nil {
 			return action.Refused(coded(err)), nil
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -36,8 +36,8 @@
 	appends     map[identifier.Stream]*buffer.Ring[messenger.AppendRecord]
 	advances    map[identifier.Stream]*buffer.Ring[messenger.StreamAdvanced]
 	minionCalls *buffer.Ring[messenger.CallMinion]
-	slotAsks    *buffer.Ring[messenger.AskSlots]
-	workerCalls *buffer.Ring[messenger.AskWorker]
+	slotAsks    *buffer.Ring[messenger.QuerySlots]
+	workerCalls *buffer.Ring[messenger.CallWorker]
 
 	calls    *waiter.Waiter[messenger.CallAnswered]
 	commands *waiter.Waiter[messenger.CommandAnswered]
@@ -106,8 +106,8 @@
 		server.advances[stream] = buffer.New[messenger.StreamAdvanced](string(stream)+"-advances", questionCapacity)
 	}
 	server.minionCalls = buffer.New[messenger.CallMinion]("minion-calls", capacity)
-	server.slotAsks = buffer.New[messenger.AskSlots]("slot-asks", capacity)
-	server.workerCalls = buffer.New[messenger.AskWorker]("worker-calls", capacity)
+	server.slotAsks = buffer.New[messenger.QuerySlots]("slot-asks", capacity)
+	server.workerCalls = buffer.New[messenger.CallWorker]("worker-calls", capacity)
 	server.calls = waiter.New[messenger.CallAnswered]("calls", capacity)
 	server.commands = waiter.New[messenger.CommandAnswered]("commands", capacity)
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -27,8 +27,8 @@
 		server.appends[stream] = buffer.New[messenger.AppendRecord]("appends", 0)
 	}
 	server.minionCalls = buffer.New[messenger.CallMinion]("minion-calls", 0)
-	server.slotAsks = buffer.New[messenger.AskSlots]("slot-asks", 0)
-	server.workerCalls = buffer.New[messenger.AskWorker]("worker-calls", 0)
+	server.slotAsks = buffer.New[messenger.QuerySlots]("slot-asks", 0)
+	server.workerCalls = buffer.New[messenger.CallWorker]("worker-calls", 0)
 	return server
 }
 
@@ -42,8 +42,8 @@
 		messenger.SendPeer{To: "b"},
 		messenger.AppendRecord{Stream: identifier.Jobs, Entry: messenger.Entry{ID: "e"}},
 		messenger.CallMinion{Minion: "m", Request: "r", Attempt: 2},
-		messenger.AskSlots{Minion: "m"},
-		messenger.AskWorker{Worker: "w", Kind: messenger.ReserveTask, Sequence: 9},
+		messenger.QuerySlots{Minion: "m"},
+		messenger.CallWorker{Worker: "w", Kind: messenger.ReserveTask, Sequence: 9},
 	} {
 		event, err := carrier.Carry(t.Context(), action)
 		c.Assert(err, quicktest.IsNil)
