--- a/cmd/corianderroad/reader/reader.go
+++ b/cmd/corianderroad/reader/reader.go
@@ -10,7 +10,6 @@
 	"net/url"
 	"os"
 	"text/tabwriter"
-	"time"
 
 	"github.com/google/subcommands"
 
@@ -182,16 +181,3 @@
 		}
 	}
 }
-
-func writeExplanation(out io.Writer, report responder.Report) {
-	fmt.Fprintln(out, "AT\tNODE\tSUBJECT\tREASON\tDETAIL")
-	for _, node := range report.Nodes {
-		for _, job := range node.Jobs {
-			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n", job.Since.Format(time.RFC3339), node.Node, job.Job, job.State, job.Reason)
-		}
-		for _, decision := range node.Decisions {
-			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\n",
-				decision.At.Format(time.RFC3339Nano), decision.Node, decision.Subject, decision.Reason, decision.Detail)
-		}
-	}
-}
