--- a/cmd/corianderroad/reader/explanation_test.go
+++ b/cmd/corianderroad/reader/explanation_test.go
@@ -18,6 +18,6 @@
 	}})
 	// Output:
 	// AT	NODE	SUBJECT	REASON	DETAIL
-	// 2026-12-04T08:00:00.000Z	2 nodes	draw	accepted
+	// 2026-12-04T08:00:00.000Z	2 nodes	draw	accepted	submission 3
 	// 2026-12-04T08:00:01.000Z	a	draw	placed	w-1,w-2
 }
