Export the cover of guarantees and used slots; stop a superseded process

Cause: an operator could see the cover of guarantees only by asking for shares; a process whose name a later one had taken announced that it leaves but went on. Change: gauges by region and workspace and for used slots; scheduler's gauges have names in kebab case like the others; a superseded node stops gracefully; scheduler.New takes no source of randomness, which it never used. Result: the new test of the server passes and hangs without the rule; the property tests of scheduler, decider and router pass.

--- a/decider/node.go
+++ b/decider/node.go
@@ -20,8 +20,8 @@
 	Scheduler scheduler.Parameters
 }
 
-// Machines returns the machines of one node, indexed by duty. Each gets a
-// random source of its own, derived from seed, so that the order in which
+// Machines returns the machines of one node, indexed by duty. Each that makes
+// random choices gets a source of its own, derived from seed, so that the order in which
 // duties run does not change what they decide.
 func Machines(identity messenger.Identity, parameters Parameters, seed uint64) []Machine {
 	source := func(duty Duty) *rand.Rand { return rand.New(rand.NewPCG(seed, uint64(duty))) }
@@ -29,7 +29,7 @@
 	machines[Application] = applier.New(identity, parameters.Applier)
 	machines[Detection] = detector.New(identity, parameters.Detector, source(Detection))
 	machines[Routing] = router.New(identity, parameters.Router, source(Routing))
-	machines[Scheduling] = scheduler.New(identity, parameters.Scheduler, source(Scheduling))
+	machines[Scheduling] = scheduler.New(identity, parameters.Scheduler)
 	return machines
 }
 
--- a/router/view.go
+++ b/router/view.go
@@ -33,16 +33,21 @@
 // of its own callers and the attempts of other entries.
 func (router *Router) viewGauges() []querier.Gauge {
 	queued, free := router.measure()
-	open := len(router.calls)
+	open, running := len(router.calls), 0
 	for _, attempt := range router.works {
 		if router.calls[attempt.id.request] == nil {
 			open++
 		}
+		if attempt.minion != nil {
+			running++
+		}
 	}
 	return []querier.Gauge{
 		{Name: "open-calls", Value: float64(open)},
 		{Name: "queued-calls", Value: float64(queued)},
 		{Name: "free-slots", Value: float64(free)},
+		// An attempt that runs takes one slot and one connection of its minion.
+		{Name: "used-slots", Value: float64(running)},
 		{Name: "kept-outcomes", Value: float64(len(router.outcomes.byKey))},
 		{Name: "learned-run-times", Value: float64(router.learned.Len())},
 	}
--- a/scheduler/policies_test.go
+++ b/scheduler/policies_test.go
@@ -137,7 +137,7 @@
 // occupied workers.
 func (node *node) fragmentation() float64 {
 	for _, gauge := range node.scheduler.View(node.world.now, querier.Query{Kind: querier.Status}).Gauges {
-		if gauge.Name == "fragmentation_ratio" {
+		if gauge.Name == "fragmentation-ratio" {
 			return gauge.Value
 		}
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -3,7 +3,6 @@
 package scheduler
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"corianderroad/identifier"
@@ -35,9 +34,9 @@
 	actions  []messenger.Action
 }
 
-// New returns a Scheduler. It takes a source of randomness as the other state
-// machines do, and makes no random choice.
-func New(identity messenger.Identity, parameters Parameters, _ *rand.Rand) *Scheduler {
+// New returns a Scheduler. It needs no source of randomness, because none of its
+// choices is random.
+func New(identity messenger.Identity, parameters Parameters) *Scheduler {
 	return &Scheduler{
 		identity: identity, parameters: parameters.withDefaults(),
 		jobs:       make(map[identifier.Job]*job),
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -94,9 +94,27 @@
 	fraction, largest := region.fleet.Fragmentation()
 	label := string(region.name)
 	answer.Gauges = []querier.Gauge{
-		{Name: "fragmentation_ratio", Label: label, Value: fraction},
-		{Name: "largest_free_rack_accelerators", Label: label, Value: float64(largest)},
-		{Name: "waiting_jobs", Label: label, Value: float64(waits)},
+		{Name: "fragmentation-ratio", Label: label, Value: fraction},
+		{Name: "largest-free-rack-accelerators", Label: label, Value: float64(largest)},
+		{Name: "waiting-jobs", Label: label, Value: float64(waits)},
 	}
+	answer.Gauges = append(answer.Gauges, scheduler.shareGauges(region, query)...)
 	return answer
 }
+
+// shareGauges returns the use and the cover of guarantees, by region and workspace.
+func (scheduler *Scheduler) shareGauges(region *region, query querier.Query) []querier.Gauge {
+	var gauges []querier.Gauge
+	for _, share := range scheduler.viewShares(region, query) {
+		label := string(region.name) + "/" + string(share.Workspace)
+		covered := 0.0
+		if share.Covered {
+			covered = 1
+		}
+		gauges = append(gauges,
+			querier.Gauge{Name: "guarantee-covered", Label: label, Value: covered},
+			querier.Gauge{Name: "guaranteed-accelerators", Label: label, Value: float64(share.Guaranteed)},
+			querier.Gauge{Name: "used-accelerators", Label: label, Value: float64(share.Used)})
+	}
+	return gauges
+}
--- a/scheduler/world_test.go
+++ b/scheduler/world_test.go
@@ -143,7 +143,7 @@
 	identity := messenger.Identity{
 		Node: identifier.Node(fmt.Sprintf("n%d", len(world.nodes))), Region: "r", Incarnation: 1,
 	}
-	added := &node{world: world, identity: identity, scheduler: scheduler.New(identity, parameters, world.random)}
+	added := &node{world: world, identity: identity, scheduler: scheduler.New(identity, parameters)}
 	world.nodes = append(world.nodes, added)
 	return added
 }
@@ -348,7 +348,7 @@
 func (node *node) reboot() {
 	world := node.world
 	node.identity.Incarnation++
-	node.scheduler = scheduler.New(node.identity, scheduler.Parameters{}, world.random)
+	node.scheduler = scheduler.New(node.identity, scheduler.Parameters{})
 	node.folded, node.until, node.inbox, node.wake = 0, time.Time{}, nil, time.Time{}
 	node.claim, node.term = messenger.RegionClaim{}, 0
 	node.fold(identifier.Offset(len(world.log)))
--- a/server/carrier.go
+++ b/server/carrier.go
@@ -88,10 +88,17 @@
 	case messenger.Transition:
 		server.exporter.Count(messenger.Count{Counter: messenger.Transitions, Reason: action.Reason})
 		server.logTransition(carrier.own, action)
+		if action.Reason == superseded && action.Subject == string(server.settings.Node) {
+			server.Drain()
+		}
 	}
 	return nil, nil
 }
 
+// superseded is the reason of a node's own transition when a later process has
+// taken its name. The earlier process then stops gracefully.
+const superseded = "superseded"
+
 func appendRefused(action messenger.AppendRecord, ring *buffer.Ring[messenger.AppendRecord]) messenger.Event {
 	if ring.Offer(action) == nil {
 		return nil
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -10,6 +10,7 @@
 	"corianderroad/buffer"
 	"corianderroad/classifier"
 	"corianderroad/decider"
+	"corianderroad/exporter"
 	"corianderroad/identifier"
 	"corianderroad/loader"
 	"corianderroad/messenger"
@@ -88,6 +89,27 @@
 	c.Assert(err, quicktest.Equals, context.Canceled)
 }
 
+// TestSupersededNodeLeaves guards against two processes that serve under one
+// name, and against a node that leaves because another was superseded.
+func TestSupersededNodeLeaves(t *testing.T) {
+	c := quicktest.New(t)
+	server := newFullServer()
+	server.settings.Node, server.drain, server.exporter = "a", make(chan struct{}), exporter.New(nil, nil)
+	carrier := &carrier{server: server, own: decider.Detection}
+	for _, transition := range []messenger.Transition{
+		{Subject: "b", Reason: "superseded"}, {Subject: "a", Reason: "told-by-peer"}, {Subject: "a", Reason: "superseded"},
+	} {
+		select {
+		case <-server.drain:
+			t.Fatal("the node leaves too early")
+		default:
+		}
+		_, err := carrier.Carry(t.Context(), transition)
+		c.Assert(err, quicktest.IsNil)
+	}
+	<-server.drain
+}
+
 // TestReadiness guards against a balancer that sends calls to a node which has
 // no configuration, is cut off, or leaves.
 func TestReadiness(t *testing.T) {
