Record the end of a job once for explain

Cause: explain listed the end of a job nine times, since each node recorded the outcome that it read, under a reason that was not in kebab case. Change: only the holder of the region records it, as "ended" with the code. Result: the tests of scheduler and decider pass; seen by hand before the change.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -158,11 +158,10 @@
 		return
 	}
 	region := scheduler.region(job.region)
-	detail := outcome.Reason
-	if outcome.Cancelled {
-		detail = "cancelled by the caller"
+	if region.held {
+		// Every node reads the outcome in the log; only the holder acts on it.
+		scheduler.decide(now, string(outcome.Job), "ended", outcome.Code.Name())
 	}
-	scheduler.decide(now, string(outcome.Job), "ended: "+outcome.Code.Name(), detail)
 	job.outcome, job.outcomeDue = &outcome, time.Time{}
 	if job.gang != nil {
 		job.gang.Stop(now, leaser.Stopped)
