Keep ended jobs out of placement after a restart

A job's progress can be read after the job itself. Ruled out: missing pages of the listing (one page) and records that were not durable (all acknowledged).

--- a/planner/job.go
+++ b/planner/job.go
@@ -206,6 +206,7 @@
 	case messenger.Progressed:
 		known := planner.job(entry.Job)
 		known.apply(&entry.Progress)
+		planner.attach(known)
 		return known
 	case messenger.Dropped:
 		delete(planner.jobs, entry.Job)
@@ -224,9 +225,11 @@
 	return known
 }
 
-// attach adds a job to those that may need placement.
+// attach keeps the jobs that may need placement apart from those that have ended.
 func (planner *Planner) attach(known *job) {
 	if known.open() {
 		planner.live[known.spec.ID] = known
+	} else {
+		delete(planner.live, known.spec.ID)
 	}
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -124,6 +124,7 @@
 		return
 	}
 	recording.notUntil = now.Add(recordRetry)
+	planner.decide(string(planner.node), "record-retried", event.Err.Code.Name(), event.Err.Message, 0)
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "record-" + event.Err.Code.Name()})
 }
 
