Count a failed run once, whoever lists it

A failure was counted again when the next holder saw the same end, because the former one had recorded it but not yet let the minion forget it, and for each failing member of one run of a gang. Progress now carries the newest failed run.

--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -57,6 +57,7 @@
 	Index      int    `msg:"index"`
 	Done       bool   `msg:"done"`
 	Failures   int    `msg:"failures"`
+	FailedRun  uint64 `msg:"failed-run"`
 	Checkpoint string `msg:"checkpoint"`
 }
 
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -584,13 +584,14 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 6
-	o = append(o, 0x96)
+	// array header, size 7
+	o = append(o, 0x97)
 	o = msgp.AppendInt(o, z.Occurrence)
 	o = msgp.AppendInt(o, z.Step)
 	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendBool(o, z.Done)
 	o = msgp.AppendInt(o, z.Failures)
+	o = msgp.AppendUint64(o, z.FailedRun)
 	o = msgp.AppendString(o, z.Checkpoint)
 	return
 }
@@ -603,8 +604,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 6 {
-		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+	if zb0001 != 7 {
+		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
 		return
 	}
 	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
@@ -632,6 +633,11 @@
 		err = msgp.WrapError(err, "Failures")
 		return
 	}
+	z.FailedRun, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "FailedRun")
+		return
+	}
 	z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Checkpoint")
@@ -643,6 +649,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JournalTask) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.StringPrefixSize + len(z.Checkpoint)
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Checkpoint)
 	return
 }
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"corianderroad/classifier"
@@ -104,7 +106,8 @@
 	planner.hold.active = true
 	planner.lastRun = uint64(planner.hold.token) << runBits
 	inherited := 0
-	for _, known := range planner.jobs {
+	for _, id := range slices.Sorted(maps.Keys(planner.jobs)) {
+		known := planner.jobs[id]
 		planner.attach(known)
 		if known.open() {
 			known.inherited = true
--- a/planner/job.go
+++ b/planner/job.go
@@ -48,8 +48,10 @@
 
 // task is one task of a step.
 type task struct {
-	done       bool
-	failures   int
+	done     bool
+	failures int
+	// failedRun is the newest run that failed.
+	failedRun  uint64
 	checkpoint string
 	// saved is how far the checkpoint is, in percent, as far as known.
 	saved int
@@ -151,6 +153,7 @@
 			step.done++
 		}
 		task.failures = max(task.failures, known.Failures)
+		task.failedRun = max(task.failedRun, known.FailedRun)
 		if known.Checkpoint != "" {
 			task.checkpoint = known.Checkpoint
 		}
@@ -170,7 +173,7 @@
 				if task.done || task.failures > 0 || task.checkpoint != "" {
 					progress.Tasks = append(progress.Tasks, specifier.TaskProgress{
 						Occurrence: occurrence.number, Step: step.number, Index: index,
-						Done: task.done, Failures: task.failures, Checkpoint: task.checkpoint,
+						Done: task.done, Failures: task.failures, FailedRun: task.failedRun, Checkpoint: task.checkpoint,
 					})
 				}
 			}
--- a/planner/look.go
+++ b/planner/look.go
@@ -132,7 +132,7 @@
 		minion.health.succeed()
 		planner.finish(now, step, end.Task)
 	case messenger.EndFailed:
-		planner.fail(now, step, task, minion)
+		planner.fail(now, step, task, end.Run, minion)
 	}
 	if ok {
 		planner.release(now, run)
@@ -159,13 +159,16 @@
 	planner.recording.mark(step.occurrence.job)
 }
 
-func (planner *Planner) fail(now time.Time, step *step, task *task, minion *minion) {
+// fail counts a failed run. An end that was recorded before, or that another
+// member of the same run of a gang has brought, counts once.
+func (planner *Planner) fail(now time.Time, step *step, task *task, run uint64, minion *minion) {
 	task.avoid = minion.report.Minion
 	planner.strike(now, minion)
-	if step.spec.LongRunning {
+	if step.spec.LongRunning || run <= step.failedRun(task) {
 		return
 	}
 	task.failures++
+	task.failedRun = run
 	planner.recording.mark(step.occurrence.job)
 }
 
@@ -192,6 +195,17 @@
 	}
 }
 
+// failedRun returns the newest failed run of a task, or of its whole gang.
+func (step *step) failedRun(task *task) uint64 {
+	newest := task.failedRun
+	if step.spec.Gang {
+		for index := range step.tasks {
+			newest = max(newest, step.tasks[index].failedRun)
+		}
+	}
+	return newest
+}
+
 // failures returns how often the task that failed most has failed. The members
 // of a gang share their attempts.
 func (step *step) failures() int {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -33,8 +33,8 @@
 
 	recording    recording
 	reservations reservations
-	advising  advising
-	upkeep    upkeep
+	advising     advising
+	upkeep       upkeep
 
 	changed  bool
 	lastPass time.Time
