Stop the members of a gang that a takeover finds without the others

The rest of such a gang held its place for ever. Found by TestPromisesUnderFaults; TestPartOfGangStopsAfterTakeover failed before.

--- a/planner/place.go
+++ b/planner/place.go
@@ -14,7 +14,8 @@
 func (planner *Planner) place(now time.Time, waiting *waiting, fleet []*minion) bool {
 	step := waiting.step
 	if step.spec.Gang && len(waiting.indexes) < len(step.tasks)-step.done {
-		return true // members of an earlier run are still ending
+		planner.stopRemains(now, step)
+		return true
 	}
 	planner.prepareAdvice(now, waiting)
 	whole := step.spec.Gang || (step.spec.SameRack && !step.hasRuns())
@@ -36,6 +37,16 @@
 	return len(chosen) == len(waiting.indexes)
 }
 
+// stopRemains ends the members of a gang that is not whole, for example because
+// a takeover found only some of them.
+func (planner *Planner) stopRemains(now time.Time, step *step) {
+	for index := range step.tasks {
+		if run := step.tasks[index].run; run != nil {
+			planner.stop(now, run, "its gang is not whole")
+		}
+	}
+}
+
 func (planner *Planner) nextRun() uint64 {
 	planner.lastRun++
 	return planner.lastRun
