Let a crashed fake minion drop its runs

TestPartOfGangStopsAfterTakeover passed without the mechanism that it proves, because the fake gang went on with the runs of a crashed minion. It fails without stopRemains now.

--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -75,6 +75,7 @@
 		run.over = true
 		delete(minion.world.truth(run.task).running, run)
 	}
+	clear(minion.runs)
 }
 
 func (minion *fakeMinion) clock() time.Duration {
