Preempt as late as possible and within a bound of waste

They now wait until their objective or the reclaim bound asks for it, and give up room that costs more than twice their own work unless the bound asks. Equal minions are filled in the racks that are used most.

--- a/planner/place.go
+++ b/planner/place.go
@@ -200,7 +200,7 @@
 
 // fill returns a minion for each of the first tasks that fit. Minions near the
 // data come first, then those with a ticket, then those that the tasks fill
-// best.
+// best, in the racks that are used most.
 func (planner *Planner) fill(step *step, indexes []int, suitable []*minion) []*minion {
 	type option struct {
 		minion *minion
@@ -214,11 +214,13 @@
 		}
 	}
 	request := claim(step.spec)
+	used := planner.rackUse()
 	slices.SortFunc(options, func(one, other option) int {
 		return cmp.Or(
 			-compareBool(one.minion.rack == step.spec.DataRack, other.minion.rack == step.spec.DataRack),
 			-compareBool(step.ticket(one.minion) != "", step.ticket(other.minion) != ""),
 			cmp.Compare(leftOver(one.free, request), leftOver(other.free, request)),
+			-cmp.Compare(used[one.minion.rack], used[other.minion.rack]),
 			cmp.Compare(one.minion.report.Minion, other.minion.report.Minion),
 		)
 	})
@@ -231,6 +233,16 @@
 	return planner.avoidFailed(step, indexes, chosen)
 }
 
+// rackUse returns how much of each rack is in use. Empty racks are left for
+// steps that need one.
+func (planner *Planner) rackUse() map[identifier.Rack]int {
+	used := make(map[identifier.Rack]int)
+	for _, minion := range planner.minions {
+		used[minion.rack] += leftOver(minion.used, specifier.Resources{})
+	}
+	return used
+}
+
 // avoidFailed swaps tasks among the chosen minions, so that a task does not
 // return to the minion on which it failed last, as far as possible.
 func (planner *Planner) avoidFailed(step *step, indexes []int, chosen []*minion) []*minion {
--- a/planner/reclaim.go
+++ b/planner/reclaim.go
@@ -10,12 +10,14 @@
 
 // Reclaiming of room for urgent steps.
 const (
-	// reclaimPatience is how long an urgent step waits for room that becomes free
-	// by itself before others are stopped for it.
-	reclaimPatience = 250 * time.Millisecond
+	// orderSlack covers the looks and orders around the stop of a run.
+	orderSlack = 500 * time.Millisecond
 	// reservationSlack is how long reserved room is kept beyond the stop of what
 	// was in its way.
 	reservationSlack = time.Second
+	// wasteLimit bounds the work thrown away for a step that must not start yet,
+	// in multiples of its own work.
+	wasteLimit = 2.0
 )
 
 // victim is a run, or the runs of a gang, that can be stopped for another step.
@@ -25,28 +27,42 @@
 	cost float64
 }
 
-// reclaim makes room for a step of priority 0 by stopping work of lower priority.
+// reclaim makes room for a step of priority 0 by stopping work of lower
+// priority, as late as its job can still be on time, or its workspace's
+// guarantee be kept. Until then room may become free by itself.
 func (planner *Planner) reclaim(now time.Time, waiting *waiting) {
 	step := waiting.step
-	if waiting.queue.Priority != 0 || step.spec.LongRunning || planner.reservations.has(step) ||
-		now.Sub(step.waitingSince) < reclaimPatience {
+	if waiting.queue.Priority != 0 || step.spec.LongRunning || planner.reservations.has(step) {
 		return
 	}
-	places, victims := planner.makeRoom(now, waiting)
-	if places == nil {
+	stopping := planner.bounds.StopTimeout + orderSlack
+	must := !now.Before(step.occurrence.due.Add(planner.bounds.Reclaim - stopping))
+	if !must && (waiting.hopeless || now.Before(waiting.latest.Add(-stopping))) {
 		return
 	}
-	planner.reservations.hold(step, places, now.Add(planner.bounds.StopTimeout+reservationSlack))
-	for _, victim := range victims {
+	cleared := planner.makeRoom(now, waiting)
+	if cleared == nil || (!must && cleared.cost > wasteLimit*step.estimatedWork(len(waiting.indexes))) {
+		return
+	}
+	planner.reservations.hold(step, cleared.places, now.Add(planner.bounds.StopTimeout+reservationSlack))
+	for _, victim := range cleared.victims {
 		for _, run := range victim.runs {
 			planner.stop(now, run, "preempted for "+string(step.occurrence.job.spec.ID))
 		}
 	}
 }
 
-// makeRoom returns where a step fits once the returned victims have ended, at
-// the least cost that a greedy choice finds. It returns nil if there is no way.
-func (planner *Planner) makeRoom(now time.Time, waiting *waiting) (map[*minion]specifier.Resources, []*victim) {
+// estimatedWork returns the core-seconds of a number of the step's tasks.
+func (step *step) estimatedWork(count int) float64 {
+	request := step.spec.Request.Times(count)
+	return step.spec.EstimatedRunTime.Seconds() * float64(request.MilliCPU+request.Accelerators*acceleratorWeight) / milliPerCore
+}
+
+const milliPerCore = 1000
+
+// makeRoom returns where a step fits once the victims have ended, at the least
+// cost that a greedy choice finds. It returns nil if there is no way.
+func (planner *Planner) makeRoom(now time.Time, waiting *waiting) *clearing {
 	racks := make(map[string][]*minion)
 	for _, minion := range planner.sortedMinions() {
 		if minion.report.Service != waiting.queue.Service || !minion.takes(now) || !waiting.step.suits(minion) {
@@ -73,10 +89,7 @@
 			best = cleared
 		}
 	}
-	if best == nil {
-		return nil, nil
-	}
-	return best.places, best.victims
+	return best
 }
 
 // clearing is room for a step with what must be stopped for it.
@@ -208,5 +221,5 @@
 		age = min(age, checkpointAge)
 	}
 	request := run.step.spec.Request
-	return age.Seconds() * float64(request.MilliCPU+request.Accelerators*acceleratorWeight) / 1000
+	return age.Seconds() * float64(request.MilliCPU+request.Accelerators*acceleratorWeight) / milliPerCore
 }
