--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -56,13 +56,14 @@
 	orders          *buffer.Ring[messenger.OrderMinion]
 	serviceCalls    *buffer.Ring[messenger.Action]
 
-	answers    *waiter.Waiter[messenger.CommandAnswered]
-	exporter   *exporter.Exporter
-	authorizer atomic.Pointer[authorizer.Authorizer]
-	readiness  readiness
-	minionTail *tailer.Tailer
-	front      *platform.Front
-	duties     []duty
+	answers     *waiter.Waiter[messenger.CommandAnswered]
+	exporter    *exporter.Exporter
+	authorizer  atomic.Pointer[authorizer.Authorizer]
+	readiness   readiness
+	journalTail *tailer.Tailer
+	minionTail  *tailer.Tailer
+	front       *platform.Front
+	duties      []duty
 }
 
 // duty is anything that runs until its context ends.
@@ -131,6 +132,7 @@
 const (
 	policyWait  = time.Second
 	journalWait = time.Second
+	journalPace = 150 * time.Millisecond
 	claimWait   = 700 * time.Millisecond
 	minionWait  = 2 * time.Second
 	minionPace  = 150 * time.Millisecond
@@ -144,10 +146,11 @@
 		return tailer.New(options, store, sink, assembler.clock)
 	}
 	assembler.minionTail = tail(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, minionSink{inlet})
+	assembler.journalTail = tail(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, journalSink{inlet})
 	services := platform.NewServices(settings, store)
 	assembler.duties = append(assembler.duties,
 		tail(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, policySink{inlet}),
-		tail(tailer.Options{Topic: identifier.Journal, Wait: journalWait}, journalSink{inlet}),
+		assembler.journalTail,
 		tail(tailer.Options{Topic: identifier.Claims, Wait: claimWait}, claimSink{inlet}),
 		assembler.minionTail,
 		committer.NewEntries(assembler.entryAppends, store, inlet),
--- a/assembler/carrier.go
+++ b/assembler/carrier.go
@@ -41,6 +41,10 @@
 	case messenger.FollowMinions:
 		return nil, assembler.minionTail.Follow(ctx, action.On)
 	case messenger.HolderChanged:
+		assembler.journalTail.SetPace(journalPace)
+		if action.Token != 0 {
+			assembler.journalTail.SetPace(0) // a job starts when the holder has read it
+		}
 		return nil, assembler.plans.Put(ctx, action)
 	case messenger.HolderRefused:
 		return nil, assembler.claims.Put(ctx, action)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -28,7 +28,7 @@
 	hold    holding
 	minions map[identifier.Minion]*minion
 	// byName holds the minions by name, nil if it must be made anew.
-	byName []*minion
+	byName  []*minion
 	orders  map[uint64]*run
 	lastID  uint64
 	lastRun uint64
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"corianderroad/buffer"
@@ -63,7 +64,7 @@
 	// Wait is how long a read waits for records.
 	Wait time.Duration
 	// Pace is the least time from one read to the next, so that many small
-	// records come in few reads.
+	// records come in few reads. SetPace changes it.
 	Pace time.Duration
 	// Paused means that the Tailer waits for Follow(true) before it reads.
 	Paused bool
@@ -76,6 +77,7 @@
 	sink    Sink
 	clock   func() time.Time
 	follow  *buffer.Ring[bool]
+	pace    atomic.Int64 // nanoseconds
 
 	on   bool
 	from identifier.Offset
@@ -88,12 +90,21 @@
 
 // New returns a Tailer that delivers to sink.
 func New(options Options, log Log, sink Sink, clock func() time.Time) *Tailer {
-	return &Tailer{
+	tailer := &Tailer{
 		options: options, log: log, sink: sink, clock: clock, on: !options.Paused,
-		follow: buffer.New[bool](string(options.Topic)+"-follow", 8),
+		follow: buffer.New[bool](string(options.Topic)+"-follow", followCapacity),
 	}
+	tailer.SetPace(options.Pace)
+	return tailer
 }
 
+// followCapacity bounds the orders to follow or not that wait for a read to end.
+const followCapacity = 8
+
+// SetPace changes the least time from one read to the next. It takes effect
+// after the pause that may be under way. SetPace is safe for concurrent use.
+func (tailer *Tailer) SetPace(pace time.Duration) { tailer.pace.Store(int64(pace)) }
+
 // Follow starts or stops the reading. A start begins with a listing.
 func (tailer *Tailer) Follow(ctx context.Context, on bool) error { return tailer.follow.Put(ctx, on) }
 
@@ -104,7 +115,7 @@
 			return err
 		}
 		started := tailer.clock()
-		pause := tailer.options.Pace
+		pause := time.Duration(tailer.pace.Load())
 		if err := tailer.read(ctx, started); err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
