--- a/encoder/query.go
+++ b/encoder/query.go
@@ -4,6 +4,7 @@
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/querier"
+	"corianderroad/specifier"
 )
 
 // MarshalQuery returns the msgpack form of a query.
@@ -91,6 +92,13 @@
 			}
 		}),
 		Gauges: convert(answer.Gauges, func(row querier.Gauge) WireGaugeRow { return WireGaugeRow(row) }),
+		Submitted: convert(answer.Submitted, func(row querier.SubmittedJob) WireSubmittedRow {
+			return WireSubmittedRow{
+				Job: string(row.Job), Queue: string(row.Queue), Workspace: string(row.Workspace), State: uint8(row.State),
+			}
+		}),
+		Waiting: answer.Waiting,
+		AsOf:    answer.AsOf,
 	}
 	return wire
 }
@@ -141,6 +149,14 @@
 			}
 		}),
 		Gauges: convert(wire.Gauges, func(row WireGaugeRow) querier.Gauge { return querier.Gauge(row) }),
+		Submitted: convert(wire.Submitted, func(row WireSubmittedRow) querier.SubmittedJob {
+			return querier.SubmittedJob{
+				Job: identifier.Job(row.Job), Queue: identifier.Queue(row.Queue),
+				Workspace: identifier.Workspace(row.Workspace), State: specifier.State(row.State),
+			}
+		}),
+		Waiting: wire.Waiting,
+		AsOf:    wire.AsOf,
 	}
 }
 
--- a/encoder/query_schema.go
+++ b/encoder/query_schema.go
@@ -25,6 +25,17 @@
 	Decisions     []WireDecisionRow     `msg:"decisions,omitempty,limit=16384"`
 	Shares        []WireShareRow        `msg:"shares,omitempty,limit=16384"`
 	Gauges        []WireGaugeRow        `msg:"gauges,omitempty,limit=16384"`
+	Submitted     []WireSubmittedRow    `msg:"submitted,omitempty,limit=16384"`
+	Waiting       int                   `msg:"waiting,omitempty"`
+	AsOf          time.Time             `msg:"as-of"`
+}
+
+// WireSubmittedRow is a querier.SubmittedJob.
+type WireSubmittedRow struct {
+	Job       string `msg:"job"`
+	Queue     string `msg:"queue"`
+	Workspace string `msg:"workspace"`
+	State     uint8  `msg:"state"`
 }
 
 // WireMemberRow is a querier.Member.
--- a/encoder/query_schema_gen.go
+++ b/encoder/query_schema_gen.go
@@ -257,6 +257,41 @@
 					}
 				}
 			}
+		case "submitted":
+			var zb0011 uint32
+			zb0011, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Submitted")
+				return
+			}
+			if zb0011 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Submitted) >= int(zb0011) {
+				z.Submitted = (z.Submitted)[:zb0011]
+			} else {
+				z.Submitted = make([]WireSubmittedRow, zb0011)
+			}
+			for za0009 := range z.Submitted {
+				err = z.Submitted[za0009].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Submitted", za0009)
+					return
+				}
+			}
+		case "waiting":
+			z.Waiting, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "as-of":
+			z.AsOf, err = dc.ReadTimeUTC()
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -271,8 +306,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *WireAnswer) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
@@ -306,6 +341,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Submitted == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Waiting == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -510,6 +553,47 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "submitted"
+			err = en.Append(0xa9, 0x73, 0x75, 0x62, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Submitted)))
+			if err != nil {
+				err = msgp.WrapError(err, "Submitted")
+				return
+			}
+			for za0009 := range z.Submitted {
+				err = z.Submitted[za0009].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Submitted", za0009)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// write "waiting"
+			err = en.Append(0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Waiting)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		}
+		// write "as-of"
+		err = en.Append(0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteTime(z.AsOf)
+		if err != nil {
+			err = msgp.WrapError(err, "AsOf")
+			return
+		}
 	}
 	return
 }
@@ -518,8 +602,8 @@
 func (z *WireAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(8)
-	var zb0001Mask uint8 /* 8 bits */
+	zb0001Len := uint32(11)
+	var zb0001Mask uint16 /* 11 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
@@ -553,6 +637,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x80
 	}
+	if z.Submitted == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	if z.Waiting == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x200
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -674,6 +766,26 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "submitted"
+			o = append(o, 0xa9, 0x73, 0x75, 0x62, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Submitted)))
+			for za0009 := range z.Submitted {
+				o, err = z.Submitted[za0009].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Submitted", za0009)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x200) == 0 { // if not omitted
+			// string "waiting"
+			o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+			o = msgp.AppendInt(o, z.Waiting)
+		}
+		// string "as-of"
+		o = append(o, 0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
+		o = msgp.AppendTime(o, z.AsOf)
 	}
 	return
 }
@@ -923,6 +1035,41 @@
 					}
 				}
 			}
+		case "submitted":
+			var zb0011 uint32
+			zb0011, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submitted")
+				return
+			}
+			if zb0011 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Submitted) >= int(zb0011) {
+				z.Submitted = (z.Submitted)[:zb0011]
+			} else {
+				z.Submitted = make([]WireSubmittedRow, zb0011)
+			}
+			for za0009 := range z.Submitted {
+				bts, err = z.Submitted[za0009].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Submitted", za0009)
+					return
+				}
+			}
+		case "waiting":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "as-of":
+			z.AsOf, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -969,6 +1116,11 @@
 	for za0008 := range z.Gauges {
 		s += 1 + 5 + msgp.StringPrefixSize + len(z.Gauges[za0008].Name) + 6 + msgp.StringPrefixSize + len(z.Gauges[za0008].Label) + 6 + msgp.Float64Size
 	}
+	s += 10 + msgp.ArrayHeaderSize
+	for za0009 := range z.Submitted {
+		s += z.Submitted[za0009].Msgsize()
+	}
+	s += 8 + msgp.IntSize + 6 + msgp.TimeSize
 	return
 }
 
@@ -2881,6 +3033,192 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *WireSubmittedRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "job":
+			z.Job, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		case "queue":
+			z.Queue, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "workspace":
+			z.Workspace, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		case "state":
+			z.State, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *WireSubmittedRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "job"
+	err = en.Append(0x84, 0xa3, 0x6a, 0x6f, 0x62)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Job)
+	if err != nil {
+		err = msgp.WrapError(err, "Job")
+		return
+	}
+	// write "queue"
+	err = en.Append(0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Queue)
+	if err != nil {
+		err = msgp.WrapError(err, "Queue")
+		return
+	}
+	// write "workspace"
+	err = en.Append(0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Workspace)
+	if err != nil {
+		err = msgp.WrapError(err, "Workspace")
+		return
+	}
+	// write "state"
+	err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint8(z.State)
+	if err != nil {
+		err = msgp.WrapError(err, "State")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *WireSubmittedRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "job"
+	o = append(o, 0x84, 0xa3, 0x6a, 0x6f, 0x62)
+	o = msgp.AppendString(o, z.Job)
+	// string "queue"
+	o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Queue)
+	// string "workspace"
+	o = append(o, 0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+	o = msgp.AppendString(o, z.Workspace)
+	// string "state"
+	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+	o = msgp.AppendUint8(o, z.State)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WireSubmittedRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "job":
+			z.Job, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "workspace":
+			z.Workspace, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		case "state":
+			z.State, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WireSubmittedRow) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 6 + msgp.StringPrefixSize + len(z.Queue) + 10 + msgp.StringPrefixSize + len(z.Workspace) + 6 + msgp.Uint8Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *WireWorkerRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
