--- /dev/null
+++ b/assembler/assembler_test.go
@@ -0,0 +1,102 @@
+package assembler_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/assembler"
+	"corianderroad/platform"
+	"corianderroad/platform/imitator"
+	"corianderroad/timekeeper"
+)
+
+// freeAddress returns an address of this machine that nothing listens on.
+func freeAddress(c *quicktest.C) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer func() { c.Check(listener.Close(), quicktest.IsNil) }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// patience bounds the whole test. It is no measure of speed.
+const patience = 30 * time.Second
+
+// await asks until the answer holds the wanted text.
+func await(c *quicktest.C, ctx context.Context, url, host, wanted string) {
+	for {
+		status, body := send(c, ctx, http.MethodGet, url, host, "")
+		if status == http.StatusOK && strings.Contains(body, wanted) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			c.Fatalf("%s: last answer %d %q, wanted %q", url, status, body, wanted)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func send(c *quicktest.C, ctx context.Context, method, url, host, body string) (int, string) {
+	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	c.Assert(err, quicktest.IsNil)
+	request.Host = host
+	request.Header.Set("Authorization", "Token key")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { c.Check(answer.Body.Close(), quicktest.IsNil) }()
+	content, err := io.ReadAll(answer.Body)
+	c.Assert(err, quicktest.IsNil)
+	return answer.StatusCode, string(content)
+}
+
+// TestJobFromClientToMinionAndBack guards against a node that does not bring a
+// job from its client over the store to a minion and its end back to the
+// client, and against one that does not stop when told to.
+func TestJobFromClientToMinionAndBack(t *testing.T) {
+	c := quicktest.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	fake, minion := imitator.New(), imitator.NewMinion()
+	defer fake.Close()
+	fake.Reply = minion.Reply
+	fake.Write("keyed.servers", "i-1", minion.Report("s", fake.Address().String()))
+	fake.Write("keyed.op", "config", `{"version":1,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s",`+
+		`"attempts":2,"stretch":3}],"services":[{"name":"s"}],"tenants":[{"name":"t","apiKeys":["key"]}]}`)
+	settings := &platform.Settings{
+		Node: "n", FailureDomain: "a", Region: "r", Front: freeAddress(c), Readiness: freeAddress(c), Metrics: freeAddress(c),
+		Store: fake.Address(), Bounds: platform.Bounds{
+			Grace: 2600 * time.Millisecond, Revocation: 5 * time.Second, LongestLease: 6 * time.Second,
+			StopTimeout: 500 * time.Millisecond, GangTimeout: 3 * time.Second, StatusKept: time.Minute, Reclaim: 3 * time.Second,
+		},
+	}
+	keeper, err := timekeeper.New()
+	c.Assert(err, quicktest.IsNil)
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	node := assembler.New(settings, keeper.Now)
+	go func() { ended <- node.Run(ctx, stop) }()
+
+	await(c, ctx, "http://"+settings.Readiness.String()+"/api/readyz", "", "")
+	url := "http://" + settings.Front.String() + "/q/5c0e7a21d94b36f8"
+	job, err := json.Marshal(map[string]any{"spec": "text", "steps": []map[string]any{{"count": 2, "cpu": 100, "estimateMs": 10}}})
+	c.Assert(err, quicktest.IsNil)
+	status, body := send(c, ctx, http.MethodPost, url, "h.example", string(job))
+	c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
+	await(c, ctx, url, "h.example", `"completed"`)
+	await(c, ctx, "http://"+settings.Metrics.String()+"/metrics", "", `corianderroad_answer_seconds_count{kind="submit",result="ok"} 1`)
+	c.Assert(minion.Starts(), quicktest.Equals, 2)
+
+	close(stop)
+	c.Assert(<-ended, quicktest.Equals, context.Canceled)
+	c.Assert(ctx.Err(), quicktest.IsNil)
+}
