Account for what a former holder may have started; take silence only from reads

Silence now counts only while reads complete; TestOutageOfTheStoreIsNoTakeover fails without that. - A new holder trusted the list of minions, from which entries run out during an outage or a cut, and started again what ran on unlisted ones.

--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -31,9 +31,9 @@
 const patience = 30 * time.Second
 
 // await asks until the answer holds the wanted text.
-func await(c *quicktest.C, ctx context.Context, url, host, wanted string) {
+func await(ctx context.Context, c *quicktest.C, url, host, wanted string) {
 	for {
-		status, body := send(c, ctx, http.MethodGet, url, host, "")
+		status, body := send(ctx, c, http.MethodGet, url, host, "")
 		if status == http.StatusOK && strings.Contains(body, wanted) {
 			return
 		}
@@ -45,7 +45,7 @@
 	}
 }
 
-func send(c *quicktest.C, ctx context.Context, method, url, host, body string) (int, string) {
+func send(ctx context.Context, c *quicktest.C, method, url, host, body string) (int, string) {
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	c.Assert(err, quicktest.IsNil)
 	request.Host = host
@@ -86,14 +86,14 @@
 	node := assembler.New(settings, keeper.Now)
 	go func() { ended <- node.Run(ctx, stop) }()
 
-	await(c, ctx, "http://"+settings.Readiness.String()+"/api/readyz", "", "")
+	await(ctx, c, "http://"+settings.Readiness.String()+"/api/readyz", "", "")
 	url := "http://" + settings.Front.String() + "/q/5c0e7a21d94b36f8"
 	job, err := json.Marshal(map[string]any{"spec": "text", "steps": []map[string]any{{"count": 2, "cpu": 100, "estimateMs": 10}}})
 	c.Assert(err, quicktest.IsNil)
-	status, body := send(c, ctx, http.MethodPost, url, "h.example", string(job))
+	status, body := send(ctx, c, http.MethodPost, url, "h.example", string(job))
 	c.Assert(status, quicktest.Equals, http.StatusOK, quicktest.Commentf("%s", body))
-	await(c, ctx, url, "h.example", `"completed"`)
-	await(c, ctx, "http://"+settings.Metrics.String()+"/metrics", "", `corianderroad_answer_seconds_count{kind="submit",result="ok"} 1`)
+	await(ctx, c, url, "h.example", `"completed"`)
+	await(ctx, c, "http://"+settings.Metrics.String()+"/metrics", "", `corianderroad_answer_seconds_count{kind="submit",result="ok"} 1`)
 	c.Assert(minion.Starts(), quicktest.Equals, 2)
 
 	close(stop)
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -165,7 +165,7 @@
 // advance appends a claim or a renewal if it is time.
 func (claimer *Claimer) advance(now time.Time) []messenger.Action {
 	due := claimer.due()
-	if claimer.underWay || due.IsZero() || now.Before(due) {
+	if claimer.underWay || due.IsZero() || now.Before(due) || claimer.blind(now) {
 		return nil
 	}
 	claim := messenger.Claim{
@@ -176,6 +176,12 @@
 	return []messenger.Action{messenger.AppendClaim{Claim: claim, At: claimer.end}}
 }
 
+// blind reports whether a node that is not the holder has not read the claims
+// for so long that their silence proves nothing.
+func (claimer *Claimer) blind(now time.Time) bool {
+	return claimer.token == 0 && claimer.releasing == 0 && now.Sub(claimer.lastRead) > readGap
+}
+
 // due returns when the node appends next, the zero time for never.
 func (claimer *Claimer) due() time.Time {
 	if claimer.releasing != 0 {
@@ -202,10 +208,11 @@
 
 // Next returns when the machine wants a Tick.
 func (claimer *Claimer) Next() time.Time {
-	if claimer.underWay {
-		return time.Time{}
+	due := claimer.due()
+	if claimer.underWay || claimer.blind(due) {
+		return time.Time{} // the next answer or read comes first
 	}
-	return claimer.due()
+	return due
 }
 
 func (claimer *Claimer) resign(now time.Time, reason string) []messenger.Action {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -38,6 +38,7 @@
 	life    int
 	read    int
 	readAt  time.Time
+	failed  bool
 	token   identifier.Term
 	// confirmedAt is what the node believes.
 	confirmedAt time.Time
@@ -99,7 +100,16 @@
 			member.step(now, store, pending.event)
 		}
 	}
-	if !store.down && !member.cut && (member.read < len(store.claims) || now.Sub(member.readAt) >= readEvery) {
+	// A tick comes before a read, so that a claim that was due during an outage
+	// is the first call after it.
+	if next := member.claimer.Next(); !next.IsZero() && !next.After(now) {
+		member.step(now, store, messenger.Tick{})
+	}
+	if (store.down || member.cut) && now.Sub(member.readAt) >= readEvery {
+		member.readAt, member.failed = now, true // a reader that failed pauses
+	}
+	if !store.down && !member.cut && ((member.read < len(store.claims) && !member.failed) || now.Sub(member.readAt) >= readEvery) {
+		member.failed = false
 		read := messenger.ClaimRead{End: identifier.Offset(len(store.claims)), SentAt: now}
 		if member.readAt.IsZero() {
 			read.RoundTrip = tick
@@ -111,9 +121,6 @@
 		member.read, member.readAt = len(store.claims), now
 		member.step(now, store, read)
 	}
-	if next := member.claimer.Next(); !next.IsZero() && !next.After(now) {
-		member.step(now, store, messenger.Tick{})
-	}
 }
 
 func (member *member) sure(now time.Time) bool {
@@ -194,30 +201,37 @@
 // TestOutageOfTheStoreIsNoTakeover guards against nodes that take the silence of
 // the store for that of the holder.
 func TestOutageOfTheStoreIsNoTakeover(t *testing.T) {
-	c := quicktest.New(t)
-	store := &store{source: rand.New(rand.NewPCG(1, 1))}
-	members := []*member{newMember(0, 1), newMember(1, 1)}
-	now := time.Unix(1_000_000, 0)
-	spend := func(span time.Duration) {
-		for end := now.Add(span); now.Before(end); now = now.Add(tick) {
+	// The length decides which call is the first after the outage.
+	for length := 4 * time.Second; length < 5*time.Second; length += 25 * time.Millisecond {
+		t.Run(length.String(), func(t *testing.T) {
+			c := quicktest.New(t)
+			store := &store{source: rand.New(rand.NewPCG(1, 1))}
+			members := []*member{newMember(0, 1), newMember(1, 1), newMember(2, 1)}
+			now := time.Unix(1_000_000, 0)
+			spend := func(span time.Duration) {
+				for end := now.Add(span); now.Before(end); now = now.Add(tick) {
+					for _, member := range members {
+						member.advance(now, store)
+					}
+				}
+			}
+			spend(2 * time.Second)
+			holder := members[0]
 			for _, member := range members {
-				member.advance(now, store)
+				if member.token != 0 {
+					holder = member
+				}
 			}
-		}
-	}
-	spend(2 * time.Second)
-	holder := members[0]
-	if members[1].token != 0 {
-		holder = members[1]
+			token := holder.token
+			c.Assert(token, quicktest.Not(quicktest.Equals), identifier.Term(0))
+			store.down = true
+			spend(length)
+			store.down = false
+			spend(3 * time.Second)
+			c.Assert(holder.token, quicktest.Equals, token)
+			c.Assert(holder.sure(now), quicktest.IsTrue)
+		})
 	}
-	token := holder.token
-	c.Assert(token, quicktest.Not(quicktest.Equals), identifier.Term(0))
-	store.down = true
-	spend(8 * time.Second)
-	store.down = false
-	spend(3 * time.Second)
-	c.Assert(holder.token, quicktest.Equals, token)
-	c.Assert(holder.sure(now), quicktest.IsTrue)
 }
 
 // TestReleasedClaimIsTakenAtOnce guards against a planned stop that costs a
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -52,13 +52,12 @@
 //
 //msgp:tuple JournalTask
 type JournalTask struct {
-	Occurrence int    `msg:"occurrence"`
-	Step       int    `msg:"step"`
-	Index      int    `msg:"index"`
-	Done       bool   `msg:"done"`
-	Failures   int    `msg:"failures"`
-	FailedRun  uint64 `msg:"failed-run"`
-	Checkpoint string `msg:"checkpoint"`
+	Occurrence int      `msg:"occurrence"`
+	Step       int      `msg:"step"`
+	Index      int      `msg:"index"`
+	Done       bool     `msg:"done"`
+	FailedRuns []uint64 `msg:"failed-runs"`
+	Checkpoint string   `msg:"checkpoint"`
 }
 
 // JournalClaim is messenger.Claim on the wire.
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -584,14 +584,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalTask) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendInt(o, z.Occurrence)
 	o = msgp.AppendInt(o, z.Step)
 	o = msgp.AppendInt(o, z.Index)
 	o = msgp.AppendBool(o, z.Done)
-	o = msgp.AppendInt(o, z.Failures)
-	o = msgp.AppendUint64(o, z.FailedRun)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.FailedRuns)))
+	for za0001 := range z.FailedRuns {
+		o = msgp.AppendUint64(o, z.FailedRuns[za0001])
+	}
 	o = msgp.AppendString(o, z.Checkpoint)
 	return
 }
@@ -604,8 +606,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
@@ -628,16 +630,28 @@
 		err = msgp.WrapError(err, "Done")
 		return
 	}
-	z.Failures, bts, err = msgp.ReadIntBytes(bts)
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
-		err = msgp.WrapError(err, "Failures")
+		err = msgp.WrapError(err, "FailedRuns")
 		return
 	}
-	z.FailedRun, bts, err = msgp.ReadUint64Bytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "FailedRun")
+	if zb0002 > z52a732eflimitArrays {
+		err = msgp.ErrLimitExceeded
 		return
 	}
+	if cap(z.FailedRuns) >= int(zb0002) {
+		z.FailedRuns = z.FailedRuns[:zb0002]
+	} else {
+		z.FailedRuns = make([]uint64, zb0002)
+	}
+	for za0001 := range z.FailedRuns {
+		z.FailedRuns[za0001], bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "FailedRuns", za0001)
+			return
+		}
+	}
 	z.Checkpoint, bts, err = msgp.ReadStringBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Checkpoint")
@@ -649,6 +663,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JournalTask) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.IntSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Checkpoint)
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.BoolSize + msgp.ArrayHeaderSize + (len(z.FailedRuns) * msgp.Uint64Size) + msgp.StringPrefixSize + len(z.Checkpoint)
 	return
 }
--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -92,10 +92,12 @@
 
 // OrderMinion sends an order to a minion.
 type OrderMinion struct {
-	ID      uint64
-	Minion  identifier.Minion
-	Address netip.AddrPort
-	Token   identifier.Term
+	ID     uint64
+	Minion identifier.Minion
+	// Incarnation is the life of the minion to which the order is addressed.
+	Incarnation identifier.Incarnation
+	Address     netip.AddrPort
+	Token       identifier.Term
 	// Expires is when the order is no longer to be sent.
 	Expires time.Time
 	// Timeout bounds the wait for the answer.
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -18,7 +18,6 @@
 		for _, minion := range planner.minions {
 			minion.listed = false
 		}
-		planner.hold.listed = true
 	}
 	for _, report := range event.Reports {
 		planner.readMinion(now, report)
@@ -45,16 +44,40 @@
 		if report.Incarnation < known.report.Incarnation {
 			return
 		}
-		planner.bury(now, known, "it has started again")
 	}
 	fresh := newMinion(report, now)
 	if planner.hold.active {
 		fresh.lookAt = now
 	}
+	if ok {
+		planner.succeed(now, known, fresh)
+	}
 	planner.setMinion(fresh)
 	planner.decide(string(report.Minion), "minion-registered", "its report was read", "", 0)
 }
 
+// succeed replaces a life by the next one under the same name. What ran in the
+// earlier one has ended. An order that brought no answer may reach the next
+// one, so that runs which were never seen are taken along.
+func (planner *Planner) succeed(now time.Time, earlier, fresh *minion) {
+	for _, run := range earlier.sortedRuns() {
+		if !run.knownAt.IsZero() {
+			planner.lose(now, run, "its minion has started again")
+			continue
+		}
+		delete(earlier.runs, runKey{run.id, run.number})
+		run.minion = fresh
+		fresh.add(run)
+		fresh.leaseSent = fresh.clockFloor(now) + planner.bounds.LongestLease
+		if run.state == stopping {
+			planner.sendStop(now, run)
+		} else {
+			planner.sendStart(now, run)
+		}
+	}
+	planner.decide(string(earlier.report.Minion), "minion-gone", "it has started again", "", now.Sub(earlier.clockAt))
+}
+
 // bury ends all runs of a life that is over.
 func (planner *Planner) bury(now time.Time, minion *minion, reason string) {
 	for _, run := range minion.sortedRuns() {
@@ -105,7 +128,8 @@
 		planner.orders[planner.lastID] = run
 	}
 	planner.emit(messenger.OrderMinion{
-		ID: planner.lastID, Minion: minion.report.Minion, Address: minion.report.Address, Token: planner.hold.token,
+		ID: planner.lastID, Minion: minion.report.Minion, Incarnation: minion.report.Incarnation,
+		Address: minion.report.Address, Token: planner.hold.token,
 		Expires: now.Add(orderLife), Timeout: timeout, Order: order,
 	})
 }
@@ -118,8 +142,8 @@
 		return
 	}
 	minion, ok := planner.minions[event.Sent.Minion]
-	if !ok {
-		return
+	if !ok || event.Sent.Incarnation != minion.report.Incarnation {
+		return // the order was addressed to a life that is over
 	}
 	if event.Err != nil && event.Err.Code == classifier.StaleTerm {
 		planner.emit(messenger.HolderRefused{Token: planner.hold.token})
@@ -152,12 +176,13 @@
 	if !refused && event.Incarnation < minion.report.Incarnation {
 		return true
 	}
-	report := minion.report
-	planner.bury(now, minion, "another life answered at its address")
-	if !refused {
-		report.Incarnation, report.Clock = event.Incarnation, event.Clock
-		planner.readMinion(now, report)
+	if refused {
+		planner.bury(now, minion, "another minion answered at its address")
+		return true
 	}
+	report := minion.report
+	report.Incarnation, report.Clock = event.Incarnation, event.Clock
+	planner.readMinion(now, report)
 	return true
 }
 
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -25,9 +25,12 @@
 	isFenced bool
 	// active means that all that former holders recorded is known.
 	active bool
-	// listed means that the registered minions are known.
-	listed bool
-	// settled means that nothing that a former holder started is unaccounted for.
+	// unaccounted counts the tasks that a former holder may have started on a
+	// minion that has not been heard of.
+	unaccounted int
+	// confirmed means that all registered minions have answered once.
+	confirmed bool
+	// settled means that there are no such tasks, or their leases have lapsed.
 	settled bool
 }
 
@@ -96,21 +99,19 @@
 	}
 	planner.hold.active = true
 	planner.lastRun = uint64(planner.hold.token) << runBits
-	inherited := 0
 	for _, id := range slices.Sorted(maps.Keys(planner.jobs)) {
 		known := planner.jobs[id]
 		planner.attach(known)
-		if known.open() {
-			known.inherited = true
-			inherited++
+		if known.open() && known.begun {
+			planner.hold.unaccounted += known.inherit()
 		}
 		if known.submitted && known.withdrawn && !known.state.Final() {
 			planner.cancel(now, known)
 		}
 	}
-	planner.hold.settled = inherited == 0
+	planner.hold.settled = planner.hold.unaccounted == 0
 	planner.decide(string(planner.node), "holder-active", "the journal is read",
-		fmt.Sprintf("inherited-jobs=%d journal-end=%d", inherited, planner.journalEnd), now.Sub(planner.hold.began))
+		fmt.Sprintf("unaccounted-tasks=%d journal-end=%d", planner.hold.unaccounted, planner.journalEnd), now.Sub(planner.hold.began))
 	for _, minion := range planner.minions {
 		minion.lookAt = now
 	}
@@ -125,26 +126,78 @@
 // numbers of runs rise from one holder to the next without a record.
 const runBits = 20
 
-// settle ends the time in which runs of a former holder may be unknown.
-func (planner *Planner) settle(now time.Time) {
-	if planner.hold.settled || !planner.hold.listed {
+// inherit marks the tasks of a job that a former holder may have started, and
+// returns their number.
+func (job *job) inherit() int {
+	count := 0
+	for _, occurrence := range job.occurrences {
+		for _, step := range occurrence.steps {
+			for index := range step.tasks {
+				if !step.tasks[index].done {
+					step.tasks[index].unaccounted = true
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
+
+// account notes that it is known where a task runs or how it ended.
+func (planner *Planner) account(task *task) {
+	if task.unaccounted {
+		task.unaccounted = false
+		planner.hold.unaccounted--
+	}
+}
+
+// confirm takes the ends that were listed for the last ones of their tasks once
+// all registered minions have told what they run: the former holder may have
+// started such a task again elsewhere.
+func (planner *Planner) confirm() {
+	if planner.hold.confirmed || len(planner.minions) == 0 {
 		return
 	}
-	barrier := planner.hold.began.Add(leaseBarrier)
-	unconfirmed := 0
 	for _, minion := range planner.minions {
-		if !minion.confirmed {
-			unconfirmed++
+		if !minion.confirmed && minion.listed {
+			return
+		}
+	}
+	planner.hold.confirmed = true
+	planner.eachLiveTask(func(task *task) {
+		if task.heard {
+			planner.account(task)
 		}
+	})
+	planner.changed = true
+}
+
+// settle ends the time in which runs of a former holder may be unknown. The
+// list of minions can't end it sooner: entries run out while the store is away
+// or a minion is cut off from it, and the minion works on.
+func (planner *Planner) settle(now time.Time) {
+	if planner.hold.settled {
+		return
 	}
-	if unconfirmed > 0 && now.Before(barrier) {
+	planner.confirm()
+	if planner.hold.unaccounted > 0 && now.Before(planner.hold.began.Add(leaseBarrier)) {
 		return
 	}
 	planner.hold.settled = true
+	planner.changed = true
+	planner.decide(string(planner.node), "holder-settled", "the leases of the former holder have lapsed",
+		fmt.Sprintf("unaccounted-tasks=%d", planner.hold.unaccounted), now.Sub(planner.hold.began))
+	planner.eachLiveTask(planner.account)
+}
+
+func (planner *Planner) eachLiveTask(visit func(*task)) {
 	for _, known := range planner.live {
-		known.inherited = false
+		for _, occurrence := range known.occurrences {
+			for _, step := range occurrence.steps {
+				for index := range step.tasks {
+					visit(&step.tasks[index])
+				}
+			}
+		}
 	}
-	planner.changed = true
-	planner.decide(string(planner.node), "holder-settled", "all minions answered or their leases have lapsed",
-		fmt.Sprintf("unconfirmed=%d", unconfirmed), now.Sub(planner.hold.began))
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"corianderroad/identifier"
@@ -15,8 +16,9 @@
 	withdrawn bool
 	state     specifier.State
 	endedAt   time.Time
-	// inherited means that a former holder may have started its tasks.
-	inherited   bool
+	// begun means that the journal says that tasks may have been started. Nothing
+	// is started before, so that the next holder knows which jobs to look for.
+	begun       bool
 	occurrences []*occurrence
 	// arrival orders jobs by their place in the journal.
 	arrival uint64
@@ -49,21 +51,34 @@
 
 // task is one task of a step.
 type task struct {
-	done     bool
-	failures int
-	// failedRun is the newest run that failed.
-	failedRun  uint64
+	done bool
+	// failedRuns are the runs that failed.
+	failedRuns []uint64
 	checkpoint string
 	// saved is how far the checkpoint is, in percent, as far as known.
 	saved int
 	// run is the run that may be going on, nil if there is none.
 	run *run
+	// unaccounted means that a former holder may have started the task on a
+	// minion that has not been heard of.
+	unaccounted bool
+	// heard means that an end of such a task was listed. It may not be the last.
+	heard bool
 	// notBefore keeps the task from being started again at once.
 	notBefore time.Time
 	// avoid is the minion on which the task failed last.
 	avoid identifier.Minion
 }
 
+// addFailure notes a failed run and reports whether it was not known.
+func (task *task) addFailure(run uint64) bool {
+	if slices.Contains(task.failedRuns, run) {
+		return false
+	}
+	task.failedRuns = append(task.failedRuns, run)
+	return true
+}
+
 func newOccurrence(job *job, number int) *occurrence {
 	occurrence := &occurrence{job: job, number: number, due: job.spec.Due(number)}
 	for index := range job.spec.Steps {
@@ -99,7 +114,7 @@
 	var indexes []int
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if !task.done && task.run == nil && !now.Before(task.notBefore) {
+		if !task.done && task.run == nil && !task.unaccounted && !now.Before(task.notBefore) {
 			indexes = append(indexes, index)
 		}
 	}
@@ -137,7 +152,7 @@
 
 // reset returns the job to what the journal says about it.
 func (job *job) reset() {
-	job.state, job.endedAt, job.inherited, job.dropping = specifier.Queued, time.Time{}, false, false
+	job.state, job.endedAt, job.begun, job.dropping = specifier.Queued, time.Time{}, false, false
 	if !job.submitted {
 		return
 	}
@@ -152,6 +167,7 @@
 
 // apply takes recorded progress. What is already known is never undone.
 func (job *job) apply(progress *specifier.Progress) {
+	job.begun = job.begun || progress.State >= specifier.Running
 	if progress.State > job.state {
 		job.state, job.endedAt = progress.State, progress.EndedAt
 	}
@@ -164,8 +180,9 @@
 			task.done = true
 			step.done++
 		}
-		task.failures = max(task.failures, known.Failures)
-		task.failedRun = max(task.failedRun, known.FailedRun)
+		for _, run := range known.FailedRuns {
+			task.addFailure(run)
+		}
 		if known.Checkpoint != "" {
 			task.checkpoint = known.Checkpoint
 		}
@@ -182,10 +199,10 @@
 		for _, step := range occurrence.steps {
 			for index := range step.tasks {
 				task := &step.tasks[index]
-				if task.done || task.failures > 0 || task.checkpoint != "" {
+				if task.done || len(task.failedRuns) > 0 || task.checkpoint != "" {
 					progress.Tasks = append(progress.Tasks, specifier.TaskProgress{
 						Occurrence: occurrence.number, Step: step.number, Index: index,
-						Done: task.done, Failures: task.failures, FailedRun: task.failedRun, Checkpoint: task.checkpoint,
+						Done: task.done, FailedRuns: slices.Clone(task.failedRuns), Checkpoint: task.checkpoint,
 					})
 				}
 			}
--- a/planner/look.go
+++ b/planner/look.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		stopped := run.state == stopping && !run.stopAckedAt.IsZero() && run.stopAckedAt.Before(sentAt)
-		vanished := run.state == working && run.startedAt.Add(answerTimeout).Before(sentAt)
+		vanished := run.state == working && run.knownAt.Before(sentAt)
 		if stopped || vanished {
 			planner.lose(now, run, "the minion does not have it")
 		}
@@ -81,7 +81,7 @@
 	}
 	run := &run{
 		id: report.Task, number: report.Run, step: step, minion: minion, state: working,
-		startedAt: now, progressAt: now,
+		startedAt: now, knownAt: now, progressAt: now,
 	}
 	minion.add(run)
 	if !step.occurrence.job.open() || task.done || task.run != nil {
@@ -89,6 +89,7 @@
 		return run
 	}
 	task.run = run
+	planner.account(task)
 	planner.decide(report.Task.String(), "adopt", "found on a minion",
 		fmt.Sprintf("run=%d minion=%s percent=%d", report.Run, minion.report.Minion, report.Percent), 0)
 	return run
@@ -109,6 +110,10 @@
 	if task == nil {
 		return
 	}
+	task.heard = true
+	if planner.hold.confirmed {
+		planner.account(task)
+	}
 	known := step.occurrence.job
 	age := time.Duration(0)
 	if ok {
@@ -159,17 +164,13 @@
 	planner.recording.mark(step.occurrence.job)
 }
 
-// fail counts a failed run. An end that was recorded before, or that another
-// member of the same run of a gang has brought, counts once.
+// fail counts a failed run. An end that was recorded before counts once.
 func (planner *Planner) fail(now time.Time, step *step, task *task, run uint64, minion *minion) {
 	task.avoid = minion.report.Minion
 	planner.strike(now, minion)
-	if step.spec.LongRunning || run <= step.failedRun(task) {
-		return
+	if !step.spec.LongRunning && task.addFailure(run) {
+		planner.recording.mark(step.occurrence.job)
 	}
-	task.failures++
-	task.failedRun = run
-	planner.recording.mark(step.occurrence.job)
 }
 
 // conclude ends a job that is complete or whose task has failed too often.
@@ -195,27 +196,20 @@
 	}
 }
 
-// failedRun returns the newest failed run of a task, or of its whole gang.
-func (step *step) failedRun(task *task) uint64 {
-	newest := task.failedRun
-	if step.spec.Gang {
-		for index := range step.tasks {
-			newest = max(newest, step.tasks[index].failedRun)
-		}
-	}
-	return newest
-}
-
 // failures returns how often the task that failed most has failed. The members
-// of a gang share their attempts.
+// of a gang share their attempts: one run counts once, however many fail in it.
 func (step *step) failures() int {
-	most, sum := 0, 0
+	most := 0
+	runs := make(map[uint64]bool)
 	for index := range step.tasks {
-		most = max(most, step.tasks[index].failures)
-		sum += step.tasks[index].failures
+		failed := step.tasks[index].failedRuns
+		most = max(most, len(failed))
+		for _, run := range failed {
+			runs[run] = true
+		}
 	}
 	if step.spec.Gang {
-		return sum
+		return len(runs)
 	}
 	return most
 }
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -123,13 +123,13 @@
 		return
 	}
 	lost := world.source.Float64() < world.loseAnswers
-	world.after(latency, func() {
+	world.after(latency+time.Duration(world.source.Int64N(int64(world.spread+1))), func() {
 		execute(func(answered messenger.OrderAnswered) {
 			if lost {
 				world.after(order.Timeout, func() { world.step(node, unknown) })
 				return
 			}
-			world.after(latency, func() { world.step(node, answered) })
+			world.after(latency+time.Duration(world.source.Int64N(int64(world.spread+1))), func() { world.step(node, answered) })
 		})
 	})
 }
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -54,7 +54,7 @@
 	var all []*waiting
 	for _, known := range planner.live {
 		queue, ok := planner.policy.Queue(known.spec.Queue)
-		if !ok || (known.inherited && !planner.hold.settled) {
+		if !ok {
 			continue
 		}
 		for _, occurrence := range known.occurrences {
@@ -74,7 +74,7 @@
 
 // waiting returns the step with its urgency, nil if it has nothing to start.
 func (step *step) waiting(now time.Time, queue specifier.Queue) *waiting {
-	if step.complete() || !step.ready() {
+	if step.complete() || !step.ready() || (step.spec.Gang && step.unaccounted()) {
 		step.waitingSince = time.Time{}
 		return nil
 	}
@@ -90,6 +90,16 @@
 	return &waiting{step: step, queue: queue, indexes: indexes, latest: latest, hopeless: now.After(latest)}
 }
 
+// unaccounted reports whether a task of the step may run unheard of.
+func (step *step) unaccounted() bool {
+	for index := range step.tasks {
+		if step.tasks[index].unaccounted {
+			return true
+		}
+	}
+	return false
+}
+
 // latestStart returns when the step must start for the occurrence to end within
 // the queue's objective, by the submitter's estimates.
 func (step *step) latestStart(queue specifier.Queue) time.Time {
--- a/planner/place.go
+++ b/planner/place.go
@@ -26,6 +26,13 @@
 	if !planner.ticketed(now, waiting, chosen, fleet) {
 		return true // waits for advice, not for room
 	}
+	if known := step.occurrence.job; !known.begun {
+		if known.state == specifier.Queued {
+			known.state = specifier.Running
+			planner.recording.mark(known)
+		}
+		return true // starts once the record is durable
+	}
 	number := planner.nextRun()
 	for place, minion := range chosen {
 		if !step.spec.Gang {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -104,7 +104,7 @@
 	for _, entry := range world.journal {
 		if progressed, ok := entry.(messenger.Progressed); ok {
 			for _, task := range progressed.Progress.Tasks {
-				if task.Failures > 0 {
+				if len(task.FailedRuns) > 0 {
 					return true
 				}
 			}
@@ -150,6 +150,7 @@
 		world.loseAnswers = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lose-answers")
 		world.late = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "late")
 		world.loseRecords = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "lose-records")
+		world.spread = rapid.SampledFrom([]time.Duration{0, 60 * time.Millisecond, 400 * time.Millisecond}).Draw(t, "spread")
 		failing := rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "failing")
 		world.fail = func(*fakeRun) bool { return world.source.Float64() < failing }
 		for _, minion := range world.sorted() {
@@ -159,7 +160,7 @@
 		count := drawJobs(t, world)
 		disturb(t, world)
 		world.run(14 * time.Second)
-		world.loseAnswers, world.late, world.loseRecords, failing = 0, 0, 0, 0
+		world.loseAnswers, world.late, world.loseRecords, world.spread, failing = 0, 0, 0, 0, 0
 		world.run(60 * time.Second)
 		world.checkAttempts()
 		if len(world.failures) > 0 {
@@ -180,6 +181,10 @@
 // earliest.
 const silence = 1400 * time.Millisecond
 
+// learns is how long after another node's claim a former holder that is cut off
+// from the store renews leases at the most in this test.
+const learns = 200 * time.Millisecond
+
 // disturb schedules takeovers, crashes and cuts within the first 12 seconds.
 func disturb(t *rapid.T, world *world) {
 	at := time.Duration(0)
@@ -189,11 +194,18 @@
 		told := rapid.Bool().Draw(t, "told")
 		world.after(at, func() {
 			for _, node := range world.nodes {
-				if node.token != 0 {
-					node.token = 0 // its renewals end, whether it learns so or not
-					if told {
-						world.step(node, messenger.HolderChanged{})
-					}
+				if node.token == 0 {
+					continue
+				}
+				node.token = 0 // its renewals end, whether it learns so now or later
+				if told {
+					world.step(node, messenger.HolderChanged{})
+				} else {
+					world.after(silence+learns, func() {
+						if node.token == 0 {
+							world.step(node, messenger.HolderChanged{})
+						}
+					})
 				}
 			}
 			world.after(silence, func() { world.crown(next) })
@@ -203,6 +215,17 @@
 		minion := world.sorted()[rapid.IntRange(0, 15).Draw(t, "minion")]
 		at := time.Duration(rapid.IntRange(100, 10000).Draw(t, "fault-at")) * time.Millisecond
 		span := time.Duration(rapid.IntRange(100, 8000).Draw(t, "fault-for")) * time.Millisecond
+		if rapid.Bool().Draw(t, "unlisted") {
+			// The minion is cut off from the store: its entry has run out, and it works on.
+			world.after(at, func() { minion.unlisted = true })
+			world.after(at+span, func() {
+				minion.unlisted = false
+				for _, node := range world.nodes {
+					world.report(node)
+				}
+			})
+			continue
+		}
 		if rapid.Bool().Draw(t, "crash") {
 			world.after(at, func() { minion.crash() })
 			world.after(at+span, func() {
--- a/planner/record.go
+++ b/planner/record.go
@@ -8,6 +8,7 @@
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // recording makes durable what the holder learns. One record is under way at a
@@ -114,6 +115,10 @@
 	}
 	recording.underWay = false
 	if event.Err == nil {
+		for _, update := range recording.sent.Updates {
+			planner.jobs[update.Job].begun = update.Progress.State >= specifier.Running
+		}
+		planner.changed = true
 		recording.sent = nil
 		planner.cover(now)
 		return
--- a/planner/run.go
+++ b/planner/run.go
@@ -33,6 +33,8 @@
 	tries     int
 	// ticket is what the advice service gave for the run.
 	ticket string
+	// knownAt is when the minion was first known to have the run.
+	knownAt time.Time
 	// stopAckedAt is when the minion acknowledged the order to stop.
 	stopAckedAt time.Time
 
@@ -67,10 +69,6 @@
 	step.tasks[index].run = run
 	minion.add(run)
 	known := run.job()
-	if known.state == specifier.Queued {
-		known.state = specifier.Running
-		planner.recording.mark(known)
-	}
 	planner.decide(run.id.String(), "start", "placed",
 		fmt.Sprintf("run=%d minion=%s", number, minion.report.Minion), now.Sub(known.spec.AcceptedAt))
 	planner.sendStart(now, run)
@@ -129,7 +127,7 @@
 	if event.Err == nil {
 		if run.state == starting {
 			run.state = working
-			run.progressAt = now
+			run.knownAt, run.progressAt = now, now
 		}
 		return
 	}
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -34,10 +34,12 @@
 	nodes   []*node
 	minions map[identifier.Minion]*fakeMinion
 	journal []messenger.JournalEntry
-	fence   identifier.Term
-	tokens  identifier.Term
-	tasks   map[specifier.Task]*truth
-	jobs    map[identifier.Job]*specifier.Job
+	// spread varies the delay of orders, so that answers overtake each other.
+	spread time.Duration
+	fence  identifier.Term
+	tokens identifier.Term
+	tasks  map[specifier.Task]*truth
+	jobs   map[identifier.Job]*specifier.Job
 	// cancelled holds when a cancellation was acknowledged.
 	cancelled map[identifier.Job]time.Time
 	failures  []string
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -48,10 +48,9 @@
 	Step       int
 	Index      int
 	Done       bool
-	Failures   int
-	// FailedRun is the newest run that failed. An end that is listed again to
-	// another holder, or by another member of a gang, is not counted twice.
-	FailedRun uint64
+	// FailedRuns lists the runs that failed. By their numbers an end that is listed
+	// again to another holder is not counted twice.
+	FailedRuns []uint64
 	// Checkpoint is where the next run resumes, empty for the start.
 	Checkpoint string
 }
