--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -25,6 +25,10 @@
 	answerMargin = 60 * time.Millisecond
 	// comeBack is the hint of a refusal: a claim or a short outage is over by then.
 	comeBack = time.Second
+	// silentFor is the time without any answer of the store after which a command
+	// whose append may be durable is given up. The journal is read at least once
+	// a second while the store answers.
+	silentFor = 1150 * time.Millisecond
 	// unheardFor is the time without any completed call to the store after which
 	// new commands are refused without an attempt.
 	unheardFor = 1500 * time.Millisecond
@@ -218,6 +222,10 @@
 		delete(registrar.commands, event.ID)
 		return refuse(command.request, command.job, event.Err.WithRetryAfter(comeBack))
 	}
+	if command.maybeDurable && now.Sub(registrar.heardAt) > silentFor {
+		delete(registrar.commands, event.ID)
+		return registrar.expire(command)
+	}
 	command.retryAt = now.Add(retryPause)
 	return nil
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -207,6 +207,19 @@
 	c.Assert(entry.answers["away"].Err.RetryAfter > 0, quicktest.IsTrue)
 }
 
+// TestLostOutcomeIsNotHeld guards against a command that is held until its
+// deadline although the store has become silent.
+func TestLostOutcomeIsNotHeld(t *testing.T) {
+	c := quicktest.New(t)
+	entry := newEntry(1)
+	entry.run(300 * time.Millisecond)
+	entry.silent = true
+	entry.run(300 * time.Millisecond)
+	entry.submit("lost", "a")
+	entry.run(1100 * time.Millisecond)
+	c.Assert(entry.answers["lost"].Err.Code, quicktest.Equals, classifier.OutcomeUnknown)
+}
+
 // TestCancellationOfJobOfAnotherEntry guards against a job that another entry
 // has just accepted being taken for unknown.
 func TestCancellationOfJobOfAnotherEntry(t *testing.T) {
