--- a/planner/look.go
+++ b/planner/look.go
@@ -31,6 +31,8 @@
 		planner.recording.note(minion)
 	}
 	planner.missing(now, minion, reported, event.SentAt)
+	planner.checkStalls(now, minion)
+	planner.leaving(now, minion)
 	minion.confirmed = true
 	switch {
 	case minion.seen < minion.listedEnd:
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -285,3 +285,40 @@
 	c.Assert(world.state("a"), quicktest.Equals, specifier.Completed)
 	c.Assert(world.failures, quicktest.HasLen, 0)
 }
+
+// TestStalledRunMoves guards against a run that stands still on a minion that
+// answers, and against further work for that minion.
+func TestStalledRunMoves(t *testing.T) {
+	c := quicktest.New(t)
+	world := newWorld(1, 1, 4)
+	world.crown(world.nodes[0])
+	sick := world.sorted()[0]
+	world.work = func(run *fakeRun) time.Duration {
+		if run.minion == sick {
+			return time.Hour
+		}
+		return run.spec.EstimatedRunTime
+	}
+	world.submit(jobOf("a", specifier.Step{Tasks: 4, Request: taskOf(1000, 4), EstimatedRunTime: 2 * time.Second}))
+	world.run(14 * time.Second)
+	c.Assert(world.state("a"), quicktest.Equals, specifier.Completed)
+	c.Assert(world.failures, quicktest.HasLen, 0)
+}
+
+// TestRunLeavesDrainingMinion guards against work with checkpoints that is lost
+// with a minion that leaves.
+func TestRunLeavesDrainingMinion(t *testing.T) {
+	c := quicktest.New(t)
+	world := newWorld(1, 1, 4)
+	world.crown(world.nodes[0])
+	world.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 20 * time.Second, Checkpoints: true}))
+	world.run(time.Second)
+	minion := world.sorted()[0]
+	c.Assert(minion.runs, quicktest.HasLen, 1)
+	report := minion.report()
+	report.Draining, report.Remaining = true, 3*time.Second
+	world.step(world.nodes[0], messenger.MinionsRead{Reports: []messenger.MinionReport{report}})
+	world.run(2500 * time.Millisecond)
+	c.Assert(minion.runs, quicktest.HasLen, 0)
+	c.Assert(world.truth(specifier.Task{Job: "a"}).running, quicktest.HasLen, 1)
+}
