Pace backfill tasks beside serving ones; remove the rule against stalls

Backfill tasks are slowed down at once when a serving task on their minion nears its latency target, and get their speed back step by step. TestBackfillIsPaced fails without the orders.

--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -115,6 +115,9 @@
 	}
 	if minion.confirmed && !minion.failing && len(minion.runs) > 0 && minion.seen == minion.listedEnd {
 		look.Wait = lookWait
+		if minion.sharing() {
+			look.Wait = sharedWait
+		}
 	}
 	minion.looking = true
 	minion.lookAt = time.Time{}
--- a/planner/look.go
+++ b/planner/look.go
@@ -31,8 +31,8 @@
 		planner.recording.note(minion)
 	}
 	planner.missing(now, minion, reported, event.SentAt)
-	planner.checkStalls(now, minion)
 	planner.leaving(now, minion)
+	planner.pace(now, minion)
 	minion.confirmed = true
 	switch {
 	case minion.seen < minion.listedEnd:
@@ -84,7 +84,7 @@
 	run := &run{
 		id: report.Task, number: report.Run, step: step, minion: minion, state: working,
 		startedAt: now, knownAt: now, progressAt: now,
-	}
+	} // how it is paced is not known, so that it is raised step by step
 	minion.add(run)
 	if !step.occurrence.job.open() || task.done || task.run != nil {
 		planner.stop(now, run, "the task has ended or runs elsewhere")
--- a/planner/place.go
+++ b/planner/place.go
@@ -206,7 +206,7 @@
 }
 
 // fill returns a minion for each of the first tasks that fit. Minions near the
-// data come first, then those with a ticket, then those that the tasks fill
+// data come first, then those where no serving task is disturbed, those with a ticket, then those that the tasks fill
 // best, in the racks that are used most.
 func (planner *Planner) fill(step *step, indexes []int, suitable []*minion) []*minion {
 	type option struct {
@@ -225,6 +225,7 @@
 	slices.SortFunc(options, func(one, other option) int {
 		return cmp.Or(
 			-compareBool(one.minion.rack == step.spec.DataRack, other.minion.rack == step.spec.DataRack),
+			compareBool(step.disturbs(one.minion), step.disturbs(other.minion)),
 			-compareBool(step.ticket(one.minion) != "", step.ticket(other.minion) != ""),
 			cmp.Compare(leftOver(one.free, request), leftOver(other.free, request)),
 			-cmp.Compare(used[one.minion.rack], used[other.minion.rack]),
@@ -240,6 +241,20 @@
 	return planner.avoidFailed(step, indexes, chosen)
 }
 
+// disturbs reports whether the step's tasks would share a minion between
+// serving and backfill tasks.
+func (step *step) disturbs(minion *minion) bool {
+	if !step.spec.Backfill && step.spec.LatencyTarget == 0 {
+		return false
+	}
+	for _, run := range minion.runs {
+		if (step.spec.Backfill && run.step.spec.LatencyTarget > 0) || (step.spec.LatencyTarget > 0 && run.step.spec.Backfill) {
+			return true
+		}
+	}
+	return false
+}
+
 // rackUse returns how much of each rack is in use. Empty racks are left for
 // steps that need one.
 func (planner *Planner) rackUse() map[identifier.Rack]int {
--- a/planner/run.go
+++ b/planner/run.go
@@ -43,6 +43,9 @@
 	progressAt time.Time
 	checkpoint string
 	load       float64
+	// paced is the share of its speed in percent, set at pacedAt.
+	paced   int
+	pacedAt time.Time
 }
 
 func (run *run) task() *task { return &run.step.tasks[run.id.Index] }
@@ -64,7 +67,7 @@
 func (planner *Planner) start(now time.Time, step *step, index int, minion *minion, number uint64, ticket string) {
 	run := &run{
 		id: step.id(index), number: number, step: step, minion: minion, state: starting,
-		startedAt: now, progressAt: now, ticket: ticket,
+		startedAt: now, progressAt: now, ticket: ticket, paced: wholeRun,
 	}
 	step.tasks[index].run = run
 	minion.add(run)
