--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"corianderroad/classifier"
@@ -212,6 +213,10 @@
 	if !minion.capacity.Holds(used) {
 		return classifier.NoCapacity
 	}
+	if job.Queue == advised && (world.now.After(world.services.tickets[sent.Ticket]) || !strings.HasPrefix(sent.Ticket, string(minion.name))) {
+		world.broken("%s: no valid ticket for %s", sent.Task, minion.name)
+		return classifier.NoTicket
+	}
 	world.checkStart(run)
 	minion.runs[sent.Task] = run
 	world.truth(sent.Task).running[run] = true
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -18,6 +18,7 @@
 	pool       = identifier.Service("pool")
 	draws      = identifier.Queue("draws")
 	swaps      = identifier.Queue("swaps")
+	advised    = identifier.Queue("advised")
 	attempts   = 3
 	latency    = 5 * time.Millisecond
 	appendTime = 10 * time.Millisecond
@@ -42,6 +43,7 @@
 	jobs   map[identifier.Job]*specifier.Job
 	// cancelled holds when a cancellation was acknowledged.
 	cancelled map[identifier.Job]time.Time
+	services  *services
 	failures  []string
 	lines     []string
 
@@ -103,8 +105,9 @@
 		now: time.Unix(1_000_000, 0), source: rand.New(rand.NewPCG(seed, 1)),
 		minions: make(map[identifier.Minion]*fakeMinion), tasks: make(map[specifier.Task]*truth),
 		jobs: make(map[identifier.Job]*specifier.Job), cancelled: make(map[identifier.Job]time.Time),
-		fail: func(*fakeRun) bool { return false },
-		work: func(run *fakeRun) time.Duration { return run.spec.EstimatedRunTime },
+		services: newServices(),
+		fail:     func(*fakeRun) bool { return false },
+		work:     func(run *fakeRun) time.Duration { return run.spec.EstimatedRunTime },
 	}
 	for index := range minions {
 		name := identifier.Minion(fmt.Sprintf("m%02d", index))
@@ -129,8 +132,10 @@
 	queue := func(name identifier.Queue, priority int) specifier.Queue {
 		return specifier.Queue{Name: name, Service: pool, Priority: priority, Attempts: attempts, Stretch: 3, Slack: time.Second}
 	}
+	withAdvice := queue(advised, 1)
+	withAdvice.Advice = &specifier.Advice{Decision: adviceTime, Valid: ticketValid}
 	return &specifier.Policy{
-		Version: 1, Queues: []specifier.Queue{queue(draws, 1), queue(swaps, 0)},
+		Version: 1, Queues: []specifier.Queue{queue(draws, 1), queue(swaps, 0), withAdvice},
 		Services: []specifier.Service{{Name: pool, EnforcesCapacity: true}},
 	}
 }
@@ -202,6 +207,8 @@
 		if node.token == action.Token {
 			node.token = 0
 		}
+	default:
+		world.performService(node, action)
 	}
 }
 
