--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -193,7 +193,7 @@
 	due := claimer.quietSince.Add(Silence + claimer.delay + claimer.jitter)
 	if claimer.token != 0 {
 		due = claimer.confirmedAt.Add(RenewEvery)
-	} else if claimer.newest == nil || claimer.newest.Released {
+	} else if claimer.newest == nil || claimer.newest.Released || claimer.isEarlierLife(claimer.newest) {
 		due = claimer.quietSince.Add(claimer.delay + claimer.jitter)
 	}
 	return later(due, claimer.notUntil)
@@ -243,6 +243,12 @@
 	return claim.Node == claimer.node && claim.Incarnation == claimer.incarnation
 }
 
+// isEarlierLife reports whether an earlier process of this node made the claim.
+// It has ended, so that there is nothing to wait for.
+func (claimer *Claimer) isEarlierLife(claim *messenger.Claim) bool {
+	return claim.Node == claimer.node && claim.Incarnation < claimer.incarnation
+}
+
 // newestToken returns the token of the newest claim.
 func (claimer *Claimer) newestToken() identifier.Term {
 	if claimer.newest.Token != 0 {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -257,3 +257,27 @@
 	spend(300 * time.Millisecond)
 	c.Assert(other.token, quicktest.Not(quicktest.Equals), identifier.Term(0))
 }
+
+// TestRestartedHolderClaimsAtOnce guards against a holder that waits, after its
+// own restart, for the silence of its earlier process.
+func TestRestartedHolderClaimsAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	store := &store{source: rand.New(rand.NewPCG(1, 1))}
+	members := []*member{newMember(0, 1), newMember(1, 1)}
+	now := time.Unix(1_000_000, 0)
+	spend := func(span time.Duration) {
+		for end := now.Add(span); now.Before(end); now = now.Add(tick) {
+			for _, member := range members {
+				member.advance(now, store)
+			}
+		}
+	}
+	spend(2 * time.Second)
+	holder := 0
+	if members[1].token != 0 {
+		holder = 1
+	}
+	members[holder] = newMember(holder, 2)
+	spend(400 * time.Millisecond)
+	c.Assert(members[holder].sure(now), quicktest.IsTrue)
+}
