--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -121,12 +121,26 @@
 	}
 	carrier := carrier{assembler}
 	assembler.duties = append(assembler.duties,
-		runner.New(claimer.New(settings.Node, incarnation, source), assembler.claims, assembler.claimQueries, carrier, assembler.clock),
+		runner.New(claimer.New(settings.Node, incarnation, handicap(settings.Cores), source), assembler.claims, assembler.claimQueries, carrier, assembler.clock),
 		runner.New(registrar.New(), assembler.entries, assembler.jobQueries, carrier, assembler.clock),
 		runner.New(planner.New(settings.Node, bounds), assembler.plans, assembler.planQueries, carrier, assembler.clock),
 		assembler.answers)
 }
 
+// Handicap of weak nodes, since the holder works more than the others.
+const (
+	handicapOfOneCore = 40 * time.Millisecond
+	longestHandicap   = 300 * time.Millisecond
+)
+
+// handicap returns how long a node lets stronger ones claim first.
+func handicap(cores float64) time.Duration {
+	if cores <= 0 {
+		return 0
+	}
+	return min(time.Duration(float64(handicapOfOneCore)/cores), longestHandicap)
+}
+
 // Reads of the topics. Records of the journal come in few reads on nodes that
 // only answer queries from them; the holder reads them as they come.
 const (
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -32,10 +32,9 @@
 	retryPause = 100 * time.Millisecond
 	// delayPerTrip makes nodes near the store claim first, by the time that a
 	// read takes them.
-	delayPerTrip = 4
-	longestDelay = 400 * time.Millisecond
-	// jitter keeps nodes of one failure domain from claiming together.
-	jitter = 60 * time.Millisecond
+	delayPerTrip  = 4
+	longestDelay  = 400 * time.Millisecond
+	longestJitter = 60 * time.Millisecond
 )
 
 // Claimer is not safe for concurrent use.
@@ -43,7 +42,10 @@
 	node        identifier.Node
 	incarnation identifier.Incarnation
 	delay       time.Duration
-	jitter      time.Duration
+	// handicap and jitter are added to the delay, so that strong nodes claim first
+	// and those of one failure domain not together.
+	handicap time.Duration
+	jitter   time.Duration
 
 	// newest is the newest claim that was read, nil before the first.
 	newest *messenger.Claim
@@ -65,11 +67,12 @@
 	releasing identifier.Term
 }
 
-// New returns the machine of a node.
-func New(node identifier.Node, incarnation identifier.Incarnation, source *rand.Rand) *Claimer {
+// New returns the machine of a node. The handicap delays its claims: the weaker
+// the node, the longer.
+func New(node identifier.Node, incarnation identifier.Incarnation, handicap time.Duration, source *rand.Rand) *Claimer {
 	return &Claimer{
-		node: node, incarnation: incarnation, delay: longestDelay,
-		jitter: time.Duration(source.Int64N(int64(jitter))),
+		node: node, incarnation: incarnation, delay: longestDelay, handicap: handicap,
+		jitter: time.Duration(source.Int64N(int64(longestJitter))),
 	}
 }
 
@@ -190,11 +193,11 @@
 	if claimer.leaving || claimer.lastRead.IsZero() {
 		return time.Time{}
 	}
-	due := claimer.quietSince.Add(Silence + claimer.delay + claimer.jitter)
+	due := claimer.quietSince.Add(Silence + claimer.delay + claimer.handicap + claimer.jitter)
 	if claimer.token != 0 {
 		due = claimer.confirmedAt.Add(RenewEvery)
 	} else if claimer.newest == nil || claimer.newest.Released || claimer.isEarlierLife(claimer.newest) {
-		due = claimer.quietSince.Add(claimer.delay + claimer.jitter)
+		due = claimer.quietSince.Add(claimer.delay + claimer.handicap + claimer.jitter)
 	}
 	return later(due, claimer.notUntil)
 }
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -67,7 +67,7 @@
 func newMember(index, life int) *member {
 	name := fmt.Sprintf("n%d", index)
 	source := rand.New(rand.NewPCG(uint64(index), uint64(life)))
-	return &member{claimer: claimer.New(identifier.Node(name), identifier.Incarnation(life), source), name: name, life: life}
+	return &member{claimer: claimer.New(identifier.Node(name), identifier.Incarnation(life), 0, source), name: name, life: life}
 }
 
 // step gives an event to the node and its appends to the store.
