Start a failed task on another minion; remove what is not used

TestFailedTaskGoesElsewhere failed before.

Removes bounds, services and limits that nothing read, honours the configuration's limit of bodies, converts errors in one place (classifier.Wrap), and guards the fakes of the tailer's test, which the race detector caught.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -116,8 +116,8 @@
 	source := rand.New(rand.NewPCG(uint64(incarnation), uint64(len(settings.Node)))) // nodes must not choose alike
 	bounds := planner.Bounds{
 		LongestLease: settings.Bounds.LongestLease, StopTimeout: settings.Bounds.StopTimeout,
-		GangTimeout: settings.Bounds.GangTimeout, StatusKept: settings.Bounds.StatusKept + statusMargin,
-		Upkeep: settings.Bounds.Upkeep, Reclaim: settings.Bounds.Reclaim, RemoteSlowdown: settings.Bounds.RemoteSlowdown,
+		StatusKept: settings.Bounds.StatusKept + statusMargin,
+		Upkeep:     settings.Bounds.Upkeep, Reclaim: settings.Bounds.Reclaim,
 	}
 	carrier := carrier{assembler}
 	assembler.duties = append(assembler.duties,
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -77,7 +77,7 @@
 		Node: "n", FailureDomain: "a", Region: "r", Front: freeAddress(c), Readiness: freeAddress(c), Metrics: freeAddress(c),
 		Store: fake.Address(), Bounds: platform.Bounds{
 			Grace: 2600 * time.Millisecond, Revocation: 5 * time.Second, LongestLease: 6 * time.Second,
-			StopTimeout: 500 * time.Millisecond, GangTimeout: 3 * time.Second, StatusKept: time.Minute, Reclaim: 3 * time.Second,
+			StopTimeout: 500 * time.Millisecond, StatusKept: time.Minute, Reclaim: 3 * time.Second,
 		},
 	}
 	keeper, err := timekeeper.New()
--- a/assembler/carrier.go
+++ b/assembler/carrier.go
@@ -80,10 +80,7 @@
 }
 
 func offer[T any](ring *buffer.Ring[T], entry T) *classifier.Error {
-	if err := ring.Offer(entry); err != nil {
-		return classifier.New(classifier.Of(err), "%s", err.Error())
-	}
-	return nil
+	return classifier.Wrap(ring.Offer(entry))
 }
 
 // inlet takes events from I/O duties to the machines.
--- a/assembler/front.go
+++ b/assembler/front.go
@@ -24,6 +24,8 @@
 	// stopReserve is the part of the grace period that is kept for the last
 	// answers and the end of the process.
 	stopReserve = 2500 * time.Millisecond
+	// comeBack is the hint of a refusal for lack of room in a ring.
+	comeBack = time.Second
 	// lastAnswers bounds the wait for answers that are still being made.
 	lastAnswers = 1500 * time.Millisecond
 )
@@ -124,7 +126,7 @@
 		err = assembler.entries.Offer(event)
 	}
 	if err != nil {
-		return classifier.New(classifier.Of(err), "%s", err.Error()).WithRetryAfter(time.Second)
+		return classifier.Wrap(err).WithRetryAfter(comeBack)
 	}
 	select {
 	case answered := <-answer:
--- a/authorizer/authorizer.go
+++ b/authorizer/authorizer.go
@@ -31,8 +31,10 @@
 	// Workspace is empty for a public queue that was called without a key.
 	Workspace identifier.Workspace
 	// Rest is the path after the queue's prefix.
-	Rest    string
-	Version int64
+	Rest string
+	// MaxBodyBytes bounds the body, 0 for the default.
+	MaxBodyBytes int64
+	Version      int64
 	// Age is how long ago the policy was known to be in force.
 	Age time.Duration
 }
@@ -87,7 +89,7 @@
 			authorizer.policy.Version, age.Round(time.Millisecond))
 		return Admission{}, err.WithRetryAfter(comeBack)
 	}
-	admission := Admission{Version: authorizer.policy.Version, Age: age}
+	admission := Admission{Version: authorizer.policy.Version, Age: age, MaxBodyBytes: authorizer.policy.MaxBodyBytes}
 	found := false
 	for _, queue := range authorizer.queues[strings.ToLower(host)] {
 		if rest, ok := strings.CutPrefix(path, queue.PathPrefix); ok {
--- a/classifier/error.go
+++ b/classifier/error.go
@@ -23,6 +23,19 @@
 	return &Error{Code: code, Message: fmt.Sprintf(format, arguments...)}
 }
 
+// Wrap returns an error with its code, which is Internal if it has none. It
+// returns nil for nil.
+func Wrap(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var coded *Error
+	if errors.As(err, &coded) {
+		return coded
+	}
+	return New(Internal, "%s", err.Error())
+}
+
 // WithRetryAfter returns a copy of the error with a hint.
 func (err *Error) WithRetryAfter(hint time.Duration) *Error {
 	hinted := *err
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -84,7 +84,7 @@
 		for _, entry := range appended.Entries {
 			record, err := encoder.JournalRecord(entry)
 			if err != nil {
-				failure = coded(err)
+				failure = classifier.Wrap(err)
 				continue
 			}
 			records = append(records, record)
@@ -94,7 +94,7 @@
 		bounded, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := entries.log.Append(bounded, identifier.Journal, records)
 		cancel()
-		failure = coded(err)
+		failure = classifier.Wrap(err)
 	}
 	for _, appended := range batch {
 		if err := entries.inlet.Deliver(ctx, messenger.EntriesAppended{ID: appended.ID, Err: failure}); err != nil {
@@ -103,13 +103,3 @@
 	}
 	return nil
 }
-
-func coded(err error) *classifier.Error {
-	if err == nil {
-		return nil
-	}
-	if known, ok := err.(*classifier.Error); ok {
-		return known
-	}
-	return classifier.New(classifier.Of(err), "%s", err.Error())
-}
--- a/committer/holder.go
+++ b/committer/holder.go
@@ -47,7 +47,7 @@
 	if fence, ok := action.(messenger.FenceJournal); ok {
 		end, err := progress.log.AppendFenced(ctx, identifier.Journal, nil, fence.Token, 0)
 		progress.token, progress.sequence = fence.Token, 0
-		return messenger.JournalFenced{Token: fence.Token, End: end, Err: coded(err)}
+		return messenger.JournalFenced{Token: fence.Token, End: end, Err: classifier.Wrap(err)}
 	}
 	record := action.(messenger.RecordProgress)
 	return messenger.ProgressRecorded{Token: record.Token, Serial: record.Serial, Err: progress.record(ctx, record)}
@@ -61,7 +61,7 @@
 	for _, update := range record.Updates {
 		encoded, err := encoder.JournalRecord(update)
 		if err != nil {
-			return coded(err)
+			return classifier.Wrap(err)
 		}
 		records = append(records, encoded)
 	}
@@ -72,7 +72,7 @@
 	if err == nil {
 		progress.sequence++
 	}
-	return coded(err)
+	return classifier.Wrap(err)
 }
 
 // Claims appends claims and their renewals.
@@ -115,9 +115,9 @@
 	sentAt := claims.clock()
 	value, err := encoder.ClaimRecord(action.Claim)
 	if err != nil {
-		return messenger.ClaimAppended{Claim: action.Claim, SentAt: sentAt, Err: coded(err)}
+		return messenger.ClaimAppended{Claim: action.Claim, SentAt: sentAt, Err: classifier.Wrap(err)}
 	}
 	records := []encoder.KeyedRecord{{Key: claimKey, Value: value}}
 	offset, err := claims.log.AppendAt(ctx, identifier.Claims, records, action.At)
-	return messenger.ClaimAppended{Claim: action.Claim, Offset: offset, SentAt: sentAt, Err: coded(err)}
+	return messenger.ClaimAppended{Claim: action.Claim, Offset: offset, SentAt: sentAt, Err: classifier.Wrap(err)}
 }
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -126,21 +126,14 @@
 	defer cancel()
 	switch action := action.(type) {
 	case messenger.MaintainVM:
-		return messenger.VMMaintained{Sent: action, Err: coded(services.vms.Maintain(ctx, action))}
+		return messenger.VMMaintained{Sent: action, Err: classifier.Wrap(services.vms.Maintain(ctx, action))}
 	case messenger.ReportWave:
-		return messenger.WaveReported{Sent: action, Err: coded(services.vms.Report(ctx, action))}
+		return messenger.WaveReported{Sent: action, Err: classifier.Wrap(services.vms.Report(ctx, action))}
 	case messenger.AskAdvice:
 		tickets, valid, err := services.adviser.Advise(ctx, action)
-		return messenger.AdviceGiven{Sent: action, SentAt: sentAt, Tickets: tickets, Valid: valid, Err: coded(err)}
+		return messenger.AdviceGiven{Sent: action, SentAt: sentAt, Tickets: tickets, Valid: valid, Err: classifier.Wrap(err)}
 	default:
 		vms, err := services.vms.ListVMs(ctx)
-		return messenger.PoolVMsListed{VMs: vms, SentAt: sentAt, Err: coded(err)}
+		return messenger.PoolVMsListed{VMs: vms, SentAt: sentAt, Err: classifier.Wrap(err)}
 	}
 }
-
-func coded(err error) *classifier.Error {
-	if err == nil {
-		return nil
-	}
-	return classifier.New(classifier.Of(err), "%s", err.Error())
-}
--- a/planner/fleet.go
+++ b/planner/fleet.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"corianderroad/classifier"
-	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
 
@@ -213,12 +212,3 @@
 		}
 	}
 }
-
-// pool returns the minions that serve the queue of a job.
-func (planner *Planner) pool(known *job) identifier.Service {
-	queue, ok := planner.policy.Queue(known.spec.Queue)
-	if !ok {
-		return ""
-	}
-	return queue.Service
-}
--- a/planner/job.go
+++ b/planner/job.go
@@ -58,8 +58,6 @@
 	// failedRuns are the runs that failed.
 	failedRuns []uint64
 	checkpoint string
-	// saved is how far the checkpoint is, in percent, as far as known.
-	saved int
 	// run is the run that may be going on, nil if there is none.
 	run *run
 	// unaccounted means that a former holder may have started the task on a
--- a/planner/look.go
+++ b/planner/look.go
@@ -151,11 +151,7 @@
 	planner.decide(end.Task.String(), "run-ended", end.How.String(),
 		fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), age)
 	if end.Checkpoint != "" && !task.done {
-		percent := 0
-		if ok {
-			percent = run.percent
-		}
-		planner.keepCheckpoint(known, task, end.Checkpoint, percent)
+		planner.keepCheckpoint(known, task, end.Checkpoint)
 	}
 	switch end.How {
 	case messenger.EndDone:
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -9,16 +9,12 @@
 	LongestLease time.Duration
 	// StopTimeout bounds the end of a run that was told to stop.
 	StopTimeout time.Duration
-	// GangTimeout is how long a member of a gang waits for the others.
-	GangTimeout time.Duration
 	// StatusKept is how long the state of an ended job stays readable.
 	StatusKept time.Duration
 	// Upkeep is how long a VM is away for its upkeep.
 	Upkeep time.Duration
 	// Reclaim is the time within which guaranteed work must have begun.
 	Reclaim time.Duration
-	// RemoteSlowdown is how much longer a task takes away from its data or its rack.
-	RemoteSlowdown float64
 }
 
 // Leases.
--- a/planner/place.go
+++ b/planner/place.go
@@ -233,12 +233,28 @@
 		)
 	})
 	var chosen []*minion
-	for _, option := range options {
-		for used := 0; used < option.room && len(chosen) < len(indexes); used++ {
-			chosen = append(chosen, option.minion)
+	for _, index := range indexes {
+		best := -1
+		for place := range options {
+			if options[place].room == 0 {
+				continue
+			}
+			if best < 0 {
+				best = place
+			}
+			// A task returns to the minion on which it failed last only if no other has room.
+			if options[place].minion.report.Minion != step.tasks[index].avoid {
+				best = place
+				break
+			}
 		}
+		if best < 0 {
+			break
+		}
+		options[best].room--
+		chosen = append(chosen, options[best].minion)
 	}
-	return planner.avoidFailed(step, indexes, chosen)
+	return chosen
 }
 
 // disturbs reports whether the step's tasks would share a minion between
@@ -265,24 +281,6 @@
 	return used
 }
 
-// avoidFailed swaps tasks among the chosen minions, so that a task does not
-// return to the minion on which it failed last, as far as possible.
-func (planner *Planner) avoidFailed(step *step, indexes []int, chosen []*minion) []*minion {
-	for place := range chosen {
-		avoid := step.tasks[indexes[place]].avoid
-		if avoid == "" || chosen[place].report.Minion != avoid {
-			continue
-		}
-		for other := range chosen {
-			if chosen[other].report.Minion != avoid && step.tasks[indexes[other]].avoid != avoid {
-				chosen[place], chosen[other] = chosen[other], chosen[place]
-				break
-			}
-		}
-	}
-	return chosen
-}
-
 // leftOver weighs what a minion has left beyond a request. Accelerators go
 // first: large blocks of them are the rarest.
 func leftOver(free, request specifier.Resources) int {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -353,3 +353,17 @@
 	c.Assert(world.truth(specifier.Task{Job: "a"}).running, quicktest.HasLen, 0)
 	c.Assert(world.failures, quicktest.HasLen, 0)
 }
+
+// TestFailedTaskGoesElsewhere guards against a sick minion that uses up all
+// attempts of a task.
+func TestFailedTaskGoesElsewhere(t *testing.T) {
+	c := quicktest.New(t)
+	world := newWorld(1, 1, 4)
+	world.crown(world.nodes[0])
+	sick := world.sorted()[0]
+	world.fail = func(run *fakeRun) bool { return run.minion == sick }
+	world.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Second}))
+	world.run(4 * time.Second)
+	c.Assert(world.state("a"), quicktest.Equals, specifier.Completed)
+	c.Assert(world.truth(specifier.Task{Job: "a"}).starts, quicktest.HasLen, 2)
+}
--- a/planner/run.go
+++ b/planner/run.go
@@ -167,7 +167,7 @@
 // lose takes a run for certain not to run, without an end that its minion lists.
 func (planner *Planner) lose(now time.Time, run *run, reason string) {
 	if run.checkpoint != "" {
-		planner.keepCheckpoint(run.job(), run.task(), run.checkpoint, run.percent)
+		planner.keepCheckpoint(run.job(), run.task(), run.checkpoint)
 	}
 	planner.decide(run.id.String(), "run-lost", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.percent), now.Sub(run.startedAt))
@@ -204,10 +204,10 @@
 }
 
 // keepCheckpoint keeps where the next run of a task resumes.
-func (planner *Planner) keepCheckpoint(known *job, task *task, checkpoint string, percent int) {
+func (planner *Planner) keepCheckpoint(known *job, task *task, checkpoint string) {
 	if task.checkpoint == checkpoint {
 		return
 	}
-	task.checkpoint, task.saved = checkpoint, percent
+	task.checkpoint = checkpoint
 	planner.recording.mark(known)
 }
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -121,8 +121,8 @@
 
 func (world *world) newNode(name string) *node {
 	node := &node{name: identifier.Node(name), alive: true, planner: planner.New(identifier.Node(name), planner.Bounds{
-		LongestLease: longest, StopTimeout: 500 * time.Millisecond, GangTimeout: 3 * time.Second, StatusKept: time.Hour,
-		Upkeep: 2 * time.Second, Reclaim: 3 * time.Second, RemoteSlowdown: 3,
+		LongestLease: longest, StopTimeout: 500 * time.Millisecond, StatusKept: time.Hour,
+		Upkeep: 2 * time.Second, Reclaim: 3 * time.Second,
 	})}
 	world.step(node, messenger.PolicyRead{Policy: policy(), SentAt: world.now})
 	return node
@@ -136,7 +136,6 @@
 	withAdvice.Advice = &specifier.Advice{Decision: adviceTime, Valid: ticketValid}
 	return &specifier.Policy{
 		Version: 1, Queues: []specifier.Queue{queue(draws, 1), queue(swaps, 0), withAdvice},
-		Services: []specifier.Service{{Name: pool, EnforcesCapacity: true}},
 	}
 }
 
--- a/server/carrier.go
+++ b/server/carrier.go
@@ -68,16 +68,16 @@
 	case messenger.CallMinion:
 		if err := server.minionCalls.Offer(action); err != nil {
 			return messenger.MinionAnswered{
-				Minion: action.Minion, Request: action.Request, Attempt: action.Attempt, Err: coded(err), Busy: -1,
+				Minion: action.Minion, Request: action.Request, Attempt: action.Attempt, Err: classifier.Wrap(err), Busy: -1,
 			}, nil
 		}
 	case messenger.QuerySlots:
 		if err := server.slotAsks.Offer(action); err != nil {
-			return messenger.SlotsAnswered{Minion: action.Minion, Err: coded(err)}, nil
+			return messenger.SlotsAnswered{Minion: action.Minion, Err: classifier.Wrap(err)}, nil
 		}
 	case messenger.CallWorker:
 		if err := server.workerCalls.Offer(action); err != nil {
-			return action.Refused(coded(err)), nil
+			return action.Refused(classifier.Wrap(err)), nil
 		}
 	case messenger.CallAnswered:
 		return nil, server.calls.Resolve(ctx, action.Request, action)
@@ -108,10 +108,6 @@
 	}
 }
 
-func coded(err error) *classifier.Error {
-	return classifier.New(classifier.Of(err), "%s", err.Error())
-}
-
 // sink takes events from I/O duties to the machines.
 type sink struct {
 	server *Server
--- a/specifier/policy.go
+++ b/specifier/policy.go
@@ -11,9 +11,9 @@
 type Policy struct {
 	Version    int64
 	Queues     []Queue
-	Services   []Service
 	Workspaces []Workspace
-	Limits     Limits
+	// MaxBodyBytes bounds the body of a request, 0 for the default.
+	MaxBodyBytes int64
 }
 
 // Queue is a queue of jobs that a host and a path prefix select.
@@ -47,17 +47,6 @@
 	Valid     time.Duration
 }
 
-// Service is a pool of minions.
-type Service struct {
-	Name identifier.Service
-	// EnforcesCapacity means that the minions themselves refuse what does not fit.
-	EnforcesCapacity bool
-	// Standby means that the VMs of the pool are powered off.
-	Standby bool
-	// MaxConnections bounds the connections to one minion, 0 for no bound.
-	MaxConnections int
-}
-
 // Workspace is a tenant with its keys and its guarantee.
 type Workspace struct {
 	Name identifier.Workspace
@@ -66,14 +55,6 @@
 	Guaranteed int
 }
 
-// Limits bound the requests of callers. Zero means the default.
-type Limits struct {
-	MaxHeaderBytes int
-	MaxBodyBytes   int64
-	HeaderTimeout  time.Duration
-	IdleTimeout    time.Duration
-}
-
 // Queue returns the queue of the given name.
 func (policy *Policy) Queue(name identifier.Queue) (Queue, bool) {
 	for _, queue := range policy.Queues {
@@ -83,13 +64,3 @@
 	}
 	return Queue{}, false
 }
-
-// Service returns the service of the given name.
-func (policy *Policy) Service(name identifier.Service) (Service, bool) {
-	for _, service := range policy.Services {
-		if service.Name == name {
-			return service, true
-		}
-	}
-	return Service{}, false
-}
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,7 @@
 
 // fakeLog is a topic whose history can be trimmed and whose calls can hang.
 type fakeLog struct {
+	mutex   sync.Mutex
 	records []tailer.Record
 	trimmed identifier.Offset
 	hang    bool
@@ -22,11 +24,29 @@
 	reads   int
 }
 
+// change changes the log beside the reader.
+func (log *fakeLog) change(apply func()) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	apply()
+}
+
+// counts returns how often the log was listed and read.
+func (log *fakeLog) counts() (lists, reads int) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
+	return log.lists, log.reads
+}
+
 func (log *fakeLog) add(key, value string) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
 	log.records = append(log.records, tailer.Record{Offset: identifier.Offset(len(log.records)), Key: key, Value: []byte(value)})
 }
 
 func (log *fakeLog) Newest(context.Context, identifier.Topic) ([]tailer.Record, identifier.Offset, error) {
+	log.mutex.Lock()
+	defer log.mutex.Unlock()
 	log.lists++
 	newest := make(map[string]tailer.Record)
 	for _, record := range log.records {
@@ -40,22 +60,31 @@
 }
 
 func (log *fakeLog) Read(ctx context.Context, _ identifier.Topic, from identifier.Offset, wait time.Duration) ([]tailer.Record, identifier.Offset, error) {
+	log.mutex.Lock()
 	log.reads++
-	if log.hang {
+	hang, trimmed := log.hang, from < log.trimmed
+	log.mutex.Unlock()
+	if hang {
 		<-ctx.Done()
 		return nil, 0, classifier.New(classifier.OutcomeUnknown, "no answer")
 	}
-	if from < log.trimmed {
+	if trimmed {
 		return nil, 0, classifier.New(classifier.HistoryTrimmed, "trimmed")
 	}
-	for waited := time.Duration(0); waited < wait && int(from) >= len(log.records); waited += 10 * time.Millisecond {
+	for waited := time.Duration(0); ; waited += 10 * time.Millisecond {
+		log.mutex.Lock()
+		records := append([]tailer.Record(nil), log.records[from:]...)
+		log.mutex.Unlock()
+		if len(records) > 0 || waited >= wait {
+			return records, from + identifier.Offset(len(records)), nil
+		}
 		time.Sleep(10 * time.Millisecond) // virtual time
 	}
-	return append([]tailer.Record(nil), log.records[from:]...), identifier.Offset(len(log.records)), nil
 }
 
 // fakeSink keeps the newest value of each key.
 type fakeSink struct {
+	mutex    sync.Mutex
 	values   map[string]string
 	wholes   int
 	failures int
@@ -63,6 +92,8 @@
 }
 
 func (sink *fakeSink) Deliver(_ context.Context, reading tailer.Reading) error {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
 	if reading.Whole {
 		sink.wholes++
 	}
@@ -74,10 +105,19 @@
 }
 
 func (sink *fakeSink) Fail(context.Context, error) error {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
 	sink.failures++
 	return nil
 }
 
+// state returns the value of a key, the number of listings and of failures.
+func (sink *fakeSink) state(key string) (value string, wholes, failures int, lastSent time.Time) {
+	sink.mutex.Lock()
+	defer sink.mutex.Unlock()
+	return sink.values[key], sink.wholes, sink.failures, sink.lastSent
+}
+
 // TestTailer guards against records that are missed over trimmed history or a
 // connection that went silent, against a reader that reads while it is paused,
 // and against one that calls without a pause.
@@ -91,33 +131,40 @@
 		ended := make(chan error, 1)
 		go func() { ended <- follower.Run(ctx) }()
 		time.Sleep(time.Second) // all sleeps are in virtual time
-		c.Assert(log.lists, quicktest.Equals, 0)
+		lists, _ := log.counts()
+		c.Assert(lists, quicktest.Equals, 0)
 		c.Assert(follower.Follow(ctx, true), quicktest.IsNil)
 		time.Sleep(time.Second)
-		c.Assert(sink.values["a"], quicktest.Equals, "1")
+		value, _, _, _ := sink.state("a")
+		c.Assert(value, quicktest.Equals, "1")
 		log.add("a", "2")
 		time.Sleep(200 * time.Millisecond)
-		c.Assert(sink.values["a"], quicktest.Equals, "2")
+		value, _, _, _ = sink.state("a")
+		c.Assert(value, quicktest.Equals, "2")
 
 		log.add("b", "1")
-		log.trimmed = identifier.Offset(len(log.records) + 1)
+		log.change(func() { log.trimmed = identifier.Offset(len(log.records) + 1) })
 		time.Sleep(1200 * time.Millisecond)
-		log.trimmed = 0
+		log.change(func() { log.trimmed = 0 })
 		time.Sleep(1200 * time.Millisecond)
-		c.Assert(sink.values["b"], quicktest.Equals, "1")
-		c.Assert(sink.wholes > 1, quicktest.IsTrue)
+		value, wholes, _, _ := sink.state("b")
+		c.Assert(value, quicktest.Equals, "1")
+		c.Assert(wholes > 1, quicktest.IsTrue)
 
-		log.hang = true
+		log.change(func() { log.hang = true })
 		log.add("b", "2")
 		time.Sleep(4 * time.Second)
-		c.Assert(sink.failures > 0, quicktest.IsTrue)
-		reads := log.reads
+		_, _, failures, _ := sink.state("b")
+		c.Assert(failures > 0, quicktest.IsTrue)
+		_, before := log.counts()
 		time.Sleep(10 * time.Second)
-		c.Assert(log.reads-reads < 12, quicktest.IsTrue)
-		log.hang = false
+		_, after := log.counts()
+		c.Assert(after-before < 12, quicktest.IsTrue)
+		log.change(func() { log.hang = false })
 		time.Sleep(3 * time.Second)
-		c.Assert(sink.values["b"], quicktest.Equals, "2")
-		c.Assert(time.Since(sink.lastSent) < 2*time.Second, quicktest.IsTrue)
+		value, _, _, lastSent := sink.state("b")
+		c.Assert(value, quicktest.Equals, "2")
+		c.Assert(time.Since(lastSent) < 2*time.Second, quicktest.IsTrue)
 		cancel()
 		c.Assert(<-ended, quicktest.Equals, context.Canceled)
 	})
