Write the log through a bounded ring of its own

The race detector found that the library's asynchronous writer reads an entry after it has handed it to its goroutine (TestJobFromClientToMinionAndBack, one run of two). Readers of topics own what they know of their dependency, so that no lock is shared between duties.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -73,7 +74,7 @@
 
 // New returns an entry VM with the given settings.
 func New(settings *platform.Settings, clock runner.Clock) *Assembler {
-	assembler := &Assembler{settings: settings, clock: clock, journal: newJournal(settings.Node)}
+	assembler := &Assembler{settings: settings, clock: clock, journal: newJournal(settings.Node, os.Stdout)}
 	assembler.makeRings()
 	jobs := inspector.New([]*buffer.Ring[runner.Question]{assembler.jobQueries})
 	all := inspector.New([]*buffer.Ring[runner.Question]{assembler.claimQueries, assembler.jobQueries, assembler.planQueries})
@@ -159,13 +160,13 @@
 	tail := func(options tailer.Options, sink tailer.Sink) *tailer.Tailer {
 		return tailer.New(options, store, sink, assembler.clock)
 	}
-	assembler.minionTail = tail(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, minionSink{inlet})
-	assembler.journalTail = tail(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, journalSink{inlet})
+	assembler.minionTail = tail(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{inlet, dependency{topic: "minions"}})
+	assembler.journalTail = tail(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, &journalSink{inlet, dependency{topic: "journal"}})
 	services := platform.NewServices(settings, store)
 	assembler.duties = append(assembler.duties,
-		tail(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, policySink{inlet}),
+		tail(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{inlet, dependency{topic: "operator"}}),
 		assembler.journalTail,
-		tail(tailer.Options{Topic: identifier.Claims, Wait: claimWait}, claimSink{inlet}),
+		tail(tailer.Options{Topic: identifier.Claims, Wait: claimWait}, &claimSink{inlet, dependency{topic: "claims"}}),
 		assembler.minionTail,
 		committer.NewEntries(assembler.entryAppends, store, inlet),
 		committer.NewProgress(assembler.progressAppends, store, inlet),
--- a/assembler/journal.go
+++ b/assembler/journal.go
@@ -1,77 +1,120 @@
 package assembler
 
 import (
-	"os"
-	"sync/atomic"
+	"io"
 	"time"
 
 	"github.com/phuslu/log"
 
+	"corianderroad/buffer"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
 
-// logCapacity bounds the lines that wait to be written. A line that finds no
-// room is dropped and counted, so that a reader of standard output that stops
-// reading stops no decision.
-const logCapacity = 4096
+const (
+	// logCapacity bounds the lines that wait to be written. A line that finds no
+	// room is dropped and counted, so that a reader of standard output that stops
+	// reading stops no decision.
+	logCapacity = 4096
+	// closeTimeout bounds the writing of the last lines.
+	closeTimeout = 300 * time.Millisecond
+)
 
-// journal writes one structured line for each decision.
+// journal writes one structured line for each decision. Its methods are safe
+// for concurrent use and do not wait for the output.
 type journal struct {
-	node    identifier.Node
-	writer  *log.AsyncWriter
-	logger  log.Logger
-	dropped atomic.Uint64
+	node   identifier.Node
+	lines  *buffer.Ring[line]
+	logger log.Logger
+	// last is closed when no more lines come, written when all are written.
+	last, written chan struct{}
 }
 
-func newJournal(node identifier.Node) *journal {
-	writer := &log.AsyncWriter{ChannelSize: logCapacity, DiscardOnFull: true, Writer: &log.IOWriter{Writer: os.Stdout}}
-	journal := &journal{node: node, writer: writer}
-	journal.logger = log.Logger{Level: log.InfoLevel, Writer: journal}
-	return journal
+// line is a line of the log before it is encoded.
+type line struct {
+	message string
+	decided messenger.Decided
+	topic   string
+	dropped uint64
 }
 
-// WriteEntry implements log.Writer and counts what the ring refuses.
-func (journal *journal) WriteEntry(entry *log.Entry) (int, error) {
-	written, err := journal.writer.WriteEntry(entry)
-	if err != nil {
-		journal.dropped.Add(1)
+// newJournal returns a journal whose writer runs until close.
+func newJournal(node identifier.Node, output io.Writer) *journal {
+	journal := &journal{
+		node: node, lines: buffer.New[line]("log-lines", logCapacity),
+		logger: log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: output}},
+		last:   make(chan struct{}), written: make(chan struct{}),
 	}
-	return written, err
+	go journal.write()
+	return journal
+}
+
+func (journal *journal) offer(line line) {
+	line.dropped = journal.lines.Refused()
+	_ = journal.lines.Offer(line) // the ring counts what it refuses
 }
 
 // decided writes a decision with the inputs that decided it.
 func (journal *journal) decided(decided messenger.Decided) {
-	line := journal.logger.Info().Str("node", string(journal.node)).
-		Str("subject", decided.Subject).Str("outcome", decided.Outcome)
-	if decided.Reason != "" {
-		line = line.Str("reason", decided.Reason)
-	}
-	if decided.Detail != "" {
-		line = line.Str("inputs", decided.Detail)
-	}
-	if decided.Age != 0 {
-		line = line.Int64("age-ms", decided.Age.Milliseconds())
-	}
-	if decided.Version != 0 {
-		line = line.Int64("version", decided.Version)
-	}
-	line.Msg("decided")
+	journal.offer(line{message: "decided", decided: decided})
 }
 
 // dependency writes that a topic of the store can or can't be read any more.
-func (journal *journal) dependency(change string, topic identifier.Topic, reason string, gap time.Duration) {
-	journal.logger.Warn().Str("node", string(journal.node)).Str("topic", string(topic)).Str("reason", reason).
-		Int64("gap-ms", gap.Milliseconds()).Uint64("lines-dropped", journal.dropped.Load()).Msg("dependency " + change)
+func (journal *journal) dependency(change, topic, reason string, gap time.Duration) {
+	journal.offer(line{message: "dependency " + change, topic: topic, decided: messenger.Decided{Reason: reason, Age: gap}})
 }
 
 // state writes a change of the process itself.
 func (journal *journal) state(state, reason, detail string) {
-	journal.logger.Info().Str("node", string(journal.node)).Str("reason", reason).Str("inputs", detail).
-		Uint64("lines-dropped", journal.dropped.Load()).Msg("node " + state)
+	journal.offer(line{message: "node " + state, decided: messenger.Decided{Reason: reason, Detail: detail}})
 }
 
+// close writes what waits. It gives up after a while, because the reader of the
+// output may have stopped reading.
 func (journal *journal) close() {
-	// Nothing is left to tell the failure of the last lines to.
-	_ = journal.writer.Close()
+	close(journal.last)
+	select {
+	case <-journal.written:
+	case <-time.After(closeTimeout):
+	}
+}
+
+func (journal *journal) write() {
+	defer close(journal.written)
+	for {
+		select {
+		case line := <-journal.lines.Entries():
+			journal.encode(line)
+		case <-journal.last:
+			for journal.lines.Depth() > 0 {
+				journal.encode(<-journal.lines.Entries())
+			}
+			return
+		}
+	}
+}
+
+func (journal *journal) encode(line line) {
+	entry := journal.logger.Info().Str("node", string(journal.node))
+	for _, field := range [...][2]string{
+		{"topic", line.topic},
+		{"subject", line.decided.Subject},
+		{"outcome", line.decided.Outcome},
+		{"reason", line.decided.Reason},
+		{"inputs", line.decided.Detail},
+	} {
+		if field[1] != "" {
+			entry = entry.Str(field[0], field[1])
+		}
+	}
+	if line.decided.Age != 0 {
+		entry = entry.Int64("age-ms", line.decided.Age.Milliseconds())
+	}
+	if line.decided.Version != 0 {
+		entry = entry.Int64("version", line.decided.Version)
+	}
+	if line.dropped > 0 {
+		entry = entry.Uint64("lines-dropped", line.dropped)
+	}
+	entry.Msg(line.message)
 }
--- a/assembler/readiness.go
+++ b/assembler/readiness.go
@@ -2,12 +2,10 @@
 
 import (
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"corianderroad/classifier"
-	"corianderroad/identifier"
 )
 
 // silentAfter is the time without a completed read of the journal after which
@@ -19,43 +17,30 @@
 	draining atomic.Bool
 	// journalAt is when the journal was last read, in nanoseconds since 1970.
 	journalAt atomic.Int64
+}
 
-	mutex  sync.Mutex
-	failed map[identifier.Topic]time.Time
+// dependency is a topic of the store as one reader sees it. Only the reader's
+// goroutine touches it.
+type dependency struct {
+	topic string
+	// lostAt is when reads began to fail, zero while they succeed.
+	lostAt time.Time
 }
 
-// heard notes a completed read of a topic.
-func (assembler *Assembler) heard(topic identifier.Topic) {
-	now := assembler.clock()
-	if topic == identifier.Journal {
-		assembler.readiness.journalAt.Store(now.UnixNano())
-	}
-	readiness := &assembler.readiness
-	readiness.mutex.Lock()
-	since, failed := readiness.failed[topic]
-	delete(readiness.failed, topic)
-	readiness.mutex.Unlock()
-	if failed {
-		assembler.journal.dependency("regained", topic, "", now.Sub(since))
+// heard notes a completed read.
+func (dependency *dependency) heard(assembler *Assembler) {
+	if !dependency.lostAt.IsZero() {
+		assembler.journal.dependency("regained", dependency.topic, "", assembler.clock().Sub(dependency.lostAt))
+		dependency.lostAt = time.Time{}
 	}
 }
 
-// lost notes a failed read of a topic.
-func (assembler *Assembler) lost(topic identifier.Topic, err error) {
-	now := assembler.clock()
-	assembler.exporter.CountIO("read-"+string(topic), classifier.Of(err).Name())
-	readiness := &assembler.readiness
-	readiness.mutex.Lock()
-	if readiness.failed == nil {
-		readiness.failed = make(map[identifier.Topic]time.Time)
-	}
-	_, known := readiness.failed[topic]
-	if !known {
-		readiness.failed[topic] = now
-	}
-	readiness.mutex.Unlock()
-	if !known {
-		assembler.journal.dependency("lost", topic, err.Error(), 0)
+// lost notes a failed read. Only the first of a series is written.
+func (dependency *dependency) lost(assembler *Assembler, err error) {
+	assembler.exporter.CountIO("read-"+dependency.topic, classifier.Of(err).Name())
+	if dependency.lostAt.IsZero() {
+		dependency.lostAt = assembler.clock()
+		assembler.journal.dependency("lost", dependency.topic, err.Error(), 0)
 	}
 }
 
--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -5,19 +5,21 @@
 
 	"corianderroad/authorizer"
 	"corianderroad/encoder"
-	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/platform"
 	"corianderroad/tailer"
 )
 
 // policySink takes what the operator wrote.
-type policySink struct{ inlet }
+type policySink struct {
+	inlet
+	dependency
+}
 
 // Deliver implements tailer.Sink.
-func (sink policySink) Deliver(ctx context.Context, reading tailer.Reading) error {
+func (sink *policySink) Deliver(ctx context.Context, reading tailer.Reading) error {
 	assembler := sink.assembler
-	assembler.heard(identifier.Topic("operator"))
+	sink.heard(assembler)
 	read, waves, failures := platform.OperatorEvents(reading)
 	assembler.unreadable(failures)
 	known := assembler.authorizer.Load()
@@ -47,17 +49,21 @@
 }
 
 // Fail implements tailer.Sink.
-func (sink policySink) Fail(_ context.Context, err error) error {
-	sink.assembler.lost(identifier.Topic("operator"), err)
+func (sink *policySink) Fail(_ context.Context, err error) error {
+	sink.lost(sink.assembler, err)
 	return nil
 }
 
 // journalSink takes the entries of the journal.
-type journalSink struct{ inlet }
+type journalSink struct {
+	inlet
+	dependency
+}
 
 // Deliver implements tailer.Sink.
-func (sink journalSink) Deliver(ctx context.Context, reading tailer.Reading) error {
-	sink.assembler.heard(identifier.Journal)
+func (sink *journalSink) Deliver(ctx context.Context, reading tailer.Reading) error {
+	sink.heard(sink.assembler)
+	sink.assembler.readiness.journalAt.Store(sink.assembler.clock().UnixNano())
 	read := messenger.JournalRead{End: reading.End, SentAt: reading.SentAt}
 	var failures []error
 	for _, record := range reading.Records {
@@ -73,17 +79,20 @@
 }
 
 // Fail implements tailer.Sink.
-func (sink journalSink) Fail(_ context.Context, err error) error {
-	sink.assembler.lost(identifier.Journal, err)
+func (sink *journalSink) Fail(_ context.Context, err error) error {
+	sink.lost(sink.assembler, err)
 	return nil
 }
 
 // claimSink takes the claims.
-type claimSink struct{ inlet }
+type claimSink struct {
+	inlet
+	dependency
+}
 
 // Deliver implements tailer.Sink.
-func (sink claimSink) Deliver(ctx context.Context, reading tailer.Reading) error {
-	sink.assembler.heard(identifier.Claims)
+func (sink *claimSink) Deliver(ctx context.Context, reading tailer.Reading) error {
+	sink.heard(sink.assembler)
 	read := messenger.ClaimRead{End: reading.End, SentAt: reading.SentAt, RoundTrip: reading.RoundTrip}
 	var failures []error
 	for _, record := range reading.Records {
@@ -102,17 +111,20 @@
 }
 
 // Fail implements tailer.Sink.
-func (sink claimSink) Fail(ctx context.Context, err error) error {
-	sink.assembler.lost(identifier.Claims, err)
+func (sink *claimSink) Fail(ctx context.Context, err error) error {
+	sink.lost(sink.assembler, err)
 	return sink.inlet.Deliver(ctx, messenger.ClaimReadFailed{})
 }
 
 // minionSink takes the reports of minions.
-type minionSink struct{ inlet }
+type minionSink struct {
+	inlet
+	dependency
+}
 
 // Deliver implements tailer.Sink.
-func (sink minionSink) Deliver(ctx context.Context, reading tailer.Reading) error {
-	sink.assembler.heard(identifier.Topic("minions"))
+func (sink *minionSink) Deliver(ctx context.Context, reading tailer.Reading) error {
+	sink.heard(sink.assembler)
 	read, failures := platform.MinionEvents(reading)
 	sink.assembler.unreadable(failures)
 	if !read.Whole && len(read.Reports) == 0 && len(read.Gone) == 0 {
@@ -122,8 +134,8 @@
 }
 
 // Fail implements tailer.Sink.
-func (sink minionSink) Fail(_ context.Context, err error) error {
-	sink.assembler.lost(identifier.Topic("minions"), err)
+func (sink *minionSink) Fail(_ context.Context, err error) error {
+	sink.lost(sink.assembler, err)
 	return nil
 }
 
