--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -70,7 +70,7 @@
 	fake, minion := imitator.New(), imitator.NewMinion()
 	defer fake.Close()
 	fake.Reply = minion.Reply
-	fake.Write("keyed.servers", "i-1", minion.Report("s", fake.Address().String()))
+	fake.Write("keyed.servers", "i-1", minion.Report("s", fake.Address()))
 	fake.Write("keyed.op", "config", `{"version":1,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s",`+
 		`"attempts":2,"stretch":3}],"services":[{"name":"s"}],"tenants":[{"name":"t","apiKeys":["key"]}]}`)
 	settings := &platform.Settings{
