Log why steps wait and count bytes read in vain

The holder logs the steps that have had nothing running for 3 s, at most six lines every 2 s, with the reason and the minions by whether they accept runs, and exports both as gauges. The store's client counts the bytes of complete and incomplete answers by topic, and the error of an incomplete answer says how many bytes had arrived. minion.acceptsRuns is now derived from the availability that the lines name; the decision is the same.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -162,7 +162,7 @@
 
 func (assembler *Assembler) addIODuties() {
 	settings := assembler.settings
-	storeClient := platform.NewStoreClient(settings.Store)
+	storeClient := platform.NewStoreClient(settings.Store, assembler.exporter)
 	sink := eventSink{assembler}
 	newTailer := func(options tailer.Options, receiver tailer.Sink) *tailer.Tailer {
 		return tailer.New(options, storeClient, receiver, assembler.clock)
--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -37,6 +37,7 @@
 	transitions *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
 	io          *prometheus.CounterVec
+	storeBytes  *prometheus.CounterVec
 	answers     *prometheus.HistogramVec
 }
 
@@ -55,12 +56,13 @@
 		transitions: counter("transitions_total", "Changes of state by their reason.", "reason"),
 		bytes:       counter("peer_bytes_total", "Bytes of frames by peer, its region and direction.", "peer", "region", "direction"),
 		io:          counter("io_events_total", "Events of I/O duties by kind and result.", "kind", "result"),
+		storeBytes:  counter("store_bytes_total", "Bytes of the store's answers by topic and result.", "topic", "result"),
 	}
 	exporter.answers = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "answer_seconds", Help: "Time to answer a request, by its kind and result.",
 		Buckets: prometheus.ExponentialBuckets(minAnswerTime, 2, answerBuckets),
 	}, []string{"kind", "result"})
-	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.bytes, exporter.io,
+	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.bytes, exporter.io, exporter.storeBytes,
 		newRingCollector(rings), newGaugeCollector(gauges),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return exporter
@@ -103,6 +105,16 @@
 	exporter.io.WithLabelValues(kind, result).Inc()
 }
 
+// CountStoreBytes counts the bytes of an answer of the store. Those of an
+// incomplete answer were received in vain.
+func (exporter *Exporter) CountStoreBytes(topic identifier.Topic, complete bool, bytes int) {
+	result := "complete"
+	if !complete {
+		result = "incomplete"
+	}
+	exporter.storeBytes.WithLabelValues(string(topic), result).Add(float64(bytes))
+}
+
 // ObserveAnswer records an answer of the client listener by the kind and the
 // result of its request, together with the time that it took.
 func (exporter *Exporter) ObserveAnswer(kind string, code classifier.Code, elapsed time.Duration) {
--- /dev/null
+++ b/planner/availability.go
@@ -0,0 +1,59 @@
+package planner
+
+import "time"
+
+// availability is whether a minion accepts new runs, or why it does not.
+type availability uint8
+
+const (
+	accepting availability = iota
+	unregistered
+	notPolled
+	unresponsive
+	closedForMaintenance
+	draining
+	refusedRecently
+	quarantined
+	availabilities // the number of values
+)
+
+// String returns the name of the value in log lines and metrics.
+func (availability availability) String() string {
+	return [...]string{
+		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "refused-recently", "quarantined",
+	}[availability]
+}
+
+// availability returns whether new runs may be started on the minion, or the
+// first reason why not.
+func (minion *minion) availability(now time.Time) availability {
+	switch {
+	case !minion.registered:
+		return unregistered
+	case !minion.polled:
+		return notPolled
+	case minion.unresponsive:
+		return unresponsive
+	case minion.closedForMaintenance:
+		return closedForMaintenance
+	case minion.report.Draining:
+		return draining
+	case now.Before(minion.noCapacityUntil):
+		return refusedRecently
+	case minion.health.isQuarantined(now):
+		return quarantined
+	}
+	return accepting
+}
+
+// acceptsRuns reports whether new runs may be started on the minion.
+func (minion *minion) acceptsRuns(now time.Time) bool { return minion.availability(now) == accepting }
+
+// countMinions returns the number of minions by their availability.
+func (planner *Planner) countMinions(now time.Time) [availabilities]int {
+	var counts [availabilities]int
+	for _, minion := range planner.minions {
+		counts[minion.availability(now)]++
+	}
+	return counts
+}
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -71,6 +71,7 @@
 	planner.recording = newRecording()
 	planner.adviceRequest = adviceRequest{}
 	planner.reservations = reservations{}
+	planner.waiting = waiting{}
 	planner.maintenance.reset()
 	for _, job := range planner.jobs {
 		job.reset()
--- a/planner/job.go
+++ b/planner/job.go
@@ -55,6 +55,11 @@
 	// nextReclaimAt is when the step may try again to reclaim capacity.
 	nextReclaimAt time.Time
 	advice        *advice
+	// passResult is why the last pass that considered the step did not start it.
+	passResult waitReason
+	// stalledSince is the time since which the step has had nothing running although
+	// its turn has come, zero if it is not so.
+	stalledSince time.Time
 }
 
 // task is one task of a step.
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -145,12 +145,6 @@
 	return minion.report.Capacity.Sub(minion.used)
 }
 
-// acceptsRuns reports whether new runs may be started on the minion.
-func (minion *minion) acceptsRuns(now time.Time) bool {
-	return minion.registered && minion.polled && !minion.unresponsive && !minion.closedForMaintenance && !minion.report.Draining &&
-		!now.Before(minion.noCapacityUntil) && !minion.health.isQuarantined(now)
-}
-
 // requiredCapacity returns how much of its minion's capacity a task occupies.
 func requiredCapacity(spec *specifier.Step) specifier.Resources {
 	request := spec.Request
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -35,18 +35,27 @@
 	steps := planner.waitingSteps(now)
 	planner.passInterval = min(minPassInterval+time.Duration(len(steps))*passIntervalPerStep, maxPassInterval)
 	guarantees := &guarantees{planner: planner}
-	for _, waitingStep := range steps {
+	for index, waitingStep := range steps {
 		if len(planner.pendingOrders) >= maxPendingOrders {
 			planner.passNeeded = true
+			markWaitingForOrders(steps[index:])
 			break
 		}
 		pool := pools[waitingStep.queue.Service]
-		if pool != nil && !planner.placeStep(now, waitingStep, pool) {
+		if pool == nil {
+			waitingStep.step.passResult = waitsForMinions
+		} else if !planner.placeStep(now, waitingStep, pool) {
 			planner.reclaim(now, waitingStep, pool, guarantees)
 		}
 	}
 }
 
+func markWaitingForOrders(steps []*waitingStep) {
+	for _, waitingStep := range steps {
+		waitingStep.step.passResult = waitsForOrders
+	}
+}
+
 // waitingSteps returns the steps that could start, the most urgent first.
 func (planner *Planner) waitingSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
--- a/planner/place.go
+++ b/planner/place.go
@@ -18,9 +18,11 @@
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.findMinions(now, waitingStep, pool)
 	if len(chosen) == 0 {
+		step.passResult = waitsForCapacity
 		return false
 	}
 	if !planner.ensureTickets(now, waitingStep, chosen, pool.available) {
+		step.passResult = waitsForAdvice
 		return true // waits for advice, not for capacity
 	}
 	if job := step.occurrence.job; !job.mayHaveStarted {
@@ -28,6 +30,7 @@
 			job.state = specifier.Running
 			planner.recording.markDirty(job)
 		}
+		step.passResult = waitsForRecord
 		return true // the tasks start once the record is durable
 	}
 	number := planner.nextRunNumber()
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -40,6 +40,7 @@
 	reservations  reservations
 	adviceRequest adviceRequest
 	maintenance   maintenance
+	waiting       waiting
 
 	passNeeded bool
 	lastPassAt time.Time
@@ -107,6 +108,7 @@
 	} else {
 		planner.lastPassAt = now
 	}
+	planner.reportWaitingSteps(now)
 	planner.sendRecord(now)
 }
 
@@ -225,7 +227,7 @@
 }
 
 // View returns the gauges of the holder.
-func (planner *Planner) View(_ time.Time, query querier.Query) querier.Answer {
+func (planner *Planner) View(now time.Time, query querier.Query) querier.Answer {
 	if query.Kind != querier.Status || !planner.holder.active {
 		return querier.Answer{}
 	}
@@ -233,9 +235,9 @@
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
 	}
-	return querier.Answer{Gauges: []querier.Gauge{
+	return querier.Answer{Gauges: append(planner.waitingGauges(now), []querier.Gauge{
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
-	}}
+	}...)}
 }
