--- /dev/null
+++ b/planner/outage_test.go
@@ -0,0 +1,49 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/identifier"
+	"corianderroad/specifier"
+)
+
+// TestMinionIsUsedAgainAfterOutage guards against a minion that the holder never
+// asks again because it did not answer for longer than a lease, so that its
+// capacity is lost until the holder changes.
+func TestMinionIsUsedAgainAfterOutage(t *testing.T) {
+	const (
+		outage = 9 * time.Second // longer than a lease
+		// startTime is how long a task may have nothing running although there is room.
+		startTime = 3 * time.Second
+	)
+	for name, workTime := range map[string]time.Duration{"busy": time.Minute, "idle": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			simulation := newSimulation(1, 1, 8)
+			simulation.makeHolder(simulation.nodes[0])
+			simulation.submit(jobOf("a", wholeMinions(8, workTime)))
+			simulation.advance(2 * time.Second)
+			cut := []identifier.Minion{"m04", "m05", "m06", "m07"}
+			simulation.setReachable(false, cut...)
+			simulation.submit(jobOf("b", wholeMinions(8, time.Minute))) // finds the idle minions unresponsive
+			simulation.advance(outage)
+			simulation.cancel("a")
+			simulation.cancel("b")
+			simulation.advance(time.Second)
+			simulation.setReachable(true, cut...)
+			gang := wholeMinions(8, 5*time.Second)
+			gang.Gang = true
+			simulation.submit(jobOf("c", gang))
+			simulation.advance(startTime)
+			working := 0
+			for index := range gang.Tasks {
+				working += len(simulation.taskState(specifier.Task{Job: "c", Index: index}).running)
+			}
+			c.Assert(working, quicktest.Equals, gang.Tasks, quicktest.Commentf("%s", simulation.decisionsAbout("c.")))
+			c.Assert(simulation.violations, quicktest.HasLen, 0)
+		})
+	}
+}
