Bound the time without progress of a store read, not its duration

Cause: a read had to be complete within its wait and 0.8 s, 0.9 s after a failure. A configuration of 560 KB or more for each of the 17 nodes of a region needs longer over a link of 60 Mbit/s. All nodes gave up half-way and began again at the first byte, at once and for ever: the link stayed full (5.2 to 9.4 MB/s received in mien-bac from 38 s to the end, 0.2 to 0.8 MB/s before), and orders to the minions behind it timed out, so that the holder did not use them. A retry storm that throws its partial work away.

Change: a call of tailer.Log fails when nothing arrives for the stall timeout, and goes on as long as the answer advances.

The signatures in tests follow the interface; the fake log that hangs ends its call by itself after the stall timeout, as a Log must.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -152,12 +152,9 @@
 	policyWait  = time.Second
 	journalWait = time.Second
 	journalPace = 150 * time.Millisecond
-	// journalListTimeout covers a page of 1 MB on a link of 60 Mbit/s on which other
-	// nodes list pages at the same time.
-	journalListTimeout = 4 * time.Second
-	claimWait          = 700 * time.Millisecond
-	minionWait         = 2 * time.Second
-	minionPace         = 150 * time.Millisecond
+	claimWait   = 700 * time.Millisecond
+	minionWait  = 2 * time.Second
+	minionPace  = 150 * time.Millisecond
 )
 
 func (assembler *Assembler) addIODuties() {
@@ -168,9 +165,7 @@
 		return tailer.New(options, storeClient, receiver, assembler.clock)
 	}
 	assembler.minionTailer = newTailer(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{sink, dependency{topic: "minions"}})
-	assembler.journalTailer = newTailer(tailer.Options{
-		Topic: identifier.Journal, Wait: journalWait, Pace: journalPace, PageTimeout: journalListTimeout,
-	}, &journalSink{sink, dependency{topic: "journal"}})
+	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, &journalSink{sink, dependency{topic: "journal"}})
 	serviceClient := platform.NewServiceClient(settings, storeClient)
 	assembler.duties = append(assembler.duties,
 		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{sink, dependency{topic: "operator"}}),
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -14,11 +14,10 @@
 
 // Durations of a Tailer.
 const (
-	// answerMargin is added to the wait of a read to get its timeout. A connection
-	// that no longer responds is detected only by a missing answer.
-	answerMargin = 800 * time.Millisecond
-	// defaultPageTimeout bounds a page of a listing unless the options set a timeout.
-	defaultPageTimeout = 1500 * time.Millisecond
+	// readStallTimeout and listStallTimeout bound the time without progress of a read
+	// and of a page. A connection that no longer responds is detected only by that.
+	readStallTimeout = 800 * time.Millisecond
+	listStallTimeout = 1500 * time.Millisecond
 	// probeReadWait bounds the wait of a read that follows a failed one, so that its
 	// answer soon shows that the store is available again.
 	probeReadWait  = 100 * time.Millisecond
@@ -36,13 +35,18 @@
 // Log reads the platform's store. Its errors carry codes: HistoryTrimmed means that
 // the record at the requested offset is no longer retained. A Log must be safe for
 // concurrent use.
+//
+// A call fails when the store sends nothing for the stall timeout, but goes on as
+// long as an answer arrives. If the time of the whole answer were bounded, many
+// nodes that receive a large record over one link would all begin again before any
+// of them has it, and keep the link full.
 type Log interface {
 	// Newest returns a page of the newest records of the keys that come after the
 	// given one in the topic's order. An empty key requests the first page.
-	Newest(ctx context.Context, topic identifier.Topic, after string) (Page, error)
+	Newest(ctx context.Context, topic identifier.Topic, after string, stallTimeout time.Duration) (Page, error)
 	// Read waits for records from an offset on. It returns none if none arrive in
 	// the given time.
-	Read(ctx context.Context, topic identifier.Topic, from identifier.Offset, wait time.Duration) (records []Record, end identifier.Offset, err error)
+	Read(ctx context.Context, topic identifier.Topic, from identifier.Offset, wait, stallTimeout time.Duration) (records []Record, end identifier.Offset, err error)
 }
 
 // Page is a part of a listing.
@@ -81,9 +85,6 @@
 	// Pace is the minimum time between the starts of two reads, so that many small
 	// records are read in few calls. SetPace changes it.
 	Pace time.Duration
-	// PageTimeout bounds the request for one page of a listing, 0 for a default
-	// that suits short pages.
-	PageTimeout time.Duration
 	// Paused means that the Tailer waits for Follow(true) before it reads.
 	Paused bool
 }
@@ -194,9 +195,7 @@
 	if tailer.backoff > 0 {
 		wait = min(wait, probeReadWait)
 	}
-	bounded, cancel := context.WithTimeout(ctx, wait+answerMargin)
-	defer cancel()
-	records, end, err := tailer.log.Read(bounded, tailer.options.Topic, tailer.next, wait)
+	records, end, err := tailer.log.Read(ctx, tailer.options.Topic, tailer.next, wait, readStallTimeout)
 	if classifier.CodeOf(err) == classifier.HistoryTrimmed {
 		tailer.isListed = false
 		return nil
@@ -221,7 +220,7 @@
 func (tailer *Tailer) list(ctx context.Context, started time.Time) error {
 	listing := &tailer.partial
 	for more := true; more; {
-		page, err := tailer.fetchPage(ctx, listing.after)
+		page, err := tailer.log.Newest(ctx, tailer.options.Topic, listing.after, listStallTimeout)
 		if err != nil {
 			return err
 		}
@@ -247,16 +246,6 @@
 	return tailer.sink.Deliver(ctx, reading)
 }
 
-func (tailer *Tailer) fetchPage(ctx context.Context, after string) (Page, error) {
-	timeout := tailer.options.PageTimeout
-	if timeout == 0 {
-		timeout = defaultPageTimeout
-	}
-	bounded, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return tailer.log.Newest(bounded, tailer.options.Topic, after)
-}
-
 // dropSuperseded removes records for whose keys a listing has returned newer ones.
 func (tailer *Tailer) dropSuperseded(records []Record) []Record {
 	if len(tailer.listedOffsets) == 0 {
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -52,7 +52,7 @@
 	log.records = append(log.records, tailer.Record{Offset: identifier.Offset(len(log.records)), Key: key, Value: []byte(value)})
 }
 
-func (log *fakeLog) Newest(_ context.Context, _ identifier.Topic, after string) (tailer.Page, error) {
+func (log *fakeLog) Newest(_ context.Context, _ identifier.Topic, after string, _ time.Duration) (tailer.Page, error) {
 	log.mutex.Lock()
 	defer log.mutex.Unlock()
 	log.pages++
@@ -79,13 +79,16 @@
 	return page, nil
 }
 
-func (log *fakeLog) Read(ctx context.Context, _ identifier.Topic, from identifier.Offset, wait time.Duration) ([]tailer.Record, identifier.Offset, error) {
+func (log *fakeLog) Read(ctx context.Context, _ identifier.Topic, from identifier.Offset, wait, stallTimeout time.Duration) ([]tailer.Record, identifier.Offset, error) {
 	log.mutex.Lock()
 	log.reads++
 	hang, trimmed := log.hang, from < log.trimmed
 	log.mutex.Unlock()
 	if hang {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait + stallTimeout):
+		}
 		return nil, 0, classifier.New(classifier.OutcomeUnknown, "no answer")
 	}
 	if trimmed {
@@ -221,9 +224,9 @@
 	*fakeLog
 }
 
-func (log flakyLog) Newest(ctx context.Context, topic identifier.Topic, after string) (tailer.Page, error) {
+func (log flakyLog) Newest(ctx context.Context, topic identifier.Topic, after string, stallTimeout time.Duration) (tailer.Page, error) {
 	if pages, _ := log.counts(); pages%2 == 0 {
 		log.withLock(func() { log.pagesToFail = 1 })
 	}
-	return log.fakeLog.Newest(ctx, topic, after)
+	return log.fakeLog.Newest(ctx, topic, after, stallTimeout)
 }
