Keep polling minions that did not answer

Cause: a poll that failed was repeated only while the minion had runs, ends to record, or had never answered. A minion that was out of reach for longer than a lease (4.6 s) lost its runs, and with them the last reason to be polled. It stayed unresponsive, and thus without new runs, until the holder changed, although it was registered and could be reached. The class: a state that excludes a sound executor and that no event or time ends.

Change: a minion that does not answer is polled until it answers or leaves the list, after 0.2 s at first and 1.6 s at last, so that a task can start there within the 3 s of the rule.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -34,6 +34,9 @@
 	// extended meanwhile, so that they expire.
 	unresponsive      bool
 	unresponsiveSince time.Time
+	// idleRetryDelay is the time to the next poll while the minion is unresponsive
+	// and runs nothing.
+	idleRetryDelay time.Duration
 
 	polling bool
 	// nextPollAt is when the next poll is due, zero if none is scheduled.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -210,7 +210,7 @@
 		return
 	}
 	if !minion.unresponsive {
-		minion.unresponsive, minion.unresponsiveSince = true, now
+		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
 		planner.emitDecision(string(minion.report.Minion), "minion-lost", event.Err.Code.Name(), event.Err.Message, now.Sub(minion.clockAt))
 		if !minion.polling {
 			minion.nextPollAt = now
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -42,6 +42,10 @@
 	unrecordedPollDelay = 900 * time.Millisecond
 	// pollRetryDelay is the time before a poll without an answer is repeated.
 	pollRetryDelay = 200 * time.Millisecond
+	// maxIdleRetryDelay bounds the time between polls of an unresponsive minion that
+	// runs nothing. Together with answerTimeout it leaves the minion unused for less
+	// than 3 s after it can be reached again.
+	maxIdleRetryDelay = 1600 * time.Millisecond
 	// answerTimeout bounds the time of an order beyond its requested wait. It
 	// covers two round trips between regions, a new connection and a full ring of
 	// orders.
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -11,9 +11,7 @@
 // handlePollAnswer handles the answer to a poll.
 func (planner *Planner) handlePollAnswer(now time.Time, minion *minion, event messenger.OrderAnswered) {
 	if event.Err != nil {
-		if len(minion.runs) > 0 || !minion.polled || minion.recordedEnd < minion.recordableEnd() {
-			minion.nextPollAt = now.Add(pollRetryDelay)
-		}
+		minion.schedulePollRetry(now)
 		return
 	}
 	reported := make(map[runKey]bool, len(event.Running))
@@ -52,6 +50,19 @@
 	}
 }
 
+// schedulePollRetry schedules the poll after a failed one. A minion that does not
+// answer is polled even if it runs nothing, because only an answer shows that it
+// can be used again.
+func (minion *minion) schedulePollRetry(now time.Time) {
+	switch {
+	case len(minion.runs) > 0 || !minion.polled || minion.recordedEnd < minion.recordableEnd():
+		minion.nextPollAt = now.Add(pollRetryDelay)
+	case minion.unresponsive:
+		minion.nextPollAt = now.Add(minion.idleRetryDelay)
+		minion.idleRetryDelay = min(2*minion.idleRetryDelay, maxIdleRetryDelay)
+	}
+}
+
 // mustPostpone reports whether an end must wait. Until all minions have
 // reported their runs, a task that ended here under a former holder may be
 // running again elsewhere.
