Do not record progress of a job whose deletion was sent

A holder ended with a nil dereference in handleProgressRecorded: a run of an expired job ended after the job's deletion was durable and before the node read it, its checkpoint made the job dirty, and the answer to that record found no job. Even without the panic the record would have stayed in the store for good.

The simulation's store now also appends the deletions of a record.

--- a/planner/record.go
+++ b/planner/record.go
@@ -32,8 +32,14 @@
 	}
 }
 
-// markDirty notes that a job has progress that is not recorded.
-func (recording *recording) markDirty(job *job) { recording.dirty[job.spec.ID] = job }
+// markDirty notes that a job has progress that is not recorded. A job whose
+// deletion was sent has none, because its record would remain in the store for
+// good.
+func (recording *recording) markDirty(job *job) {
+	if !job.deletionSent {
+		recording.dirty[job.spec.ID] = job
+	}
+}
 
 // addMinion notes that a minion has listed ends that are not recorded.
 func (recording *recording) addMinion(minion *minion) {
@@ -117,6 +123,7 @@
 		}
 		if !job.deletionSent && job.state.IsFinal() && now.Sub(job.endedAt) > planner.bounds.StatusRetention {
 			job.deletionSent = true
+			delete(planner.recording.dirty, id)
 			deletions = append(deletions, id)
 		}
 	}
@@ -132,7 +139,9 @@
 	recording.inFlight = false
 	if event.Err == nil {
 		for _, update := range recording.current.Updates {
-			planner.jobs[update.Job].mayHaveStarted = update.Progress.State >= specifier.Running
+			if job, ok := planner.jobs[update.Job]; ok {
+				job.mayHaveStarted = update.Progress.State >= specifier.Running
+			}
 		}
 		planner.passNeeded = true
 		recording.current = nil
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -228,6 +228,9 @@
 		for _, update := range action.Updates {
 			simulation.appendEntry(update)
 		}
+		for _, id := range action.Deletions {
+			simulation.appendEntry(messenger.Deleted{Job: id})
+		}
 		if simulation.random.Float64() < simulation.lostRecordAnswerShare {
 			recorded.Err = classifier.New(classifier.OutcomeUnknown, "no answer")
 		}
