--- a/planner/holder.go
+++ b/planner/holder.go
@@ -18,8 +18,9 @@
 	// claimedAt is when this node received its claim.
 	claimedAt time.Time
 	// nextFenceAt is when the journal is fenced again, zero if a fence is pending
-	// or complete.
-	nextFenceAt time.Time
+	// or complete. fenceRetryDelay is the time to the attempt after that.
+	nextFenceAt     time.Time
+	fenceRetryDelay time.Duration
 	// fenceOffset is the offset that must be read before the holder is active,
 	// zero before the journal is fenced.
 	fenceOffset identifier.Offset
@@ -56,7 +57,7 @@
 		if planner.holder.token != 0 {
 			planner.stepDown()
 		}
-		planner.holder = holderState{token: event.Token, confirmedAt: event.ConfirmedAt, claimedAt: now}
+		planner.holder = holderState{token: event.Token, confirmedAt: event.ConfirmedAt, claimedAt: now, fenceRetryDelay: minFenceRetryDelay}
 		planner.emit(messenger.FenceJournal{Token: event.Token})
 		planner.emit(messenger.FollowMinions{Enabled: true})
 	}
@@ -95,7 +96,17 @@
 		return
 	}
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "fence-journal"})
-	planner.emit(messenger.FenceJournal{Token: event.Token})
+	planner.holder.nextFenceAt = now.Add(planner.holder.fenceRetryDelay)
+	planner.holder.fenceRetryDelay = min(2*planner.holder.fenceRetryDelay, maxFenceRetryDelay)
+}
+
+// repeatFence fences the journal again when it is due after a failure.
+func (planner *Planner) repeatFence(now time.Time) {
+	if planner.holder.nextFenceAt.IsZero() || now.Before(planner.holder.nextFenceAt) {
+		return
+	}
+	planner.holder.nextFenceAt = time.Time{}
+	planner.emit(messenger.FenceJournal{Token: planner.holder.token})
 }
 
 // activateIfReady makes the holder active once it has read all that former
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -82,6 +82,10 @@
 	maxJobsPerRecord = 48
 	// recordRetryDelay is the time before a record without an answer is repeated.
 	recordRetryDelay = 100 * time.Millisecond
+	// minFenceRetryDelay and maxFenceRetryDelay bound the time before a refused fence
+	// of the journal is repeated.
+	minFenceRetryDelay = 50 * time.Millisecond
+	maxFenceRetryDelay = 400 * time.Millisecond
 )
 
 // claimValidity is how long after its confirmation a claim allows new starts.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -93,6 +93,7 @@
 	case messenger.WaveReported:
 		planner.handleWaveReported(event)
 	}
+	planner.repeatFence(now)
 	if planner.holder.active {
 		planner.doHolderWork(now)
 	}
@@ -115,7 +116,7 @@
 // Next returns when the state machine needs a Tick, the zero time for never.
 func (planner *Planner) Next() time.Time {
 	if !planner.holder.active {
-		return time.Time{}
+		return planner.holder.nextFenceAt
 	}
 	next := planner.lastPassAt.Add(idleInterval)
 	if planner.passNeeded {
--- a/planner/record_test.go
+++ b/planner/record_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/planner"
@@ -50,3 +51,39 @@
 	}
 	return false
 }
+
+// TestFailedFenceIsRepeatedAfterDelay guards against a new holder that repeats a
+// refused fence at once and without limit, and so keeps a busy store busy.
+func TestFailedFenceIsRepeatedAfterDelay(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_000_000, 0)
+	claimed := planner.New("n", planner.Bounds{MaxLease: maxLease})
+	c.Assert(countFences(claimed.Step(now, messenger.HolderChanged{Token: 1, ConfirmedAt: now})), quicktest.Equals, 1)
+	fences, begun := 1, now
+	for now.Sub(begun) < 10*time.Second {
+		pending := countFences(claimed.Step(now, messenger.JournalFenced{Token: 1, Err: classifier.New(classifier.StoreBusy, "status 503")}))
+		for pending == 0 {
+			next := claimed.Next()
+			c.Assert(next.After(now), quicktest.IsTrue)
+			now = next
+			pending = countFences(claimed.Step(now, messenger.Tick{}))
+		}
+		fences += pending
+		now = now.Add(time.Millisecond) // the store refuses at once
+	}
+	// Ten seconds at the longest delay between two attempts, and the shorter ones
+	// before.
+	c.Assert(fences <= 30, quicktest.IsTrue, quicktest.Commentf("%d attempts", fences))
+	claimed.Step(now, messenger.JournalFenced{Token: 1})
+	c.Assert(claimed.Next().IsZero(), quicktest.IsFalse)
+}
+
+func countFences(actions []messenger.Action) int {
+	count := 0
+	for _, action := range actions {
+		if _, ok := action.(messenger.FenceJournal); ok {
+			count++
+		}
+	}
+	return count
+}
