Reproduce five states that hold back a task for ever

The data rack can hold one task of the gang, which pool.hasFittingRack takes as a fit.

The stop of a run that the minion does not have is refused with BadRequest; it is sent again without end, and markMissingRunsLost waits for its acknowledgement.

The simulated minions can refuse any order, refuse the stop of a run that they do not have, and answer as another incarnation; the simulated platform can refuse a maintenance, and the advice service can fail.

--- /dev/null
+++ b/planner/excluded_test.go
@@ -0,0 +1,177 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// maxIdleTime is how long a job may have nothing running although there is room
+// for its step twice over, by the rule LOST.
+const maxIdleTime = 3 * time.Second
+
+// countWorking returns the number of tasks of a job's first step that run.
+func (simulation *simulation) countWorking(id identifier.Job) int {
+	working := 0
+	for index := range simulation.jobs[id].Steps[0].Tasks {
+		working += len(simulation.taskState(specifier.Task{Job: id, Index: index}).running)
+	}
+	return working
+}
+
+// TestGangLargerThanDataRackStarts guards against a gang that waits for its data
+// rack while most accelerators are in use, although the rack can hold only a part
+// of the gang at best. The gang needs processors, and few of those are in use.
+func TestGangLargerThanDataRackStarts(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 16)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("accelerated", specifier.Step{
+		Tasks: 16, Request: taskOf(1000, 5), EstimatedRunTime: time.Minute, MaxPerMinion: 1,
+	}))
+	simulation.advance(time.Second)
+	// A rack has four minions. The gang needs five of the sixteen.
+	simulation.submit(jobOf("gang", specifier.Step{
+		Tasks: 5, Request: taskOf(20000, 0), EstimatedRunTime: 10 * time.Second, Gang: true, DataRack: "r-0",
+	}))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 5, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestTaskIsReleasedWhenItsStopIsRefused guards against a task that never starts
+// again because its start did not arrive and the minion refuses the stop of a run
+// that it does not have.
+func TestTaskIsReleasedWhenItsStopIsRefused(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 4)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	var names []identifier.Minion
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults.refusesUnknownStop = true
+		names = append(names, minion.name)
+	}
+	simulation.setReachable(false, names...)
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second}))
+	// Three starts are not answered within 2.4 s. The lease that they carry has not
+	// expired when the minion can be reached again.
+	simulation.advance(3 * time.Second)
+	simulation.setReachable(true, names...)
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("a"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestMinionReopensWhenMaintenanceIsRefused guards against a minion that takes no
+// runs for the rest of its life because the platform has refused the maintenance
+// of its VM.
+func TestMinionReopensWhenMaintenanceIsRefused(t *testing.T) {
+	for _, code := range []classifier.Code{classifier.Infeasible, classifier.UnknownNode} {
+		t.Run(code.Name(), func(t *testing.T) {
+			c := quicktest.New(t)
+			simulation := newSimulation(1, 1, 6)
+			simulation.services.refuseMaintenance = func(identifier.VM) *classifier.Error { return classifier.New(code, "refused") }
+			simulation.makeHolder(simulation.nodes[0])
+			simulation.advance(time.Second)
+			simulation.step(simulation.nodes[0], messenger.WavesRead{Waves: []messenger.Wave{{
+				Wave: 1, VMs: []identifier.VM{"vm-m00", "vm-m01", "vm-m02", "vm-m03"}, Duration: 20 * time.Second, MaxUnavailable: 4,
+			}}})
+			simulation.advance(4 * time.Second)
+			gang := wholeMinions(3, 10*time.Second)
+			gang.Gang = true
+			simulation.submit(jobOf("gang", gang))
+			simulation.advance(maxIdleTime)
+			c.Assert(simulation.countWorking("gang"), quicktest.Equals, 3, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+			c.Assert(simulation.violations, quicktest.HasLen, 0)
+		})
+	}
+}
+
+// TestMinionIsPolledAfterAnswerOfOlderIncarnation guards against a minion that the
+// holder never asks again because an answer named an incarnation older than the
+// one in the store.
+func TestMinionIsPolledAfterAnswerOfOlderIncarnation(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions()[:4] {
+		minion.crash()
+		minion.start()
+		minion.faults.answersAs = minion.incarnation - 1
+	}
+	simulation.deliverAllReports()
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults.answersAs = 0
+	}
+	gang := wholeMinions(8, 10*time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 8, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestStartAnsweredByOlderIncarnationIsRepeated guards against a task that waits
+// for ever for the answer to its start because the answer named an incarnation
+// older than the one in the store.
+func TestStartAnsweredByOlderIncarnationIsRepeated(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	for _, minion := range simulation.sortedMinions() {
+		minion.crash()
+		minion.start()
+	}
+	simulation.deliverAllReports()
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults.answersAs = minion.incarnation - 1
+		minion.faults.refuse = func(messenger.Order) classifier.Code { return classifier.MinionBusy }
+	}
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second}))
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults = minionFaults{}
+	}
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("a"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestApprovedMinionMayReturn guards against a step that never starts because the
+// approved minion was missing when the advice arrived and counts as denied since.
+func TestApprovedMinionMayReturn(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion == "m00" }
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("small", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute}))
+	simulation.advance(time.Second)
+	minion := simulation.minions["m00"]
+	c.Assert(minion.runs, quicktest.HasLen, 1)
+	job := jobOf("advised", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second})
+	job.Queue = adviceQueue
+	simulation.submit(job)
+	simulation.advance(adviceTime / 2)
+	c.Assert(simulation.services.adviceRequests, quicktest.Equals, 1)
+	// The answer to the stop shows that the incarnation has ended.
+	minion.crash()
+	minion.start()
+	minion.faults.refuse = func(messenger.Order) classifier.Code { return classifier.UnknownNode }
+	simulation.cancel("small")
+	simulation.advance(adviceTime)
+	minion.faults.refuse = nil
+	simulation.deliverAllReports()
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("advised")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -40,6 +40,7 @@
 	// end and the poll that acknowledged it.
 	leaseExpirations int
 	expirationsAtEnd map[uint64]int
+	faults           minionFaults
 }
 
 // fakeRun is one run on a minion.
@@ -90,7 +91,7 @@
 	return messenger.MinionReport{
 		Minion: minion.name, Incarnation: minion.incarnation, Service: poolService,
 		Address: netip.MustParseAddrPort("10.0.0.1:80"), Labels: []string{"a", fmt.Sprintf("r-%d", minion.rack)},
-		Capacity: minion.capacity, Clock: minion.clock(),
+		Capacity: minion.capacity, Clock: minion.clock(), Draining: minion.faults.draining, Remaining: minion.faults.remaining,
 	}
 }
 
@@ -145,6 +146,13 @@
 		answered.Err = classifier.New(code, "refused")
 		answer(answered)
 	}
+	if minion.faults.answersAs != 0 {
+		answered.Incarnation = minion.faults.answersAs
+	}
+	if code := minion.faults.refusal(order.Order); code != classifier.OK {
+		refuse(code)
+		return
+	}
 	if order.Token < minion.token {
 		refuse(classifier.StaleTerm)
 		return
@@ -158,6 +166,10 @@
 			return
 		}
 	case messenger.StopRun:
+		if minion.faults.refusesUnknownStop && !minion.hasSeen(sent) {
+			refuse(classifier.BadRequest)
+			return
+		}
 		minion.highestRun[sent.Task] = max(minion.highestRun[sent.Task], sent.Run)
 		if run := minion.runs[sent.Task]; run != nil && run.number == sent.Run {
 			minion.simulation.schedule(100*time.Millisecond, func() { minion.endRun(run, messenger.EndStopped) })
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -32,12 +32,19 @@
 	maxUnavailable int
 	maintained     []identifier.VM
 	reportedWaves  []messenger.ReportWave
+	// refuseMaintenance returns why the platform refuses a maintenance, nil if it
+	// does not.
+	refuseMaintenance func(vm identifier.VM) *classifier.Error
+	// failAdvice reports whether the advice service answers with an error.
+	failAdvice func() bool
 }
 
 func newFakeServices() *fakeServices {
 	return &fakeServices{
 		isApproved: func(identifier.Minion) bool { return true },
 		tickets:    make(map[string]time.Time), unavailable: make(map[identifier.VM]bool),
+		refuseMaintenance: func(identifier.VM) *classifier.Error { return nil },
+		failAdvice:        func() bool { return false },
 	}
 }
 
@@ -52,6 +59,11 @@
 		sentAt := simulation.now
 		simulation.schedule(adviceTime, func() {
 			received := messenger.AdviceReceived{Sent: action, SentAt: sentAt, Validity: ticketValidity}
+			if services.failAdvice() {
+				received.Err = classifier.New(classifier.MinionBusy, "too many calls wait")
+				simulation.step(node, received)
+				return
+			}
 			for _, minion := range action.Minions {
 				if services.isApproved(minion) {
 					value := string(minion) + simulation.now.String()
@@ -86,6 +98,9 @@
 
 func (simulation *simulation) maintainVM(vm identifier.VM) *classifier.Error {
 	services := simulation.services
+	if err := services.refuseMaintenance(vm); err != nil {
+		return err
+	}
 	if services.unavailable[vm] {
 		return classifier.New(classifier.MinionBusy, "not up")
 	}
