Let a gang that its data rack can't hold start elsewhere

A step whose tasks start together now needs room for all of them. The cache of these results had no entry for the spread limit; it has now.

TestGangLargerThanDataRackStarts failed before (got 0, want 5) and passes.

--- a/planner/pool.go
+++ b/planner/pool.go
@@ -20,7 +20,7 @@
 	// infeasible holds the smallest number of tasks that did not fit, for each
 	// kind of demand. Free capacity only shrinks during a pass.
 	infeasible map[demand]int
-	rackFits   map[demand]bool
+	rackFits   map[rackDemand]bool
 }
 
 type rack struct {
@@ -41,6 +41,12 @@
 	rackRequired bool
 }
 
+// rackDemand is all that decides whether tasks fit on an empty rack.
+type rackDemand struct {
+	demand
+	tasks int
+}
+
 // newPools returns the pools by service.
 func (planner *Planner) newPools(now time.Time) map[identifier.Service]*pool {
 	pools := make(map[identifier.Service]*pool)
@@ -48,7 +54,7 @@
 		minion.nameIndex = index
 		servicePool := pools[minion.report.Service]
 		if servicePool == nil {
-			servicePool = &pool{byRack: make(map[identifier.Rack]*rack), infeasible: make(map[demand]int), rackFits: make(map[demand]bool)}
+			servicePool = &pool{byRack: make(map[identifier.Rack]*rack), infeasible: make(map[demand]int), rackFits: make(map[rackDemand]bool)}
 			pools[minion.report.Service] = servicePool
 		}
 		servicePool.addMinion(now, minion)
@@ -107,8 +113,7 @@
 // fitsOnRack reports whether the step would fit on one of its preferred racks
 // if that rack were empty.
 func (pool *pool) fitsOnRack(step *step) bool {
-	key := step.demand(false)
-	key.limit = len(step.tasks)
+	key := rackDemand{step.demand(false), step.tasksPerRack()}
 	if fits, cached := pool.rackFits[key]; cached && step.advice == nil {
 		return fits
 	}
@@ -126,16 +131,25 @@
 		}
 	}
 	if step.spec.DataRack != "" {
-		return capacity[step.spec.DataRack] > 0
+		return capacity[step.spec.DataRack] >= step.tasksPerRack()
 	}
 	for _, count := range capacity {
-		if count >= len(step.tasks) {
+		if count >= step.tasksPerRack() {
 			return true
 		}
 	}
 	return false
 }
 
+// tasksPerRack returns the smallest number of tasks for which the step's rack is
+// of use: all of them if they start together.
+func (step *step) tasksPerRack() int {
+	if step.spec.Gang || step.spec.SameRack {
+		return len(step.tasks)
+	}
+	return 1
+}
+
 // demand returns the kind of the step's demand.
 func (step *step) demand(rackRequired bool) demand {
 	return demand{
