Keep an approved minion that is missing when its advice arrives

handleAdvice noted all minions of a request as denied and cleared the approved ones only if they were known at that moment. A minion that had just restarted was denied to the step for the rest of the holder's time; a step with one approved minion never started.

TestApprovedMinionMayReturn failed before (got 0, want 1) and passes.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -145,12 +145,12 @@
 		step.advice.denied[name] = true
 	}
 	for _, granted := range event.Tickets {
-		minion, ok := planner.minions[granted.Minion]
-		if !ok {
-			continue
-		}
+		// An approved minion that is missing now may be back when its advice is
+		// requested again.
 		delete(step.advice.denied, granted.Minion)
-		step.advice.tickets[granted.Minion] = ticket{granted.Ticket, event.SentAt.Add(event.Validity), minion.report.Incarnation}
+		if minion, ok := planner.minions[granted.Minion]; ok {
+			step.advice.tickets[granted.Minion] = ticket{granted.Ticket, event.SentAt.Add(event.Validity), minion.report.Incarnation}
+		}
 	}
 	planner.emitDecision(string(event.Sent.Job), "advice-given", "", fmt.Sprintf("step=%d asked=%d approved=%d",
 		step.number, len(event.Sent.Minions), len(event.Tickets)), now.Sub(event.SentAt))
