Treat an answer of an earlier incarnation as no answer

If the answer to a poll or start named an incarnation older than the minion's entry, it was dropped: the minion was not polled again, and the task waited for ever for the answer to its start. An entry that names too late a start, by another writer or a stepped clock, was enough. Such an answer now counts as a missing one, which has its retries; an answer that shows a newer token still ends the holder.

TestMinionIsPolledAfterAnswerOfOlderIncarnation (got 0, want 8) and TestStartAnsweredByOlderIncarnationIsRepeated (got 0, want 1) failed before and pass.

--- a/planner/minions.go
+++ b/planner/minions.go
@@ -156,6 +156,9 @@
 		planner.stepDown()
 		return
 	}
+	if event.Incarnation != 0 && event.Incarnation < minion.report.Incarnation {
+		event = withoutAnswer(event)
+	}
 	_, isPoll := event.Sent.Order.(messenger.PollRuns)
 	if isPoll {
 		minion.polling = false
@@ -172,17 +175,23 @@
 	planner.passNeeded = true
 }
 
-// answeredByOtherIncarnation reports whether the answer is not from the
-// incarnation that was addressed. If a newer one or another minion answered,
-// the addressed incarnation has ended and is replaced or removed.
+// withoutAnswer returns the event for an order that the addressed incarnation has
+// not answered. An earlier one did, which says nothing about the addressed one.
+func withoutAnswer(event messenger.OrderAnswered) messenger.OrderAnswered {
+	return messenger.OrderAnswered{
+		Sent: event.Sent, SentAt: event.SentAt,
+		Err: classifier.New(classifier.OutcomeUnknown, "answered by the earlier incarnation %d", event.Incarnation),
+	}
+}
+
+// answeredByOtherIncarnation reports whether the answer is from a newer
+// incarnation or another minion. The addressed incarnation has then ended and is
+// replaced or removed.
 func (planner *Planner) answeredByOtherIncarnation(now time.Time, minion *minion, event messenger.OrderAnswered) bool {
 	unknownNode := event.Err != nil && event.Err.Code == classifier.UnknownNode
 	if !unknownNode && (event.Incarnation == 0 || event.Incarnation == minion.report.Incarnation) {
 		return false
 	}
-	if !unknownNode && event.Incarnation < minion.report.Incarnation {
-		return true
-	}
 	if unknownNode {
 		planner.removeDeadMinion(now, minion, "another minion answered at its address")
 		return true
