Reopen a minion when the maintenance of its VM is refused

A minion that was closed for the maintenance of its VM stayed closed for the rest of its life when the platform refused the maintenance (no such machine, another pool) or the VM had left its pool: nothing reset closedForMaintenance.

--- a/planner/maintenance.go
+++ b/planner/maintenance.go
@@ -48,6 +48,8 @@
 	since           time.Time
 	retryAt         time.Time
 	requestInFlight bool
+	// closedMinion is the minion that takes no runs until the maintenance is done.
+	closedMinion identifier.Minion
 }
 
 type maintenanceState uint8
@@ -133,6 +135,9 @@
 	outcomes := [...]string{"upkeep-waits", "upkeep-clears", "upkeep-begun", "upkeep-done"}
 	planner.emitDecision(string(name), outcomes[state], reason, fmt.Sprintf("wave=%d", wave.request.Wave), now.Sub(wave.firstHandledAt))
 	vm.state, vm.since = state, now
+	if minion, ok := planner.minions[vm.closedMinion]; ok && state == maintenanceDone {
+		minion.closedForMaintenance = false
+	}
 }
 
 // advanceWave starts the maintenance of as many VMs of a wave as may be
@@ -209,7 +214,7 @@
 func (planner *Planner) clearVM(now time.Time, wave *wave, name identifier.VM, vm *vmMaintenance) {
 	minion, ok := planner.minions[planner.maintenance.vms[name].Minion]
 	if ok {
-		minion.closedForMaintenance = true
+		minion.closedForMaintenance, vm.closedMinion = true, minion.report.Minion
 		if now.Sub(vm.since) > planner.clearingTimeout(wave) {
 			for _, run := range minion.sortedRuns() {
 				planner.stopRun(now, run, "its VM needs maintenance")
