Release a run whose start can't arrive any more

A task waited for ever when its start was not answered and the minion refused the stop of a run that it does not have: the stop was sent again at once and without end, and only an acknowledged stop released the run. A gang waited with it.

A run that was ordered to stop and whose start was never confirmed is now released when a poll that was sent after the lease in its start had expired does not report it: a start that arrives later is refused as late. A confirmed run that is being stopped is released like a running one when its minion no longer reports it. A failed stop is repeated after 200 ms. Polls of such a minion do not wait longer than until the run is void.

--- a/planner/holder.go
+++ b/planner/holder.go
@@ -68,7 +68,7 @@
 func (planner *Planner) stepDown() {
 	planner.holder = holderState{}
 	planner.minions, planner.minionsByName = make(map[identifier.Minion]*minion), nil
-	planner.pendingOrders = make(map[uint64]*run)
+	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
 	planner.recording = newRecording()
 	planner.adviceRequest = adviceRequest{}
 	planner.reservations = reservations{}
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -117,10 +117,7 @@
 		poll.LeaseUntil = minion.renewLease(now, planner.bounds.MaxLease)
 	}
 	if minion.polled && !minion.unresponsive && len(minion.runs) > 0 && minion.recordedEnd == minion.processedEnd && minion.firstIgnoredEnd == 0 {
-		poll.Wait = pollWait
-		if minion.hasMixedLoad() {
-			poll.Wait = mixedLoadPollWait
-		}
+		poll.Wait = minion.pollWait(now)
 	}
 	minion.polling = true
 	minion.nextPollAt = time.Time{}
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -33,9 +33,9 @@
 
 // Polls and orders.
 const (
-	// pollWait is how long a poll waits for a run to end. Each poll has a cost,
+	// maxPollWait is how long a poll waits for a run to end. Each poll has a cost,
 	// and three of them fit into a lease.
-	pollWait = 1200 * time.Millisecond
+	maxPollWait = 1200 * time.Millisecond
 	// unrecordedPollDelay is the time between polls while listed ends wait to be
 	// recorded. A poll with a wait would return at once, because those ends are
 	// still listed.
@@ -55,6 +55,8 @@
 	maxPendingOrders = 192
 	// orderLifetime is how long an order may wait in the ring before it expires.
 	orderLifetime = 800 * time.Millisecond
+	// stopRetryDelay is the time before a stop that failed is repeated.
+	stopRetryDelay = 200 * time.Millisecond
 	// maxStartAttempts is how often a start without an answer is sent before its
 	// run is stopped.
 	maxStartAttempts = 3
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -33,6 +33,8 @@
 	// be built again.
 	minionsByName []*minion
 	pendingOrders map[uint64]*run
+	// stopRetries are the stops that are repeated, the next one first.
+	stopRetries   []stopRetry
 	lastOrderID   uint64
 	lastRunNumber uint64
 
@@ -103,6 +105,7 @@
 // doHolderWork does the holder's work that is due.
 func (planner *Planner) doHolderWork(now time.Time) {
 	planner.pollMinions(now)
+	planner.repeatStops(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
 		planner.runPass(now)
@@ -122,6 +125,9 @@
 	if planner.passNeeded {
 		next = planner.lastPassAt.Add(planner.passInterval)
 	}
+	if len(planner.stopRetries) > 0 && planner.stopRetries[0].at.Before(next) {
+		next = planner.stopRetries[0].at
+	}
 	for _, minion := range planner.sortedMinions() {
 		if !minion.polling && !minion.nextPollAt.IsZero() && minion.nextPollAt.Before(next) {
 			next = minion.nextPollAt
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -63,6 +63,22 @@
 	}
 }
 
+// pollWait returns how long a poll waits for an end. It does not wait longer than
+// until a run that may never have started is void, and then asks at once.
+func (minion *minion) pollWait(now time.Time) time.Duration {
+	wait := maxPollWait
+	if minion.hasMixedLoad() {
+		wait = mixedLoadPollWait
+	}
+	for _, run := range minion.runs {
+		if run.state == stopping && run.startConfirmedAt.IsZero() {
+			untilVoid := time.Duration(float64(run.startLeaseUntil-minion.clockLowerBound(now)) / minClockRate)
+			wait = max(0, min(wait, untilVoid+time.Millisecond))
+		}
+	}
+	return wait.Truncate(time.Millisecond)
+}
+
 // mustPostpone reports whether an end must wait. Until all minions have
 // reported their runs, a task that ended here under a former holder may be
 // running again elsewhere.
@@ -82,15 +98,17 @@
 }
 
 // markMissingRunsLost marks runs as lost that the minion does not report although
-// their order was confirmed before the poll was sent.
+// an order was confirmed before the poll was sent, or that can't start any more
+// because the lease in their start had expired by then.
 func (planner *Planner) markMissingRunsLost(now time.Time, minion *minion, reported map[runKey]bool, sentAt time.Time) {
 	for _, run := range minion.sortedRuns() {
 		if reported[runKey{run.id, run.number}] {
 			continue
 		}
 		stopped := run.state == stopping && !run.stopAcknowledgedAt.IsZero() && run.stopAcknowledgedAt.Before(sentAt)
-		vanished := run.state == running && run.startConfirmedAt.Before(sentAt)
-		if stopped || vanished {
+		vanished := !run.startConfirmedAt.IsZero() && run.startConfirmedAt.Before(sentAt)
+		void := run.state == stopping && run.startConfirmedAt.IsZero() && minion.clockLowerBound(sentAt) > run.startLeaseUntil
+		if stopped || vanished || void {
 			planner.markRunLost(now, run, "its minion does not report it")
 		}
 	}
--- a/planner/run.go
+++ b/planner/run.go
@@ -31,6 +31,9 @@
 
 	startedAt     time.Time
 	startAttempts int
+	// startLeaseUntil is the lease in the newest start order, on the minion's clock.
+	// A start that arrives later is refused.
+	startLeaseUntil time.Duration
 	// ticket is the advice service's ticket for the run.
 	ticket string
 	// startConfirmedAt is when the holder first learned that the minion has the
@@ -38,6 +41,8 @@
 	startConfirmedAt time.Time
 	// stopAcknowledgedAt is when the minion acknowledged the order to stop.
 	stopAcknowledgedAt time.Time
+	// nextStopAt is when a failed stop is repeated, zero if none has failed.
+	nextStopAt time.Time
 
 	// progressPercent is the run's progress at progressAt, when it last changed.
 	progressPercent int
@@ -87,9 +92,10 @@
 
 func (planner *Planner) sendStart(now time.Time, run *run) {
 	run.startAttempts++
+	run.startLeaseUntil = run.minion.renewLease(now, planner.bounds.MaxLease)
 	planner.sendOrder(now, run.minion, messenger.StartRun{
 		Task: run.id, Run: run.number, Payload: run.job().spec.Payload, Checkpoint: run.task().checkpoint, Ticket: run.ticket,
-		LeaseUntil: run.minion.renewLease(now, planner.bounds.MaxLease),
+		LeaseUntil: run.startLeaseUntil,
 	}, answerTimeout, run)
 }
 
@@ -106,6 +112,7 @@
 }
 
 func (planner *Planner) sendStop(now time.Time, run *run) {
+	run.nextStopAt = time.Time{}
 	planner.sendOrder(now, run.minion, messenger.StopRun{Task: run.id, Run: run.number}, answerTimeout, run)
 }
 
@@ -122,7 +129,7 @@
 		if event.Err == nil {
 			run.stopAcknowledgedAt = now
 		} else {
-			planner.sendStop(now, run)
+			planner.scheduleStop(now, run)
 		}
 	}
 	if !minion.polling && len(minion.runs) > 0 && minion.nextPollAt.IsZero() {
--- /dev/null
+++ b/planner/stop.go
@@ -0,0 +1,28 @@
+package planner
+
+import "time"
+
+// stopRetry is a stop that is sent again at a time, unless it was sent meanwhile.
+type stopRetry struct {
+	run *run
+	at  time.Time
+}
+
+// scheduleStop repeats a failed stop after a delay.
+func (planner *Planner) scheduleStop(now time.Time, run *run) {
+	run.nextStopAt = now.Add(stopRetryDelay)
+	planner.stopRetries = append(planner.stopRetries, stopRetry{run, run.nextStopAt})
+}
+
+// repeatStops sends the stops that are due again. All wait for the same time, so
+// that they are in the order of their times.
+func (planner *Planner) repeatStops(now time.Time) {
+	for len(planner.stopRetries) > 0 && !now.Before(planner.stopRetries[0].at) {
+		retry := planner.stopRetries[0]
+		planner.stopRetries = planner.stopRetries[1:]
+		run := retry.run
+		if run.nextStopAt.Equal(retry.at) && run.minion.runs[runKey{run.id, run.number}] == run {
+			planner.sendStop(now, run)
+		}
+	}
+}
