Hold back an end while a later run may be unknown

A new holder that could not reach a minion for longer than the former holder's lease recorded the end of an earlier run of a task, although that minion had a later run of it: a start after a recorded end (TWICE). The ends were postponed only until the lease had expired, and a later run may have ended by then, which no lease shows. Such an end now counts for its task at once, and is recorded when all known minions have reported their runs or are gone, unless a later run was found.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -47,6 +47,9 @@
 	// firstIgnoredEnd is the first end that must not be recorded, because its task
 	// has been started again since. It is zero if there is none.
 	firstIgnoredEnd uint64
+	// heldEnds are processed ends that must not be recorded yet, because another
+	// minion may have a later run of their task.
+	heldEnds []messenger.RunEnd
 
 	runs map[runKey]*run
 	used specifier.Resources
@@ -135,13 +138,30 @@
 	return minion.clockLowerBound(now) > minion.leaseSent+leaseExpiryMargin
 }
 
+// ignoreEnd notes an end that must not be recorded.
+func (minion *minion) ignoreEnd(number uint64) {
+	if minion.firstIgnoredEnd == 0 || number < minion.firstIgnoredEnd {
+		minion.firstIgnoredEnd = number
+	}
+}
+
 // recordableEnd returns the last end that the minion may discard once it is
 // recorded.
 func (minion *minion) recordableEnd() uint64 {
+	last := minion.processedEnd
 	if minion.firstIgnoredEnd > 0 {
-		return minion.firstIgnoredEnd - 1
+		last = minion.firstIgnoredEnd - 1
+	}
+	if len(minion.heldEnds) > 0 {
+		last = min(last, minion.heldEnds[0].Number-1)
 	}
-	return minion.processedEnd
+	return last
+}
+
+// hasUnrecordableEnd reports whether the minion has listed an end that must not be
+// recorded.
+func (minion *minion) hasUnrecordableEnd() bool {
+	return minion.firstIgnoredEnd > 0 || len(minion.heldEnds) > 0
 }
 
 func (minion *minion) freeCapacity() specifier.Resources {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -87,6 +87,7 @@
 		planner.markRunLost(now, run, reason)
 	}
 	planner.removeMinion(minion)
+	planner.releaseHeldEnds(now)
 	planner.emitDecision(string(minion.report.Minion), "minion-gone", reason, "", now.Sub(minion.clockAt))
 }
 
@@ -102,6 +103,7 @@
 		if minion.unresponsive && !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
 			planner.emitDecision(string(minion.report.Minion), "minion-gone", "neither registered nor reachable", "", now.Sub(minion.unresponsiveSince))
+			planner.releaseHeldEnds(now)
 			continue
 		}
 		if !minion.polling && !minion.nextPollAt.IsZero() && !now.Before(minion.nextPollAt) {
@@ -116,7 +118,7 @@
 	if len(minion.runs) > 0 && minion.clock > 0 {
 		poll.LeaseUntil = minion.renewLease(now, planner.bounds.MaxLease)
 	}
-	if minion.polled && !minion.unresponsive && len(minion.runs) > 0 && minion.recordedEnd == minion.processedEnd && minion.firstIgnoredEnd == 0 {
+	if minion.polled && !minion.unresponsive && len(minion.runs) > 0 && minion.recordedEnd == minion.processedEnd && !minion.hasUnrecordableEnd() {
 		poll.Wait = minion.pollWait(now)
 	}
 	minion.polling = true
--- a/planner/outage_test.go
+++ b/planner/outage_test.go
@@ -47,3 +47,32 @@
 		})
 	}
 }
+
+// TestEndIsNotRecordedWhileALaterRunMayBeUnknown guards against a new holder that
+// records the end of a run while a minion that it can't reach has a later run of
+// the same task. That run would count as a start after a recorded end.
+func TestEndIsNotRecordedWhileALaterRunMayBeUnknown(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 2, 2)
+	first, second := simulation.nodes[0], simulation.nodes[1]
+	simulation.makeHolder(first)
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 2 * time.Second}))
+	simulation.advance(500 * time.Millisecond)
+	// The run on m00 ends while the holder can't reach the minion, and the task is
+	// started again on m01.
+	c.Assert(simulation.minions["m00"].runs, quicktest.HasLen, 1)
+	simulation.minions["m00"].unreachableFrom[first] = true
+	simulation.advance(5500 * time.Millisecond)
+	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 2)
+	// The next holder reaches m00, but for longer than a lease not m01.
+	first.alive = false
+	simulation.minions["m01"].unreachableFrom[second] = true
+	simulation.makeHolder(second)
+	simulation.advance(10 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.minions["m01"].unreachableFrom[second] = false
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
+}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -28,6 +28,7 @@
 		}
 		if end.Number > minion.processedEnd {
 			minion.processedEnd = end.Number
+			planner.holdEnd(minion, end)
 			planner.handleRunEnd(now, minion, end)
 		}
 	}
@@ -39,11 +40,14 @@
 	}
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
-	minion.polled = true
+	if !minion.polled {
+		minion.polled = true
+		planner.releaseHeldEnds(now)
+	}
 	switch {
 	case minion.hasPostponedEnds:
 		minion.nextPollAt = now.Add(pollRetryDelay)
-	case minion.recordedEnd < minion.recordableEnd() || (minion.firstIgnoredEnd > 0 && len(minion.runs) > 0):
+	case minion.recordedEnd < minion.recordableEnd() || (minion.hasUnrecordableEnd() && len(minion.runs) > 0):
 		minion.nextPollAt = now.Add(unrecordedPollDelay)
 	case len(minion.runs) > 0:
 		minion.nextPollAt = now
@@ -177,10 +181,10 @@
 	age := time.Duration(0)
 	superseded := end.Kind == messenger.EndDone && end.Run < task.latestRun && end.Run != task.doneRun
 	task.latestRun = max(task.latestRun, end.Run)
-	if superseded && minion.firstIgnoredEnd == 0 {
+	if superseded {
 		// The task has been started again since. If this end were recorded now, that
 		// start would count as a start after a recorded end.
-		minion.firstIgnoredEnd = end.Number
+		minion.ignoreEnd(end.Number)
 	}
 	if ok {
 		age = now.Sub(run.startedAt)
