Do not count a failure that is heard after the next start

A job that could be done was shown as failed, and its last start counted as one after its last attempt (BUDGET): the last attempt failed on a minion out of reach, the task was started again when the lease had expired, and then the failure was heard and recorded. Such a failure is now ignored like an end that is heard after the next start; it stays listed.

TestLateFailureDoesNotUseUpAttempts, a schedule made from the trace, failed before (run 1048584 starts after runs [1048578 1048580 1048582] have failed) and passes. What handles an end moves to planner/runend.go.

--- a/planner/outage_test.go
+++ b/planner/outage_test.go
@@ -76,3 +76,38 @@
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
 }
+
+// TestLateFailureDoesNotUseUpAttempts guards against a failure that the holder
+// hears of after it has started the task again, and that counts as the last
+// attempt. The later start would count as one after the last attempt.
+func TestLateFailureDoesNotUseUpAttempts(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 4)
+	node := simulation.nodes[0]
+	simulation.makeHolder(node)
+	finished := 0
+	simulation.fails = func(*fakeRun) bool {
+		finished++
+		return finished <= attempts
+	}
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 3 * time.Second}))
+	task := simulation.taskState(specifier.Task{Job: "a"})
+	for len(task.startedRuns) < attempts {
+		simulation.advance(100 * time.Millisecond)
+	}
+	// The last attempt fails out of reach, and the task is started again when the
+	// lease has expired.
+	for run := range task.running {
+		run.minion.unreachableFrom[node] = true
+	}
+	for len(task.startedRuns) == attempts {
+		simulation.advance(100 * time.Millisecond)
+	}
+	for _, minion := range simulation.sortedMinions() {
+		clear(minion.unreachableFrom)
+	}
+	simulation.advance(10 * time.Second)
+	simulation.checkAttempts()
+	c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
+}
--- /dev/null
+++ b/planner/runend.go
@@ -0,0 +1,159 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// handleRunEnd processes the end of a run.
+func (planner *Planner) handleRunEnd(now time.Time, minion *minion, end messenger.RunEnd) {
+	run, ok := minion.runs[runKey{end.Task, end.Run}]
+	step, task := planner.findTask(end.Task)
+	if task == nil {
+		return
+	}
+	task.endListed = true
+	if planner.holder.allEndsProcessed {
+		planner.markResolved(task)
+	}
+	job := step.occurrence.job
+	age := time.Duration(0)
+	superseded := planner.isSuperseded(step, task, end)
+	task.latestRun = max(task.latestRun, end.Run)
+	if superseded {
+		minion.ignoreEnd(end.Number)
+	}
+	if ok {
+		age = now.Sub(run.startedAt)
+	} else if superseded {
+		planner.emitDecision(end.Task.String(), "end-ignored", end.Kind.String(), fmt.Sprintf("run=%d", end.Run), 0)
+		return
+	}
+	planner.emitDecision(end.Task.String(), "run-ended", end.Kind.String(),
+		fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), age)
+	if end.Checkpoint != "" && !task.done {
+		planner.updateCheckpoint(job, task, end.Checkpoint)
+	}
+	switch end.Kind {
+	case messenger.EndDone:
+		minion.health.resetFailures()
+		planner.markDone(now, step, end.Task, end.Run)
+	case messenger.EndFailed:
+		if !superseded {
+			planner.countFailure(now, step, task, end.Run, minion)
+		}
+	}
+	if ok {
+		planner.releaseRun(now, run)
+	}
+	planner.endJobIfFinished(now, job)
+}
+
+// isSuperseded reports whether an end must not be recorded because the task has
+// been started again since. That start would count as one after the end of the
+// task, or after its last attempt.
+func (planner *Planner) isSuperseded(step *step, task *task, end messenger.RunEnd) bool {
+	if end.Run >= task.latestRun {
+		return false
+	}
+	switch end.Kind {
+	case messenger.EndDone:
+		return end.Run != task.doneRun
+	case messenger.EndFailed:
+		queue := planner.queue(step.occurrence.job)
+		return queue != nil && !step.spec.LongRunning && step.attemptsWithFailure(task, end.Run) >= queue.Attempts
+	}
+	return false
+}
+
+// attemptsWithFailure returns how many attempts of a task have failed if the given
+// run did. The members of a gang share their attempts.
+func (step *step) attemptsWithFailure(task *task, run uint64) int {
+	attempts, isCounted := len(task.failedRuns), slices.Contains(task.failedRuns, run)
+	if step.spec.Gang {
+		attempts = step.failedAttempts()
+		for index := range step.tasks {
+			isCounted = isCounted || slices.Contains(step.tasks[index].failedRuns, run)
+		}
+	}
+	if isCounted {
+		return attempts
+	}
+	return attempts + 1
+}
+
+// markDone marks a task as done, and with it all members of its gang.
+func (planner *Planner) markDone(now time.Time, step *step, id specifier.Task, number uint64) {
+	if step.spec.LongRunning {
+		return
+	}
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		if (index != id.Index && !step.spec.Gang) || task.done {
+			continue
+		}
+		task.done, task.doneRun = true, number
+		step.done++
+		if task.run != nil && index != id.Index && !step.spec.Gang {
+			planner.stopRun(now, task.run, "the task is done")
+		}
+	}
+	planner.recording.markDirty(step.occurrence.job)
+}
+
+// countFailure counts a failed run for its task and its minion. For the task it
+// counts once, even if its end is listed again.
+func (planner *Planner) countFailure(now time.Time, step *step, task *task, run uint64, minion *minion) {
+	task.lastFailedOn = minion.report.Minion
+	planner.countMinionFailure(now, minion)
+	if !step.spec.LongRunning && task.addFailure(run) {
+		planner.recording.markDirty(step.occurrence.job)
+	}
+}
+
+// endJobIfFinished ends a job that is complete or has a task that failed too
+// often.
+func (planner *Planner) endJobIfFinished(now time.Time, job *job) {
+	if !job.isOpen() {
+		return
+	}
+	if job.isComplete() {
+		planner.endJob(now, job, specifier.Completed, "all tasks are done")
+		return
+	}
+	queue := planner.queue(job)
+	if queue == nil {
+		return
+	}
+	for _, occurrence := range job.occurrences {
+		for _, step := range occurrence.steps {
+			if step.failedAttempts() >= queue.Attempts {
+				planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+				return
+			}
+		}
+	}
+}
+
+// failedAttempts returns the number of failures of the task that failed most.
+// The members of a gang share their attempts: one run counts once, however many
+// members fail in it.
+func (step *step) failedAttempts() int {
+	most := 0
+	runs := make(map[uint64]bool)
+	for index := range step.tasks {
+		failed := step.tasks[index].failedRuns
+		most = max(most, len(failed))
+		for _, run := range failed {
+			runs[run] = true
+		}
+	}
+	if step.spec.Gang {
+		return len(runs)
+	}
+	return most
+}
