Refuse an invalid entry of the VM list alone

One entry whose port or number was out of range, or whose field had another type, made the whole VM list unusable at every poll: the node stopped following it for as long as the entry stood. An entry nested more than 10,000 deep did the same, because encoding/json then refuses the whole text. An entry without an address, with port 0 or with a negative number of accelerators was used.

Cause: the list was decoded as one value, without checks of range.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -1,18 +1,15 @@
-// Package lister polls the platform's VM list.
+// Package lister polls the platform's VM list. An entry that is invalid is refused
+// alone; the list then holds the other entries, as if that one were not listed.
 package lister
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
-	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
 
@@ -22,9 +19,13 @@
 	Deliver(ctx context.Context, event messenger.Event) error
 }
 
-// Meter counts polls by their result, which is in kebab case.
+// Meter counts the results of polls.
 type Meter interface {
+	// CountPoll counts a poll by its result, which is in kebab case.
 	CountPoll(result string)
+	// RefuseEntry counts and reports an entry of a list that is invalid and therefore
+	// ignored. The name is empty if it can't be read.
+	RefuseEntry(name string, reason error)
 }
 
 const (
@@ -150,56 +151,9 @@
 	if err != nil {
 		return answer{}, errors.Wrap(err, "VM list")
 	}
-	vms, err := parse(bytes.NewReader(body))
-	return answer{vms: vms, entityTag: response.Header.Get("ETag"), bytes: int64(len(body))}, err
-}
-
-type list struct {
-	VMs []vm `json:"vms"`
-}
-
-type vm struct {
-	Name          string         `json:"name"`
-	Role          string         `json:"role"`
-	Address       netip.AddrPort `json:"address"`
-	State         string         `json:"state"`
-	Region        string         `json:"region"`
-	FailureDomain string         `json:"failure-domain"`
-	Rack          string         `json:"rack"`
-	Service       string         `json:"service"`
-	Accelerators  int            `json:"accelerators"`
-}
-
-// parse decodes a list. It skips entries with an unknown role, so that a new kind of
-// VM does not make the rest of the list unusable.
-func parse(reader io.Reader) ([]messenger.VM, error) {
-	var decoded list
-	if err := json.NewDecoder(reader).Decode(&decoded); err != nil {
-		return nil, errors.Wrap(err, "VM list")
-	}
-	vms := make([]messenger.VM, 0, len(decoded.VMs))
-	for _, vm := range decoded.VMs {
-		role, ok := roles[vm.Role]
-		if !ok {
-			continue
-		}
-		vms = append(vms, messenger.VM{
-			Name:          vm.Name,
-			Role:          role,
-			Address:       vm.Address,
-			Leaving:       vm.State == "leaving",
-			Region:        identifier.Region(vm.Region),
-			FailureDomain: identifier.FailureDomain(vm.FailureDomain),
-			Rack:          identifier.Rack(vm.Rack),
-			Service:       identifier.Service(vm.Service),
-			Accelerators:  vm.Accelerators,
-		})
+	vms, refused, err := parse(body)
+	for _, refusal := range refused {
+		lister.meter.RefuseEntry(refusal.name, refusal.reason)
 	}
-	return vms, nil
-}
-
-var roles = map[string]messenger.VMRole{
-	"entry":  messenger.EntryVM,
-	"worker": messenger.WorkerVM,
-	"minion": messenger.MinionVM,
+	return answer{vms: vms, entityTag: response.Header.Get("ETag"), bytes: int64(len(body))}, err
 }
--- a/lister/poll_test.go
+++ b/lister/poll_test.go
@@ -59,6 +59,10 @@
 	platform.results = append(platform.results, result)
 }
 
+func (platform *platform) RefuseEntry(name string, _ error) {
+	platform.results = append(platform.results, "refused "+name)
+}
+
 // TestListIsPolledEachSecond guards against a poll that hangs, a list that is lost or
 // that is read from an answer with an error status, and a VM of an unknown kind that
 // makes the rest of the list unusable.
--- a/messenger/reportlimits.go
+++ b/messenger/reportlimits.go
@@ -29,3 +29,28 @@
 	}
 	return specifier.CheckName("failure domain", string(report.FailureDomain))
 }
+
+// Check returns an error with code BadRequest if the entry is not that of a usable VM:
+// a name, the address or a number is missing or out of range.
+func (vm *VM) Check() error {
+	if vm.Accelerators < 0 || vm.Accelerators > specifier.MaxAccelerators {
+		return classifier.New(classifier.BadRequest, "%d accelerators, 0 to %d are allowed", vm.Accelerators, specifier.MaxAccelerators)
+	}
+	for _, field := range []struct{ kind, name string }{
+		{"region", string(vm.Region)},
+		{"failure domain", string(vm.FailureDomain)},
+		{"rack", string(vm.Rack)},
+		{"service", string(vm.Service)},
+	} {
+		if field.name == "" {
+			continue // the platform omits what does not apply to the VM's role
+		}
+		if err := specifier.CheckName(field.kind, field.name); err != nil {
+			return err
+		}
+	}
+	if err := specifier.CheckName("VM", vm.Name); err != nil {
+		return err
+	}
+	return specifier.CheckAddress(vm.Address)
+}
--- a/server/ioduties.go
+++ b/server/ioduties.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"time"
 
+	"github.com/phuslu/log"
+	"golang.org/x/time/rate"
+
 	"corianderroad/appender"
 	"corianderroad/applier"
 	"corianderroad/classifier"
@@ -44,7 +47,7 @@
 	if err != nil {
 		return classifier.New(classifier.InvalidSettings, "peer-address: %v", err)
 	}
-	events, meter := eventSink{server}, meter{server.exporter}
+	events, meter := eventSink{server}, meter{server.exporter, rate.NewLimiter(refusalLinesPerSecond, refusalLineBurst)}
 	key, err := framer.NewKey(settings.SharedKey)
 	if err != nil {
 		return classifier.New(classifier.InvalidSettings, "shared-key: %v", err)
@@ -104,7 +107,8 @@
 
 // meter counts the results that I/O duties report.
 type meter struct {
-	exporter *exporter.Exporter
+	exporter       *exporter.Exporter
+	refusalLimiter *rate.Limiter
 }
 
 // CountBytes implements transporter.Meter.
@@ -120,3 +124,17 @@
 
 // CountPoll implements lister.Meter.
 func (meter meter) CountPoll(result string) { meter.exporter.CountIO("vm-list-polled", result) }
+
+// RefuseEntry implements lister.Meter.
+func (meter meter) RefuseEntry(name string, reason error) {
+	meter.exporter.CountIO("vm-list-entry", "refused")
+	if meter.refusalLimiter.Allow() {
+		log.Warn().Str("vm", name).Str("reason", reason.Error()).Msg("entry of the VM list refused")
+	}
+}
+
+// Limits of the log lines for refused entries. All refusals are counted.
+const (
+	refusalLinesPerSecond = 1
+	refusalLineBurst      = 10
+)
