Report a VM list above the size limit as such

A list of more than 8 MiB was cut at the limit and then reported as invalid JSON, so that an operator looked for a fault of encoding. The read now takes one byte more than the limit and returns an error that names it.

TestListAboveSizeLimit failed before: "unexpected EOF / VM list".

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -147,10 +147,13 @@
 	default:
 		return answer{}, errors.Errorf("VM list: status %d", response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
 	if err != nil {
 		return answer{}, errors.Wrap(err, "VM list")
 	}
+	if len(body) > maxListBytes {
+		return answer{bytes: int64(len(body))}, errors.Errorf("VM list: larger than %d bytes", maxListBytes)
+	}
 	vms, refused, err := parse(body)
 	for _, refusal := range refused {
 		lister.meter.RefuseEntry(refusal.name, refusal.reason)
--- a/lister/oddentry_test.go
+++ b/lister/oddentry_test.go
@@ -91,6 +91,17 @@
 	c.Assert(err, quicktest.ErrorMatches, "VM list: .*")
 }
 
+// TestListAboveSizeLimit guards against a list above the size limit that is reported
+// as invalid JSON.
+func TestListAboveSizeLimit(t *testing.T) {
+	c := quicktest.New(t)
+	_, _, err := listed(c, `{"vms":[`+firstVM+strings.Repeat(" ", maxListBytes)+`]}`)
+	c.Assert(err, quicktest.ErrorMatches, "VM list: larger than 8388608 bytes")
+	vms, _, err := listed(c, `{"vms":[`+firstVM+strings.Repeat(" ", maxListBytes-len(firstVM)-len(`{"vms":[]}`))+`]}`)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(vms, quicktest.HasLen, 1)
+}
+
 // FuzzEntry guards against an entry that makes the decoder panic or changes how its
 // valid neighbours are decoded.
 func FuzzEntry(f *testing.F) {
