--- a/specifier/limits.go
+++ b/specifier/limits.go
@@ -23,6 +23,15 @@
 
 	// MaxDuration limits run times, timeouts and other durations.
 	MaxDuration = 366 * 24 * time.Hour
+	// MaxJobTasks limits the tasks of all occurrences of a job together. It is the
+	// number of tasks of the largest job that runs once. Each node keeps about 120
+	// bytes for each task of an open job.
+	MaxJobTasks = MaxSteps * MaxTasks
+	// MaxScheduleSpan limits the time from the first to the last occurrence of a job.
+	MaxScheduleSpan = 100 * MaxDuration
+	// MaxBodyBytes limits the body of a request, whatever the configuration allows.
+	MaxBodyBytes = 16 << 20
+
 	// MaxClock limits a reading of a minion's steady clock. A clock that counts from
 	// 1970 is below it.
 	MaxClock = 100 * MaxDuration
@@ -46,6 +55,56 @@
 	return nil
 }
 
+// CheckLimits returns an error with code BadRequest if a value of a well-formed job is
+// out of range. It applies to new jobs only, so that a job that was accepted under
+// other limits stays readable in the journal.
+func (job *Job) CheckLimits() error {
+	tasks, runTime := 0, time.Duration(0)
+	for index := range job.Steps {
+		if err := job.Steps[index].checkLimits(); err != nil {
+			return classifier.New(classifier.BadRequest, "step %d: %v", index, err)
+		}
+		tasks += job.Steps[index].Tasks * job.Occurrences()
+		runTime += job.Steps[index].EstimatedRunTime
+	}
+	if tasks > MaxJobTasks {
+		return classifier.New(classifier.BadRequest, "the job has %d tasks in all occurrences, at most %d are allowed", tasks, MaxJobTasks)
+	}
+	if err := CheckDuration("estimated run time of all steps", runTime, MaxDuration); err != nil {
+		return err
+	}
+	return job.Schedule.checkLimits()
+}
+
+func (step *Step) checkLimits() error {
+	if len(step.DependsOn) > MaxSteps {
+		return classifier.New(classifier.BadRequest, "%d dependencies, at most %d are allowed", len(step.DependsOn), MaxSteps)
+	}
+	for _, err := range []error{
+		step.Request.Check(),
+		CheckDuration("estimated run time", step.EstimatedRunTime, MaxDuration),
+		CheckDuration("latency target", step.LatencyTarget, MaxDuration),
+		CheckOptionalName("required label", step.Label),
+		CheckOptionalName("data rack", string(step.DataRack)),
+		CheckOptionalName("image", step.Image),
+	} {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (schedule *Schedule) checkLimits() error {
+	if schedule == nil {
+		return nil
+	}
+	if first := schedule.First.UnixMilli(); first < 0 || first > int64(MaxIncarnation) {
+		return classifier.New(classifier.BadRequest, "the first occurrence is due %d ms after 1970, 0 to %d are allowed", first, MaxIncarnation)
+	}
+	return CheckDuration("interval", schedule.Interval, MaxScheduleSpan/time.Duration(schedule.Occurrences))
+}
+
 // CheckDuration returns an error with code BadRequest if a duration is negative or
 // above its limit.
 func CheckDuration(name string, value, limit time.Duration) error {
@@ -67,6 +126,14 @@
 	return nil
 }
 
+// CheckOptionalName is CheckName for a name that may be empty.
+func CheckOptionalName(kind, name string) error {
+	if name == "" {
+		return nil
+	}
+	return CheckName(kind, name)
+}
+
 // CheckAddress returns an error with code BadRequest if no call can be sent to an
 // address.
 func CheckAddress(address netip.AddrPort) error {
@@ -83,10 +150,7 @@
 		return classifier.New(classifier.BadRequest, "%d labels, at most %d are allowed", len(labels), MaxLabels)
 	}
 	for _, label := range labels {
-		if label == "" {
-			continue
-		}
-		if err := CheckName("label", label); err != nil {
+		if err := CheckOptionalName("label", label); err != nil {
 			return err
 		}
 	}
