Refuse operator's records with values out of range

A configuration whose timeout, slack or advice times were near the top of their range was applied: the conversion to a Duration overflowed, and requests of that queue were refused as late. A stretch of 1e300 made the objective of each job undefined, a large guarantee overflowed sums of accelerators. A wave whose number differs from its key, or without a number, replaced another wave.

--- a/messenger/reportlimits.go
+++ b/messenger/check.go
@@ -40,6 +40,20 @@
 	)
 }
 
+// Check returns an error with code BadRequest if a value of the wave is missing or out
+// of range.
+func (wave *Wave) Check() error {
+	if wave.Wave <= 0 || wave.MaxUnavailable < 0 || wave.MaxUnavailable > specifier.MaxWaveVMs || len(wave.VMs) > specifier.MaxWaveVMs {
+		return classifier.New(classifier.BadRequest, "number %d, maximum %d or %d VMs out of range", wave.Wave, wave.MaxUnavailable, len(wave.VMs))
+	}
+	for _, vm := range wave.VMs {
+		if err := specifier.CheckName("VM", string(vm)); err != nil {
+			return err
+		}
+	}
+	return specifier.CheckDuration("duration", wave.Duration, specifier.MaxDuration)
+}
+
 func firstError(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
--- a/specifier/limits.go
+++ b/specifier/limits.go
@@ -38,6 +38,13 @@
 	// MaxIncarnation is the start of the year 2100 in Unix milliseconds. A report of a
 	// later start would hide all true reports of the same minion.
 	MaxIncarnation identifier.Incarnation = 4_102_444_800_000
+	// MaxStretch and MaxAttempts limit the values of a queue. MaxStretch times
+	// MaxDuration fits a Duration.
+	MaxStretch  = 250
+	MaxAttempts = 1 << 20
+	MaxPriority = 1 << 20
+	// MaxWaveVMs limits the VMs of a maintenance wave.
+	MaxWaveVMs = 1 << 16
 	// MaxLabels limits the labels of a minion.
 	MaxLabels = 64
 	// MaxNameBytes limits names of minions, services, zones, racks and labels. It is
@@ -105,6 +112,40 @@
 	return CheckDuration("interval", schedule.Interval, MaxScheduleSpan/time.Duration(schedule.Occurrences))
 }
 
+// Check returns an error with code BadRequest if a value of the policy is out of range.
+func (policy *Policy) Check() error {
+	for index := range policy.Queues {
+		if err := policy.Queues[index].check(); err != nil {
+			return classifier.New(classifier.BadRequest, "queue %.40q: %v", policy.Queues[index].Name, err)
+		}
+	}
+	for _, workspace := range policy.Workspaces {
+		if err := (Resources{Accelerators: workspace.Guaranteed}).Check(); err != nil {
+			return classifier.New(classifier.BadRequest, "workspace %.40q: %v", workspace.Name, err)
+		}
+	}
+	return nil
+}
+
+func (queue *Queue) check() error {
+	if queue.Stretch < 0 || queue.Stretch > MaxStretch || queue.Attempts > MaxAttempts || queue.Priority < 0 || queue.Priority > MaxPriority {
+		return classifier.New(classifier.BadRequest, "stretch %g, %d attempts or priority %d out of range", queue.Stretch, queue.Attempts, queue.Priority)
+	}
+	if err := CheckDuration("timeout", queue.Timeout, MaxDuration); err != nil {
+		return err
+	}
+	if err := CheckDuration("slack", queue.Slack, MaxDuration); err != nil || queue.Advice == nil {
+		return err
+	}
+	if err := CheckDuration("decision time", queue.Advice.DecisionTime, MaxDuration); err != nil {
+		return err
+	}
+	if err := CheckDuration("time per minion", queue.Advice.TimePerMinion, MaxDuration); err != nil {
+		return err
+	}
+	return CheckDuration("ticket validity", queue.Advice.TicketValidity, MaxDuration)
+}
+
 // CheckDuration returns an error with code BadRequest if a duration is negative or
 // above its limit.
 func CheckDuration(name string, value, limit time.Duration) error {
