Check the numbers in minions' answers

An answer whose clock was negative or near the top of its range was applied: the clock of the lease overflowed. A start near the top of its range replaced the incarnation by one that no report could follow, and its runs counted as lost. A run number or number of an end at the top of its range left no next one. NaN and infinite loads, which fastjson accepts, entered the comparison with the latency target. A list of another type was read as an empty one, so that all runs of the minion counted as lost.

Cause: GetInt64 and GetUint64 return 0 for a value of another type, and no number was checked.

A clock, start, task, run or number out of range now makes the answer corrupt; a percentage is limited and a load out of range ignored, because both are hints. An answer with an invalid row stays refused as a whole, since a run missing in the list would be started a second time.

--- a/specifier/limits.go
+++ b/specifier/limits.go
@@ -35,6 +35,11 @@
 	// MaxClock limits a reading of a minion's steady clock. A clock that counts from
 	// 1970 is below it.
 	MaxClock = 100 * MaxDuration
+	// MaxRunNumber limits the numbers of runs and of ends, so that a next number exists.
+	MaxRunNumber = 1 << 62
+	// MaxLoad limits the figure that a minion reports of a run's load: milliseconds or
+	// thousandths of a core.
+	MaxLoad = 1e9
 	// MaxIncarnation is the start of the year 2100 in Unix milliseconds. A report of a
 	// later start would hide all true reports of the same minion.
 	MaxIncarnation identifier.Incarnation = 4_102_444_800_000
