Decode the lists of the platform's services entry by entry

One entry of the cloud's VM list with a field of another type made the whole list unusable, so that no maintenance wave advanced while it stood. An empty answer with status 200 was a list without VMs, after which each waiting VM of a wave counted as gone and the wave as completed. A list whose pages name each other was read without end. Advice for minions that were not asked was taken over, and a validity near the top of its range overflowed to -1 ms.

Each entry is now decoded alone by splitter. An invalid one is counted (service-entry, refused) and logged with its name. A VM whose entry is invalid stays listed with state VMOther: one that is not listed counts as gone, and its wave would be reported as completed without its maintenance. An empty answer, a list of more than 1,000 pages and a validity out of range are corrupt answers. The client gets an observer of refusals, declared in platform as RefusalObserver.

The tests use the new constructor.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -171,7 +171,7 @@
 	assembler.journalTailer = newTailer(tailer.Options{
 		Topic: identifier.Journal, Wait: journalWait, Pace: journalPace, PageTimeout: journalListTimeout,
 	}, &journalSink{sink, dependency{topic: "journal"}})
-	serviceClient := platform.NewServiceClient(settings, storeClient)
+	serviceClient := platform.NewServiceClient(settings, storeClient, refusalObserver{assembler})
 	assembler.duties = append(assembler.duties,
 		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{sink, dependency{topic: "operator"}}),
 		assembler.journalTailer,
--- a/messenger/check.go
+++ b/messenger/check.go
@@ -40,6 +40,16 @@
 	)
 }
 
+// Check returns an error with code BadRequest if a name in the report is invalid. The
+// pool and the minion may be missing.
+func (report *VMReport) Check() error {
+	return firstError(
+		specifier.CheckName("VM", string(report.VM)),
+		specifier.CheckOptionalName("pool", string(report.Pool)),
+		specifier.CheckOptionalName("minion", string(report.Minion)),
+	)
+}
+
 // Check returns an error with code BadRequest if a value of the wave is missing or out
 // of range.
 func (wave *Wave) Check() error {
