--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -166,7 +166,7 @@
 	}
 	assembler.minionTailer = newTailer(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{sink, dependency{topic: "minions"}})
 	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, &journalSink{sink, dependency{topic: "journal"}})
-	serviceClient := platform.NewServiceClient(settings, storeClient)
+	serviceClient := platform.NewServiceClient(settings, storeClient, refusalObserver{assembler})
 	assembler.duties = append(assembler.duties,
 		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{sink, dependency{topic: "operator"}}),
 		assembler.journalTailer,
