--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -52,37 +54,50 @@
 }
 
 // UnmarshalJournalEntry decodes a record. It returns nil for the deletion of any
-// key other than that of a job, which has no effect of its own, and an error with
-// code BadFrame for a record that can't be decoded.
+// key other than that of a job, which has no effect of its own. For a record that
+// can't be decoded the error has code BadFrame and names the key. Such a record has
+// no effect: the caller keeps what it knows of the key from earlier records.
 func UnmarshalJournalEntry(record KeyedRecord) (messenger.JournalEntry, error) {
-	prefix, name, found := strings.Cut(record.Key, "/")
+	entry, err := decodeJournalEntry(record)
+	if err != nil {
+		return nil, classifier.New(classifier.BadFrame, "record %q of the journal: %v", record.Key, err)
+	}
+	return entry, nil
+}
+
+func decodeJournalEntry(record KeyedRecord) (messenger.JournalEntry, error) {
+	prefix, name, _ := strings.Cut(record.Key, "/")
 	job := identifier.Job(name)
-	switch {
-	case !found:
-		return nil, classifier.New(classifier.BadFrame, "the journal has an unknown key %q", record.Key)
-	case prefix+"/" == jobPrefix && len(record.Value) == 0:
-		return messenger.Deleted{Job: job}, nil
-	case len(record.Value) == 0:
-		return nil, nil
-	case prefix+"/" == jobPrefix:
+	isDeletion := len(record.Value) == 0
+	switch prefix + "/" {
+	case jobPrefix:
+		if isDeletion {
+			return messenger.Deleted{Job: job}, nil
+		}
 		return submittedFromWire(job, record.Value)
-	case prefix+"/" == cancelPrefix:
+	case cancelPrefix:
+		if isDeletion {
+			return nil, nil
+		}
 		return messenger.Withdrawn{Job: job}, nil
-	case prefix+"/" == progressPrefix:
+	case progressPrefix:
+		if isDeletion {
+			return nil, nil
+		}
 		return progressedFromWire(job, record.Value)
 	default:
-		return nil, classifier.New(classifier.BadFrame, "the journal has an unknown key %q", record.Key)
+		return nil, errors.New("unknown kind of key")
 	}
 }
 
 func submittedFromWire(id identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalJob
 	if _, err := wire.UnmarshalMsg(value); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "job %q: %v", id, err)
+		return nil, err
 	}
 	job := jobFromWire(id, &wire)
 	if err := job.Check(); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "job %q: %v", id, err)
+		return nil, err
 	}
 	return messenger.Submitted{Job: job}, nil
 }
@@ -90,7 +105,7 @@
 func progressedFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalProgress
 	if _, err := wire.UnmarshalMsg(value); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "progress of job %q: %v", job, err)
+		return nil, err
 	}
 	progress := specifier.Progress{State: specifier.State(wire.State), EndedAt: timeFromWire(wire.EndedAt)}
 	for _, task := range wire.Tasks {
