Check the structure of a message before decoding it

All decoders now first skip the whole value without allocation, at most 16 levels deep, and refuse an array that declares more elements than bytes are left. A truncated body is refused by the same pass.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -92,7 +92,7 @@
 
 func submittedFromWire(id identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalJob
-	if _, err := wire.UnmarshalMsg(value); err != nil {
+	if err := unmarshal(value, &wire); err != nil {
 		return nil, err
 	}
 	job := jobFromWire(id, &wire)
@@ -104,7 +104,7 @@
 
 func progressedFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalProgress
-	if _, err := wire.UnmarshalMsg(value); err != nil {
+	if err := unmarshal(value, &wire); err != nil {
 		return nil, err
 	}
 	progress := specifier.Progress{State: specifier.State(wire.State), EndedAt: timeFromWire(wire.EndedAt)}
@@ -183,7 +183,7 @@
 // BadFrame.
 func UnmarshalClaim(value []byte) (messenger.Claim, error) {
 	var wire JournalClaim
-	if _, err := wire.UnmarshalMsg(value); err != nil {
+	if err := unmarshal(value, &wire); err != nil {
 		return messenger.Claim{}, classifier.New(classifier.BadFrame, "claim: %v", err)
 	}
 	return messenger.Claim{
--- a/encoder/log.go
+++ b/encoder/log.go
@@ -30,18 +30,16 @@
 // BadFrame if the payload is not a batch.
 func UnmarshalBatch(payload []byte) ([]messenger.Entry, error) {
 	var batch LogBatch
-	rest, err := batch.UnmarshalMsg(payload)
-	if err != nil {
+	if err := unmarshal(payload, &batch); err != nil {
 		return nil, classifier.New(classifier.BadFrame, "log payload of %d bytes: %v", len(payload), err)
 	}
-	if len(rest) > 0 {
-		return nil, classifier.New(classifier.BadFrame, "log payload has %d bytes after its end", len(rest))
-	}
 	entries := make([]messenger.Entry, len(batch.Entries))
 	for i := range batch.Entries {
-		if entries[i], err = batch.Entries[i].decode(); err != nil {
+		entry, err := batch.Entries[i].decode()
+		if err != nil {
 			return nil, err
 		}
+		entries[i] = entry
 	}
 	return entries, nil
 }
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -27,13 +27,9 @@
 // code BadFrame.
 func UnmarshalPeer(body []byte) (messenger.Peer, error) {
 	var wire WirePeer
-	rest, err := wire.UnmarshalMsg(body)
-	if err != nil {
+	if err := unmarshal(body, &wire); err != nil {
 		return nil, classifier.New(classifier.BadFrame, "peer message: %v", err)
 	}
-	if len(rest) != 0 {
-		return nil, classifier.New(classifier.BadFrame, "peer message is followed by %d bytes", len(rest))
-	}
 	return peerFromWire(&wire)
 }
 
--- a/encoder/query.go
+++ b/encoder/query.go
@@ -21,9 +21,8 @@
 // BadFrame.
 func UnmarshalQuery(body []byte) (querier.Query, error) {
 	var wire WireQuery
-	rest, err := wire.UnmarshalMsg(body)
-	if err != nil || len(rest) != 0 {
-		return querier.Query{}, classifier.New(classifier.BadFrame, "query: %v, followed by %d bytes", err, len(rest))
+	if err := unmarshal(body, &wire); err != nil {
+		return querier.Query{}, classifier.New(classifier.BadFrame, "query: %v", err)
 	}
 	return querier.Query{
 		Kind: querier.Kind(wire.Kind), Subject: wire.Subject, Workspace: identifier.Workspace(wire.Workspace),
@@ -44,9 +43,8 @@
 // BadFrame.
 func UnmarshalAnswer(body []byte) (querier.Answer, error) {
 	var wire WireAnswer
-	rest, err := wire.UnmarshalMsg(body)
-	if err != nil || len(rest) != 0 {
-		return querier.Answer{}, classifier.New(classifier.BadFrame, "answer: %v, followed by %d bytes", err, len(rest))
+	if err := unmarshal(body, &wire); err != nil {
+		return querier.Answer{}, classifier.New(classifier.BadFrame, "answer: %v", err)
 	}
 	return answerFromWire(&wire), nil
 }
