Refuse job records whose numbers allocate gigabytes or overflow

Callers saw: nothing yet. A job record of another writer, or a job of a caller, with 64 steps of 2,048 tasks and 4,096 occurrences passed all checks; the planner of every node allocates a state for each task of each occurrence. Estimates, requests, intervals and times at the top of their range passed too; sums over a chain of steps and due times then overflow. A job with more than 65,536 tasks could not be recovered: the progress record that lists them exceeds the limit of its decoder.

Cause: specifier.Job.Check bounds each number of a step alone.

messenger/limits.go holds the limits of records. The generator of TestJournalRoundTrip draws its jobs within these limits; its comparisons are unchanged.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -68,6 +68,9 @@
 func decodeJournalEntry(record KeyedRecord) (messenger.JournalEntry, error) {
 	prefix, name, _ := strings.Cut(record.Key, "/")
 	job := identifier.Job(name)
+	if err := messenger.CheckJobID(job); err != nil {
+		return nil, err
+	}
 	isDeletion := len(record.Value) == 0
 	switch prefix + "/" {
 	case jobPrefix:
@@ -99,7 +102,11 @@
 	if err := job.Check(); err != nil {
 		return nil, err
 	}
-	return messenger.Submitted{Job: job}, nil
+	submitted := messenger.Submitted{Job: job}
+	if err := submitted.CheckLimits(); err != nil {
+		return nil, err
+	}
+	return submitted, nil
 }
 
 func progressedFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
--- a/encoder/journal_odd_test.go
+++ b/encoder/journal_odd_test.go
@@ -1,7 +1,10 @@
 package encoder_test
 
 import (
+	"math"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -69,3 +72,60 @@
 		quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("deletion of %q", record.Key))
 	}
 }
+
+// oddJobs returns jobs that no caller can have submitted, with the reason.
+func oddJobs() map[string]specifier.Job {
+	withStep := func(step specifier.Step) specifier.Job {
+		step.Tasks = max(step.Tasks, 1)
+		return specifier.Job{ID: "a1", Steps: []specifier.Step{{Tasks: 1}, step}}
+	}
+	withSchedule := func(schedule specifier.Schedule) specifier.Job {
+		return specifier.Job{ID: "a1", Steps: []specifier.Step{{Tasks: 1}}, Schedule: &schedule}
+	}
+	largest := withSchedule(specifier.Schedule{Occurrences: specifier.MaxOccurrences, Interval: time.Second})
+	for len(largest.Steps) < specifier.MaxSteps {
+		largest.Steps = append(largest.Steps, specifier.Step{Tasks: specifier.MaxTasks})
+	}
+	late := withStep(specifier.Step{})
+	late.AcceptedAt = time.Unix(0, math.MaxInt64)
+	early := withStep(specifier.Step{})
+	early.AcceptedAt = time.Unix(0, math.MinInt64)
+	return map[string]specifier.Job{
+		"gigabytes of tasks":     largest,
+		"largest estimate":       withStep(specifier.Step{EstimatedRunTime: math.MaxInt64}),
+		"largest latency target": withStep(specifier.Step{LatencyTarget: math.MaxInt64}),
+		"largest processor":      withStep(specifier.Step{Request: specifier.Resources{MilliCPU: math.MaxInt64}}),
+		"largest memory":         withStep(specifier.Step{Request: specifier.Resources{MemoryMB: math.MaxInt64}}),
+		"largest accelerators":   withStep(specifier.Step{Request: specifier.Resources{Accelerators: math.MaxInt64}}),
+		"negative memory":        withStep(specifier.Step{Request: specifier.Resources{MemoryMB: -1}}),
+		"negative tasks":         withStep(specifier.Step{Tasks: 1, MaxPerMinion: -1}),
+		"many dependencies":      withStep(specifier.Step{DependsOn: make([]int, 1000)}),
+		"later dependency":       withStep(specifier.Step{DependsOn: []int{1}}),
+		"negative dependency":    withStep(specifier.Step{DependsOn: []int{-1}}),
+		"accepted in 2262":       late,
+		"accepted in 1677":       early,
+		"negative interval":      withSchedule(specifier.Schedule{Occurrences: 2, Interval: -1}),
+		"largest interval":       withSchedule(specifier.Schedule{Occurrences: 2, Interval: math.MaxInt64}),
+		"interval that overflows with the number of occurrences": withSchedule(specifier.Schedule{
+			Occurrences: specifier.MaxOccurrences, Interval: math.MaxInt64 / 2048,
+		}),
+		"begins in 2262":       withSchedule(specifier.Schedule{Occurrences: 2, First: time.Unix(0, math.MaxInt64)}),
+		"too many occurrences": withSchedule(specifier.Schedule{Occurrences: math.MaxInt64}),
+		"no steps":             {ID: "a1"},
+		"no ID":                {Steps: []specifier.Step{{Tasks: 1}}},
+		"ID of a task":         {ID: "a1.0.1.17", Steps: []specifier.Step{{Tasks: 1}}},
+		"long ID":              {ID: identifier.Job(strings.Repeat("a", 200)), Steps: []specifier.Step{{Tasks: 1}}},
+	}
+}
+
+// TestOddJobIsRefused guards against a job record of another writer whose numbers
+// overflow the sums of the planner or allocate gigabytes at every node.
+func TestOddJobIsRefused(t *testing.T) {
+	for reason, job := range oddJobs() {
+		t.Run(reason, func(t *testing.T) {
+			record, err := encoder.MarshalJournalEntry(messenger.Submitted{Job: job})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			checkRefused(t, record)
+		})
+	}
+}
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -4,7 +4,8 @@
 //go:generate gofumpt -w journal_schema_gen.go
 
 // The limits prevent a corrupt length from allocating memory for elements that
-// the record does not contain.
+// the record does not contain. Those in the tags are specifier.MaxSteps and
+// messenger.MaxDependencies; that of arrays is messenger.MaxJobTasks.
 //msgp:limit arrays:65536 maps:64
 
 // JournalJob is specifier.Job on the wire.
@@ -12,7 +13,7 @@
 	Queue       string        `msg:"queue"`
 	Workspace   string        `msg:"workspace"`
 	Payload     string        `msg:"payload"`
-	Steps       []JournalStep `msg:"steps"`
+	Steps       []JournalStep `msg:"steps,limit=64"`
 	Occurrences int           `msg:"occurrences"`
 	First       int64         `msg:"first"`
 	Interval    int64         `msg:"interval"`
@@ -29,7 +30,7 @@
 	MemoryMB         int    `msg:"memory-mb"`
 	Accelerators     int    `msg:"accelerators"`
 	EstimatedRunTime int64  `msg:"estimated-run-time"`
-	DependsOn        []int  `msg:"depends-on"`
+	DependsOn        []int  `msg:"depends-on,limit=64"`
 	Gang             bool   `msg:"gang"`
 	SameRack         bool   `msg:"same-rack"`
 	Label            string `msg:"label"`
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -189,7 +189,7 @@
 				err = msgp.WrapError(err, "Steps")
 				return
 			}
-			if zb0002 > z52a732eflimitArrays {
+			if zb0002 > 64 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -424,7 +424,7 @@
 		err = msgp.WrapError(err, "DependsOn")
 		return
 	}
-	if zb0002 > z52a732eflimitArrays {
+	if zb0002 > 64 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -28,8 +28,9 @@
 		if len(job.Steps) == 0 {
 			job.Steps = []specifier.Step{{Tasks: 1}}
 		}
+		job.AcceptedAt = validTime(job.AcceptedAt)
 		if job.Schedule != nil {
-			job.Schedule.Occurrences = 1 + int(uint(job.Schedule.Occurrences)%specifier.MaxOccurrences)
+			job.Schedule = validSchedule(job.Schedule)
 		}
 		checkRoundTrip(t, messenger.Submitted{Job: job})
 		var progress specifier.Progress
@@ -48,6 +49,22 @@
 	})
 }
 
+// validTime returns a random time changed to be within the range that the decoder
+// checks.
+func validTime(at time.Time) time.Time {
+	return time.Unix(int64(uint64(at.Unix())%messenger.MaxRecordUnixSeconds), int64(at.Nanosecond()))
+}
+
+// validSchedule returns a random schedule changed to be within the bounds that the
+// decoder checks for jobs of a few small steps.
+func validSchedule(schedule *specifier.Schedule) *specifier.Schedule {
+	occurrences := 1 + int(uint(schedule.Occurrences)%8)
+	return &specifier.Schedule{
+		Occurrences: occurrences, First: validTime(schedule.First),
+		Interval: time.Duration(uint64(schedule.Interval) % uint64(messenger.MaxScheduleSpan/time.Duration(occurrences))),
+	}
+}
+
 // validStep returns a random step changed to be within the bounds that the decoder
 // checks.
 func validStep(step specifier.Step) specifier.Step {
--- a/encoder/structure_test.go
+++ b/encoder/structure_test.go
@@ -71,8 +71,7 @@
 }
 
 // TestDeepNestingIsRefused guards against nested values in a field that the decoder
-// does not know: skipping 90,000 levels made the stack of the reader grow by
-// megabytes.
+// does not know: 90,000 levels were skipped recursively and accepted.
 func TestDeepNestingIsRefused(t *testing.T) {
 	for _, depth := range []int{100, 90_000, 1 << 20} {
 		for name, decode := range decoders() {
--- /dev/null
+++ b/messenger/limits.go
@@ -0,0 +1,112 @@
+package messenger
+
+import (
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/specifier"
+)
+
+// Limits of the records of the journal, in addition to those of
+// package specifier. They are checked when a job is accepted and when a record is
+// read, so that every node can read each job that one of them accepted.
+const (
+	// MaxJobIDBytes is the length of the longest ID of a job.
+	MaxJobIDBytes = 64
+	// MaxJobTasks bounds the tasks of all occurrences of a job. Every node that
+	// reads the job allocates memory for all of them, and one progress record lists
+	// them.
+	MaxJobTasks = 1 << 16
+	// MaxDependencies bounds the entries of Step.DependsOn.
+	MaxDependencies = specifier.MaxSteps
+	// MaxTaskRequest bounds a task's request of each resource: millicores, megabytes
+	// or accelerators.
+	MaxTaskRequest = 1 << 30
+	// MaxTaskDuration bounds the estimated run time and the latency target of a
+	// task, so that the sum over a chain of steps does not overflow.
+	MaxTaskDuration = 366 * 24 * time.Hour
+	// MaxScheduleSpan bounds the time from the first occurrence to the last one.
+	MaxScheduleSpan = 100 * 366 * 24 * time.Hour
+	// MaxRecordUnixSeconds bounds all times in records, in seconds since 1970. It is
+	// in the year 2128. MaxScheduleSpan later is within the range of a Unix time in
+	// nanoseconds.
+	MaxRecordUnixSeconds = 5_000_000_000
+)
+
+// CheckJobID returns an error with code BadRequest unless the ID consists of letters,
+// digits, hyphens and underscores. Other characters separate the parts of a task's
+// name and of a record's key.
+func CheckJobID(id identifier.Job) error {
+	if len(id) == 0 || len(id) > MaxJobIDBytes {
+		return classifier.New(classifier.BadRequest, "the ID of the job has %d bytes, 1 to %d are allowed", len(id), MaxJobIDBytes)
+	}
+	for _, character := range []byte(id) {
+		switch {
+		case 'a' <= character && character <= 'z', 'A' <= character && character <= 'Z', '0' <= character && character <= '9':
+		case character == '-', character == '_':
+		default:
+			return classifier.New(classifier.BadRequest, "the ID of the job contains %q", character)
+		}
+	}
+	return nil
+}
+
+// CheckLimits returns an error with code BadRequest if the job exceeds a limit of
+// its record. It does not repeat the checks of specifier.Job.Check.
+func (submitted Submitted) CheckLimits() error {
+	job := &submitted.Job
+	tasks := 0
+	for index := range job.Steps {
+		if err := checkStepLimits(index, &job.Steps[index]); err != nil {
+			return err
+		}
+		tasks += job.Steps[index].Tasks
+	}
+	if occurrences := job.Occurrences(); occurrences > 0 && tasks > MaxJobTasks/occurrences {
+		return classifier.New(classifier.BadRequest, "the job has %d tasks in each of %d occurrences, at most %d in total are allowed",
+			tasks, occurrences, MaxJobTasks)
+	}
+	if err := CheckJobID(job.ID); err != nil {
+		return err
+	}
+	if !isRecordTime(job.AcceptedAt) {
+		return classifier.New(classifier.BadRequest, "the job was accepted at %s, which is out of range", job.AcceptedAt)
+	}
+	return checkScheduleLimits(job.Schedule)
+}
+
+func checkStepLimits(index int, step *specifier.Step) error {
+	request := step.Request
+	if max(request.MilliCPU, request.MemoryMB, request.Accelerators) > MaxTaskRequest {
+		return classifier.New(classifier.BadRequest, "step %d requests more than %d of a resource", index, MaxTaskRequest)
+	}
+	if max(step.EstimatedRunTime, step.LatencyTarget) > MaxTaskDuration {
+		return classifier.New(classifier.BadRequest, "step %d has a duration above %s", index, MaxTaskDuration)
+	}
+	if len(step.DependsOn) > MaxDependencies {
+		return classifier.New(classifier.BadRequest, "step %d has %d dependencies, at most %d are allowed",
+			index, len(step.DependsOn), MaxDependencies)
+	}
+	return nil
+}
+
+func checkScheduleLimits(schedule *specifier.Schedule) error {
+	if schedule == nil {
+		return nil
+	}
+	if !isRecordTime(schedule.First) {
+		return classifier.New(classifier.BadRequest, "the first occurrence is at %s, which is out of range", schedule.First)
+	}
+	intervals := time.Duration(max(schedule.Occurrences-1, 1))
+	if schedule.Interval < 0 || schedule.Interval > MaxScheduleSpan/intervals {
+		return classifier.New(classifier.BadRequest, "%d occurrences have an interval of %s, which is out of range",
+			schedule.Occurrences, schedule.Interval)
+	}
+	return nil
+}
+
+// isRecordTime reports whether a time is zero or in the range of times in records.
+func isRecordTime(at time.Time) bool {
+	return at.IsZero() || (at.Unix() >= 0 && at.Unix() <= MaxRecordUnixSeconds)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -133,9 +133,13 @@
 	if refusal := registrar.refuseIfStoreUnavailable(now, event.Request, event.Job.ID); refusal != nil {
 		return refusal
 	}
+	submitted := messenger.Submitted{Job: event.Job}
+	if err := submitted.CheckLimits(); err != nil {
+		return refuse(event.Request, event.Job.ID, classifier.Wrap(err))
+	}
 	command := &command{
 		request: event.Request, job: event.Job.ID, workspace: event.Job.Workspace,
-		entry: messenger.Submitted{Job: event.Job}, arrived: now, deadline: event.Deadline.Add(-answerMargin),
+		entry: submitted, arrived: now, deadline: event.Deadline.Add(-answerMargin),
 	}
 	return registrar.begin(command)
 }
