Refuse progress and cancellations that no job can have

Callers saw: nothing yet. A progress record of another writer with an unknown state ended its job for good, shown as queued; with a final state and no time of its end, the job was deleted at the next check of ended jobs. Any value at a key of a cancellation cancelled the job.

Cause: the decoder accepted every number in a progress record, and did not look at the value of a cancellation.

Before the change TestOddProgressIsRefused failed in all 11 cases, e.g. TestOddProgressIsRefused/unknown_state: values are not equal and TestOddCancellationIsRefused with key "cancel/a1", value 00

Progressed.Check holds the bounds; a cancellation has exactly the value that all builds have written. Numbers of runs are not bounded: a minion may report any, and a refused progress record would lose more than the odd run. The generator of TestJournalRoundTrip draws progress within the bounds.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -20,6 +20,9 @@
 	progressPrefix = "progress/"
 )
 
+// cancelValue is the only byte of the value of a cancellation.
+const cancelValue = 1
+
 // KeyedRecord is a record of a topic that retains the newest record of each key.
 // A nil value deletes the key.
 type KeyedRecord struct {
@@ -34,7 +37,7 @@
 		value, err := jobToWire(&entry.Job).MarshalMsg(nil)
 		return KeyedRecord{jobPrefix + string(entry.Job.ID), value}, err
 	case messenger.Withdrawn:
-		return KeyedRecord{cancelPrefix + string(entry.Job), []byte{1}}, nil
+		return KeyedRecord{cancelPrefix + string(entry.Job), []byte{cancelValue}}, nil
 	case messenger.Progressed:
 		value, err := progressToWire(entry.Progress).MarshalMsg(nil)
 		return KeyedRecord{progressPrefix + string(entry.Job), value}, err
@@ -82,7 +85,7 @@
 		if isDeletion {
 			return nil, nil
 		}
-		return messenger.Withdrawn{Job: job}, nil
+		return withdrawnFromWire(job, record.Value)
 	case progressPrefix:
 		if isDeletion {
 			return nil, nil
@@ -109,6 +112,13 @@
 	return submitted, nil
 }
 
+func withdrawnFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
+	if len(value) != 1 || value[0] != cancelValue {
+		return nil, errors.Errorf("the value of %d bytes is not that of a cancellation", len(value))
+	}
+	return messenger.Withdrawn{Job: job}, nil
+}
+
 func progressedFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalProgress
 	if err := unmarshal(value, &wire); err != nil {
@@ -118,7 +128,11 @@
 	for _, task := range wire.Tasks {
 		progress.Tasks = append(progress.Tasks, specifier.TaskProgress(task))
 	}
-	return messenger.Progressed{Job: job, Progress: progress}, nil
+	progressed := messenger.Progressed{Job: job, Progress: progress}
+	if err := progressed.Check(); err != nil {
+		return nil, err
+	}
+	return progressed, nil
 }
 
 func progressToWire(progress specifier.Progress) *JournalProgress {
--- a/encoder/journal_odd_test.go
+++ b/encoder/journal_odd_test.go
@@ -129,3 +129,37 @@
 		})
 	}
 }
+
+// TestOddProgressIsRefused guards against a progress record of another writer with
+// a state that does not exist, which ends its job for good, and with tasks that no
+// job can have.
+func TestOddProgressIsRefused(t *testing.T) {
+	endedAt := time.Unix(1_000_000, 0)
+	for reason, progress := range map[string]specifier.Progress{
+		"unknown state":           {State: specifier.Cancelled + 1, EndedAt: endedAt},
+		"largest state":           {State: math.MaxUint8, EndedAt: endedAt},
+		"end without a time":      {State: specifier.Completed},
+		"ended in 2262":           {State: specifier.Completed, EndedAt: time.Unix(0, math.MaxInt64)},
+		"ended in 1677":           {State: specifier.Completed, EndedAt: time.Unix(0, math.MinInt64)},
+		"negative occurrence":     {Tasks: []specifier.TaskProgress{{Occurrence: -1}}},
+		"negative step":           {Tasks: []specifier.TaskProgress{{Step: -1}}},
+		"negative index":          {Tasks: []specifier.TaskProgress{{Index: -1}}},
+		"occurrence out of range": {Tasks: []specifier.TaskProgress{{Occurrence: math.MaxInt64}}},
+		"step out of range":       {Tasks: []specifier.TaskProgress{{Step: specifier.MaxSteps}}},
+		"index out of range":      {Tasks: []specifier.TaskProgress{{Index: specifier.MaxTasks}}},
+	} {
+		t.Run(reason, func(t *testing.T) {
+			record, err := encoder.MarshalJournalEntry(messenger.Progressed{Job: "a1", Progress: progress})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			checkRefused(t, record)
+		})
+	}
+}
+
+// TestOddCancellationIsRefused guards against a record of another form that cancels
+// a job because its key has the prefix of cancellations.
+func TestOddCancellationIsRefused(t *testing.T) {
+	for _, value := range []string{"\x00", "\x02", "\x01\x01", "text", "\x81\xa5other\x01"} {
+		checkRefused(t, encoder.KeyedRecord{Key: "cancel/a1", Value: []byte(value)})
+	}
+}
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -35,7 +35,7 @@
 		checkRoundTrip(t, messenger.Submitted{Job: job})
 		var progress specifier.Progress
 		setRandom(t, reflect.ValueOf(&progress).Elem())
-		checkRoundTrip(t, messenger.Progressed{Job: job.ID, Progress: progress})
+		checkRoundTrip(t, messenger.Progressed{Job: job.ID, Progress: validProgress(progress)})
 		checkRoundTrip(t, messenger.Withdrawn{Job: job.ID})
 		var claim messenger.Claim
 		setRandom(t, reflect.ValueOf(&claim).Elem())
@@ -52,7 +52,7 @@
 // validTime returns a random time changed to be within the range that the decoder
 // checks.
 func validTime(at time.Time) time.Time {
-	return time.Unix(int64(uint64(at.Unix())%messenger.MaxRecordUnixSeconds), int64(at.Nanosecond()))
+	return time.Unix(1+int64(uint64(at.Unix())%(messenger.MaxRecordUnixSeconds-1)), int64(at.Nanosecond()))
 }
 
 // validSchedule returns a random schedule changed to be within the bounds that the
@@ -80,6 +80,20 @@
 	return step
 }
 
+// validProgress returns a random progress changed to be within the bounds that the
+// decoder checks.
+func validProgress(progress specifier.Progress) specifier.Progress {
+	progress.State %= specifier.Cancelled + 1
+	progress.EndedAt = validTime(progress.EndedAt)
+	for index := range progress.Tasks {
+		task := &progress.Tasks[index]
+		task.Occurrence = int(uint(task.Occurrence) % specifier.MaxOccurrences)
+		task.Step = int(uint(task.Step) % specifier.MaxSteps)
+		task.Index = int(uint(task.Index) % specifier.MaxTasks)
+	}
+	return progress
+}
+
 func checkRoundTrip(t *rapid.T, entry messenger.JournalEntry) {
 	record, err := encoder.MarshalJournalEntry(entry)
 	if err != nil {
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -106,6 +106,28 @@
 	return nil
 }
 
+// Check returns an error with code BadRequest if the progress can't be that of any
+// job.
+func (progressed Progressed) Check() error {
+	progress := &progressed.Progress
+	if progress.State > specifier.Cancelled {
+		return classifier.New(classifier.BadRequest, "the state %d is unknown", progress.State)
+	}
+	if !isRecordTime(progress.EndedAt) || (progress.State.IsFinal() && progress.EndedAt.IsZero()) {
+		return classifier.New(classifier.BadRequest, "the job ended at %s, which is out of range", progress.EndedAt)
+	}
+	if len(progress.Tasks) > MaxJobTasks {
+		return classifier.New(classifier.BadRequest, "the progress lists %d tasks, at most %d are allowed", len(progress.Tasks), MaxJobTasks)
+	}
+	for _, task := range progress.Tasks {
+		if task.Occurrence < 0 || task.Occurrence >= specifier.MaxOccurrences || task.Step < 0 || task.Step >= specifier.MaxSteps ||
+			task.Index < 0 || task.Index >= specifier.MaxTasks {
+			return classifier.New(classifier.BadRequest, "task %d.%d.%d is out of range", task.Occurrence, task.Step, task.Index)
+		}
+	}
+	return nil
+}
+
 // isRecordTime reports whether a time is zero or in the range of times in records.
 func isRecordTime(at time.Time) bool {
 	return at.IsZero() || (at.Unix() >= 0 && at.Unix() <= MaxRecordUnixSeconds)
