Refuse records that are not claims, and keep the holder's claim

Callers saw: nothing yet. Any record in the topic of claims that decodes as a map counted as a claim, whatever its key: an empty map made the holder step down, a token at the top of its range stayed above all real ones. A node that started while the odd record had replaced the holder's claim in the listing claimed within 80 ms, although the holder was alive.

Cause: neither the key nor a field of a claim was checked, and a listing without a claim meant that there is no holder.

Before the change UnmarshalClaim returned for an empty map {Node: Incarnation:0 Token:0 Serial:0 Released:false} <nil> and TestUnreadableClaimMayHideHolder failed with value is not true; claimed after 80ms

UnmarshalClaim takes the whole record and its offset: a token is the offset of an earlier record plus one. A claimer that has read only an odd record waits for ClaimTimeout.

--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -60,15 +60,9 @@
 	return answer.StatusCode, string(content)
 }
 
-// TestJobRunsEndToEnd guards against a node that does not start a client's job on a
-// minion or does not report the job's end to the client, and against one that does
-// not stop when requested.
-func TestJobRunsEndToEnd(t *testing.T) {
-	c := quicktest.New(t)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	fake, minion := imitator.New(), imitator.NewMinion()
-	defer fake.Close()
+// startNode starts a node with one queue and one minion. The function that it returns
+// stops the node and checks how it ended.
+func startNode(ctx context.Context, c *quicktest.C, fake *imitator.Imitator, minion *imitator.Minion) (*platform.Settings, func()) {
 	fake.Reply = minion.Reply
 	fake.Write("keyed.servers", "i-1", minion.Report("s", fake.Address()))
 	fake.Write("keyed.op", "config", `{"version":1,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s",`+
@@ -87,6 +81,23 @@
 	go func() { ended <- node.Run(ctx, stop) }()
 
 	waitForAnswer(ctx, c, "http://"+settings.Readiness.String()+"/api/readyz", "", "")
+	return settings, func() {
+		close(stop)
+		c.Assert(<-ended, quicktest.Equals, context.Canceled)
+		c.Assert(ctx.Err(), quicktest.IsNil)
+	}
+}
+
+// TestJobRunsEndToEnd guards against a node that does not start a client's job on a
+// minion or does not report the job's end to the client, and against one that does
+// not stop when requested.
+func TestJobRunsEndToEnd(t *testing.T) {
+	c := quicktest.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	fake, minion := imitator.New(), imitator.NewMinion()
+	defer fake.Close()
+	settings, stop := startNode(ctx, c, fake, minion)
 	url := "http://" + settings.FrontEnd.String() + "/q/5c0e7a21d94b36f8"
 	job, err := json.Marshal(map[string]any{"spec": "text", "steps": []map[string]any{{"count": 2, "cpu": 100, "estimateMs": 10}}})
 	c.Assert(err, quicktest.IsNil)
@@ -96,7 +107,5 @@
 	waitForAnswer(ctx, c, "http://"+settings.Metrics.String()+"/metrics", "", `corianderroad_answer_seconds_count{kind="submit",result="ok"} 1`)
 	c.Assert(minion.Starts(), quicktest.Equals, 2)
 
-	close(stop)
-	c.Assert(<-ended, quicktest.Equals, context.Canceled)
-	c.Assert(ctx.Err(), quicktest.IsNil)
+	stop()
 }
--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -99,8 +99,9 @@
 		if record.Value == nil {
 			continue
 		}
-		claim, err := encoder.UnmarshalClaim(record.Value)
+		claim, err := encoder.UnmarshalClaim(encoder.KeyedRecord{Key: record.Key, Value: record.Value}, record.Offset)
 		if err != nil {
+			read.IsUnreadable = true
 			failures = append(failures, err)
 			continue
 		}
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -52,8 +52,11 @@
 
 	// newest is the newest claim that was read, nil before the first.
 	newest *messenger.Claim
-	offset identifier.Offset
-	end    identifier.Offset
+	// isHolderUnknown means that a read returned a record that is not a claim before
+	// newest was known. The record may have replaced the claim of a holder.
+	isHolderUnknown bool
+	offset          identifier.Offset
+	end             identifier.Offset
 	// unrenewedSince is the time since which the reads have shown no renewal.
 	unrenewedSince time.Time
 	lastReadAt     time.Time
@@ -110,6 +113,7 @@
 	}
 	claimer.lastReadAt = now
 	claimer.end = max(claimer.end, read.End)
+	claimer.isHolderUnknown = claimer.isHolderUnknown || read.IsUnreadable
 	if read.Claim == nil || (claimer.newest != nil && read.Offset <= claimer.offset) {
 		return nil
 	}
@@ -202,12 +206,21 @@
 	due := claimer.unrenewedSince.Add(ClaimTimeout + claimer.storeDelay + claimer.capacityDelay + claimer.jitter)
 	if claimer.token != 0 {
 		due = claimer.confirmedAt.Add(RenewInterval)
-	} else if claimer.newest == nil || claimer.newest.Released || claimer.isEarlierIncarnation(claimer.newest) {
+	} else if claimer.isClaimFree() {
 		due = claimer.unrenewedSince.Add(claimer.storeDelay + claimer.capacityDelay + claimer.jitter)
 	}
 	return later(due, claimer.retryAt)
 }
 
+// isClaimFree reports whether no other process can hold the claim, so that this node
+// need not wait for ClaimTimeout.
+func (claimer *Claimer) isClaimFree() bool {
+	if claimer.newest == nil {
+		return !claimer.isHolderUnknown
+	}
+	return claimer.newest.Released || claimer.isEarlierIncarnation(claimer.newest)
+}
+
 func later(one, other time.Time) time.Time {
 	if one.Before(other) {
 		return other
--- a/committer/holder.go
+++ b/committer/holder.go
@@ -97,9 +97,6 @@
 	return &ClaimAppender{actions: actions, store: store, eventSink: eventSink, clock: clock}
 }
 
-// claimKey is the only key of the claims topic.
-const claimKey = "holder"
-
 // claimTimeout bounds the append of a claim, so that a connection that stops
 // responding costs less than the time after which other VMs take over.
 const claimTimeout = 600 * time.Millisecond
@@ -122,11 +119,10 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	sentAt := claimAppender.clock()
-	value, err := encoder.MarshalClaim(action.Claim)
+	record, err := encoder.MarshalClaim(action.Claim)
 	if err != nil {
 		return messenger.ClaimAppended{Claim: action.Claim, SentAt: sentAt, Err: classifier.Wrap(err)}
 	}
-	records := []encoder.KeyedRecord{{Key: claimKey, Value: value}}
-	offset, err := claimAppender.store.AppendAt(ctx, identifier.Claims, records, action.At)
+	offset, err := claimAppender.store.AppendAt(ctx, identifier.Claims, []encoder.KeyedRecord{record}, action.At)
 	return messenger.ClaimAppended{Claim: action.Claim, Offset: offset, SentAt: sentAt, Err: classifier.Wrap(err)}
 }
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -190,25 +190,3 @@
 	}
 	return job
 }
-
-// MarshalClaim encodes a claim as the value of a record.
-func MarshalClaim(claim messenger.Claim) ([]byte, error) {
-	wire := JournalClaim{
-		Node: string(claim.Node), Incarnation: uint64(claim.Incarnation), Token: uint64(claim.Token),
-		Serial: claim.Serial, Released: claim.Released,
-	}
-	return wire.MarshalMsg(nil)
-}
-
-// UnmarshalClaim decodes a claim from the value of a record. The error has code
-// BadFrame.
-func UnmarshalClaim(value []byte) (messenger.Claim, error) {
-	var wire JournalClaim
-	if err := unmarshal(value, &wire); err != nil {
-		return messenger.Claim{}, classifier.New(classifier.BadFrame, "claim: %v", err)
-	}
-	return messenger.Claim{
-		Node: identifier.Node(wire.Node), Incarnation: identifier.Incarnation(wire.Incarnation),
-		Token: identifier.Term(wire.Token), Serial: wire.Serial, Released: wire.Released,
-	}, nil
-}
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -39,11 +39,12 @@
 		checkRoundTrip(t, messenger.Withdrawn{Job: job.ID})
 		var claim messenger.Claim
 		setRandom(t, reflect.ValueOf(&claim).Elem())
-		value, err := encoder.MarshalClaim(claim)
+		claim.Node, claim.Serial = "n"+claim.Node, max(claim.Serial, 1)
+		record, err := encoder.MarshalClaim(claim)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if decoded, err := encoder.UnmarshalClaim(value); err != nil || decoded != claim {
+		if decoded, err := encoder.UnmarshalClaim(record, identifier.Offset(claim.Token)); err != nil || decoded != claim {
 			t.Fatalf("got %+v, error %v, want %+v", decoded, err, claim)
 		}
 	})
--- a/encoder/structure_test.go
+++ b/encoder/structure_test.go
@@ -26,7 +26,10 @@
 			_, err := encoder.UnmarshalJournalEntry(encoder.KeyedRecord{Key: "progress/a1", Value: body})
 			return err
 		},
-		"claim":  func(body []byte) error { _, err := encoder.UnmarshalClaim(body); return err },
+		"claim": func(body []byte) error {
+			_, err := encoder.UnmarshalClaim(encoder.KeyedRecord{Key: "holder", Value: body}, 0)
+			return err
+		},
 		"batch":  func(body []byte) error { _, err := encoder.UnmarshalBatch(body); return err },
 		"peer":   func(body []byte) error { _, err := encoder.UnmarshalPeer(body); return err },
 		"query":  func(body []byte) error { _, err := encoder.UnmarshalQuery(body); return err },
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -8,12 +8,14 @@
 	"corianderroad/specifier"
 )
 
-// Limits of the records of the journal, in addition to those of
+// Limits of the records of the journal and of the claims, in addition to those of
 // package specifier. They are checked when a job is accepted and when a record is
 // read, so that every node can read each job that one of them accepted.
 const (
 	// MaxJobIDBytes is the length of the longest ID of a job.
 	MaxJobIDBytes = 64
+	// MaxNodeBytes is the length of the longest name of a node in a claim.
+	MaxNodeBytes = 255
 	// MaxJobTasks bounds the tasks of all occurrences of a job. Every node that
 	// reads the job allocates memory for all of them, and one progress record lists
 	// them.
