--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -64,6 +64,14 @@
 func (sink *journalSink) Deliver(ctx context.Context, reading tailer.Reading) error {
 	sink.recordSuccess(sink.assembler)
 	sink.assembler.readiness.journalReadAt.Store(sink.assembler.clock().UnixNano())
+	read, failures := decodeJournal(reading)
+	sink.assembler.reportIgnoredRecords(failures)
+	return sink.eventSink.Deliver(ctx, read)
+}
+
+// decodeJournal decodes the records of the journal. It returns an error for each
+// record that it ignores.
+func decodeJournal(reading tailer.Reading) (messenger.JournalRead, []error) {
 	read := messenger.JournalRead{End: reading.End, SentAt: reading.SentAt}
 	var failures []error
 	for _, record := range reading.Records {
@@ -74,8 +82,7 @@
 			read.Entries = append(read.Entries, entry)
 		}
 	}
-	sink.assembler.reportIgnoredRecords(failures)
-	return sink.eventSink.Deliver(ctx, read)
+	return read, failures
 }
 
 // Fail implements tailer.Sink.
@@ -93,6 +100,14 @@
 // Deliver implements tailer.Sink.
 func (sink *claimSink) Deliver(ctx context.Context, reading tailer.Reading) error {
 	sink.recordSuccess(sink.assembler)
+	read, failures := decodeClaims(reading)
+	sink.assembler.reportIgnoredRecords(failures)
+	return sink.eventSink.Deliver(ctx, read)
+}
+
+// decodeClaims returns the newest claim of the records, and an error for each record
+// that it ignores.
+func decodeClaims(reading tailer.Reading) (messenger.ClaimRead, []error) {
 	read := messenger.ClaimRead{End: reading.End, SentAt: reading.SentAt, RoundTrip: reading.RoundTrip}
 	var failures []error
 	for _, record := range reading.Records {
@@ -107,8 +122,7 @@
 		}
 		read.Claim, read.Offset = &claim, record.Offset
 	}
-	sink.assembler.reportIgnoredRecords(failures)
-	return sink.eventSink.Deliver(ctx, read)
+	return read, failures
 }
 
 // Fail implements tailer.Sink.
