Wait for a holder whose claim another writer has deleted

The fix for odd claims recognised only a record that can't be read. A deleted key leaves no record at all, and a starting node then claimed at once although the holder was alive.

A topic of claims that was written but shows no claim now counts as held, which covers both cases and needs no field in ClaimRead.

--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -116,7 +116,6 @@
 		}
 		claim, err := encoder.UnmarshalClaim(encoder.KeyedRecord{Key: record.Key, Value: record.Value}, record.Offset)
 		if err != nil {
-			read.IsUnreadable = true
 			failures = append(failures, err)
 			continue
 		}
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -52,11 +52,8 @@
 
 	// newest is the newest claim that was read, nil before the first.
 	newest *messenger.Claim
-	// isHolderUnknown means that a read returned a record that is not a claim before
-	// newest was known. The record may have replaced the claim of a holder.
-	isHolderUnknown bool
-	offset          identifier.Offset
-	end             identifier.Offset
+	offset identifier.Offset
+	end    identifier.Offset
 	// unrenewedSince is the time since which the reads have shown no renewal.
 	unrenewedSince time.Time
 	lastReadAt     time.Time
@@ -113,7 +110,6 @@
 	}
 	claimer.lastReadAt = now
 	claimer.end = max(claimer.end, read.End)
-	claimer.isHolderUnknown = claimer.isHolderUnknown || read.IsUnreadable
 	if read.Claim == nil || (claimer.newest != nil && read.Offset <= claimer.offset) {
 		return nil
 	}
@@ -213,10 +209,11 @@
 }
 
 // isClaimFree reports whether no other process can hold the claim, so that this node
-// need not wait for ClaimTimeout.
+// need not wait for ClaimTimeout. A topic that was written but shows no claim may hide
+// a holder: another writer has replaced or deleted its record.
 func (claimer *Claimer) isClaimFree() bool {
 	if claimer.newest == nil {
-		return !claimer.isHolderUnknown
+		return claimer.end == 0
 	}
 	return claimer.newest.Released || claimer.isEarlierIncarnation(claimer.newest)
 }
--- a/messenger/claim.go
+++ b/messenger/claim.go
@@ -29,8 +29,6 @@
 	// End is the offset after the last record.
 	End    identifier.Offset
 	SentAt time.Time
-	// IsUnreadable means that the read returned a record that is not a claim.
-	IsUnreadable bool
 	// RoundTrip is the duration of the read without the wait for records.
 	RoundTrip time.Duration
 }
