--- a/encoder/log_schema.go
+++ b/encoder/log_schema.go
@@ -108,7 +108,7 @@
 type LogPendingText struct {
 	Publication  uint64   `msg:"publication"`
 	Organisation string   `msg:"organisation"`
-	Text         []byte   `msg:"text"`
+	Text         []byte   `msg:"text,limit=262144"`
 	Approvals    []string `msg:"approvals"`
 }
 
--- a/encoder/log_schema_gen.go
+++ b/encoder/log_schema_gen.go
@@ -3927,7 +3927,7 @@
 				return
 			}
 		case "text":
-			z.Text, err = dc.ReadBytesLimit(z.Text, z8b7af512limitArrays)
+			z.Text, err = dc.ReadBytesLimit(z.Text, 262144)
 			if err == nil && z.Text == nil {
 				z.Text = []byte{}
 			}
@@ -4085,7 +4085,7 @@
 				err = msgp.WrapError(err, "Text")
 				return
 			}
-			if zb0002 > z8b7af512limitArrays {
+			if zb0002 > 262144 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
