Refuse an odd entry of the log alone, and name it

Callers saw: nothing yet. One entry of another form made every node ignore all entries of the same append, silently. A submission with a negative number of members was accepted, and its placement ends the process of the holder and of each later one.

Cause: the payload of an append was decoded as a whole, a submission read from the log was not checked as one from a caller is, and the follower's counter of corrupt appends was neither exported nor logged.

While nodes of this build and of earlier ones run together, an append with an odd entry gives them different states, which digest-mismatch reports. The generator of TestBatchRoundTrip draws jobs within the bounds.

--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -109,8 +109,8 @@
 	defer service.mutex.Unlock()
 	counts := map[string]int{}
 	for _, entry := range service.appends {
-		entries, _ := encoder.UnmarshalBatch(entry.Payload)
-		for _, entry := range entries {
+		batch, _ := encoder.UnmarshalBatch(entry.Payload)
+		for _, entry := range batch.Entries {
 			counts[entry.ID]++
 		}
 	}
--- a/applier/stream.go
+++ b/applier/stream.go
@@ -1,6 +1,7 @@
 package applier
 
 import (
+	"fmt"
 	"time"
 
 	"corianderroad/classifier"
@@ -87,6 +88,7 @@
 	}
 	applier.lastContactAt = now
 	stream.logUnavailable = false
+	applier.reportRefused(stream, read)
 	switch {
 	case read.Offset <= stream.applied:
 	case read.Offset == stream.applied+1:
@@ -101,6 +103,17 @@
 	}
 }
 
+// reportRefused counts and logs the entries of an append that could not be decoded.
+// They have no effect on any node.
+func (applier *Applier) reportRefused(stream *stream, read messenger.AppendRead) {
+	for _, err := range read.Refused {
+		applier.emit(messenger.Transition{
+			Subject: "stream " + string(stream.name), From: "read", To: "ignored", Reason: "record-unreadable",
+			Detail: fmt.Sprintf("offset=%d error=%q", read.Offset, err.Error()),
+		})
+	}
+}
+
 func (applier *Applier) handleStreamEndReached(now time.Time, read messenger.StreamEndReached) {
 	stream := applier.stream(read.Stream)
 	if stream == nil {
--- a/encoder/bounds_test.go
+++ b/encoder/bounds_test.go
@@ -20,11 +20,11 @@
 	c := quicktest.New(t)
 	text := bytes.Repeat([]byte("x"), commander.MaxTextBytes)
 	entry := messenger.Entry{ID: "largest", Record: messenger.Publication{Organisation: "mallet", Text: text}}
-	batch, err := encoder.MarshalBatch([]messenger.Entry{entry})
+	payload, err := encoder.MarshalBatch([]messenger.Entry{entry})
 	c.Assert(err, quicktest.IsNil)
-	entries, err := encoder.UnmarshalBatch(batch)
+	batch, err := encoder.UnmarshalBatch(payload)
 	c.Assert(err, quicktest.IsNil)
-	c.Assert(entries[0].Record.(messenger.Publication).Text, quicktest.HasLen, commander.MaxTextBytes)
+	c.Assert(batch.Entries[0].Record.(messenger.Publication).Text, quicktest.HasLen, commander.MaxTextBytes)
 
 	response := messenger.EntriesResponse{Stream: "configuration", Appends: []messenger.AppendRead{{
 		Stream: "configuration", Offset: 7, AppendedAt: time.Unix(1, 0), Entries: []messenger.Entry{entry},
--- a/encoder/entries.go
+++ b/encoder/entries.go
@@ -29,24 +29,24 @@
 func entriesFromWire(wire *WireEntriesResponse) (messenger.EntriesResponse, error) {
 	response := messenger.EntriesResponse{Stream: identifier.Stream(wire.Stream)}
 	for _, appendRead := range wire.Appends {
-		entries, err := UnmarshalBatch(appendRead.Batch)
+		batch, err := UnmarshalBatch(appendRead.Batch)
 		if err != nil {
 			return messenger.EntriesResponse{}, err
 		}
 		response.Appends = append(response.Appends, messenger.AppendRead{
 			Stream: identifier.Stream(appendRead.Stream), Offset: identifier.Offset(appendRead.Offset),
-			AppendedAt: appendRead.AppendedAt, Entries: entries, Reset: appendRead.Reset,
+			AppendedAt: appendRead.AppendedAt, Entries: batch.Entries, Refused: batch.Refused, Reset: appendRead.Reset,
 		})
 	}
 	if len(wire.Snapshot) == 0 {
 		return response, nil
 	}
-	entries, err := UnmarshalBatch(wire.Snapshot)
+	batch, err := UnmarshalBatch(wire.Snapshot)
 	if err != nil {
 		return messenger.EntriesResponse{}, err
 	}
-	if len(entries) == 1 {
-		if snapshot, ok := entries[0].Record.(messenger.Snapshot); ok {
+	if len(batch.Entries) == 1 {
+		if snapshot, ok := batch.Entries[0].Record.(messenger.Snapshot); ok {
 			response.Snapshot = &snapshot
 			return response, nil
 		}
--- a/encoder/log.go
+++ b/encoder/log.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"corianderroad/classifier"
 	"corianderroad/commander"
 	"corianderroad/identifier"
@@ -26,22 +28,39 @@
 	return payload, nil
 }
 
-// UnmarshalBatch decodes the entries of an append's payload. The error has code
-// BadFrame if the payload is not a batch.
-func UnmarshalBatch(payload []byte) ([]messenger.Entry, error) {
-	var batch LogBatch
-	if err := unmarshal(payload, &batch); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "log payload of %d bytes: %v", len(payload), err)
-	}
-	entries := make([]messenger.Entry, len(batch.Entries))
-	for i := range batch.Entries {
-		entry, err := batch.Entries[i].decode()
+// Batch is the content of an append's payload.
+type Batch struct {
+	Entries []messenger.Entry
+	// Refused holds an error with code BadFrame for each entry that is not in
+	// Entries, because it can't be decoded or its record is out of bounds.
+	Refused []error
+}
+
+// UnmarshalBatch decodes the entries of an append's payload. An entry that can't be
+// decoded is refused alone. The error has code BadFrame if the payload is not a batch.
+func UnmarshalBatch(payload []byte) (Batch, error) {
+	var wire LogRawBatch
+	if err := unmarshal(payload, &wire); err != nil {
+		return Batch{}, classifier.New(classifier.BadFrame, "log payload of %d bytes: %v", len(payload), err)
+	}
+	batch := Batch{Entries: make([]messenger.Entry, 0, len(wire.Entries))}
+	for index, raw := range wire.Entries {
+		entry, err := unmarshalEntry(raw)
 		if err != nil {
-			return nil, err
+			batch.Refused = append(batch.Refused, classifier.New(classifier.BadFrame, "entry %d of %d: %v", index, len(wire.Entries), err))
+			continue
 		}
-		entries[i] = entry
+		batch.Entries = append(batch.Entries, entry)
 	}
-	return entries, nil
+	return batch, nil
+}
+
+func unmarshalEntry(raw msgp.Raw) (messenger.Entry, error) {
+	var wire LogEntry
+	if _, err := wire.UnmarshalMsg(raw); err != nil {
+		return messenger.Entry{}, err
+	}
+	return wire.decode()
 }
 
 // entryToWire returns the wire form of an entry.
@@ -93,7 +112,11 @@
 		})
 	}
 	if wire.Submission != nil {
-		records = append(records, messenger.Submission{Spec: wire.Submission.decode()})
+		spec, err := wire.Submission.decode()
+		if err != nil {
+			return messenger.Entry{}, err
+		}
+		records = append(records, messenger.Submission{Spec: spec})
 	}
 	if wire.Cancellation != nil {
 		records = append(records, messenger.Cancellation{Job: identifier.Job(wire.Cancellation.Job)})
@@ -131,14 +154,20 @@
 	}
 }
 
-func (wire *LogJobSpec) decode() commander.JobSpec {
-	return commander.JobSpec{
+// decode returns the specification of a job. It applies the checks of a caller's
+// command, on whose bounds the placement relies.
+func (wire *LogJobSpec) decode() (commander.JobSpec, error) {
+	spec := commander.JobSpec{
 		Job: identifier.Job(wire.Job), Workspace: identifier.Workspace(wire.Workspace), Region: identifier.Region(wire.Region),
 		Shape: commander.Shape{
 			Members: wire.Members, Accelerators: wire.Accelerators, Adjacency: commander.Adjacency(wire.Adjacency),
 		},
 		RunTime: time.Duration(wire.RunTime), Urgent: wire.Urgent,
 	}
+	if err := (commander.Submit{Workspace: spec.Workspace, Job: spec}).Check(); err != nil {
+		return commander.JobSpec{}, classifier.New(classifier.BadFrame, "job %.128q: %v", spec.Job, err)
+	}
+	return spec, nil
 }
 
 func outcomeToWire(outcome messenger.Outcome) LogOutcome {
--- a/encoder/log_odd_test.go
+++ b/encoder/log_odd_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bytes"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/classifier"
 	"corianderroad/commander"
 	"corianderroad/encoder"
 	"corianderroad/identifier"
@@ -23,7 +27,75 @@
 		Pending:       []messenger.PendingText{{Organisation: "b", Text: text, Approvals: []identifier.Organisation{"a"}}},
 	}}}})
 	c.Assert(err, quicktest.IsNil)
-	entries, err := encoder.UnmarshalBatch(payload)
+	batch, err := encoder.UnmarshalBatch(payload)
 	c.Assert(err, quicktest.IsNil)
-	c.Assert(entries, quicktest.HasLen, 1)
+	c.Assert(batch.Refused, quicktest.HasLen, 0)
+	c.Assert(batch.Entries, quicktest.HasLen, 1)
+}
+
+// TestOddSubmissionIsRefused guards against a submission in the log that no node can
+// have written: the placement of a negative number of members ends the process of
+// the holder, and of each later one.
+func TestOddSubmissionIsRefused(t *testing.T) {
+	valid := commander.JobSpec{Job: "j", Workspace: "w", Region: "r", Shape: commander.Shape{Members: 2, Accelerators: 1}}
+	change := func(change func(spec *commander.JobSpec)) commander.JobSpec {
+		spec := valid
+		change(&spec)
+		return spec
+	}
+	for reason, spec := range map[string]commander.JobSpec{
+		"no members":         change(func(spec *commander.JobSpec) { spec.Shape.Members = 0 }),
+		"negative members":   change(func(spec *commander.JobSpec) { spec.Shape.Members = -1 }),
+		"most members":       change(func(spec *commander.JobSpec) { spec.Shape.Members = math.MaxInt64 }),
+		"negative capacity":  change(func(spec *commander.JobSpec) { spec.Shape.Accelerators = -1 }),
+		"largest capacity":   change(func(spec *commander.JobSpec) { spec.Shape.Accelerators = math.MaxInt64 }),
+		"unknown adjacency":  change(func(spec *commander.JobSpec) { spec.Shape.Adjacency = math.MaxUint8 }),
+		"negative run time":  change(func(spec *commander.JobSpec) { spec.RunTime = -1 }),
+		"largest run time":   change(func(spec *commander.JobSpec) { spec.RunTime = math.MaxInt64 }),
+		"no name":            change(func(spec *commander.JobSpec) { spec.Job = "" }),
+		"name out of bounds": change(func(spec *commander.JobSpec) { spec.Job = identifier.Job(strings.Repeat("j", 1000)) }),
+	} {
+		payload, err := encoder.MarshalBatch([]messenger.Entry{
+			{ID: "1", Record: messenger.Cancellation{Job: "before"}},
+			{ID: "2", Record: messenger.Submission{Spec: spec}},
+			{ID: "3", Record: messenger.Submission{Spec: valid}},
+		})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		checkBatch(t, reason, payload, "1", "3")
+	}
+}
+
+// TestOddEntryIsRefusedAlone guards against an entry of another form that makes every
+// node ignore its neighbours in the same append.
+func TestOddEntryIsRefusedAlone(t *testing.T) {
+	valid, err := encoder.MarshalBatch([]messenger.Entry{{ID: "1", Record: messenger.Cancellation{Job: "j"}}})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	entry := valid[len("\x81\xa7entries\x91"):]
+	for reason, odd := range map[string]string{
+		"no record":       "\x81\xa2id\xa12",
+		"unknown record":  "\x82\xa2id\xa12\xa5other\x81\xa3job\xa1j",
+		"two records":     "\x83\xa2id\xa12\xaccancellation\x81\xa3job\xa1j\xa8approval\x80",
+		"another type":    "\x82\xa2id\xa12\xaccancellation\xa1j",
+		"empty snapshot":  "\x82\xa2id\xa12\xa8snapshot\x80",
+		"text for number": "\x82\xa2id\xa12\xacregion-claim\x81\xabincarnation\xa1j",
+		"negative number": "\x82\xa2id\xa12\xacregion-claim\x81\xabincarnation\xff",
+		"number":          "\x01",
+	} {
+		payload := slices.Concat([]byte("\x81\xa7entries\x93"), entry, []byte(odd), entry)
+		checkBatch(t, reason, payload, "1", "1")
+	}
+}
+
+// checkBatch checks that one entry of a payload is refused and that the others, with
+// the given IDs, hold.
+func checkBatch(c testing.TB, reason string, payload []byte, ids ...string) {
+	batch, err := encoder.UnmarshalBatch(payload)
+	quicktest.Assert(c, err, quicktest.IsNil, quicktest.Commentf("%s", reason))
+	quicktest.Assert(c, batch.Refused, quicktest.HasLen, 1, quicktest.Commentf("%s", reason))
+	quicktest.Assert(c, classifier.CodeOf(batch.Refused[0]), quicktest.Equals, classifier.BadFrame)
+	var held []string
+	for _, entry := range batch.Entries {
+		held = append(held, entry.ID)
+	}
+	quicktest.Assert(c, held, quicktest.DeepEquals, ids, quicktest.Commentf("%s", reason))
 }
--- a/encoder/log_schema.go
+++ b/encoder/log_schema.go
@@ -1,5 +1,7 @@
 package encoder
 
+import "github.com/tinylib/msgp/msgp"
+
 //go:generate msgp -file log_schema.go -o log_schema_gen.go -tests=false -io=true
 //go:generate gofumpt -w log_schema_gen.go
 
@@ -12,6 +14,12 @@
 	Entries []LogEntry `msg:"entries"`
 }
 
+// LogRawBatch is a LogBatch whose entries are not decoded, so that each entry can be
+// refused alone.
+type LogRawBatch struct {
+	Entries []msgp.Raw `msg:"entries"`
+}
+
 // LogEntry is one record with its ID. Exactly one of the pointers is set.
 type LogEntry struct {
 	ID           string           `msg:"id"`
--- a/encoder/log_schema_gen.go
+++ b/encoder/log_schema_gen.go
@@ -4504,6 +4504,168 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *LogRawBatch) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8b7af512limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entries":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > z8b7af512limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = z.Entries[:zb0002]
+			} else {
+				z.Entries = make([]msgp.Raw, zb0002)
+			}
+			for za0001 := range z.Entries {
+				err = z.Entries[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *LogRawBatch) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 1
+	// write "entries"
+	err = en.Append(0x81, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteArrayHeader(uint32(len(z.Entries)))
+	if err != nil {
+		err = msgp.WrapError(err, "Entries")
+		return
+	}
+	for za0001 := range z.Entries {
+		err = z.Entries[za0001].EncodeMsg(en)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *LogRawBatch) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "entries"
+	o = append(o, 0x81, 0xa7, 0x65, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
+	for za0001 := range z.Entries {
+		o, err = z.Entries[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Entries", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *LogRawBatch) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z8b7af512limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "entries":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Entries")
+				return
+			}
+			if zb0002 > z8b7af512limitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Entries) >= int(zb0002) {
+				z.Entries = z.Entries[:zb0002]
+			} else {
+				z.Entries = make([]msgp.Raw, zb0002)
+			}
+			for za0001 := range z.Entries {
+				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Entries", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *LogRawBatch) Msgsize() (s int) {
+	s = 1 + 8 + msgp.ArrayHeaderSize
+	for za0001 := range z.Entries {
+		s += z.Entries[za0001].Msgsize()
+	}
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *LogRegionClaim) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/encoder/log_test.go
+++ b/encoder/log_test.go
@@ -22,9 +22,9 @@
 		return time.Unix(0, rapid.Int64Range(1, 1<<62).Draw(t, label)).UTC()
 	}
 	spec := commander.JobSpec{
-		Job: identifier.Job(text("job")), Workspace: identifier.Workspace(text("workspace")), Region: identifier.Region(text("region")),
-		Shape:   commander.Shape{Members: int(number("members") >> 40), Accelerators: 3, Adjacency: commander.SameRack},
-		RunTime: time.Duration(number("run time") >> 1), Urgent: rapid.Bool().Draw(t, "urgent"),
+		Job: identifier.Job("j" + text("job")), Workspace: identifier.Workspace("w" + text("workspace")), Region: identifier.Region(text("region")),
+		Shape:   commander.Shape{Members: rapid.IntRange(1, commander.MaxGangMembers).Draw(t, "members"), Accelerators: 3, Adjacency: commander.SameRack},
+		RunTime: time.Duration(number("run time") % uint64(commander.MaxRunTime)), Urgent: rapid.Bool().Draw(t, "urgent"),
 	}
 	outcome := messenger.Outcome{Job: spec.Job, Code: classifier.Code(number("code")), Reason: text("reason"), Cancelled: true}
 	claim := messenger.RegionClaim{Region: spec.Region, Node: identifier.Node(text("node")), Incarnation: identifier.Incarnation(number("incarnation"))}
@@ -75,7 +75,7 @@
 			t.Fatal(err)
 		}
 		decoded, err := encoder.UnmarshalBatch(payload)
-		if err != nil || !reflect.DeepEqual(decoded, entries) {
+		if err != nil || len(decoded.Refused) > 0 || !reflect.DeepEqual(decoded.Entries, entries) {
 			t.Fatalf("got %+v, error %v, want %+v", decoded, err, entries)
 		}
 		if _, err := encoder.UnmarshalBatch(payload[:len(payload)-1]); classifier.CodeOf(err) != classifier.BadFrame {
@@ -91,14 +91,14 @@
 	f.Add(seed)
 	f.Add([]byte("\x81\xa7entries\xdd\xff\xff\xff\xff"))
 	f.Fuzz(func(t *testing.T, payload []byte) {
-		entries, err := encoder.UnmarshalBatch(payload)
+		batch, err := encoder.UnmarshalBatch(payload)
 		if err != nil {
 			if classifier.CodeOf(err) != classifier.BadFrame {
 				t.Fatalf("got error %v, want code BadFrame", err)
 			}
 			return
 		}
-		if _, err := encoder.MarshalBatch(entries); err != nil {
+		if _, err := encoder.MarshalBatch(batch.Entries); err != nil {
 			t.Fatal(err)
 		}
 	})
--- a/encoder/snapshot.go
+++ b/encoder/snapshot.go
@@ -34,7 +34,11 @@
 	case wire.Configuration != nil && wire.Jobs == nil:
 		snapshot.State = wire.Configuration.decode()
 	case wire.Jobs != nil && wire.Configuration == nil:
-		snapshot.State = wire.Jobs.decode()
+		state, err := wire.Jobs.decode()
+		if err != nil {
+			return messenger.Snapshot{}, err
+		}
+		snapshot.State = state
 	default:
 		return messenger.Snapshot{}, classifier.New(classifier.BadFrame, "snapshot of offset %d does not contain exactly one state", wire.Covered)
 	}
@@ -98,12 +102,16 @@
 	return wire
 }
 
-func (wire *LogJobsState) decode() messenger.JobsState {
+func (wire *LogJobsState) decode() (messenger.JobsState, error) {
 	state := messenger.JobsState{Applied: appliedEntriesFromWire(wire.Applied)}
 	for i := range wire.Jobs {
 		row := &wire.Jobs[i]
+		spec, err := row.Spec.decode()
+		if err != nil {
+			return messenger.JobsState{}, err
+		}
 		job := messenger.JobState{
-			Spec: row.Spec.decode(), Offset: identifier.Offset(row.Offset), AcceptedAt: utcTime(row.AcceptedAt),
+			Spec: spec, Offset: identifier.Offset(row.Offset), AcceptedAt: utcTime(row.AcceptedAt),
 			CancelledAt: identifier.Offset(row.CancelledAt), EndedAt: utcTime(row.EndedAt),
 		}
 		if row.Outcome != nil {
@@ -114,7 +122,7 @@
 	for _, claim := range wire.Claims {
 		state.Claims = append(state.Claims, messenger.ClaimState{Claim: claim.Claim.decode(), Term: identifier.Term(claim.Term)})
 	}
-	return state
+	return state, nil
 }
 
 func appliedEntriesToWire(entries []messenger.AppliedEntry) []LogAppliedEntry {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// Corrupt returns the number of appends whose payload could not be decoded. They
-// are delivered without entries, so that one of them does not stop the stream.
+// Corrupt returns the number of entries, and of appends as a whole, that could not
+// be decoded. Appends are delivered without them, so that none stops the stream.
 // It is safe for concurrent use.
 func (follower *Follower) Corrupt() uint64 { return follower.corrupt.Load() }
 
@@ -166,14 +166,14 @@
 	follower.limit = follower.parameters.Limit
 	follower.position = reading.start
 	for _, entry := range reading.answer.Appends {
-		entries, err := encoder.UnmarshalBatch(entry.Payload)
+		batch, err := encoder.UnmarshalBatch(entry.Payload)
 		if err != nil {
-			follower.corrupt.Add(1)
-			entries = nil
+			batch.Refused = []error{err}
 		}
+		follower.corrupt.Add(uint64(len(batch.Refused)))
 		read := messenger.AppendRead{
 			Stream: follower.stream, Offset: identifier.Offset(entry.Offset), AppendedAt: entry.AppendedAt,
-			Entries: entries, Reset: follower.reset,
+			Entries: batch.Entries, Refused: batch.Refused, Reset: follower.reset,
 		}
 		if err := follower.sink.Deliver(ctx, read); err != nil {
 			return err
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	"corianderroad/buffer"
+	"corianderroad/commander"
 	"corianderroad/encoder"
 	"corianderroad/follower"
 	"corianderroad/identifier"
@@ -362,3 +363,27 @@
 	c.Assert(fmt.Sprint(harness.appendRead().Entries), quicktest.Equals, "[{7 {j}}]")
 	c.Assert(harness.Corrupt(), quicktest.Equals, uint64(1))
 }
+
+// TestOddEntryIsRefusedAlone guards against one odd entry that hides the other
+// entries of its append, and against one that is not counted.
+func TestOddEntryIsRefusedAlone(t *testing.T) {
+	c := quicktest.New(t)
+	odd, err := encoder.MarshalBatch([]messenger.Entry{
+		{ID: "1", Record: messenger.Cancellation{Job: "j"}},
+		{ID: "2", Record: messenger.Submission{Spec: commander.JobSpec{Job: "k", Workspace: "w", Shape: commander.Shape{Members: -1}}}},
+		{ID: "3", Record: messenger.Cancellation{Job: "j"}},
+	})
+	c.Assert(err, quicktest.IsNil)
+	service := newService()
+	service.add(odd)
+	service.add(payload(7))
+	server := httptest.NewServer(service)
+	defer server.Close()
+	harness := run(server.Client(), netip.MustParseAddrPort(server.Listener.Addr().String()), follower.Parameters{})
+	defer harness.stop()
+	read := harness.appendRead()
+	c.Assert(fmt.Sprint(read.Entries), quicktest.Equals, "[{1 {j}} {3 {j}}]")
+	c.Assert(read.Refused, quicktest.HasLen, 1)
+	c.Assert(fmt.Sprint(harness.appendRead().Entries), quicktest.Equals, "[{7 {j}}]")
+	c.Assert(harness.Corrupt(), quicktest.Equals, uint64(1))
+}
--- a/messenger/command.go
+++ b/messenger/command.go
@@ -43,7 +43,10 @@
 	Subject string
 	From    string
 	To      string
-	Reason  string
+	// Reason is one of a bounded set, because it labels a counter.
+	Reason string
+	// Detail holds further facts for the log as key=value pairs, empty for none.
+	Detail string
 }
 
 func (CommandArrived) event() {}
--- a/messenger/log.go
+++ b/messenger/log.go
@@ -81,6 +81,9 @@
 	// AppendedAt is the time of the log service, which is monotonic.
 	AppendedAt time.Time
 	Entries    []Entry
+	// Refused holds an error for each entry, or for the whole append, that could not
+	// be decoded. Entries does not contain it.
+	Refused []error
 	// Reset is set on the first append after a start, or after retention has deleted
 	// appends that the reader had not read. Earlier appends are not delivered.
 	Reset bool
--- a/server/server.go
+++ b/server/server.go
@@ -182,7 +182,11 @@
 }
 
 func (server *Server) logTransition(duty decider.Duty, transition messenger.Transition) {
-	log.Info().Str("node", string(server.settings.Node)).Str("duty", duty.String()).
+	entry := log.Info().Str("node", string(server.settings.Node)).Str("duty", duty.String()).
 		Str("subject", transition.Subject).Str("from", transition.From).Str("to", transition.To).
-		Str("reason", transition.Reason).Msg("state changed")
+		Str("reason", transition.Reason)
+	if transition.Detail != "" {
+		entry = entry.Str("inputs", transition.Detail)
+	}
+	entry.Msg("state changed")
 }
