--- a/applier/odd_test.go
+++ b/applier/odd_test.go
@@ -1,6 +1,7 @@
 package applier
 
 import (
+	"math"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -30,3 +31,32 @@
 	_, ok := find[messenger.JobAccepted](fixture.read(identifier.Jobs, messenger.Submission{Spec: job("b")}))
 	c.Assert(ok, quicktest.IsTrue)
 }
+
+// TestOddSnapshotDoesNotHideOthers guards against a node that never becomes ready,
+// because a part of a snapshot that claims to cover a later offset than its own
+// makes it ignore all real ones.
+func TestOddSnapshotDoesNotHideOthers(t *testing.T) {
+	c := quicktest.New(t)
+	writer := newFixture(testParameters).catchUpAll()
+	for _, name := range []identifier.Job{"a", "b", "c"} {
+		writer.read(identifier.Jobs, messenger.Submission{Spec: job(name)})
+	}
+	parts := writer.stream(identifier.Jobs).snapshotParts()
+	c.Assert(parts, quicktest.HasLen, 1)
+
+	reader := newFixture(testParameters)
+	reader.offsets[identifier.Jobs] = 3
+	deliver := func(part messenger.Snapshot, reset bool) {
+		reader.offsets[identifier.Jobs]++
+		reader.Step(reader.now, messenger.AppendRead{
+			Stream: identifier.Jobs, Offset: reader.offsets[identifier.Jobs], AppendedAt: reader.now, Reset: reset,
+			Entries: []messenger.Entry{{ID: "snapshot", Record: part}},
+		})
+	}
+	for index, covered := range []identifier.Offset{4, math.MaxUint64, 1000} {
+		deliver(messenger.Snapshot{Covered: covered, Parts: 2, State: messenger.JobsState{}}, index == 0)
+	}
+	deliver(parts[0], false)
+	c.Assert(reader.stream(identifier.Jobs).applied, quicktest.Equals, identifier.Offset(3))
+	c.Assert(reader.jobs.job("a"), quicktest.IsNotNil)
+}
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -91,6 +91,9 @@
 // checkSnapshot compares the digest of a snapshot from the log with that of this
 // node's state at the covered offset.
 func (applier *Applier) checkSnapshot(stream *stream, read messenger.AppendRead, part messenger.Snapshot) {
+	if !isBefore(part, read.Offset) {
+		return
+	}
 	// A snapshot replaces older appends only once all of its parts are in the log.
 	if stream.countedParts.add(messenger.Snapshot{Covered: part.Covered, Digest: part.Digest, Part: part.Part, Parts: part.Parts}) {
 		stream.countedParts = assembler{}
@@ -112,6 +115,10 @@
 	)
 }
 
+// isBefore reports whether a part of a snapshot covers only appends before its own.
+// Any other part is not from a node, and would outrank the real ones.
+func isBefore(part messenger.Snapshot, offset identifier.Offset) bool { return part.Covered < offset }
+
 func compareOffsets(a, b identifier.Offset) int {
 	switch {
 	case a < b:
@@ -133,7 +140,7 @@
 	for _, entry := range read.Entries {
 		part, ok := entry.Record.(messenger.Snapshot)
 		// The appends after the covered offset must still be retained.
-		if !ok || part.Covered+1 < stream.scanFrom {
+		if !ok || !isBefore(part, read.Offset) || part.Covered+1 < stream.scanFrom {
 			continue
 		}
 		if stream.logParts.add(part) && applier.installSnapshot(now, stream, &stream.logParts) {
