Refuse an odd message of a peer alone

Callers saw: nothing yet. A message that a node can't decode, for example one of a later build, closed the connection, and the messages behind it were lost.

Cause: the reader of a connection treated an invalid body as an invalid frame.

The frame's length is intact, so that the reader counts the message (io_events_total, peer-message, unreadable) and continues with the next one. Frames of an invalid length or kind still end the connection.

--- a/server/ioduties.go
+++ b/server/ioduties.go
@@ -118,5 +118,10 @@
 	meter.exporter.CountIO("connection-closed", reason)
 }
 
+// CountRefused implements transporter.Meter.
+func (meter meter) CountRefused(identifier.Node) {
+	meter.exporter.CountIO("peer-message", "unreadable")
+}
+
 // CountPoll implements lister.Meter.
 func (meter meter) CountPoll(result string) { meter.exporter.CountIO("vm-list-polled", result) }
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -98,12 +98,7 @@
 		switch frame.Kind {
 		case framer.Message:
 			connection.lastReceived.Store(time.Now().UnixNano())
-			message, err := encoder.UnmarshalPeer(frame.Body)
-			if err != nil {
-				return err
-			}
-			event := messenger.PeerReceived{From: connection.endpoint.Node, Message: message}
-			if err := connection.peer.transporter.eventSink.Deliver(ctx, event); err != nil {
+			if err := connection.deliver(ctx, frame.Body); err != nil {
 				return err
 			}
 		case framer.KeepAlive:
@@ -116,6 +111,18 @@
 	}
 }
 
+// deliver delivers a message. It refuses one that can't be decoded alone, because
+// the frames behind it are intact.
+func (connection *connection) deliver(ctx context.Context, body []byte) error {
+	message, err := encoder.UnmarshalPeer(body)
+	if err != nil {
+		connection.peer.transporter.meter.CountRefused(connection.endpoint.Node)
+		return nil
+	}
+	event := messenger.PeerReceived{From: connection.endpoint.Node, Message: message}
+	return connection.peer.transporter.eventSink.Deliver(ctx, event)
+}
+
 func notify(signal chan struct{}) {
 	select {
 	case signal <- struct{}{}:
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -38,6 +38,8 @@
 type Meter interface {
 	CountBytes(node identifier.Node, region identifier.Region, sent, received int)
 	CountClosed(node identifier.Node, reason string)
+	// CountRefused counts a message of a node that can't be decoded.
+	CountRefused(node identifier.Node)
 }
 
 // Dialer opens connections.
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -33,6 +33,7 @@
 	ended        chan error
 	mutex        sync.Mutex
 	closeReasons []string
+	refused      int
 }
 
 func (node *node) Deliver(ctx context.Context, event messenger.Event) error {
@@ -55,6 +56,18 @@
 	node.closeReasons = append(node.closeReasons, reason)
 }
 
+func (node *node) CountRefused(identifier.Node) {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	node.refused++
+}
+
+func (node *node) refusedCount() int {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.refused
+}
+
 func (node *node) closedCount(reason string) int {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
