Refuse loads of nodes that are out of bounds

Callers saw: nothing yet. A heartbeat or answer with a load at the end of its range made the sum overflow by which owners are compared, so that the reporting node looked idle.

Cause: the decoder accepted any integer.

The decoder accepts 0 to MaxReportedLoad. The generator of TestPeerRoundTrip draws loads within it.

--- a/encoder/convert.go
+++ b/encoder/convert.go
@@ -72,6 +72,9 @@
 	if state < messenger.Alive || state > messenger.Dead {
 		return messenger.Member{}, classifier.New(classifier.BadFrame, "member %q has state %d", wire.Node, wire.State)
 	}
+	if err := checkLoad(wire.Queued, wire.FreeSlots); err != nil {
+		return messenger.Member{}, err
+	}
 	return messenger.Member{
 		Identity:    identity,
 		Refutations: wire.Refutations,
@@ -86,6 +89,15 @@
 	}, nil
 }
 
+// checkLoad returns an error with code BadFrame if a load that a node reports is out of
+// bounds.
+func checkLoad(queued, free int) error {
+	if min(queued, free) < 0 || max(queued, free) > messenger.MaxReportedLoad {
+		return classifier.New(classifier.BadFrame, "load of %d queued requests and %d free slots is out of bounds", queued, free)
+	}
+	return nil
+}
+
 func probeToWire(sequence uint64, from messenger.Member, changes []messenger.Member) *WireProbe {
 	wire := &WireProbe{Sequence: sequence, From: memberToWire(from)}
 	for _, change := range changes {
--- a/encoder/encoder_test.go
+++ b/encoder/encoder_test.go
@@ -112,6 +112,27 @@
 	return normalized
 }
 
+// limitLoads changes the random loads in a value to be within the bounds that the
+// decoder checks.
+func limitLoads(value reflect.Value) {
+	switch value.Kind() {
+	case reflect.Slice:
+		for index := range value.Len() {
+			limitLoads(value.Index(index))
+		}
+	case reflect.Struct:
+		for index := range value.NumField() {
+			field := value.Field(index)
+			switch value.Type().Field(index).Name {
+			case "Queued", "FreeSlots":
+				field.SetInt(int64(uint64(field.Int()) % messenger.MaxReportedLoad))
+			default:
+				limitLoads(field)
+			}
+		}
+	}
+}
+
 // zeroPeers returns the zero value of each kind of peer message.
 func zeroPeers() []messenger.Peer {
 	return []messenger.Peer{
@@ -136,6 +157,7 @@
 			rapid.Check(t, func(t *rapid.T) {
 				value := reflect.New(reflect.TypeOf(kind)).Elem()
 				setRandom(t, value)
+				limitLoads(value)
 				message := value.Interface().(messenger.Peer)
 				body, err := encoder.MarshalPeer(message)
 				if err != nil {
--- a/encoder/peer.go
+++ b/encoder/peer.go
@@ -104,6 +104,9 @@
 	case wire.EntriesResponse != nil:
 		response, err := entriesFromWire(wire.EntriesResponse)
 		return peerOrError(response, err)
+	case wire.ForwardAnswer != nil:
+		err := checkLoad(wire.ForwardAnswer.Queued, wire.ForwardAnswer.FreeSlots)
+		return peerOrError(requestFromWire(wire), err)
 	default:
 		return requestFromWire(wire), nil
 	}
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -36,6 +36,10 @@
 	MaxRecordUnixSeconds = 5_000_000_000
 )
 
+// MaxReportedLoad bounds the queued requests and the free slots that a node reports,
+// so that their sums do not overflow.
+const MaxReportedLoad = 1 << 30
+
 // CheckJobID returns an error with code BadRequest unless the ID consists of letters,
 // digits, hyphens and underscores. Other characters separate the parts of a task's
 // name and of a record's key.
