Refuse workers' answers with numbers out of range

Callers saw: nothing yet. An answer of one worker with a term at the top of its range makes every holder of its region step down, again and again; a mark, a progress or a number of accelerators at the ends of its range overflows sums.

Cause: the decoder checked the form of an answer, not its numbers.

Such an answer counts as one whose outcome is unknown, without a term. It is refused as a whole: without the odd task it would state that the worker does not run it. In TestUnreadableJobIsNotAccepted an assertion that a typed nil pointer would have passed is replaced.

--- a/controller/body.go
+++ b/controller/body.go
@@ -5,7 +5,10 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"corianderroad/classifier"
+	"corianderroad/commander"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
@@ -80,6 +83,9 @@
 	if err := json.Unmarshal(content, &body); err != nil {
 		return call.Refusal(classifier.New(classifier.OutcomeUnknown, "answer of worker %s with status %d: %v", call.Worker, status, err))
 	}
+	if body.Term > messenger.MaxTerm {
+		return call.Refusal(classifier.New(classifier.OutcomeUnknown, "answer of worker %s has the term %d, which is out of range", call.Worker, body.Term))
+	}
 	switch status {
 	case http.StatusOK:
 		return decodeState(call, body)
@@ -108,29 +114,59 @@
 	if body.Worker != call.Worker {
 		return outcomeUnknown("worker %s answered at the address of %s", body.Worker, call.Worker)
 	}
-	workerClock, err := time.ParseDuration(body.WorkerClock)
+	workerClock, err := parseDuration(body.WorkerClock, messenger.MaxWorkerClock)
 	if err != nil {
 		return outcomeUnknown("worker %s answered with an invalid mark: %v", call.Worker, err)
 	}
+	if body.Accelerators < 0 || body.Accelerators > messenger.MaxWorkerAccelerators {
+		return outcomeUnknown("worker %s answered with %d accelerators", call.Worker, body.Accelerators)
+	}
 	answer := messenger.WorkerAnswered{
 		Sequence: call.Sequence, Worker: call.Worker, Kind: call.Kind, Gang: call.Gang,
 		Accelerators: body.Accelerators, HighestTerm: body.Term, WorkerClock: workerClock,
 		Tasks: make([]messenger.Task, len(body.Tasks)),
 	}
 	for i, task := range body.Tasks {
-		state, ok := taskStates[task.State]
-		progress, err := time.ParseDuration(task.Progress)
-		if !ok || err != nil {
-			return outcomeUnknown("task %s of worker %s has state %q and progress %q", task.Gang.Job, call.Worker, task.State, task.Progress)
-		}
-		answer.Tasks[i] = messenger.Task{
-			Gang: messenger.Gang{Job: task.Gang.Job, Placement: task.Gang.Placement}, State: state,
-			Accelerators: task.Accelerators, Members: task.Members, Progress: progress,
+		decoded, err := decodeTask(task)
+		if err != nil {
+			// Without this task the answer would state that the worker does not run it.
+			return outcomeUnknown("task %.128q of worker %s: %v", task.Gang.Job, call.Worker, err)
 		}
+		answer.Tasks[i] = decoded
 	}
 	return answer
 }
 
+func decodeTask(task taskBody) (messenger.Task, error) {
+	state, ok := taskStates[task.State]
+	if !ok {
+		return messenger.Task{}, errors.Errorf("unknown state %.32q", task.State)
+	}
+	progress, err := parseDuration(task.Progress, messenger.MaxTaskDuration)
+	if err != nil {
+		return messenger.Task{}, err
+	}
+	if task.Accelerators < 0 || task.Accelerators > commander.MaxAccelerators || len(task.Members) > commander.MaxGangMembers {
+		return messenger.Task{}, errors.Errorf("%d accelerators and %d members are out of range", task.Accelerators, len(task.Members))
+	}
+	return messenger.Task{
+		Gang: messenger.Gang{Job: task.Gang.Job, Placement: task.Gang.Placement}, State: state,
+		Accelerators: task.Accelerators, Members: task.Members, Progress: progress,
+	}, nil
+}
+
+// parseDuration parses a duration between zero and the given maximum.
+func parseDuration(text string, maximum time.Duration) (time.Duration, error) {
+	duration, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, err
+	}
+	if duration < 0 || duration > maximum {
+		return 0, errors.Errorf("duration %s is not between 0 and %s", duration, maximum)
+	}
+	return duration, nil
+}
+
 var taskStates = indexStates()
 
 func indexStates() map[string]messenger.TaskState {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -16,6 +16,7 @@
 
 	"corianderroad/buffer"
 	"corianderroad/classifier"
+	"corianderroad/commander"
 	"corianderroad/controller"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -143,11 +144,15 @@
 	}
 }
 
-// FuzzAnswer guards against a panic, and against success with an answer that is not
-// from the called worker.
+// FuzzAnswer guards against a panic, against success with an answer that is not
+// from the called worker, and against numbers outside the bounds that the scheduler
+// relies on.
 func FuzzAnswer(f *testing.F) {
 	f.Add(200, []byte(`{"worker":"w1","mark":"1s","tasks":[]}`))
 	f.Add(409, []byte(`{"code":705}`))
+	f.Add(409, []byte(`{"code":704,"term":18446744073709551615}`))
+	f.Add(200, []byte(`{"worker":"w1","mark":"1s","accelerators":8,"tasks":[`+
+		`{"gang":{"job":"j","placement":1},"state":"running","accelerators":4,"members":["w1"],"progress":"1s"}]}`))
 	f.Fuzz(func(t *testing.T, status int, body []byte) {
 		answer := controller.Decode(messenger.CallWorker{Worker: "w1"}, status, body)
 		var content struct {
@@ -157,5 +162,14 @@
 		if answer.Err == nil && (status != http.StatusOK || content.Worker != "w1") {
 			t.Fatalf("status %d with body %q is accepted as success", status, body)
 		}
+		if answer.HighestTerm > messenger.MaxTerm || answer.Accelerators < 0 || answer.Accelerators > messenger.MaxWorkerAccelerators ||
+			answer.WorkerClock < 0 || answer.WorkerClock > messenger.MaxWorkerClock {
+			t.Fatalf("answer %+v is out of bounds", answer)
+		}
+		for _, task := range answer.Tasks {
+			if task.Progress < 0 || task.Progress > messenger.MaxTaskDuration || task.Accelerators < 0 || task.Accelerators > commander.MaxAccelerators {
+				t.Fatalf("task %+v is out of bounds", task)
+			}
+		}
 	})
 }
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -36,6 +36,18 @@
 	MaxRecordUnixSeconds = 5_000_000_000
 )
 
+// Limits of the answers of workers.
+const (
+	// MaxTerm is the highest term that a worker can have seen. A term is an offset of
+	// the log.
+	MaxTerm identifier.Term = 1 << 53
+	// MaxWorkerAccelerators bounds the accelerators of one worker.
+	MaxWorkerAccelerators = 4096
+	// MaxWorkerClock bounds the clock of a worker, which begins at the start of its
+	// process, so that the end of a lease does not overflow.
+	MaxWorkerClock = 100 * 366 * 24 * time.Hour
+)
+
 // MaxReportedLoad bounds the queued requests and the free slots that a node reports,
 // so that their sums do not overflow.
 const MaxReportedLoad = 1 << 30
--- a/registrar/odd_test.go
+++ b/registrar/odd_test.go
@@ -31,7 +31,7 @@
 			entryVM.submit("valid", "b")
 			entryVM.run(time.Second)
 			quicktest.Assert(t, entryVM.has(messenger.Submitted{Job: job}), quicktest.IsFalse)
-			quicktest.Assert(t, entryVM.answers["odd"].Err, quicktest.IsNotNil)
+			quicktest.Assert(t, entryVM.answers["odd"].Err != nil, quicktest.IsTrue)
 			quicktest.Assert(t, entryVM.answers["odd"].Err.Code, quicktest.Equals, classifier.BadRequest)
 			quicktest.Assert(t, entryVM.answers["valid"].Err == nil, quicktest.IsTrue)
 		})
