Bound the counts in minions' answers about their slots

Callers saw: nothing; the owner only lowers its own count by the answer, so that no wrong dispatch is known. The decoder accepted counts at the top of the range of integers.

The count in the header of an answer has the same bound.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -116,7 +116,7 @@
 
 // readMinionState reads the state of the minion from the headers of an answer.
 func readMinionState(response *http.Response, result *messenger.MinionAnswered) {
-	if busy, err := strconv.Atoi(response.Header.Get(headerBusy)); err == nil && busy >= 0 {
+	if busy, err := strconv.Atoi(response.Header.Get(headerBusy)); err == nil && busy >= 0 && busy <= messenger.MaxReportedLoad {
 		result.Busy = busy
 	}
 	result.Leaving = response.Header.Get(headerLeaving) == "true"
--- a/dispatcher/slots.go
+++ b/dispatcher/slots.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/url"
 
+	"github.com/pkg/errors"
+
 	"corianderroad/classifier"
 	"corianderroad/messenger"
 )
@@ -31,16 +33,31 @@
 		return result
 	}
 	defer response.Body.Close()
-	var answer struct {
-		Slots   int  `json:"slots"`
-		Busy    int  `json:"busy"`
-		Leaving bool `json:"leaving"`
-	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxSlotsAnswerBytes)).Decode(&answer)
-	if err != nil || response.StatusCode != http.StatusOK || answer.Slots <= 0 || answer.Busy < 0 {
+	answer, err := decodeSlots(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
 		result.Err = classifier.New(classifier.CorruptAnswer, "the minion's answer to the query for its slots has status %d or invalid content", response.StatusCode)
 		return result
 	}
 	result.Slots, result.Busy, result.Leaving = answer.Slots, answer.Busy, answer.Leaving
 	return result
 }
+
+// slotsBody is a minion's answer to a query for its slots.
+type slotsBody struct {
+	Slots   int  `json:"slots"`
+	Busy    int  `json:"busy"`
+	Leaving bool `json:"leaving"`
+}
+
+// decodeSlots decodes an answer. The counts are bounded as the loads that nodes
+// report, of which they become a part.
+func decodeSlots(content io.Reader) (slotsBody, error) {
+	var body slotsBody
+	if err := json.NewDecoder(io.LimitReader(content, maxSlotsAnswerBytes)).Decode(&body); err != nil {
+		return slotsBody{}, err
+	}
+	if body.Slots <= 0 || body.Slots > messenger.MaxReportedLoad || body.Busy < 0 || body.Busy > messenger.MaxReportedLoad {
+		return slotsBody{}, errors.Errorf("%d busy slots of %d are out of range", body.Busy, body.Slots)
+	}
+	return body, nil
+}
