End a listing of a topic that does not advance

Callers saw: nothing yet. A listing continues after the last key of its page. After a record with an empty key on a page of its own, or keys that are not text and change in JSON, the same page was requested again without end and without a pause, and its records were stored each time.

Cause: nothing compared the last keys of two pages, and an empty key stands for the first page.

After an empty key the listing continues with the next possible key. A page that ends where it began is a failure with CorruptAnswer, logged as a lost dependency and repeated with back-off. The listing does not continue without its rest, because a store that repeats a page would then hide jobs.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -231,7 +231,12 @@
 		listing.records = append(listing.records, page.Records...)
 		more = page.More && len(page.Records) > 0
 		if more {
-			listing.after = page.Records[len(page.Records)-1].Key
+			after := nextAfter(page.Records)
+			if after == listing.after {
+				*listing = partialListing{}
+				return classifier.New(classifier.CorruptAnswer, "list of %s: the page after key %q ends with the same key", tailer.options.Topic, after)
+			}
+			listing.after = after
 		}
 	}
 	tailer.listedOffsets = make(map[string]identifier.Offset)
@@ -247,6 +252,15 @@
 	return tailer.sink.Deliver(ctx, reading)
 }
 
+// nextAfter returns the key after which the next page begins. An empty key would
+// request the first page again, so that the lowest key after it takes its place.
+func nextAfter(records []Record) string {
+	if last := records[len(records)-1].Key; last != "" {
+		return last
+	}
+	return "\x00"
+}
+
 func (tailer *Tailer) fetchPage(ctx context.Context, after string) (Page, error) {
 	timeout := tailer.options.PageTimeout
 	if timeout == 0 {
