--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -202,12 +202,22 @@
 	due := claimer.unrenewedSince.Add(ClaimTimeout + claimer.storeDelay + claimer.capacityDelay + claimer.jitter)
 	if claimer.token != 0 {
 		due = claimer.confirmedAt.Add(RenewInterval)
-	} else if claimer.newest == nil || claimer.newest.Released || claimer.isEarlierIncarnation(claimer.newest) {
+	} else if claimer.isClaimFree() {
 		due = claimer.unrenewedSince.Add(claimer.storeDelay + claimer.capacityDelay + claimer.jitter)
 	}
 	return later(due, claimer.retryAt)
 }
 
+// isClaimFree reports whether no other process can hold the claim, so that this node
+// need not wait for ClaimTimeout. A topic that was written but shows no claim may hide
+// a holder: another writer has replaced or deleted its record.
+func (claimer *Claimer) isClaimFree() bool {
+	if claimer.newest == nil {
+		return claimer.end == 0
+	}
+	return claimer.newest.Released || claimer.isEarlierIncarnation(claimer.newest)
+}
+
 func later(one, other time.Time) time.Time {
 	if one.Before(other) {
 		return other
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -18,6 +20,9 @@
 	progressPrefix = "progress/"
 )
 
+// cancelValue is the only byte of the value of a cancellation.
+const cancelValue = 1
+
 // KeyedRecord is a record of a topic that retains the newest record of each key.
 // A nil value deletes the key.
 type KeyedRecord struct {
@@ -32,7 +37,7 @@
 		value, err := jobToWire(&entry.Job).MarshalMsg(nil)
 		return KeyedRecord{jobPrefix + string(entry.Job.ID), value}, err
 	case messenger.Withdrawn:
-		return KeyedRecord{cancelPrefix + string(entry.Job), []byte{1}}, nil
+		return KeyedRecord{cancelPrefix + string(entry.Job), []byte{cancelValue}}, nil
 	case messenger.Progressed:
 		value, err := progressToWire(entry.Progress).MarshalMsg(nil)
 		return KeyedRecord{progressPrefix + string(entry.Job), value}, err
@@ -52,51 +57,82 @@
 }
 
 // UnmarshalJournalEntry decodes a record. It returns nil for the deletion of any
-// key other than that of a job, which has no effect of its own, and an error with
-// code BadFrame for a record that can't be decoded.
+// key other than that of a job, which has no effect of its own. For a record that
+// can't be decoded the error has code BadFrame and names the key. Such a record has
+// no effect: the caller keeps what it knows of the key from earlier records.
 func UnmarshalJournalEntry(record KeyedRecord) (messenger.JournalEntry, error) {
-	prefix, name, found := strings.Cut(record.Key, "/")
+	entry, err := decodeJournalEntry(record)
+	if err != nil {
+		return nil, classifier.New(classifier.BadFrame, "record %q of the journal: %v", record.Key, err)
+	}
+	return entry, nil
+}
+
+func decodeJournalEntry(record KeyedRecord) (messenger.JournalEntry, error) {
+	prefix, name, _ := strings.Cut(record.Key, "/")
 	job := identifier.Job(name)
-	switch {
-	case !found:
-		return nil, classifier.New(classifier.BadFrame, "the journal has an unknown key %q", record.Key)
-	case prefix+"/" == jobPrefix && len(record.Value) == 0:
-		return messenger.Deleted{Job: job}, nil
-	case len(record.Value) == 0:
-		return nil, nil
-	case prefix+"/" == jobPrefix:
+	if err := messenger.CheckJobID(job); err != nil {
+		return nil, err
+	}
+	isDeletion := len(record.Value) == 0
+	switch prefix + "/" {
+	case jobPrefix:
+		if isDeletion {
+			return messenger.Deleted{Job: job}, nil
+		}
 		return submittedFromWire(job, record.Value)
-	case prefix+"/" == cancelPrefix:
-		return messenger.Withdrawn{Job: job}, nil
-	case prefix+"/" == progressPrefix:
+	case cancelPrefix:
+		if isDeletion {
+			return nil, nil
+		}
+		return withdrawnFromWire(job, record.Value)
+	case progressPrefix:
+		if isDeletion {
+			return nil, nil
+		}
 		return progressedFromWire(job, record.Value)
 	default:
-		return nil, classifier.New(classifier.BadFrame, "the journal has an unknown key %q", record.Key)
+		return nil, errors.New("unknown kind of key")
 	}
 }
 
 func submittedFromWire(id identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalJob
-	if _, err := wire.UnmarshalMsg(value); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "job %q: %v", id, err)
+	if err := unmarshal(value, &wire); err != nil {
+		return nil, err
 	}
 	job := jobFromWire(id, &wire)
 	if err := job.Check(); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "job %q: %v", id, err)
+		return nil, err
+	}
+	submitted := messenger.Submitted{Job: job}
+	if err := submitted.CheckLimits(); err != nil {
+		return nil, err
 	}
-	return messenger.Submitted{Job: job}, nil
+	return submitted, nil
+}
+
+func withdrawnFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
+	if len(value) != 1 || value[0] != cancelValue {
+		return nil, errors.Errorf("the value of %d bytes is not that of a cancellation", len(value))
+	}
+	return messenger.Withdrawn{Job: job}, nil
 }
 
 func progressedFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalProgress
-	if _, err := wire.UnmarshalMsg(value); err != nil {
-		return nil, classifier.New(classifier.BadFrame, "progress of job %q: %v", job, err)
+	if err := unmarshal(value, &wire); err != nil {
+		return nil, err
 	}
 	progress := specifier.Progress{State: specifier.State(wire.State), EndedAt: timeFromWire(wire.EndedAt)}
 	for _, task := range wire.Tasks {
 		progress.Tasks = append(progress.Tasks, specifier.TaskProgress(task))
 	}
-	return messenger.Progressed{Job: job, Progress: progress}, nil
+	progressed := messenger.Progressed{Job: job, Progress: progress}
+	if err := progressed.Check(); err != nil {
+		return nil, err
+	}
+	return progressed, nil
 }
 
 func progressToWire(progress specifier.Progress) *JournalProgress {
@@ -154,25 +190,3 @@
 	}
 	return job
 }
-
-// MarshalClaim encodes a claim as the value of a record.
-func MarshalClaim(claim messenger.Claim) ([]byte, error) {
-	wire := JournalClaim{
-		Node: string(claim.Node), Incarnation: uint64(claim.Incarnation), Token: uint64(claim.Token),
-		Serial: claim.Serial, Released: claim.Released,
-	}
-	return wire.MarshalMsg(nil)
-}
-
-// UnmarshalClaim decodes a claim from the value of a record. The error has code
-// BadFrame.
-func UnmarshalClaim(value []byte) (messenger.Claim, error) {
-	var wire JournalClaim
-	if _, err := wire.UnmarshalMsg(value); err != nil {
-		return messenger.Claim{}, classifier.New(classifier.BadFrame, "claim: %v", err)
-	}
-	return messenger.Claim{
-		Node: identifier.Node(wire.Node), Incarnation: identifier.Incarnation(wire.Incarnation),
-		Token: identifier.Term(wire.Token), Serial: wire.Serial, Released: wire.Released,
-	}, nil
-}
--- /dev/null
+++ b/encoder/journal_odd_test.go
@@ -0,0 +1,165 @@
+package encoder_test
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/classifier"
+	"corianderroad/encoder"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// neighbours returns valid records that stand in the same reading as an odd one.
+func neighbours(c testing.TB) []encoder.KeyedRecord {
+	var records []encoder.KeyedRecord
+	for _, entry := range []messenger.JournalEntry{
+		messenger.Submitted{Job: specifier.Job{ID: "00000000000000a1", Steps: []specifier.Step{{Tasks: 2}}}},
+		messenger.Progressed{Job: "00000000000000a1", Progress: specifier.Progress{
+			State: specifier.Running, Tasks: []specifier.TaskProgress{{Index: 1, Done: true, DoneRun: 7}},
+		}},
+		messenger.Withdrawn{Job: "00000000000000a1"},
+	} {
+		record, err := encoder.MarshalJournalEntry(entry)
+		quicktest.Assert(c, err, quicktest.IsNil)
+		records = append(records, record)
+	}
+	return append(records, encoder.DeletionRecords("00000000000000a1")[0])
+}
+
+// checkRefused checks that the odd record alone is refused, with its key, and that
+// its neighbours decode as they do without it.
+func checkRefused(c testing.TB, odd encoder.KeyedRecord) {
+	entry, err := encoder.UnmarshalJournalEntry(odd)
+	comment := quicktest.Commentf("key %.80q, value %.40x", odd.Key, odd.Value)
+	quicktest.Assert(c, entry, quicktest.IsNil, comment)
+	quicktest.Assert(c, classifier.CodeOf(err), quicktest.Equals, classifier.BadFrame, comment)
+	quicktest.Assert(c, err, quicktest.ErrorMatches, "(?s).*\""+identifierPattern(odd.Key)+".*", comment)
+	checkNeighbours(c)
+}
+
+func checkNeighbours(c testing.TB) {
+	for _, record := range neighbours(c) {
+		entry, err := encoder.UnmarshalJournalEntry(record)
+		quicktest.Assert(c, err, quicktest.IsNil)
+		quicktest.Assert(c, entry, quicktest.IsNotNil)
+	}
+}
+
+// identifierPattern returns the part of a key that is the same in quotes.
+func identifierPattern(key string) string {
+	length := 0
+	for length < len(key) && length < 16 && (key[length] == '/' || key[length] >= '0' && key[length] <= '9' || key[length] >= 'a' && key[length] <= 'z') {
+		length++
+	}
+	return key[:length]
+}
+
+// TestUnknownKeyIsRefused guards against a record of another writer that is taken
+// for a deletion, because its value is empty.
+func TestUnknownKeyIsRefused(t *testing.T) {
+	for _, key := range []string{"", "other", "other/a1", "jobs/a1"} {
+		checkRefused(t, encoder.KeyedRecord{Key: key})
+		checkRefused(t, encoder.KeyedRecord{Key: key, Value: []byte{1}})
+	}
+	for _, record := range encoder.DeletionRecords(identifier.Job("a1")) {
+		_, err := encoder.UnmarshalJournalEntry(record)
+		quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("deletion of %q", record.Key))
+	}
+}
+
+// oddJobs returns jobs that no caller can have submitted, with the reason.
+func oddJobs() map[string]specifier.Job {
+	withStep := func(step specifier.Step) specifier.Job {
+		step.Tasks = max(step.Tasks, 1)
+		return specifier.Job{ID: "a1", Steps: []specifier.Step{{Tasks: 1}, step}}
+	}
+	withSchedule := func(schedule specifier.Schedule) specifier.Job {
+		return specifier.Job{ID: "a1", Steps: []specifier.Step{{Tasks: 1}}, Schedule: &schedule}
+	}
+	largest := withSchedule(specifier.Schedule{Occurrences: specifier.MaxOccurrences, Interval: time.Second})
+	for len(largest.Steps) < specifier.MaxSteps {
+		largest.Steps = append(largest.Steps, specifier.Step{Tasks: specifier.MaxTasks})
+	}
+	late := withStep(specifier.Step{})
+	late.AcceptedAt = time.Unix(0, math.MaxInt64)
+	early := withStep(specifier.Step{})
+	early.AcceptedAt = time.Unix(0, math.MinInt64)
+	return map[string]specifier.Job{
+		"gigabytes of tasks":     largest,
+		"largest estimate":       withStep(specifier.Step{EstimatedRunTime: math.MaxInt64}),
+		"largest latency target": withStep(specifier.Step{LatencyTarget: math.MaxInt64}),
+		"largest processor":      withStep(specifier.Step{Request: specifier.Resources{MilliCPU: math.MaxInt64}}),
+		"largest memory":         withStep(specifier.Step{Request: specifier.Resources{MemoryMB: math.MaxInt64}}),
+		"largest accelerators":   withStep(specifier.Step{Request: specifier.Resources{Accelerators: math.MaxInt64}}),
+		"negative memory":        withStep(specifier.Step{Request: specifier.Resources{MemoryMB: -1}}),
+		"negative tasks":         withStep(specifier.Step{Tasks: 1, MaxPerMinion: -1}),
+		"many dependencies":      withStep(specifier.Step{DependsOn: make([]int, 1000)}),
+		"later dependency":       withStep(specifier.Step{DependsOn: []int{1}}),
+		"negative dependency":    withStep(specifier.Step{DependsOn: []int{-1}}),
+		"accepted in 2262":       late,
+		"accepted in 1677":       early,
+		"negative interval":      withSchedule(specifier.Schedule{Occurrences: 2, Interval: -1}),
+		"largest interval":       withSchedule(specifier.Schedule{Occurrences: 2, Interval: math.MaxInt64}),
+		"interval that overflows with the number of occurrences": withSchedule(specifier.Schedule{
+			Occurrences: specifier.MaxOccurrences, Interval: math.MaxInt64 / 2048,
+		}),
+		"begins in 2262":       withSchedule(specifier.Schedule{Occurrences: 2, First: time.Unix(0, math.MaxInt64)}),
+		"too many occurrences": withSchedule(specifier.Schedule{Occurrences: math.MaxInt64}),
+		"no steps":             {ID: "a1"},
+		"no ID":                {Steps: []specifier.Step{{Tasks: 1}}},
+		"ID of a task":         {ID: "a1.0.1.17", Steps: []specifier.Step{{Tasks: 1}}},
+		"long ID":              {ID: identifier.Job(strings.Repeat("a", 200)), Steps: []specifier.Step{{Tasks: 1}}},
+	}
+}
+
+// TestOddJobIsRefused guards against a job record of another writer whose numbers
+// overflow the sums of the planner or allocate gigabytes at every node.
+func TestOddJobIsRefused(t *testing.T) {
+	for reason, job := range oddJobs() {
+		t.Run(reason, func(t *testing.T) {
+			record, err := encoder.MarshalJournalEntry(messenger.Submitted{Job: job})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			checkRefused(t, record)
+		})
+	}
+}
+
+// TestOddProgressIsRefused guards against a progress record of another writer with
+// a state that does not exist, which ends its job for good, and with tasks that no
+// job can have.
+func TestOddProgressIsRefused(t *testing.T) {
+	endedAt := time.Unix(1_000_000, 0)
+	for reason, progress := range map[string]specifier.Progress{
+		"unknown state":           {State: specifier.Cancelled + 1, EndedAt: endedAt},
+		"largest state":           {State: math.MaxUint8, EndedAt: endedAt},
+		"end without a time":      {State: specifier.Completed},
+		"ended in 2262":           {State: specifier.Completed, EndedAt: time.Unix(0, math.MaxInt64)},
+		"ended in 1677":           {State: specifier.Completed, EndedAt: time.Unix(0, math.MinInt64)},
+		"negative occurrence":     {Tasks: []specifier.TaskProgress{{Occurrence: -1}}},
+		"negative step":           {Tasks: []specifier.TaskProgress{{Step: -1}}},
+		"negative index":          {Tasks: []specifier.TaskProgress{{Index: -1}}},
+		"occurrence out of range": {Tasks: []specifier.TaskProgress{{Occurrence: math.MaxInt64}}},
+		"step out of range":       {Tasks: []specifier.TaskProgress{{Step: specifier.MaxSteps}}},
+		"index out of range":      {Tasks: []specifier.TaskProgress{{Index: specifier.MaxTasks}}},
+	} {
+		t.Run(reason, func(t *testing.T) {
+			record, err := encoder.MarshalJournalEntry(messenger.Progressed{Job: "a1", Progress: progress})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			checkRefused(t, record)
+		})
+	}
+}
+
+// TestOddCancellationIsRefused guards against a record of another form that cancels
+// a job because its key has the prefix of cancellations.
+func TestOddCancellationIsRefused(t *testing.T) {
+	for _, value := range []string{"\x00", "\x02", "\x01\x01", "text", "\x81\xa5other\x01"} {
+		checkRefused(t, encoder.KeyedRecord{Key: "cancel/a1", Value: []byte(value)})
+	}
+}
--- a/specifier/limits.go
+++ b/specifier/limits.go
@@ -23,10 +23,10 @@
 
 	// MaxDuration limits run times, timeouts and other durations.
 	MaxDuration = 366 * 24 * time.Hour
-	// MaxJobTasks limits the tasks of all occurrences of a job together. It is the
-	// number of tasks of the largest job that runs once. Each node keeps about 120
-	// bytes for each task of an open job.
-	MaxJobTasks = MaxSteps * MaxTasks
+	// MaxJobTasks limits the tasks of all occurrences of a job together. One record of
+	// progress lists them, and each node keeps about 120 bytes for each task of an
+	// open job.
+	MaxJobTasks = 1 << 16
 	// MaxScheduleSpan limits the time from the first to the last occurrence of a job.
 	MaxScheduleSpan = 100 * MaxDuration
 	// MaxBodyBytes limits the body of a request, whatever the configuration allows.
