Query a departing minion again after a failed query

What callers saw: a minion whose process announced its stop and was replaced under the same name and address got no requests any more; with one minion per service every request was refused for lack of a live minion.

Cause: while the VM list does not show a departing minion as leaving, its owner queries it every 10 s, because a new process may have replaced the one that stops. handleSlotsAnswered scheduled no further query if one of them failed, as it does while the process is down. No other event ends the state unless the VM list or the owner of the minion changes.

Evidence: before the change TestReplacedMinionIsUsedAfterFailedQuery failed with 'got: s"leaving" want: s"serving"' 20 s after the new process served.

Why it works: a failed query in that state schedules the next one, by the same function that schedules the first one.

--- a/router/minion.go
+++ b/router/minion.go
@@ -168,10 +168,11 @@
 	case answer.Err != nil && answer.Err.Code == classifier.RingFull:
 		router.querySlotsAfter(now, minion, foreignSlotsInterval)
 		return
+	case answer.Err != nil && minion.state == departing:
+		router.queryDeparting(now, minion)
+		return
 	case answer.Err != nil:
-		if minion.state != departing {
-			router.quarantine(now, minion, answer.Err.Code.Name())
-		}
+		router.quarantine(now, minion, answer.Err.Code.Name())
 		return
 	case answer.Leaving:
 		router.markDeparting(now, minion, "announced by the minion")
@@ -226,8 +227,15 @@
 // markDeparting stops dispatch to a minion that announced its stop.
 func (router *Router) markDeparting(now time.Time, minion *minion, reason string) {
 	router.setState(minion, departing, reason)
+	router.queryDeparting(now, minion)
+	router.rejectUnservable(now, minion.endpoint.service)
+}
+
+// queryDeparting schedules the next query of a departing minion. The VM list ends
+// the state of a minion that it shows as leaving; otherwise only an answer of the
+// next process ends it, so the queries continue even if one of them fails.
+func (router *Router) queryDeparting(now time.Time, minion *minion) {
 	if !minion.endpoint.leaving {
 		router.querySlotsAfter(now, minion, leavingInterval)
 	}
-	router.rejectUnservable(now, minion.endpoint.service)
 }
