Return foreign slots to an owner under constant load

What callers saw: after a takeover under load an owner used only some of a minion's slots for as long as the load lasted. With requests of 15 ms, 3 of 8 slots stayed out of use although nothing ran on them.

Cause: the slots that other owners left busy are counted as foreign, and the count is lowered by queries. An attempt that is younger than slotCountDelay may be missing in the minion's count and is therefore not subtracted. If all attempts are shorter than that and the slots that remain are in constant use, every query counts the owner's own attempts and confirms the foreign slots.

Why it works: dispatch to a minion pauses for slotCountDelay before every fifth consecutive query that finds foreign slots. All attempts are then old enough to be subtracted, so the result is exact. The cost is 20 ms of dispatch in each second while slots are foreign.

--- a/router/minion.go
+++ b/router/minion.go
@@ -47,6 +47,9 @@
 	// region. If a request takes longer to arrive, the minion refuses the requests
 	// that exceed its slots.
 	slotCountDelay = 20 * time.Millisecond
+	// exactCountPeriod is the number of consecutive queries with foreign slots of
+	// which the last is sent while no dispatch is younger than slotCountDelay.
+	exactCountPeriod = 5
 	// maxTimeouts is the number of attempts that may time out, without an answer
 	// to another attempt since the first of them started, before a minion is
 	// quarantined although it answers queries for its slots.
@@ -65,6 +68,8 @@
 	// sent, so that its answer must be ignored.
 	queryOutdated bool
 	queriedAt     time.Time
+	// foreignQueries counts the consecutive queries after which slots were foreign.
+	foreignQueries int
 	// failures counts consecutive failures.
 	failures int
 	// timeouts counts the attempts that timed out since the last answer.
@@ -187,10 +192,27 @@
 		return
 	}
 	router.setState(minion, serving, "answered")
-	if minion.limiter.Foreign() > 0 {
+	router.queryForeignSlots(now, minion)
+	router.dispatch(now, minion.endpoint.service)
+}
+
+// queryForeignSlots schedules the next query of a minion that has foreign slots.
+// Under a constant load of requests shorter than slotCountDelay, the attempts that
+// updateForeignSlots must not subtract hide the end of foreign requests for as
+// long as the load lasts. Dispatch to the minion therefore pauses for
+// slotCountDelay before every exactCountPeriod-th query, whose result is exact.
+func (router *Router) queryForeignSlots(now time.Time, minion *minion) {
+	if minion.limiter.Foreign() == 0 {
+		minion.foreignQueries = 0
+		return
+	}
+	minion.foreignQueries++
+	if minion.foreignQueries%exactCountPeriod != exactCountPeriod-1 {
 		router.querySlotsAfter(now, minion, foreignSlotsInterval)
+		return
 	}
-	router.dispatch(now, minion.endpoint.service)
+	router.setState(minion, awaitingSlots, "counting foreign slots")
+	router.querySlotsAfter(now, minion, slotCountDelay)
 }
 
 // updateForeignSlots lowers the number of foreign slots to the minion's busy
--- a/router/recovery_test.go
+++ b/router/recovery_test.go
@@ -36,3 +36,23 @@
 	simulation.runUntil(simulation.now.Add(2 * leavingInterval))
 	quicktest.Assert(t, simulation.minionState(name), quicktest.Equals, serving)
 }
+
+// TestForeignSlotsAreReturnedUnderLoad guards against slots that count as busy with
+// requests of an earlier owner long after these have ended, because each query for
+// the slots finds young attempts that may not be in the minion's count.
+func TestForeignSlotsAreReturnedUnderLoad(t *testing.T) {
+	for seed := range uint64(5) {
+		simulation := newSimulation(seed, faults{}, 2, 1, twoRegions[:1], nil)
+		simulation.nodes[1].up = false
+		minion := simulation.minions[0]
+		minion.running = 5
+		simulation.sendMembers(simulation.nodes[0])
+		simulation.runUntil(epoch.Add(time.Second))
+		simulation.issueSwaps(15_000, 10*time.Second, 15*time.Millisecond)
+		simulation.after(time.Second, func() { minion.running -= 5 })
+		simulation.runUntil(simulation.now.Add(8 * time.Second))
+		limiter := &simulation.nodes[0].router.sortedMinions()[0].limiter
+		quicktest.Assert(t, limiter.Running() > 0, quicktest.IsTrue)
+		quicktest.Check(t, limiter.Foreign(), quicktest.Equals, 0, quicktest.Commentf("seed %d", seed))
+	}
+}
