Forget the gangs of ended jobs when a holder steps down

What callers saw: jobs were placed on a worker that was full and refused them, every 2 s, for as long as the worker stayed full. The node's view showed more free accelerators than the worker has.

Cause: stepDown resets the jobs that have no outcome. A completed job is removed when its outcome is applied, while its gang is released for up to one lease. If the holder stepped down and claimed the region again within that time, the wakeup of that gang still fired, and its end released accelerators in a fleet that no longer counted them. The same end removed its use from a ledger that did not contain it.

Why it works: the workers list every job whose gang occupies them, whether it has an outcome or not. stepDown resets these jobs too, which makes their wakeups invalid.

--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -123,6 +123,11 @@
 		}
 	}
 	for _, worker := range region.workers {
+		for _, job := range worker.jobs {
+			// The gang of an ended job may still be in release. Its end under a later
+			// claim would free accelerators that it no longer occupies.
+			job.resetPlacement()
+		}
 		worker.jobs, worker.renewCall, worker.pollCall, worker.releasing = nil, 0, 0, false
 	}
 	region.clearing, region.ledger = nil, nil
--- /dev/null
+++ b/scheduler/recovery_test.go
@@ -0,0 +1,62 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/commander"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/scheduler"
+)
+
+// submitSingle submits a job of one member that uses all 8 accelerators of a worker.
+func (simulation *simulation) submitSingle(job identifier.Job, runTime time.Duration) {
+	simulation.submit(commander.JobSpec{
+		Job: job, Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 8},
+	}, behaviour{runTime: runTime})
+}
+
+// claimElsewhere appends a claim of the region by a node that is not a member, so
+// that the holder steps down and claims again.
+func (simulation *simulation) claimElsewhere() {
+	simulation.append(messenger.Entry{Record: messenger.RegionClaim{Region: "r", Node: "gone", Incarnation: 1}})
+}
+
+// TestEndedGangIsForgottenOnStepDown guards against a gang of an ended job that is
+// still being released when its holder steps down, and whose end after the next
+// claim frees accelerators that it does not occupy. Jobs are then placed on a full
+// worker, which refuses them without end.
+func TestEndedGangIsForgottenOnStepDown(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 3, 8)
+	simulation.setMembers(holder)
+	simulation.onCall = func(call messenger.CallWorker) {
+		if call.Kind == messenger.ReleaseTask && call.Gang.Job == "ended" {
+			// The release is lost, and the holder steps down before it learns that.
+			simulation.onCall = nil
+			simulation.workers[call.Worker].crash()
+			simulation.claimElsewhere()
+		}
+	}
+	simulation.submitSingle("ended", 10*time.Second)
+	simulation.run(time.Minute)
+	quicktest.Assert(t, simulation.onCall, quicktest.IsNil)
+	for _, worker := range simulation.workers {
+		if !worker.up {
+			worker.restart()
+		}
+	}
+	simulation.run(time.Minute)
+	before := simulation.calls[messenger.ReserveTask]
+	for i := range 4 {
+		simulation.submitSingle(identifier.Job(fmt.Sprintf("job%d", i)), 2*time.Hour)
+	}
+	simulation.run(time.Hour)
+	quicktest.Assert(t, simulation.started, quicktest.HasLen, 4)
+	quicktest.Assert(t, simulation.calls[messenger.ReserveTask]-before, quicktest.Equals, 3)
+}
