Keep a failed job from blocking the jobs of its shape

What callers saw: a job waited for as long as a reservation lasted, beside a free worker on which it fits.

Cause: a pass remembers the shapes that could not be placed. A job that failed on a worker avoids this worker, and while other workers are reserved it has no second try without that restriction. Its result was stored for the shape all the same, so that later jobs of this shape were not tried in the pass, although the worker is not excluded for them. Each pass visits the jobs in the same order.

Evidence: before the change TestFailedJobDoesNotBlockItsShape failed with 'value is not true, got: bool(false)': the later job had not started after a minute.

Why it works: the result of a job that avoids its own failed workers is no longer stored. It holds for that job alone.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -144,7 +144,10 @@
 		workers = region.fleet.Place(request)
 	}
 	if workers == nil {
-		pass.failedPlacements[tried] = true
+		// A job without failures may still fit on the workers where this one failed.
+		if request.Avoid == nil || len(job.failures) == 0 {
+			pass.failedPlacements[tried] = true
+		}
 		return false
 	}
 	if withinGuarantee && !scheduler.protect(region, job, workers) && pass.preempt(job, true) {
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -60,3 +60,42 @@
 	quicktest.Assert(t, simulation.started, quicktest.HasLen, 4)
 	quicktest.Assert(t, simulation.calls[messenger.ReserveTask]-before, quicktest.Equals, 3)
 }
+
+// TestFailedJobDoesNotBlockItsShape guards against a job that waits beside a free
+// worker because an earlier job of the same shape, which failed on that worker, can't
+// be placed while the other workers are reserved.
+func TestFailedJobDoesNotBlockItsShape(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(2, 2, 8)
+	simulation.setMembers(holder)
+	simulation.run(10 * time.Second)
+	// One worker of each rack is occupied, that of the first rack for a shorter time.
+	// The workers of the first rack are therefore reserved for the pair. Urgent gangs
+	// are not migrated.
+	occupy := func(job identifier.Job, runTime time.Duration) {
+		simulation.submit(commander.JobSpec{
+			Job: job, Workspace: "lawns", Urgent: true, RunTime: runTime, Shape: commander.Shape{Members: 1, Accelerators: 8},
+		}, behaviour{runTime: runTime})
+		simulation.run(10 * time.Second)
+	}
+	occupy("first", time.Hour)
+	simulation.submitSingle("filler", time.Minute)
+	simulation.run(10 * time.Second)
+	occupy("second", 10*time.Hour)
+	simulation.run(2 * time.Minute)
+	pair := commander.Shape{Members: 2, Accelerators: 8, Adjacency: commander.SameRack}
+	simulation.submit(commander.JobSpec{Job: "pair", Workspace: "lawns", Shape: pair}, behaviour{runTime: time.Minute})
+	simulation.run(2 * time.Minute)
+
+	free := simulation.workers["w01-01"]
+	free.broken = true
+	simulation.submitSingle("failing", time.Minute)
+	simulation.run(time.Minute)
+	quicktest.Assert(t, free.tasks, quicktest.HasLen, 0)
+	free.broken = false
+	simulation.submitSingle("other", time.Minute)
+	simulation.run(time.Minute)
+	_, started := simulation.started["other"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
