Let an urgent job clear a worker on which it failed

What callers saw: an urgent job, or one within its workspace's guarantee, waited for the end of a gang that it may preempt, because it had failed once on the only worker that can be cleared for it. Failures are withdrawn only when a worker is quarantined, so the wait lasted as long as the gang ran.

Cause: preempt excluded the workers of the job's failures without a second choice, unlike a placement on free accelerators. It also stored the result for the workspace and shape, so that jobs without failures were not tried in the pass; this second effect was read in the code and has no test of its own.

Evidence: before the change TestUrgentJobReturnsToFailedWorker failed with 'value is not true, got: bool(false)': the job had no outcome 2 minutes after its quota allowed it again.

Why it works: if neither free accelerators nor a preemption elsewhere place the job, a preemption without excluded workers is tried. Only its result is stored for other jobs. A job that found free workers which can't be protected still avoids the workers of its failures.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -113,8 +113,11 @@
 		job.reason = classifier.QuotaExceeded
 		return false
 	}
-	withinGuarantee := pass.isWithinGuarantee(job)
-	if pass.placeFree(job, withinGuarantee) || pass.preempt(job, withinGuarantee) {
+	withinGuarantee, failed := pass.isWithinGuarantee(job), job.failedWorkers()
+	if pass.placeFree(job, withinGuarantee) || pass.preempt(job, withinGuarantee, failed) {
+		return true
+	}
+	if failed != nil && pass.preempt(job, withinGuarantee, nil) {
 		return true
 	}
 	job.reason = classifier.NoCapacity
@@ -150,7 +153,7 @@
 		}
 		return false
 	}
-	if withinGuarantee && !scheduler.protect(region, job, workers) && pass.preempt(job, true) {
+	if withinGuarantee && !scheduler.protect(region, job, workers) && pass.preempt(job, true, job.failedWorkers()) {
 		return true
 	}
 	scheduler.launch(pass.now, region, job, workers)
--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -16,16 +16,16 @@
 // have certainly ended after the grace period and one lease.
 const clearingTimeout = 30 * time.Second
 
-// preempt places a job on accelerators that unprotected gangs occupy, and reports
-// whether it did. These gangs are checkpointed, and the job starts when they have
-// ended.
-func (pass *pass) preempt(job *job, withinGuarantee bool) bool {
+// preempt places a job on accelerators that unprotected gangs occupy on workers that
+// are not avoided, and reports whether it did. These gangs are checkpointed, and the
+// job starts when they have ended.
+func (pass *pass) preempt(job *job, withinGuarantee bool, avoided map[identifier.Worker]bool) bool {
 	scheduler, region := pass.scheduler, pass.region
 	if !scheduler.parameters.isEnabled(Preemption) || (!withinGuarantee && !job.spec.Urgent) {
 		return false
 	}
 	tried := preemptionAttempt{job.spec.Workspace, job.spec.Shape, withinGuarantee}
-	if pass.failedPreemptions[tried] && len(job.failures) == 0 {
+	if pass.failedPreemptions[tried] && avoided == nil {
 		return false
 	}
 	capacities := []func(identifier.Worker, int) int{func(name identifier.Worker, available int) int {
@@ -39,7 +39,7 @@
 		}}, capacities...)
 	}
 	for _, capacity := range capacities {
-		workers := region.fleet.Place(placer.Request{Shape: job.spec.Shape, Avoid: job.failedWorkers(), AdjustCapacity: capacity})
+		workers := region.fleet.Place(placer.Request{Shape: job.spec.Shape, Avoid: avoided, AdjustCapacity: capacity})
 		if workers == nil {
 			continue
 		}
@@ -50,7 +50,9 @@
 		pass.clearWorkers(job, workers, victims)
 		return true
 	}
-	pass.failedPreemptions[tried] = true
+	if avoided == nil {
+		pass.failedPreemptions[tried] = true
+	}
 	return false
 }
 
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/classifier"
 	"corianderroad/commander"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -99,3 +100,33 @@
 	_, started := simulation.started["other"]
 	quicktest.Assert(t, started, quicktest.IsTrue)
 }
+
+// TestUrgentJobReturnsToFailedWorker guards against an urgent job that waits for the
+// end of a preemptible gang because it failed once on the only worker that can be
+// cleared for it.
+func TestUrgentJobReturnsToFailedWorker(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 1, 8)
+	simulation.setMembers(holder)
+	simulation.run(10 * time.Second)
+	only := simulation.workers["w00-00"]
+	only.broken = true
+	simulation.submit(commander.JobSpec{
+		Job: "urgent", Workspace: "lawns", Urgent: true, Shape: commander.Shape{Members: 1, Accelerators: 8},
+	}, behaviour{runTime: time.Minute})
+	simulation.run(500 * time.Millisecond)
+	// The job fails, and a lower quota lets a job of another workspace start first.
+	simulation.configure(messenger.WorkspaceSpec{Workspace: "lawns", Quota: 4})
+	simulation.run(10 * time.Second)
+	only.broken = false
+	simulation.submit(commander.JobSpec{
+		Job: "other", Workspace: "hedges", Shape: commander.Shape{Members: 1, Accelerators: 8},
+	}, behaviour{runTime: 12 * time.Hour})
+	simulation.run(10 * time.Second)
+	_, started := simulation.started["other"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+	simulation.configure(messenger.WorkspaceSpec{Workspace: "lawns", Quota: 8})
+	simulation.run(2 * time.Minute)
+	quicktest.Assert(t, simulation.outcomes["urgent"], quicktest.Equals, messenger.Outcome{Job: "urgent", Code: classifier.OK})
+}
