Test that every minion recovers after faults

What it guards against: a minion that answers and gets no requests any more, and requests that are refused although slots are free, after the faults have ended.

--- a/router/simulation_network_test.go
+++ b/router/simulation_network_test.go
@@ -83,6 +83,7 @@
 			deliver(classifier.New(classifier.MinionBusy, "busy"), nil, false)
 		default:
 			minion.running++
+			minion.served++
 			origin := simulation.requests[called.Request]
 			simulation.runs[origin.operation]++
 			origin.runs++
--- a/router/simulation_test.go
+++ b/router/simulation_test.go
@@ -95,6 +95,10 @@
 	slots, running     int
 	dead, unresponsive bool
 	leaving            bool
+	// unlisted excludes the minion from the VM list.
+	unlisted bool
+	// served is the number of requests that the minion has run.
+	served int
 }
 
 // simRequest is one request of a caller and its result.
@@ -303,7 +307,9 @@
 func (simulation *simulation) sendVMs(to *simNode) {
 	var vms []messenger.VM
 	for _, minion := range simulation.minions {
-		vms = append(vms, minion.vm)
+		if !minion.unlisted {
+			vms = append(vms, minion.vm)
+		}
 	}
 	simulation.step(to, messenger.VMsListed{At: simulation.now, VMs: vms})
 }
