Let a superseded node return when nobody knows its successor

A node that a newer process with the same name and another address had superseded stayed departing. It owned no minions and no region, although it was alive and probed the others.

Cause: only a record of the dead newer process ended the state. If the newer process ended and the nodes that knew of it were restarted before they told the superseded node, or had removed the record, no node had such a record.

Why it works: the answer of a member that knows the newer process always contains its record, whether this is alive, suspect or dead. After 30 consecutive answers without it, the node makes its own record the newer one and is alive again. A partitioned node gets no answers and stays departing, so that two processes of one name do not claim regions in turn.

--- a/detector/change.go
+++ b/detector/change.go
@@ -125,6 +125,7 @@
 		// Another process uses the name, for example on the replacement of this VM
 		// after a long pause. Two processes would refute each other without end,
 		// so the one with the lower incarnation leaves.
+		detector.unsupersededAnswers = 0
 		if !detector.superseded {
 			detector.superseded = true
 			detector.markDeparting(now, "superseded")
@@ -133,12 +134,34 @@
 	}
 	detector.membersChanged = detector.membersChanged || detector.self.Incarnation != change.Incarnation
 	detector.self.Incarnation, detector.self.Refutations = change.Incarnation, change.Refutations+1
+	detector.endSuperseded()
+	detector.recordTransition(now, detector.self.Node, change.State, detector.self.State, "refuted")
+}
+
+// endSuperseded makes this node the one that uses its name, and announces it.
+func (detector *Detector) endSuperseded() {
 	if detector.superseded && !detector.draining {
 		detector.self.State, detector.membersChanged = messenger.Alive, true
 	}
 	detector.superseded = false
 	detector.announceSelf = true
-	detector.recordTransition(now, detector.self.Node, change.State, detector.self.State, "refuted")
+}
+
+// countSupersededAnswer counts an answer of a member. The members that knew of the
+// end of the newer process may have been restarted, and then none reports it.
+func (detector *Detector) countSupersededAnswer(now time.Time) {
+	if !detector.superseded {
+		return
+	}
+	detector.unsupersededAnswers++
+	if detector.unsupersededAnswers < supersededAnswers {
+		return
+	}
+	from := detector.self.State
+	// The other members know this incarnation as departing.
+	detector.self.Refutations++
+	detector.endSuperseded()
+	detector.recordTransition(now, detector.self.Node, from, detector.self.State, "newer-process-unknown")
 }
 
 // handleVMList uses the VM list as a hint: it adds candidates and shortens the
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -24,6 +24,9 @@
 	stateChangedAt time.Time
 	// superseded is true while a newer process uses this node's name.
 	superseded bool
+	// unsupersededAnswers counts the consecutive answers to probes that did not name
+	// the newer process.
+	unsupersededAnswers int
 	// draining is true once this node was ordered to drain.
 	draining bool
 
--- a/detector/parameters.go
+++ b/detector/parameters.go
@@ -60,6 +60,10 @@
 	joinProbes = 3
 	// drainPushes is the number of members informed at once that the node leaves.
 	drainPushes = 16
+	// supersededAnswers is the number of consecutive answers to probes without the
+	// newer process of this node's name after which the node is no longer superseded.
+	// An answer of a member that knows the newer process always contains its record.
+	supersededAnswers = 30
 	// maxRelays bounds the probes on behalf of other nodes that await an answer.
 	maxRelays = 64
 	// maxDecisions bounds the recorded changes of state.
--- a/detector/probe.go
+++ b/detector/probe.go
@@ -191,6 +191,9 @@
 	for _, change := range answer.Changes {
 		detector.applyChange(now, change)
 	}
+	if answer.Sequence != 0 {
+		detector.countSupersededAnswer(now)
+	}
 	if isNewer(detector.self, before) {
 		// The other node considers this node suspect or dead, and is corrected at once.
 		detector.sendProbe(answer.From.Identity, detector.nextSequence())
