End cancelled jobs in a region without workers

What callers saw: a job in a region in which no worker is listed stayed without an outcome after its cancellation, for as long as no worker was listed.

Cause: only the holder of a region gives a cancelled job its outcome, and no node claims a region without workers.

Evidence: before the change TestCancelledJobEndsWithoutWorkers failed with 'value is not true, got: bool(false)' a minute after the cancellation.

Why it works: a cancelled job is a reason to claim its region. The adoption ends at once, because there is no worker to ask, and the next pass ends the job. Jobs that are not cancelled wait for workers as before.

--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -44,7 +44,7 @@
 
 // claimIfDue claims a region that this node owns but does not hold.
 func (scheduler *Scheduler) claimIfDue(now time.Time, region *region) {
-	if scheduler.draining || len(region.workers) == 0 || scheduler.owner(region.name) != scheduler.identity.Node {
+	if scheduler.draining || !scheduler.needsHolder(region) || scheduler.owner(region.name) != scheduler.identity.Node {
 		region.ownedSince = time.Time{}
 		return
 	}
@@ -67,6 +67,20 @@
 	})
 }
 
+// needsHolder reports whether there is work for a holder: workers to place on, or a
+// cancelled job that ends without any worker.
+func (scheduler *Scheduler) needsHolder(region *region) bool {
+	if len(region.workers) > 0 {
+		return true
+	}
+	for _, job := range scheduler.jobs {
+		if job.cancelled && job.region == region.name {
+			return true
+		}
+	}
+	return false
+}
+
 // claimDue returns when the region is to be claimed, zero for never.
 func (scheduler *Scheduler) claimDue(region *region) time.Time {
 	if region.ownedSince.IsZero() || region.held {
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -130,3 +130,23 @@
 	simulation.run(2 * time.Minute)
 	quicktest.Assert(t, simulation.outcomes["urgent"], quicktest.Equals, messenger.Outcome{Job: "urgent", Code: classifier.OK})
 }
+
+// TestCancelledJobEndsWithoutWorkers guards against a cancelled job that never ends
+// because no node claims a region in which no worker is listed.
+func TestCancelledJobEndsWithoutWorkers(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	for range 3 {
+		simulation.addNode(scheduler.Parameters{})
+	}
+	simulation.setMembers(simulation.nodes...)
+	simulation.submitSingle("cancelled", time.Minute)
+	simulation.submitSingle("waiting", time.Minute)
+	simulation.run(time.Minute)
+	simulation.cancel("cancelled")
+	simulation.run(time.Minute)
+	quicktest.Assert(t, simulation.outcomes["cancelled"].Cancelled, quicktest.IsTrue)
+	simulation.addWorkers(1, 1, 8)
+	simulation.run(time.Minute)
+	_, started := simulation.started["waiting"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
