Exclude a worker with an invalid term instead of stepping down

What callers saw: no job of a region started while one worker reported a term that is higher than the end of the log, for example after the log was replaced.

Cause: a holder steps down when a worker reports a newer term, and claims again. If no claim has this term, the next holder is refused by the same worker during its adoption and steps down too. Only the growth of the log beyond the term ends this.

Why it works: the offset of a claim that is appended after the report is higher than that of any claim that the worker may have known. After three step-downs for the same term of a worker, its refusals therefore count as missed answers, and the region is placed without this worker until it accepts the term. If the term were valid, the worker would still refuse every call of this holder. A refusal for a newer term does not cause another renewal in the same round.

--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -43,7 +43,8 @@
 		return
 	}
 	region, worker := call.region, call.worker
-	if answer.HighestTerm > region.term || (answer.Err != nil && answer.Err.Code == classifier.StaleTerm) {
+	isNewerTerm := answer.HighestTerm > region.term || (answer.Err != nil && answer.Err.Code == classifier.StaleTerm)
+	if isNewerTerm && !worker.hasInvalidTerm(answer.HighestTerm) {
 		scheduler.stepDown(now, region, "a worker has seen a newer term")
 		return
 	}
@@ -63,7 +64,7 @@
 		scheduler.handleRelease(now, region, answer)
 	}
 	if answer.Err != nil {
-		if answer.Kind == messenger.RenewTasks && now.Sub(region.renewalRoundAt) < scheduler.parameters.RenewInterval/2 {
+		if answer.Kind == messenger.RenewTasks && !isNewerTerm && now.Sub(region.renewalRoundAt) < scheduler.parameters.RenewInterval/2 {
 			scheduler.renewWorker(now, region, worker)
 		}
 		return
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -150,3 +150,32 @@
 	_, started := simulation.started["waiting"]
 	quicktest.Assert(t, started, quicktest.IsTrue)
 }
+
+// TestInvalidTermExcludesOneWorker guards against a worker with a term that no claim
+// in the log has, for example after the log was replaced, which makes every holder of
+// the region step down at once, so that nothing is placed on the other workers.
+func TestInvalidTermExcludesOneWorker(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	for range 3 {
+		simulation.addNode(scheduler.Parameters{})
+	}
+	simulation.addWorkers(1, 4, 8)
+	simulation.setMembers(simulation.nodes...)
+	simulation.workers["w00-00"].highestTerm = 1_000_000
+	for i := range 3 {
+		simulation.submitSingle(identifier.Job(fmt.Sprintf("job%d", i)), time.Hour)
+	}
+	simulation.run(2 * time.Minute)
+	quicktest.Assert(t, simulation.started, quicktest.HasLen, 3)
+	quicktest.Assert(t, simulation.workers["w00-00"].tasks, quicktest.HasLen, 0)
+	// The next holder needs as many step-downs to learn this again.
+	first := simulation.holder()
+	first.pause(time.Hour)
+	simulation.setMembers(simulation.others(first)...)
+	simulation.run(2 * time.Minute)
+	quicktest.Assert(t, simulation.holder(), quicktest.Not(quicktest.Equals), first)
+	simulation.workers["w00-00"].highestTerm = 0
+	simulation.submitSingle("last", time.Hour)
+	simulation.run(time.Minute)
+	quicktest.Assert(t, simulation.started, quicktest.HasLen, 4)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -36,11 +36,39 @@
 	// releasing means that the worker has not yet answered the release of a task that
 	// belongs to no current gang.
 	releasing bool
+	// newerTerm is the last term of the worker that was newer than that of its
+	// holder. newerTermReports counts the step-downs that it led to.
+	newerTerm        identifier.Term
+	newerTermReports int
 	// jobs are the jobs whose gangs occupy the worker.
 	jobs   []*job
 	health health
 }
 
+// maxNewerTermReports is the number of step-downs because of the same term after
+// which the term is invalid. A claim that is appended after the first report has a
+// higher offset than every claim that the worker may have known. Several step-downs
+// are needed, because claims that were appended before may be applied late.
+// Should the term be valid all the same, the worker refuses every call of this
+// holder, which then treats it like a worker that can't be reached.
+const maxNewerTermReports = 3
+
+// hasInvalidTerm reports whether no claim has the newer term that the worker
+// reports, and counts the report if it may be valid.
+func (worker *worker) hasInvalidTerm(term identifier.Term) bool {
+	if term == 0 {
+		return false
+	}
+	if term != worker.newerTerm {
+		worker.newerTerm, worker.newerTermReports = term, 0
+	}
+	if worker.newerTermReports >= maxNewerTermReports {
+		return true
+	}
+	worker.newerTermReports++
+	return false
+}
+
 // isUsable reports whether gangs may be placed on the worker.
 func (worker *worker) isUsable(now time.Time) bool {
 	return worker.listed && !worker.vm.Leaving && worker.hasAnswered && worker.missedAnswers == 0 &&
