Bound the time without progress of a log read, not its duration

Callers would see a node that never becomes ready, or falls behind for good, while the link between regions stays full.

Cause: a read of a stream, its retry delay, and at the start the search for the first offset had to be complete together within UnavailableAfter (4 s in server). A page of 3 MB for each of 17 nodes needs 7 s of a link of 60 Mbit/s, and a search of 9 reads of 256 KB 5 s. All nodes gave up half-way and began again at the first byte, or at the first step of the search.

TestUnavailableLogIsReported passes unchanged: a silent log is reported after the same time as before.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,7 +29,8 @@
 	// the stream, waiting for an append, 5 s if zero.
 	PollTimeout time.Duration
 	// UnavailableAfter is the time without an answer after which the log counts
-	// as unavailable, 7 s if zero. It must be above PollTimeout.
+	// as unavailable, 7 s if zero. It must be above PollTimeout. A read fails after
+	// the same time without progress.
 	UnavailableAfter time.Duration
 	// Limit is the largest number of appends of one read, 256 if zero.
 	Limit int
@@ -80,7 +81,8 @@
 	parameters.UnavailableAfter = cmp.Or(parameters.UnavailableAfter, 7*time.Second)
 	parameters.Limit = cmp.Or(parameters.Limit, 256)
 	return &Follower{
-		stream: stream, log: log{client: client, address: address, stream: stream}, sink: sink,
+		stream: stream, sink: sink,
+		log:      log{client: client, address: address, stream: stream, stallTimeout: parameters.UnavailableAfter},
 		advanced: advanced, parameters: parameters, limit: parameters.Limit,
 	}
 }
@@ -103,7 +105,7 @@
 	follower.lastAnswerAt = time.Now()
 	follower.reset = true
 	for {
-		readCtx, cancel := context.WithTimeout(ctx, follower.parameters.UnavailableAfter)
+		readCtx, cancel := context.WithCancel(ctx)
 		result := make(chan reading, 1)
 		go func() { result <- follower.read(readCtx, follower.retryDelay) }()
 		var err error
--- a/follower/log.go
+++ b/follower/log.go
@@ -12,6 +12,7 @@
 	"corianderroad/classifier"
 	"corianderroad/encoder"
 	"corianderroad/identifier"
+	"corianderroad/watcher"
 )
 
 // Client sends HTTP requests. *http.Client is one.
@@ -42,11 +43,16 @@
 	client  Client
 	address netip.AddrPort
 	stream  identifier.Stream
+	// stallTimeout bounds the time without progress of a read.
+	stallTimeout time.Duration
 }
 
 // read returns the appends from an offset on. If there is none, the log service
-// waits for the first one, at most as long as wait.
+// waits for the first one, at most as long as wait. The duration of the answer is not
+// bounded, because all nodes may read the same large appends over one link.
 func (log log) read(ctx context.Context, from uint64, limit int, wait time.Duration) (encoder.ReadAnswer, error) {
+	ctx, watched := watcher.New(ctx, log.stallTimeout)
+	defer watched.Stop()
 	url := fmt.Sprintf("http://%s/streams/%s/appends?from=%d&limit=%d&wait=%s", log.address, log.stream, from, limit, wait)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -57,7 +63,7 @@
 		return encoder.ReadAnswer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxAnswerBytes+1))
 	if err != nil {
 		return encoder.ReadAnswer{}, err
 	}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,55 @@
+// Package watcher ends transfers that make no progress. The duration of a transfer
+// depends on its size and on the load of the link. If it were bounded, many nodes
+// that share a full link would all give up half-way and begin again for ever.
+package watcher
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrStalled is the cause of the end of a context whose transfer made no progress.
+var ErrStalled = errors.New("the transfer has stalled")
+
+// Watcher watches one transfer. It is safe for concurrent use.
+type Watcher struct {
+	timer        *time.Timer
+	stallTimeout time.Duration
+	cancel       context.CancelCauseFunc
+}
+
+// New returns a context that ends with the cause ErrStalled when the transfer makes
+// no progress for stallTimeout. The caller must call Stop.
+func New(ctx context.Context, stallTimeout time.Duration) (context.Context, *Watcher) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(stallTimeout, func() { cancel(ErrStalled) })
+	return ctx, &Watcher{timer: timer, stallTimeout: stallTimeout, cancel: cancel}
+}
+
+// Stop ends the context and releases the watcher's resources.
+func (watcher *Watcher) Stop() {
+	watcher.timer.Stop()
+	watcher.cancel(nil)
+}
+
+// Reader returns a reader whose successful reads are progress of the transfer.
+func (watcher *Watcher) Reader(reader io.Reader) io.Reader {
+	return progressReader{reader, watcher}
+}
+
+type progressReader struct {
+	reader  io.Reader
+	watcher *Watcher
+}
+
+// Read implements io.Reader.
+func (progressReader progressReader) Read(target []byte) (int, error) {
+	count, err := progressReader.reader.Read(target)
+	if count > 0 {
+		progressReader.watcher.timer.Reset(progressReader.watcher.stallTimeout)
+	}
+	return count, err
+}
