Raise the limit of log reads only while the answers are small

Cause: after an answer above the size limit (16 MiB) the follower requested a quarter of the appends, and after one success again all of them. With large appends every second answer was received in vain, on each node.

Change: the limit doubles only after an answer whose payloads are so small that twice as many fit.

Evidence: before, TestLargeAnswerIsNotRequestedAgain failed with "received 14 answers of the size limit in vain" for 42 MB of appends; now it is 2, until the limit has fallen from 256 to one that fits.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -67,7 +67,8 @@
 	lastReportAt time.Time
 	retryDelay   time.Duration
 	// limit is the limit of the next read. It is reduced after an answer that is too
-	// large.
+	// large, and rises again only while answers are small, because an answer that is
+	// too large is received in vain.
 	limit int
 }
 
@@ -165,9 +166,10 @@
 		return follower.handleFailure(ctx, now, reading.err)
 	}
 	follower.lastAnswerAt, follower.retryDelay = now, 0
-	follower.limit = follower.parameters.Limit
 	follower.position = reading.start
+	received := 0
 	for _, entry := range reading.answer.Appends {
+		received += len(entry.Payload)
 		entries, err := encoder.UnmarshalBatch(entry.Payload)
 		if err != nil {
 			follower.corrupt.Add(1)
@@ -183,6 +185,9 @@
 		follower.reset = false
 		follower.position++
 	}
+	if received < smallAnswerBytes {
+		follower.limit = min(2*follower.limit, follower.parameters.Limit)
+	}
 	if follower.position < reading.answer.Next {
 		return nil
 	}
--- a/follower/log.go
+++ b/follower/log.go
@@ -23,6 +23,10 @@
 // maxAnswerBytes bounds the memory of one read.
 const maxAnswerBytes = 16 << 20
 
+// smallAnswerBytes is the size of payloads below which twice as many of them fit
+// into an answer, although it holds them in base64.
+const smallAnswerBytes = maxAnswerBytes / 4
+
 // goneError means that the append is no longer retained.
 type goneError struct{ firstRetained, next uint64 }
 
--- a/follower/narrowlink_test.go
+++ b/follower/narrowlink_test.go
@@ -136,3 +136,27 @@
 		c.Assert(late, quicktest.Equals, 0, quicktest.Commentf("nodes without an append after 40 s"))
 	})
 }
+
+// TestLargeAnswerIsNotRequestedAgain guards against a follower that requests as many
+// large appends as before after each answer above the size limit, and so discards
+// most of what it receives.
+func TestLargeAnswerIsNotRequestedAgain(t *testing.T) {
+	const (
+		appends   = 160      // 42 MB in base64
+		sizeLimit = 16 << 20 // of an answer
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		link, service := throttler.New(1<<30), newService()
+		content := largePayload(largestText)
+		for range appends {
+			service.add(content)
+		}
+		reader := newNode(link, identifier.Configuration, serverParameters)
+		serve(link, service, []*node{reader}, time.Minute)
+		c.Assert(reader.countReads(), quicktest.Equals, appends)
+		// A limit of 256 appends takes 2 answers to fall to one that fits.
+		wasted := (link.Received() - appends*len(content)*4/3) / sizeLimit
+		c.Assert(wasted <= 2, quicktest.IsTrue, quicktest.Commentf("received %d answers of the size limit in vain", wasted))
+	})
+}
