Bound the time without progress of an append to the log, not its duration

Cause: one request had to be complete within 2 s. If 17 nodes append a text of 250 KB and two more in a batch, 17 MB cross a link of 60 Mbit/s in 2.4 s. The batches were given up half-way, their outcome was unknown, and they were read back and sent again from the first byte until their records had expired.

Change: a request fails when neither the request nor the answer advances for 2 s.

Evidence: before, TestLargeAppendsCrossNarrowLink failed with "records that failed: got 34, want 0": the 17 batches of two texts never arrived. Now all arrive, each in one request.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -32,8 +32,9 @@
 	// MaxEntries is the largest number of records in a batch, 200 if zero. For the
 	// configuration stream the default is 1, so that each version is an offset.
 	MaxEntries int
-	// Timeout bounds one request to the log, 2 s if zero.
-	Timeout time.Duration
+	// StallTimeout bounds the time without progress of one request to the log, 2 s if
+	// zero.
+	StallTimeout time.Duration
 }
 
 const (
@@ -75,9 +76,9 @@
 		parameters.MaxEntries = cmp.Or(parameters.MaxEntries, 1)
 	}
 	parameters.MaxEntries = cmp.Or(parameters.MaxEntries, 200)
-	parameters.Timeout = cmp.Or(parameters.Timeout, 2*time.Second)
+	parameters.StallTimeout = cmp.Or(parameters.StallTimeout, 2*time.Second)
 	return &Appender{
-		stream: stream, log: log{client: client, address: address, stream: stream, timeout: parameters.Timeout},
+		stream: stream, log: log{client: client, address: address, stream: stream, stallTimeout: parameters.StallTimeout},
 		sink: sink, records: records, limiter: limiter, parameters: parameters,
 	}
 }
--- a/appender/log.go
+++ b/appender/log.go
@@ -16,6 +16,7 @@
 	"corianderroad/classifier"
 	"corianderroad/encoder"
 	"corianderroad/identifier"
+	"corianderroad/watcher"
 )
 
 // Client sends HTTP requests. *http.Client is one.
@@ -47,7 +48,8 @@
 	client  Client
 	address netip.AddrPort
 	stream  identifier.Stream
-	timeout time.Duration
+	// stallTimeout bounds the time without progress of a request.
+	stallTimeout time.Duration
 }
 
 // post sends one request to append a payload.
@@ -124,20 +126,26 @@
 	return answer, status, errors.WithStack(json.Unmarshal(body, &answer))
 }
 
+// do sends one request. It fails when neither the request nor the answer advances for
+// stallTimeout. Their duration is not bounded, because all nodes may send large
+// appends over one link.
 func (log log) do(ctx context.Context, method, query string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, log.timeout)
-	defer cancel()
+	ctx, watched := watcher.New(ctx, log.stallTimeout)
+	defer watched.Stop()
 	url := fmt.Sprintf("http://%s/streams/%s/appends%s", log.address, log.stream, query)
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
+	if len(body) > 0 {
+		request.Body = io.NopCloser(watched.Reader(bytes.NewReader(body)))
+	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := log.client.Do(request)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxAnswerBytes))
 	return response.StatusCode, answer, err
 }
--- /dev/null
+++ b/appender/narrowlink_test.go
@@ -0,0 +1,95 @@
+package appender_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/appender"
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/throttler"
+)
+
+// remoteService serves a log service over a link. It receives a request and sends an
+// answer without holding the service's lock.
+type remoteService struct{ *service }
+
+func (remoteService remoteService) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	recorder := httptest.NewRecorder()
+	remoteService.service.ServeHTTP(recorder, request)
+	writer.WriteHeader(recorder.Code)
+	_, _ = writer.Write(recorder.Body.Bytes())
+}
+
+// largeRecords returns records with texts of the given size.
+func largeRecords(node, count, size int) []messenger.AppendRecord {
+	var records []messenger.AppendRecord
+	for i := range count {
+		records = append(records, messenger.AppendRecord{
+			Entry:    messenger.Entry{ID: fmt.Sprintf("%d/%d", node, i), Record: messenger.Publication{Text: make([]byte, size)}},
+			Deadline: time.Now().Add(10 * time.Second),
+		})
+	}
+	return records
+}
+
+// TestLargeAppendsCrossNarrowLink guards against nodes that give up an append
+// half-way and send it again, all of them at once, so that the link to the log stays
+// full until the records have expired.
+func TestLargeAppendsCrossNarrowLink(t *testing.T) {
+	const (
+		nodes          = 17
+		bytesPerSecond = 60_000_000 / 8 // the link between two regions
+		textBytes      = 250 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		link, service := throttler.New(bytesPerSecond), newService(func(string) string { return "" })
+		server := &http.Server{Handler: remoteService{service}}
+		var group sync.WaitGroup
+		group.Go(func() { _ = server.Serve(link) })
+		var mutex sync.Mutex
+		failed := 0
+		for node := range nodes {
+			for stream, records := range map[identifier.Stream][]messenger.AppendRecord{
+				identifier.Configuration: largeRecords(node, 1, textBytes),
+				identifier.Jobs:          largeRecords(nodes+node, 2, textBytes),
+			} {
+				group.Go(func() {
+					transport := &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+						return link.Dial(ctx, netip.AddrPort{})
+					}}
+					sink := run(stream, &http.Client{Transport: transport}, anyAddress, appender.NewLimiter(), records, sleepFor(time.Minute))
+					transport.CloseIdleConnections()
+					mutex.Lock()
+					defer mutex.Unlock()
+					failed += len(sink.failed)
+				})
+			}
+		}
+		time.Sleep(2 * time.Minute)
+		_ = server.Close()
+		group.Wait()
+		c.Check(failed, quicktest.Equals, 0, quicktest.Commentf("records that failed"))
+		c.Check(service.recordCounts(), quicktest.HasLen, 3*nodes)
+		c.Check(service.posted, quicktest.HasLen, 2*nodes)
+		c.Check(link.Sent() < 2*3*nodes*textBytes, quicktest.IsTrue, quicktest.Commentf("%d bytes sent", link.Sent()))
+	})
+}
