Request smaller pages when a read-back exceeds the size limit

Callers got an unknown outcome for a record that is in the log.

Cause: a read-back requests 16 appends at a time. With appends of 800 KB or more the answer exceeds 16 MiB, was cut there, and failed as invalid JSON. The same page was requested again until the records had expired, 16 MiB each time.

Change: an answer above the limit has an error of its own, and the page is requested again with a quarter of the appends.

Evidence: before, TestReadBackOfLargeAppends failed: record 0 is in the log and was reported as failed with an unknown outcome after 10 s.

--- a/appender/log.go
+++ b/appender/log.go
@@ -25,11 +25,20 @@
 }
 
 const (
+	// maxAnswerBytes bounds the memory of one answer.
 	maxAnswerBytes = 16 << 20
-	// readBackPageSize is the number of appends of one page of a read-back.
+	// readBackPageSize is the number of appends of one page of a read-back. A page
+	// that exceeds maxAnswerBytes is requested again with fewer appends.
 	readBackPageSize = 16
 )
 
+// tooLargeError means that an answer exceeds maxAnswerBytes.
+type tooLargeError struct{}
+
+func (tooLargeError) Error() string {
+	return fmt.Sprintf("answer of the log service exceeds %d bytes", maxAnswerBytes)
+}
+
 // outcome is the result of a posted append, as far as it is known.
 type outcome uint8
 
@@ -91,16 +100,22 @@
 	return max(answer.Next, 1), nil
 }
 
-// find searches for an append by its ID, starting at an offset.
+// find searches for an append by its ID, starting at an offset. If it does not find
+// the append, it returns the offset up to which it has searched, also with an error.
 func (log log) find(ctx context.Context, id string, from uint64) (uint64, bool, error) {
+	pageSize := readBackPageSize
 	for {
-		answer, status, err := log.read(ctx, from, readBackPageSize)
+		answer, status, err := log.read(ctx, from, pageSize)
+		if errors.Is(err, tooLargeError{}) && pageSize > 1 {
+			pageSize /= 4
+			continue
+		}
 		if err != nil {
-			return 0, false, err
+			return from, false, err
 		}
 		if status == http.StatusGone {
 			// The append may be among those that retention has deleted.
-			return 0, false, classifier.New(classifier.OutcomeUnknown, "offset %d is no longer retained", from)
+			return from, false, classifier.New(classifier.OutcomeUnknown, "offset %d is no longer retained", from)
 		}
 		for _, entry := range answer.Appends {
 			if entry.ID == id {
@@ -109,7 +124,7 @@
 			from = entry.Offset + 1
 		}
 		if from >= answer.Next || len(answer.Appends) == 0 {
-			return 0, false, nil
+			return from, false, nil
 		}
 	}
 }
@@ -146,6 +161,9 @@
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxAnswerBytes))
+	answer, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxAnswerBytes+1))
+	if err == nil && len(answer) > maxAnswerBytes {
+		err = tooLargeError{}
+	}
 	return response.StatusCode, answer, err
 }
--- a/appender/narrowlink_test.go
+++ b/appender/narrowlink_test.go
@@ -17,6 +17,7 @@
 	"github.com/frankban/quicktest"
 
 	"corianderroad/appender"
+	"corianderroad/encoder"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/throttler"
@@ -93,3 +94,27 @@
 		c.Check(link.Sent() < 2*3*nodes*textBytes, quicktest.IsTrue, quicktest.Commentf("%d bytes sent", link.Sent()))
 	})
 }
+
+// TestReadBackOfLargeAppends guards against a read-back whose page exceeds the size
+// limit each time, so that an append that is in the log is reported as failed.
+func TestReadBackOfLargeAppends(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		var service *service
+		service = newService(func(method string) string {
+			if method == http.MethodGet {
+				return ""
+			}
+			service.mutex.Lock()
+			defer service.mutex.Unlock()
+			for range 20 {
+				offset := uint64(len(service.appends)) + 1
+				service.appends = append(service.appends, encoder.ReadEntry{Offset: offset, ID: "other", Payload: make([]byte, 2<<20)})
+			}
+			return "lost"
+		})
+		sink := run(identifier.Jobs, service, anyAddress, appender.NewLimiter(), records(1, 10*time.Second), sleepFor(time.Minute))
+		c.Assert(service.recordCounts()["0"], quicktest.Equals, 1)
+		c.Assert(sink.failed, quicktest.HasLen, 0)
+	})
+}
