Continue a read-back where the failed one ended

Cause: a read-back that failed at one page began again at the first one. While the log refuses some reads, or a page fails each time, it never reached the end, so that the append was reported with an unknown outcome, and pages crossed the link again.

Change: the appender keeps the offset up to which it has searched. Appends are added only at the end of the log, so that a later arrival of the batch lies behind it.

Evidence: before, TestReadBackContinuesAfterFailure failed: record 0 is in the log and was reported as failed with an unknown outcome after 10 s.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -226,10 +226,12 @@
 	return false, ctx.Err()
 }
 
-// readBack searches the log for the batch.
+// readBack searches the log for the batch. After a failure, the next search continues
+// where this one ended: appends are added only at the end of the log.
 func (appender *Appender) readBack(ctx context.Context, batch *batch) (bool, error) {
 	offset, found, err := appender.log.find(ctx, batch.id, appender.minOffset)
-	if err == nil && found {
+	appender.minOffset = offset
+	if found {
 		appender.appended.Add(1)
 		appender.minOffset = offset + 1
 	}
--- a/appender/narrowlink_test.go
+++ b/appender/narrowlink_test.go
@@ -118,3 +118,24 @@
 		c.Assert(sink.failed, quicktest.HasLen, 0)
 	})
 }
+
+// TestReadBackContinuesAfterFailure guards against a read-back that begins again at
+// the first page after each failed one, and so never reaches the end of the log.
+func TestReadBackContinuesAfterFailure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		reads := 0
+		service := newService(func(method string) string {
+			if method == http.MethodPost {
+				return "lost" // appends two pages, of which the second holds the batch
+			}
+			if reads++; reads > 1 && reads%2 == 1 {
+				return "unavailable"
+			}
+			return ""
+		})
+		sink := run(identifier.Jobs, service, anyAddress, appender.NewLimiter(), records(1, 10*time.Second), sleepFor(time.Minute))
+		c.Assert(service.recordCounts()["0"], quicktest.Equals, 1)
+		c.Assert(sink.failed, quicktest.HasLen, 0)
+	})
+}
