Request no second copy of a state while one arrives

A node that cannot read the log for a while, or starts late, copies the state of a peer.

Cause: a peer had 1 s to respond completely, then the next peer was asked, once a second for ever. On a full link a copy takes longer. The parts of the newer copy, which covers a later offset, replaced those that had arrived, so that with a state that changes no copy was ever complete, while each request added a whole copy to the link.

Change: each part that arrives postpones the next request, and the time to the next request doubles from 1 s to 16 s until something is applied.

--- a/applier/peers.go
+++ b/applier/peers.go
@@ -14,9 +14,12 @@
 	// lagThreshold is how long the log may take to deliver an append that a peer has
 	// applied. After that, the append is requested from the peer.
 	lagThreshold = time.Second
-	// requestInterval is how long a peer may take to respond before the request is sent
-	// to the next peer.
-	requestInterval = time.Second
+	// minRequestInterval is how long a peer may take to respond before the request is
+	// sent to the next peer. The time doubles with each request until an append or a
+	// copy is applied, up to maxRequestInterval: a copy that takes long because the
+	// link is full must not be replaced by a newer one of another peer.
+	minRequestInterval = time.Second
+	maxRequestInterval = 16 * time.Second
 	// copyInterval is the minimum time between two complete copies of a stream's
 	// state. It bounds their cost when several peers request one.
 	copyInterval = time.Second
@@ -98,7 +101,9 @@
 	target      identifier.Offset
 	since       time.Time
 	requestedAt time.Time
-	copySentAt  time.Time
+	// requestInterval is the time from requestedAt to the next request.
+	requestInterval time.Duration
+	copySentAt      time.Time
 }
 
 // observe records the offset that a peer has applied.
@@ -114,6 +119,12 @@
 	}
 }
 
+// recordRequest records a request to a peer.
+func (lagDetector *lagDetector) recordRequest(now time.Time) {
+	lagDetector.requestedAt = now
+	lagDetector.requestInterval = min(max(2*lagDetector.requestInterval, minRequestInterval), maxRequestInterval)
+}
+
 // handleHeartbeatReceived stores the offsets that a peer has applied.
 func (applier *Applier) handleHeartbeatReceived(now time.Time, heartbeat messenger.HeartbeatReceived) {
 	if heartbeat.Node == applier.identity.Node {
@@ -136,7 +147,7 @@
 func (applier *Applier) catchUp(now time.Time) {
 	for _, stream := range applier.streams {
 		lag := &stream.lag
-		if lag.target <= stream.applied || now.Sub(lag.since) < lagThreshold || now.Sub(lag.requestedAt) < requestInterval {
+		if lag.target <= stream.applied || now.Sub(lag.since) < lagThreshold || now.Sub(lag.requestedAt) < lag.requestInterval {
 			continue
 		}
 		if stream.name == identifier.Intents && stream.applied == 0 {
@@ -148,12 +159,12 @@
 		if !ok {
 			continue
 		}
-		lag.requestedAt = now
-		applier.requestEntries(stream, peer)
+		applier.requestEntries(now, stream, peer)
 	}
 }
 
-func (applier *Applier) requestEntries(stream *stream, peer peer) {
+func (applier *Applier) requestEntries(now time.Time, stream *stream, peer peer) {
+	stream.lag.recordRequest(now)
 	applier.emit(messenger.SendPeer{
 		To: peer.node, Address: peer.address,
 		Message: messenger.EntriesRequest{Stream: stream.name, From: stream.applied + 1},
@@ -210,17 +221,19 @@
 			applier.applyAppend(now, stream, read)
 		}
 	}
-	if part := response.Snapshot; part != nil && part.Covered > stream.applied && stream.peerParts.add(*part) &&
-		applier.installSnapshot(now, stream, &stream.peerParts) {
-		// The age of the newest snapshot in the log is unknown.
-		stream.snapshot.base = now.Add(-applier.parameters.Retention / 4)
+	if part := response.Snapshot; part != nil && part.Covered > stream.applied {
+		stream.lag.requestedAt = now // the copy arrives
+		if stream.peerParts.add(*part) && applier.installSnapshot(now, stream, &stream.peerParts) {
+			// The age of the newest snapshot in the log is unknown.
+			stream.snapshot.base = now.Add(-applier.parameters.Retention / 4)
+		}
 	}
 	if stream.applied == before {
 		return
 	}
+	stream.lag.requestInterval = 0
 	if stream.applied < peer.appliedOffset(stream.name) {
-		stream.lag.requestedAt = now
-		applier.requestEntries(stream, peer)
+		applier.requestEntries(now, stream, peer)
 	} else {
 		applier.peers.copyApplied = true
 		applier.setCaughtUp(stream)
