Keep a connection on which a large message advances

Peers answer a node that lags behind with up to 512 KB, and a copy of a state has parts of up to 448 KB.

Cause: a frame had to be written within 1 s, and the answer to a keep-alive had to arrive within 0.75 s although it waits behind the frame. If 17 nodes receive 512 KB over a link of 60 Mbit/s, that takes 1.2 s. All connections were closed half-way, and the messages were requested again.

Change: each segment of 16 KiB must be written within 1 s, and while a large frame arrives the timeout of a keep-alive counts from its newest part. Small frames do not postpone it, so that a connection that works in one direction only is still found.

Evidence: before, TestLargeMessagesCrossNarrowLink failed with "received messages of 2 texts: got 0, want 17". With only one of the two changes it fails in the same way. TestUnresponsiveConnectionIsReplaced passes unchanged.

Open: over TCP the system's send buffer holds a part of a frame that counts as written. If it holds more than the link carries within 1 s, the sender's own keep-alive may still be late.

--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -38,6 +38,9 @@
 	// lastReceived is when the newest message was received, as Unix time in
 	// nanoseconds.
 	lastReceived atomic.Int64
+	// largeFrameAdvanced is when the newest part of a large frame was received, as
+	// Unix time in nanoseconds.
+	largeFrameAdvanced atomic.Int64
 }
 
 func newConnection(peer *peer, netConnection net.Conn, endpoint framer.Endpoint, first *messenger.SendPeer) *connection {
@@ -85,8 +88,9 @@
 
 // read is the reader duty. It always returns an error.
 func (connection *connection) read(ctx context.Context) error {
-	reader := bufio.NewReader(connection.net)
+	reader := &frameReader{reader: bufio.NewReader(connection.net), advanced: &connection.largeFrameAdvanced}
 	for {
+		reader.received = 0
 		frame, err := framer.Read(reader)
 		if err != nil {
 			if classifier.CodeOf(err) == classifier.BadFrame {
@@ -171,6 +175,13 @@
 	if received := time.Unix(0, connection.lastReceived.Load()); received.After(liveness.lastUsed) {
 		liveness.lastUsed = received
 	}
+	select {
+	case <-connection.keepAliveAnswers:
+		// The answer has arrived while a large frame was written.
+		liveness.recordAnswer()
+	default:
+	}
+	liveness.recordLargeFrame(time.Unix(0, connection.largeFrameAdvanced.Load()))
 	now := time.Now()
 	switch liveness.check(now) {
 	case sendKeepAlive:
@@ -224,8 +235,8 @@
 
 // writeFrame writes a frame. After an error the frame did not arrive completely.
 func (connection *connection) writeFrame(frame framer.Frame) error {
-	_ = connection.net.SetWriteDeadline(time.Now().Add(connection.peer.transporter.parameters.WriteTimeout))
-	if err := framer.Write(connection.net, frame); err != nil {
+	writer := deadlineWriter{connection.net, connection.peer.transporter.parameters.WriteTimeout}
+	if err := framer.Write(writer, frame); err != nil {
 		return err
 	}
 	connection.countBytes(framer.Overhead+len(frame.Body), 0)
--- a/transporter/liveness.go
+++ b/transporter/liveness.go
@@ -20,7 +20,8 @@
 	// firstUncheckedWrite is when the first message after the newest keep-alive was
 	// written.
 	firstUncheckedWrite time.Time
-	// keepAliveSentAt is when the unanswered keep-alive was written.
+	// keepAliveSentAt is when the unanswered keep-alive was written, or when a large
+	// frame last advanced after that.
 	keepAliveSentAt time.Time
 	// lastUsed is when the connection last sent or received a message.
 	lastUsed time.Time
@@ -39,6 +40,16 @@
 	liveness.keepAliveSentAt, liveness.firstUncheckedWrite = now, time.Time{}
 }
 
+// recordLargeFrame records when a part of a large frame was received. The answer to a
+// keep-alive waits behind the frame, so that its timeout counts from the newest part.
+// Small frames do not postpone it: they may still arrive for a while although nothing
+// arrives at the other side.
+func (liveness *liveness) recordLargeFrame(at time.Time) {
+	if !liveness.keepAliveSentAt.IsZero() && at.After(liveness.keepAliveSentAt) {
+		liveness.keepAliveSentAt = at
+	}
+}
+
 // recordAnswer records that the keep-alive was answered.
 func (liveness *liveness) recordAnswer() { liveness.keepAliveSentAt = time.Time{} }
 
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -64,7 +64,7 @@
 	// failure up to MaxRetryDelay (100 ms, 2 s). Messages fail during the delay.
 	MinRetryDelay time.Duration
 	MaxRetryDelay time.Duration
-	// WriteTimeout bounds one write (1 s).
+	// WriteTimeout bounds the time without progress of a write (1 s).
 	WriteTimeout time.Duration
 	// KeepAliveDelay is the delay from a written message to the keep-alive that
 	// checks it, and KeepAliveTimeout bounds the answer (250 ms, 750 ms).
