Bound the bytes of an append of accepted jobs

Cause: up to 64 waiting jobs were combined into one append, up to 1 MB, which had to be complete within 1.2 s. If 17 nodes receive a burst of the largest jobs, 17 MB cross a link of 60 Mbit/s in 2.3 s. No append completed, all outcomes were unknown, and the registrars sent the same jobs again until the callers' deadlines.

Change: an append has at most 128 KiB, or one action. A job that can't be encoded no longer fails the jobs beside it.

Evidence: before, TestBurstOfJobsCrossesNarrowLink failed with "jobs of 15360 bytes without a known outcome: got 1088, want 0".

Ruled out: bounding the time without progress instead, as for reads.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -18,9 +18,13 @@
 // unknown.
 const appendTimeout = 1200 * time.Millisecond
 
-// maxBatch bounds the actions that are combined into one append. Even with jobs of
-// the largest size, a batch stays below half of the 2 MB that the store accepts.
-const maxBatch = 64
+// Bounds of the actions that are combined into one append. All nodes may append at
+// once over one link, and must do so within appendTimeout. Otherwise each of them
+// would send everything again.
+const (
+	maxBatch      = 64
+	maxBatchBytes = 128 << 10
+)
 
 // Store appends to the platform's store. The code of an error has execution
 // NotRun only if nothing was appended. A Store must be safe for concurrent use.
@@ -44,6 +48,16 @@
 	appends   *buffer.Ring[messenger.AppendEntries]
 	store     Store
 	eventSink EventSink
+	// overflow is an append that did not fit into the last batch.
+	overflow *entryAppend
+}
+
+// entryAppend is an action with its encoded records.
+type entryAppend struct {
+	id      uint64
+	records []encoder.KeyedRecord
+	size    int
+	err     *classifier.Error
 }
 
 // NewEntryAppender returns the duty that performs the actions in the ring.
@@ -54,24 +68,43 @@
 // Run appends until the context ends.
 func (entryAppender *EntryAppender) Run(ctx context.Context) error {
 	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case first := <-entryAppender.appends.Entries():
-			if err := entryAppender.appendBatch(ctx, entryAppender.collectBatch(first)); err != nil {
-				return err
-			}
+		first, err := entryAppender.next(ctx)
+		if err != nil {
+			return err
 		}
+		if err := entryAppender.appendBatch(ctx, entryAppender.collectBatch(first)); err != nil {
+			return err
+		}
+	}
+}
+
+// next returns the append that did not fit into the last batch, or waits for one.
+func (entryAppender *EntryAppender) next(ctx context.Context) (entryAppend, error) {
+	if overflow := entryAppender.overflow; overflow != nil {
+		entryAppender.overflow = nil
+		return *overflow, ctx.Err()
+	}
+	select {
+	case <-ctx.Done():
+		return entryAppend{}, ctx.Err()
+	case action := <-entryAppender.appends.Entries():
+		return encode(action), nil
 	}
 }
 
-// collectBatch combines the first action with the waiting ones, so that a burst
-// needs few appends.
-func (entryAppender *EntryAppender) collectBatch(first messenger.AppendEntries) []messenger.AppendEntries {
-	batch := []messenger.AppendEntries{first}
+// collectBatch combines the first append with the waiting ones, so that a burst
+// needs few calls.
+func (entryAppender *EntryAppender) collectBatch(first entryAppend) []entryAppend {
+	batch, size := []entryAppend{first}, first.size
 	for len(batch) < maxBatch {
 		select {
-		case next := <-entryAppender.appends.Entries():
+		case action := <-entryAppender.appends.Entries():
+			next := encode(action)
+			size += next.size
+			if size > maxBatchBytes {
+				entryAppender.overflow = &next
+				return batch
+			}
 			batch = append(batch, next)
 		default:
 			return batch
@@ -80,27 +113,39 @@
 	return batch
 }
 
-func (entryAppender *EntryAppender) appendBatch(ctx context.Context, batch []messenger.AppendEntries) error {
-	var records []encoder.KeyedRecord
-	var failure *classifier.Error
-	for _, action := range batch {
-		for _, entry := range action.Entries {
-			record, err := encoder.MarshalJournalEntry(entry)
-			if err != nil {
-				failure = classifier.Wrap(err)
-				continue
-			}
-			records = append(records, record)
+// encode encodes the entries of an action.
+func encode(action messenger.AppendEntries) entryAppend {
+	encoded := entryAppend{id: action.ID}
+	for _, entry := range action.Entries {
+		record, err := encoder.MarshalJournalEntry(entry)
+		if err != nil {
+			return entryAppend{id: action.ID, err: classifier.Wrap(err)}
 		}
+		encoded.records = append(encoded.records, record)
+		encoded.size += len(record.Key) + len(record.Value)
 	}
-	if failure == nil {
+	return encoded
+}
+
+// appendBatch appends the records of a batch and reports the result of each of its
+// actions. The store appends all of the records or none.
+func (entryAppender *EntryAppender) appendBatch(ctx context.Context, batch []entryAppend) error {
+	var records []encoder.KeyedRecord
+	for _, entryAppend := range batch {
+		records = append(records, entryAppend.records...)
+	}
+	var failure *classifier.Error
+	if len(records) > 0 {
 		appendContext, cancel := context.WithTimeout(ctx, appendTimeout)
 		_, err := entryAppender.store.Append(appendContext, identifier.Journal, records)
 		cancel()
 		failure = classifier.Wrap(err)
 	}
-	for _, action := range batch {
-		if err := entryAppender.eventSink.Deliver(ctx, messenger.EntriesAppended{ID: action.ID, Err: failure}); err != nil {
+	for _, entryAppend := range batch {
+		if entryAppend.err == nil {
+			entryAppend.err = failure
+		}
+		if err := entryAppender.eventSink.Deliver(ctx, messenger.EntriesAppended{ID: entryAppend.id, Err: entryAppend.err}); err != nil {
 			return err
 		}
 	}
