Let the retries of an append with an unknown outcome back off

Cause: the registrar repeated such an append every 40 ms until the caller's deadline, also while the store refused it because it was overloaded. A second entry VM does the same for each of its callers.

Change: the delay doubles from 40 ms to 400 ms once an append may be durable. The retries of appends that were certainly refused keep their delay: they end after 130 ms.

Evidence: before, TestRetriesOfUnknownOutcomeBackOff failed with "32 appends in 1.6 s", the bound is 10.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,8 +16,12 @@
 
 // Durations of a command.
 const (
-	// appendRetryDelay is the time from a failed append of a command to the next.
-	appendRetryDelay = 40 * time.Millisecond
+	// appendRetryDelay is the time from a failed append of a command to the next. Once
+	// an append may be durable, the command is retried until its deadline. The delay
+	// then doubles up to maxAppendRetryDelay, so that the retries of all nodes do not
+	// keep the store overloaded.
+	appendRetryDelay    = 40 * time.Millisecond
+	maxAppendRetryDelay = 400 * time.Millisecond
 	// refusedAppendTimeout bounds the retries of appends that the store refused,
 	// so that a caller learns soon that its job was not accepted and can use
 	// another entry VM.
@@ -75,6 +79,8 @@
 	deadline  time.Time
 	// retryAt is when the next append is sent, zero while one is pending.
 	retryAt time.Time
+	// retryDelay is the delay before that append.
+	retryDelay time.Duration
 	// maybeDurable means that an append without an answer may be in the journal.
 	maybeDurable bool
 	// awaitsRead means that the command waits for a read of the journal that shows
@@ -250,7 +256,11 @@
 		delete(registrar.commands, event.ID)
 		return registrar.expire(now, command)
 	}
-	command.retryAt = now.Add(appendRetryDelay)
+	command.retryDelay = max(command.retryDelay, appendRetryDelay)
+	command.retryAt = now.Add(command.retryDelay)
+	if command.maybeDurable {
+		command.retryDelay = min(2*command.retryDelay, maxAppendRetryDelay)
+	}
 	return nil
 }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -28,8 +28,12 @@
 	readAt    time.Time
 	// Faults of the store.
 	refusing, unresponsive bool
-	lostAnswerShare        float64
-	answers                map[identifier.Request]messenger.CommandAnswered
+	// appendsRefused means that the store refuses appends and answers reads.
+	appendsRefused  bool
+	lostAnswerShare float64
+	answers         map[identifier.Request]messenger.CommandAnswered
+	// appendedAt holds the times of the appends.
+	appendedAt []time.Time
 }
 
 type pendingEvent struct {
@@ -59,6 +63,7 @@
 }
 
 func (entryVM *entryVM) append(action messenger.AppendEntries) {
+	entryVM.appendedAt = append(entryVM.appendedAt, entryVM.now)
 	appended := messenger.EntriesAppended{ID: action.ID}
 	delay := 10 * time.Millisecond
 	switch {
@@ -67,7 +72,7 @@
 		if entryVM.random.Float64() < 0.5 {
 			entryVM.journal = append(entryVM.journal, action.Entries...)
 		}
-	case entryVM.refusing:
+	case entryVM.refusing, entryVM.appendsRefused:
 		appended.Err = classifier.New(classifier.StoreBusy, "busy")
 	default:
 		entryVM.journal = append(entryVM.journal, action.Entries...)
@@ -222,6 +227,23 @@
 	c.Assert(entryVM.answers["lost"].Err.Code, quicktest.Equals, classifier.OutcomeUnknown)
 }
 
+// TestRetriesOfUnknownOutcomeBackOff guards against a command that is appended again
+// every 40 ms until its deadline while the store is overloaded.
+func TestRetriesOfUnknownOutcomeBackOff(t *testing.T) {
+	c := quicktest.New(t)
+	entryVM := newEntryVM(1)
+	entryVM.run(300 * time.Millisecond)
+	entryVM.lostAnswerShare = 1
+	entryVM.submit("lost", "a")
+	entryVM.run(5 * time.Millisecond)
+	entryVM.journal, entryVM.lostAnswerShare = nil, 0 // the append was lost, too
+	entryVM.run(time.Second)
+	entryVM.appendsRefused, entryVM.appendedAt = true, nil
+	entryVM.run(1600 * time.Millisecond)
+	c.Assert(len(entryVM.appendedAt) > 3, quicktest.IsTrue)
+	c.Assert(len(entryVM.appendedAt) < 10, quicktest.IsTrue, quicktest.Commentf("%d appends in 1.6 s", len(entryVM.appendedAt)))
+}
+
 // TestCancellationOfJobFromAnotherEntry guards against a cancellation that is
 // refused with UnknownJob because another entry VM has just accepted the job.
 func TestCancellationOfJobFromAnotherEntry(t *testing.T) {
