Correct the reason for the shortest retry delay of callers

The comment named a takeover, which takes 1.4 s of silence, longer than the delay of 1 s. Jobs are accepted without a holder, so a takeover is no reason to refuse one. The value stays.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -29,8 +29,9 @@
 	// answerMargin is the part of a caller's deadline that is reserved for the
 	// transmission of the answer.
 	answerMargin = 60 * time.Millisecond
-	// minRetryDelay is the shortest retry delay that a caller is given. A new
-	// holder's claim or a short outage has ended by then.
+	// minRetryDelay is the shortest retry delay that a caller is given. A short outage
+	// of the store has ended by then. A takeover need not have: jobs are accepted
+	// without a holder.
 	minRetryDelay = time.Second
 	maxRetryDelay = 3 * time.Second
 	// appendAbandonTimeout is the time without any answer of the store after which
