Give the shutdown of the HTTP server a timeout of its own

It used headerTimeout, the limit for reading the headers of a request, so that a change of one would have changed the other. Both stay 5 s.

--- a/server/httpserver.go
+++ b/server/httpserver.go
@@ -27,6 +27,9 @@
 	// sending does not occupy a connection forever.
 	bodyTimeout = 30 * time.Second
 	idleTimeout = 2 * time.Minute
+	// shutdownTimeout limits the wait for answers that are not complete when the
+	// server shuts down.
+	shutdownTimeout = 5 * time.Second
 )
 
 // httpServer is the HTTP server for commands and queries, with its address.
@@ -89,7 +92,7 @@
 
 // shutdown closes the listener and waits until the answers in progress are written.
 func (httpServer *httpServer) shutdown(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, headerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, shutdownTimeout)
 	defer cancel()
 	_ = httpServer.server.Shutdown(ctx)
 }
