Spread the retries of appenders

Cause: the delays between two attempts of an appender were the same on all nodes, so that nodes which the log had refused at once came back at once, each time.

Change: half of each delay is random, as in follower and transporter.

Evidence: before, TestRetriesOfNodesAreSpread failed with "34 of 34 nodes at the same moment", the bound is 8.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -152,7 +153,8 @@
 			return err
 		}
 		delay = min(max(2*delay, minRetryDelay), maxRetryDelay)
-		if err := sleep(ctx, delay); err != nil {
+		// Jitter prevents the nodes from retrying at the same moment.
+		if err := sleep(ctx, delay/2+rand.N(delay/2)); err != nil {
 			return err
 		}
 		appender.retried.Add(1)
--- a/appender/narrowlink_test.go
+++ b/appender/narrowlink_test.go
@@ -139,3 +139,38 @@
 		c.Assert(sink.failed, quicktest.HasLen, 0)
 	})
 }
+
+// TestRetriesOfNodesAreSpread guards against nodes that all send their appends again
+// at the same moments after the log has refused them.
+func TestRetriesOfNodesAreSpread(t *testing.T) {
+	const nodes = 34
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		var mutex sync.Mutex
+		posted := map[time.Duration]int{}
+		startedAt := time.Now()
+		service := newService(func(method string) string {
+			if method == http.MethodGet {
+				return ""
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			posted[time.Since(startedAt)]++
+			return "unavailable"
+		})
+		var group sync.WaitGroup
+		for range nodes {
+			group.Go(func() {
+				run(identifier.Jobs, service, anyAddress, appender.NewLimiter(), records(1, 10*time.Second), sleepFor(20*time.Second))
+			})
+		}
+		group.Wait()
+		most := 0
+		for at, count := range posted {
+			if at > time.Second {
+				most = max(most, count)
+			}
+		}
+		c.Assert(most < nodes/4, quicktest.IsTrue, quicktest.Commentf("%d of %d nodes at the same moment", most, nodes))
+	})
+}
