Let the time of an append follow its size

Cause: an append had to be complete within 1.2 s, whatever its size. A record of the holder with 48 ended jobs of 15 KB needs 1.7 s on one of 17 nodes' parts of a full link of 60 Mbit/s. The planner repeats the same record every 100 ms, so that it was sent for ever and nothing later was recorded.

Change: 1.2 s and the size at 220 KB/s, half of such a part.

Evidence: before, TestLargeRecordOfProgressCrossesNarrowLink failed with "29 attempts in 30 s" and no record; now the first attempt succeeds.

Open: jobs of this size have not been seen in such a record.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -14,9 +14,24 @@
 	"corianderroad/messenger"
 )
 
-// appendTimeout bounds one append. The outcome of an append that exceeds it is
-// unknown.
-const appendTimeout = 1200 * time.Millisecond
+// Bounds of one append. The outcome of an append that exceeds them is unknown. The
+// progress of an append can't be observed, so that the time allowed follows its size:
+// a record that the link can't carry in time would be repeated for ever.
+const (
+	appendTimeout = 1200 * time.Millisecond
+	// minBytesPerSecond is the rate that each of 17 nodes has on a full link of
+	// 60 Mbit/s, halved.
+	minBytesPerSecond = 220_000
+)
+
+// timeoutOf returns the time in which an append of records must be complete.
+func timeoutOf(records []encoder.KeyedRecord) time.Duration {
+	size := 0
+	for _, record := range records {
+		size += len(record.Key) + len(record.Value)
+	}
+	return appendTimeout + time.Duration(size)*time.Second/minBytesPerSecond
+}
 
 // Bounds of the actions that are combined into one append. All nodes may append at
 // once over one link, and must do so within appendTimeout. Otherwise each of them
@@ -136,7 +151,7 @@
 	}
 	var failure *classifier.Error
 	if len(records) > 0 {
-		appendContext, cancel := context.WithTimeout(ctx, appendTimeout)
+		appendContext, cancel := context.WithTimeout(ctx, timeoutOf(records))
 		_, err := entryAppender.store.Append(appendContext, identifier.Journal, records)
 		cancel()
 		failure = classifier.Wrap(err)
--- a/committer/holder.go
+++ b/committer/holder.go
@@ -43,9 +43,9 @@
 }
 
 func (progressAppender *ProgressAppender) perform(ctx context.Context, action messenger.Action) messenger.Event {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
 	if fence, ok := action.(messenger.FenceJournal); ok {
+		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+		defer cancel()
 		end, err := progressAppender.store.AppendFenced(ctx, identifier.Journal, nil, fence.Token, 0)
 		progressAppender.token, progressAppender.sequence = fence.Token, 0
 		return messenger.JournalFenced{Token: fence.Token, End: end, Err: classifier.Wrap(err)}
@@ -77,6 +77,8 @@
 	for _, job := range record.Deletions {
 		records = append(records, encoder.DeletionRecords(job)...)
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(records))
+	defer cancel()
 	_, err := progressAppender.store.AppendFenced(ctx, identifier.Journal, records, record.Token, progressAppender.sequence)
 	if err == nil {
 		progressAppender.sequence++
--- a/committer/narrowlink_test.go
+++ b/committer/narrowlink_test.go
@@ -58,6 +58,10 @@
 	return time.Until(store.freeAt)
 }
 
+func (store *remoteStore) AppendFenced(ctx context.Context, topic identifier.Topic, records []encoder.KeyedRecord, _ identifier.Term, _ uint64) (identifier.Offset, error) {
+	return store.Append(ctx, topic, records)
+}
+
 // answers collects the results of appends.
 type answers struct {
 	mutex            sync.Mutex
@@ -110,3 +114,51 @@
 		c.Check(answers.appended, quicktest.Equals, nodes*jobs)
 	})
 }
+
+// repeater repeats a record of progress until it succeeds, as the planner does.
+type repeater struct {
+	actions    *buffer.Ring[messenger.Action]
+	record     messenger.RecordProgress
+	attempts   int
+	isRecorded bool
+}
+
+func (repeater *repeater) Deliver(ctx context.Context, event messenger.Event) error {
+	if recorded, ok := event.(messenger.ProgressRecorded); ok && recorded.Err == nil {
+		repeater.isRecorded = true
+		return nil
+	}
+	repeater.attempts++
+	return repeater.actions.Put(ctx, repeater.record)
+}
+
+// TestLargeRecordOfProgressCrossesNarrowLink guards against a holder that repeats a
+// large record for ever, because its node's part of a full link does not carry it
+// within a fixed time.
+func TestLargeRecordOfProgressCrossesNarrowLink(t *testing.T) {
+	const (
+		share    = 60_000_000 / 8 / 17 // one of 17 nodes behind the link between two regions
+		jobs     = 48
+		jobBytes = 15 << 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ring := buffer.New[messenger.Action]("actions", 4)
+		repeater := &repeater{actions: ring, record: messenger.RecordProgress{Token: 1}}
+		for id := range jobs {
+			repeater.record.Ended = append(repeater.record.Ended, specifier.Job{
+				ID: identifier.Job(fmt.Sprintf("job-%d", id)), Workspace: identifier.Workspace(strings.Repeat("x", jobBytes)),
+			})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		progressAppender := committer.NewProgressAppender(ring, &remoteStore{bytesPerSecond: share}, repeater)
+		group.Go(func() { _ = progressAppender.Run(ctx) })
+		_ = ring.Offer(messenger.FenceJournal{Token: 1})
+		time.Sleep(30 * time.Second)
+		cancel()
+		group.Wait()
+		c.Assert(repeater.isRecorded, quicktest.IsTrue, quicktest.Commentf("%d attempts in 30 s", repeater.attempts))
+		c.Assert(repeater.attempts, quicktest.Equals, 1)
+	})
+}
