--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -14,6 +14,7 @@
 	"corianderroad/encoder"
 	"corianderroad/framer"
 	"corianderroad/messenger"
+	"corianderroad/watcher"
 )
 
 // Errors that end a connection. Their texts are the reasons in counters.
@@ -235,7 +236,7 @@
 
 // writeFrame writes a frame. After an error the frame did not arrive completely.
 func (connection *connection) writeFrame(frame framer.Frame) error {
-	writer := deadlineWriter{connection.net, connection.peer.transporter.parameters.WriteTimeout}
+	writer := watcher.NewConn(connection.net, connection.peer.transporter.parameters.WriteTimeout)
 	if err := framer.Write(writer, frame); err != nil {
 		return err
 	}
