--- a/appender/appender.go
+++ b/appender/appender.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -32,8 +33,9 @@
 	// MaxEntries is the largest number of records in a batch, 200 if zero. For the
 	// configuration stream the default is 1, so that each version is an offset.
 	MaxEntries int
-	// Timeout bounds one request to the log, 2 s if zero.
-	Timeout time.Duration
+	// StallTimeout bounds the time without progress of one request to the log, 2 s if
+	// zero.
+	StallTimeout time.Duration
 }
 
 const (
@@ -75,9 +77,9 @@
 		parameters.MaxEntries = cmp.Or(parameters.MaxEntries, 1)
 	}
 	parameters.MaxEntries = cmp.Or(parameters.MaxEntries, 200)
-	parameters.Timeout = cmp.Or(parameters.Timeout, 2*time.Second)
+	parameters.StallTimeout = cmp.Or(parameters.StallTimeout, 2*time.Second)
 	return &Appender{
-		stream: stream, log: log{client: client, address: address, stream: stream, timeout: parameters.Timeout},
+		stream: stream, log: log{client: client, address: address, stream: stream, stallTimeout: parameters.StallTimeout},
 		sink: sink, records: records, limiter: limiter, parameters: parameters,
 	}
 }
@@ -151,7 +153,8 @@
 			return err
 		}
 		delay = min(max(2*delay, minRetryDelay), maxRetryDelay)
-		if err := sleep(ctx, delay); err != nil {
+		// Jitter prevents the nodes from retrying at the same moment.
+		if err := sleep(ctx, delay/2+rand.N(delay/2)); err != nil {
 			return err
 		}
 		appender.retried.Add(1)
@@ -225,10 +228,12 @@
 	return false, ctx.Err()
 }
 
-// readBack searches the log for the batch.
+// readBack searches the log for the batch. After a failure, the next search continues
+// where this one ended: appends are added only at the end of the log.
 func (appender *Appender) readBack(ctx context.Context, batch *batch) (bool, error) {
 	offset, found, err := appender.log.find(ctx, batch.id, appender.minOffset)
-	if err == nil && found {
+	appender.minOffset = offset
+	if found {
 		appender.appended.Add(1)
 		appender.minOffset = offset + 1
 	}
--- a/appender/log.go
+++ b/appender/log.go
@@ -16,6 +16,7 @@
 	"corianderroad/classifier"
 	"corianderroad/encoder"
 	"corianderroad/identifier"
+	"corianderroad/watcher"
 )
 
 // Client sends HTTP requests. *http.Client is one.
@@ -24,11 +25,20 @@
 }
 
 const (
+	// maxAnswerBytes bounds the memory of one answer.
 	maxAnswerBytes = 16 << 20
-	// readBackPageSize is the number of appends of one page of a read-back.
+	// readBackPageSize is the number of appends of one page of a read-back. A page
+	// that exceeds maxAnswerBytes is requested again with fewer appends.
 	readBackPageSize = 16
 )
 
+// tooLargeError means that an answer exceeds maxAnswerBytes.
+type tooLargeError struct{}
+
+func (tooLargeError) Error() string {
+	return fmt.Sprintf("answer of the log service exceeds %d bytes", maxAnswerBytes)
+}
+
 // outcome is the result of a posted append, as far as it is known.
 type outcome uint8
 
@@ -47,7 +57,8 @@
 	client  Client
 	address netip.AddrPort
 	stream  identifier.Stream
-	timeout time.Duration
+	// stallTimeout bounds the time without progress of a request.
+	stallTimeout time.Duration
 }
 
 // post sends one request to append a payload.
@@ -89,16 +100,22 @@
 	return max(answer.Next, 1), nil
 }
 
-// find searches for an append by its ID, starting at an offset.
+// find searches for an append by its ID, starting at an offset. If it does not find
+// the append, it returns the offset up to which it has searched, also with an error.
 func (log log) find(ctx context.Context, id string, from uint64) (uint64, bool, error) {
+	pageSize := readBackPageSize
 	for {
-		answer, status, err := log.read(ctx, from, readBackPageSize)
+		answer, status, err := log.read(ctx, from, pageSize)
+		if errors.Is(err, tooLargeError{}) && pageSize > 1 {
+			pageSize /= 4
+			continue
+		}
 		if err != nil {
-			return 0, false, err
+			return from, false, err
 		}
 		if status == http.StatusGone {
 			// The append may be among those that retention has deleted.
-			return 0, false, classifier.New(classifier.OutcomeUnknown, "offset %d is no longer retained", from)
+			return from, false, classifier.New(classifier.OutcomeUnknown, "offset %d is no longer retained", from)
 		}
 		for _, entry := range answer.Appends {
 			if entry.ID == id {
@@ -107,7 +124,7 @@
 			from = entry.Offset + 1
 		}
 		if from >= answer.Next || len(answer.Appends) == 0 {
-			return 0, false, nil
+			return from, false, nil
 		}
 	}
 }
@@ -124,20 +141,29 @@
 	return answer, status, errors.WithStack(json.Unmarshal(body, &answer))
 }
 
+// do sends one request. It fails when neither the request nor the answer advances for
+// stallTimeout. Their duration is not bounded, because all nodes may send large
+// appends over one link.
 func (log log) do(ctx context.Context, method, query string, body []byte) (int, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, log.timeout)
-	defer cancel()
+	ctx, watched := watcher.New(ctx, log.stallTimeout)
+	defer watched.Stop()
 	url := fmt.Sprintf("http://%s/streams/%s/appends%s", log.address, log.stream, query)
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
+	if len(body) > 0 {
+		request.Body = io.NopCloser(watched.Reader(bytes.NewReader(body)))
+	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := log.client.Do(request)
 	if err != nil {
 		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxAnswerBytes+1))
+	if err == nil && len(answer) > maxAnswerBytes {
+		err = tooLargeError{}
+	}
 	return response.StatusCode, answer, err
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -29,7 +29,8 @@
 	// the stream, waiting for an append, 5 s if zero.
 	PollTimeout time.Duration
 	// UnavailableAfter is the time without an answer after which the log counts
-	// as unavailable, 7 s if zero. It must be above PollTimeout.
+	// as unavailable, 7 s if zero. It must be above PollTimeout. A read fails after
+	// the same time without progress.
 	UnavailableAfter time.Duration
 	// Limit is the largest number of appends of one read, 256 if zero.
 	Limit int
@@ -66,7 +67,8 @@
 	lastReportAt time.Time
 	retryDelay   time.Duration
 	// limit is the limit of the next read. It is reduced after an answer that is too
-	// large.
+	// large, and rises again only while answers are small, because an answer that is
+	// too large is received in vain.
 	limit int
 }
 
@@ -80,7 +82,8 @@
 	parameters.UnavailableAfter = cmp.Or(parameters.UnavailableAfter, 7*time.Second)
 	parameters.Limit = cmp.Or(parameters.Limit, 256)
 	return &Follower{
-		stream: stream, log: log{client: client, address: address, stream: stream}, sink: sink,
+		stream: stream, sink: sink,
+		log:      log{client: client, address: address, stream: stream, stallTimeout: parameters.UnavailableAfter},
 		advanced: advanced, parameters: parameters, limit: parameters.Limit,
 	}
 }
@@ -103,7 +106,7 @@
 	follower.lastAnswerAt = time.Now()
 	follower.reset = true
 	for {
-		readCtx, cancel := context.WithTimeout(ctx, follower.parameters.UnavailableAfter)
+		readCtx, cancel := context.WithCancel(ctx)
 		result := make(chan reading, 1)
 		go func() { result <- follower.read(readCtx, follower.retryDelay) }()
 		var err error
@@ -163,9 +166,10 @@
 		return follower.handleFailure(ctx, now, reading.err)
 	}
 	follower.lastAnswerAt, follower.retryDelay = now, 0
-	follower.limit = follower.parameters.Limit
 	follower.position = reading.start
+	received := 0
 	for _, entry := range reading.answer.Appends {
+		received += len(entry.Payload)
 		batch, err := encoder.UnmarshalBatch(entry.Payload)
 		if err != nil {
 			batch.Refused = []error{err}
@@ -181,6 +185,9 @@
 		follower.reset = false
 		follower.position++
 	}
+	if received < smallAnswerBytes {
+		follower.limit = min(2*follower.limit, follower.parameters.Limit)
+	}
 	if follower.position < reading.answer.Next {
 		return nil
 	}
--- a/follower/log.go
+++ b/follower/log.go
@@ -12,6 +12,7 @@
 	"corianderroad/classifier"
 	"corianderroad/encoder"
 	"corianderroad/identifier"
+	"corianderroad/watcher"
 )
 
 // Client sends HTTP requests. *http.Client is one.
@@ -22,6 +23,10 @@
 // maxAnswerBytes bounds the memory of one read.
 const maxAnswerBytes = 16 << 20
 
+// smallAnswerBytes is the size of payloads below which twice as many of them fit
+// into an answer, although it holds them in base64.
+const smallAnswerBytes = maxAnswerBytes / 4
+
 // goneError means that the append is no longer retained.
 type goneError struct{ firstRetained, next uint64 }
 
@@ -42,11 +47,16 @@
 	client  Client
 	address netip.AddrPort
 	stream  identifier.Stream
+	// stallTimeout bounds the time without progress of a read.
+	stallTimeout time.Duration
 }
 
 // read returns the appends from an offset on. If there is none, the log service
-// waits for the first one, at most as long as wait.
+// waits for the first one, at most as long as wait. The duration of the answer is not
+// bounded, because all nodes may read the same large appends over one link.
 func (log log) read(ctx context.Context, from uint64, limit int, wait time.Duration) (encoder.ReadAnswer, error) {
+	ctx, watched := watcher.New(ctx, log.stallTimeout)
+	defer watched.Stop()
 	url := fmt.Sprintf("http://%s/streams/%s/appends?from=%d&limit=%d&wait=%s", log.address, log.stream, from, limit, wait)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
@@ -57,7 +67,7 @@
 		return encoder.ReadAnswer{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxAnswerBytes+1))
 	if err != nil {
 		return encoder.ReadAnswer{}, err
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -16,8 +16,12 @@
 
 // Durations of a command.
 const (
-	// appendRetryDelay is the time from a failed append of a command to the next.
-	appendRetryDelay = 40 * time.Millisecond
+	// appendRetryDelay is the time from a failed append of a command to the next. Once
+	// an append may be durable, the command is retried until its deadline. The delay
+	// then doubles up to maxAppendRetryDelay, so that the retries of all nodes do not
+	// keep the store overloaded.
+	appendRetryDelay    = 40 * time.Millisecond
+	maxAppendRetryDelay = 400 * time.Millisecond
 	// refusedAppendTimeout bounds the retries of appends that the store refused,
 	// so that a caller learns soon that its job was not accepted and can use
 	// another entry VM.
@@ -25,8 +29,9 @@
 	// answerMargin is the part of a caller's deadline that is reserved for the
 	// transmission of the answer.
 	answerMargin = 60 * time.Millisecond
-	// minRetryDelay is the shortest retry delay that a caller is given. A new
-	// holder's claim or a short outage has ended by then.
+	// minRetryDelay is the shortest retry delay that a caller is given. A short outage
+	// of the store has ended by then. A takeover need not have: jobs are accepted
+	// without a holder.
 	minRetryDelay = time.Second
 	maxRetryDelay = 3 * time.Second
 	// appendAbandonTimeout is the time without any answer of the store after which
@@ -75,6 +80,8 @@
 	deadline  time.Time
 	// retryAt is when the next append is sent, zero while one is pending.
 	retryAt time.Time
+	// retryDelay is the delay before that append.
+	retryDelay time.Duration
 	// maybeDurable means that an append without an answer may be in the journal.
 	maybeDurable bool
 	// awaitsRead means that the command waits for a read of the journal that shows
@@ -254,7 +261,11 @@
 		delete(registrar.commands, event.ID)
 		return registrar.expire(now, command)
 	}
-	command.retryAt = now.Add(appendRetryDelay)
+	command.retryDelay = max(command.retryDelay, appendRetryDelay)
+	command.retryAt = now.Add(command.retryDelay)
+	if command.maybeDurable {
+		command.retryDelay = min(2*command.retryDelay, maxAppendRetryDelay)
+	}
 	return nil
 }
 
--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -14,6 +14,7 @@
 	"corianderroad/encoder"
 	"corianderroad/framer"
 	"corianderroad/messenger"
+	"corianderroad/watcher"
 )
 
 // Errors that end a connection. Their texts are the reasons in counters.
@@ -38,6 +39,9 @@
 	// lastReceived is when the newest message was received, as Unix time in
 	// nanoseconds.
 	lastReceived atomic.Int64
+	// largeFrameAdvanced is when the newest part of a large frame was received, as
+	// Unix time in nanoseconds.
+	largeFrameAdvanced atomic.Int64
 }
 
 func newConnection(peer *peer, netConnection net.Conn, endpoint framer.Endpoint, first *messenger.SendPeer) *connection {
@@ -85,8 +89,9 @@
 
 // read is the reader duty. It always returns an error.
 func (connection *connection) read(ctx context.Context) error {
-	reader := bufio.NewReader(connection.net)
+	reader := &frameReader{reader: bufio.NewReader(connection.net), advanced: &connection.largeFrameAdvanced}
 	for {
+		reader.received = 0
 		frame, err := framer.Read(reader)
 		if err != nil {
 			if classifier.CodeOf(err) == classifier.BadFrame {
@@ -178,6 +183,13 @@
 	if received := time.Unix(0, connection.lastReceived.Load()); received.After(liveness.lastUsed) {
 		liveness.lastUsed = received
 	}
+	select {
+	case <-connection.keepAliveAnswers:
+		// The answer has arrived while a large frame was written.
+		liveness.recordAnswer()
+	default:
+	}
+	liveness.recordLargeFrame(time.Unix(0, connection.largeFrameAdvanced.Load()))
 	now := time.Now()
 	switch liveness.check(now) {
 	case sendKeepAlive:
@@ -231,8 +243,8 @@
 
 // writeFrame writes a frame. After an error the frame did not arrive completely.
 func (connection *connection) writeFrame(frame framer.Frame) error {
-	_ = connection.net.SetWriteDeadline(time.Now().Add(connection.peer.transporter.parameters.WriteTimeout))
-	if err := framer.Write(connection.net, frame); err != nil {
+	writer := watcher.NewConn(connection.net, connection.peer.transporter.parameters.WriteTimeout)
+	if err := framer.Write(writer, frame); err != nil {
 		return err
 	}
 	connection.countBytes(framer.Overhead+len(frame.Body), 0)
