End answers of which the caller reads nothing

Cause: the HTTP servers of server and assembler had no limit on writes. A caller that reads nothing kept its handler and the memory of its answer as long as its connection lived.

Change: a write fails when the caller reads nothing for 10 s. The duration of an answer stays unlimited.

--- a/assembler/httpserver.go
+++ b/assembler/httpserver.go
@@ -13,6 +13,7 @@
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/watcher"
 )
 
 // Limits of the HTTP servers.
@@ -21,6 +22,9 @@
 	headerTimeout = 3 * time.Second
 	bodyTimeout   = 10 * time.Second
 	idleTimeout   = 30 * time.Second
+	// writeStallTimeout limits the time in which a client reads nothing of its answer.
+	// The duration of an answer is not limited, because it depends on the client's link.
+	writeStallTimeout = 10 * time.Second
 	// stopReserve is the part of the grace period that is reserved for the last
 	// answers and the end of the process.
 	stopReserve = 2500 * time.Millisecond
@@ -61,9 +65,14 @@
 	if err != nil {
 		return classifier.New(classifier.InvalidSettings, "listen: %v", err)
 	}
+	return httpServer.serve(ctx, listener)
+}
+
+// serve answers the requests that arrive at a listener until the context ends.
+func (httpServer *httpServer) serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = httpServer.server.Close() })
 	defer stop()
-	if err := httpServer.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := httpServer.server.Serve(watcher.NewListener(listener, writeStallTimeout)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve HTTP")
 	}
 	<-ctx.Done()
--- a/server/httpserver.go
+++ b/server/httpserver.go
@@ -17,6 +17,7 @@
 	"corianderroad/identifier"
 	"corianderroad/parser"
 	"corianderroad/responder"
+	"corianderroad/watcher"
 )
 
 // Limits of the HTTP server.
@@ -27,6 +28,9 @@
 	// sending does not occupy a connection forever.
 	bodyTimeout = 30 * time.Second
 	idleTimeout = 2 * time.Minute
+	// writeStallTimeout limits the time in which a caller reads nothing of its answer.
+	// The duration of an answer is not limited, because it depends on the caller's link.
+	writeStallTimeout = 10 * time.Second
 	// shutdownTimeout limits the wait for answers that are not complete when the
 	// server shuts down.
 	shutdownTimeout = 5 * time.Second
@@ -82,9 +86,14 @@
 	if err != nil {
 		return classifier.New(classifier.InvalidSettings, "http-address: %v", err)
 	}
+	return httpServer.serve(ctx, listener)
+}
+
+// serve answers the requests that arrive at a listener until the context ends.
+func (httpServer *httpServer) serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = httpServer.server.Close() })
 	defer stop()
-	if err := httpServer.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := httpServer.server.Serve(watcher.NewListener(listener, writeStallTimeout)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve HTTP")
 	}
 	return nil
