Let the timeout of a VM list follow the time of the last one

Cause: all pages of the list had to arrive within 1.5 s, and the holder requests it every 0.7 s during a wave, from the first page. 4,500 VMs of 400 bytes need 4 s on one of 17 nodes' parts of a full link of 60 Mbit/s, so that the wave never advanced.

Change: the next list may take twice as long as the last one, or as the timeout that the last one exceeded, at most 12 s.

Evidence: before, TestLongVMListIsReceivedOverFullLink failed with "no list after 55 attempts in 2 min". Now one or two lists are incomplete, until the timeout suffices.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"corianderroad/buffer"
@@ -18,8 +20,11 @@
 const (
 	maxMinionCalls  = 1024
 	maxServiceCalls = 8
-	// serviceTimeout bounds a call to the VM list and a report of a wave.
+	// serviceTimeout bounds a call to the VM list and a report of a wave. That of a
+	// list follows the time of the last one up to maxListTimeout: a long list would
+	// otherwise be requested from its first page for ever while the link is full.
 	serviceTimeout = 1500 * time.Millisecond
+	maxListTimeout = 12 * time.Second
 )
 
 // MinionClient sends an order to a minion and returns the answer. It must be safe
@@ -98,11 +103,15 @@
 	adviceClient AdviceClient
 	eventSink    EventSink
 	clock        func() time.Time
+	// listTimeout is the timeout of the next list in nanoseconds.
+	listTimeout atomic.Int64
 }
 
 // NewServiceCaller returns the duty that performs the actions in the ring.
 func NewServiceCaller(actions *buffer.Ring[messenger.Action], vmClient VMClient, adviceClient AdviceClient, eventSink EventSink, clock func() time.Time) *ServiceCaller {
-	return &ServiceCaller{actions: actions, vmClient: vmClient, adviceClient: adviceClient, eventSink: eventSink, clock: clock}
+	serviceCaller := &ServiceCaller{actions: actions, vmClient: vmClient, adviceClient: adviceClient, eventSink: eventSink, clock: clock}
+	serviceCaller.listTimeout.Store(int64(serviceTimeout))
+	return serviceCaller
 }
 
 // Run sends calls until the context ends.
@@ -119,12 +128,32 @@
 	}
 }
 
+// timeoutOf returns the timeout of a call.
+func (serviceCaller *ServiceCaller) timeoutOf(action messenger.Action) time.Duration {
+	switch action := action.(type) {
+	case messenger.RequestAdvice:
+		return action.Timeout
+	case messenger.ListPoolVMs:
+		return time.Duration(serviceCaller.listTimeout.Load())
+	default:
+		return serviceTimeout
+	}
+}
+
+// list requests the list of VMs and sets the timeout of the next one, which allows for
+// twice the time that this one took.
+func (serviceCaller *ServiceCaller) list(ctx context.Context, sentAt time.Time) ([]messenger.VMReport, error) {
+	vms, err := serviceCaller.vmClient.ListVMs(ctx)
+	if err == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		took := serviceCaller.clock().Sub(sentAt)
+		serviceCaller.listTimeout.Store(int64(min(max(2*took, serviceTimeout), maxListTimeout)))
+	}
+	return vms, err
+}
+
 func (serviceCaller *ServiceCaller) perform(ctx context.Context, action messenger.Action) messenger.Event {
 	sentAt := serviceCaller.clock()
-	timeout := serviceTimeout
-	if request, ok := action.(messenger.RequestAdvice); ok {
-		timeout = request.Timeout
-	}
+	timeout := serviceCaller.timeoutOf(action)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	switch action := action.(type) {
@@ -136,7 +165,7 @@
 		tickets, validity, err := serviceCaller.adviceClient.Advise(ctx, action)
 		return messenger.AdviceReceived{Sent: action, SentAt: sentAt, Tickets: tickets, Validity: validity, Err: classifier.Wrap(err)}
 	default:
-		vmClient, err := serviceCaller.vmClient.ListVMs(ctx)
-		return messenger.PoolVMsListed{VMs: vmClient, SentAt: sentAt, Err: classifier.Wrap(err)}
+		vms, err := serviceCaller.list(ctx, sentAt)
+		return messenger.PoolVMsListed{VMs: vms, SentAt: sentAt, Err: classifier.Wrap(err)}
 	}
 }
