--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -24,8 +24,14 @@
 // New returns a context that ends with the cause ErrStalled when the transfer makes
 // no progress for stallTimeout. The caller must call Stop.
 func New(ctx context.Context, stallTimeout time.Duration) (context.Context, *Watcher) {
+	return NewAfter(ctx, stallTimeout, stallTimeout)
+}
+
+// NewAfter does the same as New, but allows firstTimeout for the first progress, for
+// a call that waits before it answers.
+func NewAfter(ctx context.Context, firstTimeout, stallTimeout time.Duration) (context.Context, *Watcher) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(stallTimeout, func() { cancel(ErrStalled) })
+	timer := time.AfterFunc(firstTimeout, func() { cancel(ErrStalled) })
 	return ctx, &Watcher{timer: timer, stallTimeout: stallTimeout, cancel: cancel}
 }
 
