Check in virtual time that steps run once faults end

Property TestStepsRunOnceFaultsEnd: after faults of orders, records, advice, holders, single minions, groups of minions and waves have ended, no step has nothing running for longer than the rule LOST allows (3 s, or 9 s for a task of a long-running step that has run before) while it fits twice over and less than half of each resource is in use. All finite jobs end, and waves complete. Between the end of the faults and the check lie the stated bounds: a lease with its margins (4.9 s), the stop time (0.5 s), and 8 s where orders are carried out late. There is no allowance for quarantines.

The property counts a pool as crowded as soon as half of any resource is in use.

The simulated minions no longer count the processors of backfill tasks, as the protocol says, nor answer a waiting poll after their end.

--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"slices"
 	"time"
 
 	"corianderroad/classifier"
@@ -18,6 +19,9 @@
 	refusesUnknownStop bool
 	// answersAs is the incarnation that the answers name, zero for the actual one.
 	answersAs identifier.Incarnation
+	// keepsName means that a later incarnation carries out the orders to an earlier
+	// one, because it has started again under its name.
+	keepsName bool
 	// draining and remaining are what the minion's report says.
 	draining  bool
 	remaining time.Duration
@@ -42,3 +46,16 @@
 		simulation.deliverReports(node)
 	}
 }
+
+// requestWave delivers an operator's request for a wave to all nodes.
+func (simulation *simulation) requestWave(wave messenger.Wave) {
+	simulation.services.waves[wave.Wave] = wave
+	for _, node := range simulation.nodes {
+		simulation.step(node, messenger.WavesRead{Waves: []messenger.Wave{wave}})
+	}
+}
+
+// isCompleted reports whether a holder has reported a wave as completed.
+func (fakeServices *fakeServices) isCompleted(wave identifier.Wave) bool {
+	return slices.Contains(fakeServices.reportedWaves, messenger.ReportWave{Wave: wave, Completed: true})
+}
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -21,6 +21,7 @@
 	name         identifier.Minion
 	incarnation  identifier.Incarnation
 	rack         int
+	kind         string
 	alive        bool
 	unregistered bool
 	// unreachableFrom holds the nodes that can't reach the minion.
@@ -56,7 +57,7 @@
 }
 
 func newFakeMinion(simulation *simulation, name identifier.Minion, rack int) *fakeMinion {
-	minion := &fakeMinion{simulation: simulation, name: name, rack: rack, clockRate: 1, unreachableFrom: make(map[*node]bool)}
+	minion := &fakeMinion{simulation: simulation, name: name, rack: rack, kind: "a", clockRate: 1, unreachableFrom: make(map[*node]bool)}
 	minion.capacity = specifier.Resources{MilliCPU: 32000, MemoryMB: 64000, Accelerators: 8}
 	minion.start()
 	return minion
@@ -90,7 +91,7 @@
 func (minion *fakeMinion) report() messenger.MinionReport {
 	return messenger.MinionReport{
 		Minion: minion.name, Incarnation: minion.incarnation, Service: poolService,
-		Address: netip.MustParseAddrPort("10.0.0.1:80"), Labels: []string{"a", fmt.Sprintf("r-%d", minion.rack)},
+		Address: netip.MustParseAddrPort("10.0.0.1:80"), Labels: []string{minion.kind, fmt.Sprintf("r-%d", minion.rack)},
 		Capacity: minion.capacity, Clock: minion.clock(), Draining: minion.faults.draining, Remaining: minion.faults.remaining,
 	}
 }
@@ -115,7 +116,7 @@
 	}
 	incarnation := minion.incarnation
 	execute := func(answer func(messenger.OrderAnswered)) {
-		if !minion.alive || minion.incarnation != incarnation {
+		if !minion.alive || (minion.incarnation != incarnation && !minion.faults.keepsName) {
 			answer(messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.UnknownNode, "another incarnation")})
 			return
 		}
@@ -182,7 +183,12 @@
 		minion.extendLease(sent.LeaseUntil)
 		minion.discardEnds(sent.AcknowledgedEnd)
 		if sent.Wait > 0 && len(minion.ends) == 0 {
+			incarnation := minion.incarnation
 			minion.waitForEnd(sent.Wait, func() {
+				if !minion.alive || minion.incarnation != incarnation { // the connection broke
+					answer(messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")})
+					return
+				}
 				answered.Clock = minion.clock()
 				minion.listRuns(&answered)
 				answer(answered)
@@ -222,11 +228,7 @@
 	}
 	job := simulation.jobs[sent.Task.Job]
 	run := &fakeRun{minion: minion, task: sent.Task, number: sent.Run, spec: &job.Steps[sent.Task.Step], started: simulation.now, pacePercent: 100}
-	used := run.spec.Request
-	for _, other := range minion.runs {
-		used = used.Add(other.spec.Request)
-	}
-	if !minion.capacity.Holds(used) {
+	if !minion.capacity.Holds(minion.used().Add(countedRequest(run.spec))) {
 		return classifier.NoCapacity
 	}
 	if job.Queue == adviceQueue && (simulation.now.After(simulation.services.tickets[sent.Ticket]) || !strings.HasPrefix(sent.Ticket, string(minion.name))) {
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -32,6 +32,8 @@
 	maxUnavailable int
 	maintained     []identifier.VM
 	reportedWaves  []messenger.ReportWave
+	// waves holds the waves that the operator requested.
+	waves map[identifier.Wave]messenger.Wave
 	// refuseMaintenance returns why the platform refuses a maintenance, nil if it
 	// does not.
 	refuseMaintenance func(vm identifier.VM) *classifier.Error
@@ -43,6 +45,7 @@
 	return &fakeServices{
 		isApproved: func(identifier.Minion) bool { return true },
 		tickets:    make(map[string]time.Time), unavailable: make(map[identifier.VM]bool),
+		waves:             make(map[identifier.Wave]messenger.Wave),
 		refuseMaintenance: func(identifier.VM) *classifier.Error { return nil },
 		failAdvice:        func() bool { return false },
 	}
