Reproduce a wide step on one rack that never starts

Callers would see a job with nothing running although most of the pool is free.

TestWideSameRackStepStarts, red on this code: no run of 40 tasks has started after 3 s, though 32 of them fit, "value is not true".

Cause: findMinions demands room for all waiting tasks of a step on one rack that has no runs yet, also when no rack can hold the step and its tasks are placed anywhere. A step that is wider than the free capacity never starts.

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -175,3 +175,18 @@
 	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("advised")))
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestWideSameRackStepStarts guards against a step on one rack, not a gang, that
+// has nothing running for ever because not all of its tasks fit at the same time.
+func TestWideSameRackStepStarts(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 16)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	// Two tasks fit on a minion, 32 on all.
+	simulation.submit(jobOf("wide", specifier.Step{Tasks: 40, Request: taskOf(13000, 1), EstimatedRunTime: time.Second, SameRack: true}))
+	simulation.advance(maxIdleTime)
+	c.Assert(len(simulation.taskState(specifier.Task{Job: "wide"}).startedRuns) > 0, quicktest.IsTrue, quicktest.Commentf("%s", simulation.decisionsAbout("wide")))
+	simulation.advance(10 * time.Second)
+	c.Assert(simulation.recordedState("wide"), quicktest.Equals, specifier.Completed)
+}
