Reproduce minions that stay closed after a takeover in a wave

Cause: a new holder does not know which VMs of an open wave have had their maintenance. It clears them again, which closes their minions; the platform answers at once that the maintenance is done, and no new incarnation replaces the closed minion. closedForMaintenance is never reset.

TestMinionReopensAfterTakeoverDuringWave, red on this code: 6 of 8 minions are closed after the wave, a gang of 4 has nothing running (got 0, want 4).

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -190,3 +190,32 @@
 	simulation.advance(10 * time.Second)
 	c.Assert(simulation.recordedState("wide"), quicktest.Equals, specifier.Completed)
 }
+
+// TestMinionReopensAfterTakeoverDuringWave guards against minions that take no runs
+// for the rest of their lives because a new holder has requested a maintenance that
+// its predecessor had finished.
+func TestMinionReopensAfterTakeoverDuringWave(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 2, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	wave := messenger.Wave{Wave: 1, Duration: 30 * time.Second, MaxUnavailable: 3}
+	for _, minion := range simulation.sortedMinions()[:7] {
+		wave.VMs = append(wave.VMs, vmName(minion))
+	}
+	simulation.requestWave(wave)
+	// Six VMs have had their maintenance when the holder changes, the last has not.
+	for len(simulation.services.maintained) < len(wave.VMs) {
+		simulation.advance(10 * time.Millisecond)
+	}
+	simulation.nodes[0].alive = false
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.advance(15 * time.Second)
+	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
+	gang := wholeMinions(4, 10*time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
