Reproduce a failing job that puts all minions in quarantine

Callers would see jobs that do not start because another job fails.

Cause: each failed run counts for its minion, and two in a row quarantine it for 4 s, later up to 30 s. A job with more failing tasks than two for each minion excludes the whole pool. The rule LOST allows 3 s. docs/design.md says that a job counts once against a worker; the planner counts runs.

TestFailingJobLeavesMinionsToOthers, red on this code: 8 minions, 32 failing tasks, a task of another job has not started after 3 s (got 0, want 1).

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -219,3 +219,19 @@
 	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestFailingJobLeavesMinionsToOthers guards against a job whose tasks fail by their
+// own fault and that leaves all sound minions in quarantine, so that no other job
+// starts.
+func TestFailingJobLeavesMinionsToOthers(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.fails = func(run *fakeRun) bool { return run.task.Job == "failing" }
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("failing", specifier.Step{Tasks: 32, Request: taskOf(1000, 2), EstimatedRunTime: 500 * time.Millisecond}))
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("other", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second}))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
+}
