Reproduce a task that does not find its approved minion

Callers would see a job of a queue with advice that does not start for many seconds although approved minions are idle.

Cause: ensureTickets names at most twice as many minions as the step has tasks to place. One task asks about two minions at a time, in the order of their names, and the requests follow one after another.

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -235,3 +235,18 @@
 	simulation.advance(maxIdleTime)
 	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
 }
+
+// TestTaskFindsItsApprovedMinion guards against a task that asks the advice service
+// about so few minions at a time that it does not find an approved one in time.
+func TestTaskFindsItsApprovedMinion(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 60)
+	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion >= "m50" }
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	job := jobOf("advised", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second})
+	job.Queue = adviceQueue
+	simulation.submit(job)
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%d advice requests", simulation.services.adviceRequests))
+}
