--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -175,3 +175,78 @@
 	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("advised")))
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestWideSameRackStepStarts guards against a step on one rack, not a gang, that
+// has nothing running for ever because not all of its tasks fit at the same time.
+func TestWideSameRackStepStarts(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 16)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	// Two tasks fit on a minion, 32 on all.
+	simulation.submit(jobOf("wide", specifier.Step{Tasks: 40, Request: taskOf(13000, 1), EstimatedRunTime: time.Second, SameRack: true}))
+	simulation.advance(maxIdleTime)
+	c.Assert(len(simulation.taskState(specifier.Task{Job: "wide"}).startedRuns) > 0, quicktest.IsTrue, quicktest.Commentf("%s", simulation.decisionsAbout("wide")))
+	simulation.advance(10 * time.Second)
+	c.Assert(simulation.recordedState("wide"), quicktest.Equals, specifier.Completed)
+}
+
+// TestMinionReopensAfterTakeoverDuringWave guards against minions that take no runs
+// for the rest of their lives because a new holder has requested a maintenance that
+// its predecessor had finished.
+func TestMinionReopensAfterTakeoverDuringWave(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 2, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	wave := messenger.Wave{Wave: 1, Duration: 30 * time.Second, MaxUnavailable: 3}
+	for _, minion := range simulation.sortedMinions()[:7] {
+		wave.VMs = append(wave.VMs, vmName(minion))
+	}
+	simulation.requestWave(wave)
+	// Six VMs have had their maintenance when the holder changes, the last has not.
+	for len(simulation.services.maintained) < len(wave.VMs) {
+		simulation.advance(10 * time.Millisecond)
+	}
+	simulation.nodes[0].alive = false
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.advance(15 * time.Second)
+	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
+	gang := wholeMinions(4, 10*time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestFailingJobLeavesMinionsToOthers guards against a job whose tasks fail by their
+// own fault and that leaves all sound minions in quarantine, so that no other job
+// starts.
+func TestFailingJobLeavesMinionsToOthers(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.fails = func(run *fakeRun) bool { return run.task.Job == "failing" }
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("failing", specifier.Step{Tasks: 32, Request: taskOf(1000, 2), EstimatedRunTime: 500 * time.Millisecond}))
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("other", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second}))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
+}
+
+// TestTaskFindsItsApprovedMinion guards against a task that asks the advice service
+// about so few minions at a time that it does not find an approved one in time.
+func TestTaskFindsItsApprovedMinion(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 60)
+	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion >= "m50" }
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	job := jobOf("advised", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second})
+	job.Queue = adviceQueue
+	simulation.submit(job)
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%d advice requests", simulation.services.adviceRequests))
+}
