Start what fits of a wide step on one rack

A step on one rack that is not a gang started all its tasks together or none, even when no rack can hold them and the pool can't hold all at once: it never started. Outside a rack it now starts what fits, unless half of the pool is in use.

TestWideSameRackStepStarts failed before (nothing started) and passes.

--- a/planner/place.go
+++ b/planner/place.go
@@ -49,8 +49,8 @@
 // start together and do not fit.
 func (planner *Planner) findMinions(now time.Time, waitingStep *waitingStep, pool *pool) []*minion {
 	step := waitingStep.step
-	allOrNothing := step.spec.Gang || (step.spec.SameRack && !step.hasRuns())
 	rackRequired := step.requiresRack(now, waitingStep, pool)
+	allOrNothing := step.spec.Gang || (step.spec.SameRack && !step.hasRuns() && (rackRequired || pool.crowded))
 	demand, tasks := step.demand(rackRequired), 1
 	if allOrNothing {
 		tasks = waitingStep.taskCount
