Ask for advice on more minions after each request without success

A step of one task asked the advice service about two minions at a time. With 60 minions of which ten are approved it had not found one after 15 requests and 3 s.

TestTaskFindsItsApprovedMinion failed before (15 requests, got 0, want 1) and passes.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -102,8 +102,10 @@
 	if len(names) == 0 {
 		return true
 	}
+	// Each request without success makes the next one larger.
+	wanted := max(2*len(chosen), len(step.advice.denied))
 	for _, minion := range available {
-		if len(names) < 2*len(chosen) && planner.taskCapacity(step, minion) > 0 {
+		if len(names) < wanted && planner.taskCapacity(step, minion) > 0 {
 			add(minion)
 		}
 	}
