Use quarantined minions when nothing else is free and the pool is idle

32 tasks that failed by their own fault put all 8 sound minions in quarantine, for 4 s and longer, and another job had nothing running although the pool was idle. Two failures in a row say little about a minion when one job fails everywhere. A step that has waited 2 s may use quarantined minions while less than half of the pool is in use; under load they stay set aside.

TestFailingJobLeavesMinionsToOthers failed before (got 0, want 1) and passes.

--- a/planner/health.go
+++ b/planner/health.go
@@ -9,6 +9,9 @@
 	quarantineThreshold = 2
 	minQuarantine       = 4 * time.Second
 	maxQuarantine       = 30 * time.Second
+	// quarantineWait is how long a step waits before it may use quarantined minions
+	// while less than half of the pool is in use.
+	quarantineWait = 2 * time.Second
 )
 
 // health counts the failures of a minion and quarantines the minion after
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -21,6 +21,9 @@
 	// kind of demand. Free capacity only shrinks during a pass.
 	infeasible map[demand]int
 	rackFits   map[rackDemand]bool
+	// withQuarantined is the pool with the quarantined minions as available, nil
+	// before its first use.
+	withQuarantined *pool
 }
 
 type rack struct {
@@ -54,10 +57,10 @@
 		minion.nameIndex = index
 		servicePool := pools[minion.report.Service]
 		if servicePool == nil {
-			servicePool = &pool{byRack: make(map[identifier.Rack]*rack), infeasible: make(map[demand]int), rackFits: make(map[rackDemand]bool)}
+			servicePool = newPool()
 			pools[minion.report.Service] = servicePool
 		}
-		servicePool.addMinion(now, minion)
+		servicePool.addMinion(minion, minion.acceptsRuns(now))
 	}
 	for _, pool := range pools {
 		pool.crowded = isCrowded(pool.registered)
@@ -65,7 +68,24 @@
 	return pools
 }
 
-func (pool *pool) addMinion(now time.Time, minion *minion) {
+func newPool() *pool {
+	return &pool{byRack: make(map[identifier.Rack]*rack), infeasible: make(map[demand]int), rackFits: make(map[rackDemand]bool)}
+}
+
+// extended returns the pool with the quarantined minions as available.
+func (planner *Planner) extended(now time.Time, original *pool) *pool {
+	if original.withQuarantined == nil {
+		extended := newPool()
+		for _, minion := range original.registered {
+			state := minion.availability(now)
+			extended.addMinion(minion, state == accepting || state == quarantined)
+		}
+		original.withQuarantined = extended
+	}
+	return original.withQuarantined
+}
+
+func (pool *pool) addMinion(minion *minion, accepts bool) {
 	minionRack := pool.byRack[minion.rack]
 	if minionRack == nil {
 		minionRack = &rack{name: minion.rack}
@@ -76,7 +96,7 @@
 	if minion.registered {
 		pool.registered = append(pool.registered, minion)
 	}
-	if minion.acceptsRuns(now) {
+	if accepts {
 		pool.available = append(pool.available, minion)
 		minionRack.available = append(minionRack.available, minion)
 	}
