--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -60,6 +60,20 @@
 	return answer.StatusCode, string(content)
 }
 
+const configuration = `{"version":1,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s",` +
+	`"attempts":2,"stretch":3}],"services":[{"name":"s"}],"tenants":[{"name":"t","apiKeys":["key"]}]}`
+
+// newSettings returns the settings of a node that uses the store.
+func newSettings(c *quicktest.C, fake *imitator.Imitator) *platform.Settings {
+	return &platform.Settings{
+		Node: "n", FailureDomain: "a", Region: "r", FrontEnd: freeAddress(c), Readiness: freeAddress(c), Metrics: freeAddress(c),
+		Store: fake.Address(), Bounds: platform.Bounds{
+			Grace: 2600 * time.Millisecond, Revocation: 5 * time.Second, MaxLease: 6 * time.Second,
+			StopTimeout: 500 * time.Millisecond, StatusRetention: time.Minute, ReclaimTime: 3 * time.Second,
+		},
+	}
+}
+
 // TestJobRunsEndToEnd guards against a node that does not start a client's job on a
 // minion or does not report the job's end to the client, and against one that does
 // not stop when requested.
@@ -71,15 +85,8 @@
 	defer fake.Close()
 	fake.Reply = minion.Reply
 	fake.Write("keyed.servers", "i-1", minion.Report("s", fake.Address()))
-	fake.Write("keyed.op", "config", `{"version":1,"routes":[{"name":"q","host":"h.example","pathPrefix":"/q/","service":"s",`+
-		`"attempts":2,"stretch":3}],"services":[{"name":"s"}],"tenants":[{"name":"t","apiKeys":["key"]}]}`)
-	settings := &platform.Settings{
-		Node: "n", FailureDomain: "a", Region: "r", FrontEnd: freeAddress(c), Readiness: freeAddress(c), Metrics: freeAddress(c),
-		Store: fake.Address(), Bounds: platform.Bounds{
-			Grace: 2600 * time.Millisecond, Revocation: 5 * time.Second, MaxLease: 6 * time.Second,
-			StopTimeout: 500 * time.Millisecond, StatusRetention: time.Minute, ReclaimTime: 3 * time.Second,
-		},
-	}
+	fake.Write("keyed.op", "config", configuration)
+	settings := newSettings(c, fake)
 	keeper, err := timekeeper.New()
 	c.Assert(err, quicktest.IsNil)
 	stop, ended := make(chan struct{}), make(chan error, 1)
