Bound the names in entries of the log

Callers saw: nothing yet. Every node stores the ID of each entry of the last hour, the writers of intents and the subjects of decisions. Another writer's entry could hold a name of megabytes, up to the size of an append.

Cause: the names in a caller's command are bounded, those read from the log were not.

Before the change TestLongNameInLogIsRefused failed with unexpected length; Publication; len(got): int(0)

The bound of 1 KiB is far above the names that commands allow (128 bytes) and the IDs that nodes create; an outcome's reason, which lists workers, has 64 KiB. 200,000 inputs of the new FuzzEntry and 100,000 of FuzzUnmarshal passed.

--- a/encoder/log.go
+++ b/encoder/log.go
@@ -99,6 +99,9 @@
 // decode returns the entry. The error has code BadFrame if the entry does not
 // contain exactly one record.
 func (wire *LogEntry) decode() (messenger.Entry, error) {
+	if err := wire.checkNames(); err != nil {
+		return messenger.Entry{}, err
+	}
 	var records []messenger.Record
 	if publication := wire.Publication; publication != nil {
 		records = append(records, messenger.Publication{
@@ -146,6 +149,39 @@
 	return messenger.Entry{ID: wire.ID, Record: records[0]}, nil
 }
 
+// checkNames returns an error with code BadFrame if the ID or a name of the entry is
+// too long.
+func (wire *LogEntry) checkNames() error {
+	names := []string{wire.ID}
+	if publication := wire.Publication; publication != nil {
+		names = append(names, publication.Organisation)
+	}
+	if approval := wire.Approval; approval != nil {
+		names = append(names, approval.Organisation)
+	}
+	if cancellation := wire.Cancellation; cancellation != nil {
+		names = append(names, cancellation.Job)
+	}
+	if outcome := wire.Outcome; outcome != nil {
+		names = append(names, outcome.Job)
+		if len(outcome.Reason) > messenger.MaxReasonBytes {
+			return classifier.New(classifier.BadFrame, "reason of %d bytes, at most %d are allowed", len(outcome.Reason), messenger.MaxReasonBytes)
+		}
+	}
+	if claim := wire.RegionClaim; claim != nil {
+		names = append(names, claim.Region, claim.Node)
+	}
+	if intent := wire.Intent; intent != nil {
+		names = append(names, intent.Key, intent.Request, intent.Node)
+	}
+	for _, name := range names {
+		if len(name) > messenger.MaxEntryNameBytes {
+			return classifier.New(classifier.BadFrame, "name of %d bytes, at most %d are allowed", len(name), messenger.MaxEntryNameBytes)
+		}
+	}
+	return nil
+}
+
 func jobSpecToWire(spec commander.JobSpec) LogJobSpec {
 	return LogJobSpec{
 		Job: string(spec.Job), Workspace: string(spec.Workspace), Region: string(spec.Region),
--- a/encoder/log_odd_test.go
+++ b/encoder/log_odd_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"math"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
+	"github.com/tinylib/msgp/msgp"
 
 	"corianderroad/classifier"
 	"corianderroad/commander"
@@ -99,3 +101,58 @@
 	}
 	quicktest.Assert(c, held, quicktest.DeepEquals, ids, quicktest.Commentf("%s", reason))
 }
+
+// TestLongNameInLogIsRefused guards against names of megabytes in the log, which every
+// node stores: 4,096 writers of intents, 1,024 decisions and all IDs of the last hour.
+func TestLongNameInLogIsRefused(t *testing.T) {
+	long := strings.Repeat("n", 1<<20)
+	for _, record := range []messenger.Record{
+		messenger.Publication{Organisation: identifier.Organisation(long)},
+		messenger.Approval{Organisation: identifier.Organisation(long)},
+		messenger.Cancellation{Job: identifier.Job(long)},
+		messenger.Outcome{Job: identifier.Job(long)},
+		messenger.Outcome{Job: "j", Reason: long},
+		messenger.RegionClaim{Region: identifier.Region(long)},
+		messenger.RegionClaim{Node: identifier.Node(long)},
+		messenger.Intent{Key: identifier.Key(long)},
+		messenger.Intent{Request: identifier.Request(long)},
+		messenger.Intent{Node: identifier.Node(long)},
+	} {
+		checkLongEntry(t, messenger.Entry{ID: "2", Record: record})
+	}
+	checkLongEntry(t, messenger.Entry{ID: long, Record: messenger.Cancellation{Job: "j"}})
+}
+
+func checkLongEntry(c testing.TB, long messenger.Entry) {
+	neighbour := messenger.Cancellation{Job: "j"}
+	payload, err := encoder.MarshalBatch([]messenger.Entry{{ID: "1", Record: neighbour}, long, {ID: "3", Record: neighbour}})
+	quicktest.Assert(c, err, quicktest.IsNil)
+	checkBatch(c, reflect.TypeOf(long.Record).Name(), payload, "1", "3")
+}
+
+// FuzzEntry guards against an entry of an append that makes the decoder panic, or
+// that is refused together with its neighbours.
+func FuzzEntry(f *testing.F) {
+	valid, err := encoder.MarshalBatch([]messenger.Entry{{ID: "1", Record: messenger.Cancellation{Job: "j"}}})
+	quicktest.Assert(f, err, quicktest.IsNil)
+	neighbour := valid[len("\x81\xa7entries\x91"):]
+	f.Add(neighbour)
+	f.Add([]byte("\x82\xa2id\xa12\xaasubmission\x81\xa7members\xff"))
+	f.Add([]byte("\x82\xa2id\xa12\xa8snapshot\x82\xa5parts\x01\xa4jobs\x81\xa4jobs\xdd\xff\xff\xff\xff"))
+	f.Add([]byte{0xc0})
+	f.Fuzz(func(t *testing.T, entry []byte) {
+		batch, err := encoder.UnmarshalBatch(slices.Concat([]byte("\x81\xa7entries\x93"), neighbour, entry, neighbour))
+		if err != nil {
+			quicktest.Assert(t, classifier.CodeOf(err), quicktest.Equals, classifier.BadFrame)
+			return
+		}
+		if rest, err := msgp.Skip(entry); err != nil || len(rest) > 0 {
+			return // the bytes are not a single value and change the bounds of the neighbours
+		}
+		quicktest.Assert(t, len(batch.Entries)+len(batch.Refused), quicktest.Equals, 3)
+		quicktest.Assert(t, batch.Entries[0].ID, quicktest.Equals, "1")
+		quicktest.Assert(t, batch.Entries[len(batch.Entries)-1].ID, quicktest.Equals, "1")
+		_, err = encoder.MarshalBatch(batch.Entries)
+		quicktest.Assert(t, err, quicktest.IsNil)
+	})
+}
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -48,6 +48,16 @@
 	MaxWorkerClock = 100 * 366 * 24 * time.Hour
 )
 
+// Limits of the entries of the log.
+const (
+	// MaxEntryNameBytes bounds the ID of an entry and each name in its record. Nodes
+	// store them for each writer, decision and recent entry.
+	MaxEntryNameBytes = 1 << 10
+	// MaxReasonBytes bounds the reason of an outcome, which may list the workers of a
+	// gang.
+	MaxReasonBytes = 64 << 10
+)
+
 // MaxReportedLoad bounds the queued requests and the free slots that a node reports,
 // so that their sums do not overflow.
 const MaxReportedLoad = 1 << 30
