--- a/encoder/journal_odd_test.go
+++ b/encoder/journal_odd_test.go
@@ -163,3 +163,43 @@
 		checkRefused(t, encoder.KeyedRecord{Key: "cancel/a1", Value: []byte(value)})
 	}
 }
+
+// TestLargestJobCanBeRead guards against a job that is accepted, or progress that is
+// recorded, but that no node can read.
+func TestLargestJobCanBeRead(t *testing.T) {
+	c := quicktest.New(t)
+	step := specifier.Step{
+		Tasks: specifier.MaxTasks / 4, Request: specifier.Resources{MilliCPU: messenger.MaxTaskRequest, MemoryMB: 1, Accelerators: 1},
+		EstimatedRunTime: messenger.MaxTaskDuration, LatencyTarget: messenger.MaxTaskDuration,
+	}
+	job := specifier.Job{
+		ID: identifier.Job(strings.Repeat("a", messenger.MaxJobIDBytes)), Payload: strings.Repeat("p", specifier.MaxPayloadBytes),
+		AcceptedAt: time.Unix(messenger.MaxRecordUnixSeconds, 0),
+		Schedule: &specifier.Schedule{
+			Occurrences: 2, First: time.Unix(messenger.MaxRecordUnixSeconds, 0), Interval: messenger.MaxScheduleSpan,
+		},
+	}
+	for range specifier.MaxSteps {
+		job.Steps = append(job.Steps, step)
+	}
+	job.Steps[specifier.MaxSteps-1].DependsOn = make([]int, messenger.MaxDependencies)
+	progress := specifier.Progress{State: specifier.Running}
+	for occurrence := range 2 {
+		for number := range job.Steps {
+			for index := range step.Tasks {
+				progress.Tasks = append(progress.Tasks, specifier.TaskProgress{
+					Occurrence: occurrence, Step: number, Index: index, Done: true, DoneRun: math.MaxUint64, FailedRuns: []uint64{1},
+				})
+			}
+		}
+	}
+	c.Assert(progress.Tasks, quicktest.HasLen, messenger.MaxJobTasks)
+	for _, entry := range []messenger.JournalEntry{messenger.Submitted{Job: job}, messenger.Progressed{Job: job.ID, Progress: progress}} {
+		record, err := encoder.MarshalJournalEntry(entry)
+		c.Assert(err, quicktest.IsNil)
+		decoded, err := encoder.UnmarshalJournalEntry(record)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(decoded, quicktest.DeepEquals, entry)
+		t.Logf("%T has %d bytes", entry, len(record.Value))
+	}
+}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -252,15 +252,6 @@
 	return tailer.sink.Deliver(ctx, reading)
 }
 
-// nextAfter returns the key after which the next page begins. An empty key would
-// request the first page again, so that the lowest key after it takes its place.
-func nextAfter(records []Record) string {
-	if last := records[len(records)-1].Key; last != "" {
-		return last
-	}
-	return "\x00"
-}
-
 func (tailer *Tailer) fetchPage(ctx context.Context, after string) (Page, error) {
 	timeout := tailer.options.PageTimeout
 	if timeout == 0 {
@@ -307,3 +298,12 @@
 		return ctx.Err()
 	}
 }
+
+// nextAfter returns the key after which the next page begins. An empty key would
+// request the first page again, so that the lowest key after it takes its place.
+func nextAfter(records []Record) string {
+	if last := records[len(records)-1].Key; last != "" {
+		return last
+	}
+	return "\x00"
+}
