Pause before reading the log again after an empty answer

Callers saw: nothing yet. A log service that names a later end but returns no appends was read again at once, without a pause.

Cause: only gaps between the returned appends counted as failures.

Before the change TestAnswerWithoutItsAppendsIsFailure failed with 10000 reads in 10 s

Such an answer is now a failure like a gap: retried with back-off, and reported as an unavailable log after the usual time.

--- a/follower/follower.go
+++ b/follower/follower.go
@@ -159,6 +159,10 @@
 			break
 		}
 	}
+	if reading.err == nil && len(reading.answer.Appends) == 0 && reading.answer.Next > reading.start {
+		reading.err = classifier.New(classifier.LogUnavailable, "log service answered without the appends from offset %d to its end %d",
+			reading.start, reading.answer.Next)
+	}
 	if reading.err != nil {
 		return follower.handleFailure(ctx, now, reading.err)
 	}
