--- a/applier/odd_test.go
+++ b/applier/limits_test.go
@@ -11,7 +11,7 @@
 	"corianderroad/messenger"
 )
 
-// TestRefusedEntryIsReported guards against an odd entry that is ignored without a
+// TestRefusedEntryIsReported guards against an invalid entry that is ignored without a
 // trace, and against one that hides its neighbours in the same append.
 func TestRefusedEntryIsReported(t *testing.T) {
 	c := quicktest.New(t)
@@ -32,10 +32,10 @@
 	c.Assert(ok, quicktest.IsTrue)
 }
 
-// TestOddSnapshotDoesNotHideOthers guards against a node that never becomes ready,
+// TestInvalidSnapshotDoesNotHideOthers guards against a node that never becomes ready,
 // because a part of a snapshot that claims to cover a later offset than its own
 // makes it ignore all real ones.
-func TestOddSnapshotDoesNotHideOthers(t *testing.T) {
+func TestInvalidSnapshotDoesNotHideOthers(t *testing.T) {
 	c := quicktest.New(t)
 	writer := newFixture(testParameters).catchUpAll()
 	for _, name := range []identifier.Job{"a", "b", "c"} {
--- a/assembler/fuzz_test.go
+++ b/assembler/fuzz_test.go
@@ -88,13 +88,13 @@
 	f.Add(claim.Key, []byte{})
 	f.Add("other", claim.Value)
 	f.Fuzz(func(t *testing.T, key string, value []byte) {
-		odd := encoder.KeyedRecord{Key: key, Value: value}
-		read, _ := assembler.DecodeClaims(newReading(odd, claim))
+		invalid := encoder.KeyedRecord{Key: key, Value: value}
+		read, _ := assembler.DecodeClaims(newReading(invalid, claim))
 		quicktest.Assert(t, read.Claim, quicktest.IsNotNil)
 		quicktest.Assert(t, read.Claim.Node, quicktest.Equals, identifier.Node("n1"))
 		quicktest.Assert(t, read.Offset, quicktest.Equals, firstOffset+1)
 
-		read, failures := assembler.DecodeClaims(newReading(claim, odd))
+		read, failures := assembler.DecodeClaims(newReading(claim, invalid))
 		quicktest.Assert(t, read.End, quicktest.Equals, firstOffset+2)
 		quicktest.Assert(t, read.Claim, quicktest.IsNotNil)
 		quicktest.Assert(t, read.Claim.Token <= identifier.Term(read.Offset), quicktest.IsTrue)
--- a/controller/odd_test.go
+++ b/controller/limits_test.go
@@ -13,10 +13,10 @@
 	"corianderroad/messenger"
 )
 
-// TestOddAnswerIsRefused guards against an answer with numbers that no worker has: a
+// TestInvalidAnswerIsRefused guards against an answer with numbers that no worker has: a
 // term above all real ones makes every holder of the region step down, and sums of
 // capacity and of lease times overflow.
-func TestOddAnswerIsRefused(t *testing.T) {
+func TestInvalidAnswerIsRefused(t *testing.T) {
 	const largest = "9223372036854775807"
 	answer := func(change ...string) string {
 		body := `{"worker":"w1","term":12,"mark":"1s","accelerators":8,` +
--- a/dispatcher/odd_test.go
+++ b/dispatcher/limits_test.go
@@ -10,9 +10,9 @@
 	"corianderroad/messenger"
 )
 
-// TestOddSlotsAreRefused guards against counts that overflow the sums of an owner's
+// TestInvalidSlotsAreRefused guards against counts that overflow the sums of an owner's
 // load.
-func TestOddSlotsAreRefused(t *testing.T) {
+func TestInvalidSlotsAreRefused(t *testing.T) {
 	for _, content := range []string{
 		`{"slots":9223372036854775807,"busy":0}`,
 		`{"slots":4,"busy":9223372036854775807}`,
--- a/encoder/claim_odd_test.go
+++ b/encoder/claim_limits_test.go
@@ -26,10 +26,10 @@
 	quicktest.Assert(c, decoded, quicktest.Equals, claim)
 }
 
-// TestOddClaimIsRefused guards against a record of another writer that counts as a
+// TestInvalidClaimIsRefused guards against a record of another writer that counts as a
 // claim: the holder then steps down, and a token that no record can have stays
 // above all later ones.
-func TestOddClaimIsRefused(t *testing.T) {
+func TestInvalidClaimIsRefused(t *testing.T) {
 	for reason, claim := range map[string]messenger.Claim{
 		"no node":         {Serial: 1},
 		"long name":       {Node: identifier.Node(strings.Repeat("n", 300)), Serial: 1},
--- a/encoder/journal_odd_test.go
+++ b/encoder/journal_limits_test.go
@@ -15,7 +15,7 @@
 	"corianderroad/specifier"
 )
 
-// neighbours returns valid records that stand in the same reading as an odd one.
+// neighbours returns valid records that stand in the same reading as an invalid one.
 func neighbours(c testing.TB) []encoder.KeyedRecord {
 	var records []encoder.KeyedRecord
 	for _, entry := range []messenger.JournalEntry{
@@ -32,14 +32,14 @@
 	return append(records, encoder.DeletionRecords("00000000000000a1")[0])
 }
 
-// checkRefused checks that the odd record alone is refused, with its key, and that
+// checkRefused checks that the invalid record alone is refused, with its key, and that
 // its neighbours decode as they do without it.
-func checkRefused(c testing.TB, odd encoder.KeyedRecord) {
-	entry, err := encoder.UnmarshalJournalEntry(odd)
-	comment := quicktest.Commentf("key %.80q, value %.40x", odd.Key, odd.Value)
+func checkRefused(c testing.TB, invalid encoder.KeyedRecord) {
+	entry, err := encoder.UnmarshalJournalEntry(invalid)
+	comment := quicktest.Commentf("key %.80q, value %.40x", invalid.Key, invalid.Value)
 	quicktest.Assert(c, entry, quicktest.IsNil, comment)
 	quicktest.Assert(c, classifier.CodeOf(err), quicktest.Equals, classifier.BadFrame, comment)
-	quicktest.Assert(c, err, quicktest.ErrorMatches, "(?s).*\""+identifierPattern(odd.Key)+".*", comment)
+	quicktest.Assert(c, err, quicktest.ErrorMatches, "(?s).*\""+identifierPattern(invalid.Key)+".*", comment)
 	checkNeighbours(c)
 }
 
@@ -73,8 +73,8 @@
 	}
 }
 
-// oddJobs returns jobs that no caller can have submitted, with the reason.
-func oddJobs() map[string]specifier.Job {
+// invalidJobs returns jobs that no caller can have submitted, with the reason.
+func invalidJobs() map[string]specifier.Job {
 	withStep := func(step specifier.Step) specifier.Job {
 		step.Tasks = max(step.Tasks, 1)
 		return specifier.Job{ID: "a1", Steps: []specifier.Step{{Tasks: 1}, step}}
@@ -118,10 +118,10 @@
 	}
 }
 
-// TestOddJobIsRefused guards against a job record of another writer whose numbers
+// TestInvalidJobIsRefused guards against a job record of another writer whose numbers
 // overflow the sums of the planner or allocate gigabytes at every node.
-func TestOddJobIsRefused(t *testing.T) {
-	for reason, job := range oddJobs() {
+func TestInvalidJobIsRefused(t *testing.T) {
+	for reason, job := range invalidJobs() {
 		t.Run(reason, func(t *testing.T) {
 			record, err := encoder.MarshalJournalEntry(messenger.Submitted{Job: job})
 			quicktest.Assert(t, err, quicktest.IsNil)
@@ -130,10 +130,10 @@
 	}
 }
 
-// TestOddProgressIsRefused guards against a progress record of another writer with
+// TestInvalidProgressIsRefused guards against a progress record of another writer with
 // a state that does not exist, which ends its job for good, and with tasks that no
 // job can have.
-func TestOddProgressIsRefused(t *testing.T) {
+func TestInvalidProgressIsRefused(t *testing.T) {
 	endedAt := time.Unix(1_000_000, 0)
 	for reason, progress := range map[string]specifier.Progress{
 		"unknown state":           {State: specifier.Cancelled + 1, EndedAt: endedAt},
@@ -156,9 +156,9 @@
 	}
 }
 
-// TestOddCancellationIsRefused guards against a record of another form that cancels
+// TestInvalidCancellationIsRefused guards against a record of another form that cancels
 // a job because its key has the prefix of cancellations.
-func TestOddCancellationIsRefused(t *testing.T) {
+func TestInvalidCancellationIsRefused(t *testing.T) {
 	for _, value := range []string{"\x00", "\x02", "\x01\x01", "text", "\x81\xa5other\x01"} {
 		checkRefused(t, encoder.KeyedRecord{Key: "cancel/a1", Value: []byte(value)})
 	}
--- a/encoder/log_odd_test.go
+++ b/encoder/log_limits_test.go
@@ -35,10 +35,10 @@
 	c.Assert(batch.Entries, quicktest.HasLen, 1)
 }
 
-// TestOddSubmissionIsRefused guards against a submission in the log that no node can
+// TestInvalidSubmissionIsRefused guards against a submission in the log that no node can
 // have written: the placement of a negative number of members ends the process of
 // the holder, and of each later one.
-func TestOddSubmissionIsRefused(t *testing.T) {
+func TestInvalidSubmissionIsRefused(t *testing.T) {
 	valid := commander.JobSpec{Job: "j", Workspace: "w", Region: "r", Shape: commander.Shape{Members: 2, Accelerators: 1}}
 	change := func(change func(spec *commander.JobSpec)) commander.JobSpec {
 		spec := valid
@@ -67,13 +67,13 @@
 	}
 }
 
-// TestOddEntryIsRefusedAlone guards against an entry of another form that makes every
+// TestInvalidEntryIsRefusedAlone guards against an entry of another form that makes every
 // node ignore its neighbours in the same append.
-func TestOddEntryIsRefusedAlone(t *testing.T) {
+func TestInvalidEntryIsRefusedAlone(t *testing.T) {
 	valid, err := encoder.MarshalBatch([]messenger.Entry{{ID: "1", Record: messenger.Cancellation{Job: "j"}}})
 	quicktest.Assert(t, err, quicktest.IsNil)
 	entry := valid[len("\x81\xa7entries\x91"):]
-	for reason, odd := range map[string]string{
+	for reason, invalid := range map[string]string{
 		"no record":       "\x81\xa2id\xa12",
 		"unknown record":  "\x82\xa2id\xa12\xa5other\x81\xa3job\xa1j",
 		"two records":     "\x83\xa2id\xa12\xaccancellation\x81\xa3job\xa1j\xa8approval\x80",
@@ -83,7 +83,7 @@
 		"negative number": "\x82\xa2id\xa12\xacregion-claim\x81\xabincarnation\xff",
 		"number":          "\x01",
 	} {
-		payload := slices.Concat([]byte("\x81\xa7entries\x93"), entry, []byte(odd), entry)
+		payload := slices.Concat([]byte("\x81\xa7entries\x93"), entry, []byte(invalid), entry)
 		checkBatch(t, reason, payload, "1", "1")
 	}
 }
--- a/encoder/peer_odd_test.go
+++ b/encoder/peer_limits_test.go
@@ -11,9 +11,9 @@
 	"corianderroad/messenger"
 )
 
-// TestOddLoadIsRefused guards against a load at the end of its range: the sum that
+// TestInvalidLoadIsRefused guards against a load at the end of its range: the sum that
 // compares owners overflows, and all requests go to the node that reported it.
-func TestOddLoadIsRefused(t *testing.T) {
+func TestInvalidLoadIsRefused(t *testing.T) {
 	for _, load := range []int{-1, math.MinInt64, math.MaxInt64, messenger.MaxReportedLoad + 1} {
 		queued := messenger.Member{State: messenger.Alive, Digest: messenger.Digest{Queued: load}}
 		free := messenger.Member{State: messenger.Alive, Digest: messenger.Digest{FreeSlots: load}}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -364,18 +364,18 @@
 	c.Assert(harness.Corrupt(), quicktest.Equals, uint64(1))
 }
 
-// TestOddEntryIsRefusedAlone guards against one odd entry that hides the other
+// TestInvalidEntryIsRefusedAlone guards against one invalid entry that hides the other
 // entries of its append, and against one that is not counted.
-func TestOddEntryIsRefusedAlone(t *testing.T) {
+func TestInvalidEntryIsRefusedAlone(t *testing.T) {
 	c := quicktest.New(t)
-	odd, err := encoder.MarshalBatch([]messenger.Entry{
+	invalid, err := encoder.MarshalBatch([]messenger.Entry{
 		{ID: "1", Record: messenger.Cancellation{Job: "j"}},
 		{ID: "2", Record: messenger.Submission{Spec: commander.JobSpec{Job: "k", Workspace: "w", Shape: commander.Shape{Members: -1}}}},
 		{ID: "3", Record: messenger.Cancellation{Job: "j"}},
 	})
 	c.Assert(err, quicktest.IsNil)
 	service := newService()
-	service.add(odd)
+	service.add(invalid)
 	service.add(payload(7))
 	server := httptest.NewServer(service)
 	defer server.Close()
--- a/parser/odd_test.go
+++ b/parser/limits_test.go
@@ -10,10 +10,10 @@
 	"corianderroad/parser"
 )
 
-// TestOddTextIsRefused guards against a text that makes every node that applies it
+// TestInvalidTextIsRefused guards against a text that makes every node that applies it
 // allocate or compute without bound, and against numbers that wrap into their
 // bounds. A valid text is parsed after each.
-func TestOddTextIsRefused(t *testing.T) {
+func TestInvalidTextIsRefused(t *testing.T) {
 	indented := &strings.Builder{}
 	for depth := range 2000 {
 		indented.WriteString(strings.Repeat(" ", depth) + "a:\n")
--- a/registrar/odd_test.go
+++ b/registrar/limits_test.go
@@ -27,12 +27,12 @@
 		t.Run(name, func(t *testing.T) {
 			entryVM := newEntryVM(1)
 			entryVM.run(300 * time.Millisecond)
-			entryVM.step(messenger.SubmitArrived{Request: "odd", Job: job, Deadline: entryVM.now.Add(3 * time.Second)})
+			entryVM.step(messenger.SubmitArrived{Request: "invalid", Job: job, Deadline: entryVM.now.Add(3 * time.Second)})
 			entryVM.submit("valid", "b")
 			entryVM.run(time.Second)
 			quicktest.Assert(t, entryVM.has(messenger.Submitted{Job: job}), quicktest.IsFalse)
-			quicktest.Assert(t, entryVM.answers["odd"].Err != nil, quicktest.IsTrue)
-			quicktest.Assert(t, entryVM.answers["odd"].Err.Code, quicktest.Equals, classifier.BadRequest)
+			quicktest.Assert(t, entryVM.answers["invalid"].Err != nil, quicktest.IsTrue)
+			quicktest.Assert(t, entryVM.answers["invalid"].Err.Code, quicktest.Equals, classifier.BadRequest)
 			quicktest.Assert(t, entryVM.answers["valid"].Err == nil, quicktest.IsTrue)
 		})
 	}
--- a/tailer/odd_test.go
+++ b/tailer/limits_test.go
@@ -58,7 +58,7 @@
 	if after == "" {
 		time.Sleep(pageDelay) // virtual time
 		log.withLock(func() { log.pages++ })
-		return tailer.Page{End: 1, More: true, Records: []tailer.Record{{Value: []byte("odd")}}}, ctx.Err()
+		return tailer.Page{End: 1, More: true, Records: []tailer.Record{{Value: []byte("invalid")}}}, ctx.Err()
 	}
 	return log.fakeLog.Newest(ctx, topic, after)
 }
--- a/transporter/odd_test.go
+++ b/transporter/limits_test.go
@@ -12,9 +12,9 @@
 	"corianderroad/messenger"
 )
 
-// TestOddMessageIsRefusedAlone guards against one message of a later build, or a
+// TestInvalidMessageIsRefusedAlone guards against one message of a later build, or a
 // corrupt one, that ends the connection together with the messages behind it.
-func TestOddMessageIsRefusedAlone(t *testing.T) {
+func TestInvalidMessageIsRefusedAlone(t *testing.T) {
 	run(t, func(c *quicktest.C, network *network, first, second *node) {
 		connection, err := network.Dial(context.Background(), second.identity.Address)
 		c.Assert(err, quicktest.IsNil)
