--- a/encoder/journal_odd_test.go
+++ b/encoder/journal_limits_test.go
@@ -15,7 +15,7 @@
 	"corianderroad/specifier"
 )
 
-// neighbours returns valid records that stand in the same reading as an odd one.
+// neighbours returns valid records that stand in the same reading as an invalid one.
 func neighbours(c testing.TB) []encoder.KeyedRecord {
 	var records []encoder.KeyedRecord
 	for _, entry := range []messenger.JournalEntry{
@@ -32,14 +32,14 @@
 	return append(records, encoder.DeletionRecords("00000000000000a1")[0])
 }
 
-// checkRefused checks that the odd record alone is refused, with its key, and that
+// checkRefused checks that the invalid record alone is refused, with its key, and that
 // its neighbours decode as they do without it.
-func checkRefused(c testing.TB, odd encoder.KeyedRecord) {
-	entry, err := encoder.UnmarshalJournalEntry(odd)
-	comment := quicktest.Commentf("key %.80q, value %.40x", odd.Key, odd.Value)
+func checkRefused(c testing.TB, invalid encoder.KeyedRecord) {
+	entry, err := encoder.UnmarshalJournalEntry(invalid)
+	comment := quicktest.Commentf("key %.80q, value %.40x", invalid.Key, invalid.Value)
 	quicktest.Assert(c, entry, quicktest.IsNil, comment)
 	quicktest.Assert(c, classifier.CodeOf(err), quicktest.Equals, classifier.BadFrame, comment)
-	quicktest.Assert(c, err, quicktest.ErrorMatches, "(?s).*\""+identifierPattern(odd.Key)+".*", comment)
+	quicktest.Assert(c, err, quicktest.ErrorMatches, "(?s).*\""+identifierPattern(invalid.Key)+".*", comment)
 	checkNeighbours(c)
 }
 
@@ -73,8 +73,8 @@
 	}
 }
 
-// oddJobs returns jobs that no caller can have submitted, with the reason.
-func oddJobs() map[string]specifier.Job {
+// invalidJobs returns jobs that no caller can have submitted, with the reason.
+func invalidJobs() map[string]specifier.Job {
 	withStep := func(step specifier.Step) specifier.Job {
 		step.Tasks = max(step.Tasks, 1)
 		return specifier.Job{ID: "a1", Steps: []specifier.Step{{Tasks: 1}, step}}
@@ -118,10 +118,10 @@
 	}
 }
 
-// TestOddJobIsRefused guards against a job record of another writer whose numbers
+// TestInvalidJobIsRefused guards against a job record of another writer whose numbers
 // overflow the sums of the planner or allocate gigabytes at every node.
-func TestOddJobIsRefused(t *testing.T) {
-	for reason, job := range oddJobs() {
+func TestInvalidJobIsRefused(t *testing.T) {
+	for reason, job := range invalidJobs() {
 		t.Run(reason, func(t *testing.T) {
 			record, err := encoder.MarshalJournalEntry(messenger.Submitted{Job: job})
 			quicktest.Assert(t, err, quicktest.IsNil)
@@ -130,10 +130,10 @@
 	}
 }
 
-// TestOddProgressIsRefused guards against a progress record of another writer with
+// TestInvalidProgressIsRefused guards against a progress record of another writer with
 // a state that does not exist, which ends its job for good, and with tasks that no
 // job can have.
-func TestOddProgressIsRefused(t *testing.T) {
+func TestInvalidProgressIsRefused(t *testing.T) {
 	endedAt := time.Unix(1_000_000, 0)
 	for reason, progress := range map[string]specifier.Progress{
 		"unknown state":           {State: specifier.Cancelled + 1, EndedAt: endedAt},
@@ -156,10 +156,50 @@
 	}
 }
 
-// TestOddCancellationIsRefused guards against a record of another form that cancels
+// TestInvalidCancellationIsRefused guards against a record of another form that cancels
 // a job because its key has the prefix of cancellations.
-func TestOddCancellationIsRefused(t *testing.T) {
+func TestInvalidCancellationIsRefused(t *testing.T) {
 	for _, value := range []string{"\x00", "\x02", "\x01\x01", "text", "\x81\xa5other\x01"} {
 		checkRefused(t, encoder.KeyedRecord{Key: "cancel/a1", Value: []byte(value)})
 	}
 }
+
+// TestLargestJobCanBeRead guards against a job that is accepted, or progress that is
+// recorded, but that no node can read.
+func TestLargestJobCanBeRead(t *testing.T) {
+	c := quicktest.New(t)
+	step := specifier.Step{
+		Tasks: specifier.MaxTasks / 4, Request: specifier.Resources{MilliCPU: specifier.MaxMilliCPU, MemoryMB: 1, Accelerators: 1},
+		EstimatedRunTime: specifier.MaxDuration, LatencyTarget: specifier.MaxDuration,
+	}
+	job := specifier.Job{
+		ID: identifier.Job(strings.Repeat("a", messenger.MaxJobIDBytes)), Payload: strings.Repeat("p", specifier.MaxPayloadBytes),
+		AcceptedAt: time.Unix(messenger.MaxRecordUnixSeconds, 0),
+		Schedule: &specifier.Schedule{
+			Occurrences: 2, First: time.Unix(messenger.MaxRecordUnixSeconds, 0), Interval: specifier.MaxScheduleSpan,
+		},
+	}
+	for range specifier.MaxSteps {
+		job.Steps = append(job.Steps, step)
+	}
+	job.Steps[specifier.MaxSteps-1].DependsOn = make([]int, specifier.MaxSteps)
+	progress := specifier.Progress{State: specifier.Running}
+	for occurrence := range 2 {
+		for number := range job.Steps {
+			for index := range step.Tasks {
+				progress.Tasks = append(progress.Tasks, specifier.TaskProgress{
+					Occurrence: occurrence, Step: number, Index: index, Done: true, DoneRun: math.MaxUint64, FailedRuns: []uint64{1},
+				})
+			}
+		}
+	}
+	c.Assert(progress.Tasks, quicktest.HasLen, specifier.MaxJobTasks)
+	for _, entry := range []messenger.JournalEntry{messenger.Submitted{Job: job}, messenger.Progressed{Job: job.ID, Progress: progress}} {
+		record, err := encoder.MarshalJournalEntry(entry)
+		c.Assert(err, quicktest.IsNil)
+		decoded, err := encoder.UnmarshalJournalEntry(record)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(decoded, quicktest.DeepEquals, entry)
+		t.Logf("%T has %d bytes", entry, len(record.Value))
+	}
+}
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -251,15 +251,6 @@
 	return tailer.sink.Deliver(ctx, reading)
 }
 
-// nextAfter returns the key after which the next page begins. An empty key would
-// request the first page again, so that the lowest key after it takes its place.
-func nextAfter(records []Record) string {
-	if last := records[len(records)-1].Key; last != "" {
-		return last
-	}
-	return "\x00"
-}
-
 // dropSuperseded removes records for whose keys a listing has returned newer ones.
 func (tailer *Tailer) dropSuperseded(records []Record) []Record {
 	if len(tailer.listedOffsets) == 0 {
@@ -296,3 +287,12 @@
 		return ctx.Err()
 	}
 }
+
+// nextAfter returns the key after which the next page begins. An empty key would
+// request the first page again, so that the lowest key after it takes its place.
+func nextAfter(records []Record) string {
+	if last := records[len(records)-1].Key; last != "" {
+		return last
+	}
+	return "\x00"
+}
