Place jobs as soon as a worker is listed again

What callers saw: a job waited for up to 30 s beside a free worker that had been missing in one VM list.

Cause: a list in which a worker is present again with unchanged properties did not count as a change, so that no pass was requested. The next poll of the worker requested one.

Evidence: before the change TestRelistedWorkerIsUsedAtOnce failed with 'value is not true, got: bool(false)' 3 s after the list.

Why it works: a worker that was not listed before the list is a change of its region, whether it is new or known.

--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -179,3 +179,24 @@
 	simulation.run(time.Minute)
 	quicktest.Assert(t, simulation.started, quicktest.HasLen, 4)
 }
+
+// TestRelistedWorkerIsUsedAtOnce guards against a worker that was missing in a VM list
+// and gets no job until its next poll, up to 30 s after it is listed again.
+func TestRelistedWorkerIsUsedAtOnce(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 1, 8)
+	simulation.setMembers(holder)
+	simulation.run(70 * time.Second)
+	complete := simulation.vms
+	simulation.vms = nil
+	simulation.listVMs()
+	simulation.run(time.Second)
+	simulation.submitSingle("job", time.Minute)
+	simulation.run(time.Second)
+	simulation.vms = complete
+	simulation.listVMs()
+	simulation.run(3 * time.Second)
+	_, started := simulation.started["job"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -99,9 +99,10 @@
 // handleVMsListed applies the VM list. A worker that is no longer listed is retained
 // as long as a gang uses it, because the list lags behind the workers' answers.
 func (scheduler *Scheduler) handleVMsListed(now time.Time, vms []messenger.VM) {
+	wasListed := make(map[*worker]bool)
 	for _, region := range scheduler.regions {
 		for _, worker := range region.workers {
-			worker.listed = false
+			wasListed[worker], worker.listed = worker.listed, false
 		}
 	}
 	changed := make(map[*region]bool)
@@ -117,7 +118,7 @@
 			region.workers[name] = current
 			region.nextPoll = earliest(region.nextPoll, now)
 		}
-		if !ok || current.vm != vm {
+		if !wasListed[current] || current.vm != vm {
 			changed[region] = true
 		}
 		if ok && current.vm.Address != vm.Address {
