Let short jobs run on workers that are reserved for much later

What callers saw: jobs of a minute waited for hours beside free workers.

Cause: the workers that are reserved for a waiting gang were closed to all other jobs until the last of them becomes free.

Evidence: before the change TestShortJobsRunBehindLongReservation failed with 'value is not true, got: bool(false)': the short job had not started after a minute.

Why it works: a job may use the reserved workers if four times its declared run time (1 h if it declares none) ends before the expected start of the reserved job. The limit is the earliest start that was expected while the job waits, so that jobs that run longer than declared postpone it by one of their run times at most; the same test checks this with 100 jobs that run 60 times as long. If the gang that occupies a worker runs longer than expected, the workers stay reserved until it ends; this is open.

--- a/scheduler/gang.go
+++ b/scheduler/gang.go
@@ -39,6 +39,7 @@
 	}
 	scheduler.occupy(region, job, leaser.New(now, order, scheduler.parameters.Timing))
 	job.setState(now, reserving)
+	job.expectedStart = time.Time{}
 	scheduler.recordDecision(now, string(job.spec.Job), "placed", workerSetName(workers))
 	scheduler.advanceGang(now, job)
 }
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -56,7 +56,10 @@
 	placement      uint32
 	progress       time.Duration
 	renewedRoundAt time.Time
-	nextWakeup     time.Time
+	// expectedStart is the earliest start that was expected when workers were
+	// reserved for the waiting job, zero if none were.
+	expectedStart time.Time
+	nextWakeup    time.Time
 
 	// unreleased are the workers of an earlier holder's gang that have not
 	// confirmed the release. Their tasks have certainly ended by
@@ -88,6 +91,7 @@
 	job.protected, job.protectedOn = false, nil
 	job.failures, job.attempts, job.blamed = nil, 0, nil
 	job.outcome, job.outcomeID, job.outcomeRetryAt = nil, "", time.Time{}
+	job.expectedStart = time.Time{}
 	job.nextWakeup, job.unreleased, job.unreleasedUntil = time.Time{}, nil, time.Time{}
 }
 
--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -200,3 +200,35 @@
 	_, started := simulation.started["job"]
 	quicktest.Assert(t, started, quicktest.IsTrue)
 }
+
+// TestShortJobsRunBehindLongReservation guards against short jobs that wait for hours
+// beside free workers, which are reserved for a gang until a long job ends, and
+// against a gang that never starts because short jobs take its workers.
+func TestShortJobsRunBehindLongReservation(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 8, 8)
+	simulation.setMembers(holder)
+	simulation.run(10 * time.Second)
+	submit := func(job string, members, accelerators int, declared, actual time.Duration) {
+		simulation.submit(commander.JobSpec{
+			Job: identifier.Job(job), Workspace: "lawns", RunTime: declared,
+			Shape: commander.Shape{Members: members, Accelerators: accelerators},
+		}, behaviour{runTime: actual})
+	}
+	submit("long", 1, 8, 10*time.Hour, 10*time.Hour)
+	simulation.run(10 * time.Second)
+	submit("gang", 8, 8, time.Minute, time.Minute)
+	simulation.run(2 * time.Minute)
+	submit("short", 1, 8, time.Minute, time.Minute)
+	simulation.run(time.Minute)
+	_, started := simulation.started["short"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+	// The jobs run much longer than they declare.
+	for i := range 100 {
+		submit(fmt.Sprintf("late%03d", i), 1, 8, time.Minute, time.Hour)
+	}
+	simulation.run(13 * time.Hour)
+	_, started = simulation.started["gang"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
--- a/scheduler/reservation.go
+++ b/scheduler/reservation.go
@@ -18,6 +18,10 @@
 	migrationCooldown = 10 * time.Minute
 	// defaultRunTime is assumed for jobs that declare no run time.
 	defaultRunTime = time.Hour
+	// backfillFactor is how many times the declared run time of a job must fit before
+	// the expected start of the reserved job, because declared run times are often
+	// far off.
+	backfillFactor = 4
 )
 
 // reservation reserves workers for the first job of the pass that has waited for
@@ -43,6 +47,9 @@
 		return
 	}
 	pass.reservation = pass.chooseReservation(job)
+	if pass.reservation != nil && (job.expectedStart.IsZero() || pass.reservation.freeAt.Before(job.expectedStart)) {
+		job.expectedStart = pass.reservation.freeAt
+	}
 	if pass.reservation != nil && parameters.isEnabled(Migration) {
 		pass.migrate()
 	}
@@ -122,13 +129,20 @@
 	return pass.now.Add(max(declared-job.progress-elapsed, elapsed/2))
 }
 
+// mayBackfill reports whether a job may use the reserved workers because it is
+// expected to end long before the reserved job can start. The earliest expected
+// start is the limit, so that jobs that run longer than declared do not postpone
+// the reserved job without end.
+func (pass *pass) mayBackfill(job *job) bool {
+	declared := cmp.Or(job.spec.RunTime, defaultRunTime)
+	return pass.now.Add(backfillFactor * declared).Before(pass.reservation.job.expectedStart)
+}
+
 // avoidedWorkers returns the workers on which a job must not be placed, and whether
-// they include reserved workers. The reservation applies to short jobs too:
-// backfilling it with jobs that are declared to end in time showed no gain,
-// because declared run times are inaccurate.
+// they include reserved workers.
 func (pass *pass) avoidedWorkers(job *job) (avoided map[identifier.Worker]bool, reserved bool) {
 	avoided = job.failedWorkers()
-	if pass.reservation == nil || pass.reservation.job == job {
+	if pass.reservation == nil || pass.reservation.job == job || pass.mayBackfill(job) {
 		return avoided, false
 	}
 	if avoided == nil {
