--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -179,3 +179,56 @@
 	simulation.run(time.Minute)
 	quicktest.Assert(t, simulation.started, quicktest.HasLen, 4)
 }
+
+// TestRelistedWorkerIsUsedAtOnce guards against a worker that was missing in a VM list
+// and gets no job until its next poll, up to 30 s after it is listed again.
+func TestRelistedWorkerIsUsedAtOnce(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 1, 8)
+	simulation.setMembers(holder)
+	simulation.run(70 * time.Second)
+	complete := simulation.vms
+	simulation.vms = nil
+	simulation.listVMs()
+	simulation.run(time.Second)
+	simulation.submitSingle("job", time.Minute)
+	simulation.run(time.Second)
+	simulation.vms = complete
+	simulation.listVMs()
+	simulation.run(3 * time.Second)
+	_, started := simulation.started["job"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
+
+// TestShortJobsRunBehindLongReservation guards against short jobs that wait for hours
+// beside free workers, which are reserved for a gang until a long job ends, and
+// against a gang that never starts because short jobs take its workers.
+func TestShortJobsRunBehindLongReservation(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 8, 8)
+	simulation.setMembers(holder)
+	simulation.run(10 * time.Second)
+	submit := func(job string, members, accelerators int, declared, actual time.Duration) {
+		simulation.submit(commander.JobSpec{
+			Job: identifier.Job(job), Workspace: "lawns", RunTime: declared,
+			Shape: commander.Shape{Members: members, Accelerators: accelerators},
+		}, behaviour{runTime: actual})
+	}
+	submit("long", 1, 8, 10*time.Hour, 10*time.Hour)
+	simulation.run(10 * time.Second)
+	submit("gang", 8, 8, time.Minute, time.Minute)
+	simulation.run(2 * time.Minute)
+	submit("short", 1, 8, time.Minute, time.Minute)
+	simulation.run(time.Minute)
+	_, started := simulation.started["short"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+	// The jobs run much longer than they declare.
+	for i := range 100 {
+		submit(fmt.Sprintf("late%03d", i), 1, 8, time.Minute, time.Hour)
+	}
+	simulation.run(13 * time.Hour)
+	_, started = simulation.started["gang"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
