Stop a run whose start was refused after an unanswered attempt

Two runs of one task at a time (TWICE): a start was not answered, the repeated one was refused for want of room or with 503, the task was started elsewhere, and then the minion carried out the first attempt, up to 12 s late. A refusal proves that nothing runs only if no earlier attempt is open. The run is now stopped, and the minion refuses a start that comes after its stop.

--- a/planner/run.go
+++ b/planner/run.go
@@ -172,6 +172,12 @@
 	}
 	planner.emit(messenger.Count{Counter: messenger.Refusals, Reason: "start-" + event.Err.Code.Name()})
 	run.task().notBefore = now.Add(refusedStartDelay)
+	if run.startAttempts > 1 {
+		// An earlier attempt without an answer may still be carried out. The minion
+		// refuses it once it has the order to stop.
+		planner.stopRun(now, run, "refused: "+event.Err.Code.Name())
+		return
+	}
 	planner.markRunLost(now, run, "refused: "+event.Err.Code.Name())
 }
 
