--- a/loader/load.go
+++ b/loader/load.go
@@ -49,8 +49,7 @@
 		return nil, classifier.New(classifier.InvalidSettings, "the settings exceed %d bytes", maxSettingsBytes)
 	}
 	settings := defaultSettings()
-	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.Validator(newValidator()))
-	if err := decoder.Decode(&settings); err != nil {
+	if err := decode(text, &settings); err != nil {
 		return nil, classifier.New(classifier.InvalidSettings, "%s", describeError(err))
 	}
 	if err := checkConsistency(&settings); err != nil {
@@ -59,6 +58,17 @@
 	return &settings, nil
 }
 
+// decode decodes settings. The YAML library panics on some invalid texts, for example
+// on "peers: !00 00".
+func decode(text []byte, settings *Settings) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.Errorf("the YAML can't be decoded: %v", cause)
+		}
+	}()
+	return yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.Validator(newValidator())).Decode(settings)
+}
+
 // newValidator returns a validator that names fields by their YAML keys.
 func newValidator() *validator.Validate {
 	validate := validator.New(validator.WithRequiredStructEnabled())
--- a/loader/load_test.go
+++ b/loader/load_test.go
@@ -61,6 +61,7 @@
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte("peers: [&a *a]"))
+	f.Add([]byte("peers: !00 00"))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		settings, err := loader.Parse(text)
 		if (settings == nil) == (err == nil) {
