Keep a minion unregistered when only an answer shows its restart

A minion whose entry was removed counted as listed again, and got runs, when an answer to the holder showed a newer incarnation. Only its entry lists it.

TestRestartDoesNotRegisterMinion failed before (one run on the minion) and passes.

--- a/planner/minions.go
+++ b/planner/minions.go
@@ -198,6 +198,7 @@
 	report := minion.report
 	report.Incarnation, report.Clock = event.Incarnation, event.Clock
 	planner.handleMinionReport(now, report)
+	planner.minions[report.Minion].registered = minion.registered // an answer does not list the minion
 	return true
 }
 
--- a/planner/outage_test.go
+++ b/planner/outage_test.go
@@ -7,6 +7,7 @@
 	"github.com/frankban/quicktest"
 
 	"corianderroad/identifier"
+	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
 
@@ -111,3 +112,21 @@
 	c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
 	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
 }
+
+// TestRestartDoesNotRegisterMinion guards against new runs on a minion whose entry
+// was removed, because an answer shows that the minion has restarted.
+func TestRestartDoesNotRegisterMinion(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 2)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("a", wholeMinions(2, time.Minute)))
+	simulation.advance(2 * time.Second)
+	minion := simulation.minions["m00"]
+	minion.unregistered = true
+	simulation.step(simulation.nodes[0], messenger.MinionsRead{Removed: []identifier.Minion{minion.name}, SentAt: simulation.now})
+	minion.crash()
+	minion.start()
+	simulation.advance(5 * time.Second)
+	c.Assert(minion.runs, quicktest.HasLen, 0)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
