Limit the send buffers of peer connections and callers

Cause: what the system's send buffer holds counts as written. It may hold several MB, which one of 17 nodes' parts of a full link of 60 Mbit/s carries in seconds. The keep-alive after a large message then had no answer within 0.75 s, although the message advanced.

Change: watcher.Conn sets a send buffer of 64 KiB, of which Linux makes 128 KiB.

The effect on a full link over real sockets was not measured.

--- a/transporter/connection.go
+++ b/transporter/connection.go
@@ -26,8 +26,10 @@
 
 // connection is one connection of a peer. It has a reader and a writer duty.
 type connection struct {
-	peer     *peer
-	net      net.Conn
+	peer *peer
+	net  net.Conn
+	// writer writes to net, and fails when a write makes no progress.
+	writer   *watcher.Conn
 	endpoint framer.Endpoint
 	// first is the message for which the connection was dialled, nil if accepted.
 	// It is sent before the messages that were queued meanwhile.
@@ -48,6 +50,7 @@
 	return &connection{
 		peer:             peer,
 		net:              netConnection,
+		writer:           watcher.NewConn(netConnection, peer.transporter.parameters.WriteTimeout),
 		endpoint:         endpoint,
 		first:            first,
 		keepAlives:       make(chan struct{}, 1),
@@ -236,8 +239,7 @@
 
 // writeFrame writes a frame. After an error the frame did not arrive completely.
 func (connection *connection) writeFrame(frame framer.Frame) error {
-	writer := watcher.NewConn(connection.net, connection.peer.transporter.parameters.WriteTimeout)
-	if err := framer.Write(writer, frame); err != nil {
+	if err := framer.Write(connection.writer, frame); err != nil {
 		return err
 	}
 	connection.countBytes(framer.Overhead+len(frame.Body), 0)
--- a/watcher/conn.go
+++ b/watcher/conn.go
@@ -5,8 +5,15 @@
 	"time"
 )
 
-// segmentBytes is the part of a write that must be complete within the stall timeout.
-const segmentBytes = 16 << 10
+const (
+	// segmentBytes is the part of a write that must be complete within the stall
+	// timeout.
+	segmentBytes = 16 << 10
+	// sendBufferBytes is the size of the system's send buffer. What it holds counts as
+	// written, so that a larger one would hide for seconds whether a write advances on
+	// a full link. Linux allocates twice as much.
+	sendBufferBytes = 64 << 10
+)
 
 // Conn is a connection whose writes fail when they make no progress. It is safe for
 // concurrent use as far as the connection is.
@@ -15,8 +22,12 @@
 	stallTimeout time.Duration
 }
 
-// NewConn returns a Conn that replaces the write deadline of a connection.
+// NewConn returns a Conn that replaces the write deadline of a connection, and limits
+// its send buffer if it has one.
 func NewConn(connection net.Conn, stallTimeout time.Duration) *Conn {
+	if buffered, ok := connection.(interface{ SetWriteBuffer(bytes int) error }); ok {
+		_ = buffered.SetWriteBuffer(sendBufferBytes) // fails only if the connection is closed
+	}
 	return &Conn{connection, stallTimeout}
 }
 
