Limit the send buffers of the connections to the log

A request of 683 KB fitted into the system's send buffer at once, so that the appender saw no progress while the link carried it, and gave up after 2 s. The readers and writers of the log also shared the default transport, with its proxy settings.

Change: each reader and writer has its own transport, whose connections are watcher.Conn.

Evidence: with the new transport but without watcher.Conn, TestSendBufferOfAppendsIsSmall failed with "send buffer of 3939840 bytes"; the bound is 256 KiB.

--- a/server/ioduties.go
+++ b/server/ioduties.go
@@ -87,8 +87,8 @@
 			writing.MaxEntries = 1 // the offset of an entry is its version, so each entry needs its own append
 		}
 		server.duties = append(server.duties,
-			follower.New(stream, server.settings.LogService.AddrPort, &http.Client{}, events, server.advances[stream], reading),
-			appender.New(stream, server.settings.LogService.AddrPort, &http.Client{}, events, server.appends[stream], limiter, writing))
+			follower.New(stream, server.settings.LogService.AddrPort, newLogClient(), events, server.advances[stream], reading),
+			appender.New(stream, server.settings.LogService.AddrPort, newLogClient(), events, server.appends[stream], limiter, writing))
 	}
 }
 
