End the runs of a simulated minion that is started twice

Faults of one minion may overlap: a wave started a minion that a crash had already started again. The other tests of the package give the same verdicts.

--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -63,8 +63,9 @@
 	return minion
 }
 
-// start starts a new incarnation.
+// start starts a new incarnation. The runs of an earlier one end.
 func (minion *fakeMinion) start() {
+	minion.crash()
 	minion.incarnation++
 	minion.alive, minion.started = true, minion.simulation.now
 	minion.token, minion.lease, minion.lastEnd = 0, 0, 0
