Reproduce a minion that is unused after its clock was set back

Cause: the start time of a minion is its incarnation, and handleMinionReport ignores an entry whose incarnation is earlier than the known one. A minion that restarts after its wall clock was set back is earlier than its former incarnation. Its entry is ignored, its answers count as those of an older incarnation, and it takes no runs until the clock has caught up or the holder changes.

TestMinionIsUsedAfterItsClockWasSetBack, red on this code: 6 of 8 minions restart so; a gang of 4 has nothing running 3 s later (got 0, want 4).

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -250,3 +250,29 @@
 	simulation.advance(maxIdleTime)
 	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%d advice requests", simulation.services.adviceRequests))
 }
+
+// TestMinionIsUsedAfterItsClockWasSetBack guards against a minion that takes no runs
+// for the rest of its life because it has restarted after its wall clock was set
+// back, so that its start time is earlier than that of its former incarnation.
+func TestMinionIsUsedAfterItsClockWasSetBack(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	for _, minion := range simulation.sortedMinions() {
+		minion.incarnation = 1_000
+	}
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions()[:6] {
+		minion.crash()
+		minion.incarnation = 500
+		minion.start()
+	}
+	simulation.deliverAllReports()
+	simulation.advance(leaseTime)
+	gang := wholeMinions(4, 10*time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
