Reproduce unanswered stops that keep all tasks from starting

Callers would see that no job starts anywhere while some minions do not answer, up to the end of their leases (4.9 s).

Cause: runPass places nothing while 192 starts and stops have no answer. A stop without an answer is sent again at once, so that each run on a minion that does not answer holds one of the 192 until its lease has expired.

TestUnansweredStopsLeaveOthersRunning, red on this code: 400 tasks on minions that are cut off are cancelled; a task of another job has not started on an idle minion 3 s later (got 0, want 1).

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -276,3 +276,25 @@
 	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestUnansweredStopsLeaveOthersRunning guards against orders to minions that do
+// not answer which keep all tasks from sound minions, because they use up the
+// number of pending orders.
+func TestUnansweredStopsLeaveOthersRunning(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 64)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("many", specifier.Step{Tasks: 400, Request: taskOf(1000, 0), EstimatedRunTime: time.Minute}))
+	simulation.advance(3 * time.Second)
+	for _, minion := range simulation.sortedMinions() {
+		if len(minion.runs) > 0 {
+			simulation.setReachable(false, minion.name)
+		}
+	}
+	simulation.cancel("many")
+	simulation.advance(100 * time.Millisecond)
+	simulation.submit(jobOf("other", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 20 * time.Second}))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
+}
