--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -250,3 +250,51 @@
 	simulation.advance(maxIdleTime)
 	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%d advice requests", simulation.services.adviceRequests))
 }
+
+// TestMinionIsUsedAfterItsClockWasSetBack guards against a minion that takes no runs
+// for the rest of its life because it has restarted after its wall clock was set
+// back, so that its start time is earlier than that of its former incarnation.
+func TestMinionIsUsedAfterItsClockWasSetBack(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	for _, minion := range simulation.sortedMinions() {
+		minion.incarnation = 1_000
+	}
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions()[:6] {
+		minion.crash()
+		minion.incarnation = 500
+		minion.start()
+	}
+	simulation.deliverAllReports()
+	simulation.advance(leaseTime)
+	gang := wholeMinions(4, 10*time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestUnansweredStopsLeaveOthersRunning guards against orders to minions that do
+// not answer which keep all tasks from sound minions, because they use up the
+// number of pending orders.
+func TestUnansweredStopsLeaveOthersRunning(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 64)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("many", specifier.Step{Tasks: 400, Request: taskOf(1000, 0), EstimatedRunTime: time.Minute}))
+	simulation.advance(3 * time.Second)
+	for _, minion := range simulation.sortedMinions() {
+		if len(minion.runs) > 0 {
+			simulation.setReachable(false, minion.name)
+		}
+	}
+	simulation.cancel("many")
+	simulation.advance(100 * time.Millisecond)
+	simulation.submit(jobOf("other", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 20 * time.Second}))
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
+}
