Use a minion that has restarted after its clock was set back

An entry with an earlier start than the known one was ignored for ever, although a minion that restarts after its wall clock was set back writes just that. The entry alone does not end the known incarnation, since another writer may have left it: the minion is asked, and its answer decides.

TestMinionIsUsedAfterItsClockWasSetBack failed before (got 0, want 4) and passes.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -15,6 +15,9 @@
 	rack   identifier.Rack
 	// registered means that the minion is listed in the store.
 	registered bool
+	// listedIncarnation is the incarnation in the store. It differs from that of the
+	// report while only an answer, or only the entry, shows a restart.
+	listedIncarnation identifier.Incarnation
 	// leavesAt is the earliest time at which a draining minion leaves, zero if it
 	// does not drain.
 	leavesAt time.Time
@@ -80,7 +83,7 @@
 // update applies a newer report of the same incarnation.
 func (minion *minion) update(report messenger.MinionReport, now time.Time) {
 	minion.report = report
-	minion.registered = true
+	minion.registered, minion.listedIncarnation = true, report.Incarnation
 	minion.rack = rackOf(report.Labels)
 	minion.leavesAt = time.Time{}
 	if report.Draining {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -41,21 +41,32 @@
 		}
 		return
 	}
-	if ok {
-		if report.Incarnation < existing.report.Incarnation {
-			return
+	if ok && report.Incarnation < existing.report.Incarnation {
+		// Either an answer has shown already that this incarnation has ended, or the
+		// minion has restarted after its wall clock was set back. Its answer tells.
+		existing.registered, existing.listedIncarnation = true, report.Incarnation
+		if !existing.polling {
+			existing.nextPollAt = now
 		}
+		return
 	}
+	planner.addMinion(now, existing, report)
+}
+
+// addMinion adds the minion of a report in place of its earlier incarnation, which is
+// nil if there is none.
+func (planner *Planner) addMinion(now time.Time, earlier *minion, report messenger.MinionReport) *minion {
 	added := newMinion(report, now)
 	if planner.holder.active {
 		added.nextPollAt = now
 	}
-	if ok {
-		planner.replaceIncarnation(now, existing, added)
+	if earlier != nil {
+		planner.replaceIncarnation(now, earlier, added)
 	}
 	planner.setMinion(added)
 	planner.emitDecision(string(report.Minion), "minion-registered", "its report was read",
 		fmt.Sprintf("address=%s domain=%s", report.Address, report.FailureDomain), 0)
+	return added
 }
 
 // replaceIncarnation replaces an incarnation with the next one under the same
@@ -155,7 +166,7 @@
 		planner.stepDown()
 		return
 	}
-	if event.Incarnation != 0 && event.Incarnation < minion.report.Incarnation {
+	if event.Incarnation != 0 && event.Incarnation < minion.report.Incarnation && event.Incarnation != minion.listedIncarnation {
 		event = withoutAnswer(event)
 	}
 	_, isPoll := event.Sent.Order.(messenger.PollRuns)
@@ -183,7 +194,7 @@
 	}
 }
 
-// answeredByOtherIncarnation reports whether the answer is from a newer
+// answeredByOtherIncarnation reports whether the answer is from the next
 // incarnation or another minion. The addressed incarnation has then ended and is
 // replaced or removed.
 func (planner *Planner) answeredByOtherIncarnation(now time.Time, minion *minion, event messenger.OrderAnswered) bool {
@@ -197,8 +208,8 @@
 	}
 	report := minion.report
 	report.Incarnation, report.Clock = event.Incarnation, event.Clock
-	planner.handleMinionReport(now, report)
-	planner.minions[report.Minion].registered = minion.registered // an answer does not list the minion
+	next := planner.addMinion(now, minion, report) // an answer does not list the minion
+	next.registered, next.listedIncarnation = minion.registered, minion.listedIncarnation
 	return true
 }
 
