Let the stand-ins of planner's tests lose starts and refuse reports

A minion may lose some kinds of orders or refuse connections, the store may refuse the report of a wave, and the advice service may answer later than announced. All are off by default.

--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -14,6 +14,12 @@
 	// refuse returns the code with which the minion refuses an order that it has
 	// not carried out, OK for none. It may be nil.
 	refuse func(order messenger.Order) classifier.Code
+	// loses reports whether an order never reaches the minion, although others do. It
+	// may be nil.
+	loses func(order messenger.Order) bool
+	// refusesConnections means that no order is ever sent to the minion, which the
+	// sender learns at once.
+	refusesConnections bool
 	// refusesUnknownStop means that a stop of a run that the minion has never had
 	// is refused with BadRequest.
 	refusesUnknownStop bool
@@ -34,6 +40,11 @@
 	return minionFaults.refuse(order)
 }
 
+// isLost reports whether an order never reaches the minion.
+func (minionFaults *minionFaults) isLost(order messenger.Order) bool {
+	return minionFaults.loses != nil && minionFaults.loses(order)
+}
+
 // hasSeen reports whether the minion has, or had, the run of a stop.
 func (minion *fakeMinion) hasSeen(stop messenger.StopRun) bool {
 	run := minion.runs[stop.Task]
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -110,7 +110,12 @@
 	minion := simulation.minions[order.Minion]
 	sentAt := simulation.now
 	unknown := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")}
-	if !minion.alive || minion.unreachableFrom[node] {
+	if minion.faults.refusesConnections {
+		refused := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.MinionUnreachable, "connection refused")}
+		simulation.schedule(latency, func() { simulation.step(node, refused) })
+		return
+	}
+	if !minion.alive || minion.unreachableFrom[node] || minion.faults.isLost(order.Order) {
 		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 		return
 	}
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -37,6 +37,10 @@
 	// refuseMaintenance returns why the platform refuses a maintenance, nil if it
 	// does not.
 	refuseMaintenance func(vm identifier.VM) *classifier.Error
+	// refuseReport reports whether the store refuses the report of a wave.
+	refuseReport func() bool
+	// adviceDelay is how much later than announced the advice service answers.
+	adviceDelay time.Duration
 	// failAdvice reports whether the advice service answers with an error.
 	failAdvice func() bool
 }
@@ -48,6 +52,7 @@
 		waves:             make(map[identifier.Wave]messenger.Wave),
 		refuseMaintenance: func(identifier.VM) *classifier.Error { return nil },
 		failAdvice:        func() bool { return false },
+		refuseReport:      func() bool { return false },
 	}
 }
 
@@ -60,7 +65,13 @@
 	case messenger.RequestAdvice:
 		services.adviceRequests++
 		sentAt := simulation.now
-		simulation.schedule(adviceTime, func() {
+		if adviceTime+services.adviceDelay > action.Timeout {
+			simulation.schedule(action.Timeout, func() {
+				simulation.step(node, messenger.AdviceReceived{Sent: action, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")})
+			})
+			return
+		}
+		simulation.schedule(adviceTime+services.adviceDelay, func() {
 			received := messenger.AdviceReceived{Sent: action, SentAt: sentAt, Validity: ticketValidity}
 			if services.failAdvice() {
 				received.Err = classifier.New(classifier.MinionBusy, "too many calls wait")
@@ -94,6 +105,11 @@
 			simulation.step(node, messenger.VMMaintained{Sent: action, Err: simulation.maintainVM(action.VM)})
 		})
 	case messenger.ReportWave:
+		if services.refuseReport() {
+			err := classifier.New(classifier.StoreBusy, "status 503")
+			simulation.schedule(appendTime, func() { simulation.step(node, messenger.WaveReported{Sent: action, Err: err}) })
+			return
+		}
 		services.reportedWaves = append(services.reportedWaves, action)
 		simulation.schedule(appendTime, func() { simulation.step(node, messenger.WaveReported{Sent: action}) })
 	}
