--- a/applier/narrowlink_test.go
+++ b/applier/narrowlink_test.go
@@ -112,3 +112,42 @@
 	c.Assert(configuration.applied > 0, quicktest.IsTrue, quicktest.Commentf("no copy of %d parts after %d parts in %v", parts, carried, span))
 	c.Assert(carried <= 4*parts, quicktest.IsTrue, quicktest.Commentf("%d parts carried for a copy of %d", carried, parts))
 }
+
+// TestSnapshotIsCompleteOverNarrowLink guards against a snapshot whose last parts
+// expire while the first ones are appended. The next snapshot would begin again at
+// the first part, until the log deletes the appends that no snapshot replaces.
+func TestSnapshotIsCompleteOverNarrowLink(t *testing.T) {
+	const (
+		texts = 40                  // of 144 KiB
+		share = 60_000_000 / 8 / 17 // one of 17 nodes behind the link between two regions
+	)
+	c := quicktest.New(t)
+	parameters := testParameters
+	parameters.Founders = nil
+	for i := range texts {
+		parameters.Founders = append(parameters.Founders, identifier.Organisation(fmt.Sprintf("founder-%d", i)))
+	}
+	fixture := newFixture(parameters).catchUpAll()
+	for _, founder := range parameters.Founders {
+		publishLargeText(fixture, founder)
+	}
+	now := epoch.Add(testRetention/4 + time.Second)
+	appendedAt, parts, expired := now, 0, 0
+	for _, action := range fixture.Step(now, messenger.Tick{}) {
+		record, ok := action.(messenger.AppendRecord)
+		if !ok {
+			continue
+		}
+		parts++
+		state := record.Entry.Record.(messenger.Snapshot).State.(messenger.ConfigurationState)
+		for _, text := range state.Organisations {
+			base64Bytes := len(text.Text) * 4 / 3
+			appendedAt = appendedAt.Add(time.Duration(base64Bytes) * time.Second / share)
+		}
+		if record.Deadline.Before(appendedAt) {
+			expired++
+		}
+	}
+	c.Assert(parts >= texts, quicktest.IsTrue)
+	c.Assert(expired, quicktest.Equals, 0, quicktest.Commentf("expired parts of %d after %v", parts, appendedAt.Sub(now)))
+}
--- a/applier/snapshot.go
+++ b/applier/snapshot.go
@@ -20,6 +20,11 @@
 	maxParts = 512
 )
 
+// snapshotSteps is the number of parts of the retention by which snapshots are
+// scheduled. The parts of a snapshot may be appended until this node would write the
+// next one: if they expired sooner, a large snapshot would begin again each time.
+const snapshotSteps = 64
+
 // snapshotSchedule determines when the next snapshot of a stream is due.
 type snapshotSchedule struct {
 	// base is the log's time of the newest snapshot, or of the first append if there
@@ -41,8 +46,8 @@
 // further rank up to 15 writes another 1/64 later if no snapshot has appeared, so
 // that another node replaces a failed one before half of the retention has passed.
 func (schedule *snapshotSchedule) dueTime(retention time.Duration, rank int) time.Time {
-	dueTime := schedule.base.Add(retention/4 + time.Duration(min(rank, 15))*retention/64)
-	return later(dueTime, schedule.writtenAt.Add(retention/64))
+	dueTime := schedule.base.Add(retention/4 + time.Duration(min(rank, 15))*retention/snapshotSteps)
+	return later(dueTime, schedule.writtenAt.Add(retention/snapshotSteps))
 }
 
 // writeSnapshots appends the snapshots that are due.
@@ -63,7 +68,7 @@
 						applier.identity.Node, applier.identity.Incarnation, part.Part),
 					Record: part,
 				},
-				Deadline: now.Add(applier.parameters.AppendTimeout),
+				Deadline: now.Add(max(applier.parameters.AppendTimeout, applier.parameters.Retention/snapshotSteps)),
 			})
 		}
 	}
