Wait longer for the first byte of a read after a failed one

After an outage a read had to begin within 0.9 s. The read after a failed one now waits 1.6 s without progress.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -18,6 +18,9 @@
 	// and of a page. A connection that no longer responds is detected only by that.
 	readStallTimeout = 800 * time.Millisecond
 	listStallTimeout = 1500 * time.Millisecond
+	// retryStallTimeout is that of a read after a failed one. On a full link with a
+	// long queue an answer does not begin sooner.
+	retryStallTimeout = 1600 * time.Millisecond
 	// probeReadWait bounds the wait of a read that follows a failed one, so that its
 	// answer soon shows that the store is available again.
 	probeReadWait  = 100 * time.Millisecond
@@ -191,11 +194,11 @@
 	if !tailer.isListed {
 		return tailer.list(ctx, started)
 	}
-	wait := tailer.options.Wait
+	wait, stallTimeout := tailer.options.Wait, readStallTimeout
 	if tailer.backoff > 0 {
-		wait = min(wait, probeReadWait)
+		wait, stallTimeout = min(wait, probeReadWait), retryStallTimeout
 	}
-	records, end, err := tailer.log.Read(ctx, tailer.options.Topic, tailer.next, wait, readStallTimeout)
+	records, end, err := tailer.log.Read(ctx, tailer.options.Topic, tailer.next, wait, stallTimeout)
 	if classifier.CodeOf(err) == classifier.HistoryTrimmed {
 		tailer.isListed = false
 		return nil
