Count the bytes of a watched transfer as they arrive

Progress counted when a read returned, and a chunked body fills the whole target first: 860 KB in one chunk were given up as stalled at 708,477 bytes although they arrived steadily. A read is now at most 4 KiB.

A connection that delivers 100 bytes each 0.7 s kept a node without its configuration, although a new one delivers all of it at once. Only 1 KiB counts as progress now.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -14,6 +14,15 @@
 // ErrStalled is the cause of the end of a context whose transfer made no progress.
 var ErrStalled = errors.New("the transfer has stalled")
 
+const (
+	// minProgressBytes is how much must arrive within the stall timeout, so that a
+	// connection that delivers a few bytes at a time does not last for ever.
+	minProgressBytes = 1 << 10
+	// maxReadBytes bounds a read, because some readers return only when the target is
+	// full.
+	maxReadBytes = 4 << 10
+)
+
 // Watcher watches one transfer. It is safe for concurrent use.
 type Watcher struct {
 	timer        *time.Timer
@@ -43,18 +52,22 @@
 
 // Reader returns a reader whose successful reads are progress of the transfer.
 func (watcher *Watcher) Reader(reader io.Reader) io.Reader {
-	return progressReader{reader, watcher}
+	return &progressReader{reader: reader, watcher: watcher}
 }
 
 type progressReader struct {
 	reader  io.Reader
 	watcher *Watcher
+	// bytes is what has been read since the last progress.
+	bytes int
 }
 
 // Read implements io.Reader.
-func (progressReader progressReader) Read(target []byte) (int, error) {
-	count, err := progressReader.reader.Read(target)
-	if count > 0 {
+func (progressReader *progressReader) Read(target []byte) (int, error) {
+	count, err := progressReader.reader.Read(target[:min(len(target), maxReadBytes)])
+	progressReader.bytes += count
+	if progressReader.bytes >= minProgressBytes {
+		progressReader.bytes = 0
 		progressReader.watcher.timer.Reset(progressReader.watcher.stallTimeout)
 	}
 	return count, err
