Let long-running tasks leave their rack and use quarantined minions

A long-running task waited for ever for its full data rack, or for minions in quarantine, while half of the pool was in use. Its rule holds however full the service is.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -42,9 +42,9 @@
 }
 
 // requiresRack reports whether the step must run on its rack and waits until it can,
-// instead of running slowly elsewhere. A step that is late waits only if it is
+// instead of running slowly elsewhere. A step that is late does not wait unless it is
 // long-running. No step waits for a rack that can never hold it, nor longer than
-// rackWait while the pool is not crowded.
+// rackWait if it is long-running or the pool is not crowded.
 func (step *step) requiresRack(now time.Time, waitingStep *waitingStep, pool *pool) bool {
 	if !step.spec.SameRack && step.spec.DataRack == "" {
 		return false
@@ -52,7 +52,8 @@
 	if waitingStep.late && !step.spec.LongRunning {
 		return false
 	}
-	return (now.Sub(step.waitingSince) < rackWait || pool.crowded) && pool.fitsOnRack(step)
+	isPatient := pool.crowded && !step.spec.LongRunning
+	return (now.Sub(step.waitingSince) < rackWait || isPatient) && pool.fitsOnRack(step)
 }
 
 // maxPerMinion returns the limit on tasks of the step per minion.
--- a/planner/place.go
+++ b/planner/place.go
@@ -17,7 +17,7 @@
 	}
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.findMinions(now, waitingStep, pool)
-	if len(chosen) == 0 && !pool.crowded && now.Sub(step.waitingSince) >= quarantineWait {
+	if len(chosen) == 0 && (!pool.crowded || step.spec.LongRunning) && now.Sub(step.waitingSince) >= quarantineWait {
 		// Failures may be the fault of another job. Idle minions are better than none.
 		pool = planner.extended(now, pool)
 		chosen = planner.findMinions(now, waitingStep, pool)
