Repeat a refused report of a wave after a delay

A holder repeated a refused report of a completed wave at once: 202 reports in 2 s. It waits 300 ms now, as for the maintenance itself.

--- a/planner/maintenance.go
+++ b/planner/maintenance.go
@@ -39,6 +39,8 @@
 	vms            map[identifier.VM]*vmMaintenance
 	reported       bool
 	reportInFlight bool
+	// reportRetryAt is when a refused report may be repeated.
+	reportRetryAt time.Time
 }
 
 // vmMaintenance is the maintenance of one VM of a wave.
@@ -154,7 +156,7 @@
 		}
 	}
 	if unfinished == 0 {
-		planner.reportWave(wave)
+		planner.reportWave(now, wave)
 		return
 	}
 	for _, name := range planner.waitingVMsByLoad(wave) {
@@ -263,21 +265,22 @@
 	}
 }
 
-func (planner *Planner) reportWave(wave *wave) {
-	if wave.reportInFlight || wave.reported {
+func (planner *Planner) reportWave(now time.Time, wave *wave) {
+	if wave.reportInFlight || wave.reported || now.Before(wave.reportRetryAt) {
 		return
 	}
 	wave.reportInFlight = true
 	planner.emit(messenger.ReportWave{Wave: wave.request.Wave, Completed: true})
 }
 
-func (planner *Planner) handleWaveReported(event messenger.WaveReported) {
+func (planner *Planner) handleWaveReported(now time.Time, event messenger.WaveReported) {
 	wave, ok := planner.maintenance.waves[event.Sent.Wave]
 	if !ok {
 		return
 	}
 	wave.reportInFlight = false
 	if event.Err != nil {
+		wave.reportRetryAt = now.Add(maintenanceRetryDelay)
 		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "report-wave-" + event.Err.Code.Name()})
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -93,7 +93,7 @@
 	case messenger.VMMaintained:
 		planner.handleMaintenanceAnswer(now, event)
 	case messenger.WaveReported:
-		planner.handleWaveReported(event)
+		planner.handleWaveReported(now, event)
 	}
 	planner.repeatFence(now)
 	if planner.holder.active {
