Give advice more time after a request that failed

If advice took 1 s longer than announced, the same request was repeated with the same timeout for ever: 45 requests in a minute and no run. The slack is now doubled while requests fail, up to 4 s.

--- a/planner/advice.go
+++ b/planner/advice.go
@@ -13,8 +13,10 @@
 	// maxMinionsPerAdviceRequest limits the minions of one request, because the
 	// service needs time for each.
 	maxMinionsPerAdviceRequest = 24
-	// adviceTimeoutSlack is added to the decision time that the service announces.
-	adviceTimeoutSlack = 900 * time.Millisecond
+	// minAdviceSlack is added to the decision time that the service announces. It is
+	// doubled up to maxAdviceSlack while requests fail.
+	minAdviceSlack = 900 * time.Millisecond
+	maxAdviceSlack = 4 * time.Second
 	// adviceRetryDelay is the time before a failed request is repeated.
 	adviceRetryDelay = 200 * time.Millisecond
 	// ticketMargin is how long before its expiry a ticket is no longer used,
@@ -39,6 +41,8 @@
 type adviceRequest struct {
 	step    *step
 	retryAt time.Time
+	// slack is that of the last request.
+	slack time.Duration
 }
 
 // updateTickets drops tickets that are about to expire. Minions that were
@@ -119,11 +123,12 @@
 	}
 	step := waitingStep.step
 	planner.adviceRequest.step = step
+	planner.adviceRequest.slack = max(planner.adviceRequest.slack, minAdviceSlack)
 	planner.emitDecision(string(step.occurrence.job.spec.ID), "ask-advice", "the queue requires advice",
 		fmt.Sprintf("step=%d minions=%d", step.number, len(names)), now.Sub(step.waitingSince))
 	planner.emit(messenger.RequestAdvice{
 		Job: step.occurrence.job.spec.ID, Occurrence: step.occurrence.number, Step: step.number, Minions: names,
-		Timeout: waitingStep.queue.Advice.DecisionTime + time.Duration(len(names))*waitingStep.queue.Advice.TimePerMinion + adviceTimeoutSlack,
+		Timeout: waitingStep.queue.Advice.DecisionTime + time.Duration(len(names))*waitingStep.queue.Advice.TimePerMinion + planner.adviceRequest.slack,
 	})
 }
 
@@ -137,9 +142,11 @@
 	planner.passNeeded = true
 	if event.Err != nil {
 		planner.adviceRequest.retryAt = now.Add(adviceRetryDelay)
+		planner.adviceRequest.slack = min(2*planner.adviceRequest.slack, maxAdviceSlack)
 		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "advice-" + event.Err.Code.Name()})
 		return
 	}
+	planner.adviceRequest.slack = 0
 	if step.advice == nil {
 		return
 	}
