Hold back ends for 20 s at most

One registered minion that answers nothing kept the ends of all minions with a run of the former holder from being recorded for ever: 0 of 63 ends 40 s after a takeover. They are now held for 20 s after the claim at most; by then every lease of the former holder has expired four times over. A later run that ended on a minion which stays silent for longer is not seen any more.

--- a/planner/heldend.go
+++ b/planner/heldend.go
@@ -6,20 +6,28 @@
 	"corianderroad/messenger"
 )
 
+// maxHoldTime bounds how long after a claim ends are held back. A minion that is
+// registered but silent for longer must not keep those of all others unrecorded.
+const maxHoldTime = 20 * time.Second
+
 // holdEnd holds back an end of a run that a former holder started, until all
 // minions have reported their runs. A minion that is out of reach may have a later
 // run of the same task. The end counts for the task at once, but if it were recorded
 // now, that run would count as a start after a recorded end.
-func (planner *Planner) holdEnd(minion *minion, end messenger.RunEnd) {
+func (planner *Planner) holdEnd(now time.Time, minion *minion, end messenger.RunEnd) {
 	_, exists := minion.runs[runKey{end.Task, end.Run}]
-	if !exists && end.Kind == messenger.EndDone && planner.hasUnpolledMinion() {
+	if !exists && end.Kind == messenger.EndDone && planner.mustHoldEnds(now) {
 		minion.heldEnds = append(minion.heldEnds, end)
+		planner.holder.holdsEnds = true
 	}
 }
 
-// hasUnpolledMinion reports whether a minion has not reported its runs to this
-// holder.
-func (planner *Planner) hasUnpolledMinion() bool {
+// mustHoldEnds reports whether a minion may still report runs that this holder does
+// not know.
+func (planner *Planner) mustHoldEnds(now time.Time) bool {
+	if now.Sub(planner.holder.claimedAt) >= maxHoldTime {
+		return false
+	}
 	for _, minion := range planner.minions {
 		if !minion.polled {
 			return true
@@ -31,9 +39,10 @@
 // releaseHeldEnds lets the held ends be recorded once all minions have reported
 // their runs, apart from those whose task was started again.
 func (planner *Planner) releaseHeldEnds(now time.Time) {
-	if planner.hasUnpolledMinion() {
+	if !planner.holder.holdsEnds || planner.mustHoldEnds(now) {
 		return
 	}
+	planner.holder.holdsEnds = false
 	for _, minion := range planner.minions {
 		for _, end := range minion.heldEnds {
 			_, task := planner.findTask(end.Task)
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -39,6 +39,8 @@
 	// reconciled means that no unresolved tasks are left, or that the leases of
 	// the former holder have expired.
 	reconciled bool
+	// holdsEnds means that ends are held back.
+	holdsEnds bool
 }
 
 // isClaimValid reports whether it is certain that no other node has claimed.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -98,7 +98,6 @@
 		planner.markRunLost(now, run, reason)
 	}
 	planner.removeMinion(minion)
-	planner.releaseHeldEnds(now)
 	planner.emitDecision(string(minion.report.Minion), "minion-gone", reason, "", now.Sub(minion.clockAt))
 }
 
@@ -114,7 +113,6 @@
 		if minion.unresponsive && !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
 			planner.emitDecision(string(minion.report.Minion), "minion-gone", "neither registered nor reachable", "", now.Sub(minion.unresponsiveSince))
-			planner.releaseHeldEnds(now)
 			continue
 		}
 		if !minion.polling && !minion.nextPollAt.IsZero() && !now.Before(minion.nextPollAt) {
@@ -122,6 +120,7 @@
 		}
 	}
 	planner.reconcile(now)
+	planner.releaseHeldEnds(now)
 }
 
 func (planner *Planner) pollRuns(now time.Time, minion *minion) {
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -28,7 +28,7 @@
 		}
 		if end.Number > minion.processedEnd {
 			minion.processedEnd = end.Number
-			planner.holdEnd(minion, end)
+			planner.holdEnd(now, minion, end)
 			planner.handleRunEnd(now, minion, end)
 		}
 	}
@@ -40,10 +40,7 @@
 	}
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
-	if !minion.polled {
-		minion.polled = true
-		planner.releaseHeldEnds(now)
-	}
+	minion.polled = true
 	switch {
 	case minion.hasPostponedEnds:
 		minion.nextPollAt = now.Add(pollRetryDelay)
