Avoid a minion that carries out no starts

A minion that answers polls but carries out no start got the same task for ever: only a busy minion counted as failing, the task did not avoid it, and each poll made it usable again. A start that is not answered or is refused now counts as a failure of its minion and sends the task elsewhere; repeated refusals for want of room close the minion for longer, up to 5 s.

A start that was certainly not sent held its task until the lease had expired. It is released at once now; what may have arrived is still stopped. Runs that move to the next incarnation count as such.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -63,6 +63,9 @@
 	// noCapacityUntil is the time until which a minion that refused a run for lack
 	// of capacity gets no further runs.
 	noCapacityUntil time.Time
+	// noCapacityDelay is the length of that time. It grows until a start is carried
+	// out.
+	noCapacityDelay time.Duration
 	health          health
 	// closedForMaintenance means that no run is started on the minion because its
 	// VM awaits maintenance.
@@ -171,6 +174,13 @@
 	return minion.report.Capacity.Sub(minion.used)
 }
 
+// closeForCapacity closes the minion for new runs for a time, because it refused one
+// for lack of capacity.
+func (minion *minion) closeForCapacity(now time.Time) {
+	minion.noCapacityDelay = min(max(2*minion.noCapacityDelay, minNoCapacityDelay), maxNoCapacityDelay)
+	minion.noCapacityUntil = now.Add(minion.noCapacityDelay)
+}
+
 // requiredCapacity returns how much of its minion's capacity a task occupies.
 func requiredCapacity(spec *specifier.Step) specifier.Resources {
 	request := spec.Request
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		delete(earlier.runs, runKey{run.id, run.number})
-		run.minion = next
+		run.minion, run.mayHaveArrived = next, true
 		next.addRun(run)
 		next.leaseSent = next.clockLowerBound(now) + planner.bounds.MaxLease
 		if run.state == stopping {
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -77,9 +77,10 @@
 	// refusedStartDelay is the time before a task is started again after a minion
 	// has refused it.
 	refusedStartDelay = 150 * time.Millisecond
-	// noCapacityDelay is how long a minion that refused a run for lack of capacity
-	// gets no further runs.
-	noCapacityDelay = 300 * time.Millisecond
+	// minNoCapacityDelay and maxNoCapacityDelay bound how long a minion that refused a
+	// run for lack of capacity gets no further runs.
+	minNoCapacityDelay = 300 * time.Millisecond
+	maxNoCapacityDelay = 5 * time.Second
 	// maxJobsPerRecord limits the jobs in one record of progress.
 	maxJobsPerRecord = 48
 	// recordRetryDelay is the time before a record without an answer is repeated.
--- a/planner/run.go
+++ b/planner/run.go
@@ -31,6 +31,8 @@
 
 	startedAt     time.Time
 	startAttempts int
+	// mayHaveArrived means that a start without an answer may still be carried out.
+	mayHaveArrived bool
 	// startLeaseUntil is the lease in the newest start order, on the minion's clock.
 	// A start that arrives later is refused.
 	startLeaseUntil time.Duration
@@ -141,6 +143,7 @@
 	if event.Err == nil {
 		if run.state == starting {
 			run.state = running
+			run.minion.noCapacityDelay = 0
 			run.startConfirmedAt, run.progressAt = now, now
 		}
 		return
@@ -150,12 +153,7 @@
 	}
 	switch event.Err.Code {
 	case classifier.MinionUnreachable, classifier.OutcomeUnknown, classifier.RingFull:
-		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + event.Err.Code.Name()})
-		if run.startAttempts < maxStartAttempts {
-			planner.sendStart(now, run)
-		} else {
-			planner.stopRun(now, run, "the start was not answered")
-		}
+		planner.handleUnansweredStart(now, run, event.Err.Code)
 		return
 	case classifier.SupersededRun:
 		// The minion carried out an earlier attempt of this start, and the run has
@@ -164,21 +162,49 @@
 		run.state, run.stopAcknowledgedAt = stopping, now
 		return
 	case classifier.NoCapacity:
-		run.minion.noCapacityUntil = now.Add(noCapacityDelay)
-	case classifier.MinionBusy:
-		planner.countMinionFailure(now, run.minion)
+		run.minion.closeForCapacity(now)
 	case classifier.NoTicket:
 		run.step.dropTicket(run.minion)
+	default:
+		planner.countFailedStart(now, run)
 	}
 	planner.emit(messenger.Count{Counter: messenger.Refusals, Reason: "start-" + event.Err.Code.Name()})
 	run.task().notBefore = now.Add(refusedStartDelay)
-	if run.startAttempts > 1 {
-		// An earlier attempt without an answer may still be carried out. The minion
-		// refuses it once it has the order to stop.
-		planner.stopRun(now, run, "refused: "+event.Err.Code.Name())
+	planner.abandonStart(now, run, "refused: "+event.Err.Code.Name())
+}
+
+// handleUnansweredStart repeats a start without an answer, or gives it up after some
+// attempts.
+func (planner *Planner) handleUnansweredStart(now time.Time, run *run, code classifier.Code) {
+	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + code.Name()})
+	run.mayHaveArrived = run.mayHaveArrived || code == classifier.OutcomeUnknown
+	if run.startAttempts < maxStartAttempts {
+		planner.sendStart(now, run)
+		return
+	}
+	if code != classifier.RingFull {
+		planner.countFailedStart(now, run)
+	}
+	planner.abandonStart(now, run, "the start was not answered")
+}
+
+// countFailedStart counts a start that its minion did not carry out, so that the
+// next start of the task goes elsewhere. Answers to polls alone do not show that the
+// minion can be used.
+func (planner *Planner) countFailedStart(now time.Time, run *run) {
+	run.task().lastFailedOn = run.minion.report.Minion
+	planner.countMinionFailure(now, run.minion)
+}
+
+// abandonStart releases a run whose start certainly did not arrive. Otherwise it
+// stops the run: an attempt without an answer may still be carried out, and the
+// minion refuses it once it has the order to stop.
+func (planner *Planner) abandonStart(now time.Time, run *run, reason string) {
+	if run.mayHaveArrived {
+		planner.stopRun(now, run, reason)
 		return
 	}
-	planner.markRunLost(now, run, "refused: "+event.Err.Code.Name())
+	planner.markRunLost(now, run, reason)
 }
 
 // markRunLost releases a run that certainly does not run although its minion
