Bound the time without progress of a VM list

TestLongListReachesAllNodesOverNarrowLink failed before (17 nodes without a list of 1659899 bytes) and passes.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"corianderroad/messenger"
+	"corianderroad/watcher"
 )
 
 // EventSink receives the VM list. Deliver waits for free capacity until the context ends,
@@ -31,8 +32,8 @@
 const (
 	// pollInterval is the time from the end of a poll to the start of the next.
 	pollInterval = time.Second
-	// pollTimeout bounds one poll.
-	pollTimeout = time.Second
+	// stallTimeout bounds the time without progress of one poll.
+	stallTimeout = time.Second
 	// maxListBytes bounds the list in bytes: 4,500 workers and 1,024 minions and
 	// entry VMs of about 300 bytes each are 1.7 MB.
 	maxListBytes = 8 << 20
@@ -126,8 +127,8 @@
 }
 
 func (lister *Lister) poll(ctx context.Context) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
+	ctx, watched := watcher.New(ctx, stallTimeout)
+	defer watched.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, lister.url, nil)
 	if err != nil {
 		return answer{}, errors.Wrap(err, "VM list")
@@ -147,7 +148,7 @@
 	default:
 		return answer{}, errors.Errorf("VM list: status %d", response.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
+	body, err := io.ReadAll(io.LimitReader(watched.Reader(response.Body), maxListBytes+1))
 	if err != nil {
 		return answer{}, errors.Wrap(err, "VM list")
 	}
--- a/server/ioduties.go
+++ b/server/ioduties.go
@@ -55,7 +55,7 @@
 	server.duties = append(server.duties,
 		transporter.New(server.identity, key, transporter.Parameters{}, listener, transporter.TCP{},
 			server.sends, events, peerResponder{server}, meter),
-		lister.New(&http.Client{Timeout: listTimeout}, "http://"+settings.VMList.String(), events, meter),
+		lister.New(&http.Client{}, "http://"+settings.VMList.String(), events, meter),
 		dispatcher.New(server.minionCalls, server.slotQueries, events,
 			dispatcher.Parameters{MaxCalls: settings.Limits.MinionCalls, Now: server.clock}),
 		controller.New(server.workerCalls, events, controller.Parameters{MaxCalls: settings.Limits.WorkerCalls}))
@@ -65,10 +65,6 @@
 	return err
 }
 
-// listTimeout limits one read of the VM list. It is short because the list is only
-// a hint.
-const listTimeout = 2 * time.Second
-
 // Timeouts of reads of the log. If a connection stops responding, the read fails
 // after readTimeout and the next read uses a new connection. With the default of
 // 7 s, a submission was answered 7.05 s after its record was appended.
