--- a/planner/minions.go
+++ b/planner/minions.go
@@ -8,7 +8,7 @@
 	"corianderroad/messenger"
 )
 
-// handleMinionReports applies reports from the store. A later start time under
+// handleMinionReports applies reports from the store. Another start time under
 // the same name is another incarnation, and all runs of the earlier one have
 // ended.
 func (planner *Planner) handleMinionReports(now time.Time, event messenger.MinionsRead) {
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -76,6 +76,7 @@
 func (planner *Planner) extended(now time.Time, original *pool) *pool {
 	if original.withQuarantined == nil {
 		extended := newPool()
+		extended.crowded = original.crowded
 		for _, minion := range original.registered {
 			state := minion.availability(now)
 			extended.addMinion(minion, state == accepting || state == quarantined)
