Record the newest run of a task whose earlier end was not heard

Its run 1050257 had ended as done at 8.334 beside a change of the holder; the next one started run when the former leases had expired, and that one ended alone at 17.888.

Mechanism, shown by a schedule: the end of a run whose end is not done is recorded and forgotten by its minion, and progress said nothing of that run. The holder after that hears the end of the first run and does not know that the task was started again. A task that was given up without its end now records its newest run, before the end of that run is acknowledged. The progress record gets a list "restarts", left out if empty, which earlier versions ignore.

TestEndBeforeAForgottenRunIsNotRecorded failed before (50.545 a.0.0.0: the end of run 1048578 is recorded although run 2097154 has started) and passes. Not covered: the later run's minion dies before its end is recorded.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -128,6 +128,9 @@
 	for _, task := range wire.Tasks {
 		progress.Tasks = append(progress.Tasks, specifier.TaskProgress(task))
 	}
+	for _, restart := range wire.Restarts {
+		progress.Restarts = append(progress.Restarts, specifier.TaskRestart(restart))
+	}
 	progressed := messenger.Progressed{Job: job, Progress: progress}
 	if err := progressed.Check(); err != nil {
 		return nil, err
@@ -140,6 +143,9 @@
 	for _, task := range progress.Tasks {
 		wire.Tasks = append(wire.Tasks, JournalTask(task))
 	}
+	for _, restart := range progress.Restarts {
+		wire.Restarts = append(wire.Restarts, JournalRestart(restart))
+	}
 	return wire
 }
 
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -50,6 +50,18 @@
 	State   uint8         `msg:"state"`
 	EndedAt int64         `msg:"ended-at"`
 	Tasks   []JournalTask `msg:"tasks"`
+	// Restarts are left out if there are none. Earlier versions ignore them.
+	Restarts []JournalRestart `msg:"restarts,omitempty"`
+}
+
+// JournalRestart is specifier.TaskRestart on the wire.
+//
+//msgp:tuple JournalRestart
+type JournalRestart struct {
+	Occurrence int    `msg:"occurrence"`
+	Step       int    `msg:"step"`
+	Index      int    `msg:"index"`
+	LatestRun  uint64 `msg:"latest-run"`
 }
 
 // JournalTask is specifier.TaskProgress on the wire.
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -254,21 +254,46 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
-	// string "state"
-	o = append(o, 0x83, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
-	o = msgp.AppendUint8(o, z.State)
-	// string "ended-at"
-	o = append(o, 0xa8, 0x65, 0x6e, 0x64, 0x65, 0x64, 0x2d, 0x61, 0x74)
-	o = msgp.AppendInt64(o, z.EndedAt)
-	// string "tasks"
-	o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
-	for za0001 := range z.Tasks {
-		o, err = z.Tasks[za0001].MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Tasks", za0001)
-			return
+	// check for omitted fields
+	zb0001Len := uint32(4)
+	var zb0001Mask uint8 /* 4 bits */
+	_ = zb0001Mask
+	if z.Restarts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendUint8(o, z.State)
+		// string "ended-at"
+		o = append(o, 0xa8, 0x65, 0x6e, 0x64, 0x65, 0x64, 0x2d, 0x61, 0x74)
+		o = msgp.AppendInt64(o, z.EndedAt)
+		// string "tasks"
+		o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+		o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
+		for za0001 := range z.Tasks {
+			o, err = z.Tasks[za0001].MarshalMsg(o)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks", za0001)
+				return
+			}
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "restarts"
+			o = append(o, 0xa8, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Restarts)))
+			for za0002 := range z.Restarts {
+				o, err = z.Restarts[za0002].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Restarts", za0002)
+					return
+				}
+			}
 		}
 	}
 	return
@@ -331,6 +356,29 @@
 					return
 				}
 			}
+		case "restarts":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Restarts")
+				return
+			}
+			if zb0003 > z52a732eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Restarts) >= int(zb0003) {
+				z.Restarts = z.Restarts[:zb0003]
+			} else {
+				z.Restarts = make([]JournalRestart, zb0003)
+			}
+			for za0002 := range z.Restarts {
+				bts, err = z.Restarts[za0002].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Restarts", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -349,6 +397,64 @@
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0002 := range z.Restarts {
+		s += z.Restarts[za0002].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *JournalRestart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
+	o = msgp.AppendUint64(o, z.LatestRun)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JournalRestart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.LatestRun, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "LatestRun")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JournalRestart) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Uint64Size
 	return
 }
 
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -92,6 +92,12 @@
 		task.Step = int(uint(task.Step) % specifier.MaxSteps)
 		task.Index = int(uint(task.Index) % specifier.MaxTasks)
 	}
+	for index := range progress.Restarts {
+		restart := &progress.Restarts[index]
+		restart.Occurrence = int(uint(restart.Occurrence) % specifier.MaxOccurrences)
+		restart.Step = int(uint(restart.Step) % specifier.MaxSteps)
+		restart.Index = int(uint(restart.Index) % specifier.MaxTasks)
+	}
 	return progress
 }
 
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -129,18 +129,30 @@
 	if !isRecordTime(progress.EndedAt) || (progress.State.IsFinal() && progress.EndedAt.IsZero()) {
 		return classifier.New(classifier.BadRequest, "the job ended at %s, which is out of range", progress.EndedAt)
 	}
-	if len(progress.Tasks) > specifier.MaxJobTasks {
-		return classifier.New(classifier.BadRequest, "the progress lists %d tasks, at most %d are allowed", len(progress.Tasks), specifier.MaxJobTasks)
+	if max(len(progress.Tasks), len(progress.Restarts)) > specifier.MaxJobTasks {
+		return classifier.New(classifier.BadRequest, "the progress lists %d tasks and %d restarts, at most %d are allowed",
+			len(progress.Tasks), len(progress.Restarts), specifier.MaxJobTasks)
 	}
 	for _, task := range progress.Tasks {
-		if task.Occurrence < 0 || task.Occurrence >= specifier.MaxOccurrences || task.Step < 0 || task.Step >= specifier.MaxSteps ||
-			task.Index < 0 || task.Index >= specifier.MaxTasks {
-			return classifier.New(classifier.BadRequest, "task %d.%d.%d is out of range", task.Occurrence, task.Step, task.Index)
+		if err := checkTaskNumbers(task.Occurrence, task.Step, task.Index); err != nil {
+			return err
+		}
+	}
+	for _, restart := range progress.Restarts {
+		if err := checkTaskNumbers(restart.Occurrence, restart.Step, restart.Index); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
+func checkTaskNumbers(occurrence, step, index int) error {
+	if occurrence < 0 || occurrence >= specifier.MaxOccurrences || step < 0 || step >= specifier.MaxSteps || index < 0 || index >= specifier.MaxTasks {
+		return classifier.New(classifier.BadRequest, "task %d.%d.%d is out of range", occurrence, step, index)
+	}
+	return nil
+}
+
 // isRecordTime reports whether a time is zero or in the range of times in records.
 func isRecordTime(at time.Time) bool {
 	return at.IsZero() || (at.Unix() >= 0 && at.Unix() <= MaxRecordUnixSeconds)
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -227,7 +227,10 @@
 	planner.passNeeded = true
 	planner.emitDecision(string(planner.node), "holder-settled", "the leases of the former holder have expired",
 		fmt.Sprintf("unaccounted-tasks=%d", planner.holder.unresolvedTasks), now.Sub(planner.holder.claimedAt))
-	planner.forEachOpenTask(planner.markResolved)
+	planner.forEachOpenTask(func(task *task) {
+		task.hasUnheardEnd = task.hasUnheardEnd || task.unresolved
+		planner.markResolved(task)
+	})
 }
 
 func (planner *Planner) forEachOpenTask(visit func(*task)) {
--- a/planner/job.go
+++ b/planner/job.go
@@ -73,6 +73,9 @@
 	checkpoint string
 	// run is the run that may still be running, nil if there is none.
 	run *run
+	// hasUnheardEnd means that an earlier run was given up without its end, which a
+	// minion may still list.
+	hasUnheardEnd bool
 	// unresolved means that a former holder may have started the task on a minion
 	// that has not reported it.
 	unresolved bool
@@ -220,6 +223,12 @@
 			task.checkpoint = taskProgress.Checkpoint
 		}
 	}
+	for _, restart := range progress.Restarts {
+		_, task := job.find(specifier.Task{Occurrence: restart.Occurrence, Step: restart.Step, Index: restart.Index})
+		if task != nil {
+			task.latestRun, task.hasUnheardEnd = max(task.latestRun, restart.LatestRun), true
+		}
+	}
 }
 
 // progress returns the job's progress for the journal.
@@ -231,6 +240,11 @@
 		for _, step := range occurrence.steps {
 			for index := range step.tasks {
 				task := &step.tasks[index]
+				if task.hasUnheardEnd && !task.done {
+					recorded.Restarts = append(recorded.Restarts, specifier.TaskRestart{
+						Occurrence: occurrence.number, Step: step.number, Index: index, LatestRun: task.latestRun,
+					})
+				}
 				if task.done || len(task.failedRuns) > 0 || task.checkpoint != "" {
 					recorded.Tasks = append(recorded.Tasks, specifier.TaskProgress{
 						Occurrence: occurrence.number, Step: step.number, Index: index,
--- a/planner/outage_test.go
+++ b/planner/outage_test.go
@@ -130,3 +130,46 @@
 	c.Assert(minion.runs, quicktest.HasLen, 0)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestEndBeforeAForgottenRunIsNotRecorded guards against a holder that records the
+// end of a run although a former holder has started the task again since, and the
+// end of that start was recorded and forgotten.
+func TestEndBeforeAForgottenRunIsNotRecorded(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 3, 2)
+	first, second, third := simulation.nodes[0], simulation.nodes[1], simulation.nodes[2]
+	simulation.workTime = func(run *fakeRun) time.Duration {
+		if run.number < 2<<20 { // of the first holder
+			return 2 * time.Second
+		}
+		return time.Minute
+	}
+	simulation.makeHolder(first)
+	simulation.advance(time.Second)
+	step := wholeMinions(1, 2*time.Second)
+	step.Checkpoints = true // so that it is preempted
+	simulation.submit(jobOf("a", step))
+	simulation.advance(500 * time.Millisecond)
+	c.Assert(simulation.minions["m00"].runs, quicktest.HasLen, 1)
+	// The run ends out of reach of the second holder, which starts the task again.
+	first.alive = false
+	simulation.minions["m00"].unreachableFrom[second] = true
+	simulation.makeHolder(second)
+	task := simulation.taskState(specifier.Task{Job: "a"})
+	for len(task.startedRuns) < 2 {
+		simulation.advance(100 * time.Millisecond)
+	}
+	// That run is stopped for an urgent job, and its end is recorded.
+	urgent := jobOf("urgent", wholeMinions(1, time.Second))
+	urgent.Queue = urgentQueue
+	simulation.submit(urgent)
+	for len(simulation.taskState(specifier.Task{Job: "urgent"}).running) == 0 {
+		simulation.advance(100 * time.Millisecond)
+	}
+	simulation.advance(time.Second)
+	c.Assert(simulation.minions["m01"].ends, quicktest.HasLen, 0)
+	second.alive = false
+	simulation.makeHolder(third)
+	simulation.advance(10 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -47,6 +47,9 @@
 			planner.countFailure(now, step, task, end.Run, minion)
 		}
 	}
+	if task.hasUnheardEnd && !task.done {
+		planner.recording.markDirty(job) // this run must be known when its end is forgotten
+	}
 	if ok {
 		planner.releaseRun(now, run)
 	}
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -40,6 +40,18 @@
 	EndedAt time.Time
 	// Tasks lists the tasks that are done, have failed or have a checkpoint.
 	Tasks []TaskProgress
+	// Restarts lists the tasks that were started again although an end of an earlier
+	// run may not have been heard.
+	Restarts []TaskRestart
+}
+
+// TaskRestart is the newest run of a task that was started again. A holder that
+// hears of the end of an earlier run must not record it.
+type TaskRestart struct {
+	Occurrence int
+	Step       int
+	Index      int
+	LatestRun  uint64
 }
 
 // TaskProgress is the durable state of the execution of one task.
