Log the previous run of a start and second runs of a task

Change: the line of a start names the newest earlier run of the task that the holder knows of; a holder that finds a run of a task of which it knows another one writes duplicate-run with both runs and minions. No change of logic.

--- a/planner/poll.go
+++ b/planner/poll.go
@@ -144,6 +144,11 @@
 		startedAt: now, startConfirmedAt: now, progressAt: now,
 	} // its pace is unknown; pacePercent starts at 0 and rises step by step
 	minion.addRun(run)
+	if known := task.run; known != nil {
+		planner.emitDecision(report.Task.String(), "duplicate-run", "another run of the task is known",
+			fmt.Sprintf("run=%d minion=%s known-run=%d known-minion=%s", report.Run, minion.report.Minion, known.number, known.minion.report.Minion),
+			now.Sub(known.startedAt))
+	}
 	if !step.occurrence.job.isOpen() || task.done || task.run != nil {
 		planner.stopRun(now, run, "the task has ended or runs elsewhere")
 		return run
--- a/planner/run.go
+++ b/planner/run.go
@@ -79,10 +79,11 @@
 		startedAt: now, progressAt: now, ticket: ticket, pacePercent: fullPercent,
 	}
 	step.tasks[index].run = run
+	previous := step.tasks[index].latestRun
 	minion.addRun(run)
 	job := run.job()
 	planner.emitDecision(run.id.String(), "start", "placed",
-		fmt.Sprintf("run=%d minion=%s", number, minion.report.Minion), now.Sub(job.spec.AcceptedAt))
+		fmt.Sprintf("run=%d minion=%s previous-run=%d", number, minion.report.Minion, previous), now.Sub(job.spec.AcceptedAt))
 	planner.sendStart(now, run)
 }
 
