--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -54,6 +54,9 @@
 	// lostRecordAnswerShare is the share of records that become durable without an
 	// answer.
 	lostRecordAnswerShare float64
+	// storeUnavailable means that the store does not carry out the appends of
+	// holders, nor answer them.
+	storeUnavailable bool
 	// fails reports whether a run fails.
 	fails func(run *fakeRun) bool
 	// workTime returns how long a run works.
@@ -222,6 +225,8 @@
 func (simulation *simulation) appendProgress(node *node, action messenger.RecordProgress) {
 	recorded := messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial}
 	switch {
+	case simulation.storeUnavailable:
+		recorded.Err = classifier.New(classifier.OutcomeUnknown, "no answer")
 	case simulation.fenceToken > action.Token:
 		recorded.Err = classifier.New(classifier.StaleTerm, "fenced")
 	default:
