--- a/planner/poll.go
+++ b/planner/poll.go
@@ -129,7 +129,6 @@
 		return run
 	}
 	task.run = run
-	planner.withdrawReservedRun(step.occurrence.job, task)
 	planner.markResolved(task)
 	planner.emitDecision(report.Task.String(), "adopt", "found on a minion",
 		fmt.Sprintf("run=%d minion=%s percent=%d", report.Run, minion.report.Minion, report.ProgressPercent), 0)
--- a/planner/restart.go
+++ b/planner/restart.go
@@ -84,16 +84,6 @@
 	}
 }
 
-// withdrawReservedRun removes the reservation of a task whose earlier run was found.
-// If the number stayed in the journal, the next holder would expect that run instead.
-func (planner *Planner) withdrawReservedRun(job *job, task *task) {
-	if task.reservedRun == 0 {
-		return
-	}
-	task.reservedRun, task.recordedRun = 0, task.run.number
-	planner.recording.markDirty(job)
-}
-
 // awaitsRecord reports whether a task of the step could start if its number were in
 // the journal.
 func (step *step) awaitsRecord(now time.Time) bool {
