Add a property test that plays outages of the store

The store of the simulation now has faults: appends of records, fences and jobs that are not done, done 1 to 6 s late, or done without an answer; an outage in which entries of minions lapse and come back one after another within 2 s; claims only while it is available. Holders are frozen, killed, restarted, cut off, or lose only their claim, up to three times for each outage.

--- a/planner/liveness_test.go
+++ b/planner/liveness_test.go
@@ -274,16 +274,21 @@
 			minion.kind = "b"
 		}
 	}
-	policy := testPolicy()
-	policy.Version = 2
-	policy.Workspaces = []specifier.Workspace{{Name: "w", Guaranteed: 8 * livenessMinions}}
 	for _, node := range simulation.nodes {
-		simulation.step(node, messenger.PolicyRead{Policy: policy, SentAt: simulation.now})
+		simulation.step(node, messenger.PolicyRead{Policy: livenessPolicy(), SentAt: simulation.now})
 	}
 	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion == "m04" || minion >= "m08" }
 	return simulation
 }
 
+// livenessPolicy returns a policy with the workspace's guarantee.
+func livenessPolicy() *specifier.Policy {
+	policy := testPolicy()
+	policy.Version = 2
+	policy.Workspaces = []specifier.Workspace{{Name: "w", Guaranteed: 8 * livenessMinions}}
+	return policy
+}
+
 // TestStepsRunOnceFaultsEnd guards against a step of an accepted job that has
 // nothing running for longer than the rule LOST allows, or never ends, because a
 // fault has left a sound minion excluded or a task held back.
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -35,6 +35,7 @@
 	nodes   []*node
 	minions map[identifier.Minion]*fakeMinion
 	journal []messenger.JournalEntry
+	store   *fakeStore
 	// delayVariation varies the delay of orders, so that answers arrive out of
 	// order.
 	delayVariation time.Duration
@@ -102,6 +103,10 @@
 	tickAt      time.Time
 	// stepTime is the real time that the node's decisions needed.
 	stepTime time.Duration
+	// frozen means that the process does not run. The events that reach it meanwhile
+	// are handled when it runs again.
+	frozen        bool
+	pendingEvents []messenger.Event
 }
 
 func newSimulation(seed uint64, nodes, minions int) *simulation {
@@ -109,7 +114,7 @@
 		now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		minions: make(map[identifier.Minion]*fakeMinion), tasks: make(map[specifier.Task]*taskState),
 		jobs: make(map[identifier.Job]*specifier.Job), cancelled: make(map[identifier.Job]time.Time),
-		services: newFakeServices(),
+		services: newFakeServices(), store: newFakeStore(),
 		fails:    func(*fakeRun) bool { return false },
 		workTime: func(run *fakeRun) time.Duration { return run.spec.EstimatedRunTime },
 	}
@@ -167,6 +172,10 @@
 	if !node.alive {
 		return
 	}
+	if node.frozen {
+		node.pendingEvents = append(node.pendingEvents, event)
+		return
+	}
 	startedAt := time.Now()
 	actions := node.planner.Step(simulation.now, event)
 	next := node.planner.Next()
@@ -194,18 +203,16 @@
 	case messenger.OrderMinion:
 		simulation.sendOrder(node, action)
 	case messenger.FenceJournal:
-		simulation.schedule(appendTime, func() {
-			simulation.fenceToken = max(simulation.fenceToken, action.Token)
-			fenced := messenger.JournalFenced{Token: action.Token, End: identifier.Offset(len(simulation.journal))}
-			if simulation.fenceToken > action.Token {
-				fenced.Err = classifier.New(classifier.StaleTerm, "fenced")
-			}
-			simulation.step(node, fenced)
+		simulation.callStore(node, func() *classifier.Error { return simulation.fenceJournal(action.Token) }, func(err *classifier.Error) {
+			simulation.step(node, messenger.JournalFenced{Token: action.Token, End: identifier.Offset(len(simulation.journal)), Err: err})
 			simulation.deliverJournal(node)
 		})
 	case messenger.RecordProgress:
-		simulation.schedule(appendTime, func() { simulation.appendProgress(node, action) })
+		simulation.callStore(node, func() *classifier.Error { return simulation.appendProgress(action) }, func(err *classifier.Error) {
+			simulation.step(node, messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial, Err: err})
+		})
 	case messenger.FollowMinions:
+		delete(simulation.store.followers, node)
 		if action.Enabled {
 			simulation.schedule(latency, func() { simulation.deliverReports(node) })
 		}
@@ -218,24 +225,25 @@
 	}
 }
 
-// appendProgress appends progress that the holder records.
-func (simulation *simulation) appendProgress(node *node, action messenger.RecordProgress) {
-	recorded := messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial}
-	switch {
-	case simulation.fenceToken > action.Token:
-		recorded.Err = classifier.New(classifier.StaleTerm, "fenced")
-	default:
+// appendProgress appends progress that the holder records. A record that is already
+// appended is not appended again.
+func (simulation *simulation) appendProgress(action messenger.RecordProgress) *classifier.Error {
+	if simulation.fenceToken > action.Token {
+		return classifier.New(classifier.StaleTerm, "fenced")
+	}
+	if simulation.store.appendedSerials[action.Token] < action.Serial {
+		simulation.store.appendedSerials[action.Token] = action.Serial
 		for _, update := range action.Updates {
 			simulation.appendEntry(update)
 		}
 		for _, id := range action.Deletions {
 			simulation.appendEntry(messenger.Deleted{Job: id})
 		}
-		if simulation.random.Float64() < simulation.lostRecordAnswerShare {
-			recorded.Err = classifier.New(classifier.OutcomeUnknown, "no answer")
-		}
 	}
-	simulation.step(node, recorded)
+	if simulation.random.Float64() < simulation.lostRecordAnswerShare {
+		return classifier.New(classifier.OutcomeUnknown, "no answer")
+	}
+	return nil
 }
 
 // appendEntry appends an entry to the journal, which all nodes read soon.
@@ -247,7 +255,7 @@
 }
 
 func (simulation *simulation) deliverJournal(node *node) {
-	if !node.alive {
+	if !node.alive || !simulation.store.isReachableFrom(node) {
 		return
 	}
 	entries := simulation.journal[node.entriesRead:]
@@ -256,8 +264,13 @@
 }
 
 // deliverReports delivers the reports of all minions that are alive and
-// registered.
+// registered. A node that can't read them now reads them later.
 func (simulation *simulation) deliverReports(node *node) {
+	if !simulation.store.isReachableFrom(node) {
+		simulation.schedule(readRetryDelay, func() { simulation.deliverReports(node) })
+		return
+	}
+	simulation.store.followers[node] = true
 	read := messenger.MinionsRead{Complete: true, SentAt: simulation.now}
 	for _, minion := range simulation.sortedMinions() {
 		if minion.alive && !minion.unregistered {
@@ -280,7 +293,9 @@
 	if node.token != token || !node.alive {
 		return
 	}
-	simulation.step(node, messenger.HolderChanged{Token: token, ConfirmedAt: simulation.now})
+	if simulation.confirmsRenewal(node) {
+		simulation.step(node, messenger.HolderChanged{Token: token, ConfirmedAt: simulation.now})
+	}
 	simulation.schedule(400*time.Millisecond, func() { simulation.renewClaim(node, token) })
 }
 
@@ -314,11 +329,12 @@
 	simulation.violations = append(simulation.violations, simulation.now.Format("05.000 ")+fmt.Sprintf(format, arguments...))
 }
 
-// decisionsAbout returns the decisions about a job, the holder and the minions.
+// decisionsAbout returns the decisions about a job, the holder and the minions, and
+// the faults of the store.
 func (simulation *simulation) decisionsAbout(job string) string {
 	var kept []string
 	for _, line := range simulation.decisions {
-		if strings.Contains(line, job) || strings.Contains(line, "holder-") || strings.Contains(line, "minion-") {
+		if strings.Contains(line, job) || strings.Contains(line, "holder-") || strings.Contains(line, "minion-") || strings.Contains(line, "store-") {
 			kept = append(kept, line)
 		}
 	}
