--- a/planner/unlistedminion_test.go
+++ b/planner/unlistedminion_test.go
@@ -41,7 +41,9 @@
 			simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute}))
 			simulation.advance(500 * time.Millisecond)
 			earlier := simulation.runningOn(task)
-			simulation.storeUnavailable = storeFails
+			if storeFails {
+				simulation.store.notDoneShare = 1
+			}
 			// The first run fails. Its minion never hears that the end is recorded.
 			earlier.faults.loses = func(order messenger.Order) bool { return acknowledgesEnds(order) }
 			simulation.advance(1200 * time.Millisecond)
@@ -55,7 +57,7 @@
 				})
 			}
 			earlier.faults.loses = nil
-			simulation.storeUnavailable = false
+			simulation.store.endLosses()
 			simulation.makeHolder(second)
 			simulation.advance(8 * time.Second)
 			c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
