Show that one incomplete list of VMs completes a wave

vmMaintenance treats a VM that one list lacks as gone for good. The wave is then reported as completed although the VM stays (rule MIXED).

The test fails: one of two VMs is maintained. TestWaveEndsWithoutVMThatHasLeft passes and guards the opposite.

--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -43,6 +43,15 @@
 	adviceDelay time.Duration
 	// failAdvice reports whether the advice service answers with an error.
 	failAdvice func() bool
+	// lists is the number of lists of VMs that were sent, listDelay the time of one.
+	lists     int
+	listDelay time.Duration
+	// omits reports whether a list of VMs lacks a VM.
+	omits func(vm identifier.VM) bool
+	// maintenanceDelay returns how long a request of a node for maintenance is on its
+	// way.
+	maintenanceDelay    func(node *node) time.Duration
+	maintenanceRequests int
 }
 
 func newFakeServices() *fakeServices {
@@ -53,6 +62,9 @@
 		refuseMaintenance: func(identifier.VM) *classifier.Error { return nil },
 		failAdvice:        func() bool { return false },
 		refuseReport:      func() bool { return false },
+		listDelay:         latency,
+		omits:             func(identifier.VM) bool { return false },
+		maintenanceDelay:  func(*node) time.Duration { return latency },
 	}
 }
 
@@ -89,9 +101,13 @@
 		})
 	case messenger.ListPoolVMs:
 		sentAt := simulation.now
-		simulation.schedule(latency, func() {
+		simulation.schedule(services.listDelay, func() {
+			services.lists++
 			listed := messenger.PoolVMsListed{SentAt: sentAt}
 			for _, minion := range simulation.sortedMinions() {
+				if services.omits(vmName(minion)) {
+					continue
+				}
 				state := messenger.VMUp
 				if services.unavailable[vmName(minion)] {
 					state = messenger.VMInMaintenance
@@ -101,7 +117,8 @@
 			simulation.step(node, listed)
 		})
 	case messenger.MaintainVM:
-		simulation.schedule(latency, func() {
+		services.maintenanceRequests++
+		simulation.schedule(services.maintenanceDelay(node), func() {
 			simulation.step(node, messenger.VMMaintained{Sent: action, Err: simulation.maintainVM(action.VM)})
 		})
 	case messenger.ReportWave:
--- /dev/null
+++ b/planner/unlistedvm_test.go
@@ -0,0 +1,41 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+)
+
+// TestWaveWaitsForVMMissingInOneList guards against a wave that is reported as
+// completed because one list of VMs lacks a VM that stays and has not had its
+// maintenance.
+func TestWaveWaitsForVMMissingInOneList(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 4)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.services.omits = func(vm identifier.VM) bool { return vm == "vm-m01" && simulation.services.lists == 1 }
+	simulation.requestWave(messenger.Wave{Wave: 1, VMs: []identifier.VM{"vm-m00", "vm-m01"}, Duration: 20 * time.Second, MaxUnavailable: 2})
+	simulation.advance(20 * time.Second)
+	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
+	c.Assert(simulation.services.maintained, quicktest.HasLen, 2)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestWaveEndsWithoutVMThatHasLeft guards against a wave that never ends because one
+// of its VMs has left the pools.
+func TestWaveEndsWithoutVMThatHasLeft(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 4)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.services.omits = func(vm identifier.VM) bool { return vm == "vm-m01" }
+	simulation.requestWave(messenger.Wave{Wave: 1, VMs: []identifier.VM{"vm-m00", "vm-m01"}, Duration: 20 * time.Second, MaxUnavailable: 2})
+	simulation.advance(20 * time.Second)
+	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
+	c.Assert(simulation.services.maintained, quicktest.DeepEquals, []identifier.VM{"vm-m00"})
+}
