--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -45,6 +45,24 @@
 	return minionFaults.loses != nil && minionFaults.loses(order)
 }
 
+const (
+	// maxListedEnds is the number of ends that a minion lists at a time.
+	maxListedEnds = 500
+	// startupTime is how long a long-running task needs until it is at work.
+	startupTime = 500 * time.Millisecond
+)
+
+// percent returns the run's progress as its minion reports it: 100 only for a
+// long-running task that is at work.
+func (run *fakeRun) percent() int {
+	simulation := run.minion.simulation
+	elapsed := simulation.now.Sub(run.started)
+	if run.spec.LongRunning {
+		return int(min(100*elapsed/startupTime, 100))
+	}
+	return int(min(100*elapsed/max(simulation.workTime(run), 1), 99))
+}
+
 // hasSeen reports whether the minion has, or had, the run of a stop.
 func (minion *fakeMinion) hasSeen(stop messenger.StopRun) bool {
 	run := minion.runs[stop.Task]
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -329,10 +329,9 @@
 
 func (minion *fakeMinion) listRuns(answered *messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
-		percent := int(100 * minion.simulation.now.Sub(run.started) / max(minion.simulation.workTime(run), 1))
-		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: min(percent, 99), Load: minion.tailLatency(run)})
+		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run)})
 	}
-	answered.Ended = append(answered.Ended, minion.ends...)
+	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), maxListedEnds)]...)
 }
 
 func (minion *fakeMinion) sortedRuns() []*fakeRun {
