Request the late wave only when the holder knows of the lost task

The test stopped the task 5 ms after the other one's minion crashed, before the holder could know, which the rule allows for noticeMs. Now the wave is requested when the lease has expired. It still fails: the task is stopped 6.8 s after the request, by the forced clearing that the test is about.

--- a/planner/forcedclearing_test.go
+++ b/planner/forcedclearing_test.go
@@ -27,10 +27,11 @@
 	lost.crash()
 	lost.unregistered = true
 	simulation.deliverAllReports()
+	simulation.advance(leaseTime + time.Second) // the holder knows that the task is away
 	simulation.requestWave(messenger.Wave{Wave: 1, VMs: []identifier.VM{"vm-m00"}, Duration: 12 * time.Second, MaxUnavailable: 1})
 	simulation.advance(15 * time.Second)
 	c.Assert(kept.runs, quicktest.HasLen, 1, quicktest.Commentf("%s", simulation.decisionsAbout("lasting.")))
-	c.Assert(simulation.services.maintained, quicktest.HasLen, 0)
+	c.Assert(simulation.services.maintained, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("lasting.")))
 	// Once the other task is at work again, the wave goes on.
 	simulation.cancel("filler")
 	simulation.advance(10 * time.Second)
