Keep adopted runs until the lease of the former holder has expired

Callers see that a task is not started a second time while its run on an unreachable minion still has the lease of the former holder.

Cause: a holder that has sent no lease to a minion compared with a lease of 0.

The first answer of a minion shows its clock at a moment from which on it refuses orders with an older token. Former holders count their leases from lower bounds of that clock, so that none lasts longer than leaseDuration from it. The minion notes that as inheritedLease, which counts for expiry and is never sent.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -27,6 +27,9 @@
 	clockAt time.Time
 	// leaseSent is the latest lease end that was sent in an order.
 	leaseSent time.Duration
+	// inheritedLease is the latest lease end that orders of a former holder, or orders
+	// to an earlier incarnation, may have set. It is never sent.
+	inheritedLease time.Duration
 
 	// polled means that the minion has answered a poll of this holder.
 	polled bool
@@ -141,7 +144,13 @@
 
 // leasesExpired reports whether every lease on the minion has expired.
 func (minion *minion) leasesExpired(now time.Time) bool {
-	return minion.clockLowerBound(now) > minion.leaseSent+leaseExpiryMargin
+	return minion.clockLowerBound(now) > max(minion.leaseSent, minion.inheritedLease)+leaseExpiryMargin
+}
+
+// inheritLease notes that runs on the minion may have a lease of the given duration from
+// a reading of its clock on.
+func (minion *minion) inheritLease(clock, duration time.Duration) {
+	minion.inheritedLease = max(minion.inheritedLease, clock+duration)
 }
 
 // ignoreEnd notes an end that must not be recorded.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -176,6 +176,11 @@
 		return
 	}
 	planner.updateResponsiveness(now, minion, event)
+	if event.Clock > 0 && !minion.polled {
+		// From now on the minion refuses the orders of former holders. They have given
+		// no longer lease than from the time of this answer on.
+		minion.inheritLease(event.Clock, leaseDuration)
+	}
 	if isPoll {
 		planner.handlePollAnswer(now, minion, event)
 	} else if run != nil {
