Stop unconfirmed starts at the next incarnation of their minion

Cause: replaceIncarnation repeated the start at the next incarnation, with the longest lease that a minion grants.

The run still moves, because its order may still arrive, and it is stopped there: the minion then refuses that order, and the next poll shows that the run is not there. How long a late order's lease may last counts for expiry (inheritedLease) and is not sent.

--- a/planner/minions.go
+++ b/planner/minions.go
@@ -71,7 +71,8 @@
 
 // replaceIncarnation replaces an incarnation with the next one under the same
 // name. The runs of the earlier one have ended. Runs whose start was never
-// confirmed move to the next one, because their order may still reach it.
+// confirmed move to the next one, because their order may still reach it, and are
+// stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() {
@@ -81,11 +82,14 @@
 		delete(earlier.runs, runKey{run.id, run.number})
 		run.minion, run.mayHaveArrived = next, true
 		next.addRun(run)
-		next.leaseSent = next.clockLowerBound(now) + planner.bounds.MaxLease
+		// The lease in that order is on the clock of the earlier incarnation. The next one
+		// shortens it to the maximum.
+		next.inheritLease(next.clockLowerBound(now), planner.bounds.MaxLease)
+		run.startLeaseUntil = next.inheritedLease
 		if run.state == stopping {
 			planner.sendStop(now, run)
 		} else {
-			planner.sendStart(now, run)
+			planner.stopRun(now, run, "its minion has restarted")
 		}
 	}
 	planner.emitDecision(string(earlier.report.Minion), "minion-gone", "it has restarted", "", now.Sub(earlier.clockAt))
