Show that a list without a VM lets maintenance end its runs

clearVM finds the minion of a VM through the newest list. When the list lacks the VM, no minion is found, and the maintenance is requested although runs are left there.

--- a/planner/unlistedvm_test.go
+++ b/planner/unlistedvm_test.go
@@ -39,3 +39,19 @@
 	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
 	c.Assert(simulation.services.maintained, quicktest.DeepEquals, []identifier.VM{"vm-m00"})
 }
+
+// TestVMMissingInOneListKeepsItsRuns guards against maintenance of a VM that is not empty
+// yet, because one list lacks the VM and so does not name its minion.
+func TestVMMissingInOneListKeepsItsRuns(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 2)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(6 * time.Second) // no former holder matters any more
+	simulation.submit(jobOf("a", wholeMinions(1, 4*time.Second)))
+	simulation.advance(time.Second)
+	simulation.services.omits = func(vm identifier.VM) bool { return vm == "vm-m00" && simulation.services.lists == 2 }
+	simulation.requestWave(messenger.Wave{Wave: 1, VMs: []identifier.VM{"vm-m00"}, Duration: 20 * time.Second, MaxUnavailable: 1})
+	simulation.advance(20 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
+}
