Show that the maintenance of another wave counts for a wave

A VM that the first list of a wave shows in maintenance counts as begun, and as done when it is up again, although it may be there for another wave (rule MIXED). The simulated platform now remembers for which wave a VM had its maintenance, as PROTOCOL.md says.

The test fails: both waves are reported as completed after one maintenance.

--- a/planner/latemaintenance_test.go
+++ b/planner/latemaintenance_test.go
@@ -47,3 +47,21 @@
 		})
 	}
 }
+
+// TestMaintenanceOfAnotherWaveDoesNotCount guards against a wave that is reported as
+// completed because a list shows one of its VMs in the maintenance of another wave.
+func TestMaintenanceOfAnotherWaveDoesNotCount(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 2)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(6 * time.Second)
+	for wave := range identifier.Wave(2) {
+		simulation.requestWave(messenger.Wave{Wave: wave + 1, VMs: []identifier.VM{"vm-m00"}, Duration: 20 * time.Second, MaxUnavailable: 1})
+		simulation.advance(maintenanceTime / 2)
+	}
+	c.Assert(simulation.services.maintained, quicktest.HasLen, 1)
+	simulation.advance(20 * time.Second)
+	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
+	c.Assert(simulation.services.isCompleted(2), quicktest.IsTrue)
+	c.Assert(simulation.services.maintained, quicktest.HasLen, 2)
+}
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -1,7 +1,6 @@
 package planner_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +30,9 @@
 	unavailable    map[identifier.VM]bool
 	maxUnavailable int
 	maintained     []identifier.VM
-	reportedWaves  []messenger.ReportWave
+	// begun holds the maintenance of VMs for each wave, without tokens.
+	begun         map[messenger.MaintainVM]bool
+	reportedWaves []messenger.ReportWave
 	// waves holds the waves that the operator requested.
 	waves map[identifier.Wave]messenger.Wave
 	// refuseMaintenance returns why the platform refuses a maintenance, nil if it
@@ -59,6 +60,7 @@
 		isApproved: func(identifier.Minion) bool { return true },
 		tickets:    make(map[string]time.Time), unavailable: make(map[identifier.VM]bool),
 		waves:             make(map[identifier.Wave]messenger.Wave),
+		begun:             make(map[messenger.MaintainVM]bool),
 		refuseMaintenance: func(identifier.VM) *classifier.Error { return nil },
 		failAdvice:        func() bool { return false },
 		refuseReport:      func() bool { return false },
@@ -119,7 +121,7 @@
 	case messenger.MaintainVM:
 		services.maintenanceRequests++
 		simulation.schedule(services.maintenanceDelay(node), func() {
-			simulation.step(node, messenger.VMMaintained{Sent: action, Err: simulation.maintainVM(action.VM)})
+			simulation.step(node, messenger.VMMaintained{Sent: action, Err: simulation.maintainVM(action)})
 		})
 	case messenger.ReportWave:
 		if services.refuseReport() {
@@ -132,17 +134,19 @@
 	}
 }
 
-func (simulation *simulation) maintainVM(vm identifier.VM) *classifier.Error {
-	services := simulation.services
+func (simulation *simulation) maintainVM(sent messenger.MaintainVM) *classifier.Error {
+	services, vm := simulation.services, sent.VM
+	sent.Token = 0
 	if err := services.refuseMaintenance(vm); err != nil {
 		return err
 	}
 	if services.unavailable[vm] {
 		return classifier.New(classifier.MinionBusy, "not up")
 	}
-	if slices.Contains(services.maintained, vm) {
+	if services.begun[sent] {
 		return nil
 	}
+	services.begun[sent] = true
 	services.unavailable[vm] = true
 	services.maintained = append(services.maintained, vm)
 	services.maxUnavailable = max(services.maxUnavailable, len(services.unavailable))
