Conclude less about VMs from one list and from unknown runs

Callers see no maintenance of a VM whose runs the holder does not know, no more VMs in maintenance than a wave allows after a takeover, and no wave reported as completed before each VM that stays has had its maintenance for that wave.

Cause: a new holder took a minion without an answer or an entry for empty; one list that lacked a VM ended its maintenance and hid its minion; a VM in maintenance in the first list counted for the wave whatever it was there for, and in a later list not at all.

The maintenance of a VM is requested when its minion has answered this holder, or once the leases of the former holder have expired, and only by a list that was requested 2.5 s after the claim: by then a request of the former holder has been carried out or has timed out (0.8 s in the ring, 1.5 s for the call). A VM that a list shows in maintenance counts as unavailable at once, and when it is up again the request is sent once more, which the platform answers with 200 if it was for this wave. A VM counts as gone once all lists have lacked it for 2.1 s, until one has it again.

A wave begins up to 2.5 s later after a takeover. What one VM needs moves to a file of its own.

--- a/planner/maintenance.go
+++ b/planner/maintenance.go
@@ -30,6 +30,8 @@
 	listInFlight bool
 	nextListAt   time.Time
 	vms          map[identifier.VM]messenger.VMReport
+	// listedAt is when the newest list was requested.
+	listedAt time.Time
 }
 
 type wave struct {
@@ -43,26 +45,6 @@
 	reportRetryAt time.Time
 }
 
-// vmMaintenance is the maintenance of one VM of a wave.
-type vmMaintenance struct {
-	state maintenanceState
-	// since is when the VM entered the state.
-	since           time.Time
-	retryAt         time.Time
-	requestInFlight bool
-	// closedMinion is the minion that takes no runs until the maintenance is done.
-	closedMinion identifier.Minion
-}
-
-type maintenanceState uint8
-
-const (
-	maintenanceWaiting  maintenanceState = iota
-	maintenanceClearing                  // no run is started there; runs end or move
-	maintenanceStarted
-	maintenanceDone
-)
-
 func newMaintenance() maintenance {
 	return maintenance{waves: make(map[identifier.Wave]*wave), vms: make(map[identifier.VM]messenger.VMReport)}
 }
@@ -71,7 +53,7 @@
 // the next holder which VMs have had their maintenance.
 func (maintenance *maintenance) reset() {
 	maintenance.listInFlight = false
-	maintenance.nextListAt = time.Time{}
+	maintenance.nextListAt, maintenance.listedAt = time.Time{}, time.Time{}
 	clear(maintenance.vms)
 	for _, wave := range maintenance.waves {
 		clear(wave.vms)
@@ -119,35 +101,27 @@
 		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "list-vms-" + event.Err.Code.Name()})
 		return
 	}
+	planner.maintenance.listedAt = event.SentAt
 	clear(planner.maintenance.vms)
 	for _, report := range event.VMs {
 		planner.maintenance.vms[report.VM] = report
 	}
-	for _, wave := range planner.maintenance.waves {
-		for name, vm := range wave.vms {
-			report, listed := planner.maintenance.vms[name]
-			if vm.state == maintenanceStarted && event.SentAt.After(vm.since) && (!listed || report.State == messenger.VMUp) {
-				planner.setMaintenanceState(now, wave, name, vm, maintenanceDone, "the VM is up again")
+	for _, number := range slices.Sorted(maps.Keys(planner.maintenance.waves)) {
+		wave := planner.maintenance.waves[number]
+		for _, name := range wave.request.VMs {
+			if vm, ok := wave.vms[name]; ok {
+				planner.applyVMList(now, wave, name, vm)
 			}
 		}
 	}
 }
 
-func (planner *Planner) setMaintenanceState(now time.Time, wave *wave, name identifier.VM, vm *vmMaintenance, state maintenanceState, reason string) {
-	outcomes := [...]string{"upkeep-waits", "upkeep-clears", "upkeep-begun", "upkeep-done"}
-	planner.emitDecision(string(name), outcomes[state], reason, fmt.Sprintf("wave=%d", wave.request.Wave), now.Sub(wave.firstHandledAt))
-	vm.state, vm.since = state, now
-	if minion, ok := planner.minions[vm.closedMinion]; ok && state == maintenanceDone {
-		minion.closedForMaintenance = false
-	}
-}
-
 // advanceWave starts the maintenance of as many VMs of a wave as may be
 // unavailable at a time.
 func (planner *Planner) advanceWave(now time.Time, wave *wave) {
 	unavailable, unfinished := 0, 0
 	for _, name := range wave.request.VMs {
-		vm := planner.vmMaintenance(wave, name)
+		vm := planner.vmMaintenance(now, wave, name)
 		if vm.state != maintenanceDone {
 			unfinished++
 		}
@@ -159,35 +133,36 @@
 		planner.reportWave(now, wave)
 		return
 	}
+	limit := max(1, wave.request.MaxUnavailable)
 	for _, name := range planner.waitingVMsByLoad(wave) {
-		if unavailable >= max(1, wave.request.MaxUnavailable) {
+		if unavailable >= limit {
 			break
 		}
 		planner.setMaintenanceState(now, wave, name, wave.vms[name], maintenanceClearing, "it is the next VM of the wave")
 		unavailable++
 	}
 	for _, name := range wave.request.VMs {
-		if vm := wave.vms[name]; vm.state == maintenanceClearing {
-			planner.clearVM(now, wave, name, vm)
+		vm := wave.vms[name]
+		if vm.state != maintenanceClearing || !planner.clearVM(now, wave, name, vm) {
+			continue
+		}
+		// The list may have shown more VMs in maintenance meanwhile.
+		if vm.mayHaveBegun() || wave.countBegun() < limit {
+			planner.requestMaintenance(now, wave, name, vm)
 		}
 	}
 }
 
-// vmMaintenance returns the maintenance of a VM. A VM that has left the pools
-// needs none.
-func (planner *Planner) vmMaintenance(wave *wave, name identifier.VM) *vmMaintenance {
-	vm, ok := wave.vms[name]
-	if !ok {
-		vm = &vmMaintenance{}
-		wave.vms[name] = vm
-		if planner.maintenance.vms[name].State == messenger.VMInMaintenance {
-			vm.state = maintenanceStarted
+// countBegun returns the number of VMs whose maintenance may have begun and has not
+// ended.
+func (wave *wave) countBegun() int {
+	count := 0
+	for _, vm := range wave.vms {
+		if vm.mayHaveBegun() {
+			count++
 		}
 	}
-	if _, listed := planner.maintenance.vms[name]; !listed && vm.state == maintenanceWaiting {
-		vm.state = maintenanceDone
-	}
-	return vm
+	return count
 }
 
 // waitingVMsByLoad returns the VMs of a wave that wait, those with the least
@@ -210,31 +185,6 @@
 	return names
 }
 
-// clearVM closes a minion for new runs and stops runs that lose little work. It
-// requests the maintenance when no run is left there. It stops all runs when
-// the wave would be late otherwise.
-func (planner *Planner) clearVM(now time.Time, wave *wave, name identifier.VM, vm *vmMaintenance) {
-	minion, ok := planner.minions[planner.maintenance.vms[name].Minion]
-	if ok {
-		minion.closedForMaintenance, vm.closedMinion = true, minion.report.Minion
-		if now.Sub(vm.since) > planner.clearingTimeout(wave) {
-			for _, run := range minion.sortedRuns() {
-				planner.stopRun(now, run, "its VM needs maintenance")
-			}
-		} else {
-			planner.evacuate(now, minion, "its VM needs maintenance")
-		}
-		if len(minion.runs) > 0 {
-			return
-		}
-	}
-	if vm.requestInFlight || now.Before(vm.retryAt) {
-		return
-	}
-	vm.requestInFlight = true
-	planner.emit(messenger.MaintainVM{VM: name, Wave: wave.request.Wave, Token: planner.holder.token})
-}
-
 // clearingTimeout returns how long each VM of a wave may take to become empty.
 func (planner *Planner) clearingTimeout(wave *wave) time.Duration {
 	rounds := (len(wave.request.VMs) + max(1, wave.request.MaxUnavailable) - 1) / max(1, wave.request.MaxUnavailable)
@@ -250,6 +200,7 @@
 	vm := wave.vms[event.Sent.VM]
 	vm.requestInFlight = false
 	if event.Err == nil {
+		vm.unconfirmed = false
 		planner.setMaintenanceState(now, wave, event.Sent.VM, vm, maintenanceStarted, "the platform has started it")
 		return
 	}
@@ -287,32 +238,3 @@
 	wave.reported = event.Sent.Completed
 	planner.emitDecision(fmt.Sprintf("wave-%d", event.Sent.Wave), "wave-completed", "all VMs have had their maintenance", "", 0)
 }
-
-// evacuate stops the runs of a minion that lose little work when stopped: those
-// with checkpoints and the long-running ones.
-func (planner *Planner) evacuate(now time.Time, minion *minion, reason string) {
-	for _, run := range minion.sortedRuns() {
-		if run.state == running && (run.step.spec.Checkpoints || run.step.spec.LongRunning) && planner.mayInterrupt(run) {
-			planner.stopRun(now, run, reason)
-		}
-	}
-}
-
-// mayInterrupt reports whether one more long-running task of the run's step may
-// be unavailable.
-func (planner *Planner) mayInterrupt(run *run) bool {
-	if !run.step.spec.LongRunning || run.step.spec.MaxUnavailable == 0 {
-		return true
-	}
-	unavailable := 0
-	for index := range run.step.tasks {
-		other := run.step.tasks[index].run
-		if other == nil || other.state != running || other.progressPercent < readyPercent {
-			unavailable++
-		}
-	}
-	return unavailable < run.step.spec.MaxUnavailable
-}
-
-// readyPercent is the progress at which a long-running task is ready.
-const readyPercent = 100
