Keep tasks available that a late wave would stop

Callers see a long-running task stopped for maintenance only while fewer others of its step are away than missAllowed, also when the wave is about to be late.

Cause: the forced clearing of a VM stopped all runs. TestLateWaveKeepsTasksAvailable failed and passes now.

--- a/planner/vmmaintenance.go
+++ b/planner/vmmaintenance.go
@@ -112,7 +112,7 @@
 
 // clearVM closes a minion for new runs, stops runs that lose little work and reports
 // whether the minion is certainly empty. When the wave would be late otherwise, it stops
-// all runs.
+// all runs, apart from those of steps of which no more tasks may be unavailable.
 func (planner *Planner) clearVM(now time.Time, wave *wave, name identifier.VM, vm *vmMaintenance) bool {
 	report, listed := planner.maintenance.vms[name]
 	if !listed {
@@ -128,7 +128,9 @@
 		return len(minion.runs) == 0 && planner.mayRequestMaintenance(now, minion)
 	}
 	for _, run := range minion.sortedRuns() {
-		planner.stopRun(now, run, "its VM needs maintenance")
+		if planner.mayInterrupt(run) {
+			planner.stopRun(now, run, "its VM needs maintenance")
+		}
 	}
 	return len(minion.runs) == 0 && planner.mayRequestMaintenance(now, minion)
 }
