--- a/messenger/maintenance.go
+++ b/messenger/maintenance.go
@@ -56,6 +56,9 @@
 	VM    identifier.VM
 	Wave  identifier.Wave
 	Token identifier.Term
+	// Expires is when the request is no longer sent, because another holder may have
+	// claimed since.
+	Expires time.Time
 }
 
 // VMMaintained is the one answer to MaintainVM. Code MinionBusy means that the
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -30,7 +30,8 @@
 	unavailable    map[identifier.VM]bool
 	maxUnavailable int
 	maintained     []identifier.VM
-	// begun holds the maintenance of VMs for each wave, without tokens.
+	// begun holds the maintenance of VMs for each wave, without tokens and
+	// times.
 	begun         map[messenger.MaintainVM]bool
 	reportedWaves []messenger.ReportWave
 	// waves holds the waves that the operator requested.
@@ -136,7 +137,7 @@
 
 func (simulation *simulation) maintainVM(sent messenger.MaintainVM) *classifier.Error {
 	services, vm := simulation.services, sent.VM
-	sent.Token = 0
+	sent.Token, sent.Expires = 0, time.Time{}
 	if err := services.refuseMaintenance(vm); err != nil {
 		return err
 	}
