Send no request for maintenance that waited for long

Callers see no maintenance that a former holder requested before it lost its claim and that its ring held back meanwhile.

Cause: calls to services had no limit on their time in the ring. A request expires after 0.8 s, as orders to minions do, which the planner handles as any refusal that may be repeated. With the timeout of the call it ends within the 2.5 s after which a new holder begins.

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -151,6 +151,14 @@
 	return vms, err
 }
 
+// maintain requests the maintenance of a VM unless the request has expired.
+func (serviceCaller *ServiceCaller) maintain(ctx context.Context, sentAt time.Time, request messenger.MaintainVM) *classifier.Error {
+	if sentAt.After(request.Expires) {
+		return classifier.New(classifier.RingFull, "the request expired %s ago", sentAt.Sub(request.Expires).Round(time.Millisecond))
+	}
+	return classifier.Wrap(serviceCaller.vmClient.Maintain(ctx, request))
+}
+
 func (serviceCaller *ServiceCaller) perform(ctx context.Context, action messenger.Action) messenger.Event {
 	sentAt := serviceCaller.clock()
 	timeout := serviceCaller.timeoutOf(action)
@@ -158,7 +166,7 @@
 	defer cancel()
 	switch action := action.(type) {
 	case messenger.MaintainVM:
-		return messenger.VMMaintained{Sent: action, Err: classifier.Wrap(serviceCaller.vmClient.Maintain(ctx, action))}
+		return messenger.VMMaintained{Sent: action, Err: serviceCaller.maintain(ctx, sentAt, action)}
 	case messenger.ReportWave:
 		return messenger.WaveReported{Sent: action, Err: classifier.Wrap(serviceCaller.vmClient.Report(ctx, action))}
 	case messenger.RequestAdvice:
--- a/planner/vmmaintenance.go
+++ b/planner/vmmaintenance.go
@@ -11,8 +11,9 @@
 // What may be concluded from the lists of VMs.
 const (
 	// formerRequestTime is how long after a claim a request for maintenance that the
-	// former holder has sent may still be carried out.
-	formerRequestTime = 2500 * time.Millisecond
+	// former holder has sent may still be carried out: orderLifetime, the timeout of the
+	// call (1.5 s) and a margin.
+	formerRequestTime = orderLifetime + 1700*time.Millisecond
 	// minVMAbsence is the time for which all lists must lack a VM until it counts as
 	// gone. The pages of a list are not a snapshot.
 	minVMAbsence = 3 * vmListInterval
@@ -142,7 +143,7 @@
 		return
 	}
 	vm.requestInFlight, vm.requested = true, true
-	planner.emit(messenger.MaintainVM{VM: name, Wave: wave.request.Wave, Token: planner.holder.token})
+	planner.emit(messenger.MaintainVM{VM: name, Wave: wave.request.Wave, Token: planner.holder.token, Expires: now.Add(orderLifetime)})
 }
 
 // mayRequestMaintenance reports whether maintenance ends no run that this holder does not
