End a job whose attempts were used up while its queue was unknown

Callers see the job as failed once a configuration has its queue again, and no further start of the task.

Cause: the limit was checked only at the end of a run, when it may be unknown. TestAttemptsUsedUpWithoutQueueEndTheJob failed with 4 starts and passes now: a pass ends the jobs of which a task that could start has failed as often as the queue allows. A run under way is not stopped for that.

--- a/planner/pass.go
+++ b/planner/pass.go
@@ -56,9 +56,11 @@
 	}
 }
 
-// waitingSteps returns the steps that could start, the most urgent first.
+// waitingSteps returns the steps that could start, the most urgent first. It ends the
+// jobs with a task that must not start again.
 func (planner *Planner) waitingSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
+	var exhausted []*job
 	for _, job := range planner.openJobs {
 		queue := planner.queue(job)
 		if queue == nil {
@@ -69,14 +71,43 @@
 				break
 			}
 			for _, step := range occurrence.steps {
-				if waitingStep := step.waitingStep(now, queue); waitingStep != nil {
+				waitingStep := step.waitingStep(now, queue)
+				switch {
+				case waitingStep == nil:
+				case step.hasExhaustedTask(now, queue):
+					exhausted = append(exhausted, job)
+				default:
 					steps = append(steps, waitingStep)
 				}
 			}
 		}
 	}
+	planner.endExhaustedJobs(now, exhausted)
 	slices.SortFunc(steps, compareUrgency)
-	return steps
+	return slices.DeleteFunc(steps, func(waitingStep *waitingStep) bool { return !waitingStep.step.occurrence.job.isOpen() })
+}
+
+// hasExhaustedTask reports whether a task that could be started has used all its
+// attempts. Its job has not ended if the queue was unknown, or allowed more attempts, when
+// the last one failed.
+func (step *step) hasExhaustedTask(now time.Time, queue *specifier.Queue) bool {
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		if len(task.failedRuns) == 0 || !task.canStart(now) {
+			continue
+		}
+		if len(task.failedRuns) >= queue.Attempts || (step.spec.Gang && step.failedAttempts() >= queue.Attempts) {
+			return true
+		}
+	}
+	return false
+}
+
+func (planner *Planner) endExhaustedJobs(now time.Time, jobs []*job) {
+	slices.SortFunc(jobs, func(one, other *job) int { return cmp.Compare(one.arrival, other.arrival) })
+	for _, job := range slices.Compact(jobs) {
+		planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+	}
 }
 
 // waitingStep returns the step with its urgency, nil if it has no task to
