Count a limited read as covering only what it delivers

Callers get 410 for a job, and are admitted with a key, only after the node has read all that the store had acknowledged when they asked.

Cause: the end of the topic in the header of a read was ignored. An incomplete read leaves the time that is covered where it was; once a later one has passed the end that the first one named, the time of the first is covered.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -48,8 +48,16 @@
 	// given one in the topic's order. An empty key requests the first page.
 	Newest(ctx context.Context, topic identifier.Topic, after string, stallTimeout time.Duration) (Page, error)
 	// Read waits for records from an offset on. It returns none if none arrive in
-	// the given time.
-	Read(ctx context.Context, topic identifier.Topic, from identifier.Offset, wait, stallTimeout time.Duration) (records []Record, end identifier.Offset, err error)
+	// the given time, and may leave out the last ones.
+	Read(ctx context.Context, topic identifier.Topic, from identifier.Offset, wait, stallTimeout time.Duration) (Batch, error)
+}
+
+// Batch is the result of a read.
+type Batch struct {
+	Records []Record
+	// Next is the offset after the last record of the batch, End that after the last
+	// one of the topic.
+	Next, End identifier.Offset
 }
 
 // Page is a part of a listing.
@@ -67,7 +75,8 @@
 	End     identifier.Offset
 	// Complete means that Records holds the newest record of every key.
 	Complete bool
-	// SentAt is when the call was sent.
+	// SentAt is a time before which no record was acknowledged that has not been
+	// delivered: that of the call, or of an earlier one if this one is not complete.
 	SentAt time.Time
 	// RoundTrip is how long a listing took, zero for other calls.
 	RoundTrip time.Duration
@@ -112,6 +121,7 @@
 	listedOffsets map[string]identifier.Offset
 	// isListed means that a listing is complete and reads continue at next.
 	isListed bool
+	coverage coverage
 	backoff  time.Duration
 }
 
@@ -198,7 +208,7 @@
 	if tailer.backoff > 0 {
 		wait, stallTimeout = min(wait, probeReadWait), retryStallTimeout
 	}
-	records, end, err := tailer.log.Read(ctx, tailer.options.Topic, tailer.next, wait, stallTimeout)
+	batch, err := tailer.log.Read(ctx, tailer.options.Topic, tailer.next, wait, stallTimeout)
 	if classifier.CodeOf(err) == classifier.HistoryTrimmed {
 		tailer.isListed = false
 		return nil
@@ -206,8 +216,9 @@
 	if err != nil {
 		return err
 	}
-	tailer.next = end
-	return tailer.sink.Deliver(ctx, Reading{Records: tailer.dropSuperseded(records), End: end, SentAt: started})
+	tailer.next = batch.Next
+	tailer.coverage.add(batch, started)
+	return tailer.sink.Deliver(ctx, Reading{Records: tailer.dropSuperseded(batch.Records), End: batch.Next, SentAt: tailer.coverage.until})
 }
 
 // partialListing holds the pages of a listing that is not complete.
@@ -250,6 +261,7 @@
 	reading := Reading{
 		Records: listing.records, End: listing.end, Complete: true, SentAt: listing.begun, RoundTrip: tailer.clock().Sub(listing.begun),
 	}
+	tailer.coverage = coverage{until: listing.begun}
 	tailer.next, tailer.isListed, tailer.partial = listing.end, true, partialListing{}
 	return tailer.sink.Deliver(ctx, reading)
 }
--- a/tailer/tailer_test.go
+++ b/tailer/tailer_test.go
@@ -79,7 +79,7 @@
 	return page, nil
 }
 
-func (log *fakeLog) Read(ctx context.Context, _ identifier.Topic, from identifier.Offset, wait, stallTimeout time.Duration) ([]tailer.Record, identifier.Offset, error) {
+func (log *fakeLog) Read(ctx context.Context, _ identifier.Topic, from identifier.Offset, wait, stallTimeout time.Duration) (tailer.Batch, error) {
 	log.mutex.Lock()
 	log.reads++
 	hang, trimmed := log.hang, from < log.trimmed
@@ -89,17 +89,18 @@
 		case <-ctx.Done():
 		case <-time.After(wait + stallTimeout):
 		}
-		return nil, 0, classifier.New(classifier.OutcomeUnknown, "no answer")
+		return tailer.Batch{}, classifier.New(classifier.OutcomeUnknown, "no answer")
 	}
 	if trimmed {
-		return nil, 0, classifier.New(classifier.HistoryTrimmed, "trimmed")
+		return tailer.Batch{}, classifier.New(classifier.HistoryTrimmed, "trimmed")
 	}
 	for waited := time.Duration(0); ; waited += 10 * time.Millisecond {
 		log.mutex.Lock()
 		records := append([]tailer.Record(nil), log.records[from:]...)
 		log.mutex.Unlock()
 		if len(records) > 0 || waited >= wait {
-			return records, from + identifier.Offset(len(records)), nil
+			end := from + identifier.Offset(len(records))
+			return tailer.Batch{Records: records, Next: end, End: end}, nil
 		}
 		time.Sleep(10 * time.Millisecond) // virtual time
 	}
