Start nothing on a minion that lists runs of unknown tasks

Callers see no start on a minion before the runs that it has of unknown tasks have ended.

Cause: such a run was stopped and not counted, because its request is not known. TestRunOfUnknownTaskOccupiesItsMinion failed and passes now.

--- a/planner/availability.go
+++ b/planner/availability.go
@@ -12,6 +12,7 @@
 	unresponsive
 	closedForMaintenance
 	draining
+	unknownRuns
 	refusedRecently
 	quarantined
 	availabilities // the number of values
@@ -20,7 +21,7 @@
 // String returns the name of the value in log lines and metrics.
 func (availability availability) String() string {
 	return [...]string{
-		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "refused-recently", "quarantined",
+		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "refused-recently", "quarantined",
 	}[availability]
 }
 
@@ -38,6 +39,8 @@
 		return closedForMaintenance
 	case minion.report.Draining:
 		return draining
+	case minion.hasUnknownRuns:
+		return unknownRuns
 	case now.Before(minion.noCapacityUntil):
 		return refusedRecently
 	case minion.health.isQuarantined(now):
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -59,6 +59,9 @@
 
 	runs map[runKey]*run
 	used specifier.Resources
+	// hasUnknownRuns means that the newest answer lists runs of unknown tasks, which are
+	// being stopped and whose capacity is unknown.
+	hasUnknownRuns bool
 	// reserved is the capacity that reservations withhold from other steps.
 	reserved specifier.Resources
 	// nameIndex is the minion's index in the order of names, as of the last pass.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -187,12 +187,29 @@
 	}
 	if isPoll {
 		planner.handlePollAnswer(now, minion, event)
+		planner.updateUnknownRuns(now, minion, event)
 	} else if run != nil {
 		planner.handleRunOrderAnswer(now, run, event)
 	}
 	planner.passNeeded = true
 }
 
+// updateUnknownRuns notes whether an answer to a poll lists runs of unknown tasks, and
+// polls the minion again until it does not.
+func (planner *Planner) updateUnknownRuns(now time.Time, minion *minion, event messenger.OrderAnswered) {
+	if event.Err != nil {
+		return
+	}
+	minion.hasUnknownRuns = false
+	for _, report := range event.Running {
+		_, task := planner.findTask(report.Task)
+		minion.hasUnknownRuns = minion.hasUnknownRuns || task == nil
+	}
+	if minion.hasUnknownRuns && minion.nextPollAt.IsZero() {
+		minion.nextPollAt = now.Add(pollRetryDelay)
+	}
+}
+
 // withoutAnswer returns the event for an order that the addressed incarnation has
 // not answered. An earlier one did, which says nothing about the addressed one.
 func withoutAnswer(event messenger.OrderAnswered) messenger.OrderAnswered {
