Show that a backfill run is taken for paused without proof

The pace of a run that a new holder adopts is unknown and stands at 0, so that the holder does not pause it when the serving task beside it is over its target. The same holds for a run whose order to pause was lost: it counts as paused once the order is sent.

--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -31,6 +31,9 @@
 	// draining and remaining are what the minion's report says.
 	draining  bool
 	remaining time.Duration
+	// addedLatency is what the load of a serving task itself adds to its tail latency, in
+	// milliseconds.
+	addedLatency float64
 }
 
 func (minionFaults *minionFaults) refusal(order messenger.Order) classifier.Code {
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -318,7 +318,7 @@
 // tailLatency returns the tail latency of a serving task in milliseconds. Each
 // backfill task beside it adds 60 ms at full speed.
 func (minion *fakeMinion) tailLatency(run *fakeRun) float64 {
-	tail := 20.0
+	tail := 20.0 + minion.faults.addedLatency
 	for _, other := range minion.runs {
 		if run.spec.LatencyTarget > 0 && other.spec.Backfill {
 			tail += 0.6 * float64(other.pacePercent)
