Repeat the pause of a backfill run while the load beside it stays

Callers see a serving task come below its target after a takeover, or after a lost order, within about a second more.

Cause: the pace that a holder assumes was taken for the actual one. While the latency is above the threshold, a pause is ordered once more each second, and at once for a run whose pace this holder has never set. That is one order a second for each backfill run on a minion whose serving task is slow by its own load.

--- a/planner/pace.go
+++ b/planner/pace.go
@@ -21,6 +21,10 @@
 	// minPaceIncreaseInterval is the minimum time between two increases. The load
 	// that a minion reports is that of the last half second.
 	minPaceIncreaseInterval = time.Second
+	// pauseRepeatInterval is the time after which the pause of a backfill task is ordered
+	// again while the serving task beside it still nears its target. The first order may
+	// have been lost, or overtaken by an earlier one.
+	pauseRepeatInterval = time.Second
 	// mixedLoadPollWait is how long a poll waits at a minion with both kinds of
 	// tasks.
 	mixedLoadPollWait = 400 * time.Millisecond
@@ -51,7 +55,7 @@
 			continue
 		}
 		percent := run.targetPacePercent(now, latencyRatio)
-		if percent == run.pacePercent {
+		if percent == run.pacePercent && !run.mustRepeatPause(now, latencyRatio) {
 			continue
 		}
 		run.pacePercent, run.paceSetAt = percent, now
@@ -72,3 +76,9 @@
 		return run.pacePercent
 	}
 }
+
+// mustRepeatPause reports whether a backfill run may be working although it counts as
+// paused. The pace of a run that a former holder started is unknown at first.
+func (run *run) mustRepeatPause(now time.Time, latencyRatio float64) bool {
+	return latencyRatio >= throttleThreshold && now.Sub(run.paceSetAt) >= pauseRepeatInterval
+}
