--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -72,6 +72,16 @@
 	return (run != nil && run.number == stop.Run) || minion.highestRun[stop.Task] >= stop.Run
 }
 
+// unfreeze lets a frozen node handle the events that have arrived.
+func (simulation *simulation) unfreeze(node *node) {
+	node.frozen = false
+	queued := node.queued
+	node.queued = nil
+	for _, event := range queued {
+		simulation.step(node, event)
+	}
+}
+
 // deliverAllReports delivers the reports of the registered minions to all nodes.
 func (simulation *simulation) deliverAllReports() {
 	for _, node := range simulation.nodes {
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -100,6 +100,9 @@
 	token       identifier.Term
 	entriesRead int
 	tickAt      time.Time
+	// frozen means that events wait until the node continues.
+	frozen bool
+	queued []messenger.Event
 	// stepTime is the real time that the node's decisions needed.
 	stepTime time.Duration
 }
@@ -167,6 +170,10 @@
 	if !node.alive {
 		return
 	}
+	if node.frozen {
+		node.queued = append(node.queued, event)
+		return
+	}
 	startedAt := time.Now()
 	actions := node.planner.Step(simulation.now, event)
 	next := node.planner.Next()
