Renew no lease after a suspension until the claim is confirmed

Callers see a task not run twice because its former holder was suspended for less than a lease.

Cause: the first polls after a suspension renewed the leases.

A holder that runs has an event at least each 250 ms. A gap of more than 0.8 s means that it was suspended; with the 0.4 s between renewals no other node can have claimed after a shorter one. Its polls then carry no lease until a renewal that was sent afterwards is confirmed, and wait 0.2 s at most, so that the lease follows soon. An outage of the store without a suspension changes nothing: leases are renewed in it as before.

--- a/planner/minions.go
+++ b/planner/minions.go
@@ -129,11 +129,15 @@
 
 func (planner *Planner) pollRuns(now time.Time, minion *minion) {
 	poll := messenger.PollRuns{AcknowledgedEnd: minion.recordedEnd}
-	if len(minion.runs) > 0 && minion.clock > 0 {
+	mayRenew := planner.suspension.isOver(planner.holder.confirmedAt)
+	if len(minion.runs) > 0 && minion.clock > 0 && mayRenew {
 		poll.LeaseUntil = minion.renewLease(now, planner.bounds.MaxLease)
 	}
 	if minion.polled && !minion.unresponsive && len(minion.runs) > 0 && minion.recordedEnd == minion.processedEnd && !minion.hasUnrecordableEnd() {
 		poll.Wait = minion.pollWait(now)
+		if !mayRenew {
+			poll.Wait = min(poll.Wait, pollRetryDelay)
+		}
 	}
 	minion.polling = true
 	minion.nextPollAt = time.Time{}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -48,6 +48,7 @@
 	lastPassAt time.Time
 	// passInterval is the minimum time from the last pass to the next.
 	passInterval time.Duration
+	suspension   suspension
 	// nextExpiryCheckAt is when the ended jobs are next checked for expiry.
 	nextExpiryCheckAt time.Time
 	actions           []messenger.Action
@@ -66,6 +67,7 @@
 // Step handles an event and returns the resulting actions.
 func (planner *Planner) Step(now time.Time, event messenger.Event) []messenger.Action {
 	planner.actions = nil
+	planner.suspension.observe(now, planner.holder.active)
 	switch event := event.(type) {
 	case messenger.PolicyRead:
 		if event.Policy != nil && event.Policy.Version > planner.policy.Version {
