--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -1,7 +1,6 @@
 package planner_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -31,7 +30,10 @@
 	unavailable    map[identifier.VM]bool
 	maxUnavailable int
 	maintained     []identifier.VM
-	reportedWaves  []messenger.ReportWave
+	// begun holds the maintenance of VMs for each wave, without tokens and
+	// times.
+	begun         map[messenger.MaintainVM]bool
+	reportedWaves []messenger.ReportWave
 	// waves holds the waves that the operator requested.
 	waves map[identifier.Wave]messenger.Wave
 	// refuseMaintenance returns why the platform refuses a maintenance, nil if it
@@ -43,6 +45,15 @@
 	adviceDelay time.Duration
 	// failAdvice reports whether the advice service answers with an error.
 	failAdvice func() bool
+	// lists is the number of lists of VMs that were sent, listDelay the time of one.
+	lists     int
+	listDelay time.Duration
+	// omits reports whether a list of VMs lacks a VM.
+	omits func(vm identifier.VM) bool
+	// maintenanceDelay returns how long a request of a node for maintenance is on its
+	// way.
+	maintenanceDelay    func(node *node) time.Duration
+	maintenanceRequests int
 }
 
 func newFakeServices() *fakeServices {
@@ -50,9 +61,13 @@
 		isApproved: func(identifier.Minion) bool { return true },
 		tickets:    make(map[string]time.Time), unavailable: make(map[identifier.VM]bool),
 		waves:             make(map[identifier.Wave]messenger.Wave),
+		begun:             make(map[messenger.MaintainVM]bool),
 		refuseMaintenance: func(identifier.VM) *classifier.Error { return nil },
 		failAdvice:        func() bool { return false },
 		refuseReport:      func() bool { return false },
+		listDelay:         latency,
+		omits:             func(identifier.VM) bool { return false },
+		maintenanceDelay:  func(*node) time.Duration { return latency },
 	}
 }
 
@@ -89,9 +104,13 @@
 		})
 	case messenger.ListPoolVMs:
 		sentAt := simulation.now
-		simulation.schedule(latency, func() {
+		simulation.schedule(services.listDelay, func() {
+			services.lists++
 			listed := messenger.PoolVMsListed{SentAt: sentAt}
 			for _, minion := range simulation.sortedMinions() {
+				if services.omits(vmName(minion)) {
+					continue
+				}
 				state := messenger.VMUp
 				if services.unavailable[vmName(minion)] {
 					state = messenger.VMInMaintenance
@@ -101,8 +120,9 @@
 			simulation.step(node, listed)
 		})
 	case messenger.MaintainVM:
-		simulation.schedule(latency, func() {
-			simulation.step(node, messenger.VMMaintained{Sent: action, Err: simulation.maintainVM(action.VM)})
+		services.maintenanceRequests++
+		simulation.schedule(services.maintenanceDelay(node), func() {
+			simulation.step(node, messenger.VMMaintained{Sent: action, Err: simulation.maintainVM(action)})
 		})
 	case messenger.ReportWave:
 		if services.refuseReport() {
@@ -115,17 +135,19 @@
 	}
 }
 
-func (simulation *simulation) maintainVM(vm identifier.VM) *classifier.Error {
-	services := simulation.services
+func (simulation *simulation) maintainVM(sent messenger.MaintainVM) *classifier.Error {
+	services, vm := simulation.services, sent.VM
+	sent.Token, sent.Expires = 0, time.Time{}
 	if err := services.refuseMaintenance(vm); err != nil {
 		return err
 	}
 	if services.unavailable[vm] {
 		return classifier.New(classifier.MinionBusy, "not up")
 	}
-	if slices.Contains(services.maintained, vm) {
+	if services.begun[sent] {
 		return nil
 	}
+	services.begun[sent] = true
 	services.unavailable[vm] = true
 	services.maintained = append(services.maintained, vm)
 	services.maxUnavailable = max(services.maxUnavailable, len(services.unavailable))
