Let the test of adopted leases see the repeated start

Change: the store answers again after 1 s. Result: run both ways: green, and red without the inherited lease ("starts while another runs").

--- a/planner/adoptedlease_test.go
+++ b/planner/adoptedlease_test.go
@@ -39,7 +39,7 @@
 	// The store answers no record at first, so that the end of the failed run delays the
 	// next poll. The minion answers the first poll alone.
 	simulation.lostRecordAnswerShare = 1
-	simulation.schedule(8*time.Second, func() { simulation.lostRecordAnswerShare = 0 })
+	simulation.schedule(time.Second, func() { simulation.lostRecordAnswerShare = 0 })
 	polls := 0
 	minion.faults.loses = func(order messenger.Order) bool {
 		if _, isPoll := order.(messenger.PollRuns); isPoll {
