Take no run for lost while its end may be beyond the list

What callers would see: a task that starts again after its end (TWICE). Cause: a minion lists at most 500 ends that are not acknowledged. While the store answers no records, ends beyond these are not listed, and a run that is neither running nor in the list was taken for lost. Change: an answer with as many ends as a minion lists tells nothing of a run that is missing in it.

--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -34,6 +34,9 @@
 	MaxWorkerClock = 100 * 366 * 24 * time.Hour
 )
 
+// MaxListedEnds is the number of ends that a minion lists at most in one answer.
+const MaxListedEnds = 500
+
 // Limits of the entries of the log.
 const (
 	// MaxEntryNameBytes bounds the ID of an entry and each name in its record. Nodes
--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -121,7 +121,8 @@
 	// Clock and Incarnation are those of the minion, zero without an answer.
 	Clock       time.Duration
 	Incarnation identifier.Incarnation
-	// Running and Ended answer PollRuns.
+	// Running and Ended answer PollRuns. Ended holds the first MaxListedEnds ends that are
+	// not acknowledged.
 	Running []RunReport
 	Ended   []RunEnd
 }
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -48,12 +48,8 @@
 	return minionFaults.loses != nil && minionFaults.loses(order)
 }
 
-const (
-	// maxListedEnds is the number of ends that a minion lists at a time.
-	maxListedEnds = 500
-	// startupTime is how long a long-running task needs until it is at work.
-	startupTime = 500 * time.Millisecond
-)
+// startupTime is how long a long-running task needs until it is at work.
+const startupTime = 500 * time.Millisecond
 
 // percent returns the run's progress as its minion reports it: 100 only for a
 // long-running task that is at work.
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -331,7 +331,7 @@
 	for _, run := range minion.sortedRuns() {
 		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run)})
 	}
-	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), maxListedEnds)]...)
+	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), messenger.MaxListedEnds)]...)
 }
 
 func (minion *fakeMinion) sortedRuns() []*fakeRun {
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -28,7 +28,9 @@
 	if minion.recordableEnd() > minion.recordedEnd {
 		planner.recording.addMinion(minion)
 	}
-	planner.markMissingRunsLost(now, minion, reported, event.SentAt)
+	if len(event.Ended) < messenger.MaxListedEnds { // otherwise the ends of missing runs may follow
+		planner.markMissingRunsLost(now, minion, reported, event.SentAt)
+	}
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
 	minion.polled = true
