--- a/planner/minion.go
+++ b/planner/minion.go
@@ -27,12 +27,12 @@
 	clockAt time.Time
 	// leaseSent is the latest lease end that was sent in an order.
 	leaseSent time.Duration
+	// inheritedLease is the latest lease end that orders of a former holder, or orders
+	// to an earlier incarnation, may have set. It is never sent.
+	inheritedLease time.Duration
 
 	// polled means that the minion has answered a poll of this holder.
 	polled bool
-	// hasPostponedEnds means that ends which the minion listed have not been
-	// processed yet.
-	hasPostponedEnds bool
 	// unresponsive means that the newest order brought no answer. Leases are not
 	// extended meanwhile, so that they expire.
 	unresponsive      bool
@@ -50,12 +50,12 @@
 	// firstIgnoredEnd is the first end that must not be recorded, because its task
 	// has been started again since. It is zero if there is none.
 	firstIgnoredEnd uint64
-	// heldEnds are processed ends that must not be recorded yet, because another
-	// minion may have a later run of their task.
-	heldEnds []messenger.RunEnd
 
 	runs map[runKey]*run
 	used specifier.Resources
+	// hasUnknownRuns means that the newest answer lists runs of unknown tasks, which are
+	// being stopped and whose capacity is unknown.
+	hasUnknownRuns bool
 	// reserved is the capacity that reservations withhold from other steps.
 	reserved specifier.Resources
 	// nameIndex is the minion's index in the order of names, as of the last pass.
@@ -141,7 +141,13 @@
 
 // leasesExpired reports whether every lease on the minion has expired.
 func (minion *minion) leasesExpired(now time.Time) bool {
-	return minion.clockLowerBound(now) > minion.leaseSent+leaseExpiryMargin
+	return minion.clockLowerBound(now) > max(minion.leaseSent, minion.inheritedLease)+leaseExpiryMargin
+}
+
+// inheritLease notes that runs on the minion may have a lease of the given duration from
+// a reading of its clock on.
+func (minion *minion) inheritLease(clock, duration time.Duration) {
+	minion.inheritedLease = max(minion.inheritedLease, clock+duration)
 }
 
 // ignoreEnd notes an end that must not be recorded.
@@ -154,21 +160,15 @@
 // recordableEnd returns the last end that the minion may discard once it is
 // recorded.
 func (minion *minion) recordableEnd() uint64 {
-	last := minion.processedEnd
 	if minion.firstIgnoredEnd > 0 {
-		last = minion.firstIgnoredEnd - 1
+		return minion.firstIgnoredEnd - 1
 	}
-	if len(minion.heldEnds) > 0 {
-		last = min(last, minion.heldEnds[0].Number-1)
-	}
-	return last
+	return minion.processedEnd
 }
 
 // hasUnrecordableEnd reports whether the minion has listed an end that must not be
 // recorded.
-func (minion *minion) hasUnrecordableEnd() bool {
-	return minion.firstIgnoredEnd > 0 || len(minion.heldEnds) > 0
-}
+func (minion *minion) hasUnrecordableEnd() bool { return minion.firstIgnoredEnd > 0 }
 
 func (minion *minion) freeCapacity() specifier.Resources {
 	return minion.report.Capacity.Sub(minion.used)
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -71,7 +71,8 @@
 
 // replaceIncarnation replaces an incarnation with the next one under the same
 // name. The runs of the earlier one have ended. Runs whose start was never
-// confirmed move to the next one, because their order may still reach it.
+// confirmed move to the next one, because their order may still reach it, and are
+// stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() {
@@ -81,11 +82,14 @@
 		delete(earlier.runs, runKey{run.id, run.number})
 		run.minion, run.mayHaveArrived = next, true
 		next.addRun(run)
-		next.leaseSent = next.clockLowerBound(now) + planner.bounds.MaxLease
+		// The lease in that order is on the clock of the earlier incarnation. The next one
+		// shortens it to the maximum.
+		next.inheritLease(next.clockLowerBound(now), planner.bounds.MaxLease)
+		run.startLeaseUntil = next.inheritedLease
 		if run.state == stopping {
 			planner.sendStop(now, run)
 		} else {
-			planner.sendStart(now, run)
+			planner.stopRun(now, run, "its minion has restarted")
 		}
 	}
 	planner.emitDecision(string(earlier.report.Minion), "minion-gone", "it has restarted", "", now.Sub(earlier.clockAt))
@@ -120,16 +124,19 @@
 		}
 	}
 	planner.reconcile(now)
-	planner.releaseHeldEnds(now)
 }
 
 func (planner *Planner) pollRuns(now time.Time, minion *minion) {
 	poll := messenger.PollRuns{AcknowledgedEnd: minion.recordedEnd}
-	if len(minion.runs) > 0 && minion.clock > 0 {
+	mayRenew := planner.suspension.isOver(planner.holder.confirmedAt)
+	if len(minion.runs) > 0 && minion.clock > 0 && mayRenew {
 		poll.LeaseUntil = minion.renewLease(now, planner.bounds.MaxLease)
 	}
 	if minion.polled && !minion.unresponsive && len(minion.runs) > 0 && minion.recordedEnd == minion.processedEnd && !minion.hasUnrecordableEnd() {
 		poll.Wait = minion.pollWait(now)
+		if !mayRenew {
+			poll.Wait = min(poll.Wait, pollRetryDelay)
+		}
 	}
 	minion.polling = true
 	minion.nextPollAt = time.Time{}
@@ -176,14 +183,36 @@
 		return
 	}
 	planner.updateResponsiveness(now, minion, event)
+	if event.Clock > 0 && !minion.polled {
+		// From now on the minion refuses the orders of former holders. They have given
+		// no longer lease than from the time of this answer on.
+		minion.inheritLease(event.Clock, leaseDuration)
+	}
 	if isPoll {
 		planner.handlePollAnswer(now, minion, event)
+		planner.updateUnknownRuns(now, minion, event)
 	} else if run != nil {
 		planner.handleRunOrderAnswer(now, run, event)
 	}
 	planner.passNeeded = true
 }
 
+// updateUnknownRuns notes whether an answer to a poll lists runs of unknown tasks, and
+// polls the minion again until it does not.
+func (planner *Planner) updateUnknownRuns(now time.Time, minion *minion, event messenger.OrderAnswered) {
+	if event.Err != nil {
+		return
+	}
+	minion.hasUnknownRuns = false
+	for _, report := range event.Running {
+		_, task := planner.findTask(report.Task)
+		minion.hasUnknownRuns = minion.hasUnknownRuns || task == nil
+	}
+	if minion.hasUnknownRuns && minion.nextPollAt.IsZero() {
+		minion.nextPollAt = now.Add(pollRetryDelay)
+	}
+}
+
 // withoutAnswer returns the event for an order that the addressed incarnation has
 // not answered. An earlier one did, which says nothing about the addressed one.
 func withoutAnswer(event messenger.OrderAnswered) messenger.OrderAnswered {
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -56,9 +56,11 @@
 	}
 }
 
-// waitingSteps returns the steps that could start, the most urgent first.
+// waitingSteps returns the steps that could start, the most urgent first. It ends the
+// jobs with a task that must not start again.
 func (planner *Planner) waitingSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
+	var exhausted []*job
 	for _, job := range planner.openJobs {
 		queue := planner.queue(job)
 		if queue == nil {
@@ -69,14 +71,47 @@
 				break
 			}
 			for _, step := range occurrence.steps {
+				if step.hasExhaustedTask(now, queue) {
+					exhausted = append(exhausted, job)
+					continue
+				}
+				planner.stopIncompleteGang(now, step)
+				planner.reserveRuns(now, step)
 				if waitingStep := step.waitingStep(now, queue); waitingStep != nil {
 					steps = append(steps, waitingStep)
 				}
 			}
 		}
 	}
+	planner.endExhaustedJobs(now, exhausted)
 	slices.SortFunc(steps, compareUrgency)
-	return steps
+	return slices.DeleteFunc(steps, func(waitingStep *waitingStep) bool { return !waitingStep.step.occurrence.job.isOpen() })
+}
+
+// hasExhaustedTask reports whether a task that waits for a run has used all its attempts.
+// Its job has not ended if the queue was unknown, or allowed more attempts, when the last
+// one failed.
+func (step *step) hasExhaustedTask(now time.Time, queue *specifier.Queue) bool {
+	if step.isComplete() || !step.isReady() {
+		return false
+	}
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		if len(task.failedRuns) == 0 || !task.isIdle(now) {
+			continue
+		}
+		if len(task.failedRuns) >= queue.Attempts || (step.spec.Gang && step.failedAttempts() >= queue.Attempts) {
+			return true
+		}
+	}
+	return false
+}
+
+func (planner *Planner) endExhaustedJobs(now time.Time, jobs []*job) {
+	slices.SortFunc(jobs, func(one, other *job) int { return cmp.Compare(one.arrival, other.arrival) })
+	for _, job := range slices.Compact(jobs) {
+		planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+	}
 }
 
 // waitingStep returns the step with its urgency, nil if it has no task to
@@ -98,6 +133,15 @@
 	return &waitingStep{step: step, queue: queue, taskCount: count, latestStart: latestStart, late: now.After(latestStart)}
 }
 
+func (step *step) hasIdleTask(now time.Time) bool {
+	for index := range step.tasks {
+		if step.tasks[index].isIdle(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasUnresolvedTask reports whether a task of the step may run on a minion that
 // has not reported it.
 func (step *step) hasUnresolvedTask() bool {
--- a/planner/run.go
+++ b/planner/run.go
@@ -79,10 +79,11 @@
 		startedAt: now, progressAt: now, ticket: ticket, pacePercent: fullPercent,
 	}
 	step.tasks[index].run = run
+	previous := step.tasks[index].latestRun
 	minion.addRun(run)
 	job := run.job()
 	planner.emitDecision(run.id.String(), "start", "placed",
-		fmt.Sprintf("run=%d minion=%s", number, minion.report.Minion), now.Sub(job.spec.AcceptedAt))
+		fmt.Sprintf("run=%d minion=%s previous-run=%d", number, minion.report.Minion, previous), now.Sub(job.spec.AcceptedAt))
 	planner.sendStart(now, run)
 }
 
@@ -215,9 +216,6 @@
 	}
 	planner.emitDecision(run.id.String(), "run-lost", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.progressPercent), now.Sub(run.startedAt))
-	if run.mayHaveArrived || !run.startConfirmedAt.IsZero() {
-		run.task().hasUnheardEnd = true
-	}
 	planner.releaseRun(now, run)
 }
 
