Wait one lease for older jobs after every claim

Callers saw, or would see: a job of several hours that ran twice at the same time, on the worker that the new holder did not know and on the one where it placed the job again, for up to one lease. For a gang, the part on the unknown worker ran beside a second whole gang.

Cause: adopt set unresolvedTasksEndAt to the present as soon as all workers of the region had answered. The workers are those of this node's VM list. It lacks live ones if the process has just started and the list lags or arrives without them, if an entry is refused as invalid, or if the worker has been unlisted for more than ten minutes, because only the holder keeps it for the gang that it runs. With no worker at all, which a claim for a cancelled job leads to, the adoption even ended at once.

The early end is removed. Tasks of an earlier holder that no worker has reported end with their leases, and nothing that the new holder reads can end the wait sooner: the former holder's placements are not in the log.

Ruled out: to trust the list if this node has followed it for ten minutes. A worker that was listed and lost again between two polls, or that the former holder kept for a gang after ten minutes without an entry, is then missed.

The wait applied already whenever one listed worker did not answer.

--- a/scheduler/adoption.go
+++ b/scheduler/adoption.go
@@ -57,9 +57,6 @@
 	if unanswered > 0 && now.Before(region.adoptionDeadline) {
 		return
 	}
-	if unanswered == 0 {
-		region.unresolvedTasksEndAt = now
-	}
 	gangs := make([]messenger.Gang, 0, len(region.reportedGangs))
 	for gang := range region.reportedGangs {
 		gangs = append(gangs, gang)
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -99,7 +99,8 @@
 		scheduler.setOutcome(pass.now, job, cancelledOutcome())
 		return false
 	case job.offset <= identifier.Offset(region.term) && pass.now.Before(region.unresolvedTasksEndAt):
-		// Tasks of the job may still run on workers that did not answer.
+		// Tasks of the job may still run on workers that did not answer or are not in
+		// this node's VM list, even if all listed workers have answered.
 		job.reason = classifier.NotReady
 		scheduler.requestPlanAt(region, region.unresolvedTasksEndAt)
 		return false
