Test that a shape is feasible on unlisted workers

A holder ends an accepted job as infeasible if its shape fits on no set of the workers that it knows. Those of a process that has just started are the ones of its first VM list, which can lack live workers. unlistedRetention covers such a gap only for workers that this node has seen listed.

TestShapeIsFeasibleOnUnlistedWorkers fails: the job ends with code 701. TestInfeasibleJobEnds passes, before the fix as after it: a job that fits nowhere still ends.

--- a/scheduler/partiallist_test.go
+++ b/scheduler/partiallist_test.go
@@ -9,6 +9,7 @@
 	"corianderroad/classifier"
 	"corianderroad/commander"
 	"corianderroad/identifier"
+	"corianderroad/messenger"
 	"corianderroad/scheduler"
 )
 
@@ -67,3 +68,40 @@
 		})
 	}
 }
+
+// TestShapeIsFeasibleOnUnlistedWorkers guards against an accepted job that ends as
+// infeasible because the VM list of a new holder lacks live workers on which its shape
+// fits.
+func TestShapeIsFeasibleOnUnlistedWorkers(t *testing.T) {
+	for seed := range uint64(10) {
+		simulation := newSimulation(t, seed)
+		for range 2 {
+			simulation.addNode(scheduler.Parameters{})
+		}
+		simulation.addWorkers(1, 4, 8)
+		simulation.setMembers(simulation.nodes...)
+		simulation.submitSingle("other", time.Minute)
+		simulation.run(10 * time.Second)
+		shape := commander.Shape{Members: 4, Accelerators: 8, Adjacency: commander.SameRack}
+		simulation.submit(commander.JobSpec{Job: "draw", Workspace: "lawns", Shape: shape}, behaviour{runTime: time.Minute})
+		simulation.run(10 * time.Second)
+		simulation.replaceHolder(map[string]bool{"w00-00": true, "w00-01": true}, time.Minute)
+		simulation.run(time.Hour)
+		quicktest.Assert(t, simulation.outcomes["draw"], quicktest.Equals, messenger.Outcome{Job: "draw", Code: classifier.OK})
+	}
+}
+
+// TestInfeasibleJobEnds guards against a job whose shape fits on no set of workers and
+// that waits without end.
+func TestInfeasibleJobEnds(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	simulation.setMembers(simulation.addNode(scheduler.Parameters{}))
+	simulation.addWorkers(1, 4, 8)
+	shape := commander.Shape{Members: 5, Accelerators: 8}
+	simulation.submit(commander.JobSpec{Job: "early", Workspace: "lawns", Shape: shape}, behaviour{})
+	simulation.run(20 * time.Minute)
+	quicktest.Assert(t, simulation.outcomes["early"].Code, quicktest.Equals, classifier.Infeasible)
+	simulation.submit(commander.JobSpec{Job: "late", Workspace: "lawns", Shape: shape}, behaviour{})
+	simulation.run(time.Second)
+	quicktest.Assert(t, simulation.outcomes["late"].Code, quicktest.Equals, classifier.Infeasible)
+}
