End a job as infeasible only after the list has settled

Callers saw, or would see: an accepted job that ended as infeasible, with "submit a smaller shape", although its shape fits on the workers of the region. The outcome is final, so the job is lost.

Cause: the first pass of a new holder tests the shape against the workers of its VM list. The list of a process that has just started can lack live workers, and at the start of a deployment its workers are listed one by one. unlistedRetention helps only a node that has seen the workers listed.

A region now remembers since when this node has known workers of it, and such a job waits until that was two minutes ago: two of the longest intervals between polls of the list. The time starts again when the region has lost all workers.

Cost: a job that fits nowhere waits up to two minutes for its outcome on a node that has just started, and ends at once on any other (TestInfeasibleJobEnds). A gap in the list that is longer, from the start of the process on, still ends jobs.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -125,13 +125,25 @@
 	if pass.isFeasible(job.spec.Shape) {
 		pass.reserveIfOverdue(job)
 	} else {
-		scheduler.setOutcome(pass.now, job, messenger.Outcome{
-			Code: classifier.Infeasible, Reason: "the shape does not fit on any set of workers of the region",
-		})
+		pass.endInfeasible(job)
 	}
 	return false
 }
 
+// endInfeasible ends a job whose shape fits on no set of known workers. During
+// listSettlingTime the job waits, because the VM list may have lacked live workers
+// from the start.
+func (pass *pass) endInfeasible(job *job) {
+	decidableAt := pass.region.listedSince.Add(listSettlingTime)
+	if pass.now.Before(decidableAt) {
+		pass.scheduler.requestPlanAt(pass.region, decidableAt)
+		return
+	}
+	pass.scheduler.setOutcome(pass.now, job, messenger.Outcome{
+		Code: classifier.Infeasible, Reason: "the shape does not fit on any set of workers of the region",
+	})
+}
+
 // placeFree places a job on unoccupied accelerators. A job within its guarantee that
 // cannot be protected there is placed by preemption if that is possible.
 func (pass *pass) placeFree(job *job, withinGuarantee bool) bool {
--- a/scheduler/region.go
+++ b/scheduler/region.go
@@ -23,8 +23,11 @@
 type region struct {
 	name    identifier.Region
 	workers map[identifier.Worker]*worker
-	fleet   *placer.Fleet
-	queues  map[identifier.Workspace]*queue
+	// listedSince is when this node first received a VM list with a worker of the
+	// region, zero while it knows no worker.
+	listedSince time.Time
+	fleet       *placer.Fleet
+	queues      map[identifier.Workspace]*queue
 
 	// claim is the newest claim; term is its offset.
 	claim messenger.RegionClaim
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -14,6 +14,11 @@
 // would end jobs as infeasible.
 const unlistedRetention = 10 * time.Minute
 
+// listSettlingTime is how long this node has known workers of a region before a shape
+// that fits on none of them ends a job. The first VM list may lack live workers; the
+// longest interval between two polls of the list is a minute.
+const listSettlingTime = 2 * time.Minute
+
 // worker is the state of a worker as seen by the holder of its region.
 type worker struct {
 	name         identifier.Worker
@@ -136,6 +141,7 @@
 				}
 			}
 		}
+		region.updateListedSince(now)
 		if changed[region] {
 			scheduler.rebuild(region)
 			scheduler.requestPlan(now, region)
@@ -143,6 +149,16 @@
 	}
 }
 
+// updateListedSince applies the change of the known workers to listedSince.
+func (region *region) updateListedSince(now time.Time) {
+	switch {
+	case len(region.workers) == 0:
+		region.listedSince = time.Time{}
+	case region.listedSince.IsZero():
+		region.listedSince = now
+	}
+}
+
 // rebuild builds the fleet again after workers were added, removed or changed.
 func (scheduler *Scheduler) rebuild(region *region) {
 	workers := make([]placer.Worker, 0, len(region.workers))
