Test that a cancelled job ends after its run

A new holder appends the outcome of a cancelled job for which it has no gang at its first pass, also while it waits for the end of tasks that an earlier holder may have left on workers that did not answer or are not listed. Everywhere else an outcome follows the release or the expiry of all tasks.

--- a/scheduler/partiallist_test.go
+++ b/scheduler/partiallist_test.go
@@ -14,8 +14,8 @@
 )
 
 // replaceHolder lets a node whose process has just started become the holder. Its VM
-// list lacks some live workers for the given time.
-func (simulation *simulation) replaceHolder(unlisted map[string]bool, gap time.Duration) {
+// list lacks some live workers until completeLists.
+func (simulation *simulation) replaceHolder(unlisted map[string]bool) {
 	former := simulation.holder()
 	fresh := simulation.others(former)[0]
 	fresh.unlisted = unlisted
@@ -23,8 +23,13 @@
 	simulation.run(time.Second)
 	former.pause(time.Hour)
 	simulation.setMembers(fresh)
-	simulation.run(gap)
-	fresh.unlisted = nil
+}
+
+// completeLists delivers the complete VM list to every node.
+func (simulation *simulation) completeLists() {
+	for _, node := range simulation.nodes {
+		node.unlisted = nil
+	}
 	simulation.listVMs()
 }
 
@@ -61,7 +66,9 @@
 				running := simulation.runningWorkers("draw")
 				quicktest.Assert(t, running, quicktest.HasLen, members)
 				// recordTaskStart fails if a second gang of the job starts while one runs.
-				simulation.replaceHolder(map[string]bool{running[0]: true}, 5*time.Second)
+				simulation.replaceHolder(map[string]bool{running[0]: true})
+				simulation.run(5 * time.Second)
+				simulation.completeLists()
 				simulation.run(3 * time.Hour)
 				quicktest.Assert(t, simulation.outcomes["draw"].Code, quicktest.Equals, classifier.OK)
 			}
@@ -85,7 +92,9 @@
 		shape := commander.Shape{Members: 4, Accelerators: 8, Adjacency: commander.SameRack}
 		simulation.submit(commander.JobSpec{Job: "draw", Workspace: "lawns", Shape: shape}, behaviour{runTime: time.Minute})
 		simulation.run(10 * time.Second)
-		simulation.replaceHolder(map[string]bool{"w00-00": true, "w00-01": true}, time.Minute)
+		simulation.replaceHolder(map[string]bool{"w00-00": true, "w00-01": true})
+		simulation.run(time.Minute)
+		simulation.completeLists()
 		simulation.run(time.Hour)
 		quicktest.Assert(t, simulation.outcomes["draw"], quicktest.Equals, messenger.Outcome{Job: "draw", Code: classifier.OK})
 	}
@@ -105,3 +114,30 @@
 	simulation.run(time.Second)
 	quicktest.Assert(t, simulation.outcomes["late"].Code, quicktest.Equals, classifier.Infeasible)
 }
+
+// TestCancelledJobEndsAfterItsRun guards against a job that is shown as cancelled while
+// it still runs on a worker that the new holder does not know.
+func TestCancelledJobEndsAfterItsRun(t *testing.T) {
+	for seed := range uint64(10) {
+		simulation := newSimulation(t, seed)
+		for range 2 {
+			simulation.addNode(scheduler.Parameters{})
+		}
+		simulation.addWorkers(1, 4, 8)
+		simulation.setMembers(simulation.nodes...)
+		simulation.submitSingle("draw", time.Hour)
+		simulation.run(20*time.Second + simulation.delay(5*time.Second))
+		running := simulation.runningWorkers("draw")
+		quicktest.Assert(t, running, quicktest.HasLen, 1)
+		simulation.replaceHolder(map[string]bool{running[0]: true})
+		simulation.run(2 * time.Second)
+		simulation.cancel("draw")
+		for simulation.ended["draw"].IsZero() {
+			simulation.run(100 * time.Millisecond)
+		}
+		quicktest.Assert(t, simulation.outcomes["draw"].Cancelled, quicktest.IsTrue)
+		for gang, observed := range simulation.gangs {
+			quicktest.Assert(t, observed.running, quicktest.HasLen, 0, quicktest.Commentf("seed %d: %v runs after the outcome", seed, gang))
+		}
+	}
+}
