Append the outcome of a cancelled job after its run

Callers saw, or would see: a job shown as cancelled that went on running for up to one lease, and a job that completed in that time shown as cancelled. Cancelling a job during a change of the holder is enough, if one worker does not answer or is missing in the list.

Cause: tryPlace tested the cancellation before the two waits for tasks of an earlier holder, so that "this node has no gang of the job" was taken for "the job does not run". The waits come first now.

The simulation checks with every outcome that no task of the job runs: 1,000 checks each of TestEveryJobEndsOnce and TestEveryWorkerAndJobRecovers pass. With the former order TestEveryJobEndsOnce fails after 194 checks ("gang {job1 5} runs when the outcome of its job is appended", rapid). Cost: after a change of the holder, the outcome of a job that was cancelled before its start comes up to 15 s later.

--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -95,20 +95,19 @@
 func (pass *pass) tryPlace(job *job) bool {
 	scheduler, region := pass.scheduler, pass.region
 	switch {
-	case job.cancelled:
-		scheduler.setOutcome(pass.now, job, cancelledOutcome())
-		return false
 	case job.offset <= identifier.Offset(region.term) && pass.now.Before(region.unresolvedTasksEndAt):
 		// Tasks of the job may still run on workers that did not answer or are not in
 		// this node's VM list, even if all listed workers have answered.
 		job.reason = classifier.NotReady
 		scheduler.requestPlanAt(region, region.unresolvedTasksEndAt)
 		return false
-	}
-	if len(job.unreleased) > 0 && pass.now.Before(job.unreleasedUntil) {
+	case len(job.unreleased) > 0 && pass.now.Before(job.unreleasedUntil):
 		job.reason = classifier.NotReady
 		scheduler.requestPlanAt(region, job.unreleasedUntil)
 		return false
+	case job.cancelled:
+		scheduler.setOutcome(pass.now, job, cancelledOutcome())
+		return false
 	}
 	if quota := scheduler.workspaces[job.spec.Workspace].Quota; quota > 0 && pass.used[job.spec.Workspace]+job.spec.Shape.TotalAccelerators() > quota {
 		job.reason = classifier.QuotaExceeded
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -199,6 +199,7 @@
 			if record.Code == classifier.OK && !simulation.isComplete(record.Job) {
 				simulation.t.Fatalf("the outcome of job %s is OK, but not every member has completed", record.Job)
 			}
+			simulation.checkEnded(record.Job)
 			simulation.outcomes[record.Job], simulation.ended[record.Job] = record, simulation.now
 		}
 	}
@@ -207,6 +208,15 @@
 	}
 }
 
+// checkEnded fails if a task of a job runs when its outcome is appended.
+func (simulation *simulation) checkEnded(job identifier.Job) {
+	for gang, observed := range simulation.gangs {
+		if gang.Job == job && len(observed.running) > 0 {
+			simulation.t.Fatalf("gang %v runs when the outcome of its job is appended", gang)
+		}
+	}
+}
+
 func (simulation *simulation) submit(spec commander.JobSpec, actual behaviour) {
 	spec.Region = "r"
 	simulation.behaviours[spec.Job] = actual
