Test that no holder is replaced before the log is read

A node claims a region 1 s after it became its owner, unless the holder in the newest claim that it has applied is alive; then it waits 30 s. A process that has just started has applied no claim, takes the region for free and claims it, however long it then needs to read the log. The holder steps down at once.

The simulation gains nodes that read the log late.

--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -96,3 +96,30 @@
 		}
 	}
 }
+
+// TestHolderIsNotReplacedBeforeLogIsRead guards against a node whose process has just
+// started and that claims a region because it has not read the claim of an alive holder.
+// That holder steps down, no node renews the leases until the log is read, and running
+// gangs are lost.
+func TestHolderIsNotReplacedBeforeLogIsRead(t *testing.T) {
+	for seed := range uint64(10) {
+		simulation := newSimulation(t, seed)
+		for range 2 {
+			simulation.addNode(scheduler.Parameters{})
+		}
+		simulation.addWorkers(1, 4, 8)
+		simulation.setMembers(simulation.nodes...)
+		simulation.run(10 * time.Second)
+		owner := simulation.holder()
+		owner.pause(time.Hour)
+		simulation.setMembers(simulation.others(owner)...)
+		simulation.submit(commander.JobSpec{Job: "draw", Workspace: "lawns", Shape: commander.Shape{Members: 4, Accelerators: 8}}, behaviour{runTime: 10 * time.Minute})
+		simulation.run(time.Minute)
+		quicktest.Assert(t, simulation.gangs, quicktest.HasLen, 1)
+		owner.logReadableAt = simulation.now.Add(25 * time.Second)
+		owner.reboot()
+		simulation.run(time.Hour)
+		quicktest.Assert(t, simulation.outcomes["draw"].Code, quicktest.Equals, classifier.OK)
+		quicktest.Assert(t, simulation.gangs, quicktest.HasLen, 1, quicktest.Commentf("seed %d: the gang was restarted", seed))
+	}
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -103,6 +103,8 @@
 	pausedUntil time.Time // end of a pause of the process
 	inbox       []messenger.Event
 	nextTick    time.Time
+	// logReadableAt is when the node can read the log.
+	logReadableAt time.Time
 	// unlisted are the VMs that the lists of this node lack.
 	unlisted map[string]bool
 }
@@ -239,8 +241,8 @@
 
 // applyLog delivers the records up to an offset to the node, in order.
 func (node *node) applyLog(offset identifier.Offset) {
-	if node.simulation.now.Before(node.pausedUntil) {
-		node.simulation.after(node.pausedUntil.Sub(node.simulation.now), func() { node.applyLog(offset) })
+	if readableAt := later(node.pausedUntil, node.logReadableAt); node.simulation.now.Before(readableAt) {
+		node.simulation.after(readableAt.Sub(node.simulation.now), func() { node.applyLog(offset) })
 		return
 	}
 	for node.applied < int(offset) {
@@ -260,6 +262,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // pause pauses the node's process; its events are delivered afterwards.
 func (node *node) pause(duration time.Duration) {
 	node.pausedUntil = node.simulation.now.Add(duration)
