Claim a region only after the log has been read

Callers saw, or would see: running gangs that lose their work when a node starts, because no node renews their leases for as long as that node reads the log.

Cause: the rule that the owner contests an alive holder only 30 s after its claim holds for claims that the node has applied. A process that has just started knows none, and "no claim is known" was taken for "nobody holds the region". Its claim is the newest in the log, so the holder steps down, and the node itself becomes the holder only when it has read the log up to its claim.

applier announces the end of the first reading with JobsCaughtUp, after the claims and the open jobs, and scheduler claims nothing before. A node that can't read the log could not become the holder before either.

--- a/applier/stream.go
+++ b/applier/stream.go
@@ -202,5 +202,6 @@
 		applier.emit(messenger.ConfigurationChanged{Configuration: applier.configuration.value()})
 	case identifier.Jobs:
 		applier.emit(applier.jobs.changesSince(nil)...)
+		applier.emit(messenger.JobsCaughtUp{})
 	}
 }
--- a/decider/receivers.go
+++ b/decider/receivers.go
@@ -21,7 +21,7 @@
 		return []Duty{Detection}
 	case messenger.IntentApplied:
 		return []Duty{Routing}
-	case messenger.JobAccepted, messenger.JobCancelled, messenger.JobEnded, messenger.ClaimApplied:
+	case messenger.JobAccepted, messenger.JobCancelled, messenger.JobEnded, messenger.ClaimApplied, messenger.JobsCaughtUp:
 		return []Duty{Scheduling}
 	default:
 		return nil
--- a/messenger/jobs.go
+++ b/messenger/jobs.go
@@ -32,15 +32,21 @@
 	Term  identifier.Term
 }
 
+// JobsCaughtUp reports that the jobs stream was applied up to its end for the first
+// time, and that the claims and open jobs have been announced.
+type JobsCaughtUp struct{}
+
 func (JobAccepted) event()  {}
 func (JobCancelled) event() {}
 func (JobEnded) event()     {}
 func (ClaimApplied) event() {}
+func (JobsCaughtUp) event() {}
 
 func (JobAccepted) action()  {}
 func (JobCancelled) action() {}
 func (JobEnded) action()     {}
 func (ClaimApplied) action() {}
+func (JobsCaughtUp) action() {}
 
 // WorkerCallKind is the kind of a call to a worker.
 type WorkerCallKind uint8
--- a/scheduler/claim.go
+++ b/scheduler/claim.go
@@ -42,9 +42,10 @@
 	return false
 }
 
-// claimIfDue claims a region that this node owns but does not hold.
+// claimIfDue claims a region that this node owns but does not hold. A node that has not
+// read the claims yet would replace a holder that is alive.
 func (scheduler *Scheduler) claimIfDue(now time.Time, region *region) {
-	if scheduler.draining || !scheduler.needsHolder(region) || scheduler.owner(region.name) != scheduler.identity.Node {
+	if scheduler.draining || !scheduler.jobsCaughtUp || !scheduler.needsHolder(region) || scheduler.owner(region.name) != scheduler.identity.Node {
 		region.ownedSince = time.Time{}
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,9 @@
 	members    []messenger.Member
 	workspaces map[identifier.Workspace]messenger.WorkspaceSpec
 	draining   bool
+	// jobsCaughtUp means that this node has read the jobs stream once, so that it knows
+	// the newest claims.
+	jobsCaughtUp bool
 
 	calls     map[uint64]call
 	sequence  uint64
@@ -60,6 +63,8 @@
 		scheduler.handleJobEnded(now, event.Outcome)
 	case messenger.ClaimApplied:
 		scheduler.handleClaimApplied(now, event)
+	case messenger.JobsCaughtUp:
+		scheduler.jobsCaughtUp = true
 	case messenger.WorkerAnswered:
 		scheduler.handleWorkerAnswered(now, event)
 	case messenger.MembersChanged:
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -97,6 +97,7 @@
 	identity   messenger.Identity
 	scheduler  *scheduler.Scheduler
 	applied    int
+	caughtUp   bool
 	// claim is the newest claim that the node has applied, term its offset.
 	claim       messenger.RegionClaim
 	term        identifier.Term
@@ -150,6 +151,7 @@
 	}
 	added := &node{simulation: simulation, identity: identity, scheduler: scheduler.New(identity, parameters)}
 	simulation.nodes = append(simulation.nodes, added)
+	added.applyLog(identifier.Offset(len(simulation.log)))
 	return added
 }
 
@@ -260,6 +262,10 @@
 			node.step(messenger.JobEnded{Outcome: node.simulation.outcomes[record.Job]})
 		}
 	}
+	if !node.caughtUp && node.applied == len(node.simulation.log) {
+		node.caughtUp = true
+		node.step(messenger.JobsCaughtUp{})
+	}
 }
 
 func later(a, b time.Time) time.Time {
@@ -378,6 +384,7 @@
 	simulation := node.simulation
 	node.identity.Incarnation++
 	node.scheduler = scheduler.New(node.identity, scheduler.Parameters{})
+	node.caughtUp = false
 	node.applied, node.pausedUntil, node.inbox, node.nextTick = 0, time.Time{}, nil, time.Time{}
 	node.claim, node.term = messenger.RegionClaim{}, 0
 	node.applyLog(identifier.Offset(len(simulation.log)))
