Test that quotas hold before the configuration is read

A holder enforces quotas and guarantees according to the workspaces of the configuration. The streams of the log are read independently, so that a node can claim a region and place jobs before it has read the configuration. It then finds no quota for any workspace and takes that for "no quota".

TestQuotaHoldsBeforeConfigurationIsRead fails: a second job of a workspace with a quota of one job starts. The simulation's methods for processes that pause and restart move to process_test.go.

--- a/scheduler/claim_test.go
+++ b/scheduler/claim_test.go
@@ -123,3 +123,26 @@
 		quicktest.Assert(t, simulation.gangs, quicktest.HasLen, 1, quicktest.Commentf("seed %d: the gang was restarted", seed))
 	}
 }
+
+// TestQuotaHoldsBeforeConfigurationIsRead guards against a new holder that starts jobs
+// above the quota of their workspace because it has not read the configuration.
+func TestQuotaHoldsBeforeConfigurationIsRead(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	holder := simulation.addNode(scheduler.Parameters{})
+	simulation.addWorkers(1, 2, 8)
+	simulation.setMembers(holder)
+	simulation.configure(messenger.WorkspaceSpec{Workspace: "lawns", Quota: 8})
+	simulation.run(10 * time.Second)
+	simulation.submitSingle("first", time.Hour)
+	simulation.submitSingle("second", time.Hour)
+	simulation.run(10 * time.Second)
+	quicktest.Assert(t, simulation.started, quicktest.HasLen, 1)
+	holder.configurationDelay = time.Minute
+	holder.reboot()
+	simulation.run(30 * time.Second)
+	simulation.submitSingle("third", time.Hour)
+	simulation.run(5 * time.Minute)
+	quicktest.Assert(t, simulation.started, quicktest.HasLen, 1)
+	simulation.run(5 * time.Hour)
+	quicktest.Assert(t, simulation.started, quicktest.HasLen, 3)
+}
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -104,8 +104,10 @@
 	pausedUntil time.Time // end of a pause of the process
 	inbox       []messenger.Event
 	nextTick    time.Time
-	// logReadableAt is when the node can read the log.
-	logReadableAt time.Time
+	// logReadableAt is when the node can read the log, configurationDelay the time from
+	// the start of its process until it has read the configuration.
+	logReadableAt      time.Time
+	configurationDelay time.Duration
 	// unlisted are the VMs that the lists of this node lack.
 	unlisted map[string]bool
 }
@@ -185,12 +187,6 @@
 	}
 }
 
-// newVMsListed returns the VM list as this node receives it now.
-func (node *node) newVMsListed() messenger.VMsListed {
-	listed := slices.DeleteFunc(slices.Clone(node.simulation.vms), func(vm messenger.VM) bool { return node.unlisted[vm.Name] })
-	return messenger.VMsListed{At: node.simulation.now, VMs: listed}
-}
-
 // append adds a record to the log and delivers it to every node.
 func (simulation *simulation) append(entry messenger.Entry) {
 	simulation.log = append(simulation.log, entry)
@@ -268,25 +264,6 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// pause pauses the node's process; its events are delivered afterwards.
-func (node *node) pause(duration time.Duration) {
-	node.pausedUntil = node.simulation.now.Add(duration)
-	node.simulation.after(duration, func() {
-		events := node.inbox
-		node.inbox = nil
-		for _, event := range events {
-			node.step(event)
-		}
-	})
-}
-
 func (node *node) step(event messenger.Event) {
 	simulation := node.simulation
 	if simulation.now.Before(node.pausedUntil) {
@@ -377,20 +354,3 @@
 		node.step(answer)
 	}
 }
-
-// reboot replaces the node's process by a new one, which applies the log from the
-// start.
-func (node *node) reboot() {
-	simulation := node.simulation
-	node.identity.Incarnation++
-	node.scheduler = scheduler.New(node.identity, scheduler.Parameters{})
-	node.caughtUp = false
-	node.applied, node.pausedUntil, node.inbox, node.nextTick = 0, time.Time{}, nil, time.Time{}
-	node.claim, node.term = messenger.RegionClaim{}, 0
-	node.applyLog(identifier.Offset(len(simulation.log)))
-	node.step(node.newVMsListed())
-	if simulation.configuration != nil {
-		node.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
-	}
-	simulation.setMembers(simulation.nodes...)
-}
