Place gangs only after the configuration has been read

Callers saw, or would see: a workspace that uses more accelerators than its quota after a change of the holder, for as long as its jobs run, and jobs that are placed without regard to guarantees and weights.

Cause: an empty table of workspaces stood for "no workspace has a quota" and for "the configuration has not been read". The router tells the two apart (catalogue.loaded); the scheduler did not. A holder now places nothing before the first ConfigurationChanged, which applier sends at the end of the stream, also for an empty configuration. Renewals, polls and the adoption go on without it.

The simulation announces an empty configuration to each new process, as applier does.

--- a/scheduler/process_test.go
+++ b/scheduler/process_test.go
@@ -45,10 +45,8 @@
 	node.claim, node.term = messenger.RegionClaim{}, 0
 	node.applyLog(identifier.Offset(len(simulation.log)))
 	node.step(node.newVMsListed())
-	if simulation.configuration != nil {
-		simulation.after(node.configurationDelay, func() {
-			node.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
-		})
-	}
+	simulation.after(node.configurationDelay, func() {
+		node.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
+	})
 	simulation.setMembers(simulation.nodes...)
 }
--- a/scheduler/region.go
+++ b/scheduler/region.go
@@ -111,9 +111,10 @@
 	return sorted
 }
 
-// isPlacing reports whether this node may place gangs in the region now.
+// isPlacing reports whether this node may place gangs in the region now. Without the
+// configuration, no workspace would have a quota or a guarantee.
 func (scheduler *Scheduler) isPlacing(region *region) bool {
-	return region.held && region.adoptionDeadline.IsZero() && !scheduler.draining
+	return region.held && region.adoptionDeadline.IsZero() && !scheduler.draining && scheduler.workspaces != nil
 }
 
 // requestPlan requests a pass over the waiting jobs.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,9 +19,10 @@
 	identity   messenger.Identity
 	parameters Parameters
 
-	jobs       map[identifier.Job]*job
-	regions    map[identifier.Region]*region
-	members    []messenger.Member
+	jobs    map[identifier.Job]*job
+	regions map[identifier.Region]*region
+	members []messenger.Member
+	// workspaces are those of the configuration, nil before it has been read.
 	workspaces map[identifier.Workspace]messenger.WorkspaceSpec
 	draining   bool
 	// jobsCaughtUp means that this node has read the jobs stream once, so that it knows
@@ -42,11 +43,10 @@
 func New(identity messenger.Identity, parameters Parameters) *Scheduler {
 	return &Scheduler{
 		identity: identity, parameters: parameters.withDefaults(),
-		jobs:       make(map[identifier.Job]*job),
-		regions:    make(map[identifier.Region]*region),
-		workspaces: make(map[identifier.Workspace]messenger.WorkspaceSpec),
-		calls:      make(map[uint64]call),
-		decisions:  recorder.New(identity.Node, maxDecisions),
+		jobs:      make(map[identifier.Job]*job),
+		regions:   make(map[identifier.Region]*region),
+		calls:     make(map[uint64]call),
+		decisions: recorder.New(identity.Node, maxDecisions),
 	}
 }
 
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -117,7 +117,7 @@
 		t: t, now: epoch, maxTransit: 5 * time.Millisecond, lease: 15 * time.Second, random: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[identifier.Worker]*vm), behaviours: make(map[identifier.Job]behaviour),
 		gangs: make(map[messenger.Gang]*observedGang), ended: make(map[identifier.Job]time.Time),
-		outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
+		configuration: &messenger.Configuration{}, outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
 		started: make(map[identifier.Job]time.Time), calls: make(map[messenger.WorkerCallKind]int),
 	}
 }
@@ -154,6 +154,7 @@
 	added := &node{simulation: simulation, identity: identity, scheduler: scheduler.New(identity, parameters)}
 	simulation.nodes = append(simulation.nodes, added)
 	added.applyLog(identifier.Offset(len(simulation.log)))
+	added.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
 	return added
 }
 
