Let VM lists lack live workers in the test of jobs

TestEveryJobEndsOnce drew faults of workers, nodes and the log, but every node always had the whole VM list. It now also draws lists that lack about a third of the live workers, different for each node, for up to a minute, also as the first list of a process that starts in that time.

Each guard was broken once and the test was red with rapid: with an adoption that ends the wait when all listed workers have answered after 343 checks ("gang {job2 12} starts while gang {job2 4} of the same job runs"), without listSettlingTime after 53 ("ended as infeasible, but its shape fits").

--- a/scheduler/chaos_test.go
+++ b/scheduler/chaos_test.go
@@ -89,7 +89,7 @@
 
 func (chaos *chaos) performRandomAction() {
 	chance := func(label string) float64 { return rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(chaos.t, label) }
-	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "cancel", "crash", "restart", "break", "pause", "split", "log", "loss", "configure", "reboot"}).Draw(chaos.t, "act") {
+	switch rapid.SampledFrom([]string{"submit", "submit", "submit", "cancel", "crash", "restart", "break", "pause", "split", "log", "loss", "configure", "reboot", "unlist"}).Draw(chaos.t, "act") {
 	case "submit":
 		chaos.submitRandomJob()
 	case "cancel":
@@ -114,6 +114,8 @@
 		chaos.logUnavailable = !chaos.logUnavailable
 	case "reboot":
 		rapid.SampledFrom(chaos.nodes).Draw(chaos.t, "rebooted").reboot()
+	case "unlist":
+		chaos.shortenLists()
 	case "configure":
 		chaos.configure(drawWorkspace(chaos.t, "a"), drawWorkspace(chaos.t, "b"))
 	case "loss":
@@ -124,6 +126,21 @@
 	chaos.run(time.Duration(rapid.IntRange(0, 20000).Draw(chaos.t, "pass")) * time.Millisecond)
 }
 
+// shortenLists lets the VM list of each node lack some live workers for up to a minute,
+// also the first list of a process that starts meanwhile.
+func (chaos *chaos) shortenLists() {
+	for _, node := range chaos.nodes {
+		node.unlisted = make(map[string]bool)
+		for _, vm := range chaos.vms {
+			node.unlisted[vm.Name] = rapid.IntRange(0, 2).Draw(chaos.t, "unlisted") == 0
+		}
+	}
+	chaos.listVMs()
+	// Lists arrive in the order in which they were read.
+	gap := time.Duration(rapid.IntRange(1100, 60000).Draw(chaos.t, "gap")) * time.Millisecond
+	chaos.after(gap, chaos.completeLists)
+}
+
 // endFaults ends all faults and runs until all jobs should have ended.
 func (chaos *chaos) endFaults() {
 	chaos.logUnavailable, chaos.requestLossRate, chaos.answerLossRate, chaos.maxTransit = false, 0, 0, 5*time.Millisecond
