Test that an ended job is removed from the packing once

docs/WAITING-STATES.md suspected that the use of an ended job is subtracted from the packing of the guarantees without having been counted, if the packing is built anew while its gang is released.

TestEndedJobIsRemovedFromPackingOnce shows it at will.

--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -129,3 +129,37 @@
 		quicktest.Assert(t, simulation.outcomes[job].Code, quicktest.Equals, classifier.OK)
 	}
 }
+
+// TestEndedJobIsRemovedFromPackingOnce guards against a guarantee that is reported as
+// reclaimable and is not, because the gang of an ended job was released after the
+// guarantees had been packed again without it.
+func TestEndedJobIsRemovedFromPackingOnce(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	simulation.setMembers(simulation.addNode(scheduler.Parameters{}))
+	simulation.addWorkers(1, 2, 8)
+	worker := messenger.Guarantee{Region: "r", Shape: commander.Shape{Members: 1, Accelerators: 8}}
+	a := messenger.WorkspaceSpec{Workspace: "a", Guarantees: []messenger.Guarantee{worker}}
+	b := messenger.WorkspaceSpec{Workspace: "b", Guarantees: []messenger.Guarantee{worker, worker}}
+	submit := func(job identifier.Job, runTime time.Duration) {
+		simulation.submit(commander.JobSpec{Job: job, Workspace: "b", Shape: worker.Shape}, behaviour{runTime: runTime})
+	}
+	simulation.configure(b)
+	simulation.run(10 * time.Second)
+	submit("long", time.Hour)
+	submit("ended", time.Second)
+	// The releases are lost for some seconds, in which the guarantees change.
+	simulation.onCall = func(call messenger.CallWorker) {
+		if call.Kind == messenger.ReleaseTask && call.Gang.Job == "ended" {
+			simulation.onCall, simulation.requestLossRate = nil, 1
+			simulation.configure(a, b)
+			simulation.after(3*time.Second, func() { simulation.requestLossRate = 0 })
+		}
+	}
+	simulation.run(time.Minute)
+	quicktest.Assert(t, simulation.onCall, quicktest.IsNil)
+	submit("next", time.Hour)
+	simulation.run(10 * time.Second)
+	_, started := simulation.started["next"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+	simulation.checkGuarantees()
+}
