Use one bound for the leases of a former holder

Cause: maintenance of a VM whose minion has not answered waited for one lease from the claim on, although a former holder may renew leases until the polls of the new one. Change: holderState.formerLeasesExpired serves takeovers and maintenance. Result: go test ./planner passes.

--- a/planner/holder.go
+++ b/planner/holder.go
@@ -42,6 +42,12 @@
 	return holderState.active && now.Sub(holderState.confirmedAt) <= claimValidity
 }
 
+// formerLeasesExpired reports whether every lease of a former holder has expired, also
+// on minions that this holder does not know.
+func (holderState *holderState) formerLeasesExpired(now time.Time) bool {
+	return !now.Before(holderState.activeAt.Add(formerRenewalTime + formerLeaseLimit))
+}
+
 func (planner *Planner) handleHolderChange(now time.Time, event messenger.HolderChanged) {
 	switch {
 	case event.Token == 0 && planner.holder.token != 0:
@@ -179,7 +185,7 @@
 	if planner.holder.reconciled {
 		return
 	}
-	if planner.holder.unresolvedTasks > 0 && now.Before(planner.holder.activeAt.Add(formerRenewalTime+formerLeaseLimit)) {
+	if planner.holder.unresolvedTasks > 0 && !planner.holder.formerLeasesExpired(now) {
 		return
 	}
 	planner.holder.reconciled = true
--- a/planner/vmmaintenance.go
+++ b/planner/vmmaintenance.go
@@ -150,11 +150,10 @@
 // know, and whether the newest list shows all that the former holder requested. The
 // minion is nil if it is unknown.
 func (planner *Planner) mayRequestMaintenance(now time.Time, minion *minion) bool {
-	claimedAt := planner.holder.claimedAt
-	if planner.maintenance.listedAt.Before(claimedAt.Add(formerRequestTime)) {
+	if planner.maintenance.listedAt.Before(planner.holder.claimedAt.Add(formerRequestTime)) {
 		return false
 	}
-	return (minion != nil && minion.polled) || !now.Before(claimedAt.Add(formerLeaseLimit))
+	return (minion != nil && minion.polled) || planner.holder.formerLeasesExpired(now)
 }
 
 // evacuate stops the runs of a minion that lose little work when stopped: those
