Remove the use of an ended job from the packing at once

Operators saw, or would see: a guarantee shown as covered that could not be reclaimed, and a job of the workspace that waits for work that nothing may stop.

Cause: handleJobEnded removes the job from the jobs of the region but left its use in the packing until its gang had been released. If the ledger was built anew in between, from the jobs of the region, the release subtracted a use that the new ledger did not count. The use now leaves the packing with the job; a gang in release is work that can be stopped, so the guarantees may be packed on its accelerators.

The test failed before ("the claims cannot be packed beside" the protected work) and passes now.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -177,8 +177,10 @@
 		job.gang.Stop(now, leaser.Stopped)
 	} else {
 		region.releaseTarget(job)
-		scheduler.unprotect(now, region, job)
 	}
+	// The packing of the guarantees is built from the jobs of the region, to which this
+	// one no longer belongs while its gang is released.
+	scheduler.unprotect(now, region, job)
 	job.setState(now, concluding)
 	delete(scheduler.jobs, outcome.Job)
 	scheduler.wakeups.schedule(job, now)
