Let only one node hold the claim in the outages of the store

The takeovers of two outages could overlap, so that a node claimed while another one renewed its claim, or sooner than 1.4 s after the newest renewal. The store now keeps the time and the node of the newest renewal, and a claim waits for both, except that of a process which replaces the holder's.

The other tests of planner pass with -race.

--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -98,6 +98,7 @@
 	name        identifier.Node
 	planner     *planner.Planner
 	alive       bool
+	started     time.Time
 	token       identifier.Term
 	entriesRead int
 	tickAt      time.Time
@@ -129,7 +130,7 @@
 }
 
 func (simulation *simulation) newNode(name string) *node {
-	node := &node{name: identifier.Node(name), alive: true, planner: planner.New(identifier.Node(name), planner.Bounds{
+	node := &node{name: identifier.Node(name), alive: true, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
 		MaxLease: maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Hour,
 		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second,
 	})}
@@ -293,7 +294,7 @@
 	if node.token != token || !node.alive {
 		return
 	}
-	if simulation.confirmsRenewal(node) {
+	if simulation.appendRenewal(node) {
 		simulation.step(node, messenger.HolderChanged{Token: token, ConfirmedAt: simulation.now})
 	}
 	simulation.schedule(400*time.Millisecond, func() { simulation.renewClaim(node, token) })
--- a/planner/store_test.go
+++ b/planner/store_test.go
@@ -40,6 +40,9 @@
 	notDoneShare, lateShare, lostAnswerShare float64
 	// lostRenewalShare is the share of the renewals of claims that are not confirmed.
 	lostRenewalShare float64
+	// renewedAt and renewedBy are the newest renewal of a claim.
+	renewedAt time.Time
+	renewedBy identifier.Node
 	// appendedSerials holds the newest appended record of each holder.
 	appendedSerials map[identifier.Term]uint64
 	// followers are the nodes that have read the list of minions.
@@ -57,10 +60,15 @@
 	return !fakeStore.down && !fakeStore.unreachableFrom[node] && !node.frozen
 }
 
-// confirmsRenewal reports whether the store appends the renewal of a claim and answers.
-func (simulation *simulation) confirmsRenewal(node *node) bool {
-	share := simulation.store.lostRenewalShare
-	return simulation.store.isReachableFrom(node) && (share == 0 || simulation.random.Float64() >= share)
+// appendRenewal appends the renewal of a node's claim, unless it is lost, and reports
+// whether it did.
+func (simulation *simulation) appendRenewal(node *node) bool {
+	store := simulation.store
+	if !store.isReachableFrom(node) || (store.lostRenewalShare > 0 && simulation.random.Float64() < store.lostRenewalShare) {
+		return false
+	}
+	store.renewedAt, store.renewedBy = simulation.now, node.name
+	return true
 }
 
 // endLosses lets the store answer all appends.
--- a/planner/storeoutage_test.go
+++ b/planner/storeoutage_test.go
@@ -76,13 +76,13 @@
 // failHolder lets the holder fail and another node claim in its place.
 func (simulation *simulation) failHolder(takeover takeover, then func()) {
 	former := simulation.holder()
-	if former == nil { // a minion has told it that it is no longer the holder
-		simulation.claim(takeover.next, claimTimeout, then)
+	if former == nil { // the next claim is under way
+		simulation.claim(takeover.next, then)
 		return
 	}
 	former.token = 0 // its renewals end
 	simulation.noteFault("holder-fault: %s %s", former.name, takeover.fault)
-	next, wait := takeover.next, claimTimeout
+	next := takeover.next
 	switch takeover.fault {
 	case holderCutOff:
 		simulation.store.unreachableFrom[former] = true
@@ -95,10 +95,10 @@
 		index := simulation.indexOf(former)
 		simulation.schedule(takeover.span, func() { simulation.restartNode(index) })
 		if takeover.fault == holderRestarted {
-			next, wait = index, processStartTime
+			next = index
 		}
 	}
-	simulation.claim(next, wait, func() {
+	simulation.claim(next, func() {
 		simulation.schedule(takeover.noticeDelay, func() { simulation.notify(former) })
 		then()
 	})
@@ -123,24 +123,36 @@
 	panic("unknown node " + string(wanted.name))
 }
 
-// claim makes a node the holder once it has reached the store for a time.
-func (simulation *simulation) claim(next int, wait time.Duration, then func()) {
-	since := simulation.now
-	var attempt func()
-	attempt = func() {
-		node := simulation.nodes[next]
-		available := node.alive && simulation.store.isReachableFrom(node)
-		if !available || simulation.now.Before(since.Add(wait)) || simulation.now.Before(simulation.store.upSince.Add(wait)) {
-			if !available && wait == claimTimeout {
-				next = (next + 1) % len(simulation.nodes)
-			}
-			simulation.schedule(claimRetryDelay, attempt)
-			return
-		}
+// claim makes a node the holder as soon as it may claim, unless another node has
+// claimed meanwhile. A node that is not available leaves the claim to the next one.
+func (simulation *simulation) claim(next int, then func()) {
+	node := simulation.nodes[next]
+	switch {
+	case simulation.holder() != nil:
+		then()
+	case simulation.mayClaim(node):
 		simulation.makeHolder(node)
 		then()
+	default:
+		if (!node.alive && simulation.store.renewedBy != node.name) || node.frozen || simulation.store.unreachableFrom[node] {
+			next = (next + 1) % len(simulation.nodes)
+		}
+		simulation.schedule(claimRetryDelay, func() { simulation.claim(next, then) })
+	}
+}
+
+// mayClaim reports whether a node that is not the holder may claim. A process that has
+// replaced the holder's may do so at once. Any other node must have read no renewal for
+// claimTimeout.
+func (simulation *simulation) mayClaim(node *node) bool {
+	store := simulation.store
+	if !node.alive || !store.isReachableFrom(node) {
+		return false
+	}
+	if store.renewedBy == node.name && node.started.After(store.renewedAt) {
+		return !simulation.now.Before(node.started.Add(processStartTime))
 	}
-	attempt()
+	return !simulation.now.Before(store.renewedAt.Add(claimTimeout)) && !simulation.now.Before(store.upSince.Add(claimTimeout))
 }
 
 // notify lets a former holder read that another node has claimed.
