Let VM lists lack live minions in the test of the router

TestRouterInvariants drew different views of the members, but every node had the whole VM list. Now the lists of a node can lack about half of the live minions for up to six seconds, also its first list after a restart.

The router concludes nothing about a running attempt from a minion that is not listed, and counts all slots of a minion that is listed again as busy until the minion has answered.

--- a/router/property_test.go
+++ b/router/property_test.go
@@ -86,7 +86,7 @@
 // injectFault applies one random fault.
 func (simulation *simulation) injectFault() {
 	node, minion := simulation.nodes[simulation.random.IntN(len(simulation.nodes))], simulation.minions[simulation.random.IntN(len(simulation.minions))]
-	switch simulation.random.IntN(8) {
+	switch simulation.random.IntN(9) {
 	case 0:
 		if node.up {
 			simulation.kill(node)
@@ -129,9 +129,29 @@
 		simulation.after(simulation.randomDuration(time.Second, 4*time.Second), func() { simulation.logUnavailable = false })
 	case 7:
 		simulation.drain(node)
+	case 8:
+		simulation.shortenList(node)
 	}
 }
 
+// shortenList lets the VM lists of a node lack some live minions for a while, also the
+// first list after a restart.
+func (simulation *simulation) shortenList(node *simNode) {
+	node.hiddenMinions = map[string]bool{}
+	for _, minion := range simulation.minions {
+		node.hiddenMinions[minion.vm.Name] = simulation.chance(50)
+	}
+	if node.up {
+		simulation.sendVMs(node)
+	}
+	simulation.after(simulation.randomDuration(100*time.Millisecond, 6*time.Second), func() {
+		node.hiddenMinions = nil
+		if node.up {
+			simulation.sendVMs(node)
+		}
+	})
+}
+
 func (simulation *simulation) resume(node *simNode, incarnation identifier.Incarnation) {
 	if node.identity.Incarnation != incarnation {
 		return
--- a/router/simulation_test.go
+++ b/router/simulation_test.go
@@ -84,7 +84,9 @@
 	leavingMinions map[identifier.Minion]bool
 	// hiddenNodes are missing in this node's view of the members.
 	hiddenNodes map[identifier.Node]bool
-	state       messenger.MemberState
+	// hiddenMinions are missing in this node's VM lists.
+	hiddenMinions map[string]bool
+	state         messenger.MemberState
 	// ready is true once the node has received its members. The load balancer
 	// sends requests only to ready nodes.
 	ready bool
@@ -307,7 +309,7 @@
 func (simulation *simulation) sendVMs(to *simNode) {
 	var vms []messenger.VM
 	for _, minion := range simulation.minions {
-		if !minion.unlisted {
+		if !minion.unlisted && !to.hiddenMinions[minion.vm.Name] {
 			vms = append(vms, minion.vm)
 		}
 	}
