Test that earlier answers do not end the adoption

A holder that resumes after a pause reads the state of all workers before it places gangs, so that one that has seen the term of a newer holder can tell it. It counts every answer that arrives, also those to calls from before the pause, and sends no poll to a worker whose last poll has no answer yet.

TestAnswerFromBeforePauseDoesNotEndAdoption fails: a task is reserved in the step in which the process resumes.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -110,6 +110,39 @@
 	quicktest.Assert(t, simulation.outcomes["draw"].Code, quicktest.Equals, classifier.OK)
 }
 
+// TestAnswerFromBeforePauseDoesNotEndAdoption guards against a holder that places gangs
+// after a pause because a worker has answered a call from before it. Only the answer to a
+// later call shows whether another node has claimed the region meanwhile.
+func TestAnswerFromBeforePauseDoesNotEndAdoption(t *testing.T) {
+	for _, kind := range []messenger.WorkerCallKind{messenger.RenewTasks, messenger.ReadState} {
+		simulation := newSimulation(t, 1)
+		holder := simulation.addNode(scheduler.Parameters{})
+		simulation.addWorkers(1, 1, 8)
+		simulation.setMembers(holder)
+		simulation.submit(commander.JobSpec{Job: "long", Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 4}}, behaviour{runTime: time.Hour})
+		simulation.run(10 * time.Second)
+		simulation.onCall = func(request messenger.CallWorker) {
+			if request.Kind == kind {
+				simulation.onCall = nil
+				holder.pause(5 * time.Second)
+			}
+		}
+		for simulation.onCall != nil {
+			simulation.run(time.Millisecond)
+		}
+		resumedAt := holder.pausedUntil
+		simulation.submit(commander.JobSpec{Job: "next", Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 4}}, behaviour{runTime: time.Hour})
+		simulation.onCall = func(request messenger.CallWorker) {
+			if request.Kind == messenger.ReserveTask && simulation.now.Equal(resumedAt) {
+				t.Fatalf("a task was reserved before a worker answered a call after the pause")
+			}
+		}
+		simulation.run(time.Minute)
+		_, started := simulation.started["next"]
+		quicktest.Assert(t, started, quicktest.IsTrue)
+	}
+}
+
 // TestTaskLossOfRestartedWorkerIsDetected guards against a gang that waits for its
 // lease to expire although a worker reported that it lost its task.
 func TestTaskLossOfRestartedWorkerIsDetected(t *testing.T) {
