--- a/planner/liveness_test.go
+++ b/planner/liveness_test.go
@@ -293,6 +293,7 @@
 // nothing running for longer than the rule LOST allows, or never ends, because a
 // fault has left a sound minion excluded or a task held back.
 func TestStepsRunOnceFaultsEnd(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := newLivenessSimulation(rapid.Uint64().Draw(t, "seed"))
 		endFaults, after := drawOrderFaults(t, simulation)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -147,6 +147,7 @@
 // end. Meanwhile holders change, minions crash or become unreachable, answers
 // are lost and orders arrive late.
 func TestInvariantsUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := newSimulation(rapid.Uint64().Draw(t, "seed"), 3, 16)
 		simulation.lostAnswerShare = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "lose-answers")
--- a/planner/storeoutage_test.go
+++ b/planner/storeoutage_test.go
@@ -272,6 +272,7 @@
 // because a new holder whose list lacks live minions takes an end for the last one of
 // its task, and against jobs that never end after an outage of the store.
 func TestInvariantsUnderStoreOutages(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := newLivenessSimulation(rapid.Uint64().Draw(t, "seed"))
 		endFaults := drawOutageFaults(t, simulation)
