Show that jobs with low IDs keep a restart from being recorded

A record has at most 48 jobs, those in the same state by their IDs. While the store needs as long for an append as 48 jobs for new progress, jobs with higher IDs are never recorded.

The simulated store can be slow.

--- a/planner/store_test.go
+++ b/planner/store_test.go
@@ -40,6 +40,8 @@
 	notDoneShare, lateShare, lostAnswerShare float64
 	// lostRenewalShare is the share of the renewals of claims that are not confirmed.
 	lostRenewalShare float64
+	// addedAppendTime is the time that an append takes beyond appendTime.
+	addedAppendTime time.Duration
 	// appendedSerials holds the newest appended record of each holder.
 	appendedSerials map[identifier.Term]uint64
 	// followers are the nodes that have read the list of minions.
@@ -91,7 +93,7 @@
 		simulation.schedule(appendTime, late)
 		simulation.schedule(appendTimeout, unanswered)
 	default:
-		simulation.schedule(appendTime, func() {
+		simulation.schedule(appendTime+store.addedAppendTime, func() {
 			if store.down {
 				answer(classifier.New(classifier.StoreBusy, "status 503"))
 				return
