--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -17,6 +17,8 @@
 	// loses reports whether an order never reaches the minion, although others do. It
 	// may be nil.
 	loses func(order messenger.Order) bool
+	// losesFrom is as loses, for the orders of one node. It may be nil.
+	losesFrom func(node *node, order messenger.Order) bool
 	// refusesConnections means that no order is ever sent to the minion, which the
 	// sender learns at once.
 	refusesConnections bool
@@ -44,7 +46,10 @@
 }
 
 // isLost reports whether an order never reaches the minion.
-func (minionFaults *minionFaults) isLost(order messenger.Order) bool {
+func (minionFaults *minionFaults) isLost(node *node, order messenger.Order) bool {
+	if minionFaults.losesFrom != nil && minionFaults.losesFrom(node, order) {
+		return true
+	}
 	return minionFaults.loses != nil && minionFaults.loses(order)
 }
 
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -116,7 +116,7 @@
 		simulation.schedule(latency, func() { simulation.step(node, refused) })
 		return
 	}
-	if !minion.alive || minion.unreachableFrom[node] || minion.faults.isLost(order.Order) {
+	if !minion.alive || minion.unreachableFrom[node] || minion.faults.isLost(node, order.Order) {
 		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 		return
 	}
