--- a/planner/unknownattempts_test.go
+++ b/planner/unknownattempts_test.go
@@ -21,7 +21,7 @@
 	simulation.advance(500 * time.Millisecond)
 	task := specifier.Task{Job: "a"}
 	state := simulation.taskState(task)
-	simulation.fails = func(run *fakeRun) bool { return len(state.startedRuns) <= attempts }
+	simulation.fails = func(*fakeRun) bool { return len(state.startedRuns) <= attempts }
 	simulation.workTime = func(*fakeRun) time.Duration {
 		if len(state.startedRuns) <= attempts {
 			return time.Second
