--- a/planner/store_test.go
+++ b/planner/store_test.go
@@ -43,6 +43,8 @@
 	// renewedAt and renewedBy are the newest renewal of a claim.
 	renewedAt time.Time
 	renewedBy identifier.Node
+	// addedAppendTime is the time that an append takes beyond appendTime.
+	addedAppendTime time.Duration
 	// appendedSerials holds the newest appended record of each holder.
 	appendedSerials map[identifier.Term]uint64
 	// followers are the nodes that have read the list of minions.
@@ -99,7 +101,7 @@
 		simulation.schedule(appendTime, late)
 		simulation.schedule(appendTimeout, unanswered)
 	default:
-		simulation.schedule(appendTime, func() {
+		simulation.schedule(appendTime+store.addedAppendTime, func() {
 			if store.down {
 				answer(classifier.New(classifier.StoreBusy, "status 503"))
 				return
