Pause long enough in the test of earlier answers

The test paused the holder for 5 s, until its next tick was due, which is no pause to the holder: it failed for another reason than the one that it names, and a fix of that one left it red. It now pauses for 30 s and loses the calls of the first second after that, so that no answer to a later poll can arrive. It is as strict as before, over a second instead of a moment.

With a poll that is open when the pause begins it fails on the present code ("a task was reserved before a worker answered a call after the pause"). With an open renewal it passes on the present code; why was not traced.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -124,7 +124,10 @@
 		simulation.onCall = func(request messenger.CallWorker) {
 			if request.Kind == kind {
 				simulation.onCall = nil
-				holder.pause(5 * time.Second)
+				holder.pause(30 * time.Second)
+				// Polls after the pause are lost for a second.
+				simulation.after(29*time.Second, func() { simulation.requestLossRate = 1 })
+				simulation.after(31*time.Second, func() { simulation.requestLossRate = 0 })
 			}
 		}
 		for simulation.onCall != nil {
@@ -133,7 +136,7 @@
 		resumedAt := holder.pausedUntil
 		simulation.submit(commander.JobSpec{Job: "next", Workspace: "lawns", Shape: commander.Shape{Members: 1, Accelerators: 4}}, behaviour{runTime: time.Hour})
 		simulation.onCall = func(request messenger.CallWorker) {
-			if request.Kind == messenger.ReserveTask && simulation.now.Equal(resumedAt) {
+			if request.Kind == messenger.ReserveTask && simulation.now.Sub(resumedAt) < time.Second {
 				t.Fatalf("a task was reserved before a worker answered a call after the pause")
 			}
 		}
