Record the expiry of a lease with each renewal

Callers saw, or would see: a job that runs twice for a few seconds, without a change of the holder, while calls to a worker are lost.

Cause: the expiry of a gang, after which the holder takes its tasks for ended, was extended once at the start of a round of renewals. A renewal that fails is repeated at once, with the deadline that follows from the observations at that time. They can be newer, because an answer to an earlier call has arrived meanwhile, so the worker got a lease that was up to one round longer than the recorded one. If its answer was lost as well, the holder started the next gang of the job before the lease ended.

The expiry is now extended where the deadline of a call is computed, and only there.

The package passes.

The simulation delivered VM lists in any order, so that a list that lacked a worker could arrive last and TestEveryWorkerAndJobRecovers failed once ("worker w00-01 has tasks []"). A list now lacks the workers that are missing when it is delivered; real lists arrive in the order in which they were read.

--- a/scheduler/process_test.go
+++ b/scheduler/process_test.go
@@ -9,9 +9,9 @@
 	"corianderroad/scheduler"
 )
 
-// newVMsListed returns the VM list as this node receives it now.
-func (node *node) newVMsListed() messenger.VMsListed {
-	listed := slices.DeleteFunc(slices.Clone(node.simulation.vms), func(vm messenger.VM) bool { return node.unlisted[vm.Name] })
+// newVMsListed returns a VM list without the VMs that the lists of this node lack now.
+func (node *node) newVMsListed(vms []messenger.VM) messenger.VMsListed {
+	listed := slices.DeleteFunc(slices.Clone(vms), func(vm messenger.VM) bool { return node.unlisted[vm.Name] })
 	return messenger.VMsListed{At: node.simulation.now, VMs: listed}
 }
 
@@ -44,7 +44,7 @@
 	node.applied, node.pausedUntil, node.inbox, node.nextTick = 0, time.Time{}, nil, time.Time{}
 	node.claim, node.term = messenger.RegionClaim{}, 0
 	node.applyLog(identifier.Offset(len(simulation.log)))
-	node.step(node.newVMsListed())
+	node.step(node.newVMsListed(simulation.vms))
 	simulation.after(node.configurationDelay, func() {
 		node.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
 	})
--- a/scheduler/renewal.go
+++ b/scheduler/renewal.go
@@ -20,7 +20,6 @@
 			// round began.
 			if job.gang != nil && job.renewedRoundAt != now && job.gang.IsRenewable(last) {
 				job.renewedRoundAt = now
-				job.gang.ExtendExpiry(job.gang.RenewalDeadline())
 			}
 		}
 		scheduler.renewWorker(now, region, worker)
@@ -40,6 +39,9 @@
 		if job.gang == nil || !job.renewedRoundAt.Equal(region.renewalRoundAt) {
 			continue
 		}
+		// A repeated call may follow newer observations and grant a longer lease than
+		// the first call of the round.
+		job.gang.ExtendExpiry(job.gang.RenewalDeadline())
 		request.Gangs = append(request.Gangs, job.gang.Order().Gang)
 		deadline = earliest(deadline, job.gang.RenewalDeadline())
 		if observation := job.gang.Observation(worker.name); observation.ReceivedAt.After(receivedAt) {
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -182,9 +182,9 @@
 }
 
 func (simulation *simulation) listVMs() {
+	vms := slices.Clone(simulation.vms)
 	for _, node := range simulation.nodes {
-		event := node.newVMsListed()
-		simulation.after(simulation.delay(time.Second), func() { node.step(event) })
+		simulation.after(simulation.delay(time.Second), func() { node.step(node.newVMsListed(vms)) })
 	}
 }
 
