Count only answers to polls of the adoption

Callers saw, or would see: a resumed holder that reserves workers although another node has claimed the region during its pause. The workers refuse its term if the newer holder has reached them; on one that it has not, the job could run a second time.

Cause: the adoption ended when each worker had answered anything since it began, also a call from before the pause, and a worker with an open poll got no new one. An adoption polls every worker now, and only successful answers to polls of that adoption count and report tasks.

--- a/scheduler/adoption.go
+++ b/scheduler/adoption.go
@@ -22,16 +22,24 @@
 }
 
 // beginAdoption requests the state of all workers of the region. Nothing is placed
-// until all have answered or adoptionTimeout has passed.
+// until all have answered or adoptionTimeout has passed. Answers to earlier calls do not
+// count: they do not show whether another node has claimed the region during a pause.
 func (scheduler *Scheduler) beginAdoption(now time.Time, region *region) {
 	region.adoptionDeadline = now.Add(adoptionTimeout)
 	region.reportedGangs = make(map[messenger.Gang]*reportedGang)
 	region.nextPoll = now
 	for _, worker := range region.workers {
-		worker.hasAnswered, worker.pollAt = false, now
+		worker.hasAnswered, worker.hasReported, worker.pollAt, worker.pollCall = false, false, now, 0
 	}
 }
 
+// isAdoptionAnswer reports whether an answer is to a ReadState of the adoption in
+// progress.
+func (region *region) isAdoptionAnswer(sentAt time.Time, answer messenger.WorkerAnswered) bool {
+	return !region.adoptionDeadline.IsZero() && answer.Kind == messenger.ReadState && answer.Err == nil &&
+		!sentAt.Before(region.adoptionDeadline.Add(-adoptionTimeout))
+}
+
 // recordReport records a task that a worker reported during the adoption.
 func (region *region) recordReport(worker identifier.Worker, observation leaser.Observation, task messenger.Task) {
 	reported, ok := region.reportedGangs[task.Gang]
@@ -50,7 +58,7 @@
 	}
 	unanswered := 0
 	for _, worker := range region.workers {
-		if !worker.hasAnswered {
+		if !worker.hasReported {
 			unanswered++
 		}
 	}
--- a/scheduler/calls.go
+++ b/scheduler/calls.go
@@ -53,7 +53,10 @@
 	case messenger.RenewTasks:
 		worker.renewCall = 0
 	case messenger.ReadState:
-		worker.pollCall = 0
+		if worker.pollCall == answer.Sequence {
+			worker.pollCall = 0
+		}
+		worker.hasReported = worker.hasReported || region.isAdoptionAnswer(call.sentAt, answer)
 	}
 	scheduler.recordAnswer(now, region, worker, answer)
 	if job := call.job; job != nil && job.gang != nil && job.gang.Order().Gang == answer.Gang {
@@ -121,7 +124,7 @@
 		}
 		if !region.adoptionDeadline.IsZero() {
 			// Only the answer to ReadState always contains the members.
-			if answer.Kind == messenger.ReadState {
+			if region.isAdoptionAnswer(observation.SentAt, answer) {
 				region.recordReport(worker.name, observation, task)
 			}
 		} else if !scheduler.isCurrentGang(task.Gang) && !worker.releasing {
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -27,6 +27,9 @@
 	accelerators int
 	// hasAnswered means that the worker has answered in this term.
 	hasAnswered bool
+	// hasReported means that the worker has answered a ReadState that was sent in the
+	// current adoption.
+	hasReported bool
 	// inLedger means that the guarantees are packed on the worker.
 	inLedger bool
 	// listedAt is when the worker was last listed.
