Start no task while any known run of it may be there

Cause: a run that a holder finds and stops, because a later one may exist or another one is known, was not counted for its task. If its stop is lost, the polls renew its lease, and the task starts beside it. Change: a task counts all its known runs and waits until none is left.

--- a/planner/job.go
+++ b/planner/job.go
@@ -79,8 +79,10 @@
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []uint64
 	checkpoint string
-	// run is the run that may still be running, nil if there is none.
-	run *run
+	// run is the run that may still be running, nil if there is none. knownRuns counts it
+	// and all others that minions may still have, such as one that is being stopped.
+	run       *run
+	knownRuns int
 	// inherited means that a former holder may have started the task.
 	inherited bool
 	// unresolved means that the newest run of a former holder has neither been found
@@ -160,7 +162,7 @@
 
 // isIdle reports whether the task waits for a run and is certain to have none.
 func (task *task) isIdle(now time.Time) bool {
-	return !task.done && task.run == nil && !task.unresolved && !now.Before(task.notBefore)
+	return !task.done && task.knownRuns == 0 && !task.unresolved && !now.Before(task.notBefore)
 }
 
 // isOpen reports whether the job may still run tasks.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -79,7 +79,7 @@
 			planner.markRunLost(now, run, "its minion has restarted")
 			continue
 		}
-		delete(earlier.runs, runKey{run.id, run.number})
+		earlier.removeRun(run)
 		run.minion, run.mayHaveArrived = next, true
 		next.addRun(run)
 		// The lease in that order is on the clock of the earlier incarnation. The next one
--- a/planner/run.go
+++ b/planner/run.go
@@ -88,11 +88,19 @@
 }
 
 func (minion *minion) addRun(run *run) {
-	run.task().latestRun = max(run.task().latestRun, run.number)
+	task := run.task()
+	task.knownRuns++
+	task.latestRun = max(task.latestRun, run.number)
 	minion.runs[runKey{run.id, run.number}] = run
 	minion.used = minion.used.Add(requiredCapacity(run.step.spec))
 }
 
+func (minion *minion) removeRun(run *run) {
+	run.task().knownRuns--
+	delete(minion.runs, runKey{run.id, run.number})
+	minion.used = minion.used.Sub(requiredCapacity(run.step.spec))
+}
+
 func (planner *Planner) sendStart(now time.Time, run *run) {
 	run.startAttempts++
 	run.startLeaseUntil = run.minion.renewLease(now, planner.bounds.MaxLease)
@@ -222,12 +230,10 @@
 
 // releaseRun frees a run's capacity. The other members of a gang stop with it.
 func (planner *Planner) releaseRun(now time.Time, run *run) {
-	key := runKey{run.id, run.number}
-	if run.minion.runs[key] != run {
+	if run.minion.runs[runKey{run.id, run.number}] != run {
 		return
 	}
-	delete(run.minion.runs, key)
-	run.minion.used = run.minion.used.Sub(requiredCapacity(run.step.spec))
+	run.minion.removeRun(run)
 	task := run.task()
 	if task.run == run {
 		task.run = nil
