Record no late failure while its queue is unknown

What callers would see: a task that starts after its last attempt (BUDGET). Cause: an end of an earlier run was recorded when the queue, and so the number of attempts, was unknown. Change: without a queue such an end is not recorded.

--- a/planner/runend.go
+++ b/planner/runend.go
@@ -63,8 +63,11 @@
 	case messenger.EndDone:
 		return end.Run != task.doneRun
 	case messenger.EndFailed:
+		if step.spec.LongRunning {
+			return false
+		}
 		queue := planner.queue(step.occurrence.job)
-		return queue != nil && !step.spec.LongRunning && step.attemptsWithFailure(task, end.Run) >= queue.Attempts
+		return queue == nil || step.attemptsWithFailure(task, end.Run) >= queue.Attempts
 	}
 	return false
 }
