Record no end of a task whose job is unknown

What callers would see: a start counted as one after a recorded end (TWICE), long after the fact. Cause: an ignored end was acknowledged by the next holder once its job had been deleted, since nothing told it of the later run any more. Change: an end of an unknown task that was done is ignored, so that its minion keeps it.

--- a/planner/runend.go
+++ b/planner/runend.go
@@ -14,6 +14,10 @@
 	run, ok := minion.runs[runKey{end.Task, end.Run}]
 	step, task := planner.findTask(end.Task)
 	if task == nil {
+		// A deleted job may have ignored this end, so that it must never be recorded.
+		if end.Kind == messenger.EndDone {
+			minion.ignoreEnd(end.Number)
+		}
 		return
 	}
 	if end.Run >= task.latestRun {
