Acknowledge ends that are recorded while a poll is on its way

Cause: a record that is answered during the round trip of a poll scheduled no further poll, so that an idle minion went on listing the end. Change: the answer to a poll that acknowledged less than is recorded is followed by another poll.

--- a/planner/poll.go
+++ b/planner/poll.go
@@ -34,7 +34,10 @@
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
 	minion.polled = true
+	acknowledged := event.Sent.Order.(messenger.PollRuns).AcknowledgedEnd
 	switch {
+	case acknowledged < minion.recordedEnd: // recorded while the poll was on its way
+		minion.nextPollAt = now
 	case minion.recordedEnd < minion.recordableEnd() || (minion.hasUnrecordableEnd() && len(minion.runs) > 0):
 		minion.nextPollAt = now.Add(unrecordedPollDelay)
 	case len(minion.runs) > 0:
