Record the jobs in the order in which they changed

What callers would see: a task that is not started again, and ends that are not taken note of, while the store is slow and many jobs have progress. Cause: a record holds 48 jobs, sorted by state and ID, so that jobs with high IDs waited as long as others had new progress. Ends were acknowledged only with a record that held all jobs. Change: ended jobs first, then in the order in which they became dirty; the ends that are known when a record is made are acknowledged once all jobs that were dirty then are recorded.

--- a/planner/record.go
+++ b/planner/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,9 +15,14 @@
 // recording collects the state of the holder that must become durable. One
 // record is in flight at a time; later changes go into the next.
 type recording struct {
-	dirty map[identifier.Job]*job
-	// minionsWithEnds are the minions whose ends the next record covers.
+	dirty map[identifier.Job]dirtyJob
+	// lastRank is the rank of the job that became dirty last.
+	lastRank uint64
+	// minionsWithEnds are the minions with ends that no record covers yet.
 	minionsWithEnds map[identifier.Minion]*minion
+	// awaitedEnds are recorded once all jobs up to awaitedRank are.
+	awaitedEnds map[*minion]uint64
+	awaitedRank uint64
 	// current is the record in flight or to be repeated, nil if there is none.
 	current *messenger.RecordProgress
 	// recordedEnds holds the ends that are recorded once current is durable.
@@ -26,9 +32,17 @@
 	serial       uint64
 }
 
+// dirtyJob is a job with progress that is not recorded.
+type dirtyJob struct {
+	*job
+	// rank is the job's rank in the order in which jobs became dirty.
+	rank uint64
+}
+
 func newRecording() recording {
 	return recording{
-		dirty: make(map[identifier.Job]*job), minionsWithEnds: make(map[identifier.Minion]*minion), recordedEnds: make(map[*minion]uint64),
+		dirty: make(map[identifier.Job]dirtyJob), minionsWithEnds: make(map[identifier.Minion]*minion),
+		awaitedEnds: make(map[*minion]uint64), recordedEnds: make(map[*minion]uint64),
 	}
 }
 
@@ -36,9 +50,11 @@
 // deletion was sent has none, because its record would remain in the store for
 // good.
 func (recording *recording) markDirty(job *job) {
-	if !job.deletionSent {
-		recording.dirty[job.spec.ID] = job
+	if _, isDirty := recording.dirty[job.spec.ID]; job.deletionSent || isDirty {
+		return
 	}
+	recording.lastRank++
+	recording.dirty[job.spec.ID] = dirtyJob{job, recording.lastRank}
 }
 
 // addMinion notes that a minion has listed ends that are not recorded.
@@ -61,25 +77,19 @@
 	}
 }
 
-// nextRecord collects the jobs with unrecorded progress, the ended jobs first.
-// The ends of a minion count as recorded only if the record contains all changes.
+// nextRecord collects the jobs with unrecorded progress, the ended jobs first, then
+// those that have waited longest.
 func (planner *Planner) nextRecord(now time.Time) *messenger.RecordProgress {
 	recording := &planner.recording
 	deletions := planner.expiredJobs(now)
-	if len(recording.dirty) == 0 && len(recording.minionsWithEnds) == 0 && len(deletions) == 0 {
+	if len(recording.dirty)+len(recording.minionsWithEnds)+len(recording.awaitedEnds)+len(deletions) == 0 {
 		return nil
 	}
-	jobs := make([]*job, 0, len(recording.dirty))
-	for _, job := range recording.dirty {
-		jobs = append(jobs, job)
-	}
-	slices.SortFunc(jobs, func(one, other *job) int {
-		return cmp.Or(-cmp.Compare(one.state, other.state), cmp.Compare(one.spec.ID, other.spec.ID))
+	recording.awaitEnds()
+	jobs := slices.SortedFunc(maps.Values(recording.dirty), func(one, other dirtyJob) int {
+		return cmp.Or(-compareBool(one.state.IsFinal(), other.state.IsFinal()), cmp.Compare(one.rank, other.rank))
 	})
-	complete := len(jobs) <= maxJobsPerRecord
-	if !complete {
-		jobs = jobs[:maxJobsPerRecord]
-	}
+	jobs = jobs[:min(len(jobs), maxJobsPerRecord)]
 	recording.serial++
 	next := &messenger.RecordProgress{Token: planner.holder.token, Serial: recording.serial, Deletions: deletions}
 	for _, job := range jobs {
@@ -89,13 +99,7 @@
 			next.Ended = append(next.Ended, job.spec)
 		}
 	}
-	clear(recording.recordedEnds)
-	if complete {
-		for name, minion := range recording.minionsWithEnds {
-			recording.recordedEnds[minion] = minion.recordableEnd()
-			delete(recording.minionsWithEnds, name)
-		}
-	}
+	recording.coverEnds()
 	if len(next.Updates) == 0 && len(deletions) == 0 {
 		planner.applyRecordedEnds(now)
 		return nil
@@ -103,6 +107,29 @@
 	return next
 }
 
+// awaitEnds collects the ends that are recorded once all jobs that are dirty now are.
+func (recording *recording) awaitEnds() {
+	if len(recording.awaitedEnds) > 0 {
+		return
+	}
+	recording.awaitedRank = recording.lastRank
+	for _, minion := range recording.minionsWithEnds {
+		recording.awaitedEnds[minion] = minion.recordableEnd()
+	}
+	clear(recording.minionsWithEnds)
+}
+
+// coverEnds lets the next record cover the awaited ends if no later record is needed.
+func (recording *recording) coverEnds() {
+	clear(recording.recordedEnds)
+	for _, dirty := range recording.dirty {
+		if dirty.rank <= recording.awaitedRank {
+			return
+		}
+	}
+	recording.recordedEnds, recording.awaitedEnds = recording.awaitedEnds, recording.recordedEnds
+}
+
 // maxShortPayloadBytes is the length up to which the payload of an ended job is
 // not worth a record of its own.
 const maxShortPayloadBytes = 64
