Undo a start that certainly did not arrive

What callers would see: a task that waits for a record, though it has never run, because a minion refused its start. Change: such a start leaves no trace at its task, and its recorded number is used again, but for gangs. Result: the test passes, as do the property tests of planner.

--- a/planner/run.go
+++ b/planner/run.go
@@ -25,9 +25,11 @@
 type run struct {
 	id     specifier.Task
 	number uint64
-	step   *step
-	minion *minion
-	state  runState
+	// previousRun is the newest run of the task before this one, zero if there is none.
+	previousRun uint64
+	step        *step
+	minion      *minion
+	state       runState
 
 	startedAt     time.Time
 	startAttempts int
@@ -79,11 +81,11 @@
 		startedAt: now, progressAt: now, ticket: ticket, pacePercent: fullPercent,
 	}
 	step.tasks[index].run = run
-	previous := step.tasks[index].latestRun
+	run.previousRun = step.tasks[index].latestRun
 	minion.addRun(run)
 	job := run.job()
 	planner.emitDecision(run.id.String(), "start", "placed",
-		fmt.Sprintf("run=%d minion=%s previous-run=%d", number, minion.report.Minion, previous), now.Sub(job.spec.AcceptedAt))
+		fmt.Sprintf("run=%d minion=%s previous-run=%d", number, minion.report.Minion, run.previousRun), now.Sub(job.spec.AcceptedAt))
 	planner.sendStart(now, run)
 }
 
@@ -214,9 +216,23 @@
 		planner.stopRun(now, run, reason)
 		return
 	}
+	run.withdraw()
 	planner.markRunLost(now, run, reason)
 }
 
+// withdraw undoes the start of a run that certainly did not arrive. A number that is in
+// the journal can be used again, but for the members of a gang, which have a common one.
+func (run *run) withdraw() {
+	task := run.task()
+	if task.latestRun != run.number {
+		return
+	}
+	task.latestRun = run.previousRun
+	if task.recordedRun == run.number && !run.step.spec.Gang {
+		task.reservedRun = run.number
+	}
+}
+
 // markRunLost releases a run that certainly does not run although its minion
 // has not listed its end.
 func (planner *Planner) markRunLost(now time.Time, run *run, reason string) {
