Prepare the steps of a pass apart from the search for waiting ones

Change: prepareSteps does this in the order of arrival, before the search (planner/prepare.go). compareArrival serves three places. Comments on restarts in specifier say what they hold now; noteRecordedRuns and endedBefore are clearer names.

--- a/planner/holder.go
+++ b/planner/holder.go
@@ -144,7 +144,8 @@
 const formerLeaseLimit = time.Duration(float64(leaseDuration)*slowClockFactor) + leaseExpiryMargin
 
 // formerRenewalTime is how long a former holder may go on renewing leases after this
-// one has polled the minions. Its next poll of one of them is refused.
+// one has polled the minions. The next of its own polls that reaches one of them is
+// refused.
 const formerRenewalTime = maxPollWait
 
 // runNumberBits is the number of low bits of a run number that count the runs
--- a/planner/job.go
+++ b/planner/job.go
@@ -251,6 +251,7 @@
 		for _, step := range occurrence.steps {
 			for index := range step.tasks {
 				task := &step.tasks[index]
+				// The reserved run may start as soon as this record is durable.
 				if run := max(task.recordedRun, task.reservedRun); run > 0 && !task.done {
 					recorded.Restarts = append(recorded.Restarts, specifier.TaskRestart{
 						Occurrence: occurrence.number, Step: step.number, Index: index, LatestRun: run,
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -128,7 +128,7 @@
 
 func (planner *Planner) pollRuns(now time.Time, minion *minion) {
 	poll := messenger.PollRuns{AcknowledgedEnd: minion.recordedEnd}
-	mayRenew := planner.suspension.isOver(planner.holder.confirmedAt)
+	mayRenew := planner.suspension.endedBefore(planner.holder.confirmedAt)
 	if len(minion.runs) > 0 && minion.clock > 0 && mayRenew {
 		poll.LeaseUntil = minion.renewLease(now, planner.bounds.MaxLease)
 	}
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -31,6 +32,7 @@
 	}
 	planner.lastPassAt, planner.passNeeded = now, false
 	planner.reservations.expire(now)
+	planner.prepareSteps(now)
 	pools := planner.newPools(now)
 	steps := planner.waitingSteps(now)
 	planner.passInterval = min(minPassInterval+time.Duration(len(steps))*passIntervalPerStep, maxPassInterval)
@@ -56,62 +58,39 @@
 	}
 }
 
-// waitingSteps returns the steps that could start, the most urgent first. It ends the
-// jobs with a task that must not start again.
+// waitingSteps returns the steps that could start, the most urgent first.
 func (planner *Planner) waitingSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
-	var exhausted []*job
-	for _, job := range planner.openJobs {
-		queue := planner.queue(job)
-		if queue == nil {
-			continue
-		}
-		for _, occurrence := range job.occurrences {
-			if now.Before(occurrence.dueAt) {
-				break
-			}
-			for _, step := range occurrence.steps {
-				if step.hasExhaustedTask(now, queue) {
-					exhausted = append(exhausted, job)
-					continue
-				}
-				planner.stopIncompleteGang(now, step)
-				planner.reserveRuns(now, step)
-				if waitingStep := step.waitingStep(now, queue); waitingStep != nil {
-					steps = append(steps, waitingStep)
-				}
-			}
+	for step, queue := range planner.dueSteps(now) {
+		if waitingStep := step.waitingStep(now, queue); waitingStep != nil {
+			steps = append(steps, waitingStep)
 		}
 	}
-	planner.endExhaustedJobs(now, exhausted)
 	slices.SortFunc(steps, compareUrgency)
-	return slices.DeleteFunc(steps, func(waitingStep *waitingStep) bool { return !waitingStep.step.occurrence.job.isOpen() })
+	return steps
 }
 
-// hasExhaustedTask reports whether a task that waits for a run has used all its attempts.
-// Its job has not ended if the queue was unknown, or allowed more attempts, when the last
-// one failed.
-func (step *step) hasExhaustedTask(now time.Time, queue *specifier.Queue) bool {
-	if step.isComplete() || !step.isReady() {
-		return false
-	}
-	for index := range step.tasks {
-		task := &step.tasks[index]
-		if len(task.failedRuns) == 0 || !task.isIdle(now) {
-			continue
-		}
-		if len(task.failedRuns) >= queue.Attempts || (step.spec.Gang && step.failedAttempts() >= queue.Attempts) {
-			return true
+// dueSteps yields the steps of the open jobs that are due, in no certain order, with
+// their queues.
+func (planner *Planner) dueSteps(now time.Time) iter.Seq2[*step, *specifier.Queue] {
+	return func(yield func(*step, *specifier.Queue) bool) {
+		for _, job := range planner.openJobs {
+			queue := planner.queue(job)
+			if queue == nil {
+				continue
+			}
+			for _, occurrence := range job.occurrences {
+				if now.Before(occurrence.dueAt) {
+					break
+				}
+				for _, step := range occurrence.steps {
+					if !yield(step, queue) {
+						return
+					}
+				}
+			}
 		}
 	}
-	return false
-}
-
-func (planner *Planner) endExhaustedJobs(now time.Time, jobs []*job) {
-	slices.SortFunc(jobs, func(one, other *job) int { return cmp.Compare(one.arrival, other.arrival) })
-	for _, job := range slices.Compact(jobs) {
-		planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
-	}
 }
 
 // waitingStep returns the step with its urgency, nil if it has no task to
@@ -133,15 +112,6 @@
 	return &waitingStep{step: step, queue: queue, taskCount: count, latestStart: latestStart, late: now.After(latestStart)}
 }
 
-func (step *step) hasIdleTask(now time.Time) bool {
-	for index := range step.tasks {
-		if step.tasks[index].isIdle(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // hasUnresolvedTask reports whether a task of the step may run on a minion that
 // has not reported it.
 func (step *step) hasUnresolvedTask() bool {
@@ -186,9 +156,7 @@
 		cmp.Compare(one.queue.Priority, other.queue.Priority),
 		compareBool(one.late, other.late),
 		one.latestStart.Compare(other.latestStart),
-		cmp.Compare(one.step.occurrence.job.arrival, other.step.occurrence.job.arrival),
-		cmp.Compare(one.step.occurrence.number, other.step.occurrence.number),
-		cmp.Compare(one.step.number, other.step.number),
+		compareArrival(one.step, other.step),
 	)
 }
 
--- a/planner/place.go
+++ b/planner/place.go
@@ -75,19 +75,6 @@
 	return chosen
 }
 
-// stopIncompleteGang stops the members of a gang of which another one has no run, for
-// example when a takeover found only some of them.
-func (planner *Planner) stopIncompleteGang(now time.Time, step *step) {
-	if !step.spec.Gang || !step.hasIdleTask(now) || step.hasUnresolvedTask() {
-		return
-	}
-	for index := range step.tasks {
-		if run := step.tasks[index].run; run != nil {
-			planner.stopRun(now, run, "its gang is incomplete")
-		}
-	}
-}
-
 func (planner *Planner) nextRunNumber() uint64 {
 	planner.lastRunNumber++
 	return planner.lastRunNumber
--- /dev/null
+++ b/planner/prepare.go
@@ -0,0 +1,84 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"corianderroad/specifier"
+)
+
+// prepareSteps does what must precede the starts of a pass: it ends the jobs whose
+// attempts are used up, stops incomplete gangs and reserves the numbers of repeated runs.
+func (planner *Planner) prepareSteps(now time.Time) {
+	var steps []*step
+	for step, queue := range planner.dueSteps(now) {
+		if step.isComplete() || !step.isReady() {
+			continue
+		}
+		if step.hasExhaustedTask(now, queue) || step.isIncompleteGang(now) || step.needsRunNumbers(now) {
+			steps = append(steps, step)
+		}
+	}
+	slices.SortFunc(steps, compareArrival)
+	for _, step := range steps {
+		job := step.occurrence.job
+		switch {
+		case !job.isOpen(): // another step has ended it
+		case step.hasExhaustedTask(now, planner.queue(job)):
+			planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+		case step.isIncompleteGang(now):
+			planner.stopGang(now, step)
+		default:
+			planner.reserveRuns(now, step)
+		}
+	}
+}
+
+// compareArrival orders steps by the arrival of their jobs.
+func compareArrival(one, other *step) int {
+	return cmp.Or(
+		cmp.Compare(one.occurrence.job.arrival, other.occurrence.job.arrival),
+		cmp.Compare(one.occurrence.number, other.occurrence.number),
+		cmp.Compare(one.number, other.number),
+	)
+}
+
+// hasExhaustedTask reports whether a task that waits for a run has used all its attempts.
+// Its job has not ended if the queue was unknown, or allowed more attempts, when the last
+// one failed.
+func (step *step) hasExhaustedTask(now time.Time, queue *specifier.Queue) bool {
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		if len(task.failedRuns) == 0 || !task.isIdle(now) {
+			continue
+		}
+		if len(task.failedRuns) >= queue.Attempts || (step.spec.Gang && step.failedAttempts() >= queue.Attempts) {
+			return true
+		}
+	}
+	return false
+}
+
+// isIncompleteGang reports whether some members of a gang run without another one, for
+// example when a takeover found only some of them.
+func (step *step) isIncompleteGang(now time.Time) bool {
+	if !step.spec.Gang || step.hasUnresolvedTask() {
+		return false
+	}
+	hasIdle, hasRunning := false, false
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		hasIdle = hasIdle || task.isIdle(now)
+		hasRunning = hasRunning || (task.run != nil && task.run.state != stopping)
+	}
+	return hasIdle && hasRunning
+}
+
+func (planner *Planner) stopGang(now time.Time, step *step) {
+	for index := range step.tasks {
+		if run := step.tasks[index].run; run != nil {
+			planner.stopRun(now, run, "its gang is incomplete")
+		}
+	}
+}
--- a/planner/record.go
+++ b/planner/record.go
@@ -168,7 +168,7 @@
 		for _, update := range recording.current.Updates {
 			if job, ok := planner.jobs[update.Job]; ok {
 				job.mayHaveStarted = update.Progress.State >= specifier.Running
-				job.allowRuns(update.Progress.Restarts)
+				job.noteRecordedRuns(update.Progress.Restarts)
 			}
 		}
 		planner.passNeeded = true
--- a/planner/restart.go
+++ b/planner/restart.go
@@ -22,44 +22,41 @@
 	return !task.isRestart()
 }
 
-// reserveRuns reserves the numbers of the step's next runs for the next record, for
-// the tasks that have been started before and wait for a run. The members of a gang
-// have one number.
-func (planner *Planner) reserveRuns(now time.Time, step *step) {
-	if step.isComplete() || !step.isReady() {
-		return
-	}
-	if step.spec.Gang {
-		planner.reserveGangRun(now, step)
-		return
-	}
+// needsRunNumbers reports whether tasks that have been started before wait for a run and
+// have no number for it. The members of a gang have one number, so that all of them must
+// wait.
+func (step *step) needsRunNumbers(now time.Time) bool {
+	isRestart, isReserved := false, true
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if task.isIdle(now) && task.isRestart() && task.reservedRun == 0 {
-			task.reservedRun = planner.nextRunNumber()
-			planner.recording.markDirty(step.occurrence.job)
+		switch {
+		case !task.isIdle(now) && step.spec.Gang:
+			return false
+		case !task.isIdle(now):
+		case step.spec.Gang:
+			isRestart = isRestart || task.isRestart()
+			isReserved = isReserved && task.reservedRun > 0 && task.reservedRun == step.tasks[0].reservedRun
+		case task.isRestart() && task.reservedRun == 0:
+			return true
 		}
 	}
+	return isRestart && !isReserved
 }
 
-// reserveGangRun reserves the number of a gang's next run if one of its members has
-// been started before.
-func (planner *Planner) reserveGangRun(now time.Time, step *step) {
-	isRestart, isReserved := false, true
+// reserveRuns reserves the numbers of the step's next runs, for the next record.
+func (planner *Planner) reserveRuns(now time.Time, step *step) {
+	gangRun := uint64(0)
+	if step.spec.Gang {
+		gangRun = planner.nextRunNumber()
+	}
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if !task.isIdle(now) {
-			return
+		switch {
+		case step.spec.Gang:
+			task.reservedRun = gangRun
+		case task.isIdle(now) && task.isRestart() && task.reservedRun == 0:
+			task.reservedRun = planner.nextRunNumber()
 		}
-		isRestart = isRestart || task.isRestart()
-		isReserved = isReserved && task.reservedRun > 0 && task.reservedRun == step.tasks[0].reservedRun
-	}
-	if !isRestart || isReserved {
-		return
-	}
-	number := planner.nextRunNumber()
-	for index := range step.tasks {
-		step.tasks[index].reservedRun = number
 	}
 	planner.recording.markDirty(step.occurrence.job)
 }
@@ -74,8 +71,8 @@
 	return planner.nextRunNumber()
 }
 
-// allowRuns notes that the journal has the reserved numbers of runs.
-func (job *job) allowRuns(restarts []specifier.TaskRestart) {
+// noteRecordedRuns notes that the journal has the reserved numbers of runs.
+func (job *job) noteRecordedRuns(restarts []specifier.TaskRestart) {
 	for _, restart := range restarts {
 		_, task := job.find(specifier.Task{Occurrence: restart.Occurrence, Step: restart.Step, Index: restart.Index})
 		if task != nil && task.reservedRun == restart.LatestRun {
--- a/planner/suspension.go
+++ b/planner/suspension.go
@@ -26,7 +26,8 @@
 	suspension.steppedAt = now
 }
 
-// isOver reports whether the claim was confirmed after the last suspension.
-func (suspension *suspension) isOver(confirmedAt time.Time) bool {
+// endedBefore reports whether the last suspension had ended when the newest confirmation
+// of the claim was requested.
+func (suspension *suspension) endedBefore(confirmedAt time.Time) bool {
 	return !confirmedAt.Before(suspension.continuedAt)
 }
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -70,8 +70,7 @@
 		return
 	}
 	slices.SortFunc(steps, func(one, other *step) int {
-		return cmp.Or(one.stalledSince.Compare(other.stalledSince), cmp.Compare(one.occurrence.job.arrival, other.occurrence.job.arrival),
-			cmp.Compare(one.occurrence.number, other.occurrence.number), cmp.Compare(one.number, other.number))
+		return cmp.Or(one.stalledSince.Compare(other.stalledSince), compareArrival(one, other))
 	})
 	minions := planner.describeMinions(now)
 	for _, step := range steps[:min(len(steps), maxReportedSteps)] {
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -40,13 +40,13 @@
 	EndedAt time.Time
 	// Tasks lists the tasks that are done, have failed or have a checkpoint.
 	Tasks []TaskProgress
-	// Restarts lists the tasks that were started again although an end of an earlier
-	// run may not have been heard.
+	// Restarts lists the tasks that are not done and may have been started again.
 	Restarts []TaskRestart
 }
 
-// TaskRestart is the newest run of a task that was started again. A holder that
-// hears of the end of an earlier run must not record it.
+// TaskRestart names the newest run of a task that may have been started. It is recorded
+// before that run starts. For another holder, the end of an earlier run is not the last
+// one of the task.
 type TaskRestart struct {
 	Occurrence int
 	Step       int
