Skip steps without an idle task when a pass is prepared

Cause: preparing a pass looked three times at all tasks of each due step; the holder's decisions took 2.5 instead of 2.2 % of a core with 350 minions (BenchmarkLoadedFleet beside other load, one run each). Change: steps of which no task waits for a run are skipped.

--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -13,7 +13,7 @@
 func (planner *Planner) prepareSteps(now time.Time) {
 	var steps []*step
 	for step, queue := range planner.dueSteps(now) {
-		if step.isComplete() || !step.isReady() {
+		if !step.isReady() || !step.hasIdleTask(now) {
 			continue
 		}
 		if step.hasExhaustedTask(now, queue) || step.isIncompleteGang(now) || step.needsRunNumbers(now) {
@@ -44,6 +44,15 @@
 	)
 }
 
+func (step *step) hasIdleTask(now time.Time) bool {
+	for index := range step.tasks {
+		if step.tasks[index].isIdle(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasExhaustedTask reports whether a task that waits for a run has used all its attempts.
 // Its job has not ended if the queue was unknown, or allowed more attempts, when the last
 // one failed.
