Test that cleared workers are used

Nothing causes a pass before clearingTimeout, and that pass queues the job again. On a quiet cluster this repeats without end.

TestClearedWorkersAreUsed shows it.

--- a/scheduler/recovery_test.go
+++ b/scheduler/recovery_test.go
@@ -232,3 +232,25 @@
 	_, started = simulation.started["gang"]
 	quicktest.Assert(t, started, quicktest.IsTrue)
 }
+
+// TestClearedWorkersAreUsed guards against a job that never starts although its workers
+// are free: workers without a gang are reserved for it, nothing else causes a pass before
+// clearingTimeout, and at that time the job is queued again.
+func TestClearedWorkersAreUsed(t *testing.T) {
+	simulation := newSimulation(t, 1)
+	simulation.setMembers(simulation.addNode(scheduler.Parameters{}))
+	simulation.addWorkers(4, 1, 8)
+	guarantee := func(members, accelerators int, adjacency commander.Adjacency) messenger.Guarantee {
+		return messenger.Guarantee{Region: "r", Shape: commander.Shape{Members: members, Accelerators: accelerators, Adjacency: adjacency}}
+	}
+	// The job can be protected only on the worker that holds its guarantee.
+	simulation.configure(
+		messenger.WorkspaceSpec{Workspace: "a", Weight: 1, Guarantees: []messenger.Guarantee{guarantee(1, 1, commander.AnyRack), guarantee(3, 7, commander.AnyRack)}},
+		messenger.WorkspaceSpec{Workspace: "b", Weight: 1, Guarantees: []messenger.Guarantee{guarantee(1, 2, commander.AnyRack), guarantee(1, 6, commander.SameRack)}},
+	)
+	simulation.run(10 * time.Second)
+	simulation.submit(commander.JobSpec{Job: "draw", Workspace: "a", Shape: commander.Shape{Members: 1, Accelerators: 1}}, behaviour{})
+	simulation.run(10 * time.Second)
+	_, started := simulation.started["draw"]
+	quicktest.Assert(t, started, quicktest.IsTrue)
+}
