Use cleared workers before the time limit

Callers saw, or would see: a job within the guarantee of its workspace that waits beside free workers for as long as nothing else happens in the region.

Cause: launchCleared tested the time limit before it tested whether the workers are free, and clearWorkers asked for the next pass at the time limit, also when there was no gang whose end would have caused an earlier one. Free workers now win over the limit, and without victims the next pass is requested at once.

--- a/scheduler/preemption.go
+++ b/scheduler/preemption.go
@@ -121,7 +121,11 @@
 		region.fleet.Reserve(name, job.spec.Shape.Accelerators)
 	}
 	region.clearing = append(region.clearing, job)
-	scheduler.requestPlanAt(region, pass.now.Add(clearingTimeout))
+	if len(victims) == 0 {
+		scheduler.requestPlan(pass.now, region)
+	} else {
+		scheduler.requestPlanAt(region, pass.now.Add(clearingTimeout))
+	}
 	scheduler.recordDecision(pass.now, string(job.spec.Job), "preempts", fmt.Sprintf("%d gangs on %s", len(victims), workerSetName(workers)))
 	for _, victim := range victims {
 		scheduler.evict(pass.now, victim, "preempted", string(job.spec.Job))
@@ -155,7 +159,7 @@
 			ready = ready && free >= job.spec.Shape.Accelerators
 		}
 		switch {
-		case job.cancelled || !usable || pass.now.Sub(job.since) >= clearingTimeout:
+		case job.cancelled || !usable || (!ready && pass.now.Sub(job.since) >= clearingTimeout):
 			scheduler.abortClearing(pass.now, region, job)
 		case ready:
 			workers := job.targetWorkers
