--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -95,19 +95,19 @@
 func (pass *pass) tryPlace(job *job) bool {
 	scheduler, region := pass.scheduler, pass.region
 	switch {
-	case job.cancelled:
-		scheduler.setOutcome(pass.now, job, cancelledOutcome())
-		return false
 	case job.offset <= identifier.Offset(region.term) && pass.now.Before(region.unresolvedTasksEndAt):
-		// Tasks of the job may still run on workers that did not answer.
+		// Tasks of the job may still run on workers that did not answer or are not in
+		// this node's VM list, even if all listed workers have answered.
 		job.reason = classifier.NotReady
 		scheduler.requestPlanAt(region, region.unresolvedTasksEndAt)
 		return false
-	}
-	if len(job.unreleased) > 0 && pass.now.Before(job.unreleasedUntil) {
+	case len(job.unreleased) > 0 && pass.now.Before(job.unreleasedUntil):
 		job.reason = classifier.NotReady
 		scheduler.requestPlanAt(region, job.unreleasedUntil)
 		return false
+	case job.cancelled:
+		scheduler.setOutcome(pass.now, job, cancelledOutcome())
+		return false
 	}
 	if quota := scheduler.workspaces[job.spec.Workspace].Quota; quota > 0 && pass.used[job.spec.Workspace]+job.spec.Shape.TotalAccelerators() > quota {
 		job.reason = classifier.QuotaExceeded
@@ -124,13 +124,25 @@
 	if pass.isFeasible(job.spec.Shape) {
 		pass.reserveIfOverdue(job)
 	} else {
-		scheduler.setOutcome(pass.now, job, messenger.Outcome{
-			Code: classifier.Infeasible, Reason: "the shape does not fit on any set of workers of the region",
-		})
+		pass.endInfeasible(job)
 	}
 	return false
 }
 
+// endInfeasible ends a job whose shape fits on no set of known workers. During
+// listSettlingTime the job waits, because the VM list may have lacked live workers
+// from the start.
+func (pass *pass) endInfeasible(job *job) {
+	decidableAt := pass.region.listedSince.Add(listSettlingTime)
+	if pass.now.Before(decidableAt) {
+		pass.scheduler.requestPlanAt(pass.region, decidableAt)
+		return
+	}
+	pass.scheduler.setOutcome(pass.now, job, messenger.Outcome{
+		Code: classifier.Infeasible, Reason: "the shape does not fit on any set of workers of the region",
+	})
+}
+
 // placeFree places a job on unoccupied accelerators. A job within its guarantee that
 // cannot be protected there is placed by preemption if that is possible.
 func (pass *pass) placeFree(job *job, withinGuarantee bool) bool {
--- a/scheduler/region.go
+++ b/scheduler/region.go
@@ -23,8 +23,11 @@
 type region struct {
 	name    identifier.Region
 	workers map[identifier.Worker]*worker
-	fleet   *placer.Fleet
-	queues  map[identifier.Workspace]*queue
+	// listedSince is when this node first received a VM list with a worker of the
+	// region, zero while it knows no worker.
+	listedSince time.Time
+	fleet       *placer.Fleet
+	queues      map[identifier.Workspace]*queue
 
 	// claim is the newest claim; term is its offset.
 	claim messenger.RegionClaim
@@ -108,9 +111,10 @@
 	return sorted
 }
 
-// isPlacing reports whether this node may place gangs in the region now.
+// isPlacing reports whether this node may place gangs in the region now. Without the
+// configuration, no workspace would have a quota or a guarantee.
 func (scheduler *Scheduler) isPlacing(region *region) bool {
-	return region.held && region.adoptionDeadline.IsZero() && !scheduler.draining
+	return region.held && region.adoptionDeadline.IsZero() && !scheduler.draining && scheduler.workspaces != nil
 }
 
 // requestPlan requests a pass over the waiting jobs.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,11 +19,15 @@
 	identity   messenger.Identity
 	parameters Parameters
 
-	jobs       map[identifier.Job]*job
-	regions    map[identifier.Region]*region
-	members    []messenger.Member
+	jobs    map[identifier.Job]*job
+	regions map[identifier.Region]*region
+	members []messenger.Member
+	// workspaces are those of the configuration, nil before it has been read.
 	workspaces map[identifier.Workspace]messenger.WorkspaceSpec
 	draining   bool
+	// jobsCaughtUp means that this node has read the jobs stream once, so that it knows
+	// the newest claims.
+	jobsCaughtUp bool
 
 	calls     map[uint64]call
 	sequence  uint64
@@ -39,11 +43,10 @@
 func New(identity messenger.Identity, parameters Parameters) *Scheduler {
 	return &Scheduler{
 		identity: identity, parameters: parameters.withDefaults(),
-		jobs:       make(map[identifier.Job]*job),
-		regions:    make(map[identifier.Region]*region),
-		workspaces: make(map[identifier.Workspace]messenger.WorkspaceSpec),
-		calls:      make(map[uint64]call),
-		decisions:  recorder.New(identity.Node, maxDecisions),
+		jobs:      make(map[identifier.Job]*job),
+		regions:   make(map[identifier.Region]*region),
+		calls:     make(map[uint64]call),
+		decisions: recorder.New(identity.Node, maxDecisions),
 	}
 }
 
@@ -60,6 +63,8 @@
 		scheduler.handleJobEnded(now, event.Outcome)
 	case messenger.ClaimApplied:
 		scheduler.handleClaimApplied(now, event)
+	case messenger.JobsCaughtUp:
+		scheduler.jobsCaughtUp = true
 	case messenger.WorkerAnswered:
 		scheduler.handleWorkerAnswered(now, event)
 	case messenger.MembersChanged:
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -97,12 +97,19 @@
 	identity   messenger.Identity
 	scheduler  *scheduler.Scheduler
 	applied    int
+	caughtUp   bool
 	// claim is the newest claim that the node has applied, term its offset.
 	claim       messenger.RegionClaim
 	term        identifier.Term
 	pausedUntil time.Time // end of a pause of the process
 	inbox       []messenger.Event
 	nextTick    time.Time
+	// logReadableAt is when the node can read the log, configurationDelay the time from
+	// the start of its process until it has read the configuration.
+	logReadableAt      time.Time
+	configurationDelay time.Duration
+	// unlisted are the VMs that the lists of this node lack.
+	unlisted map[string]bool
 }
 
 func newSimulation(t failer, seed uint64) *simulation {
@@ -110,7 +117,7 @@
 		t: t, now: epoch, maxTransit: 5 * time.Millisecond, lease: 15 * time.Second, random: rand.New(rand.NewPCG(seed, 1)),
 		workers: make(map[identifier.Worker]*vm), behaviours: make(map[identifier.Job]behaviour),
 		gangs: make(map[messenger.Gang]*observedGang), ended: make(map[identifier.Job]time.Time),
-		outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
+		configuration: &messenger.Configuration{}, outcomes: make(map[identifier.Job]messenger.Outcome), accepted: make(map[identifier.Job]time.Time),
 		started: make(map[identifier.Job]time.Time), calls: make(map[messenger.WorkerCallKind]int),
 	}
 }
@@ -146,6 +153,8 @@
 	}
 	added := &node{simulation: simulation, identity: identity, scheduler: scheduler.New(identity, parameters)}
 	simulation.nodes = append(simulation.nodes, added)
+	added.applyLog(identifier.Offset(len(simulation.log)))
+	added.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
 	return added
 }
 
@@ -173,8 +182,8 @@
 }
 
 func (simulation *simulation) listVMs() {
-	event := messenger.VMsListed{At: simulation.now, VMs: slices.Clone(simulation.vms)}
 	for _, node := range simulation.nodes {
+		event := node.newVMsListed()
 		simulation.after(simulation.delay(time.Second), func() { node.step(event) })
 	}
 }
@@ -191,6 +200,7 @@
 			if record.Code == classifier.OK && !simulation.isComplete(record.Job) {
 				simulation.t.Fatalf("the outcome of job %s is OK, but not every member has completed", record.Job)
 			}
+			simulation.checkEnded(record.Job)
 			simulation.outcomes[record.Job], simulation.ended[record.Job] = record, simulation.now
 		}
 	}
@@ -199,6 +209,15 @@
 	}
 }
 
+// checkEnded fails if a task of a job runs when its outcome is appended.
+func (simulation *simulation) checkEnded(job identifier.Job) {
+	for gang, observed := range simulation.gangs {
+		if gang.Job == job && len(observed.running) > 0 {
+			simulation.t.Fatalf("gang %v runs when the outcome of its job is appended", gang)
+		}
+	}
+}
+
 func (simulation *simulation) submit(spec commander.JobSpec, actual behaviour) {
 	spec.Region = "r"
 	simulation.behaviours[spec.Job] = actual
@@ -221,8 +240,8 @@
 
 // applyLog delivers the records up to an offset to the node, in order.
 func (node *node) applyLog(offset identifier.Offset) {
-	if node.simulation.now.Before(node.pausedUntil) {
-		node.simulation.after(node.pausedUntil.Sub(node.simulation.now), func() { node.applyLog(offset) })
+	if readableAt := later(node.pausedUntil, node.logReadableAt); node.simulation.now.Before(readableAt) {
+		node.simulation.after(readableAt.Sub(node.simulation.now), func() { node.applyLog(offset) })
 		return
 	}
 	for node.applied < int(offset) {
@@ -240,18 +259,10 @@
 			node.step(messenger.JobEnded{Outcome: node.simulation.outcomes[record.Job]})
 		}
 	}
-}
-
-// pause pauses the node's process; its events are delivered afterwards.
-func (node *node) pause(duration time.Duration) {
-	node.pausedUntil = node.simulation.now.Add(duration)
-	node.simulation.after(duration, func() {
-		events := node.inbox
-		node.inbox = nil
-		for _, event := range events {
-			node.step(event)
-		}
-	})
+	if !node.caughtUp && node.applied == len(node.simulation.log) {
+		node.caughtUp = true
+		node.step(messenger.JobsCaughtUp{})
+	}
 }
 
 func (node *node) step(event messenger.Event) {
@@ -344,19 +355,3 @@
 		node.step(answer)
 	}
 }
-
-// reboot replaces the node's process by a new one, which applies the log from the
-// start.
-func (node *node) reboot() {
-	simulation := node.simulation
-	node.identity.Incarnation++
-	node.scheduler = scheduler.New(node.identity, scheduler.Parameters{})
-	node.applied, node.pausedUntil, node.inbox, node.nextTick = 0, time.Time{}, nil, time.Time{}
-	node.claim, node.term = messenger.RegionClaim{}, 0
-	node.applyLog(identifier.Offset(len(simulation.log)))
-	node.step(messenger.VMsListed{At: simulation.now, VMs: slices.Clone(simulation.vms)})
-	if simulation.configuration != nil {
-		node.step(messenger.ConfigurationChanged{Configuration: simulation.configuration})
-	}
-	simulation.setMembers(simulation.nodes...)
-}
