Wait for the claim without asking for events at once

What callers would see: none directly; a node that uses its whole processor. Cause: a holder that becomes active when its claim is no longer confirmed had no interval between passes yet, so that Next returned the present time again and again until the claim was confirmed. Change: without a confirmed claim the next check is due after idleInterval; the first confirmation makes a pass due. On the way, two functions that reserve numbers are split, and adoptRun compares run numbers before it adds the run.

--- a/planner/holder.go
+++ b/planner/holder.go
@@ -55,6 +55,9 @@
 		planner.stepDown()
 	case event.Token == 0:
 	case event.Token == planner.holder.token:
+		if !planner.holder.isClaimValid(now) {
+			planner.lastPassAt = time.Time{} // a pass may be due
+		}
 		planner.holder.confirmedAt = event.ConfirmedAt
 	default:
 		if planner.holder.token != 0 {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -114,7 +114,7 @@
 		planner.advanceWaves(now)
 		planner.runPass(now)
 	} else {
-		planner.lastPassAt = now
+		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
 	planner.reportWaitingSteps(now)
 	planner.sendRecord(now)
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -119,6 +119,7 @@
 		id: report.Task, number: report.Run, step: step, minion: minion, state: running,
 		startedAt: now, startConfirmedAt: now, progressAt: now,
 	} // its pace is unknown; pacePercent starts at 0 and rises step by step
+	mayHaveLaterRun := report.Run < task.latestRun
 	minion.addRun(run)
 	if known := task.run; known != nil {
 		planner.emitDecision(report.Task.String(), "duplicate-run", "another run of the task is known",
@@ -129,7 +130,7 @@
 	case !step.occurrence.job.isOpen() || task.done || task.run != nil:
 		planner.stopRun(now, run, "the task has ended or runs elsewhere")
 		return run
-	case report.Run < task.latestRun:
+	case mayHaveLaterRun:
 		planner.stopRun(now, run, "a later run may exist")
 		return run
 	}
--- a/planner/restart.go
+++ b/planner/restart.go
@@ -22,43 +22,56 @@
 	return !task.isRestart()
 }
 
-// needsRunNumbers reports whether tasks that have been started before wait for a run and
-// have no number for it. The members of a gang have one number, so that all of them must
-// wait.
+// needsRunNumber reports whether the task waits for a run after its first and has no
+// number for it.
+func (task *task) needsRunNumber(now time.Time) bool {
+	return task.isIdle(now) && task.isRestart() && task.reservedRun == 0
+}
+
+// needsRunNumbers reports whether numbers must be reserved for tasks of the step.
 func (step *step) needsRunNumbers(now time.Time) bool {
-	isRestart, isReserved := false, true
+	if step.spec.Gang {
+		return step.needsGangRunNumber(now)
+	}
+	for index := range step.tasks {
+		if step.tasks[index].needsRunNumber(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// needsGangRunNumber reports whether all members of the gang wait for a run, one of them
+// for a run after its first, and have no common number for it.
+func (step *step) needsGangRunNumber(now time.Time) bool {
+	common := step.tasks[0].reservedRun
+	isRestart, isReserved := false, common > 0
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		switch {
-		case !task.isIdle(now) && step.spec.Gang:
+		if !task.isIdle(now) {
 			return false
-		case !task.isIdle(now):
-		case step.spec.Gang:
-			isRestart = isRestart || task.isRestart()
-			isReserved = isReserved && task.reservedRun > 0 && task.reservedRun == step.tasks[0].reservedRun
-		case task.isRestart() && task.reservedRun == 0:
-			return true
 		}
+		isRestart = isRestart || task.isRestart()
+		isReserved = isReserved && task.reservedRun == common
 	}
 	return isRestart && !isReserved
 }
 
 // reserveRuns reserves the numbers of the step's next runs, for the next record.
 func (planner *Planner) reserveRuns(now time.Time, step *step) {
-	gangRun := uint64(0)
+	planner.recording.markDirty(step.occurrence.job)
 	if step.spec.Gang {
-		gangRun = planner.nextRunNumber()
+		number := planner.nextRunNumber()
+		for index := range step.tasks {
+			step.tasks[index].reservedRun = number
+		}
+		return
 	}
 	for index := range step.tasks {
-		task := &step.tasks[index]
-		switch {
-		case step.spec.Gang:
-			task.reservedRun = gangRun
-		case task.isIdle(now) && task.isRestart() && task.reservedRun == 0:
+		if task := &step.tasks[index]; task.needsRunNumber(now) {
 			task.reservedRun = planner.nextRunNumber()
 		}
 	}
-	planner.recording.markDirty(step.occurrence.job)
 }
 
 // takeRunNumber returns the number of the task's next run, the reserved one if there is
