Send starts and stops apart from polls

Cause: one limit of 1,024 concurrent calls covered polls, which stay open for up to 1.2 s at each minion with runs, and starts. Ruled out as a fix: a larger common limit, because a new holder polls all minions at once at any size.

Change: the polls have a ring and a limit of their own.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -33,6 +33,7 @@
 	eventCapacity     = 2048
 	lowVolumeCapacity = 512 // for queries, appends of the holder and calls of services
 	callCapacity      = 2048
+	pollCapacity      = 8192 // a new holder polls all minions at once
 )
 
 // revocationMargin is subtracted from the platform's bound for revocations, so that
@@ -55,7 +56,7 @@
 	claimAppends    *buffer.Ring[messenger.AppendClaim]
 	entryAppends    *buffer.Ring[messenger.AppendEntries]
 	progressAppends *buffer.Ring[messenger.Action]
-	orders          *buffer.Ring[messenger.OrderMinion]
+	orders, polls   *buffer.Ring[messenger.OrderMinion]
 	serviceCalls    *buffer.Ring[messenger.Action]
 
 	answers       *waiter.Waiter[messenger.CommandAnswered]
@@ -99,6 +100,7 @@
 	assembler.entryAppends = buffer.New[messenger.AppendEntries]("entry-appends", callCapacity)
 	assembler.progressAppends = buffer.New[messenger.Action]("progress-appends", lowVolumeCapacity)
 	assembler.orders = buffer.New[messenger.OrderMinion]("orders", callCapacity)
+	assembler.polls = buffer.New[messenger.OrderMinion]("polls", pollCapacity)
 	assembler.serviceCalls = buffer.New[messenger.Action]("service-calls", lowVolumeCapacity)
 	assembler.answers = waiter.New[messenger.CommandAnswered]("answers", callCapacity)
 }
@@ -108,7 +110,7 @@
 	return []exporter.Ring{
 		assembler.claims, assembler.entries, assembler.plans, assembler.claimQueries, assembler.jobQueries,
 		assembler.planQueries, assembler.claimAppends, assembler.entryAppends, assembler.progressAppends,
-		assembler.orders, assembler.serviceCalls, assembler.answers,
+		assembler.orders, assembler.polls, assembler.serviceCalls, assembler.answers,
 	}
 }
 
@@ -175,7 +177,7 @@
 		committer.NewEntryAppender(assembler.entryAppends, storeClient, sink),
 		committer.NewProgressAppender(assembler.progressAppends, storeClient, sink),
 		committer.NewClaimAppender(assembler.claimAppends, storeClient, sink, assembler.clock),
-		orderer.New(assembler.orders, platform.NewMinionClient(), sink, assembler.clock),
+		orderer.New(assembler.orders, assembler.polls, platform.NewMinionClient(), sink, assembler.clock),
 		orderer.NewServiceCaller(assembler.serviceCalls, serviceClient, serviceClient, sink, assembler.clock))
 }
 
--- a/assembler/dispatch.go
+++ b/assembler/dispatch.go
@@ -36,7 +36,11 @@
 			return messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial, Err: err}, nil
 		}
 	case messenger.OrderMinion:
-		if err := offer(assembler.orders, action); err != nil {
+		ring := assembler.orders
+		if _, isPoll := action.Order.(messenger.PollRuns); isPoll {
+			ring = assembler.polls
+		}
+		if err := offer(ring, action); err != nil {
 			return messenger.OrderAnswered{Sent: action, SentAt: assembler.clock(), Err: err}, nil
 		}
 	case messenger.FollowMinions:
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -16,9 +16,12 @@
 )
 
 // Maximum numbers of concurrent calls. A poll stays open at every minion that
-// runs tasks.
+// runs tasks, so that polls have a limit of their own: a start or a stop never
+// waits for a poll to end. Both together fit into the file descriptors of the
+// smallest entry VM.
 const (
-	maxMinionCalls  = 1024
+	maxOrders       = 512
+	maxPolls        = 3072
 	maxServiceCalls = 8
 	// serviceTimeout bounds a call to the VM list and a report of a wave. That of a
 	// list follows the time of the last one up to maxListTimeout: a long list would
@@ -40,26 +43,36 @@
 
 // Orderer sends orders to minions.
 type Orderer struct {
-	orders       *buffer.Ring[messenger.OrderMinion]
+	orders, polls *buffer.Ring[messenger.OrderMinion]
+
 	minionClient MinionClient
 	eventSink    EventSink
 	clock        func() time.Time
 }
 
-// New returns the duty that sends the orders in the ring.
-func New(orders *buffer.Ring[messenger.OrderMinion], minionClient MinionClient, eventSink EventSink, clock func() time.Time) *Orderer {
-	return &Orderer{orders: orders, minionClient: minionClient, eventSink: eventSink, clock: clock}
+// New returns the duty that sends the polls in one ring and all other orders in the
+// other.
+func New(orders, polls *buffer.Ring[messenger.OrderMinion], minionClient MinionClient, eventSink EventSink, clock func() time.Time) *Orderer {
+	return &Orderer{orders: orders, polls: polls, minionClient: minionClient, eventSink: eventSink, clock: clock}
 }
 
 // Run sends orders until the context ends.
 func (orderer *Orderer) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(maxMinionCalls)
+	group.Go(func() error { return orderer.sendAll(ctx, orderer.orders, maxOrders) })
+	group.Go(func() error { return orderer.sendAll(ctx, orderer.polls, maxPolls) })
+	return group.Wait()
+}
+
+// sendAll sends the orders in a ring, a limited number of them at a time.
+func (orderer *Orderer) sendAll(ctx context.Context, orders *buffer.Ring[messenger.OrderMinion], maxCalls int) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(maxCalls)
 	for {
 		select {
 		case <-ctx.Done():
 			return group.Wait()
-		case order := <-orderer.orders.Entries():
+		case order := <-orders.Entries():
 			group.Go(func() error { return orderer.eventSink.Deliver(ctx, orderer.send(ctx, order)) })
 		}
 	}
