--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -63,10 +63,11 @@
 	exporter      *exporter.Exporter
 	authorizer    atomic.Pointer[authorizer.Authorizer]
 	readiness     readiness
-	journalTailer *tailer.Tailer
-	minionTailer  *tailer.Tailer
-	frontEnd      *platform.FrontEnd
-	duties        []duty
+
+	journalTailer, progressTailer, minionTailer *tailer.Tailer
+
+	frontEnd *platform.FrontEnd
+	duties   []duty
 }
 
 // duty runs until its context ends.
@@ -168,10 +169,11 @@
 	}
 	assembler.minionTailer = newTailer(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{sink, dependency{topic: "minions"}})
 	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, &journalSink{sink, dependency{topic: "journal"}})
+	assembler.progressTailer = newTailer(tailer.Options{Topic: identifier.Progress, Wait: journalWait, Paused: true}, &progressSink{sink, dependency{topic: "progress"}})
 	serviceClient := platform.NewServiceClient(settings, storeClient, refusalObserver{assembler})
 	assembler.duties = append(assembler.duties,
 		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{sink, dependency{topic: "operator"}}),
-		assembler.journalTailer,
+		assembler.journalTailer, assembler.progressTailer,
 		newTailer(tailer.Options{Topic: identifier.Claims, Wait: claimWait}, &claimSink{sink, dependency{topic: "claims"}}),
 		assembler.minionTailer,
 		committer.NewEntryAppender(assembler.entryAppends, storeClient, sink),
--- a/assembler/dispatch.go
+++ b/assembler/dispatch.go
@@ -43,6 +43,8 @@
 		if err := offer(ring, action); err != nil {
 			return messenger.OrderAnswered{Sent: action, SentAt: assembler.clock(), Err: err}, nil
 		}
+	case messenger.FollowProgress:
+		return nil, assembler.progressTailer.Follow(ctx, action.Enabled)
 	case messenger.FollowMinions:
 		return nil, assembler.minionTailer.Follow(ctx, action.Enabled)
 	case messenger.HolderChanged:
--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -85,6 +85,32 @@
 	return read, failures
 }
 
+// progressSink receives the progress of tasks while this node takes over.
+type progressSink struct {
+	eventSink
+	dependency
+}
+
+// Deliver implements tailer.Sink.
+func (sink *progressSink) Deliver(ctx context.Context, reading tailer.Reading) error {
+	sink.recordSuccess(sink.assembler)
+	read, failures := decodeJournal(reading)
+	sink.assembler.reportIgnoredRecords(failures)
+	progress := messenger.ProgressRead{End: read.End, Complete: reading.Complete}
+	for _, entry := range read.Entries {
+		if progressed, ok := entry.(messenger.Progressed); ok {
+			progress.Entries = append(progress.Entries, progressed)
+		}
+	}
+	return sink.eventSink.Deliver(ctx, progress)
+}
+
+// Fail implements tailer.Sink.
+func (sink *progressSink) Fail(_ context.Context, err error) error {
+	sink.recordFailure(sink.assembler, err)
+	return nil
+}
+
 // Fail implements tailer.Sink.
 func (sink *journalSink) Fail(ctx context.Context, err error) error {
 	sink.recordFailure(sink.assembler, err)
--- a/committer/holder.go
+++ b/committer/holder.go
@@ -18,13 +18,20 @@
 	store     Store
 	eventSink EventSink
 	token     identifier.Term
-	sequence  uint64
+
+	progress, journal fencedTopic
+	// recordedSerial is the newest record whose progress is durable. When it is repeated,
+	// only the part for the journal is left.
+	recordedSerial uint64
 }
 
 // NewProgressAppender returns the duty that performs the actions in the ring,
 // which are FenceJournal and RecordProgress.
 func NewProgressAppender(actions *buffer.Ring[messenger.Action], store Store, eventSink EventSink) *ProgressAppender {
-	return &ProgressAppender{actions: actions, store: store, eventSink: eventSink}
+	return &ProgressAppender{
+		actions: actions, store: store, eventSink: eventSink,
+		progress: fencedTopic{topic: identifier.Progress}, journal: fencedTopic{topic: identifier.Journal},
+	}
 }
 
 // Run appends until the context ends.
@@ -44,46 +51,86 @@
 
 func (progressAppender *ProgressAppender) perform(ctx context.Context, action messenger.Action) messenger.Event {
 	if fence, ok := action.(messenger.FenceJournal); ok {
-		ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-		defer cancel()
-		end, err := progressAppender.store.AppendFenced(ctx, identifier.Journal, nil, fence.Token, 0)
-		progressAppender.token, progressAppender.sequence = fence.Token, 0
-		return messenger.JournalFenced{Token: fence.Token, End: end, Err: classifier.Wrap(err)}
+		return progressAppender.fence(ctx, fence.Token)
 	}
 	record := action.(messenger.RecordProgress)
 	return messenger.ProgressRecorded{Token: record.Token, Serial: record.Serial, Err: progressAppender.record(ctx, record)}
 }
 
+// fence sets the token of the topics that the holder writes.
+func (progressAppender *ProgressAppender) fence(ctx context.Context, token identifier.Term) messenger.JournalFenced {
+	progressAppender.token, progressAppender.recordedSerial = token, 0
+	fenced := messenger.JournalFenced{Token: token}
+	var err error
+	if fenced.ProgressEnd, err = progressAppender.progress.fence(ctx, progressAppender.store, token); err == nil {
+		fenced.End, err = progressAppender.journal.fence(ctx, progressAppender.store, token)
+	}
+	fenced.Err = classifier.Wrap(err)
+	return fenced
+}
+
+// record makes the progress durable first. A state in the journal is final for other
+// nodes, and the progress must not lack what it rests on.
 func (progressAppender *ProgressAppender) record(ctx context.Context, record messenger.RecordProgress) *classifier.Error {
 	if record.Token != progressAppender.token {
 		return classifier.New(classifier.StaleTerm, "the journal was not fenced with token %d", record.Token)
 	}
-	entries := make([]messenger.JournalEntry, 0, len(record.Updates)+len(record.Ended))
-	for _, update := range record.Updates {
-		entries = append(entries, update)
+	if record.Serial != progressAppender.recordedSerial {
+		records, err := progressRecords(record)
+		if err == nil {
+			err = progressAppender.progress.append(ctx, progressAppender.store, records, record.Token)
+		}
+		if err != nil {
+			return classifier.Wrap(err)
+		}
+		progressAppender.recordedSerial = record.Serial
+	}
+	records, err := journalRecords(record)
+	if err == nil {
+		err = progressAppender.journal.append(ctx, progressAppender.store, records, record.Token)
+	}
+	return classifier.Wrap(err)
+}
+
+// progressRecords returns the part of a record that only holders read.
+func progressRecords(record messenger.RecordProgress) ([]encoder.KeyedRecord, error) {
+	records, err := marshalProgress(record.Updates)
+	for _, job := range record.Expired {
+		records = append(records, encoder.ProgressDeletionRecord(job))
+	}
+	return records, err
+}
+
+// journalRecords returns the part of a record that all nodes read.
+func journalRecords(record messenger.RecordProgress) ([]encoder.KeyedRecord, error) {
+	records, err := marshalProgress(record.States)
+	if err != nil {
+		return nil, err
 	}
 	for _, ended := range record.Ended {
 		ended.Payload = ""
-		entries = append(entries, messenger.Submitted{Job: ended})
-	}
-	var records []encoder.KeyedRecord
-	for _, entry := range entries {
-		encoded, err := encoder.MarshalJournalEntry(entry)
+		encoded, err := encoder.MarshalJournalEntry(messenger.Submitted{Job: ended})
 		if err != nil {
-			return classifier.Wrap(err)
+			return nil, err
 		}
 		records = append(records, encoded)
 	}
 	for _, job := range record.Deletions {
 		records = append(records, encoder.DeletionRecords(job)...)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeoutOf(records))
-	defer cancel()
-	_, err := progressAppender.store.AppendFenced(ctx, identifier.Journal, records, record.Token, progressAppender.sequence)
-	if err == nil {
-		progressAppender.sequence++
+	return records, nil
+}
+
+func marshalProgress(entries []messenger.Progressed) ([]encoder.KeyedRecord, error) {
+	records := make([]encoder.KeyedRecord, 0, len(entries))
+	for _, entry := range entries {
+		encoded, err := encoder.MarshalJournalEntry(entry)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, encoded)
 	}
-	return classifier.Wrap(err)
+	return records, nil
 }
 
 // ClaimAppender appends claims and their renewals.
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -46,13 +46,18 @@
 	}
 }
 
-// DeletionRecords returns the records that delete all keys of a job. The key of
-// the job itself is deleted first: without it the other keys have no effect.
+// ProgressDeletionRecord returns the record that deletes the progress of a job.
+func ProgressDeletionRecord(job identifier.Job) KeyedRecord {
+	return KeyedRecord{Key: progressPrefix + string(job)}
+}
+
+// DeletionRecords returns the records that delete all keys of a job in the journal. The
+// key of the job itself is deleted first: without it the other keys have no effect.
 func DeletionRecords(job identifier.Job) []KeyedRecord {
 	return []KeyedRecord{
 		{Key: jobPrefix + string(job)},
 		{Key: cancelPrefix + string(job)},
-		{Key: progressPrefix + string(job)},
+		ProgressDeletionRecord(job),
 	}
 }
 
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -84,9 +84,12 @@
 // Topics of the platform's store that the system uses. The store retains the
 // newest record of each key without a time limit.
 const (
+	// Journal holds what every node reads: jobs, their cancellations and states.
 	Journal Topic = "keyed.journal"
-	Claims  Topic = "keyed.claim"
-	Reports Topic = "keyed.status"
+	// Progress holds the progress of the tasks of each job. Only a new holder reads it.
+	Progress Topic = "keyed.progress"
+	Claims   Topic = "keyed.claim"
+	Reports  Topic = "keyed.status"
 )
 
 // VM names a VM that runs at most one minion at a time.
--- a/messenger/journal.go
+++ b/messenger/journal.go
@@ -22,7 +22,9 @@
 	Job identifier.Job
 }
 
-// Progressed replaces the recorded progress of a job.
+// Progressed replaces the recorded progress of a job. In the journal it has the state of
+// the job only. Its tasks are in a topic of their own, because every node reads the
+// journal. Earlier versions recorded the tasks in the journal.
 type Progressed struct {
 	Job      identifier.Job
 	Progress specifier.Progress
@@ -62,7 +64,22 @@
 	Err *classifier.Error
 }
 
-// FenceJournal makes the journal refuse progress records of former holders.
+// ProgressRead delivers records of the progress of tasks.
+type ProgressRead struct {
+	Entries []Progressed
+	// End is the offset up to which the topic of the progress was read.
+	End identifier.Offset
+	// Complete means that Entries holds the newest record of every job.
+	Complete bool
+}
+
+// FollowProgress starts or ends the delivery of ProgressRead. The first delivery after
+// a start is complete.
+type FollowProgress struct {
+	Enabled bool
+}
+
+// FenceJournal makes the store refuse the records of former holders.
 type FenceJournal struct {
 	Token identifier.Term
 }
@@ -70,18 +87,24 @@
 // JournalFenced is the one answer to FenceJournal.
 type JournalFenced struct {
 	Token identifier.Term
-	// End is the offset up to which the holder must read the journal to have all
-	// records of former holders.
-	End identifier.Offset
-	Err *classifier.Error
+	// End and ProgressEnd are the offsets up to which the holder must read the journal
+	// and the progress to have all records of former holders.
+	End, ProgressEnd identifier.Offset
+	Err              *classifier.Error
 }
 
 // RecordProgress appends progress and deletes jobs on behalf of the holder. At
 // most one is in flight.
 type RecordProgress struct {
-	Token   identifier.Term
-	Serial  uint64
+	Token  identifier.Term
+	Serial uint64
+	// Updates replace the progress of jobs, and Expired are jobs whose progress is no
+	// longer needed.
 	Updates []Progressed
+	Expired []identifier.Job
+	// States are the new states of jobs for the journal. They become durable after
+	// Updates.
+	States []Progressed
 	// Ended are jobs whose payload is no longer needed. Each entry is replaced by a
 	// short one, because every node lists all entries when it starts.
 	Ended     []specifier.Job
@@ -101,6 +124,7 @@
 type JournalReadFailed struct{}
 
 func (JournalRead) event()       {}
+func (ProgressRead) event()      {}
 func (JournalReadFailed) event() {}
 func (EntriesAppended) event()   {}
 func (JournalFenced) event()     {}
@@ -109,3 +133,4 @@
 func (AppendEntries) action()  {}
 func (FenceJournal) action()   {}
 func (RecordProgress) action() {}
+func (FollowProgress) action() {}
--- a/planner/deletedjob_test.go
+++ b/planner/deletedjob_test.go
@@ -47,3 +47,22 @@
 	c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
 	c.Assert(minion.ends, quicktest.Not(quicktest.HasLen), 0)
 }
+
+// TestIgnoredEndOutlivesTheProgressOfItsJob guards against the same after the progress of
+// the ended job has expired: the next holder knows the job, but not the numbers of its runs.
+func TestIgnoredEndOutlivesTheProgressOfItsJob(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 2, 2)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(500 * time.Millisecond)
+	minion := supersedeEnd(c, simulation, "a")
+	simulation.advance(20 * time.Second)
+	c.Assert(isDeletion(simulation.progress[len(simulation.progress)-1]), quicktest.IsTrue)
+	simulation.nodes[0].alive = false
+	simulation.advance(claimTimeout)
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.submit(jobOf("b", wholeMinions(2, time.Second)))
+	simulation.advance(10 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Assert(minion.ends, quicktest.Not(quicktest.HasLen), 0)
+}
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -21,10 +21,12 @@
 	// or complete. fenceRetryDelay is the time to the attempt after that.
 	nextFenceAt     time.Time
 	fenceRetryDelay time.Duration
-	// fenceOffset is the offset that must be read before the holder is active,
-	// zero before the journal is fenced.
-	fenceOffset identifier.Offset
-	isFenced    bool
+	// fenceOffset and progressFenceOffset are the offsets of the journal and of the
+	// progress that must be read before the holder is active, zero before they are fenced.
+	fenceOffset, progressFenceOffset identifier.Offset
+	isFenced                         bool
+	// formerProgress is what former holders have recorded, until this one is active.
+	formerProgress formerProgress
 	// active means that the node has read all that former holders recorded.
 	active bool
 	// polledAt is when this holder sent its first polls, zero before.
@@ -64,6 +66,7 @@
 			planner.stepDown()
 		}
 		planner.holder = holderState{token: event.Token, confirmedAt: event.ConfirmedAt, claimedAt: now, fenceRetryDelay: minFenceRetryDelay}
+		planner.emit(messenger.FollowProgress{Enabled: true})
 		planner.emit(messenger.FenceJournal{Token: event.Token})
 		planner.emit(messenger.FollowMinions{Enabled: true})
 	}
@@ -85,6 +88,7 @@
 		planner.updateOpenJobs(job)
 	}
 	planner.emit(messenger.FollowMinions{Enabled: false})
+	planner.emit(messenger.FollowProgress{Enabled: false})
 }
 
 func (planner *Planner) handleJournalFenced(now time.Time, event messenger.JournalFenced) {
@@ -92,7 +96,7 @@
 		return
 	}
 	if event.Err == nil {
-		planner.holder.isFenced, planner.holder.fenceOffset = true, event.End
+		planner.holder.isFenced, planner.holder.fenceOffset, planner.holder.progressFenceOffset = true, event.End, event.ProgressEnd
 		planner.activateIfReady(now)
 		return
 	}
@@ -118,17 +122,16 @@
 // activateIfReady makes the holder active once it has read all that former
 // holders recorded.
 func (planner *Planner) activateIfReady(now time.Time) {
-	if planner.holder.active || !planner.holder.isFenced || planner.journalEnd < planner.holder.fenceOffset {
+	if planner.holder.active || !planner.holder.isFenced || planner.journalEnd < planner.holder.fenceOffset ||
+		!planner.holder.formerProgress.isReadUpTo(planner.holder.progressFenceOffset) {
 		return
 	}
 	planner.holder.active = true
+	planner.emit(messenger.FollowProgress{Enabled: false})
 	planner.lastRunNumber = uint64(planner.holder.token) << runNumberBits
 	for _, id := range slices.Sorted(maps.Keys(planner.jobs)) {
 		job := planner.jobs[id]
-		planner.updateOpenJobs(job)
-		if job.isOpen() && job.mayHaveStarted {
-			planner.holder.unresolvedTasks += job.markInheritedTasks()
-		}
+		planner.takeOver(job)
 		if job.submitted && job.withdrawn && !job.state.IsFinal() {
 			planner.cancelJob(now, job)
 		}
--- a/planner/idle_test.go
+++ b/planner/idle_test.go
@@ -17,6 +17,7 @@
 	now := time.Unix(1_000_000, 0)
 	holder := planner.New("n", planner.Bounds{MaxLease: maxLease})
 	holder.Step(now, messenger.HolderChanged{Token: 1, ConfirmedAt: now})
+	holder.Step(now, messenger.ProgressRead{Complete: true})
 	now = now.Add(2 * time.Second) // the fence is answered late
 	holder.Step(now, messenger.JournalFenced{Token: 1})
 	end := now.Add(time.Second)
--- a/planner/job.go
+++ b/planner/job.go
@@ -20,13 +20,19 @@
 	// started. No task is started before, so that the next holder can read in the
 	// journal which jobs may have runs.
 	mayHaveStarted bool
-	occurrences    []*occurrence
+	// occurrences is the state of execution. Only the active holder has it, and nobody
+	// for a job that had ended and whose progress had expired when the holder took over.
+	occurrences []*occurrence
 	// arrival is the job's rank in the order of the journal.
 	arrival uint64
 	// recordedProgress is the newest progress in the journal, nil if there is
 	// none. State of the holder beyond it is discarded when the node steps down.
 	recordedProgress *specifier.Progress
-	deletionSent     bool
+	// journalState is the state that the journal has.
+	journalState specifier.State
+	// hasProgress means that the topic of the progress has a record of the job.
+	hasProgress  bool
+	deletionSent bool
 }
 
 // occurrence is one execution of all steps.
@@ -195,19 +201,32 @@
 	return steps[id.Step], &steps[id.Step].tasks[id.Index]
 }
 
-// reset returns the job to its state in the journal.
+// reset returns the job to its state in the journal and discards its execution.
 func (job *job) reset() {
 	job.state, job.endedAt, job.mayHaveStarted, job.deletionSent = specifier.Queued, time.Time{}, false, false
-	if !job.submitted {
-		return
+	job.occurrences, job.journalState, job.hasProgress = nil, specifier.Queued, false
+	if job.recordedProgress != nil {
+		job.apply(job.recordedProgress)
+		job.journalState = job.recordedProgress.State
+	}
+}
+
+// prepareExecution creates the state of execution from the journal and, unless it is nil,
+// the progress that former holders recorded.
+func (job *job) prepareExecution(former *specifier.Progress) {
+	hasTasks := former != nil || job.recordedProgress.HasTasks()
+	if job.state.IsFinal() && !hasTasks {
+		return // without the numbers of its runs, no end of them must be recorded
 	}
-	job.occurrences = job.occurrences[:0]
 	for number := range job.spec.Occurrences() {
 		job.occurrences = append(job.occurrences, newOccurrence(job, number))
 	}
-	if job.recordedProgress != nil {
-		job.apply(job.recordedProgress)
+	for _, progress := range []*specifier.Progress{job.recordedProgress, former} {
+		if progress != nil {
+			job.apply(progress)
+		}
 	}
+	job.hasProgress = former != nil
 }
 
 // apply applies recorded progress. Progress that is already applied is never
@@ -242,9 +261,14 @@
 	}
 }
 
-// progress returns the job's progress for the journal.
+// stateRecord returns the job's state for the journal.
+func (job *job) stateRecord() messenger.Progressed {
+	return messenger.Progressed{Job: job.spec.ID, Progress: specifier.Progress{State: job.state, EndedAt: job.endedAt}}
+}
+
+// progress returns the progress of the job's tasks, which the next holder reads.
 func (job *job) progress() messenger.Progressed {
-	// An ended job retains the numbers of its runs. With them the next holder
+	// An ended job retains the numbers of its runs for a time. With them the next holder
 	// recognizes an end that must not be recorded any more.
 	recorded := specifier.Progress{State: job.state, EndedAt: job.endedAt}
 	for _, occurrence := range job.occurrences {
@@ -282,6 +306,9 @@
 		job.spec, job.submitted, job.arrival = entry.Job, true, planner.lastArrival
 		job.reset()
 		planner.updateOpenJobs(job)
+		if planner.holder.active {
+			planner.takeOver(job)
+		}
 		return job
 	case messenger.Withdrawn:
 		job := planner.job(entry.Job)
@@ -292,6 +319,7 @@
 		job.recordedProgress = &entry.Progress
 		if job.submitted && !planner.holder.active { // the active holder wrote the entry itself
 			job.apply(&entry.Progress)
+			job.journalState = max(job.journalState, entry.Progress.State)
 			planner.updateOpenJobs(job)
 		}
 		return job
--- a/planner/livenesscheck_test.go
+++ b/planner/livenesscheck_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"corianderroad/identifier"
-	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
 
@@ -111,9 +111,8 @@
 // recordedProgress returns the newest recorded progress of the jobs that have any.
 func (simulation *simulation) recordedProgress() map[identifier.Job]jobProgress {
 	progress := make(map[identifier.Job]jobProgress)
-	for index := len(simulation.journal) - 1; index >= 0; index-- {
-		progressed, ok := simulation.journal[index].(messenger.Progressed)
-		if _, known := progress[progressed.Job]; !ok || known {
+	for _, progressed := range slices.Backward(simulation.progress) {
+		if _, known := progress[progressed.Job]; known || isDeletion(progressed) {
 			continue
 		}
 		recorded := jobProgress{state: progressed.Progress.State, done: make(map[specifier.Task]int)}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -77,6 +77,8 @@
 		}
 	case messenger.JournalRead:
 		planner.handleJournalRead(now, event)
+	case messenger.ProgressRead:
+		planner.handleProgressRead(now, event)
 	case messenger.HolderChanged:
 		planner.handleHolderChange(now, event)
 	case messenger.JournalFenced:
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -102,12 +102,10 @@
 }
 
 func hasRecordedFailure(simulation *simulation) bool {
-	for _, entry := range simulation.journal {
-		if progressed, ok := entry.(messenger.Progressed); ok {
-			for _, task := range progressed.Progress.Tasks {
-				if len(task.FailedRuns) > 0 {
-					return true
-				}
+	for _, progressed := range simulation.progress {
+		for _, task := range progressed.Progress.Tasks {
+			if len(task.FailedRuns) > 0 {
+				return true
 			}
 		}
 	}
--- a/planner/record.go
+++ b/planner/record.go
@@ -81,8 +81,8 @@
 // those that have waited longest.
 func (planner *Planner) nextRecord(now time.Time) *messenger.RecordProgress {
 	recording := &planner.recording
-	deletions := planner.expiredJobs(now)
-	if len(recording.dirty)+len(recording.minionsWithEnds)+len(recording.awaitedEnds)+len(deletions) == 0 {
+	deletions, expired := planner.expiredJobs(now)
+	if len(recording.dirty)+len(recording.minionsWithEnds)+len(recording.awaitedEnds)+len(deletions)+len(expired) == 0 {
 		return nil
 	}
 	recording.awaitEnds()
@@ -91,16 +91,20 @@
 	})
 	jobs = jobs[:min(len(jobs), maxJobsPerRecord)]
 	recording.serial++
-	next := &messenger.RecordProgress{Token: planner.holder.token, Serial: recording.serial, Deletions: deletions}
+	next := &messenger.RecordProgress{Token: planner.holder.token, Serial: recording.serial, Deletions: deletions, Expired: expired}
 	for _, job := range jobs {
 		delete(recording.dirty, job.spec.ID)
 		next.Updates = append(next.Updates, job.progress())
-		if job.state.IsFinal() && len(job.spec.Payload) > maxShortPayloadBytes {
-			next.Ended = append(next.Ended, job.spec)
+		job.hasProgress = true
+		if job.state != job.journalState {
+			next.States = append(next.States, job.stateRecord())
+			if job.state.IsFinal() && len(job.spec.Payload) > maxShortPayloadBytes {
+				next.Ended = append(next.Ended, job.spec)
+			}
 		}
 	}
 	recording.coverEnds()
-	if len(next.Updates) == 0 && len(deletions) == 0 {
+	if len(next.Updates)+len(deletions)+len(expired) == 0 {
 		planner.applyRecordedEnds(now)
 		return nil
 	}
@@ -134,28 +138,46 @@
 // not worth a record of its own.
 const maxShortPayloadBytes = 64
 
-// expiryCheckInterval is the time between two checks of the ended jobs.
-const expiryCheckInterval = time.Second
+const (
+	// expiryCheckInterval is the time between two checks of the ended jobs.
+	expiryCheckInterval = time.Second
+	// maxDeletionsPerRecord limits the jobs that one record deletes.
+	maxDeletionsPerRecord = 256
+	// progressRetention is how long the progress of an ended job is kept. Minions list the
+	// last ends of a job again to a new holder, which must know the numbers of its runs.
+	// It then reads little more than the progress of the open jobs.
+	progressRetention = 10 * time.Second
+)
 
-// expiredJobs returns jobs whose state need not be readable any more.
-func (planner *Planner) expiredJobs(now time.Time) []identifier.Job {
+// expiredJobs returns the jobs whose state need not be readable any more, and the ended
+// jobs whose progress is not needed any more.
+func (planner *Planner) expiredJobs(now time.Time) (deletions, expired []identifier.Job) {
 	if now.Before(planner.nextExpiryCheckAt) {
-		return nil
+		return nil, nil
 	}
 	planner.nextExpiryCheckAt = now.Add(expiryCheckInterval)
-	var deletions []identifier.Job
 	for id, job := range planner.jobs {
-		if len(deletions) == maxJobsPerRecord {
+		if len(deletions) == maxDeletionsPerRecord || len(expired) == maxDeletionsPerRecord {
 			break
 		}
-		if !job.deletionSent && job.state.IsFinal() && now.Sub(job.endedAt) > planner.bounds.StatusRetention {
+		if !job.state.IsFinal() || job.deletionSent {
+			continue
+		}
+		_, isDirty := planner.recording.dirty[id]
+		isDeleted := now.Sub(job.endedAt) > planner.bounds.StatusRetention
+		if isDeleted {
 			job.deletionSent = true
 			delete(planner.recording.dirty, id)
 			deletions = append(deletions, id)
 		}
+		if job.hasProgress && (isDeleted || (!isDirty && now.Sub(job.endedAt) > progressRetention)) {
+			job.hasProgress = false
+			expired = append(expired, id)
+		}
 	}
 	slices.Sort(deletions)
-	return deletions
+	slices.Sort(expired)
+	return deletions, expired
 }
 
 func (planner *Planner) handleProgressRecorded(now time.Time, event messenger.ProgressRecorded) {
@@ -171,6 +193,11 @@
 				job.noteRecordedRuns(update.Progress.Restarts)
 			}
 		}
+		for _, update := range recording.current.States {
+			if job, ok := planner.jobs[update.Job]; ok {
+				job.journalState = update.Progress.State
+			}
+		}
 		planner.passNeeded = true
 		recording.current = nil
 		planner.applyRecordedEnds(now)
--- a/planner/record_test.go
+++ b/planner/record_test.go
@@ -74,6 +74,7 @@
 	// Ten seconds at the longest delay between two attempts, and the shorter ones
 	// before.
 	c.Assert(fences <= 30, quicktest.IsTrue, quicktest.Commentf("%d attempts", fences))
+	claimed.Step(now, messenger.ProgressRead{Complete: true})
 	claimed.Step(now, messenger.JournalFenced{Token: 1})
 	c.Assert(claimed.Next().IsZero(), quicktest.IsFalse)
 }
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -24,7 +24,7 @@
 	earlier := simulation.runningOn(task)
 	c.Assert(earlier, quicktest.IsNotNil)
 	simulation.nodes[0].alive = false
-	simulation.appendEntry(messenger.Progressed{Job: "a", Progress: specifier.Progress{
+	simulation.progress = append(simulation.progress, messenger.Progressed{Job: "a", Progress: specifier.Progress{
 		State: specifier.Running, Restarts: []specifier.TaskRestart{{LatestRun: earlier.runs[task].number + 1}},
 	}})
 	simulation.advance(time.Second)
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -35,7 +35,10 @@
 	nodes   []*node
 	minions map[identifier.Minion]*fakeMinion
 	journal []messenger.JournalEntry
-	store   *fakeStore
+	// progress holds the records of the progress. One without tasks and state stands for
+	// a deletion.
+	progress []messenger.Progressed
+	store    *fakeStore
 	// delayVariation varies the delay of orders, so that answers arrive out of
 	// order.
 	delayVariation time.Duration
@@ -101,6 +104,9 @@
 	started     time.Time
 	token       identifier.Term
 	entriesRead int
+	// progressRead is the number of records of the progress that the node has read, negative
+	// while it does not follow them.
+	progressRead int
 	tickAt      time.Time
 	// stepTime is the real time that the node's decisions needed.
 	stepTime time.Duration
@@ -130,7 +136,7 @@
 }
 
 func (simulation *simulation) newNode(name string) *node {
-	node := &node{name: identifier.Node(name), alive: true, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
+	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
 		MaxLease: maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Hour,
 		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second,
 	})}
@@ -205,13 +211,20 @@
 		simulation.sendOrder(node, action)
 	case messenger.FenceJournal:
 		simulation.callStore(node, func() *classifier.Error { return simulation.fenceJournal(action.Token) }, func(err *classifier.Error) {
-			simulation.step(node, messenger.JournalFenced{Token: action.Token, End: identifier.Offset(len(simulation.journal)), Err: err})
+			simulation.step(node, messenger.JournalFenced{
+				Token: action.Token, End: identifier.Offset(len(simulation.journal)), ProgressEnd: identifier.Offset(len(simulation.progress)), Err: err,
+			})
 			simulation.deliverJournal(node)
 		})
 	case messenger.RecordProgress:
 		simulation.callStore(node, func() *classifier.Error { return simulation.appendProgress(action) }, func(err *classifier.Error) {
 			simulation.step(node, messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial, Err: err})
 		})
+	case messenger.FollowProgress:
+		node.progressRead = -1
+		if action.Enabled {
+			simulation.schedule(latency, func() { simulation.listProgress(node) })
+		}
 	case messenger.FollowMinions:
 		delete(simulation.store.followers, node)
 		if action.Enabled {
@@ -234,7 +247,8 @@
 	}
 	if simulation.store.appendedSerials[action.Token] < action.Serial {
 		simulation.store.appendedSerials[action.Token] = action.Serial
-		for _, update := range action.Updates {
+		simulation.appendProgressRecords(action)
+		for _, update := range action.States {
 			simulation.appendEntry(update)
 		}
 		for _, id := range action.Deletions {
--- a/planner/stoppedrun_test.go
+++ b/planner/stoppedrun_test.go
@@ -24,7 +24,7 @@
 	task := specifier.Task{Job: "a"}
 	earlier := simulation.runningOn(task)
 	simulation.nodes[0].alive = false
-	simulation.appendEntry(messenger.Progressed{Job: "a", Progress: specifier.Progress{
+	simulation.progress = append(simulation.progress, messenger.Progressed{Job: "a", Progress: specifier.Progress{
 		State: specifier.Running, Restarts: []specifier.TaskRestart{{LatestRun: earlier.runs[task].number + 1}},
 	}})
 	earlier.faults.loses = func(order messenger.Order) bool {
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -44,6 +44,11 @@
 	Restarts []TaskRestart
 }
 
+// HasTasks reports whether the progress says anything about tasks. It is false for nil.
+func (progress *Progress) HasTasks() bool {
+	return progress != nil && len(progress.Tasks)+len(progress.Restarts) > 0
+}
+
 // TaskRestart names the newest run of a task that may have been started. It is recorded
 // before that run starts. For another holder, the end of an earlier run is not the last
 // one of the task.
