Keep the runs of a silent minion that is alive

Ruled out: an acknowledgement by mistake. No poll names that end; the ends that must not be recorded stay unrecorded in all schedules of the tests.

Change: when the leases on a silent minion have expired, its runs are given up only if its entry in the store has gone too (three missed heartbeats), or after 12 s without an answer. Tasks that run until they are cancelled have no end that counts and start again as before.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -59,10 +59,10 @@
 	orders, polls   *buffer.Ring[messenger.OrderMinion]
 	serviceCalls    *buffer.Ring[messenger.Action]
 
-	answers       *waiter.Waiter[messenger.CommandAnswered]
-	exporter      *exporter.Exporter
-	authorizer    atomic.Pointer[authorizer.Authorizer]
-	readiness     readiness
+	answers    *waiter.Waiter[messenger.CommandAnswered]
+	exporter   *exporter.Exporter
+	authorizer atomic.Pointer[authorizer.Authorizer]
+	readiness  readiness
 
 	journalTailer, progressTailer, minionTailer *tailer.Tailer
 
--- a/planner/adoptedlease_test.go
+++ b/planner/adoptedlease_test.go
@@ -40,6 +40,11 @@
 	// next poll. The minion answers the first poll alone.
 	simulation.lostRecordAnswerShare = 1
 	simulation.schedule(time.Second, func() { simulation.lostRecordAnswerShare = 0 })
+	// Its entry lapses then, because it is cut off.
+	simulation.schedule(3*time.Second, func() {
+		minion.unregistered = true
+		simulation.deliverAllReports()
+	})
 	polls := 0
 	minion.faults.loses = func(order messenger.Order) bool {
 		if _, isPoll := order.(messenger.PollRuns); isPoll {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -110,9 +110,7 @@
 func (planner *Planner) pollMinions(now time.Time) {
 	for _, minion := range planner.sortedMinions() {
 		if minion.unresponsive && len(minion.runs) > 0 && minion.leasesExpired(now) {
-			for _, run := range minion.sortedRuns() {
-				planner.markRunLost(now, run, "the lease has expired")
-			}
+			planner.markExpiredRunsLost(now, minion)
 		}
 		if minion.unresponsive && !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
@@ -126,6 +124,18 @@
 	planner.reconcile(now)
 }
 
+// markExpiredRunsLost marks the runs of a silent minion as lost whose leases have expired.
+// A run that may have ended before keeps its task from another start while the minion is
+// listed in the store, and so is alive: it will list the end.
+func (planner *Planner) markExpiredRunsLost(now time.Time, minion *minion) {
+	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
+	for _, run := range minion.sortedRuns() {
+		if run.step.spec.LongRunning || !isAlive {
+			planner.markRunLost(now, run, "the lease has expired")
+		}
+	}
+}
+
 func (planner *Planner) pollRuns(now time.Time, minion *minion) {
 	poll := messenger.PollRuns{AcknowledgedEnd: minion.recordedEnd}
 	mayRenew := planner.suspension.endedBefore(planner.holder.confirmedAt)
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -27,6 +27,9 @@
 	// slowClockFactor is the duration of a second of such a clock in seconds of
 	// this node's clock, rounded up.
 	slowClockFactor = 1.0625
+	// maxSilence is the time since the last answer of a minion that is listed in the store
+	// after which its runs are given up although it may be alive.
+	maxSilence = 12 * time.Second
 	// leaseExpiryMargin is added before a lease counts as expired.
 	leaseExpiryMargin = 100 * time.Millisecond
 )
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -107,7 +107,7 @@
 	// progressRead is the number of records of the progress that the node has read, negative
 	// while it does not follow them.
 	progressRead int
-	tickAt      time.Time
+	tickAt       time.Time
 	// stepTime is the real time that the node's decisions needed.
 	stepTime time.Duration
 	// frozen means that the process does not run. The events that reach it meanwhile
--- a/planner/waiting_test.go
+++ b/planner/waiting_test.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// cutOff cuts minions off from all nodes and from the store, where their entries lapse, or
+// ends that.
+func (simulation *simulation) cutOff(cut bool, names ...identifier.Minion) {
+	simulation.setReachable(!cut, names...)
+	for _, name := range names {
+		simulation.minions[name].unregistered = cut
+	}
+	simulation.deliverAllReports()
+}
+
 // TestWaitingStepIsReported guards against a step that waits without a log line
 // and a gauge that say why, and against a line for each pass.
 func TestWaitingStepIsReported(t *testing.T) {
