--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -85,7 +85,7 @@
 	assembler.addStateMachines()
 	assembler.addIODuties()
 	assembler.frontEnd = &platform.FrontEnd{
-		Authorizer: requestAuthorizer{assembler}, Commands: commandSubmitter{assembler}, Queries: jobs, Observer: assembler.exporter, Clock: clock,
+		Authorizer: requestAuthorizer{assembler}, Commands: commandSubmitter{assembler}, Queries: jobs, Journal: assembler.journalTailer, Observer: assembler.exporter, Clock: clock,
 	}
 	return assembler
 }
@@ -148,16 +148,33 @@
 	return min(time.Duration(float64(singleCoreClaimDelay)/cores), maxClaimDelay)
 }
 
+// lateClaimDelay is the delay from which on a node counts as one that claims late.
+const lateClaimDelay = 150 * time.Millisecond
+
+// claimPace returns the pace at which a node reads the claims.
+func claimPace(cores float64) time.Duration {
+	if claimDelay(cores) > lateClaimDelay {
+		return lateClaimPace
+	}
+	return 0
+}
+
 // Intervals and limits of the reads of topics. Nodes that read the journal only to
 // answer queries wait between two reads, so that each read returns several records.
 // The holder reads without such a pause.
 const (
 	policyWait  = time.Second
 	journalWait = time.Second
-	journalPace = 150 * time.Millisecond
+	// journalPace is long, because all nodes together may make only so many calls. A query
+	// for a job that has not ended shortens it to refreshPace.
+	journalPace = 600 * time.Millisecond
+	refreshPace = 150 * time.Millisecond
 	claimWait   = 700 * time.Millisecond
-	minionWait  = 2 * time.Second
-	minionPace  = 150 * time.Millisecond
+	// lateClaimPace is the pace of nodes that claim only after others. With claimWait it
+	// stays below the gap between reads that makes a claimer wait anew.
+	lateClaimPace = 800 * time.Millisecond
+	minionWait    = 2 * time.Second
+	minionPace    = 150 * time.Millisecond
 )
 
 func (assembler *Assembler) addIODuties() {
@@ -168,13 +185,13 @@
 		return tailer.New(options, storeClient, receiver, assembler.clock)
 	}
 	assembler.minionTailer = newTailer(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{sink, dependency{topic: "minions"}})
-	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace}, &journalSink{sink, dependency{topic: "journal"}})
+	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace, RefreshPace: refreshPace}, &journalSink{sink, dependency{topic: "journal"}})
 	assembler.progressTailer = newTailer(tailer.Options{Topic: identifier.Progress, Wait: journalWait, Paused: true}, &progressSink{sink, dependency{topic: "progress"}})
 	serviceClient := platform.NewServiceClient(settings, storeClient, refusalObserver{assembler})
 	assembler.duties = append(assembler.duties,
 		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{sink, dependency{topic: "operator"}}),
 		assembler.journalTailer, assembler.progressTailer,
-		newTailer(tailer.Options{Topic: identifier.Claims, Wait: claimWait}, &claimSink{sink, dependency{topic: "claims"}}),
+		newTailer(tailer.Options{Topic: identifier.Claims, Wait: claimWait, Pace: claimPace(settings.Cores)}, &claimSink{sink, dependency{topic: "claims"}}),
 		assembler.minionTailer,
 		committer.NewEntryAppender(assembler.entryAppends, storeClient, sink),
 		committer.NewProgressAppender(assembler.progressAppends, storeClient, sink),
--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -97,6 +97,8 @@
 	// Pace is the minimum time between the starts of two reads, so that many small
 	// records are read in few calls. SetPace changes it.
 	Pace time.Duration
+	// RefreshPace is that time for a read that Refresh has requested.
+	RefreshPace time.Duration
 	// Paused means that the Tailer waits for Follow(true) before it reads.
 	Paused bool
 }
@@ -109,6 +111,7 @@
 	clock   func() time.Time
 	follow  *buffer.Ring[bool]
 	pace    atomic.Int64 // nanoseconds
+	pause   pause
 
 	following bool
 	next      identifier.Offset
@@ -130,6 +133,7 @@
 	tailer := &Tailer{
 		options: options, log: log, sink: sink, clock: clock, following: !options.Paused,
 		follow: buffer.New[bool](string(options.Topic)+"-follow", followCapacity),
+		pause:  pause{requests: buffer.New[struct{}](string(options.Topic)+"-refresh", 1)},
 	}
 	tailer.SetPace(options.Pace)
 	return tailer
@@ -154,7 +158,6 @@
 			return err
 		}
 		started := tailer.clock()
-		pause := time.Duration(tailer.pace.Load())
 		if err := tailer.read(ctx, started); err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
@@ -162,11 +165,13 @@
 			if err := tailer.sink.Fail(ctx, err); err != nil {
 				return err
 			}
-			pause = tailer.increaseBackoff()
-		} else {
-			tailer.backoff = 0
+			if err := tailer.sleep(ctx, tailer.increaseBackoff()-tailer.clock().Sub(started)); err != nil {
+				return err
+			}
+			continue
 		}
-		if err := tailer.sleep(ctx, pause-tailer.clock().Sub(started)); err != nil {
+		tailer.backoff = 0
+		if err := tailer.awaitNextRead(ctx, started); err != nil {
 			return err
 		}
 	}
