--- a/assembler/dispatch.go
+++ b/assembler/dispatch.go
@@ -51,6 +51,7 @@
 		assembler.journalTailer.SetPace(journalPace)
 		if action.Token != 0 {
 			assembler.journalTailer.SetPace(0) // a pause would delay the start of new jobs
+			assembler.journalTailer.Refresh()  // and the takeover
 		}
 		return nil, assembler.plans.Put(ctx, action)
 	case messenger.HolderFenced:
--- a/tailer/pause.go
+++ b/tailer/pause.go
@@ -48,6 +48,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	case <-tailer.pause.requests.Entries():
-		return tailer.sleep(ctx, min(pace, tailer.options.RefreshPace)-tailer.clock().Sub(started))
+		pace = min(time.Duration(tailer.pace.Load()), tailer.options.RefreshPace)
+		return tailer.sleep(ctx, pace-tailer.clock().Sub(started))
 	}
 }
--- a/tailer/pause_test.go
+++ b/tailer/pause_test.go
@@ -13,6 +13,29 @@
 	"corianderroad/tailer"
 )
 
+// TestRefreshAfterAFasterPaceReadsAtOnce guards against a node that has claimed and waits for
+// the end of a long pause before it reads what former holders have recorded.
+func TestRefreshAfterAFasterPaceReadsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		log, sink := &fakeLog{}, &fakeSink{values: make(map[string]string)}
+		topicTailer := tailer.New(tailer.Options{Topic: "t", Wait: time.Second, Pace: time.Minute, RefreshPace: time.Minute}, log, sink, time.Now)
+		ctx, cancel := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		defer group.Wait()
+		defer cancel()
+		log.add("a", "1")
+		group.Go(func() { _ = topicTailer.Run(ctx) })
+		time.Sleep(time.Second)
+		log.add("a", "2")
+		topicTailer.SetPace(0)
+		c.Assert(topicTailer.Refresh(), quicktest.IsTrue)
+		time.Sleep(time.Millisecond)
+		value, _, _, _ := sink.state("a")
+		c.Assert(value, quicktest.Equals, "2")
+	})
+}
+
 // TestRefreshShortensThePause guards against callers who learn of a change only after a long
 // pause, and against callers whose many requests exceed the calls that the store allows.
 func TestRefreshShortensThePause(t *testing.T) {
