--- a/planner/gang_test.go
+++ b/planner/gang_test.go
@@ -35,12 +35,14 @@
 	})
 }
 
+// gangMembers returns the running members of a run's gang in the order of their tasks.
 func (simulation *simulation) gangMembers(run *fakeRun) []*fakeRun {
 	var members []*fakeRun
-	for _, minion := range simulation.sortedMinions() {
-		for _, other := range minion.sortedRuns() {
-			if other.number == run.number && other.task.Job == run.task.Job && other.task.Step == run.task.Step {
-				members = append(members, other)
+	task := run.task
+	for task.Index = range run.spec.Tasks {
+		for member := range simulation.taskState(task).running {
+			if member.number == run.number {
+				members = append(members, member)
 			}
 		}
 	}
