--- a/planner/silentrun_test.go
+++ b/planner/silentrun_test.go
@@ -6,27 +6,33 @@
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/identifier"
 	"corianderroad/specifier"
 )
 
+// startShortTask starts a job with one task of 2 s and returns the minion that runs it.
+func startShortTask(c *quicktest.C, simulation *simulation, job string) *fakeMinion {
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(500 * time.Millisecond)
+	simulation.submit(jobOf(job, specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 2 * time.Second}))
+	simulation.advance(500 * time.Millisecond)
+	minion := simulation.runningOn(specifier.Task{Job: identifier.Job(job)})
+	c.Assert(minion, quicktest.IsNotNil)
+	return minion
+}
+
 // TestRunOnSilentMinionIsNotRepeated guards against work that is done and starts again
 // elsewhere, because its minion was silent for longer than the lease although it was alive
 // and listed in the store all the time.
 func TestRunOnSilentMinionIsNotRepeated(t *testing.T) {
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
-	simulation.makeHolder(simulation.nodes[0])
-	simulation.advance(500 * time.Millisecond)
-	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 2 * time.Second}))
-	simulation.advance(500 * time.Millisecond)
-	task := specifier.Task{Job: "a"}
-	minion := simulation.runningOn(task)
-	c.Assert(minion, quicktest.IsNotNil)
+	minion := startShortTask(c, simulation, "a")
 	simulation.setReachable(false, minion.name)
 	simulation.advance(9 * time.Second)
 	simulation.setReachable(true, minion.name)
 	simulation.advance(3 * time.Second)
-	c.Assert(simulation.taskState(task).startedRuns, quicktest.HasLen, 1)
+	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1)
 	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
 }
 
@@ -35,12 +41,7 @@
 func TestRunOnLostMinionIsRepeated(t *testing.T) {
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
-	simulation.makeHolder(simulation.nodes[0])
-	simulation.advance(500 * time.Millisecond)
-	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 2 * time.Second}))
-	simulation.advance(500 * time.Millisecond)
-	task := specifier.Task{Job: "a"}
-	minion := simulation.runningOn(task)
+	minion := startShortTask(c, simulation, "a")
 	minion.crash()
 	minion.unregistered = true
 	simulation.advance(4500 * time.Millisecond) // three heartbeats
