--- a/review/standin/fulllist.go
+++ b/review/standin/fulllist.go
@@ -14,7 +14,7 @@
 func playFullList(root string, record *Record, trouble bool) error {
 	route := &Route{Name: "slot-swap", Prefix: "/swaps/", Attempts: 4}
 	scene, err := NewScene(root, record, trouble, 6, route)
-	defer scene.Close(false)
+	defer scene.Close()
 	if err != nil {
 		return err
 	}
--- a/review/standin/job.go
+++ b/review/standin/job.go
@@ -36,6 +36,10 @@
 	Route      *Route
 	Steps      []*Step
 	AcceptedAt time.Time
+	// Repeats is the number of occurrences of a recurring job, which follow each other
+	// after Interval. It is 0 for a job that runs once.
+	Repeats  int
+	Interval time.Duration
 	// State is the newest state that a client was shown, or the newest status.
 	State string
 }
@@ -63,7 +67,8 @@
 }
 
 // waitingSteps returns the accepted jobs of which nothing runs and of which a step's turn
-// has come: it is not done and those before it are. The lock of the pool is held.
+// has come: it is not done and those before it are. Recurring jobs are left out. The lock of
+// the pool is held.
 func (pool *Pool) waitingSteps() []Waiting {
 	running, done := make(map[string]bool), make(map[string]bool)
 	for _, run := range pool.history {
@@ -76,7 +81,7 @@
 	}
 	var waiting []Waiting
 	for _, job := range pool.jobs {
-		if job.AcceptedAt.IsZero() || running[job.ID] {
+		if job.AcceptedAt.IsZero() || job.Repeats > 0 || running[job.ID] {
 			continue
 		}
 		complete := make([]bool, len(job.Steps))
--- a/review/standin/pendingcount.go
+++ b/review/standin/pendingcount.go
@@ -19,7 +19,7 @@
 func playPendingCount(root string, record *Record, trouble bool) error {
 	route := &Route{Name: "season-draw", Prefix: "/draws/", Priority: 1, Attempts: 4}
 	scene, err := NewScene(root, record, trouble, 6, route)
-	defer scene.Close(false)
+	defer scene.Close()
 	if err != nil {
 		return err
 	}
--- a/review/standin/removedroute.go
+++ b/review/standin/removedroute.go
@@ -7,7 +7,7 @@
 	draws := &Route{Name: "season-draw", Prefix: "/draws/", Priority: 1, Attempts: 4}
 	swaps := &Route{Name: "slot-swap", Prefix: "/swaps/", Attempts: 2}
 	scene, err := NewScene(root, record, trouble, 6, draws, swaps)
-	defer scene.Close(false)
+	defer scene.Close()
 	if err != nil {
 		return err
 	}
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -2,15 +2,19 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -62,6 +66,7 @@
 	if scene.folder, err = os.MkdirTemp("", "review-"); err != nil {
 		return scene, err
 	}
+	go scene.endInTime()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return scene, err
@@ -98,21 +103,28 @@
 	scene.record.Sayf("the operator publishes version %d with %d routes", scene.version, len(routes))
 }
 
+// The ports of the nodes lie below the range from which the system takes ports of outgoing
+// connections.
+const (
+	firstPort = 10_240
+	portCount = 20_000
+)
+
+// freeAddresses returns loopback addresses on which no process listens.
 func freeAddresses(count int) ([]string, error) {
-	var listeners []net.Listener
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * count {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
-	}
-	for _, listener := range listeners {
 		_ = listener.Close()
+		if addresses = append(addresses, address); len(addresses) == count {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.New("no free port for a node")
 }
 
 func (scene *Scene) startNode(root string, index int, store string) error {
@@ -146,6 +158,8 @@
 	if err := node.command.Start(); err != nil {
 		return err
 	}
+	scene.mutex.Lock()
+	defer scene.mutex.Unlock()
 	scene.nodes = append(scene.nodes, node)
 	return nil
 }
@@ -173,15 +187,32 @@
 	return nil
 }
 
+// maxRunTime bounds a case.
+const maxRunTime = 118 * time.Second
+
+// endInTime ends the processes of the nodes and this one when it is told to stop, or when
+// the case has lasted too long.
+func (scene *Scene) endInTime() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-signals:
+	case <-time.After(maxRunTime):
+	}
+	scene.record.Sayf("the case was stopped")
+	scene.Close()
+	os.Exit(exitNotRun)
+}
+
 // Close ends the processes of the nodes.
-func (scene *Scene) Close(keepLogs bool) {
+func (scene *Scene) Close() {
+	scene.mutex.Lock()
+	defer scene.mutex.Unlock()
 	for _, node := range append(scene.nodes, scene.stopped...) {
 		_ = node.command.Process.Kill()
 		_ = node.command.Wait()
 	}
-	if !keepLogs {
-		_ = os.RemoveAll(scene.folder)
-	}
+	_ = os.RemoveAll(scene.folder)
 }
 
 // call sends one request to the next node. The status is 0 if there was no answer.
@@ -233,16 +264,21 @@
 // attempts were made.
 func (scene *Scene) Submit(route *Route, steps ...*Step) *Job {
 	job := scene.NewJob(route, steps...)
+	scene.Send(job)
+	return job
+}
+
+// Send sends a registered job as Submit does.
+func (scene *Scene) Send(job *Job) {
 	for range 5 {
 		if status, _ := scene.call(http.MethodPost, job, job.body()); status == http.StatusOK {
 			scene.pool.mutex.Lock()
 			job.AcceptedAt = time.Now()
 			scene.pool.mutex.Unlock()
-			return job
+			return
 		}
 		time.Sleep(time.Second)
 	}
-	return job
 }
 
 func (job *Job) body() string {
@@ -260,7 +296,11 @@
 		}
 		steps = append(steps, encoded)
 	}
-	encoded, _ := json.Marshal(map[string]any{"spec": "draw", "steps": steps})
+	fields := map[string]any{"spec": "draw", "steps": steps}
+	if job.Repeats > 0 {
+		fields["repeatCount"], fields["startAtMs"], fields["intervalMs"] = job.Repeats, time.Now().UnixMilli(), job.Interval.Milliseconds()
+	}
+	encoded, _ := json.Marshal(fields)
 	return string(encoded)
 }
 
