Record the progress of a large job in parts that the store takes

Cause: the holder put the progress of all tasks of a job into one record. Above recordBytes the store refuses it for good, and the planner repeats one record until it is durable, before starts, ends and states of all other jobs. The product did not know the limits of the store at all.

Ruled out: lack of processor time or of minions (the pool was empty and the store was called all the time), a takeover (the token did not change).

Change: parts of 256 tasks with a key each, of which only changed ones are recorded; appends within requestBytes; what the store will never take is named to the planner, which leaves that job out and ends it; a job too large at the door is refused alone and at once. The same cause on related paths: the sum of a RecordProgress, and a batch of submissions with one that is too large.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -180,6 +180,7 @@
 func (assembler *Assembler) addIODuties() {
 	settings := assembler.settings
 	storeClient := platform.NewStoreClient(settings.Store, assembler.exporter)
+	limits := committer.Limits{RecordBytes: settings.RecordBytes, RequestBytes: settings.RequestBytes}
 	sink := eventSink{assembler}
 	newTailer := func(options tailer.Options, receiver tailer.Sink) *tailer.Tailer {
 		return tailer.New(options, storeClient, receiver, assembler.clock)
@@ -193,8 +194,8 @@
 		assembler.journalTailer, assembler.progressTailer,
 		newTailer(tailer.Options{Topic: identifier.Claims, Wait: claimWait, Pace: claimPace(settings.Cores)}, &claimSink{sink, dependency{topic: "claims"}}),
 		assembler.minionTailer,
-		committer.NewEntryAppender(assembler.entryAppends, storeClient, sink),
-		committer.NewProgressAppender(assembler.progressAppends, storeClient, sink),
+		committer.NewEntryAppender(assembler.entryAppends, storeClient, limits, sink),
+		committer.NewProgressAppender(assembler.progressAppends, storeClient, limits, sink),
 		committer.NewClaimAppender(assembler.claimAppends, storeClient, sink, assembler.clock),
 		orderer.New(assembler.orders, assembler.polls, platform.NewMinionClient(), sink, assembler.clock),
 		orderer.NewServiceCaller(assembler.serviceCalls, serviceClient, serviceClient, sink, assembler.clock))
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -71,6 +71,7 @@
 			Grace: 2600 * time.Millisecond, Revocation: 5 * time.Second, MaxLease: 6 * time.Second,
 			StopTimeout: 500 * time.Millisecond, StatusRetention: time.Minute, ReclaimTime: 3 * time.Second,
 		},
+		RecordBytes: 256 << 10, RequestBytes: 2 << 20,
 	}
 }
 
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -62,6 +62,7 @@
 type EntryAppender struct {
 	appends   *buffer.Ring[messenger.AppendEntries]
 	store     Store
+	limits    Limits
 	eventSink EventSink
 	// overflow is an append that did not fit into the last batch.
 	overflow *entryAppend
@@ -76,8 +77,8 @@
 }
 
 // NewEntryAppender returns the duty that performs the actions in the ring.
-func NewEntryAppender(appends *buffer.Ring[messenger.AppendEntries], store Store, eventSink EventSink) *EntryAppender {
-	return &EntryAppender{appends: appends, store: store, eventSink: eventSink}
+func NewEntryAppender(appends *buffer.Ring[messenger.AppendEntries], store Store, limits Limits, eventSink EventSink) *EntryAppender {
+	return &EntryAppender{appends: appends, store: store, limits: limits, eventSink: eventSink}
 }
 
 // Run appends until the context ends.
@@ -103,7 +104,7 @@
 	case <-ctx.Done():
 		return entryAppend{}, ctx.Err()
 	case action := <-entryAppender.appends.Entries():
-		return encode(action), nil
+		return entryAppender.encode(action), nil
 	}
 }
 
@@ -114,9 +115,9 @@
 	for len(batch) < maxBatch {
 		select {
 		case action := <-entryAppender.appends.Entries():
-			next := encode(action)
+			next := entryAppender.encode(action)
 			size += next.size
-			if size > maxBatchBytes {
+			if size > min(entryAppender.limits.RequestBytes, maxBatchBytes) {
 				entryAppender.overflow = &next
 				return batch
 			}
@@ -128,16 +129,19 @@
 	return batch
 }
 
-// encode encodes the entries of an action.
-func encode(action messenger.AppendEntries) entryAppend {
+// encode encodes the entries of an action. One that the store can't take fails here, alone.
+func (entryAppender *EntryAppender) encode(action messenger.AppendEntries) entryAppend {
 	encoded := entryAppend{id: action.ID}
 	for _, entry := range action.Entries {
 		record, err := encoder.MarshalJournalEntry(entry)
 		if err != nil {
 			return entryAppend{id: action.ID, err: classifier.Wrap(err)}
 		}
+		if err := entryAppender.limits.check(record); err != nil {
+			return entryAppend{id: action.ID, err: err}
+		}
 		encoded.records = append(encoded.records, record)
-		encoded.size += len(record.Key) + len(record.Value)
+		encoded.size += sizeOf(record) + lengthBytes
 	}
 	return encoded
 }
--- a/committer/holder.go
+++ b/committer/holder.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"corianderroad/buffer"
 	"corianderroad/classifier"
 	"corianderroad/encoder"
@@ -20,17 +22,14 @@
 	token     identifier.Term
 
 	progress, journal fencedTopic
-	// recordedSerial is the newest record whose progress is durable. When it is repeated,
-	// only the part for the journal is left.
-	recordedSerial uint64
 }
 
 // NewProgressAppender returns the duty that performs the actions in the ring,
 // which are FenceJournal and RecordProgress.
-func NewProgressAppender(actions *buffer.Ring[messenger.Action], store Store, eventSink EventSink) *ProgressAppender {
+func NewProgressAppender(actions *buffer.Ring[messenger.Action], store Store, limits Limits, eventSink EventSink) *ProgressAppender {
 	return &ProgressAppender{
 		actions: actions, store: store, eventSink: eventSink,
-		progress: fencedTopic{topic: identifier.Progress}, journal: fencedTopic{topic: identifier.Journal},
+		progress: fencedTopic{topic: identifier.Progress, limits: limits}, journal: fencedTopic{topic: identifier.Journal, limits: limits},
 	}
 }
 
@@ -54,12 +53,13 @@
 		return progressAppender.fence(ctx, fence.Token)
 	}
 	record := action.(messenger.RecordProgress)
-	return messenger.ProgressRecorded{Token: record.Token, Serial: record.Serial, Err: progressAppender.record(ctx, record)}
+	unrecordable, err := progressAppender.record(ctx, record)
+	return messenger.ProgressRecorded{Token: record.Token, Serial: record.Serial, Err: err, Unrecordable: unrecordable}
 }
 
 // fence sets the token of the topics that the holder writes.
 func (progressAppender *ProgressAppender) fence(ctx context.Context, token identifier.Term) messenger.JournalFenced {
-	progressAppender.token, progressAppender.recordedSerial = token, 0
+	progressAppender.token = token
 	fenced := messenger.JournalFenced{Token: token}
 	var err error
 	if fenced.ProgressEnd, err = progressAppender.progress.fence(ctx, progressAppender.store, token); err == nil {
@@ -70,33 +70,37 @@
 }
 
 // record makes the progress durable first. A state in the journal is final for other
-// nodes, and the progress must not lack what it rests on.
-func (progressAppender *ProgressAppender) record(ctx context.Context, record messenger.RecordProgress) *classifier.Error {
+// nodes, and the progress must not lack what it rests on. It returns the job whose
+// progress the store will never take, if that is why it failed.
+func (progressAppender *ProgressAppender) record(ctx context.Context, record messenger.RecordProgress) (identifier.Job, *classifier.Error) {
 	if record.Token != progressAppender.token {
-		return classifier.New(classifier.StaleTerm, "the journal was not fenced with token %d", record.Token)
+		return "", classifier.New(classifier.StaleTerm, "the journal was not fenced with token %d", record.Token)
 	}
-	if record.Serial != progressAppender.recordedSerial {
-		records, err := progressRecords(record)
-		if err == nil {
-			err = progressAppender.progress.append(ctx, progressAppender.store, records, record.Token)
-		}
-		if err != nil {
-			return classifier.Wrap(err)
+	records, err := progressRecords(record)
+	if err == nil {
+		err = progressAppender.progress.append(ctx, progressAppender.store, record.Serial, records, record.Token)
+	}
+	if refused := (*refusedRecord)(nil); errors.As(err, &refused) {
+		if refused.index < len(record.Updates) {
+			return record.Updates[refused.index].Job, refused.err
 		}
-		progressAppender.recordedSerial = record.Serial
+		return "", refused.err
+	}
+	if err != nil {
+		return "", classifier.Wrap(err)
 	}
-	records, err := journalRecords(record)
+	records, err = journalRecords(record)
 	if err == nil {
-		err = progressAppender.journal.append(ctx, progressAppender.store, records, record.Token)
+		err = progressAppender.journal.append(ctx, progressAppender.store, record.Serial, records, record.Token)
 	}
-	return classifier.Wrap(err)
+	return "", classifier.Wrap(err)
 }
 
 // progressRecords returns the part of a record that only holders read.
 func progressRecords(record messenger.RecordProgress) ([]encoder.KeyedRecord, error) {
 	records, err := marshalProgress(record.Updates)
-	for _, job := range record.Expired {
-		records = append(records, encoder.ProgressDeletionRecord(job))
+	for _, part := range record.Expired {
+		records = append(records, encoder.ProgressDeletionRecord(part))
 	}
 	return records, err
 }
--- a/committer/holder_test.go
+++ b/committer/holder_test.go
@@ -59,7 +59,7 @@
 		var group sync.WaitGroup
 		defer group.Wait()
 		defer cancel()
-		group.Go(func() { _ = committer.NewProgressAppender(ring, store, last).Run(ctx) })
+		group.Go(func() { _ = committer.NewProgressAppender(ring, store, storeLimits, last).Run(ctx) })
 		perform := func(action messenger.Action) messenger.Event {
 			store.calls = nil
 			_ = ring.Offer(action)
@@ -75,7 +75,7 @@
 
 		completed := messenger.Progressed{Job: "a", Progress: specifier.Progress{State: specifier.Completed}}
 		record := messenger.RecordProgress{
-			Token: 7, Serial: 1, Updates: []messenger.Progressed{completed}, Expired: []identifier.Job{"b"}, States: []messenger.Progressed{completed},
+			Token: 7, Serial: 1, Updates: []messenger.Progressed{completed}, Expired: []messenger.ProgressPart{{Job: "b"}}, States: []messenger.Progressed{completed},
 		}
 		store.failures[identifier.Progress], store.failures[identifier.Journal] = 1, 1
 		progressCall, journalCall := "keyed.progress token=7 sequence=0 progress/a:true progress/b:false", "keyed.journal token=7 sequence=0 progress/a:true"
--- a/committer/narrowlink_test.go
+++ b/committer/narrowlink_test.go
@@ -105,7 +105,7 @@
 		for range nodes {
 			ring := buffer.New[messenger.AppendEntries]("appends", 256)
 			submit(ring, jobs, jobBytes)
-			group.Go(func() { _ = committer.NewEntryAppender(ring, store, answers).Run(ctx) })
+			group.Go(func() { _ = committer.NewEntryAppender(ring, store, storeLimits, answers).Run(ctx) })
 		}
 		time.Sleep(30 * time.Second)
 		cancel()
@@ -152,7 +152,7 @@
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
-		progressAppender := committer.NewProgressAppender(ring, &remoteStore{bytesPerSecond: share}, repeater)
+		progressAppender := committer.NewProgressAppender(ring, &remoteStore{bytesPerSecond: share}, storeLimits, repeater)
 		group.Go(func() { _ = progressAppender.Run(ctx) })
 		_ = ring.Offer(messenger.FenceJournal{Token: 1})
 		time.Sleep(30 * time.Second)
--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -1,6 +1,7 @@
 package encoder
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,15 +41,38 @@
 		return KeyedRecord{cancelPrefix + string(entry.Job), []byte{cancelValue}}, nil
 	case messenger.Progressed:
 		value, err := progressToWire(entry.Progress).MarshalMsg(nil)
-		return KeyedRecord{progressPrefix + string(entry.Job), value}, err
+		return KeyedRecord{progressKey(messenger.ProgressPart{Job: entry.Job, Part: entry.Part}), value}, err
 	default:
 		return KeyedRecord{}, classifier.New(classifier.Internal, "no record for a journal entry of type %T", entry)
 	}
 }
 
-// ProgressDeletionRecord returns the record that deletes the progress of a job.
-func ProgressDeletionRecord(job identifier.Job) KeyedRecord {
-	return KeyedRecord{Key: progressPrefix + string(job)}
+// progressKey returns the key of a part of a job's progress. The first part has no number
+// in its key. Earlier versions recorded all tasks under that key.
+func progressKey(part messenger.ProgressPart) string {
+	if part.Part == 0 {
+		return progressPrefix + string(part.Job)
+	}
+	return progressPrefix + string(part.Job) + "/" + strconv.Itoa(part.Part)
+}
+
+// progressPart returns the part that a key without its prefix names.
+func progressPart(name string) (messenger.ProgressPart, error) {
+	job, number, isNumbered := strings.Cut(name, "/")
+	part := messenger.ProgressPart{Job: identifier.Job(job)}
+	if err := messenger.CheckJobID(part.Job); err != nil || !isNumbered {
+		return part, err
+	}
+	var err error
+	if part.Part, err = strconv.Atoi(number); err != nil || part.Part < 1 || strconv.Itoa(part.Part) != number {
+		return part, errors.Errorf("the number of the part is %.20q", number)
+	}
+	return part, nil
+}
+
+// ProgressDeletionRecord returns the record that deletes a part of a job's progress.
+func ProgressDeletionRecord(part messenger.ProgressPart) KeyedRecord {
+	return KeyedRecord{Key: progressKey(part)}
 }
 
 // DeletionRecords returns the records that delete all keys of a job in the journal. The
@@ -57,7 +81,7 @@
 	return []KeyedRecord{
 		{Key: jobPrefix + string(job)},
 		{Key: cancelPrefix + string(job)},
-		ProgressDeletionRecord(job),
+		ProgressDeletionRecord(messenger.ProgressPart{Job: job}),
 	}
 }
 
@@ -75,11 +99,18 @@
 
 func decodeJournalEntry(record KeyedRecord) (messenger.JournalEntry, error) {
 	prefix, name, _ := strings.Cut(record.Key, "/")
+	isDeletion := len(record.Value) == 0
+	if prefix+"/" == progressPrefix {
+		part, err := progressPart(name)
+		if err != nil || isDeletion {
+			return nil, err
+		}
+		return progressedFromWire(part, record.Value)
+	}
 	job := identifier.Job(name)
 	if err := messenger.CheckJobID(job); err != nil {
 		return nil, err
 	}
-	isDeletion := len(record.Value) == 0
 	switch prefix + "/" {
 	case jobPrefix:
 		if isDeletion {
@@ -91,11 +122,6 @@
 			return nil, nil
 		}
 		return withdrawnFromWire(job, record.Value)
-	case progressPrefix:
-		if isDeletion {
-			return nil, nil
-		}
-		return progressedFromWire(job, record.Value)
 	default:
 		return nil, errors.New("unknown kind of key")
 	}
@@ -124,7 +150,7 @@
 	return messenger.Withdrawn{Job: job}, nil
 }
 
-func progressedFromWire(job identifier.Job, value []byte) (messenger.JournalEntry, error) {
+func progressedFromWire(part messenger.ProgressPart, value []byte) (messenger.JournalEntry, error) {
 	var wire JournalProgress
 	if err := unmarshal(value, &wire); err != nil {
 		return nil, err
@@ -136,7 +162,7 @@
 	for _, restart := range wire.Restarts {
 		progress.Restarts = append(progress.Restarts, specifier.TaskRestart(restart))
 	}
-	progressed := messenger.Progressed{Job: job, Progress: progress}
+	progressed := messenger.Progressed{Job: part.Job, Part: part.Part, Progress: progress}
 	if err := progressed.Check(); err != nil {
 		return nil, err
 	}
--- a/encoder/journal_limits_test.go
+++ b/encoder/journal_limits_test.go
@@ -156,6 +156,48 @@
 	}
 }
 
+// TestInvalidPartIsRefused guards against two keys for one part of a job's progress, and
+// against a part that no job has.
+func TestInvalidPartIsRefused(t *testing.T) {
+	valid, err := encoder.MarshalJournalEntry(messenger.Progressed{Job: "a1", Progress: specifier.Progress{State: specifier.Running}})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for _, number := range []string{"", "0", "01", "+1", "-1", "x", "1/1", "256", "9223372036854775808"} {
+		checkRefused(t, encoder.KeyedRecord{Key: "progress/a1/" + number, Value: valid.Value})
+	}
+}
+
+// TestLargestPartFitsIntoARecord guards against a part of a job's progress that the store
+// does not take: its tasks have the longest numbers, several failures and a checkpoint.
+func TestLargestPartFitsIntoARecord(t *testing.T) {
+	const (
+		recordBytes     = 256 << 10
+		checkpointBytes = 512
+		failures        = 32
+	)
+	c := quicktest.New(t)
+	progressed := messenger.Progressed{
+		Job: identifier.Job(strings.Repeat("a", messenger.MaxJobIDBytes)), Part: specifier.MaxJobTasks/specifier.TasksPerPart - 1,
+		Progress: specifier.Progress{State: specifier.Running},
+	}
+	for index := range specifier.TasksPerPart {
+		task := specifier.TaskProgress{
+			Occurrence: specifier.MaxOccurrences - 1, Step: specifier.MaxSteps - 1, Index: specifier.MaxTasks - 1 - index,
+			DoneRun: math.MaxUint64, Checkpoint: strings.Repeat("x", checkpointBytes),
+		}
+		for range failures {
+			task.FailedRuns = append(task.FailedRuns, math.MaxUint64)
+		}
+		progressed.Progress.Tasks = append(progressed.Progress.Tasks, task)
+		progressed.Progress.Restarts = append(progressed.Progress.Restarts, specifier.TaskRestart{
+			Occurrence: task.Occurrence, Step: task.Step, Index: task.Index, LatestRun: math.MaxUint64,
+		})
+	}
+	record, err := encoder.MarshalJournalEntry(progressed)
+	c.Assert(err, quicktest.IsNil)
+	size := 1 + len(record.Key) + len(record.Value)
+	c.Assert(size <= recordBytes, quicktest.IsTrue, quicktest.Commentf("%d bytes", size))
+}
+
 // TestInvalidCancellationIsRefused guards against a record of another form that cancels
 // a job because its key has the prefix of cancellations.
 func TestInvalidCancellationIsRefused(t *testing.T) {
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -35,7 +35,8 @@
 		checkRoundTrip(t, messenger.Submitted{Job: job})
 		var progress specifier.Progress
 		setRandom(t, reflect.ValueOf(&progress).Elem())
-		checkRoundTrip(t, messenger.Progressed{Job: job.ID, Progress: validProgress(progress)})
+		part := rapid.IntRange(0, specifier.MaxJobTasks/specifier.TasksPerPart-1).Draw(t, "part")
+		checkRoundTrip(t, messenger.Progressed{Job: job.ID, Part: part, Progress: validProgress(progress)})
 		checkRoundTrip(t, messenger.Withdrawn{Job: job.ID})
 		var claim messenger.Claim
 		setRandom(t, reflect.ValueOf(&claim).Elem())
--- a/messenger/journal.go
+++ b/messenger/journal.go
@@ -22,14 +22,24 @@
 	Job identifier.Job
 }
 
-// Progressed replaces the recorded progress of a job. In the journal it has the state of
-// the job only. Its tasks are in a topic of their own, because every node reads the
-// journal. Earlier versions recorded the tasks in the journal.
+// Progressed replaces one part of the recorded progress of a job. In the journal it has
+// the state of the job only. Its tasks are in a topic of their own, because every node
+// reads the journal. Earlier versions recorded the tasks in the journal, or all tasks in
+// the first part.
 type Progressed struct {
-	Job      identifier.Job
+	Job identifier.Job
+	// Part is the part that Progress replaces, counting from 0. Each part has the state
+	// of the job and specifier.TasksPerPart of its tasks.
+	Part     int
 	Progress specifier.Progress
 }
 
+// ProgressPart identifies a part of the recorded progress of a job.
+type ProgressPart struct {
+	Job  identifier.Job
+	Part int
+}
+
 // Deleted records that a job's records were deleted some time after its end.
 type Deleted struct {
 	Job identifier.Job
@@ -98,10 +108,10 @@
 type RecordProgress struct {
 	Token  identifier.Term
 	Serial uint64
-	// Updates replace the progress of jobs, and Expired are jobs whose progress is no
-	// longer needed.
+	// Updates replace parts of the progress of jobs. They become durable in their order.
+	// Expired are the parts that are no longer needed.
 	Updates []Progressed
-	Expired []identifier.Job
+	Expired []ProgressPart
 	// States are the new states of jobs for the journal. They become durable after
 	// Updates.
 	States []Progressed
@@ -112,11 +122,14 @@
 }
 
 // ProgressRecorded is the one answer to RecordProgress. After any Err, whatever
-// its Execution, the same record must be sent again.
+// its Execution, the same record must be sent again unless Unrecordable is set.
 type ProgressRecorded struct {
 	Token  identifier.Term
 	Serial uint64
 	Err    *classifier.Error
+	// Unrecordable is the job with the record that the store will never take, empty if
+	// there is none. Repeating the record is of no use.
+	Unrecordable identifier.Job
 }
 
 // JournalReadFailed reports that the newest read of the journal got no answer
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -126,6 +126,9 @@
 // job.
 func (progressed Progressed) Check() error {
 	progress := &progressed.Progress
+	if progressed.Part < 0 || progressed.Part >= specifier.MaxJobTasks/specifier.TasksPerPart {
+		return classifier.New(classifier.BadRequest, "the part %d is out of range", progressed.Part)
+	}
 	if progress.State > specifier.Cancelled {
 		return classifier.New(classifier.BadRequest, "the state %d is unknown", progress.State)
 	}
--- a/planner/formerprogress.go
+++ b/planner/formerprogress.go
@@ -11,7 +11,7 @@
 // formerProgress collects the progress that former holders have recorded. A node reads
 // it only when it has claimed.
 type formerProgress struct {
-	newest map[identifier.Job]*specifier.Progress
+	newest map[identifier.Job]map[int]*specifier.Progress
 	// end is the offset up to which newest is complete.
 	end identifier.Offset
 }
@@ -25,19 +25,26 @@
 // before a complete one are ignored, because records before them are missing.
 func (formerProgress *formerProgress) add(event messenger.ProgressRead) {
 	if event.Complete {
-		formerProgress.newest = make(map[identifier.Job]*specifier.Progress, len(event.Entries))
+		formerProgress.newest = make(map[identifier.Job]map[int]*specifier.Progress, len(event.Entries))
 	}
 	if formerProgress.newest == nil {
 		return
 	}
 	for index := range event.Entries {
-		formerProgress.newest[event.Entries[index].Job] = &event.Entries[index].Progress
+		entry := &event.Entries[index]
+		parts := formerProgress.newest[entry.Job]
+		if parts == nil {
+			parts = make(map[int]*specifier.Progress)
+			formerProgress.newest[entry.Job] = parts
+		}
+		parts[entry.Part] = &entry.Progress
 	}
 	formerProgress.end = event.End
 }
 
-// take returns the progress of a job, nil if there is none, and forgets it.
-func (formerProgress *formerProgress) take(job identifier.Job) *specifier.Progress {
+// take returns the parts of the progress of a job by their numbers, none if there is no
+// progress, and forgets them.
+func (formerProgress *formerProgress) take(job identifier.Job) map[int]*specifier.Progress {
 	progress := formerProgress.newest[job]
 	delete(formerProgress.newest, job)
 	return progress
--- a/planner/job.go
+++ b/planner/job.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,8 +32,13 @@
 	// journalState is the state that the journal has.
 	journalState specifier.State
 	// hasProgress means that the topic of the progress has a record of the job.
-	hasProgress  bool
-	deletionSent bool
+	hasProgress bool
+	// unrecordedParts are the parts of the progress with tasks that the topic of the
+	// progress does not have as they are.
+	unrecordedParts map[int]bool
+	// isUnrecordable means that the store will never take the progress of the tasks.
+	isUnrecordable bool
+	deletionSent   bool
 }
 
 // occurrence is one execution of all steps.
@@ -51,7 +57,9 @@
 	number     int
 	spec       *specifier.Step
 	tasks      []task
-	done       int
+	// firstTask is the rank of the step's first task among all tasks of the job.
+	firstTask int
+	done      int
 	// waitingSince is the time since which the step has had a task to start, zero
 	// if it has none.
 	waitingSince time.Time
@@ -112,12 +120,14 @@
 
 func newOccurrence(job *job, number int) *occurrence {
 	occurrence := &occurrence{job: job, number: number, dueAt: job.spec.DueTime(number), criticalPath: criticalPath(job.spec.Steps, 0)}
+	firstTask := number * job.spec.TasksPerOccurrence()
 	for index := range job.spec.Steps {
 		spec := &job.spec.Steps[index]
 		occurrence.steps = append(occurrence.steps, &step{
-			occurrence: occurrence, number: index, spec: spec, tasks: make([]task, spec.Tasks),
+			occurrence: occurrence, number: index, spec: spec, tasks: make([]task, spec.Tasks), firstTask: firstTask,
 			criticalPath: criticalPath(job.spec.Steps, index),
 		})
+		firstTask += spec.Tasks
 	}
 	return occurrence
 }
@@ -205,28 +215,32 @@
 func (job *job) reset() {
 	job.state, job.endedAt, job.mayHaveStarted, job.deletionSent = specifier.Queued, time.Time{}, false, false
 	job.occurrences, job.journalState, job.hasProgress = nil, specifier.Queued, false
+	job.unrecordedParts, job.isUnrecordable = nil, false
 	if job.recordedProgress != nil {
 		job.apply(job.recordedProgress)
 		job.journalState = job.recordedProgress.State
 	}
 }
 
-// prepareExecution creates the state of execution from the journal and, unless it is nil,
-// the progress that former holders recorded.
-func (job *job) prepareExecution(former *specifier.Progress) {
-	hasTasks := former != nil || job.recordedProgress.HasTasks()
+// prepareExecution creates the state of execution from the journal and the parts of the
+// progress that former holders recorded, if there are any.
+func (job *job) prepareExecution(former map[int]*specifier.Progress) {
+	hasTasks := len(former) > 0 || job.recordedProgress.HasTasks()
 	if job.state.IsFinal() && !hasTasks {
 		return // without the numbers of its runs, no end of them must be recorded
 	}
 	for number := range job.spec.Occurrences() {
 		job.occurrences = append(job.occurrences, newOccurrence(job, number))
 	}
-	for _, progress := range []*specifier.Progress{job.recordedProgress, former} {
-		if progress != nil {
-			job.apply(progress)
-		}
+	if job.recordedProgress != nil {
+		job.apply(job.recordedProgress)
+		job.noteUnrecordedParts(job.recordedProgress, noPart)
+	}
+	for _, part := range slices.Sorted(maps.Keys(former)) {
+		job.apply(former[part])
+		job.noteUnrecordedParts(former[part], part)
 	}
-	job.hasProgress = former != nil
+	job.hasProgress = len(former) > 0
 }
 
 // apply applies recorded progress. Progress that is already applied is never
@@ -261,38 +275,6 @@
 	}
 }
 
-// stateRecord returns the job's state for the journal.
-func (job *job) stateRecord() messenger.Progressed {
-	return messenger.Progressed{Job: job.spec.ID, Progress: specifier.Progress{State: job.state, EndedAt: job.endedAt}}
-}
-
-// progress returns the progress of the job's tasks, which the next holder reads.
-func (job *job) progress() messenger.Progressed {
-	// An ended job retains the numbers of its runs for a time. With them the next holder
-	// recognizes an end that must not be recorded any more.
-	recorded := specifier.Progress{State: job.state, EndedAt: job.endedAt}
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			for index := range step.tasks {
-				task := &step.tasks[index]
-				// The reserved run may start as soon as this record is durable.
-				if run := max(task.recordedRun, task.reservedRun); run > 0 && !task.done {
-					recorded.Restarts = append(recorded.Restarts, specifier.TaskRestart{
-						Occurrence: occurrence.number, Step: step.number, Index: index, LatestRun: run,
-					})
-				}
-				if task.done || len(task.failedRuns) > 0 || task.checkpoint != "" {
-					recorded.Tasks = append(recorded.Tasks, specifier.TaskProgress{
-						Occurrence: occurrence.number, Step: step.number, Index: index,
-						Done: task.done, DoneRun: task.doneRun, FailedRuns: slices.Clone(task.failedRuns), Checkpoint: task.checkpoint,
-					})
-				}
-			}
-		}
-	}
-	return messenger.Progressed{Job: job.spec.ID, Progress: recorded}
-}
-
 // applyEntry applies an entry of the journal. It returns the job that the entry
 // concerns, or nil if there is none.
 func (planner *Planner) applyEntry(entry messenger.JournalEntry) *job {
--- a/planner/progresstopic_test.go
+++ b/planner/progresstopic_test.go
@@ -10,8 +10,8 @@
 // appendProgressRecords appends the part of a record that only holders read.
 func (simulation *simulation) appendProgressRecords(action messenger.RecordProgress) {
 	simulation.progress = append(simulation.progress, action.Updates...)
-	for _, job := range action.Expired {
-		simulation.progress = append(simulation.progress, messenger.Progressed{Job: job})
+	for _, part := range action.Expired {
+		simulation.progress = append(simulation.progress, messenger.Progressed{Job: part.Job, Part: part.Part})
 	}
 	for _, node := range simulation.nodes {
 		if node.progressRead >= 0 {
@@ -20,7 +20,8 @@
 	}
 }
 
-// listProgress delivers the newest progress of every job to a node that has claimed.
+// listProgress delivers the newest part of the progress of every job to a node that has
+// claimed.
 func (simulation *simulation) listProgress(node *node) {
 	if !simulation.store.isReachableFrom(node) {
 		simulation.schedule(readRetryDelay, func() { simulation.listProgress(node) })
@@ -28,12 +29,13 @@
 	}
 	node.progressRead = len(simulation.progress)
 	read := messenger.ProgressRead{End: identifier.Offset(len(simulation.progress)), Complete: true}
-	listed := make(map[identifier.Job]bool)
+	listed := make(map[messenger.ProgressPart]bool)
 	for _, record := range slices.Backward(simulation.progress) {
-		if !listed[record.Job] && !isDeletion(record) {
+		part := messenger.ProgressPart{Job: record.Job, Part: record.Part}
+		if !listed[part] && !isDeletion(record) {
 			read.Entries = append(read.Entries, record)
 		}
-		listed[record.Job] = true
+		listed[part] = true
 	}
 	simulation.step(node, read)
 }
--- a/planner/record.go
+++ b/planner/record.go
@@ -57,6 +57,12 @@
 	recording.dirty[job.spec.ID] = dirtyJob{job, recording.lastRank}
 }
 
+// markTaskDirty notes that the progress of a task is not recorded.
+func (recording *recording) markTaskDirty(step *step, index int) {
+	step.occurrence.job.addUnrecordedPart(step.part(index))
+	recording.markDirty(step.occurrence.job)
+}
+
 // addMinion notes that a minion has listed ends that are not recorded.
 func (recording *recording) addMinion(minion *minion) {
 	recording.minionsWithEnds[minion.report.Minion] = minion
@@ -94,7 +100,7 @@
 	next := &messenger.RecordProgress{Token: planner.holder.token, Serial: recording.serial, Deletions: deletions, Expired: expired}
 	for _, job := range jobs {
 		delete(recording.dirty, job.spec.ID)
-		next.Updates = append(next.Updates, job.progress())
+		next.Updates = append(next.Updates, job.takeUnrecordedParts()...)
 		job.hasProgress = true
 		if job.state != job.journalState {
 			next.States = append(next.States, job.stateRecord())
@@ -149,15 +155,15 @@
 	progressRetention = 10 * time.Second
 )
 
-// expiredJobs returns the jobs whose state need not be readable any more, and the ended
-// jobs whose progress is not needed any more.
-func (planner *Planner) expiredJobs(now time.Time) (deletions, expired []identifier.Job) {
+// expiredJobs returns the jobs whose state need not be readable any more, and the parts
+// of the progress of ended jobs that are not needed any more.
+func (planner *Planner) expiredJobs(now time.Time) (deletions []identifier.Job, expired []messenger.ProgressPart) {
 	if now.Before(planner.nextExpiryCheckAt) {
 		return nil, nil
 	}
 	planner.nextExpiryCheckAt = now.Add(expiryCheckInterval)
 	for id, job := range planner.jobs {
-		if len(deletions) == maxDeletionsPerRecord || len(expired) == maxDeletionsPerRecord {
+		if len(deletions) >= maxDeletionsPerRecord || len(expired) >= maxDeletionsPerRecord {
 			break
 		}
 		if !job.state.IsFinal() || job.deletionSent {
@@ -172,11 +178,13 @@
 		}
 		if job.hasProgress && (isDeleted || (!isDirty && now.Sub(job.endedAt) > progressRetention)) {
 			job.hasProgress = false
-			expired = append(expired, id)
+			expired = append(expired, job.progressParts()...)
 		}
 	}
 	slices.Sort(deletions)
-	slices.Sort(expired)
+	slices.SortFunc(expired, func(one, other messenger.ProgressPart) int {
+		return cmp.Or(cmp.Compare(one.Job, other.Job), cmp.Compare(one.Part, other.Part))
+	})
 	return deletions, expired
 }
 
@@ -209,10 +217,39 @@
 		return
 	}
 	recording.retryAt = now.Add(recordRetryDelay)
+	if event.Unrecordable != "" {
+		planner.leaveOut(now, event.Unrecordable)
+		return
+	}
 	planner.emitDecision(string(planner.node), "record-retried", event.Err.Code.Name(), event.Err.Message, 0)
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "record-" + event.Err.Code.Name()})
 }
 
+// leaveOut takes a job whose progress the store will never take out of the current
+// record, and ends it. Otherwise no other job could be recorded either.
+func (planner *Planner) leaveOut(now time.Time, id identifier.Job) {
+	recording := &planner.recording
+	recording.serial++
+	remaining := *recording.current
+	remaining.Serial = recording.serial
+	remaining.Updates = slices.DeleteFunc(slices.Clone(remaining.Updates), func(update messenger.Progressed) bool { return update.Job == id })
+	remaining.States = slices.DeleteFunc(slices.Clone(remaining.States), func(update messenger.Progressed) bool { return update.Job == id })
+	recording.current = &remaining
+	for minion := range recording.recordedEnds { // they may be ends of the job
+		recording.addMinion(minion)
+	}
+	clear(recording.recordedEnds)
+	job, ok := planner.jobs[id]
+	if !ok {
+		return
+	}
+	job.isUnrecordable = true
+	if !job.state.IsFinal() {
+		planner.endJob(now, job, specifier.Failed, "its progress does not fit into the store")
+	}
+	recording.markDirty(job)
+}
+
 // applyRecordedEnds lets minions discard the ends that are now recorded.
 func (planner *Planner) applyRecordedEnds(now time.Time) {
 	for minion, recordedEnd := range planner.recording.recordedEnds {
--- a/planner/restart.go
+++ b/planner/restart.go
@@ -59,17 +59,18 @@
 
 // reserveRuns reserves the numbers of the step's next runs, for the next record.
 func (planner *Planner) reserveRuns(now time.Time, step *step) {
-	planner.recording.markDirty(step.occurrence.job)
 	if step.spec.Gang {
 		number := planner.nextRunNumber()
 		for index := range step.tasks {
 			step.tasks[index].reservedRun = number
+			planner.recording.markTaskDirty(step, index)
 		}
 		return
 	}
 	for index := range step.tasks {
 		if task := &step.tasks[index]; task.needsRunNumber(now) {
 			task.reservedRun = planner.nextRunNumber()
+			planner.recording.markTaskDirty(step, index)
 		}
 	}
 }
--- a/planner/run.go
+++ b/planner/run.go
@@ -237,7 +237,7 @@
 // has not listed its end.
 func (planner *Planner) markRunLost(now time.Time, run *run, reason string) {
 	if run.checkpoint != "" {
-		planner.updateCheckpoint(run.job(), run.task(), run.checkpoint)
+		planner.updateCheckpoint(run.step, run.id.Index, run.checkpoint)
 	}
 	planner.emitDecision(run.id.String(), "run-lost", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.progressPercent), now.Sub(run.startedAt))
@@ -272,10 +272,11 @@
 }
 
 // updateCheckpoint stores where the next run of a task resumes.
-func (planner *Planner) updateCheckpoint(job *job, task *task, checkpoint string) {
+func (planner *Planner) updateCheckpoint(step *step, index int, checkpoint string) {
+	task := &step.tasks[index]
 	if task.checkpoint == checkpoint {
 		return
 	}
 	task.checkpoint = checkpoint
-	planner.recording.markDirty(job)
+	planner.recording.markTaskDirty(step, index)
 }
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -39,7 +39,7 @@
 	planner.emitDecision(end.Task.String(), "run-ended", end.Kind.String(),
 		fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), age)
 	if end.Checkpoint != "" && !task.done {
-		planner.updateCheckpoint(job, task, end.Checkpoint)
+		planner.updateCheckpoint(step, end.Task.Index, end.Checkpoint)
 	}
 	switch end.Kind {
 	case messenger.EndDone:
@@ -47,7 +47,7 @@
 		planner.markDone(now, step, end.Task, end.Run)
 	case messenger.EndFailed:
 		if !superseded {
-			planner.countFailure(now, step, task, end.Run, minion)
+			planner.countFailure(now, step, end, minion)
 		}
 	}
 	if ok {
@@ -104,20 +104,21 @@
 		}
 		task.done, task.doneRun = true, number
 		step.done++
+		planner.recording.markTaskDirty(step, index)
 		if task.run != nil && index != id.Index && !step.spec.Gang {
 			planner.stopRun(now, task.run, "the task is done")
 		}
 	}
-	planner.recording.markDirty(step.occurrence.job)
 }
 
 // countFailure counts a failed run for its task and its minion. For the task it
 // counts once, even if its end is listed again.
-func (planner *Planner) countFailure(now time.Time, step *step, task *task, run uint64, minion *minion) {
+func (planner *Planner) countFailure(now time.Time, step *step, end messenger.RunEnd, minion *minion) {
+	task := &step.tasks[end.Task.Index]
 	task.lastFailedOn = minion.report.Minion
 	planner.countMinionFailure(now, minion)
-	if !step.spec.LongRunning && task.addFailure(run) {
-		planner.recording.markDirty(step.occurrence.job)
+	if !step.spec.LongRunning && task.addFailure(end.Run) {
+		planner.recording.markTaskDirty(step, end.Task.Index)
 	}
 }
 
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -218,7 +218,11 @@
 		})
 	case messenger.RecordProgress:
 		simulation.callStore(node, func() *classifier.Error { return simulation.appendProgress(action) }, func(err *classifier.Error) {
-			simulation.step(node, messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial, Err: err})
+			recorded := messenger.ProgressRecorded{Token: action.Token, Serial: action.Serial, Err: err}
+			if err != nil && err.Code == classifier.BodyTooLarge {
+				recorded.Unrecordable = simulation.store.unrecordable
+			}
+			simulation.step(node, recorded)
 		})
 	case messenger.FollowProgress:
 		node.progressRead = -1
@@ -245,6 +249,9 @@
 	if simulation.fenceToken > action.Token {
 		return classifier.New(classifier.StaleTerm, "fenced")
 	}
+	if err := simulation.checkRecordSizes(action); err != nil {
+		return err
+	}
 	if simulation.store.appendedSerials[action.Token] < action.Serial {
 		simulation.store.appendedSerials[action.Token] = action.Serial
 		simulation.appendProgressRecords(action)
--- a/planner/store_test.go
+++ b/planner/store_test.go
@@ -45,6 +45,10 @@
 	renewedBy identifier.Node
 	// addedAppendTime is the time that an append takes beyond appendTime.
 	addedAppendTime time.Duration
+	// recordBytes is the size of the largest record, zero for no limit.
+	recordBytes int
+	// unrecordable is the job with the record that the store refused last.
+	unrecordable identifier.Job
 	// appendedSerials holds the newest appended record of each holder.
 	appendedSerials map[identifier.Term]uint64
 	// followers are the nodes that have read the list of minions.
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -251,6 +251,10 @@
 	if event.Err == nil {
 		return registrar.complete(now, event.ID, command, "append was acknowledged")
 	}
+	if code := event.Err.Code; code == classifier.BodyTooLarge || code == classifier.BadRequest {
+		delete(registrar.commands, event.ID)
+		return refuse(command.request, command.job, event.Err) // no append of it will ever succeed
+	}
 	command.maybeDurable = command.maybeDurable || event.Err.Code.Execution() != classifier.NotRun
 	retryDeadline := command.arrived.Add(refusedAppendTimeout)
 	if !command.maybeDurable && now.Add(appendRetryDelay).After(retryDeadline) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -29,7 +29,9 @@
 	// Faults of the store.
 	refusing, unresponsive bool
 	// appendsRefused means that the store refuses appends and answers reads.
-	appendsRefused  bool
+	appendsRefused bool
+	// appendTooLarge means that the store will never take an append.
+	appendTooLarge  bool
 	lostAnswerShare float64
 	answers         map[identifier.Request]messenger.CommandAnswered
 	// appendedAt holds the times of the appends.
@@ -72,6 +74,8 @@
 		if entryVM.random.Float64() < 0.5 {
 			entryVM.journal = append(entryVM.journal, action.Entries...)
 		}
+	case entryVM.appendTooLarge:
+		appended.Err = classifier.New(classifier.BodyTooLarge, "the record has 300000 bytes")
 	case entryVM.refusing, entryVM.appendsRefused:
 		appended.Err = classifier.New(classifier.StoreBusy, "busy")
 	default:
@@ -214,6 +218,20 @@
 	c.Assert(entryVM.answers["away"].Err.RetryAfter > 0, quicktest.IsTrue)
 }
 
+// TestTooLargeJobIsRefusedAtOnce guards against a job that no append can store and whose
+// caller waits while the append is repeated.
+func TestTooLargeJobIsRefusedAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	entryVM := newEntryVM(1)
+	entryVM.run(300 * time.Millisecond)
+	entryVM.appendTooLarge = true
+	entryVM.submit("large", "a")
+	entryVM.run(20 * time.Millisecond)
+	c.Assert(entryVM.answers["large"].Err.Code, quicktest.Equals, classifier.BodyTooLarge)
+	c.Assert(entryVM.answers["large"].Err.RetryAfter, quicktest.Equals, time.Duration(0))
+	c.Assert(entryVM.appendedAt, quicktest.HasLen, 1)
+}
+
 // TestUnknownOutcomeIsNotDelayed guards against a command that waits until its
 // deadline although the store no longer responds.
 func TestUnknownOutcomeIsNotDelayed(t *testing.T) {
--- a/specifier/job.go
+++ b/specifier/job.go
@@ -100,6 +100,15 @@
 	return job.Schedule.Occurrences
 }
 
+// TasksPerOccurrence returns the number of tasks in one execution of all steps.
+func (job *Job) TasksPerOccurrence() int {
+	tasks := 0
+	for index := range job.Steps {
+		tasks += job.Steps[index].Tasks
+	}
+	return tasks
+}
+
 // DueTime returns when an occurrence may start.
 func (job *Job) DueTime(occurrence int) time.Time {
 	if job.Schedule == nil {
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -33,6 +33,16 @@
 // IsFinal reports whether the job has ended.
 func (state State) IsFinal() bool { return state >= Completed }
 
+// TasksPerPart is the number of tasks in one part of a job's progress. The parts of a
+// large job are recorded one by one, so that each fits into a record of the store.
+const TasksPerPart = 256
+
+// ProgressParts returns the number of parts in which the progress of the job is recorded.
+func (job *Job) ProgressParts() int {
+	tasks := job.TasksPerOccurrence() * job.Occurrences()
+	return max(1, (tasks+TasksPerPart-1)/TasksPerPart)
+}
+
 // Progress is the durable state of the execution of a job.
 type Progress struct {
 	State State
