Count no lease for a gang that its worker does not run, in the test of the stand-in

The model of the test took the renewal, which the worker ignores, for a lease of 1 s, and did not note that of the start. The worker is right: the lease of the start holds.

The test now notes renewals of known leases alone.

--- a/cmd/standins/worker/worker_test.go
+++ b/cmd/standins/worker/worker_test.go
@@ -72,7 +72,8 @@
 				err := call(t, func(term identifier.Term) *classifier.Error {
 					return worker.Renew(now, term, Renew{WorkerClock: workerClock, Lease: length, Gangs: []auditor.Gang{gang}})
 				})
-				if end := epoch.Add(workerClock + length); err == nil && end.After(leaseEnds[gang]) {
+				leaseEnd, known := leaseEnds[gang] // a gang without a lease has none to renew
+				if end := epoch.Add(workerClock + length); err == nil && known && end.After(leaseEnd) {
 					leaseEnds[gang] = end
 				}
 			},
