Show a job as running once a minion has started one of its tasks

Cause: one state stood for two facts. The record that allows the first start of a job, which the next holder must read, set the state that callers see. All waiting steps find the same free room in one pass, so that it hit all of them; but a job that fits was shown as running too when its start was refused, unanswered, lost with its minion or dropped at a change of holder.

Change: the permission to start is in the topic of the progress alone.

Tests: TestWaitingJobsAreNotRunning and TestJobWithoutAStartIsNotRunning (four ways) fail on the code before; the simulation checks each record of a state, and with it all three property tests and most others were red before.

--- a/planner/job.go
+++ b/planner/job.go
@@ -15,12 +15,13 @@
 	spec      specifier.Job
 	submitted bool
 	withdrawn bool
-	state     specifier.State
-	endedAt   time.Time
-	// mayHaveStarted means that a record in the journal allows tasks to be
-	// started. No task is started before, so that the next holder can read in the
-	// journal which jobs may have runs.
-	mayHaveStarted bool
+	// state is running once a minion has started a task.
+	state   specifier.State
+	endedAt time.Time
+	// startRequested means that the next record of the progress allows tasks to be
+	// started, and mayHaveStarted that a durable one does. No task is started before, so
+	// that the next holder can read which jobs may have runs.
+	startRequested, mayHaveStarted bool
 	// occurrences is the state of execution. Only the active holder has it, and nobody
 	// for a job that had ended and whose progress had expired when the holder took over.
 	occurrences []*occurrence
@@ -33,6 +34,8 @@
 	journalState specifier.State
 	// hasProgress means that the topic of the progress has a record of the job.
 	hasProgress bool
+	// progressState is the state in the newest record of that topic.
+	progressState specifier.State
 	// unrecordedParts are the parts of the progress with tasks that the topic of the
 	// progress does not have as they are.
 	unrecordedParts map[int]bool
@@ -213,8 +216,10 @@
 
 // reset returns the job to its state in the journal and discards its execution.
 func (job *job) reset() {
-	job.state, job.endedAt, job.mayHaveStarted, job.deletionSent = specifier.Queued, time.Time{}, false, false
-	job.occurrences, job.journalState, job.hasProgress = nil, specifier.Queued, false
+	job.state, job.endedAt, job.deletionSent = specifier.Queued, time.Time{}, false
+	job.startRequested, job.mayHaveStarted = false, false
+	job.occurrences, job.journalState = nil, specifier.Queued
+	job.hasProgress, job.progressState = false, specifier.Queued
 	job.unrecordedParts, job.isUnrecordable = nil, false
 	if job.recordedProgress != nil {
 		job.apply(job.recordedProgress)
@@ -237,19 +242,33 @@
 		job.noteUnrecordedParts(job.recordedProgress, noPart)
 	}
 	for _, part := range slices.Sorted(maps.Keys(former)) {
-		job.apply(former[part])
+		if former[part].State.IsFinal() {
+			job.applyState(former[part])
+		}
+		job.applyTasks(former[part])
 		job.noteUnrecordedParts(former[part], part)
+		job.progressState = max(job.progressState, former[part].State)
 	}
 	job.hasProgress = len(former) > 0
 }
 
-// apply applies recorded progress. Progress that is already applied is never
+// apply applies progress that the journal has. Progress that is already applied is never
 // undone.
 func (job *job) apply(progress *specifier.Progress) {
-	job.mayHaveStarted = job.mayHaveStarted || progress.State >= specifier.Running
+	job.applyState(progress)
+	job.applyTasks(progress)
+}
+
+func (job *job) applyState(progress *specifier.Progress) {
 	if progress.State > job.state {
 		job.state, job.endedAt = progress.State, progress.EndedAt
 	}
+}
+
+// applyTasks applies the progress of tasks. The state in the topic of the progress says
+// whether tasks may have started.
+func (job *job) applyTasks(progress *specifier.Progress) {
+	job.mayHaveStarted = job.mayHaveStarted || progress.State >= specifier.Running
 	for _, taskProgress := range progress.Tasks {
 		step, task := job.find(specifier.Task{Occurrence: taskProgress.Occurrence, Step: taskProgress.Step, Index: taskProgress.Index})
 		if task == nil {
--- a/planner/place.go
+++ b/planner/place.go
@@ -1,10 +1,6 @@
 package planner
 
-import (
-	"time"
-
-	"corianderroad/specifier"
-)
+import "time"
 
 // placeStep starts as many tasks of a step as there is free capacity for, a
 // gang completely or not at all. It reports whether the step needs no further
@@ -30,8 +26,8 @@
 		return true // waits for advice, not for capacity
 	}
 	if job := step.occurrence.job; !job.mayHaveStarted {
-		if job.state == specifier.Queued {
-			job.state = specifier.Running
+		if !job.startRequested {
+			job.startRequested = true
 			planner.recording.markDirty(job)
 		}
 		step.passResult = waitsForRecord
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -100,6 +100,7 @@
 			return
 		}
 	}
+	planner.markBegun(run.job())
 	if report.ProgressPercent != run.progressPercent {
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
 	}
--- a/planner/progress.go
+++ b/planner/progress.go
@@ -44,10 +44,27 @@
 	return messenger.Progressed{Job: job.spec.ID, Progress: specifier.Progress{State: job.state, EndedAt: job.endedAt}}
 }
 
+// permittedState returns the state for the topic of the progress. There a job counts as
+// running from the permission to start its tasks on.
+func (job *job) permittedState() specifier.State {
+	if job.state == specifier.Queued && (job.startRequested || job.mayHaveStarted) {
+		return specifier.Running
+	}
+	return job.state
+}
+
 // takeUnrecordedParts returns the parts of the progress that must be recorded, for the
-// next holder. The first part is always among them and comes last: with it the record of
-// an earlier version, which has all tasks, is replaced.
+// next holder, none if it would read nothing new. Otherwise the first part is always
+// among them and comes last: with it the record of an earlier version, which has all
+// tasks, is replaced.
 func (job *job) takeUnrecordedParts() []messenger.Progressed {
+	if state := job.permittedState(); !job.hasProgress || state != job.progressState {
+		job.addUnrecordedPart(0)
+		job.hasProgress, job.progressState = true, state
+	}
+	if len(job.unrecordedParts) == 0 {
+		return nil
+	}
 	job.addUnrecordedPart(0)
 	var updates []messenger.Progressed
 	for _, part := range slices.Backward(slices.Sorted(maps.Keys(job.unrecordedParts))) {
@@ -61,7 +78,7 @@
 func (job *job) partProgress(part int) specifier.Progress {
 	// An ended job retains the numbers of its runs for a time. With them the next holder
 	// recognizes an end that must not be recorded any more.
-	recorded := specifier.Progress{State: job.state, EndedAt: job.endedAt}
+	recorded := specifier.Progress{State: job.permittedState(), EndedAt: job.endedAt}
 	if job.isUnrecordable {
 		return recorded
 	}
--- a/planner/record.go
+++ b/planner/record.go
@@ -101,7 +101,6 @@
 	for _, job := range jobs {
 		delete(recording.dirty, job.spec.ID)
 		next.Updates = append(next.Updates, job.takeUnrecordedParts()...)
-		job.hasProgress = true
 		if job.state != job.journalState {
 			next.States = append(next.States, job.stateRecord())
 			if job.state.IsFinal() && len(job.spec.Payload) > maxShortPayloadBytes {
@@ -110,7 +109,7 @@
 		}
 	}
 	recording.coverEnds()
-	if len(next.Updates)+len(deletions)+len(expired) == 0 {
+	if len(next.Updates)+len(next.States)+len(deletions)+len(expired) == 0 {
 		planner.applyRecordedEnds(now)
 		return nil
 	}
@@ -244,6 +243,7 @@
 		return
 	}
 	job.isUnrecordable = true
+	job.addUnrecordedPart(0)
 	if !job.state.IsFinal() {
 		planner.endJob(now, job, specifier.Failed, "its progress does not fit into the store")
 	}
--- a/planner/run.go
+++ b/planner/run.go
@@ -150,8 +150,17 @@
 	}
 }
 
+// markBegun notes that a minion has started a task of the job.
+func (planner *Planner) markBegun(job *job) {
+	if job.state == specifier.Queued {
+		job.state = specifier.Running
+		planner.recording.markDirty(job)
+	}
+}
+
 func (planner *Planner) handleStartAnswer(now time.Time, run *run, event messenger.OrderAnswered) {
 	if event.Err == nil {
+		planner.markBegun(run.job())
 		if run.state == starting {
 			run.state = running
 			run.minion.noCapacityDelay = 0
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -24,6 +24,7 @@
 		planner.markResolved(task)
 	}
 	job := step.occurrence.job
+	planner.markBegun(job)
 	age := time.Duration(0)
 	superseded := planner.isSuperseded(step, task, end)
 	task.latestRun = max(task.latestRun, end.Run)
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -256,6 +256,7 @@
 		simulation.store.appendedSerials[action.Token] = action.Serial
 		simulation.appendProgressRecords(action)
 		for _, update := range action.States {
+			simulation.checkHasBegun(update)
 			simulation.appendEntry(update)
 		}
 		for _, id := range action.Deletions {
