Take no answer of a minion for that of another order

Cause: an answer had no relation to its order but its place on the connection, and a list of runs was judged by when the poll was sent. A minion that answers twice, the second time late, makes all later answers on the connection those of other orders. A start's answer as that of a poll has no list: all runs of the minion counted as lost and started elsewhere at once, adopted ones too.

Ruled out here: two holders (one node and token has both starts), a late order.

Lists are judged by the minion's clock at which they were made. A start whose answer can't be read may have been carried out: it was taken for refused and restarted at once.

--- a/cmd/soak/disturber/disturber.go
+++ b/cmd/soak/disturber/disturber.go
@@ -14,6 +14,7 @@
 
 	"corianderroad/cmd/soak/checker"
 	"corianderroad/cmd/soak/stager"
+	"corianderroad/cmd/soak/stutterer"
 )
 
 const (
@@ -55,6 +56,10 @@
 		disturber.impair(disturber.randomNode().StoreProxy, span)
 	}},
 	{"minion disconnected", 3, func(disturber *Disturber, span time.Duration) { disturber.impair(disturber.randomMinion().Proxy, span) }},
+	{"minion answers twice", 3, func(disturber *Disturber, span time.Duration) {
+		attributes := fmt.Sprintf(`{"share":%.2f,"delay-ms":%d}`, 0.1+0.9*disturber.random.Float64(), 5+disturber.random.IntN(600))
+		disturber.deployment.Impair(disturber.randomMinion().Proxy, stutterer.Kind, "downstream", attributes, span)
+	}},
 	{"minion crashed", 3, func(disturber *Disturber, span time.Duration) {
 		disturber.deployment.Crash(disturber.randomMinion(), span)
 	}},
--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"corianderroad/cmd/soak/checker"
+	"corianderroad/cmd/soak/stutterer"
 	"corianderroad/platform/imitator"
 )
 
@@ -64,6 +65,7 @@
 		Store: imitator.New(), Checker: checker.New(), folder: folder,
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
 	}
+	stutterer.Register()
 	deployment.pool = imitator.NewPool(deployment.Checker)
 	deployment.Configure("key-a", "key-b")
 	for index := range minions {
--- /dev/null
+++ b/cmd/soak/stutterer/stutterer.go
@@ -0,0 +1,52 @@
+// Package stutterer declares a fault of a proxy: answers that come twice, the second time
+// late.
+package stutterer
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"github.com/Shopify/toxiproxy/v2/stream"
+	"github.com/Shopify/toxiproxy/v2/toxics"
+)
+
+// Kind is the name of the fault in the proxy's interface.
+const Kind = "stutter"
+
+// Stutterer sends a share of the answers a second time on the same connection, where the
+// receiver may have sent its next request meanwhile.
+type Stutterer struct {
+	// Share is the share of the answers that are repeated.
+	Share float64 `json:"share"`
+	// DelayMS is the longest time from an answer to its repetition, in milliseconds.
+	DelayMS int64 `json:"delay-ms"`
+}
+
+// Pipe implements toxics.Toxic.
+func (stutterer *Stutterer) Pipe(stub *toxics.ToxicStub) {
+	var repeated []byte
+	var repeatAt <-chan time.Time
+	for {
+		select {
+		case <-stub.Interrupt:
+			return
+		case <-repeatAt:
+			stub.Output <- &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}
+			repeatAt = nil
+		case chunk := <-stub.Input:
+			if chunk == nil {
+				stub.Close()
+				return
+			}
+			if repeatAt == nil && rand.Float64() < stutterer.Share {
+				repeated = bytes.Clone(chunk.Data)
+				repeatAt = time.After(time.Duration(1+rand.Int64N(stutterer.DelayMS)) * time.Millisecond)
+			}
+			stub.Output <- chunk
+		}
+	}
+}
+
+// Register makes the fault known to all proxies of the process.
+func Register() { toxics.Register(Kind, new(Stutterer)) }
--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -105,7 +105,11 @@
 	Expires time.Time
 	// Timeout limits the wait for the answer.
 	Timeout time.Duration
-	Order   Order
+	// MinClock is a time that the minion's clock has passed when the order is sent. An
+	// answer with an earlier clock is that of another order. It is zero if no reading of
+	// the clock is known.
+	MinClock time.Duration
+	Order    Order
 }
 
 // OrderAnswered is the one answer to OrderMinion.
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -14,6 +14,9 @@
 	// refuse returns the code with which the minion refuses an order that it has
 	// not carried out, OK for none. It may be nil.
 	refuse func(order messenger.Order) classifier.Code
+	// garbles returns the code of an order that the minion carries out and whose answer
+	// can't be read, OK for none. It may be nil.
+	garbles func(order messenger.Order) classifier.Code
 	// loses reports whether an order never reaches the minion, although others do. It
 	// may be nil.
 	loses func(order messenger.Order) bool
@@ -45,6 +48,17 @@
 	return minionFaults.refuse(order)
 }
 
+// garbled returns an answer as the sender reads it.
+func (minion *fakeMinion) garbled(answered messenger.OrderAnswered) messenger.OrderAnswered {
+	if minion.faults.garbles == nil || answered.Err != nil {
+		return answered
+	}
+	if code := minion.faults.garbles(answered.Sent.Order); code != classifier.OK {
+		return messenger.OrderAnswered{Sent: answered.Sent, SentAt: answered.SentAt, Err: classifier.New(code, "unreadable")}
+	}
+	return answered
+}
+
 // isLost reports whether an order never reaches the minion.
 func (minionFaults *minionFaults) isLost(node *node, order messenger.Order) bool {
 	if minionFaults.losesFrom != nil && minionFaults.losesFrom(node, order) {
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -45,6 +45,8 @@
 	// nextPollAt is when the next poll is due, zero if none is scheduled.
 	nextPollAt time.Time
 	polls      *pollSchedule
+	// listClock is the minion's clock when it made the newest list of its runs.
+	listClock time.Duration
 	// recordedEnd is the last end that is recorded, processedEnd the last one that
 	// was processed.
 	recordedEnd, processedEnd uint64
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -17,6 +17,8 @@
 // fakeMinion implements the rules of a minion: it rejects stale tokens, stops
 // runs whose lease has expired, and lists their ends.
 type fakeMinion struct {
+	// recentLists are the newest answers to polls.
+	recentLists  []messenger.OrderAnswered
 	simulation   *simulation
 	name         identifier.Minion
 	incarnation  identifier.Incarnation
@@ -141,6 +143,7 @@
 				simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 				return
 			}
+			answered = simulation.withOutdatedList(minion, minion.garbled(answered))
 			simulation.schedule(latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() { simulation.step(node, answered) })
 		})
 	})
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -163,7 +163,7 @@
 	planner.emit(messenger.OrderMinion{
 		ID: planner.lastOrderID, Minion: minion.report.Minion, Incarnation: minion.report.Incarnation,
 		Address: minion.report.Address, Token: planner.holder.token,
-		Expires: now.Add(orderLifetime), Timeout: timeout, Order: order,
+		Expires: now.Add(orderLifetime), Timeout: timeout, MinClock: minion.clockLowerBound(now), Order: order,
 	})
 }
 
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -14,6 +14,12 @@
 		minion.schedulePollRetry(now)
 		return
 	}
+	if event.Clock < minion.listClock { // the answer to an earlier poll
+		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "poll-outdated"})
+		minion.schedulePoll(now.Add(pollRetryDelay))
+		return
+	}
+	minion.listClock = event.Clock
 	reported := make(map[runKey]bool, len(event.Running))
 	for _, report := range event.Running {
 		reported[runKey{report.Task, report.Run}] = true
@@ -29,7 +35,7 @@
 		planner.recording.addMinion(minion)
 	}
 	if len(event.Ended) < messenger.MaxListedEnds { // otherwise the ends of missing runs may follow
-		planner.markMissingRunsLost(now, minion, reported, event.SentAt)
+		planner.markMissingRunsLost(now, minion, reported, event)
 	}
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
@@ -75,16 +81,18 @@
 }
 
 // markMissingRunsLost marks runs as lost that the minion does not report although
-// an order was confirmed before the poll was sent, or that can't start any more
-// because the lease in their start had expired by then.
-func (planner *Planner) markMissingRunsLost(now time.Time, minion *minion, reported map[runKey]bool, sentAt time.Time) {
+// an order was confirmed before it made its list, or that can't start any more
+// because the lease in their start had expired by then. The minion's clock tells when it
+// made the list: an answer can be late, and that of an earlier poll.
+func (planner *Planner) markMissingRunsLost(now time.Time, minion *minion, reported map[runKey]bool, event messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
 		if reported[runKey{run.id, run.number}] {
 			continue
 		}
-		stopped := run.state == stopping && !run.stopAcknowledgedAt.IsZero() && run.stopAcknowledgedAt.Before(sentAt)
-		vanished := !run.startConfirmedAt.IsZero() && run.startConfirmedAt.Before(sentAt)
-		void := run.state == stopping && run.startConfirmedAt.IsZero() && minion.clockLowerBound(sentAt) > run.startLeaseUntil
+		stopped := run.state == stopping && !run.stopAcknowledgedAt.IsZero() &&
+			run.stopAcknowledgedAt.Before(event.SentAt) && run.stopAcknowledgedClock < event.Clock
+		vanished := !run.startConfirmedAt.IsZero() && run.startConfirmedAt.Before(event.SentAt) && run.startConfirmedClock < event.Clock
+		void := run.state == stopping && run.startConfirmedAt.IsZero() && event.Clock > run.startLeaseUntil
 		if stopped || vanished || void {
 			planner.markRunLost(now, run, "its minion does not report it")
 		}
@@ -118,7 +126,7 @@
 	}
 	run := &run{
 		id: report.Task, number: report.Run, step: step, minion: minion, state: running,
-		startedAt: now, startConfirmedAt: now, progressAt: now,
+		startedAt: now, startConfirmedAt: now, startConfirmedClock: minion.listClock, progressAt: now,
 	} // its pace is unknown; pacePercent starts at 0 and rises step by step
 	mayHaveLaterRun := report.Run < task.latestRun
 	minion.addRun(run)
--- a/planner/run.go
+++ b/planner/run.go
@@ -45,6 +45,9 @@
 	startConfirmedAt time.Time
 	// stopAcknowledgedAt is when the minion acknowledged the order to stop.
 	stopAcknowledgedAt time.Time
+	// startConfirmedClock and stopAcknowledgedClock are the minion's clock in the answers
+	// that told so. Lists that were made before do not show it.
+	startConfirmedClock, stopAcknowledgedClock time.Duration
 	// nextStopAt is when a failed stop is repeated, zero if none has failed.
 	nextStopAt time.Time
 
@@ -140,7 +143,7 @@
 		planner.handleStartAnswer(now, run, event)
 	case messenger.StopRun:
 		if event.Err == nil {
-			run.stopAcknowledgedAt = now
+			run.stopAcknowledgedAt, run.stopAcknowledgedClock = now, event.Clock
 		} else {
 			planner.scheduleStop(now, run)
 		}
@@ -165,6 +168,7 @@
 			run.state = running
 			run.minion.noCapacityDelay = 0
 			run.startConfirmedAt, run.progressAt = now, now
+			run.startConfirmedClock = event.Clock
 		}
 		return
 	}
@@ -172,14 +176,14 @@
 		return
 	}
 	switch event.Err.Code {
-	case classifier.MinionUnreachable, classifier.OutcomeUnknown, classifier.RingFull:
+	case classifier.MinionUnreachable, classifier.OutcomeUnknown, classifier.RingFull, classifier.CorruptAnswer, classifier.Internal:
 		planner.handleUnansweredStart(now, run, event.Err.Code)
 		return
 	case classifier.SupersededRun:
 		// The minion carried out an earlier attempt of this start, and the run has
 		// ended since. The next poll lists its end, unless a poll has listed it
 		// already.
-		run.state, run.stopAcknowledgedAt = stopping, now
+		run.state, run.stopAcknowledgedAt, run.stopAcknowledgedClock = stopping, now, event.Clock
 		return
 	case classifier.NoCapacity:
 		run.minion.closeForCapacity(now)
@@ -197,7 +201,7 @@
 // attempts or without a valid claim, because another node may have claimed.
 func (planner *Planner) handleUnansweredStart(now time.Time, run *run, code classifier.Code) {
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + code.Name()})
-	run.mayHaveArrived = run.mayHaveArrived || code == classifier.OutcomeUnknown
+	run.mayHaveArrived = run.mayHaveArrived || code.Execution() != classifier.NotRun
 	isClaimValid := planner.holder.isClaimValid(now)
 	if run.startAttempts < maxStartAttempts && isClaimValid {
 		planner.sendStart(now, run)
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -55,6 +55,9 @@
 	// Faults: the share of orders whose answer is lost, and of those that are
 	// executed late.
 	lostAnswerShare, lateOrderShare float64
+	// outdatedListShare is the share of polls whose answer is one that the minion gave to
+	// an earlier poll.
+	outdatedListShare float64
 	// lostRecordAnswerShare is the share of records that become durable without an
 	// answer.
 	lostRecordAnswerShare float64
--- a/planner/storeoutage_test.go
+++ b/planner/storeoutage_test.go
@@ -228,6 +228,7 @@
 func drawOutageFaults(t *rapid.T, simulation *simulation) func() {
 	simulation.lostAnswerShare = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "lost-answers")
 	simulation.lateOrderShare = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late-orders")
+	simulation.outdatedListShare = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "outdated-lists")
 	simulation.delayVariation = rapid.SampledFrom([]time.Duration{0, 60 * time.Millisecond}).Draw(t, "delay-variation")
 	failures := rapid.SampledFrom([]float64{0.2, 0, 0.5}).Draw(t, "failures")
 	simulation.fails = func(*fakeRun) bool { return simulation.random.Float64() < failures }
@@ -249,6 +250,7 @@
 	}
 	return func() {
 		simulation.lostAnswerShare, simulation.lateOrderShare, simulation.delayVariation, failures = 0, 0, 0, 0
+		simulation.outdatedListShare = 0
 	}
 }
 
