--- a/acceptor/call.go
+++ b/acceptor/call.go
@@ -106,9 +106,7 @@
 func (acceptor *Acceptor) refuseCall(ctx iris.Context, err error, repeated bool) {
 	var coded *classifier.Error
 	if repeated && errors.As(err, &coded) {
-		uncertain := *coded
-		uncertain.MayHaveRun = true
-		err = &uncertain
+		err = coded.OfRepeat()
 	}
 	acceptor.refuse(ctx, err)
 }
--- a/classifier/error.go
+++ b/classifier/error.go
@@ -36,6 +36,17 @@
 	return New(Internal, "%s", err.Error())
 }
 
+// OfRepeat returns a copy of the error for a request that was sent before as well, and may
+// have run then. It returns nil for nil.
+func (err *Error) OfRepeat() *Error {
+	if err == nil {
+		return nil
+	}
+	repeated := *err
+	repeated.MayHaveRun = true
+	return &repeated
+}
+
 // WithRetryAfter returns a copy of the error with the given retry delay.
 func (err *Error) WithRetryAfter(delay time.Duration) *Error {
 	delayed := *err
--- a/planner/run.go
+++ b/planner/run.go
@@ -175,6 +175,7 @@
 	if run.state != starting {
 		return
 	}
+	run.mayHaveArrived = run.mayHaveArrived || event.Err.MayHaveRun
 	switch event.Err.Code {
 	case classifier.MinionUnreachable, classifier.OutcomeUnknown, classifier.RingFull, classifier.CorruptAnswer, classifier.Internal:
 		planner.handleUnansweredStart(now, run, event.Err.Code)
