End the cuts of holders with the other faults of the property test

Trace: n0 is cut off at 40.510, n1 claims at 45.441 and is cut off at 45.448, n2 claims at 48.195 and is cut off at 48.196. A cut ends when the claim of the next holder is seen, 50 ms later at the earliest, so that all three nodes stayed cut off for good and none could record the jobs' ends. The planner of n0 had all jobs completed at 42.5.

The faults of the test end after outageTime, as its constant says; the cuts of holders now do as well. No check changes.

--- a/planner/storeoutage_test.go
+++ b/planner/storeoutage_test.go
@@ -294,6 +294,7 @@
 		}
 		simulation.advance(outageTime)
 		endFaults()
+		simulation.reconnect()
 		simulation.advance(completionTime)
 		simulation.checkAttempts()
 		simulation.checkAllEnded()
@@ -301,6 +302,16 @@
 	})
 }
 
+// reconnect ends the faults of the holders that are still cut off from the store. They
+// read that another node has claimed.
+func (simulation *simulation) reconnect() {
+	for _, node := range simulation.nodes {
+		if simulation.store.unreachableFrom[node] {
+			simulation.notify(node)
+		}
+	}
+}
+
 // checkAllEnded checks that all finite jobs have ended and that all tasks of the
 // others run.
 func (simulation *simulation) checkAllEnded() {
