--- a/planner/holder.go
+++ b/planner/holder.go
@@ -31,6 +31,10 @@
 	active bool
 	// polledAt is when this holder sent its first polls, zero before.
 	polledAt time.Time
+	// polledMinions counts the minions that have answered a poll, and fencedAt is when
+	// half of those that it knows had, zero before. They refuse the former holder since.
+	polledMinions int
+	fencedAt      time.Time
 	// unresolvedTasks counts the inherited tasks that a former holder may have
 	// started on a minion that has not reported them.
 	unresolvedTasks int
@@ -48,7 +52,23 @@
 // on minions that this holder does not know. A former holder that is alive hears of this
 // one from the minions that both have polled.
 func (holderState *holderState) formerLeasesExpired(now time.Time) bool {
-	return !holderState.polledAt.IsZero() && !now.Before(holderState.polledAt.Add(formerRenewalTime+formerLeaseLimit))
+	if holderState.polledAt.IsZero() {
+		return false
+	}
+	fencedAt := holderState.fencedAt
+	if fencedAt.IsZero() {
+		fencedAt = holderState.polledAt.Add(maxFencingTime)
+	}
+	return !now.Before(fencedAt.Add(formerRenewalTime + formerLeaseLimit))
+}
+
+// noteFencedMinion notes that a minion has answered the first poll of this holder.
+func (planner *Planner) noteFencedMinion(now time.Time) {
+	holder := &planner.holder
+	holder.polledMinions++
+	if holder.fencedAt.IsZero() && 2*holder.polledMinions >= len(planner.minions) {
+		holder.fencedAt = now
+	}
 }
 
 func (planner *Planner) handleHolderChange(now time.Time, event messenger.HolderChanged) {
@@ -150,10 +170,15 @@
 // a slow clock.
 const formerLeaseLimit = time.Duration(float64(leaseDuration)*slowClockFactor) + leaseExpiryMargin
 
-// formerRenewalTime is how long a former holder may go on renewing leases after this
-// one has polled the minions. The next of its own polls that reaches one of them is
-// refused.
-const formerRenewalTime = maxPollWait
+const (
+	// formerRenewalTime is how long a former holder may go on renewing leases after half
+	// of the minions have answered this one. The next of its own polls that reaches one
+	// of them is refused, and it renews nothing while most of them do not answer it.
+	formerRenewalTime = maxPollWait
+	// maxFencingTime limits the wait for half of the minions: the first poll of each gets
+	// no answer, and neither does the second.
+	maxFencingTime = 2*answerTimeout + pollRetryDelay
+)
 
 // runNumberBits is the number of low bits of a run number that count the runs
 // of one claim. The bits above hold the claim's token, so that run numbers
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -39,7 +39,10 @@
 	}
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
-	minion.polled = true
+	if !minion.polled {
+		minion.polled = true
+		planner.noteFencedMinion(now)
+	}
 	acknowledged := event.Sent.Order.(messenger.PollRuns).AcknowledgedEnd
 	switch {
 	case acknowledged < minion.recordedEnd: // recorded while the poll was on its way
