--- a/planner/lateanswers_test.go
+++ b/planner/lateanswers_test.go
@@ -23,20 +23,7 @@
 
 func checkFormerLeases(t *testing.T, phase, silence time.Duration) {
 	c := quicktest.New(t)
-	simulation := newSimulation(1, 2, 4)
-	first, second := simulation.nodes[0], simulation.nodes[1]
-	simulation.makeHolder(first)
-	simulation.advance(500 * time.Millisecond)
-	for _, id := range []string{"a", "b"} {
-		simulation.submit(jobOf(id, wholeMinions(1, 2*time.Minute)))
-	}
-	simulation.advance(time.Second)
-	unlisted := simulation.runningOn(specifier.Task{Job: "a"})
-	c.Assert(unlisted, quicktest.IsNotNil)
-
-	first.token = 0
-	simulation.store.unreachableFrom[first] = true
-	unlisted.unregistered = true
+	simulation, _, second, _ := newCutOffHolder(c, 4)
 	simulation.advance(claimTimeout + phase)
 	simulation.makeHolder(second)
 	silentUntil := simulation.now.Add(silence)
--- a/planner/latelist_test.go
+++ b/planner/latelist_test.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/frankban/quicktest"
-
-	"corianderroad/specifier"
 )
 
 // TestFormerLeasesAreCountedFromThePolls guards against two runs of a task at the same
@@ -15,19 +13,7 @@
 // holder that is cut off from the store renews leases until those polls.
 func TestFormerLeasesAreCountedFromThePolls(t *testing.T) {
 	c := quicktest.New(t)
-	simulation := newSimulation(1, 2, 4)
-	first, second := simulation.nodes[0], simulation.nodes[1]
-	simulation.makeHolder(first)
-	simulation.advance(500 * time.Millisecond)
-	for _, id := range []string{"a", "b"} {
-		simulation.submit(jobOf(id, wholeMinions(1, 2*time.Minute)))
-	}
-	simulation.advance(time.Second)
-	unlisted := simulation.runningOn(specifier.Task{Job: "a"})
-	c.Assert(unlisted, quicktest.IsNotNil)
-
-	first.token = 0
-	simulation.store.unreachableFrom[first] = true
+	simulation, _, second, unlisted := newCutOffHolder(c, 4)
 	for _, minion := range simulation.sortedMinions() {
 		minion.unregistered = true
 	}
--- a/planner/lostrefusal_test.go
+++ b/planner/lostrefusal_test.go
@@ -7,7 +7,6 @@
 	"github.com/frankban/quicktest"
 
 	"corianderroad/messenger"
-	"corianderroad/specifier"
 )
 
 // TestFormerHolderMissesARefusal guards against two runs of a task at the same time: a new
@@ -15,20 +14,7 @@
 // The former one's next two polls of each minion that both know are lost.
 func TestFormerHolderMissesTwoRefusals(t *testing.T) {
 	c := quicktest.New(t)
-	simulation := newSimulation(1, 2, 3)
-	first, second := simulation.nodes[0], simulation.nodes[1]
-	simulation.makeHolder(first)
-	simulation.advance(500 * time.Millisecond)
-	for _, id := range []string{"a", "b"} {
-		simulation.submit(jobOf(id, wholeMinions(1, 2*time.Minute)))
-	}
-	simulation.advance(time.Second)
-	unlisted := simulation.runningOn(specifier.Task{Job: "a"})
-	c.Assert(unlisted, quicktest.IsNotNil)
-
-	first.token = 0
-	simulation.store.unreachableFrom[first] = true
-	unlisted.unregistered = true
+	simulation, first, second, unlisted := newCutOffHolder(c, 3)
 	simulation.advance(claimTimeout)
 	simulation.makeHolder(second)
 	simulation.advance(20 * time.Millisecond)
--- /dev/null
+++ b/planner/network_test.go
@@ -0,0 +1,49 @@
+package planner_test
+
+import (
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/messenger"
+)
+
+// sendOrder delivers an order, subject to the faults of the simulation.
+func (simulation *simulation) sendOrder(node *node, order messenger.OrderMinion) {
+	minion := simulation.minions[order.Minion]
+	sentAt := simulation.now
+	unknown := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")}
+	if minion.faults.refusesConnections {
+		refused := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.MinionUnreachable, "connection refused")}
+		simulation.schedule(latency, func() { simulation.step(node, refused) })
+		return
+	}
+	if !minion.alive || minion.unreachableFrom[node] || minion.faults.isLost(node, order.Order) {
+		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
+		return
+	}
+	incarnation := minion.incarnation
+	execute := func(answer func(messenger.OrderAnswered)) {
+		if !minion.alive || (minion.incarnation != incarnation && !minion.faults.keepsName) {
+			answer(messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.UnknownNode, "another incarnation")})
+			return
+		}
+		minion.execute(order, sentAt, answer)
+	}
+	if simulation.random.Float64() < simulation.lateOrderShare {
+		delay := 2*time.Second + time.Duration(simulation.random.Int64N(int64(6*time.Second)))
+		simulation.schedule(delay, func() { execute(func(messenger.OrderAnswered) {}) })
+		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
+		return
+	}
+	lost := simulation.random.Float64() < simulation.lostAnswerShare
+	simulation.schedule(latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() {
+		execute(func(answered messenger.OrderAnswered) {
+			if lost {
+				simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
+				return
+			}
+			answered = simulation.withOutdatedList(minion, minion.garbled(answered))
+			simulation.schedule(latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() { simulation.step(node, answered) })
+		})
+	})
+}
--- a/planner/partition_test.go
+++ b/planner/partition_test.go
@@ -1,7 +1,6 @@
 package planner_test
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -67,11 +66,7 @@
 		simulation := newLivenessSimulation(rapid.Uint64().Draw(t, "seed"))
 		endFaults := drawOutageFaults(t, simulation)
 		simulation.makeHolder(simulation.nodes[0])
-		for number := range rapid.IntRange(1, 8).Draw(t, "jobs") {
-			at := drawMilliseconds(t, "at", 0, 8000)
-			job := drawOutageJob(t, fmt.Sprintf("j%02d", number), simulation.now.Add(at))
-			simulation.schedule(at, func() { simulation.submitUntilAccepted(job) })
-		}
+		submitOutageJobs(t, simulation, 8)
 		share := rapid.SampledFrom([]float64{0.1, 0.3, 0.45}).Draw(t, "share")
 		simulation.schedule(drawMilliseconds(t, "partition-at", 500, 8000), func() {
 			former := simulation.holder()
@@ -88,11 +83,6 @@
 				simulation.notify(former)
 			})
 		})
-		simulation.advance(outageTime)
-		endFaults()
-		simulation.advance(completionTime)
-		simulation.checkAttempts()
-		simulation.checkAllEnded()
-		simulation.failOnViolations(t)
+		simulation.finishOutage(t, endFaults)
 	})
 }
--- a/planner/storeoutage_test.go
+++ b/planner/storeoutage_test.go
@@ -270,6 +270,26 @@
 	return job
 }
 
+// submitOutageJobs submits jobs of random kinds at random times, up to the given number.
+func submitOutageJobs(t *rapid.T, simulation *simulation, maxJobs int) {
+	for number := range rapid.IntRange(1, maxJobs).Draw(t, "jobs") {
+		at := drawMilliseconds(t, "at", 0, 12000)
+		job := drawOutageJob(t, fmt.Sprintf("j%02d", number), simulation.now.Add(at))
+		simulation.schedule(at, func() { simulation.submitUntilAccepted(job) })
+	}
+}
+
+// finishOutage ends the faults that are left, and fails unless all jobs end.
+func (simulation *simulation) finishOutage(t *rapid.T, endFaults func()) {
+	simulation.advance(outageTime)
+	endFaults()
+	simulation.reconnect()
+	simulation.advance(completionTime)
+	simulation.checkAttempts()
+	simulation.checkAllEnded()
+	simulation.failOnViolations(t)
+}
+
 // TestInvariantsUnderStoreOutages guards against two runs of a task at the same time,
 // because a new holder whose list lacks live minions takes an end for the last one of
 // its task, and against jobs that never end after an outage of the store.
@@ -279,11 +299,7 @@
 		simulation := newLivenessSimulation(rapid.Uint64().Draw(t, "seed"))
 		endFaults := drawOutageFaults(t, simulation)
 		simulation.makeHolder(simulation.nodes[0])
-		for number := range rapid.IntRange(1, 12).Draw(t, "jobs") {
-			at := drawMilliseconds(t, "at", 0, 12000)
-			job := drawOutageJob(t, fmt.Sprintf("j%02d", number), simulation.now.Add(at))
-			simulation.schedule(at, func() { simulation.submitUntilAccepted(job) })
-		}
+		submitOutageJobs(t, simulation, 12)
 		from := time.Duration(0)
 		for range rapid.IntRange(1, 3).Draw(t, "outages") {
 			outage := drawStoreOutage(t, simulation, from)
@@ -292,13 +308,7 @@
 			simulation.schedule(outage.lossesAt, func() { simulation.beginTakeovers(takeovers) })
 			from = outage.downAt + outage.downFor
 		}
-		simulation.advance(outageTime)
-		endFaults()
-		simulation.reconnect()
-		simulation.advance(completionTime)
-		simulation.checkAttempts()
-		simulation.checkAllEnded()
-		simulation.failOnViolations(t)
+		simulation.finishOutage(t, endFaults)
 	})
 }
 
