--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -120,7 +120,7 @@
 	// LeaseExpired, NoCapacity, SupersededRun, NoTicket, UnknownNode if another
 	// incarnation answered, BadRequest, MinionBusy. Without an answer:
 	// MinionUnreachable if the order was not sent, OutcomeUnknown if the minion may
-	// have received it.
+	// have received it. CorruptAnswer if no answer can be used.
 	Err *classifier.Error
 	// Clock and Incarnation are those of the minion, zero without an answer.
 	Clock       time.Duration
@@ -129,6 +129,9 @@
 	// not acknowledged.
 	Running []RunReport
 	Ended   []RunEnd
+	// DiscardedAnswers is the number of answers that came before and may have been those of
+	// other orders.
+	DiscardedAnswers int
 }
 
 // RunReport is a run that a minion has.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -193,6 +193,9 @@
 	if planner.answeredByOtherIncarnation(now, minion, event) {
 		return
 	}
+	for range event.DiscardedAnswers {
+		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "order-foreign-answer"})
+	}
 	planner.updateResponsiveness(now, minion, event)
 	if event.Clock > 0 && !minion.polled {
 		// From now on the minion refuses the orders of former holders. They have given
