Append each submission alone after a refusal for good

Each action is then appended alone, so that only the one at fault fails. By the settings' limits that can't happen for its size; a store may have a reason of its own.

--- a/committer/committer.go
+++ b/committer/committer.go
@@ -147,7 +147,8 @@
 }
 
 // appendBatch appends the records of a batch and reports the result of each of its
-// actions. The store appends all of the records or none.
+// actions. The store appends all of the records or none. If it will never take them, each
+// action is appended alone, so that only the one at fault fails.
 func (entryAppender *EntryAppender) appendBatch(ctx context.Context, batch []entryAppend) error {
 	var records []encoder.KeyedRecord
 	for _, entryAppend := range batch {
@@ -160,6 +161,14 @@
 		cancel()
 		failure = classifier.Wrap(err)
 	}
+	if isPermanent(failure) && len(batch) > 1 {
+		for index := range batch {
+			if err := entryAppender.appendBatch(ctx, batch[index:index+1]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
 	for _, entryAppend := range batch {
 		if entryAppend.err == nil {
 			entryAppend.err = failure
--- a/committer/limits_test.go
+++ b/committer/limits_test.go
@@ -142,25 +142,39 @@
 	return nil
 }
 
-// TestTooLargeJobFailsAlone guards against a job that the store does not take, and with
-// which the jobs of other callers in the same append fail.
-func TestTooLargeJobFailsAlone(t *testing.T) {
-	c := quicktest.New(t)
+// TestRefusedJobFailsAlone guards against a job that the store does not take, and with which
+// the jobs of other callers in the same append fail: it is too large, or the store refuses
+// it for a reason of its own.
+func TestRefusedJobFailsAlone(t *testing.T) {
+	for name, test := range map[string]struct {
+		payloadBytes int
+		refused      string
+	}{"too-large": {payloadBytes: 3000}, "refused": {payloadBytes: 10, refused: "job/job-1"}} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			store := &limitedStore{limits: committer.Limits{RecordBytes: 2000, RequestBytes: 4000}, refused: test.refused}
+			results := submitJobs(t, store, 10, test.payloadBytes, 10)
+			c.Assert(results, quicktest.HasLen, 3)
+			c.Assert(results[0] == nil && results[2] == nil, quicktest.IsTrue)
+			c.Assert(results[1].Code, quicktest.Equals, classifier.BodyTooLarge)
+		})
+	}
+}
+
+// submitJobs appends jobs with payloads of the given sizes at once, and returns the results.
+func submitJobs(t *testing.T, store *limitedStore, payloadBytes ...int) appendResults {
 	results := appendResults{}
 	synctest.Test(t, func(*testing.T) {
 		ring := buffer.New[messenger.AppendEntries]("appends", 8)
-		for id, payload := range []int{10, 3000, 10} {
-			job := specifier.Job{ID: identifier.Job(fmt.Sprintf("job-%d", id)), Payload: strings.Repeat("x", payload), Steps: []specifier.Step{{Tasks: 1}}}
+		for id, bytes := range payloadBytes {
+			job := specifier.Job{ID: identifier.Job(fmt.Sprintf("job-%d", id)), Payload: strings.Repeat("x", bytes), Steps: []specifier.Step{{Tasks: 1}}}
 			_ = ring.Offer(messenger.AppendEntries{ID: uint64(id), Entries: []messenger.JournalEntry{messenger.Submitted{Job: job}}})
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		defer synctest.Wait()
 		defer cancel()
-		store := &limitedStore{limits: committer.Limits{RecordBytes: 2000, RequestBytes: 4000}}
 		go func() { _ = committer.NewEntryAppender(ring, store, store.limits, results).Run(ctx) }()
 		synctest.Wait()
 	})
-	c.Assert(results, quicktest.HasLen, 3)
-	c.Assert(results[0] == nil && results[2] == nil, quicktest.IsTrue)
-	c.Assert(results[1].Code, quicktest.Equals, classifier.BodyTooLarge)
+	return results
 }
