--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -129,9 +129,9 @@
 	// not acknowledged.
 	Running []RunReport
 	Ended   []RunEnd
-	// DiscardedAnswers is the number of answers that came before and may have been those of
-	// other orders.
-	DiscardedAnswers int
+	// IsRepeat means that the order was sent twice: the first answer may have been that of
+	// another order, or its connection broke.
+	IsRepeat bool
 }
 
 // RunReport is a run that a minion has.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -193,8 +193,8 @@
 	if planner.answeredByOtherIncarnation(now, minion, event) {
 		return
 	}
-	for range event.DiscardedAnswers {
-		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "order-foreign-answer"})
+	if event.IsRepeat {
+		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "order-resent"})
 	}
 	planner.updateResponsiveness(now, minion, event)
 	if event.Clock > 0 && !minion.polled {
