Log and count the deaths of minions with the youngest run that each had

Cause: a crash showed only as run-lost lines without the time for which each run had worked, so that a task that crashes its minions could not be told from its neighbours. Change: minion-gone names the number of runs and the youngest, with its age when the minion was last heard; crashes_total counts deaths by how they were recognized. No decision changes.

--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -35,6 +35,7 @@
 	refusals    *prometheus.CounterVec
 	retries     *prometheus.CounterVec
 	transitions *prometheus.CounterVec
+	crashes     *prometheus.CounterVec
 	bytes       *prometheus.CounterVec
 	io          *prometheus.CounterVec
 	storeBytes  *prometheus.CounterVec
@@ -54,6 +55,7 @@
 		refusals:    counter("refusals_total", "Refused requests by the reason's name.", "reason"),
 		retries:     counter("retries_total", "Repeated attempts by the reason's name.", "reason"),
 		transitions: counter("transitions_total", "Changes of state by their reason.", "reason"),
+		crashes:     counter("crashes_total", "Deaths of minions and the conclusions from them, by their reason.", "reason"),
 		bytes:       counter("peer_bytes_total", "Bytes of frames by peer, its region and direction.", "peer", "region", "direction"),
 		io:          counter("io_events_total", "Events of I/O duties by kind and result.", "kind", "result"),
 		storeBytes:  counter("store_bytes_total", "Bytes of the store's answers by topic and result.", "topic", "result"),
@@ -62,7 +64,7 @@
 		Namespace: namespace, Name: "answer_seconds", Help: "Time to answer a request, by its kind and result.",
 		Buckets: prometheus.ExponentialBuckets(minAnswerTime, 2, answerBuckets),
 	}, []string{"kind", "result"})
-	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.bytes, exporter.io, exporter.storeBytes,
+	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.crashes, exporter.bytes, exporter.io, exporter.storeBytes,
 		newRingCollector(rings), newGaugeCollector(gauges),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return exporter
@@ -89,6 +91,8 @@
 		exporter.refusals.WithLabelValues(count.Reason).Inc()
 	case messenger.Retries:
 		exporter.retries.WithLabelValues(count.Reason).Inc()
+	case messenger.Crashes:
+		exporter.crashes.WithLabelValues(count.Reason).Inc()
 	default:
 		exporter.transitions.WithLabelValues(count.Reason).Inc()
 	}
--- a/messenger/command.go
+++ b/messenger/command.go
@@ -30,6 +30,8 @@
 	Refusals Counter = iota + 1
 	Retries
 	Transitions
+	// Crashes counts the deaths of minions and what is concluded from them.
+	Crashes
 )
 
 // Count increments a counter. Reason is its label, in kebab case.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -75,7 +75,9 @@
 // confirmed move to the next one, because their order may still reach it, and are
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
-	for _, run := range earlier.sortedRuns() {
+	runs := earlier.sortedRuns()
+	planner.reportDeath(now, earlier, runs, countRestarted, "it has restarted")
+	for _, run := range runs {
 		if !run.startConfirmedAt.IsZero() {
 			planner.markRunLost(now, run, "its minion has restarted")
 			continue
@@ -93,17 +95,17 @@
 			planner.stopRun(now, run, "its minion has restarted")
 		}
 	}
-	planner.emitDecision(string(earlier.report.Minion), "minion-gone", "it has restarted", "", now.Sub(earlier.clockAt))
 }
 
 // removeDeadMinion marks all runs of an incarnation that has ended as lost and
 // removes the minion.
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, reason string) {
-	for _, run := range minion.sortedRuns() {
+	runs := minion.sortedRuns()
+	planner.reportDeath(now, minion, runs, countReplaced, reason)
+	for _, run := range runs {
 		planner.markRunLost(now, run, reason)
 	}
 	planner.removeMinion(minion)
-	planner.emitDecision(string(minion.report.Minion), "minion-gone", reason, "", now.Sub(minion.clockAt))
 }
 
 // pollMinions sends the polls that are due and marks runs as lost when the
@@ -115,7 +117,7 @@
 		}
 		if !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
-			planner.emitDecision(string(minion.report.Minion), "minion-gone", "neither registered nor reachable", "", now.Sub(minion.unresponsiveSince))
+			planner.reportDeath(now, minion, nil, countUnreachable, "neither registered nor reachable")
 		}
 	}
 	planner.sendDuePolls(now)
