Show that a task that crashes its minions takes the pool down (red)

The simulated minions get tasks that crash them, at once or some time after the start, and come back under their name or another one.

--- /dev/null
+++ b/planner/deadlyjob_test.go
@@ -0,0 +1,123 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/identifier"
+	"corianderroad/specifier"
+)
+
+// maxCrashesPerJob is how many minions one job with a crashing task may cost: three, under
+// which the task is found out, and the starts that the rule still allows.
+const maxCrashesPerJob = crashesBeforeLimit + maxStartsAfterCrashes
+
+// crashDelays are the times from the start of a crashing task to the crash.
+var crashDelays = []time.Duration{0, 50 * time.Millisecond, 700 * time.Millisecond}
+
+// smallStep returns a step of tasks of which eight fit on a minion.
+func smallStep(tasks int, runTime time.Duration) specifier.Step {
+	return specifier.Step{Tasks: tasks, Request: taskOf(3000, 1), EstimatedRunTime: runTime}
+}
+
+// changeHolder kills a node and makes another one the holder.
+func (simulation *simulation) changeHolder(from, to int) {
+	simulation.nodes[from].alive = false
+	simulation.nodes[from] = simulation.newNode(fmt.Sprintf("n%d-%s", from, simulation.now.Format("05.000")))
+	simulation.deliverJournal(simulation.nodes[from])
+	simulation.schedule(claimTimeout, func() { simulation.makeHolder(simulation.nodes[to]) })
+}
+
+// TestCrashingTaskIsGivenUp guards against a task that crashes one minion after the other
+// for ever (BUDGET), with one holder and with holders that are killed again and again.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	for _, delay := range crashDelays {
+		for _, renames := range []bool{false, true} {
+			for _, changes := range []bool{false, true} {
+				for _, gang := range []bool{false, true} {
+					t.Run(fmt.Sprintf("delay=%s,renames=%t,changes=%t,gang=%t", delay, renames, changes, gang), func(t *testing.T) {
+						c := quicktest.New(t)
+						simulation := newSimulation(1, 2, 8)
+						simulation.jobsCrash("bad", delay)
+						simulation.crashing.renames = renames
+						simulation.makeHolder(simulation.nodes[0])
+						simulation.advance(time.Second)
+						step := smallStep(1, 4*time.Second)
+						if gang {
+							step = specifier.Step{Tasks: 2, Request: taskOf(16000, 5), EstimatedRunTime: 4 * time.Second, Gang: true}
+						}
+						simulation.submit(jobOf("bad", step))
+						for round := range 12 {
+							simulation.advance(10 * time.Second)
+							if changes {
+								simulation.changeHolder(round%2, 1-round%2)
+							}
+						}
+						comment := quicktest.Commentf("%s", simulation.decisionsAbout("bad"))
+						c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
+						c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
+						c.Assert(simulation.crashing.crashes <= step.Tasks*maxCrashesPerJob, quicktest.IsTrue, comment)
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestInnocentJobCompletesBesideCrashingTask guards against one bad job that stops its
+// neighbours: its task goes where the others work, again and again.
+func TestInnocentJobCompletesBesideCrashingTask(t *testing.T) {
+	for _, delay := range crashDelays {
+		t.Run(delay.String(), func(t *testing.T) {
+			c := quicktest.New(t)
+			simulation := newSimulation(1, 1, 8)
+			simulation.jobsCrash("bad", delay)
+			simulation.makeHolder(simulation.nodes[0])
+			simulation.submit(jobOf("good", smallStep(12, 4*time.Second)))
+			simulation.submit(jobOf("bad", smallStep(1, 4*time.Second)))
+			simulation.advance(20 * time.Second)
+			c.Assert(simulation.recordedState("good"), quicktest.Equals, specifier.Completed, quicktest.Commentf("%s", simulation.decisionsAbout("")))
+			simulation.advance(20 * time.Second)
+			c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed)
+			c.Assert(simulation.violations, quicktest.HasLen, 0)
+		})
+	}
+}
+
+// TestPoolWorksOnBesideCrashingJobs guards against a pool that a few bad jobs take down:
+// no job of anybody completes while each of their tasks crashes minion after minion.
+func TestPoolWorksOnBesideCrashingJobs(t *testing.T) {
+	const (
+		badJobs  = 10
+		goodJobs = 20
+	)
+	for _, delay := range crashDelays {
+		t.Run(delay.String(), func(t *testing.T) {
+			c := quicktest.New(t)
+			simulation := newSimulation(1, 1, 16)
+			simulation.jobsCrash("bad", delay)
+			simulation.makeHolder(simulation.nodes[0])
+			for number := range goodJobs {
+				simulation.schedule(time.Duration(number)*500*time.Millisecond, func() {
+					if number < badJobs {
+						simulation.submit(jobOf(fmt.Sprintf("bad%d", number), smallStep(8, 4*time.Second)))
+					}
+					simulation.submit(jobOf(fmt.Sprintf("good%d", number), smallStep(12, 4*time.Second)))
+				})
+			}
+			simulation.advance(2 * time.Minute)
+			comment := quicktest.Commentf("%d crashes, %d runs of others ended with them", simulation.crashing.crashes, simulation.crashing.innocentRuns)
+			for number := range goodJobs {
+				c.Check(simulation.recordedState(identifier.Job(fmt.Sprintf("good%d", number))), quicktest.Equals, specifier.Completed, comment)
+			}
+			for number := range badJobs {
+				c.Check(simulation.recordedState(identifier.Job(fmt.Sprintf("bad%d", number))), quicktest.Equals, specifier.Failed, comment)
+			}
+			c.Check(simulation.violations, quicktest.HasLen, 0)
+			c.Check(simulation.crashing.crashes <= badJobs*maxCrashesPerJob, quicktest.IsTrue, comment)
+		})
+	}
+}
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -44,6 +44,10 @@
 	leaseExpirations int
 	expirationsAtEnd map[uint64]int
 	faults           minionFaults
+	// replacedBy is the minion that answers at its address after a crash, nil if there is
+	// none, and lives counts the names that this one has had.
+	replacedBy *fakeMinion
+	lives      int
 }
 
 // fakeRun is one run on a minion.
@@ -134,6 +138,10 @@
 			refuse(code)
 			return
 		}
+		if !minion.alive { // the run has crashed it before it could answer
+			answer(messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "connection reset")})
+			return
+		}
 	case messenger.StopRun:
 		if minion.faults.refusesUnknownStop && !minion.hasSeen(sent) {
 			refuse(classifier.BadRequest)
@@ -211,6 +219,7 @@
 	} else if !run.spec.LongRunning {
 		simulation.schedule(simulation.workTime(run), func() { minion.finishRun(run) })
 	}
+	simulation.crashMinionOf(run)
 	return classifier.OK
 }
 
@@ -339,6 +348,7 @@
 func (simulation *simulation) checkStart(run *fakeRun, sentAt time.Time) {
 	taskState := simulation.taskState(run.task)
 	taskState.startedRuns = append(taskState.startedRuns, run.number)
+	simulation.checkCrashBudget(run)
 	if len(taskState.running) > 0 {
 		simulation.reportViolation("%s: run %d starts while another runs", run.task, run.number)
 	}
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -17,6 +17,11 @@
 		simulation.schedule(latency, func() { simulation.step(node, refused) })
 		return
 	}
+	if minion.replacedBy != nil && minion.replacedBy.alive {
+		other := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.UnknownNode, "another minion")}
+		simulation.schedule(latency, func() { simulation.step(node, other) })
+		return
+	}
 	if !minion.alive || minion.unreachableFrom[node] || minion.faults.isLost(node, order.Order) {
 		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 		return
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -65,6 +65,7 @@
 	fails func(run *fakeRun) bool
 	// workTime returns how long a run works.
 	workTime func(run *fakeRun) time.Duration
+	crashing crashingTasks
 }
 
 // taskState is the actual state of a task in the simulation.
@@ -74,6 +75,9 @@
 	failedRuns  []uint64
 	running     map[*fakeRun]bool
 	startedRuns []uint64
+	// crashes counts the minions that the task has crashed, startsAfterCrashes the starts
+	// after crashesBeforeLimit of them.
+	crashes, startsAfterCrashes int
 }
 
 type scheduledCall struct {
