Record crashes of minions under tasks in a part of the progress of their own

Cause: the progress names neither the minion nor the incarnation of a run, so that a new holder can't know that a minion has crashed under a task. Change: a part after those with tasks lists the crashes under each task and where newest runs were placed. Earlier versions read it as a part without tasks and never replace it, so that it survives a holder of such a build. A full part has less than the 256 KiB of a record.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -162,6 +162,18 @@
 	for _, restart := range wire.Restarts {
 		progress.Restarts = append(progress.Restarts, specifier.TaskRestart(restart))
 	}
+	for _, crash := range wire.Crashes {
+		progress.Crashes = append(progress.Crashes, specifier.TaskCrash{
+			Occurrence: crash.Occurrence, Step: crash.Step, Index: crash.Index, Run: crash.Run, Minion: identifier.Minion(crash.Minion),
+			Incarnation: identifier.Incarnation(crash.Incarnation), Age: time.Duration(crash.Age), OnTrial: crash.OnTrial, Cleared: crash.Cleared,
+		})
+	}
+	for _, placement := range wire.Placements {
+		progress.Placements = append(progress.Placements, specifier.TaskPlacement{
+			Occurrence: placement.Occurrence, Step: placement.Step, Index: placement.Index, Run: placement.Run,
+			Minion: identifier.Minion(placement.Minion), Incarnation: identifier.Incarnation(placement.Incarnation),
+		})
+	}
 	progressed := messenger.Progressed{Job: part.Job, Part: part.Part, Progress: progress}
 	if err := progressed.Check(); err != nil {
 		return nil, err
@@ -177,6 +189,18 @@
 	for _, restart := range progress.Restarts {
 		wire.Restarts = append(wire.Restarts, JournalRestart(restart))
 	}
+	for _, crash := range progress.Crashes {
+		wire.Crashes = append(wire.Crashes, JournalCrash{
+			Occurrence: crash.Occurrence, Step: crash.Step, Index: crash.Index, Run: crash.Run, Minion: string(crash.Minion),
+			Incarnation: uint64(crash.Incarnation), Age: int64(crash.Age), OnTrial: crash.OnTrial, Cleared: crash.Cleared,
+		})
+	}
+	for _, placement := range progress.Placements {
+		wire.Placements = append(wire.Placements, JournalPlacement{
+			Occurrence: placement.Occurrence, Step: placement.Step, Index: placement.Index, Run: placement.Run,
+			Minion: string(placement.Minion), Incarnation: uint64(placement.Incarnation),
+		})
+	}
 	return wire
 }
 
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -52,6 +52,10 @@
 	Tasks   []JournalTask `msg:"tasks"`
 	// Restarts are left out if there are none. Earlier versions ignore them.
 	Restarts []JournalRestart `msg:"restarts,omitempty"`
+	// Crashes and Placements are in a part of their own, which earlier versions neither
+	// read nor replace.
+	Crashes    []JournalCrash     `msg:"crashes,omitempty"`
+	Placements []JournalPlacement `msg:"placements,omitempty"`
 }
 
 // JournalRestart is specifier.TaskRestart on the wire.
@@ -64,6 +68,33 @@
 	LatestRun  uint64 `msg:"latest-run"`
 }
 
+// JournalCrash is specifier.TaskCrash on the wire.
+//
+//msgp:tuple JournalCrash
+type JournalCrash struct {
+	Occurrence  int    `msg:"occurrence"`
+	Step        int    `msg:"step"`
+	Index       int    `msg:"index"`
+	Run         uint64 `msg:"run"`
+	Minion      string `msg:"minion"`
+	Incarnation uint64 `msg:"incarnation"`
+	Age         int64  `msg:"age"`
+	OnTrial     bool   `msg:"on-trial"`
+	Cleared     bool   `msg:"cleared"`
+}
+
+// JournalPlacement is specifier.TaskPlacement on the wire.
+//
+//msgp:tuple JournalPlacement
+type JournalPlacement struct {
+	Occurrence  int    `msg:"occurrence"`
+	Step        int    `msg:"step"`
+	Index       int    `msg:"index"`
+	Run         uint64 `msg:"run"`
+	Minion      string `msg:"minion"`
+	Incarnation uint64 `msg:"incarnation"`
+}
+
 // JournalTask is specifier.TaskProgress on the wire.
 //
 //msgp:tuple JournalTask
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -104,6 +104,90 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *JournalCrash) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 9
+	o = append(o, 0x99)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
+	o = msgp.AppendUint64(o, z.Run)
+	o = msgp.AppendString(o, z.Minion)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	o = msgp.AppendInt64(o, z.Age)
+	o = msgp.AppendBool(o, z.OnTrial)
+	o = msgp.AppendBool(o, z.Cleared)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JournalCrash) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.Run, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	z.Minion, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Minion")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	z.Age, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Age")
+		return
+	}
+	z.OnTrial, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "OnTrial")
+		return
+	}
+	z.Cleared, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Cleared")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JournalCrash) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Minion) + msgp.Uint64Size + msgp.Int64Size + msgp.BoolSize + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalJob) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -251,17 +335,91 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *JournalPlacement) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 6
+	o = append(o, 0x96)
+	o = msgp.AppendInt(o, z.Occurrence)
+	o = msgp.AppendInt(o, z.Step)
+	o = msgp.AppendInt(o, z.Index)
+	o = msgp.AppendUint64(o, z.Run)
+	o = msgp.AppendString(o, z.Minion)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JournalPlacement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
+		return
+	}
+	z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	z.Step, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	z.Index, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Index")
+		return
+	}
+	z.Run, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	z.Minion, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Minion")
+		return
+	}
+	z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Incarnation")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JournalPlacement) Msgsize() (s int) {
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Uint64Size + msgp.StringPrefixSize + len(z.Minion) + msgp.Uint64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Restarts == nil {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Crashes == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Placements == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -295,6 +453,30 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "crashes"
+			o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
+			for za0003 := range z.Crashes {
+				o, err = z.Crashes[za0003].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0003)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "placements"
+			o = append(o, 0xaa, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x6d, 0x65, 0x6e, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Placements)))
+			for za0004 := range z.Placements {
+				o, err = z.Placements[za0004].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Placements", za0004)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -379,6 +561,52 @@
 					return
 				}
 			}
+		case "crashes":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+			if zb0004 > z52a732eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Crashes) >= int(zb0004) {
+				z.Crashes = z.Crashes[:zb0004]
+			} else {
+				z.Crashes = make([]JournalCrash, zb0004)
+			}
+			for za0003 := range z.Crashes {
+				bts, err = z.Crashes[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Crashes", za0003)
+					return
+				}
+			}
+		case "placements":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Placements")
+				return
+			}
+			if zb0005 > z52a732eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Placements) >= int(zb0005) {
+				z.Placements = z.Placements[:zb0005]
+			} else {
+				z.Placements = make([]JournalPlacement, zb0005)
+			}
+			for za0004 := range z.Placements {
+				bts, err = z.Placements[za0004].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Placements", za0004)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -401,6 +629,14 @@
 	for za0002 := range z.Restarts {
 		s += z.Restarts[za0002].Msgsize()
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Crashes {
+		s += z.Crashes[za0003].Msgsize()
+	}
+	s += 11 + msgp.ArrayHeaderSize
+	for za0004 := range z.Placements {
+		s += z.Placements[za0004].Msgsize()
+	}
 	return
 }
 
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -126,7 +126,7 @@
 // job.
 func (progressed Progressed) Check() error {
 	progress := &progressed.Progress
-	if progressed.Part < 0 || progressed.Part >= specifier.MaxJobTasks/specifier.TasksPerPart {
+	if progressed.Part < 0 || progressed.Part > specifier.MaxJobTasks/specifier.TasksPerPart { // the last one is Job.CrashPart
 		return classifier.New(classifier.BadRequest, "the part %d is out of range", progressed.Part)
 	}
 	if progress.State > specifier.Cancelled {
@@ -139,6 +139,9 @@
 		return classifier.New(classifier.BadRequest, "the progress lists %d tasks and %d restarts, at most %d are allowed",
 			len(progress.Tasks), len(progress.Restarts), specifier.MaxJobTasks)
 	}
+	if err := checkCrashes(progress); err != nil {
+		return err
+	}
 	for _, task := range progress.Tasks {
 		if err := checkTaskNumbers(task.Occurrence, task.Step, task.Index); err != nil {
 			return err
@@ -152,6 +155,27 @@
 	return nil
 }
 
+func checkCrashes(progress *specifier.Progress) error {
+	if max(len(progress.Crashes), len(progress.Placements)) > specifier.MaxRecordedCrashes {
+		return classifier.New(classifier.BadRequest, "the progress lists %d crashes and %d placements, at most %d are allowed",
+			len(progress.Crashes), len(progress.Placements), specifier.MaxRecordedCrashes)
+	}
+	for _, crash := range progress.Crashes {
+		if crash.Age < 0 {
+			return classifier.New(classifier.BadRequest, "a run was %s old when its minion crashed", crash.Age)
+		}
+		if err := checkTaskNumbers(crash.Occurrence, crash.Step, crash.Index); err != nil {
+			return err
+		}
+	}
+	for _, placement := range progress.Placements {
+		if err := checkTaskNumbers(placement.Occurrence, placement.Step, placement.Index); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func checkTaskNumbers(occurrence, step, index int) error {
 	if occurrence < 0 || occurrence >= specifier.MaxOccurrences || step < 0 || step >= specifier.MaxSteps || index < 0 || index >= specifier.MaxTasks {
 		return classifier.New(classifier.BadRequest, "task %d.%d.%d is out of range", occurrence, step, index)
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -1,6 +1,10 @@
 package specifier
 
-import "time"
+import (
+	"time"
+
+	"corianderroad/identifier"
+)
 
 // State is the state of a job.
 type State uint8
@@ -43,6 +47,10 @@
 	return max(1, (tasks+TasksPerPart-1)/TasksPerPart)
 }
 
+// CrashPart returns the number of the part of the progress that lists crashes. It follows
+// the parts with tasks, which versions without crashes replace as a whole.
+func (job *Job) CrashPart() int { return job.ProgressParts() }
+
 // Progress is the durable state of the execution of a job.
 type Progress struct {
 	State State
@@ -52,11 +60,46 @@
 	Tasks []TaskProgress
 	// Restarts lists the tasks that are not done and may have been started again.
 	Restarts []TaskRestart
+	// Crashes lists the crashes of minions under tasks that are not done, and Placements
+	// where the newest runs of such tasks were started.
+	Crashes    []TaskCrash
+	Placements []TaskPlacement
 }
 
 // HasTasks reports whether the progress says anything about tasks. It is false for nil.
 func (progress *Progress) HasTasks() bool {
-	return progress != nil && len(progress.Tasks)+len(progress.Restarts) > 0
+	return progress != nil && len(progress.Tasks)+len(progress.Restarts)+len(progress.Crashes)+len(progress.Placements) > 0
+}
+
+// MaxRecordedCrashes limits the crashes and the placements in the progress of a job.
+const MaxRecordedCrashes = 512
+
+// TaskCrash is a crash of a minion that had a run of a task. It is recorded before the
+// next run of the task starts.
+type TaskCrash struct {
+	Occurrence int
+	Step       int
+	Index      int
+	Run        uint64
+	Minion     identifier.Minion
+	// Incarnation is the one that has ended.
+	Incarnation identifier.Incarnation
+	// Age is for how long the run had worked, at most.
+	Age time.Duration
+	// OnTrial means that the minion had no runs of other jobs that had just started.
+	OnTrial bool
+	// Cleared means that a later run has passed its trial.
+	Cleared bool
+}
+
+// TaskPlacement names the minion that was to start the newest run of a task.
+type TaskPlacement struct {
+	Occurrence  int
+	Step        int
+	Index       int
+	Run         uint64
+	Minion      identifier.Minion
+	Incarnation identifier.Incarnation
 }
 
 // TaskRestart names the newest run of a task that may have been started. It is recorded
