Find tasks that crash their minions on trial, and give them up

What callers saw: one job whose task crashes its minion stayed running for ever, took its neighbours down with each start, and ten of them stopped the pool. Cause: a crash released the runs of the minion and counted against none of their tasks; placement packed the same tasks together again (class: one request takes down server after server, because the failure is put down to the server).

Change: a crash is recorded against each run that the minion had, before the next start. A task whose run had just begun, or under which two minions crashed, is suspect: it runs on trial, apart from other jobs, on a minion that takes nothing else until the run has worked for longer than the earlier ones. Its sisters wait. A trial is recorded with its minion before it starts, so that a new holder draws the same conclusion. Two crashes on trial, or five of any kind, end the job as failed; a passed trial clears the task. At most a quarter of a service's minions has trials at a time. Drains, maintenance and silent minions that come back are no evidence.

--- a/planner/availability.go
+++ b/planner/availability.go
@@ -15,13 +15,14 @@
 	unknownRuns
 	refusedRecently
 	quarantined
+	onTrial
 	availabilities // the number of values
 )
 
 // String returns the name of the value in log lines and metrics.
 func (availability availability) String() string {
 	return [...]string{
-		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "refused-recently", "quarantined",
+		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "refused-recently", "quarantined", "on-trial",
 	}[availability]
 }
 
@@ -45,6 +46,8 @@
 		return refusedRecently
 	case minion.health.isQuarantined(now):
 		return quarantined
+	case minion.trial != nil:
+		return onTrial
 	}
 	return accepting
 }
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -59,6 +59,7 @@
 						comment := quicktest.Commentf("%s", simulation.decisionsAbout("bad"))
 						c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
 						c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
+						t.Logf("%d crashes", simulation.crashing.crashes)
 						c.Assert(simulation.crashing.crashes <= step.Tasks*maxCrashesPerJob, quicktest.IsTrue, comment)
 					})
 				}
@@ -81,6 +82,7 @@
 			simulation.advance(20 * time.Second)
 			c.Assert(simulation.recordedState("good"), quicktest.Equals, specifier.Completed, quicktest.Commentf("%s", simulation.decisionsAbout("")))
 			simulation.advance(20 * time.Second)
+			t.Logf("%d crashes, %d runs of others", simulation.crashing.crashes, simulation.crashing.innocentRuns)
 			c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed)
 			c.Assert(simulation.violations, quicktest.HasLen, 0)
 		})
@@ -110,6 +112,7 @@
 			}
 			simulation.advance(2 * time.Minute)
 			comment := quicktest.Commentf("%d crashes, %d runs of others ended with them", simulation.crashing.crashes, simulation.crashing.innocentRuns)
+			t.Logf("%d crashes, %d runs of others", simulation.crashing.crashes, simulation.crashing.innocentRuns)
 			for number := range goodJobs {
 				c.Check(simulation.recordedState(identifier.Job(fmt.Sprintf("good%d", number))), quicktest.Equals, specifier.Completed, comment)
 			}
--- a/planner/job.go
+++ b/planner/job.go
@@ -42,6 +42,9 @@
 	// isUnrecordable means that the store will never take the progress of the tasks.
 	isUnrecordable bool
 	deletionSent   bool
+	// hasCrashes means that a minion has crashed that had a run of a task, hasCrashPart that
+	// the progress may have a part with crashes and placements.
+	hasCrashes, hasCrashPart bool
 }
 
 // occurrence is one execution of all steps.
@@ -77,6 +80,12 @@
 	// stalledSince is the time since which the step has had nothing running although
 	// its turn has come, zero if it is not so.
 	stalledSince time.Time
+	// crashedTasks are the indexes of the tasks with crashes.
+	crashedTasks []int
+	// trial is the planned trial of suspect tasks, nil if there is none. trialWantedSince is
+	// the time since which the step has waited for one, zero if it does not.
+	trial            *trial
+	trialWantedSince time.Time
 }
 
 // task is one task of a step.
@@ -109,6 +118,10 @@
 	notBefore time.Time
 	// lastFailedOn is the minion on which the task failed last.
 	lastFailedOn identifier.Minion
+	// crashes are the crashes of minions that had a run of the task, oldest first.
+	crashes []crash
+	// placement is that of the newest run after the first, if it is known.
+	placement placement
 }
 
 // addFailure adds a failed run and reports whether it is new.
@@ -221,6 +234,7 @@
 	job.occurrences, job.journalState = nil, specifier.Queued
 	job.hasProgress, job.progressState = false, specifier.Queued
 	job.unrecordedParts, job.isUnrecordable = nil, false
+	job.hasCrashes, job.hasCrashPart = false, false
 	if job.recordedProgress != nil {
 		job.apply(job.recordedProgress)
 		job.journalState = job.recordedProgress.State
@@ -286,6 +300,7 @@
 			task.checkpoint = taskProgress.Checkpoint
 		}
 	}
+	job.applyCrashes(progress)
 	for _, restart := range progress.Restarts {
 		_, task := job.find(specifier.Task{Occurrence: restart.Occurrence, Step: restart.Step, Index: restart.Index})
 		if task != nil {
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -73,6 +73,11 @@
 	// closedForMaintenance means that no run is started on the minion because its
 	// VM awaits maintenance.
 	closedForMaintenance bool
+	// trial is the step whose suspect tasks run here, nil if there is none.
+	trial *step
+	// lostRuns are the runs that were given up since the minion fell silent. If it has
+	// crashed, it may have done so under them.
+	lostRuns []*run
 }
 
 type runKey struct {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -75,9 +75,8 @@
 // confirmed move to the next one, because their order may still reach it, and are
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
-	runs := earlier.sortedRuns()
-	planner.reportDeath(now, earlier, runs, countRestarted, "it has restarted")
-	for _, run := range runs {
+	planner.noteDeath(now, earlier, countRestarted, "it has restarted")
+	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() {
 			planner.markRunLost(now, run, "its minion has restarted")
 			continue
@@ -100,9 +99,8 @@
 // removeDeadMinion marks all runs of an incarnation that has ended as lost and
 // removes the minion.
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, reason string) {
-	runs := minion.sortedRuns()
-	planner.reportDeath(now, minion, runs, countReplaced, reason)
-	for _, run := range runs {
+	planner.noteDeath(now, minion, countReplaced, reason)
+	for _, run := range minion.sortedRuns() {
 		planner.markRunLost(now, run, reason)
 	}
 	planner.removeMinion(minion)
@@ -117,7 +115,7 @@
 		}
 		if !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
-			planner.reportDeath(now, minion, nil, countUnreachable, "neither registered nor reachable")
+			planner.noteDeath(now, minion, countUnreachable, "neither registered nor reachable")
 		}
 	}
 	planner.sendDuePolls(now)
@@ -132,6 +130,7 @@
 	for _, run := range minion.sortedRuns() {
 		if run.step.spec.LongRunning || !isAlive {
 			planner.markRunLost(now, run, "the lease has expired")
+			minion.lostRuns = append(minion.lostRuns, run)
 		}
 	}
 }
@@ -267,7 +266,7 @@
 		if minion.unresponsive {
 			planner.emitDecision(string(minion.report.Minion), "minion-regained", "it answers again", "", now.Sub(minion.unresponsiveSince))
 		}
-		minion.unresponsive = false
+		minion.unresponsive, minion.lostRuns = false, nil
 		planner.silentMinions.remove(minion)
 		if event.Clock > 0 {
 			minion.updateClock(event.Clock, now)
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -32,14 +32,17 @@
 	}
 	planner.lastPassAt, planner.passNeeded = now, false
 	planner.reservations.expire(now)
+	planner.reopenMinions()
 	planner.prepareSteps(now)
+	suspects := planner.suspectSteps(now)
 	steps := planner.waitingSteps(now)
 	planner.passInterval = min(minPassInterval+time.Duration(len(steps))*passIntervalPerStep+
 		time.Duration(len(planner.minions))*passIntervalPerMinion, maxPassInterval)
-	if len(steps) == 0 {
+	if len(steps)+len(suspects) == 0 {
 		return // most passes of a pool with room, which need no look at its minions
 	}
 	pools := planner.newPools(now)
+	planner.runTrials(now, suspects, pools)
 	guarantees := &guarantees{planner: planner}
 	for index, waitingStep := range steps {
 		if len(planner.pendingOrders) >= maxPendingOrders {
@@ -100,7 +103,7 @@
 // waitingStep returns the step with its urgency, nil if it has no task to
 // start.
 func (step *step) waitingStep(now time.Time, queue *specifier.Queue) *waitingStep {
-	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) {
+	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.hasSuspect() {
 		step.waitingSince = time.Time{}
 		return nil
 	}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -74,6 +74,9 @@
 	if minion.hasMixedLoad() {
 		wait = mixedLoadPollWait
 	}
+	if minion.trial != nil {
+		wait = min(wait, trialPollWait)
+	}
 	for _, run := range minion.runs {
 		if run.state == stopping && run.startConfirmedAt.IsZero() {
 			untilVoid := time.Duration(float64(run.startLeaseUntil-minion.clockLowerBound(now)) / minClockRate)
@@ -116,6 +119,8 @@
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
 	}
 	run.checkpoint, run.load = report.Checkpoint, report.Load
+	planner.refuteCrash(run.step, run.id.Index, run.placement())
+	planner.clearIfPassed(now, run)
 }
 
 // adoptRun takes over a run that a former holder started, or stops one that
@@ -147,6 +152,9 @@
 		return run
 	}
 	task.run = run
+	if task.isSuspect() {
+		run.onTrial, minion.trial = true, step
+	}
 	planner.markResolved(task)
 	planner.emitDecision(report.Task.String(), "adopt", "found on a minion",
 		fmt.Sprintf("run=%d minion=%s percent=%d", report.Run, minion.report.Minion, report.ProgressPercent), 0)
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"corianderroad/identifier"
@@ -103,6 +104,37 @@
 	}
 }
 
+// filtered returns the pool with only those of the available minions that a function keeps.
+func (pool *pool) filtered(keep func(*minion) bool) *pool {
+	filtered := newPool()
+	filtered.crowded, filtered.registered = pool.crowded, pool.registered
+	for _, original := range pool.racks {
+		reduced := &rack{name: original.name, usage: original.usage}
+		for _, minion := range original.available {
+			if keep(minion) {
+				reduced.available = append(reduced.available, minion)
+			}
+		}
+		filtered.racks, filtered.byRack[original.name] = append(filtered.racks, reduced), reduced
+	}
+	for _, minion := range pool.available {
+		if keep(minion) {
+			filtered.available = append(filtered.available, minion)
+		}
+	}
+	return filtered
+}
+
+// remove removes a minion that accepts no more runs from the available ones.
+func (pool *pool) remove(removed *minion) {
+	isRemoved := func(minion *minion) bool { return minion == removed }
+	pool.available = slices.DeleteFunc(pool.available, isRemoved)
+	for _, rack := range pool.racks {
+		rack.available = slices.DeleteFunc(rack.available, isRemoved)
+	}
+	pool.withQuarantined = nil
+}
+
 // addUsage adds what a task started in this pass occupies.
 func (pool *pool) addUsage(minion *minion, request specifier.Resources) {
 	pool.byRack[minion.rack].usage += weight(request)
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
 
@@ -16,7 +17,7 @@
 		if !step.isReady() || !step.hasIdleTask(now) {
 			continue
 		}
-		if step.hasExhaustedTask(now, queue) || step.isIncompleteGang(now) || step.needsRunNumbers(now) {
+		if step.hasExhaustedTask(now, queue) || step.hasGivenUpTask() || step.isIncompleteGang(now) || step.needsRunNumbers(now) {
 			steps = append(steps, step)
 		}
 	}
@@ -27,6 +28,9 @@
 		case !job.isOpen(): // another step has ended it
 		case step.hasExhaustedTask(now, planner.queue(job)):
 			planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+		case step.hasGivenUpTask():
+			planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countGivenUp})
+			planner.endJob(now, job, specifier.Failed, "a task crashes the minions that start it")
 		case step.isIncompleteGang(now):
 			planner.stopGang(now, step)
 		default:
@@ -69,6 +73,17 @@
 	return false
 }
 
+// hasGivenUpTask reports whether minions have crashed under a task of the step so often that
+// it must not start again.
+func (step *step) hasGivenUpTask() bool {
+	for _, index := range step.crashedTasks {
+		if step.tasks[index].isGivenUp() {
+			return true
+		}
+	}
+	return false
+}
+
 // isIncompleteGang reports whether some members of a gang run without another one, for
 // example when a takeover found only some of them.
 func (step *step) isIncompleteGang(now time.Time) bool {
--- a/planner/progress.go
+++ b/planner/progress.go
@@ -82,6 +82,9 @@
 	if job.isUnrecordable {
 		return recorded
 	}
+	if part == job.spec.CrashPart() {
+		return job.crashProgress()
+	}
 	for step, index := range job.tasksOfPart(part) {
 		task := &step.tasks[index]
 		// The reserved run may start as soon as this record is durable.
@@ -126,5 +129,8 @@
 	for number := range parts {
 		parts[number] = messenger.ProgressPart{Job: job.spec.ID, Part: number}
 	}
+	if job.hasCrashPart {
+		parts = append(parts, messenger.ProgressPart{Job: job.spec.ID, Part: job.spec.CrashPart()})
+	}
 	return parts
 }
--- a/planner/run.go
+++ b/planner/run.go
@@ -60,6 +60,8 @@
 	// paceSetAt.
 	pacePercent int
 	paceSetAt   time.Time
+	// onTrial means that the run is on trial: it must work for some time on its minion.
+	onTrial bool
 }
 
 func (run *run) task() *task { return &run.step.tasks[run.id.Index] }
@@ -81,11 +83,15 @@
 func (planner *Planner) startRun(now time.Time, step *step, index int, minion *minion, number uint64, ticket string) {
 	run := &run{
 		id: step.id(index), number: number, step: step, minion: minion, state: starting,
-		startedAt: now, progressAt: now, ticket: ticket, pacePercent: fullPercent,
+		startedAt: now, progressAt: now, ticket: ticket, pacePercent: fullPercent, onTrial: minion.trial == step,
 	}
 	step.tasks[index].run = run
 	run.previousRun = step.tasks[index].latestRun
 	minion.addRun(run)
+	if task := &step.tasks[index]; run.previousRun > 0 || task.inherited {
+		task.placement = minion.placement(number)
+		planner.recording.markCrashesDirty(step)
+	}
 	job := run.job()
 	planner.emitDecision(run.id.String(), "start", "placed",
 		fmt.Sprintf("run=%d minion=%s previous-run=%d", number, minion.report.Minion, run.previousRun), now.Sub(job.spec.AcceptedAt))
@@ -204,7 +210,7 @@
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + code.Name()})
 	run.mayHaveArrived = run.mayHaveArrived || code.Execution() != classifier.NotRun
 	isClaimValid := planner.holder.isClaimValid(now)
-	if run.startAttempts < maxStartAttempts && isClaimValid {
+	if run.startAttempts < maxStartAttempts && isClaimValid && !run.onTrial {
 		planner.sendStart(now, run)
 		return
 	}
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -23,6 +23,7 @@
 	if end.Run >= task.latestRun {
 		planner.markResolved(task)
 	}
+	planner.refuteCrash(step, end.Task.Index, minion.placement(end.Run))
 	job := step.occurrence.job
 	planner.markBegun(job)
 	age := time.Duration(0)
--- /dev/null
+++ b/planner/trial.go
@@ -0,0 +1,330 @@
+package planner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// The suspect tasks of a step run on trial: on a minion of their own, or beside runs that
+// have worked for a while, and nothing else starts there until they have passed. Whether
+// the minion crashes again then says something about them, and costs others little. A trial
+// is recorded with its minion before it starts, so that the next holder can conclude the same.
+
+const (
+	// minTrial is the shortest time for which a run on trial has to work.
+	minTrial = time.Second
+	// maxTrial is the longest one. It exceeds what a crash soon after the start takes.
+	maxTrial = 30 * time.Second
+	// trialMargin is the time that a run on trial has to work beyond the age at which
+	// earlier ones may have crashed their minions.
+	trialMargin = 500 * time.Millisecond
+	// trialPollWait is how long a poll of a minion with a trial waits for an end.
+	trialPollWait = 250 * time.Millisecond
+	// idleMinionWait is how long a trial waits for a minion without runs.
+	idleMinionWait = time.Second
+	// trialShare is the part of the minions of a service, as a divisor, that may have
+	// trials, or be down after them, at a time.
+	trialShare = 4
+)
+
+// trial is a planned trial whose starts wait for their record.
+type trial struct {
+	starts []plannedStart
+}
+
+type plannedStart struct {
+	index  int
+	number uint64
+	minion *minion
+}
+
+// trialTime returns for how long a run of the task has to work until it is cleared.
+func (task *task) trialTime() time.Duration {
+	longest := time.Duration(0)
+	for _, crash := range task.crashes {
+		if !crash.cleared {
+			longest = max(longest, crash.age)
+		}
+	}
+	return min(max(longest+longest/2+trialMargin, minTrial), maxTrial)
+}
+
+// runTrials plans and starts the trials of the suspect tasks whose turn has come.
+func (planner *Planner) runTrials(now time.Time, suspects []*waitingStep, pools map[identifier.Service]*pool) {
+	for _, waiting := range suspects {
+		pool := pools[waiting.queue.Service]
+		if pool == nil {
+			waiting.step.passResult = waitsForMinions
+			continue
+		}
+		if planned := waiting.step.trial; planned != nil {
+			planner.startTrial(now, waiting.step, planned)
+		} else {
+			planner.planTrial(now, waiting, pool)
+		}
+	}
+}
+
+// suspectSteps returns the due steps with suspect tasks, in the order of their jobs.
+func (planner *Planner) suspectSteps(now time.Time) []*waitingStep {
+	var steps []*waitingStep
+	for _, job := range planner.openJobs {
+		queue := planner.queue(job)
+		if !job.hasCrashes || queue == nil {
+			continue
+		}
+		for _, occurrence := range job.occurrences {
+			if now.Before(occurrence.dueAt) {
+				break
+			}
+			for _, step := range occurrence.steps {
+				if step.hasSuspect() && step.isReady() {
+					steps = append(steps, &waitingStep{step: step, queue: queue})
+				}
+			}
+		}
+	}
+	slices.SortFunc(steps, func(one, other *waitingStep) int { return compareArrival(one.step, other.step) })
+	return steps
+}
+
+// tasksForTrial returns the tasks that the next trial of the step is to run, those with
+// most crashes first: all members of a gang, or the suspects.
+func (step *step) tasksForTrial(now time.Time) []int {
+	var indexes []int
+	for index := range step.tasks {
+		task := &step.tasks[index]
+		switch {
+		case step.spec.Gang && !task.isIdle(now):
+			return nil
+		case task.isIdle(now) && (step.spec.Gang || task.isSuspect()):
+			indexes = append(indexes, index)
+		}
+	}
+	slices.SortStableFunc(indexes, func(one, other int) int {
+		return cmp.Compare(len(step.tasks[other].crashes), len(step.tasks[one].crashes))
+	})
+	return indexes
+}
+
+// planTrial chooses minions for the suspect tasks of a step, closes them for other runs,
+// and records the trial. One step has one trial at a time.
+func (planner *Planner) planTrial(now time.Time, waiting *waitingStep, pool *pool) {
+	step := waiting.step
+	waiting.taskIndexes = step.tasksForTrial(now)
+	if len(waiting.taskIndexes) == 0 || planner.hasTrial(step) {
+		return
+	}
+	waiting.taskCount = len(waiting.taskIndexes)
+	if step.trialWantedSince.IsZero() {
+		step.trialWantedSince = now
+	}
+	planner.updateTickets(now, waiting)
+	chosen := planner.minionsForTrial(now, waiting, pool)
+	if len(chosen) == 0 {
+		step.passResult = waitsForTrial
+		return
+	}
+	if !planner.ensureTickets(now, waiting, chosen, pool.available) {
+		step.passResult = waitsForAdvice
+		return
+	}
+	step.trialWantedSince = time.Time{}
+	step.trial = &trial{}
+	number := planner.nextRunNumber()
+	for position, minion := range chosen {
+		if position > 0 && !step.spec.Gang {
+			number = planner.nextRunNumber()
+		}
+		index := waiting.taskIndexes[position]
+		task := &step.tasks[index]
+		task.reservedRun = number
+		task.placement = minion.placement(number)
+		step.trial.starts = append(step.trial.starts, plannedStart{index, number, minion})
+		minion.trial = step
+		pool.remove(minion)
+		planner.recording.markTaskDirty(step, index)
+	}
+	planner.recording.markCrashesDirty(step)
+	step.passResult = waitsForRecord
+}
+
+// minionsForTrial returns a minion for each task of a gang, or one minion for as many other
+// tasks as fit there. It prefers minions without runs.
+func (planner *Planner) minionsForTrial(now time.Time, waiting *waitingStep, pool *pool) []*minion {
+	closed := 0
+	for _, minion := range pool.registered {
+		if minion.trial != nil {
+			closed++
+		}
+	}
+	limit := max(1, len(pool.registered)/trialShare) - closed
+	if limit <= 0 {
+		return nil
+	}
+	idle := pool.filtered(func(minion *minion) bool { return len(minion.runs) == 0 })
+	chosen := planner.chooseForTrial(waiting, idle)
+	if len(chosen) == 0 && now.Sub(waiting.step.trialWantedSince) >= idleMinionWait {
+		chosen = planner.chooseAmongRuns(now, waiting, pool)
+	}
+	if closed > 0 && countMinions(chosen) > limit {
+		return nil
+	}
+	return chosen
+}
+
+// chooseAmongRuns chooses minions that have runs. A single one is that where a crash would
+// lose least work.
+func (planner *Planner) chooseAmongRuns(now time.Time, waiting *waitingStep, pool *pool) []*minion {
+	if waiting.step.spec.Gang {
+		return planner.chooseForTrial(waiting, pool)
+	}
+	byLoss := slices.Clone(pool.available)
+	slices.SortStableFunc(byLoss, func(one, other *minion) int { return cmp.Compare(one.workAtStake(now), other.workAtStake(now)) })
+	for _, candidate := range byLoss {
+		single := pool.filtered(func(minion *minion) bool { return minion == candidate })
+		if chosen := planner.chooseForTrial(waiting, single); len(chosen) > 0 {
+			return chosen
+		}
+	}
+	return nil
+}
+
+// chooseForTrial chooses minions of a pool for all members of a gang, or for the tasks that
+// fit on the first one chosen.
+func (planner *Planner) chooseForTrial(waiting *waitingStep, pool *pool) []*minion {
+	chosen := planner.chooseMinions(waiting, pool, false)
+	if waiting.step.spec.Gang {
+		if len(chosen) < waiting.taskCount {
+			return nil
+		}
+		return chosen
+	}
+	for index, minion := range chosen {
+		if minion != chosen[0] {
+			return chosen[:index]
+		}
+	}
+	return chosen
+}
+
+func countMinions(chosen []*minion) int {
+	distinct := make(map[*minion]bool, len(chosen))
+	for _, minion := range chosen {
+		distinct[minion] = true
+	}
+	return len(distinct)
+}
+
+// workAtStake returns the core-seconds that a crash of the minion would lose.
+func (minion *minion) workAtStake(now time.Time) float64 {
+	sum := 0.0
+	for _, run := range minion.runs {
+		sum += run.lostWork(now)
+	}
+	return sum
+}
+
+// startTrial starts a trial once it is recorded, or gives it up if one of its minions can't
+// be used any more.
+func (planner *Planner) startTrial(now time.Time, step *step, trial *trial) {
+	demands := make(map[*minion]specifier.Resources)
+	for _, start := range trial.starts {
+		demands[start.minion] = demands[start.minion].Add(requiredCapacity(step.spec))
+	}
+	for _, start := range trial.starts {
+		minion, task := start.minion, &step.tasks[start.index]
+		isUsable := planner.minions[minion.report.Minion] == minion && minion.availability(now) == onTrial &&
+			planner.reservations.freeCapacity(step, minion).Holds(demands[minion])
+		if !isUsable || !task.isIdle(now) || task.reservedRun != start.number {
+			step.cancelTrial()
+			planner.passNeeded = true
+			return
+		}
+		if task.recordedRun < start.number {
+			step.passResult = waitsForRecord
+			return
+		}
+	}
+	step.trial = nil
+	for _, start := range trial.starts {
+		step.tasks[start.index].reservedRun = 0
+		planner.startRun(now, step, start.index, start.minion, start.number, step.ticket(start.minion))
+	}
+}
+
+// cancelTrial gives up a trial that has not started.
+func (step *step) cancelTrial() {
+	for _, start := range step.trial.starts {
+		if task := &step.tasks[start.index]; task.reservedRun == start.number {
+			task.reservedRun = 0
+		}
+		if start.minion.trial == step {
+			start.minion.trial = nil
+		}
+	}
+	step.trial = nil
+}
+
+// hasTrial reports whether a trial of the step is planned or runs. One whose minion has
+// fallen silent runs until it is certain what has become of the minion.
+func (planner *Planner) hasTrial(step *step) bool {
+	if step.trial != nil {
+		return true
+	}
+	for _, index := range step.crashedTasks {
+		if run := step.tasks[index].run; run != nil && run.onTrial {
+			return true
+		}
+	}
+	return false
+}
+
+// reopenMinions opens the minions for other runs whose trials have ended.
+func (planner *Planner) reopenMinions() {
+	for _, minion := range planner.minions {
+		step := minion.trial
+		if step == nil || (step.trial != nil && step.occurrence.job.isOpen()) {
+			continue
+		}
+		if !step.hasSuspect() || !minion.hasTrialRun() {
+			minion.trial = nil
+		}
+	}
+}
+
+func (minion *minion) hasTrialRun() bool {
+	for _, run := range minion.runs {
+		if run.onTrial {
+			return true
+		}
+	}
+	return false
+}
+
+// clearIfPassed clears a task of which a run on trial has worked for long enough.
+func (planner *Planner) clearIfPassed(now time.Time, run *run) {
+	task := run.task()
+	worked := now.Sub(run.startConfirmedAt)
+	if !run.onTrial || run.state != running || worked < task.trialTime() {
+		return
+	}
+	run.onTrial = false
+	if !task.isSuspect() {
+		return // a member of a gang with a suspect one
+	}
+	for index := range task.crashes {
+		task.crashes[index].cleared = true
+	}
+	planner.recording.markCrashesDirty(run.step)
+	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCleared})
+	planner.emitDecision(run.id.String(), "task-cleared", "its run has passed its trial",
+		fmt.Sprintf("run=%d minion=%s crashes=%d", run.number, run.minion.report.Minion, len(task.crashes)), worked)
+	planner.passNeeded = true
+}
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -37,6 +37,7 @@
 	waitsForAdvice
 	waitsForRecord
 	waitsForCapacity
+	waitsForTrial
 	waitReasons // the number of reasons
 )
 
@@ -44,7 +45,7 @@
 func (reason waitReason) String() string {
 	return [...]string{
 		"pass-pending", "queue-unknown", "claim-unconfirmed", "former-runs-unresolved", "runs-ending", "starts-unanswered",
-		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity",
+		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending",
 	}[reason]
 }
 
@@ -131,6 +132,8 @@
 		return reason
 	}
 	switch {
+	case step.hasSuspect():
+		return step.passResult
 	case step.countStartableTasks(now) > 0:
 		return step.passResult
 	case step.awaitsRecord(now):
