--- a/planner/crash.go
+++ b/planner/crash.go
@@ -156,7 +156,7 @@
 	task := run.task()
 	age := run.ageAtDeath(now)
 	if age < establishedAge {
-		planner.addCrash(now, run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial})
+		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial})
 		return
 	}
 	if len(task.crashes) > 0 {
@@ -166,7 +166,7 @@
 }
 
 // addCrash adds a crash under a run of a task, unless it is known.
-func (planner *Planner) addCrash(now time.Time, step *step, index int, added crash) {
+func (planner *Planner) addCrash(step *step, index int, added crash) {
 	task, job := &step.tasks[index], step.occurrence.job
 	isKnown := slices.ContainsFunc(task.crashes, func(known crash) bool { return known.placement == added.placement })
 	if isKnown || task.done || !job.isOpen() {
@@ -206,7 +206,7 @@
 
 // judgeFormerRun concludes what has become of the run of an inherited task that neither
 // runs nor has ended anywhere, from where the former holder has placed it.
-func (planner *Planner) judgeFormerRun(now time.Time, step *step, index int) {
+func (planner *Planner) judgeFormerRun(step *step, index int) {
 	task := &step.tasks[index]
 	placement := task.placement
 	if !task.unresolved || placement.run == 0 || placement.run < task.latestRun {
@@ -216,5 +216,5 @@
 	if isKnown && minion.report.Incarnation <= placement.incarnation {
 		return // the start has not arrived
 	}
-	planner.addCrash(now, step, index, crash{placement: placement, onTrial: isKnown && task.isSuspect()})
+	planner.addCrash(step, index, crash{placement: placement, onTrial: isKnown && task.isSuspect()})
 }
