--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -48,6 +48,10 @@
 	// none, and lives counts the names that this one has had.
 	replacedBy *fakeMinion
 	lives      int
+	// isUnguarded means that the minion starts runs beyond its capacity, and
+	// formerCapacities are those that it had before.
+	isUnguarded      bool
+	formerCapacities []formerCapacity
 }
 
 // fakeRun is one run on a minion.
@@ -204,7 +208,7 @@
 	}
 	job := simulation.jobs[sent.Task.Job]
 	run := &fakeRun{minion: minion, task: sent.Task, number: sent.Run, spec: &job.Steps[sent.Task.Step], started: simulation.now, pacePercent: 100}
-	if !minion.capacity.Holds(minion.used().Add(countedRequest(run.spec))) {
+	if !minion.isUnguarded && !minion.capacity.Holds(minion.used().Add(countedRequest(run.spec))) {
 		return classifier.NoCapacity
 	}
 	if job.Queue == adviceQueue && (simulation.now.After(simulation.services.tickets[sent.Ticket]) || !strings.HasPrefix(sent.Ticket, string(minion.name))) {
@@ -213,6 +217,7 @@
 	}
 	simulation.checkStart(run, sentAt)
 	minion.runs[sent.Task] = run
+	minion.checkCapacity(run)
 	simulation.taskState(sent.Task).running[run] = true
 	if run.spec.Gang {
 		simulation.runGangWhenComplete(run)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -141,8 +141,8 @@
 
 // TestInvariantsUnderFaults guards against a task that runs twice at a time or
 // after its recorded end, before a step that it depends on, or too often,
-// against a start after the job's cancellation, and against jobs that never
-// end. Meanwhile holders change, minions crash or become unreachable, answers
+// against a start after the job's cancellation or beyond the capacity of a minion that does
+// not guard it, and against jobs that never end. Meanwhile holders change, minions crash or become unreachable, answers
 // are lost and orders arrive late.
 func TestInvariantsUnderFaults(t *testing.T) {
 	t.Parallel()
@@ -154,8 +154,10 @@
 		simulation.delayVariation = rapid.SampledFrom([]time.Duration{0, 60 * time.Millisecond, 400 * time.Millisecond}).Draw(t, "spread")
 		failureShare := rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "failing")
 		simulation.fails = func(*fakeRun) bool { return simulation.random.Float64() < failureShare }
+		isUnguarded := rapid.Bool().Draw(t, "unguarded")
 		for _, minion := range simulation.sortedMinions() {
 			minion.clockRate = 0.98 + 0.04*simulation.random.Float64()
+			minion.isUnguarded = isUnguarded
 		}
 		simulation.makeHolder(simulation.nodes[0])
 		count := drawJobs(t, simulation)
