Tell callers and operators why a job has failed

Callers saw {"state":"failed"} and no more. Change: the reason is recorded with the state, and the answer to a query has it as "reason": the task and the number of minions that it has crashed, or that a task has used all its attempts.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -155,7 +155,7 @@
 	if err := unmarshal(value, &wire); err != nil {
 		return nil, err
 	}
-	progress := specifier.Progress{State: specifier.State(wire.State), EndedAt: timeFromWire(wire.EndedAt)}
+	progress := specifier.Progress{State: specifier.State(wire.State), EndedAt: timeFromWire(wire.EndedAt), Reason: wire.Reason}
 	for _, task := range wire.Tasks {
 		progress.Tasks = append(progress.Tasks, specifier.TaskProgress(task))
 	}
@@ -182,7 +182,7 @@
 }
 
 func progressToWire(progress specifier.Progress) *JournalProgress {
-	wire := &JournalProgress{State: uint8(progress.State), EndedAt: timeToWire(progress.EndedAt)}
+	wire := &JournalProgress{State: uint8(progress.State), EndedAt: timeToWire(progress.EndedAt), Reason: progress.Reason}
 	for _, task := range progress.Tasks {
 		wire.Tasks = append(wire.Tasks, JournalTask(task))
 	}
--- a/encoder/journal_limits_test.go
+++ b/encoder/journal_limits_test.go
@@ -148,6 +148,7 @@
 		"step out of range":       {Tasks: []specifier.TaskProgress{{Step: specifier.MaxSteps}}},
 		"index out of range":      {Tasks: []specifier.TaskProgress{{Index: specifier.MaxTasks}}},
 		"step of a crash":         {Crashes: []specifier.TaskCrash{{Step: specifier.MaxSteps}}},
+		"long reason":             {Reason: strings.Repeat("x", specifier.MaxReasonBytes+1)},
 		"negative age":            {Crashes: []specifier.TaskCrash{{Age: -1}}},
 		"index of a placement":    {Placements: []specifier.TaskPlacement{{Index: -1}}},
 		"too many crashes":        {Crashes: make([]specifier.TaskCrash, specifier.MaxRecordedCrashes+1)},
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -49,6 +49,7 @@
 type JournalProgress struct {
 	State   uint8         `msg:"state"`
 	EndedAt int64         `msg:"ended-at"`
+	Reason  string        `msg:"reason,omitempty"`
 	Tasks   []JournalTask `msg:"tasks"`
 	// Restarts are left out if there are none. Earlier versions ignore them.
 	Restarts []JournalRestart `msg:"restarts,omitempty"`
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -405,20 +405,24 @@
 func (z *JournalProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
+	if z.Reason == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
 	if z.Restarts == nil {
 		zb0001Len--
-		zb0001Mask |= 0x8
+		zb0001Mask |= 0x10
 	}
 	if z.Crashes == nil {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x20
 	}
 	if z.Placements == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -431,6 +435,11 @@
 		// string "ended-at"
 		o = append(o, 0xa8, 0x65, 0x6e, 0x64, 0x65, 0x64, 0x2d, 0x61, 0x74)
 		o = msgp.AppendInt64(o, z.EndedAt)
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// string "reason"
+			o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+			o = msgp.AppendString(o, z.Reason)
+		}
 		// string "tasks"
 		o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Tasks)))
@@ -441,7 +450,7 @@
 				return
 			}
 		}
-		if (zb0001Mask & 0x8) == 0 { // if not omitted
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "restarts"
 			o = append(o, 0xa8, 0x72, 0x65, 0x73, 0x74, 0x61, 0x72, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Restarts)))
@@ -453,7 +462,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "crashes"
 			o = append(o, 0xa7, 0x63, 0x72, 0x61, 0x73, 0x68, 0x65, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Crashes)))
@@ -465,7 +474,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "placements"
 			o = append(o, 0xaa, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x6d, 0x65, 0x6e, 0x74, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Placements)))
@@ -515,6 +524,12 @@
 				err = msgp.WrapError(err, "EndedAt")
 				return
 			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
 		case "tasks":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -621,7 +636,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JournalProgress) Msgsize() (s int) {
-	s = 1 + 6 + msgp.Uint8Size + 9 + msgp.Int64Size + 6 + msgp.ArrayHeaderSize
+	s = 1 + 6 + msgp.Uint8Size + 9 + msgp.Int64Size + 7 + msgp.StringPrefixSize + len(z.Reason) + 6 + msgp.ArrayHeaderSize
 	for za0001 := range z.Tasks {
 		s += z.Tasks[za0001].Msgsize()
 	}
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -88,6 +88,7 @@
 func validProgress(progress specifier.Progress) specifier.Progress {
 	progress.State %= specifier.Cancelled + 1
 	progress.EndedAt = validTime(progress.EndedAt)
+	progress.Reason = progress.Reason[:min(len(progress.Reason), specifier.MaxReasonBytes)]
 	for index := range progress.Tasks {
 		task := &progress.Tasks[index]
 		task.Occurrence = int(uint(task.Occurrence) % specifier.MaxOccurrences)
--- a/encoder/query.go
+++ b/encoder/query.go
@@ -92,7 +92,7 @@
 		Gauges: convertRows(answer.Gauges, func(row querier.Gauge) WireGaugeRow { return WireGaugeRow(row) }),
 		Submitted: convertRows(answer.Submitted, func(row querier.SubmittedJob) WireSubmittedRow {
 			return WireSubmittedRow{
-				Job: string(row.Job), Queue: string(row.Queue), Workspace: string(row.Workspace), State: uint8(row.State),
+				Job: string(row.Job), Queue: string(row.Queue), Workspace: string(row.Workspace), State: uint8(row.State), Reason: row.Reason,
 			}
 		}),
 		Waiting: answer.Waiting,
@@ -150,7 +150,7 @@
 		Submitted: convertRows(wire.Submitted, func(row WireSubmittedRow) querier.SubmittedJob {
 			return querier.SubmittedJob{
 				Job: identifier.Job(row.Job), Queue: identifier.Queue(row.Queue),
-				Workspace: identifier.Workspace(row.Workspace), State: specifier.State(row.State),
+				Workspace: identifier.Workspace(row.Workspace), State: specifier.State(row.State), Reason: row.Reason,
 			}
 		}),
 		Waiting: wire.Waiting,
--- a/encoder/query_schema.go
+++ b/encoder/query_schema.go
@@ -36,6 +36,7 @@
 	Queue     string `msg:"queue"`
 	Workspace string `msg:"workspace"`
 	State     uint8  `msg:"state"`
+	Reason    string `msg:"reason"`
 }
 
 // WireMemberRow is a querier.Member.
--- a/encoder/query_schema_gen.go
+++ b/encoder/query_schema_gen.go
@@ -3079,6 +3079,12 @@
 				err = msgp.WrapError(err, "State")
 				return
 			}
+		case "reason":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -3092,9 +3098,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WireSubmittedRow) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "job"
-	err = en.Append(0x84, 0xa3, 0x6a, 0x6f, 0x62)
+	err = en.Append(0x85, 0xa3, 0x6a, 0x6f, 0x62)
 	if err != nil {
 		return
 	}
@@ -3133,15 +3139,25 @@
 		err = msgp.WrapError(err, "State")
 		return
 	}
+	// write "reason"
+	err = en.Append(0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WireSubmittedRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "job"
-	o = append(o, 0x84, 0xa3, 0x6a, 0x6f, 0x62)
+	o = append(o, 0x85, 0xa3, 0x6a, 0x6f, 0x62)
 	o = msgp.AppendString(o, z.Job)
 	// string "queue"
 	o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
@@ -3152,6 +3168,9 @@
 	// string "state"
 	o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
 	o = msgp.AppendUint8(o, z.State)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
 	return
 }
 
@@ -3201,6 +3220,12 @@
 				err = msgp.WrapError(err, "State")
 				return
 			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -3215,7 +3240,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WireSubmittedRow) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 6 + msgp.StringPrefixSize + len(z.Queue) + 10 + msgp.StringPrefixSize + len(z.Workspace) + 6 + msgp.Uint8Size
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 6 + msgp.StringPrefixSize + len(z.Queue) + 10 + msgp.StringPrefixSize + len(z.Workspace) + 6 + msgp.Uint8Size + 7 + msgp.StringPrefixSize + len(z.Reason)
 	return
 }
 
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -139,6 +139,9 @@
 		return classifier.New(classifier.BadRequest, "the progress lists %d tasks and %d restarts, at most %d are allowed",
 			len(progress.Tasks), len(progress.Restarts), specifier.MaxJobTasks)
 	}
+	if len(progress.Reason) > specifier.MaxReasonBytes {
+		return classifier.New(classifier.BadRequest, "the reason has %d bytes, at most %d are allowed", len(progress.Reason), specifier.MaxReasonBytes)
+	}
 	if err := checkCrashes(progress); err != nil {
 		return err
 	}
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -8,6 +8,7 @@
 	"github.com/frankban/quicktest"
 
 	"corianderroad/identifier"
+	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
 
@@ -60,6 +61,7 @@
 						c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
 						c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
 						t.Logf("%d crashes", simulation.crashing.crashes)
+						c.Assert(simulation.recordedReason("bad"), quicktest.Matches, "task bad.0.0.. has crashed [0-9] minions that started it")
 						c.Assert(simulation.crashing.crashes <= step.Tasks*maxCrashesPerJob, quicktest.IsTrue, comment)
 					})
 				}
@@ -124,3 +126,14 @@
 		})
 	}
 }
+
+// recordedReason returns why a job has failed, as its caller can read it.
+func (simulation *simulation) recordedReason(id identifier.Job) string {
+	reason := ""
+	for _, entry := range simulation.journal {
+		if progressed, ok := entry.(messenger.Progressed); ok && progressed.Job == id {
+			reason = progressed.Progress.Reason
+		}
+	}
+	return reason
+}
--- a/planner/job.go
+++ b/planner/job.go
@@ -18,6 +18,8 @@
 	// state is running once a minion has started a task.
 	state   specifier.State
 	endedAt time.Time
+	// failure is why the job has failed, empty otherwise.
+	failure string
 	// startRequested means that the next record of the progress allows tasks to be
 	// started, and mayHaveStarted that a durable one does. No task is started before, so
 	// that the next holder can read which jobs may have runs.
@@ -229,7 +231,7 @@
 
 // reset returns the job to its state in the journal and discards its execution.
 func (job *job) reset() {
-	job.state, job.endedAt, job.deletionSent = specifier.Queued, time.Time{}, false
+	job.state, job.endedAt, job.failure, job.deletionSent = specifier.Queued, time.Time{}, "", false
 	job.startRequested, job.mayHaveStarted = false, false
 	job.occurrences, job.journalState = nil, specifier.Queued
 	job.hasProgress, job.progressState = false, specifier.Queued
@@ -275,7 +277,7 @@
 
 func (job *job) applyState(progress *specifier.Progress) {
 	if progress.State > job.state {
-		job.state, job.endedAt = progress.State, progress.EndedAt
+		job.state, job.endedAt, job.failure = progress.State, progress.EndedAt, progress.Reason
 	}
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -192,6 +192,9 @@
 // endJob puts a job into a final state and stops its runs.
 func (planner *Planner) endJob(now time.Time, job *job, state specifier.State, reason string) {
 	job.state, job.endedAt = state, now
+	if state == specifier.Failed {
+		job.failure = reason
+	}
 	delete(planner.openJobs, job.spec.ID)
 	planner.recording.markDirty(job)
 	planner.emitDecision(string(job.spec.ID), "job-"+state.String(), reason, "", now.Sub(job.spec.AcceptedAt))
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -29,8 +30,7 @@
 		case step.hasExhaustedTask(now, planner.queue(job)):
 			planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
 		case step.hasGivenUpTask():
-			planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countGivenUp})
-			planner.endJob(now, job, specifier.Failed, "a task crashes the minions that start it")
+			planner.giveUp(now, step)
 		case step.isIncompleteGang(now):
 			planner.stopGang(now, step)
 		default:
@@ -75,13 +75,24 @@
 
 // hasGivenUpTask reports whether minions have crashed under a task of the step so often that
 // it must not start again.
-func (step *step) hasGivenUpTask() bool {
+func (step *step) hasGivenUpTask() bool { return step.givenUpTask() >= 0 }
+
+// givenUpTask returns the index of such a task, negative if there is none.
+func (step *step) givenUpTask() int {
 	for _, index := range step.crashedTasks {
 		if step.tasks[index].isGivenUp() {
-			return true
+			return index
 		}
 	}
-	return false
+	return -1
+}
+
+// giveUp ends the job of a step with a task that crashes its minions.
+func (planner *Planner) giveUp(now time.Time, step *step) {
+	index := step.givenUpTask()
+	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countGivenUp})
+	planner.endJob(now, step.occurrence.job, specifier.Failed,
+		fmt.Sprintf("task %s has crashed %d minions that started it", step.id(index), len(step.tasks[index].crashes)))
 }
 
 // isIncompleteGang reports whether some members of a gang run without another one, for
--- a/planner/progress.go
+++ b/planner/progress.go
@@ -41,7 +41,7 @@
 
 // stateRecord returns the job's state for the journal.
 func (job *job) stateRecord() messenger.Progressed {
-	return messenger.Progressed{Job: job.spec.ID, Progress: specifier.Progress{State: job.state, EndedAt: job.endedAt}}
+	return messenger.Progressed{Job: job.spec.ID, Progress: specifier.Progress{State: job.state, EndedAt: job.endedAt, Reason: job.failure}}
 }
 
 // permittedState returns the state for the topic of the progress. There a job counts as
@@ -78,7 +78,7 @@
 func (job *job) partProgress(part int) specifier.Progress {
 	// An ended job retains the numbers of its runs for a time. With them the next holder
 	// recognizes an end that must not be recorded any more.
-	recorded := specifier.Progress{State: job.permittedState(), EndedAt: job.endedAt}
+	recorded := specifier.Progress{State: job.permittedState(), EndedAt: job.endedAt, Reason: job.failure}
 	if job.isUnrecordable {
 		return recorded
 	}
--- a/querier/query.go
+++ b/querier/query.go
@@ -62,6 +62,8 @@
 	Queue     identifier.Queue
 	Workspace identifier.Workspace
 	State     specifier.State
+	// Reason is why the job has failed, empty otherwise.
+	Reason string
 }
 
 // Merge appends the rows of another part.
--- a/registrar/journal.go
+++ b/registrar/journal.go
@@ -21,7 +21,7 @@
 	case messenger.Withdrawn:
 		registrar.updateJob(entry.Job, func(job *job) { job.withdrawn = true })
 	case messenger.Progressed:
-		registrar.updateJob(entry.Job, func(job *job) { job.state = entry.Progress.State })
+		registrar.updateJob(entry.Job, func(job *job) { job.state, job.failure = entry.Progress.State, entry.Progress.Reason })
 	case messenger.Deleted:
 		if job, ok := registrar.jobs[entry.Job]; ok {
 			registrar.countQueued(job, -1)
@@ -60,7 +60,11 @@
 		if !ok || !job.submitted || (query.Workspace != "" && job.workspace != query.Workspace) {
 			return answer
 		}
-		answer.Submitted = []querier.SubmittedJob{{Job: id, Queue: job.queue, Workspace: job.workspace, State: job.reportedState()}}
+		submitted := querier.SubmittedJob{Job: id, Queue: job.queue, Workspace: job.workspace, State: job.reportedState()}
+		if submitted.State == specifier.Failed {
+			submitted.Reason = job.failure
+		}
+		answer.Submitted = []querier.SubmittedJob{submitted}
 	case querier.QueueLength:
 		answer.Waiting = registrar.queueLengths[identifier.Queue(query.Subject)]
 	case querier.Status:
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -64,6 +64,8 @@
 	queue     identifier.Queue
 	workspace identifier.Workspace
 	state     specifier.State
+	// failure is why the job has failed, empty otherwise.
+	failure string
 	// withdrawn may be set before submitted.
 	withdrawn bool
 	submitted bool
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -56,6 +56,8 @@
 	State State
 	// EndedAt is zero until the state is final.
 	EndedAt time.Time
+	// Reason is why the job has failed, for its caller, and empty otherwise.
+	Reason string
 	// Tasks lists the tasks that are done, have failed or have a checkpoint.
 	Tasks []TaskProgress
 	// Restarts lists the tasks that are not done and may have been started again.
@@ -71,6 +73,9 @@
 	return progress != nil && len(progress.Tasks)+len(progress.Restarts)+len(progress.Crashes)+len(progress.Placements) > 0
 }
 
+// MaxReasonBytes limits the reason in the progress of a job.
+const MaxReasonBytes = 512
+
 // MaxRecordedCrashes limits the crashes and the placements in the progress of a job.
 const MaxRecordedCrashes = 512
 
