Let tasks of the soak crash their minions, and minions shrink and grow

The minions of the soak did not know their capacity, and only the soak itself crashed them. Every second minion comes back under its name.

--- a/cmd/soak/disturber/disturber.go
+++ b/cmd/soak/disturber/disturber.go
@@ -15,6 +15,7 @@
 	"corianderroad/cmd/soak/checker"
 	"corianderroad/cmd/soak/stager"
 	"corianderroad/cmd/soak/stutterer"
+	"corianderroad/platform/imitator"
 )
 
 const (
@@ -105,6 +106,27 @@
 	}
 }
 
+// maxResizePause bounds the pause between two changes of the capacity of minions.
+const maxResizePause = 2 * time.Second
+
+// RunResizes lets minions shrink and grow until the context ends. They are of full size
+// afterwards.
+func (disturber *Disturber) RunResizes(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			for _, minion := range disturber.deployment.Minions {
+				disturber.deployment.Resize(minion, imitator.FullAccelerators)
+			}
+			return nil
+		case <-time.After(time.Duration(disturber.random.Int64N(int64(maxResizePause)))):
+		}
+		minion, accelerators := disturber.randomMinion(), disturber.random.IntN(imitator.FullAccelerators+1)
+		disturber.log("minion %s has %d accelerators", minion.Proxy.Name, accelerators)
+		disturber.deployment.Resize(minion, accelerators)
+	}
+}
+
 func (disturber *Disturber) randomNode() *stager.Node {
 	return disturber.deployment.Nodes[disturber.random.IntN(len(disturber.deployment.Nodes))]
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -82,9 +82,10 @@
 	runWorkload(ctx, options, seed, deployment, faultLog)
 	deployment.Close()
 	violations := deployment.Checker.Violations()
-	fmt.Printf("seed %d: %d faults, %d of %d jobs accepted, %d refused, %d cancelled, %d starts, %d violations\n", seed,
+	fmt.Printf("seed %d: %d faults, %d of %d jobs accepted, %d refused, %d cancelled, %d starts, %d crashes by tasks, %d violations\n", seed,
 		deployment.Checker.Counter("faults"), deployment.Checker.Counter("accepted"), deployment.Checker.Counter("submitted"),
-		deployment.Checker.Counter("refused"), deployment.Checker.Counter("cancelled"), deployment.Checker.Counter("starts"), len(violations))
+		deployment.Checker.Counter("refused"), deployment.Checker.Counter("cancelled"), deployment.Checker.Counter("starts"),
+		deployment.Checker.Counter("crashes"), len(violations))
 	for _, violation := range violations {
 		fmt.Println("  " + violation)
 	}
@@ -95,6 +96,13 @@
 	return true, nil
 }
 
+// Streams of random numbers beside those of the faults and of the callers' jobs, so that
+// these do not depend on them.
+const (
+	resizeStream     = 1 << 20
+	firstCrashStream = 1 << 21
+)
+
 // runWorkload runs callers while faults are injected, and then waits until all jobs
 // have completed.
 func runWorkload(ctx context.Context, options options, seed uint64, deployment *stager.Deployment, faultLog *os.File) {
@@ -110,11 +118,15 @@
 	group := &errgroup.Group{}
 	var callers []*submitter.Submitter
 	for number := range options.callers {
-		caller := submitter.New(deployment, number, rand.New(rand.NewPCG(seed, uint64(number)+1)))
+		caller := submitter.New(deployment, number, rand.New(rand.NewPCG(seed, uint64(number)+1)),
+			rand.New(rand.NewPCG(seed, uint64(number)+firstCrashStream)))
 		callers = append(callers, caller)
 		group.Go(func() error { return caller.Run(faultsCtx) })
 	}
 	group.Go(func() error { return disturber.New(deployment, rand.New(rand.NewPCG(seed, 0)), log).Run(faultsCtx) })
+	group.Go(func() error {
+		return disturber.New(deployment, rand.New(rand.NewPCG(seed, resizeStream)), log).RunResizes(faultsCtx)
+	})
 	_ = group.Wait() // neither callers nor faults return errors
 	awaitCompletion(ctx, deployment, callers[0])
 }
--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -66,7 +66,7 @@
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop()),
 	}
 	stutterer.Register()
-	deployment.pool = imitator.NewPool(deployment.Checker)
+	deployment.pool = imitator.NewPool(deployment.Checker, deployment.crashUnderTask)
 	deployment.Configure("key-a", "key-b")
 	for index := range minions {
 		minion, err := deployment.newMinion(index)
@@ -120,7 +120,13 @@
 // clockRate returns the rate of the minion's clock: some clocks run slow.
 func (minion *Minion) clockRate() float64 { return 1 - 0.005*float64(minion.index%5) }
 
-func (minion *Minion) name() string { return fmt.Sprintf("m%d-%d", minion.index, minion.incarnations) }
+// name returns the ID of the minion's current incarnation. Every second minion keeps its ID.
+func (minion *Minion) name() string {
+	if minion.index%2 == 1 {
+		return fmt.Sprintf("m%d", minion.index)
+	}
+	return fmt.Sprintf("m%d-%d", minion.index, minion.incarnations)
+}
 
 // entryLifetime is how long the entry of a crashed minion remains in the store.
 const entryLifetime = 3 * time.Second
@@ -145,7 +151,13 @@
 	minion.down = true
 	name := minion.incarnation.Name
 	minion.incarnation.Crash()
-	time.AfterFunc(entryLifetime, func() { deployment.Store.Write("keyed.servers", name, "") })
+	time.AfterFunc(entryLifetime, func() {
+		minion.mutex.Lock()
+		defer minion.mutex.Unlock()
+		if minion.down || minion.incarnation.Name != name {
+			deployment.Store.Write("keyed.servers", name, "")
+		}
+	})
 	minion.incarnations++
 	time.AfterFunc(down, func() {
 		minion.mutex.Lock()
@@ -161,6 +173,36 @@
 	})
 }
 
+// Downtime of a minion that a task has crashed.
+const (
+	minCrashDowntime  = 1500 * time.Millisecond
+	crashDowntimeStep = 700 * time.Millisecond
+	crashDowntimes    = 4
+)
+
+// crashUnderTask crashes the minion of an incarnation that one of its tasks has crashed.
+func (deployment *Deployment) crashUnderTask(incarnation *imitator.LeasedMinion) {
+	for _, minion := range deployment.Minions {
+		minion.mutex.Lock()
+		isCurrent := minion.incarnation == incarnation
+		minion.mutex.Unlock()
+		if isCurrent {
+			deployment.Crash(minion, minCrashDowntime+crashDowntimeStep*time.Duration(minion.index%crashDowntimes))
+		}
+	}
+}
+
+// Resize changes the capacity of a minion, which then writes a report.
+func (deployment *Deployment) Resize(minion *Minion, accelerators int) {
+	minion.mutex.Lock()
+	defer minion.mutex.Unlock()
+	if minion.down {
+		return
+	}
+	minion.incarnation.Resize(accelerators)
+	deployment.register(minion)
+}
+
 func (deployment *Deployment) newProxy(name string, upstream netip.AddrPort) (*toxiproxy.Proxy, error) {
 	proxy := toxiproxy.NewProxy(deployment.proxies, name, "127.0.0.1:0", upstream.String())
 	return proxy, errors.Wrap(proxy.Start(), name)
--- a/cmd/soak/submitter/submitter.go
+++ b/cmd/soak/submitter/submitter.go
@@ -16,6 +16,7 @@
 
 	"corianderroad/cmd/soak/stager"
 	"corianderroad/identifier"
+	"corianderroad/platform/imitator"
 )
 
 // Behaviour of a caller.
@@ -37,13 +38,16 @@
 	random     *rand.Rand
 	client     *http.Client
 	number     int
-	jobs       []identifier.Job
+	// crashRandom draws the jobs that crash minions, so that the other jobs of a seed do not
+	// depend on them.
+	crashRandom *rand.Rand
+	jobs        []identifier.Job
 }
 
 // New returns a caller that draws its jobs from a random source.
-func New(deployment *stager.Deployment, number int, random *rand.Rand) *Submitter {
+func New(deployment *stager.Deployment, number int, random, crashRandom *rand.Rand) *Submitter {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	return &Submitter{deployment: deployment, random: random, number: number, client: &http.Client{Transport: transport, Timeout: callTimeout}}
+	return &Submitter{deployment: deployment, random: random, crashRandom: crashRandom, number: number, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
 // Run submits, queries and cancels jobs until the context ends.
@@ -69,8 +73,8 @@
 // submit submits a job repeatedly until it is accepted or maxAttempts is reached.
 func (submitter *Submitter) submit(ctx context.Context) {
 	id := identifier.Job(fmt.Sprintf("%016x", submitter.random.Uint64()))
-	body, payload, tasks, firstStepTasks := submitter.drawJob()
-	submitter.deployment.Checker.Submitted(id, payload, tasks, firstStepTasks)
+	body, behaviour, tasks, firstStepTasks := submitter.drawJob()
+	submitter.deployment.Checker.Submitted(id, behaviour.String(), tasks, firstStepTasks, behaviour.Crashes)
 	refused := true
 	for range maxAttempts {
 		answer := submitter.call(ctx, http.MethodPost, id, body)
@@ -92,9 +96,9 @@
 	}
 }
 
-// drawJob draws a job of one or two steps. It returns the encoded job, its payload,
-// the number of its tasks and that of the tasks of the first step.
-func (submitter *Submitter) drawJob() (body, payload string, tasks, firstStepTasks int) {
+// drawJob draws a job of one or two steps. It returns the encoded job, the behaviour of
+// its tasks, their number and that of the tasks of the first step.
+func (submitter *Submitter) drawJob() (body string, behaviour imitator.Behaviour, tasks, firstStepTasks int) {
 	random := submitter.random
 	firstStepTasks = 1 + random.IntN(4)
 	gang := 0
@@ -105,10 +109,11 @@
 	if random.IntN(3) == 0 {
 		work += 1000 + random.IntN(4000) // exceeds the time for which an answer is awaited
 	}
-	payload = fmt.Sprintf("%d %d", work, gang)
+	behaviour = imitator.Behaviour{Work: time.Duration(work) * time.Millisecond, Members: gang, Accelerators: 1 << random.IntN(3)}
+	submitter.drawCrash(&behaviour)
 	step := func(count int, dependsOn []int) map[string]any {
 		return map[string]any{
-			"count": count, "cpu": 1000, "memMb": 100, "gpu": 1 << random.IntN(3), "estimateMs": 500,
+			"count": count, "cpu": 1000, "memMb": 100, "gpu": behaviour.Accelerators, "estimateMs": 500,
 			"gang": gang > 0, "sameRack": random.IntN(3) == 0, "dependsOn": dependsOn,
 		}
 	}
@@ -118,8 +123,27 @@
 		steps = append(steps, step(firstStepTasks, []int{0}))
 		tasks += firstStepTasks
 	}
-	encoded, _ := json.Marshal(map[string]any{"spec": payload, "steps": steps}) // cannot fail on strings and numbers
-	return string(encoded), payload, tasks, firstStepTasks
+	encoded, _ := json.Marshal(map[string]any{"spec": behaviour.String(), "steps": steps}) // cannot fail on strings and numbers
+	return string(encoded), behaviour, tasks, firstStepTasks
+}
+
+// crashShare is the fraction of jobs whose tasks crash their minions, and maxCrashDelay the
+// longest time from the start to the crash.
+const (
+	crashShare    = 0.08
+	maxCrashDelay = 1200 * time.Millisecond
+)
+
+// drawCrash lets some jobs crash the minions that start their tasks, at once or later.
+func (submitter *Submitter) drawCrash(behaviour *imitator.Behaviour) {
+	if submitter.crashRandom.Float64() >= crashShare {
+		return
+	}
+	behaviour.Crashes = true
+	if submitter.crashRandom.IntN(2) == 0 {
+		behaviour.CrashAfter = time.Duration(submitter.crashRandom.Int64N(int64(maxCrashDelay)))
+	}
+	behaviour.Work = max(behaviour.Work, 2*maxCrashDelay)
 }
 
 func (submitter *Submitter) cancel(ctx context.Context, id identifier.Job) {
