Start nothing by old reports on minions that do not guard their capacity

What could be seen: a holder that renews its claim but can't read the minions' reports starts tasks by the capacity that a minion had before it shrank (LIMIT). Cause: the claim alone says that the holder reaches the store. The simulation now reads at least every 2 s, as a node does.

--- a/planner/minions.go
+++ b/planner/minions.go
@@ -16,6 +16,9 @@
 	if planner.holder.token == 0 {
 		return
 	}
+	if event.SentAt.After(planner.reportsAsOf) {
+		planner.reportsAsOf = event.SentAt
+	}
 	if event.Complete {
 		for _, minion := range planner.minions {
 			minion.registered = false
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -27,6 +27,9 @@
 	// slowClockFactor is the duration of a second of such a clock in seconds of
 	// this node's clock, rounded up.
 	slowClockFactor = 1.0625
+	// maxReportAge is how long after the last reading of the minions' reports tasks are
+	// started on minions that do not guard their capacity. A reading waits for up to 2 s.
+	maxReportAge = 3 * time.Second
 	// maxSilence is the time since the last answer of a minion that is listed in the store
 	// after which its runs are given up although it may be alive.
 	maxSilence = 12 * time.Second
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -28,6 +28,8 @@
 
 	holder  holderState
 	minions map[identifier.Minion]*minion
+	// reportsAsOf is a time up to which all reports of minions were read.
+	reportsAsOf time.Time
 	// minionsByName holds the minions in the order of their names, nil if it must
 	// be built again.
 	minionsByName []*minion
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -73,6 +73,12 @@
 	return &pool{byRack: make(map[identifier.Rack]*rack), infeasible: make(map[demand]int), rackFits: make(map[rackDemand]bool)}
 }
 
+// hasCurrentReports reports whether tasks may be started on the minions of a service. Those
+// that do not guard their capacity may have shrunk since their last reports were read.
+func (planner *Planner) hasCurrentReports(now time.Time, service identifier.Service) bool {
+	return now.Sub(planner.reportsAsOf) <= maxReportAge || slices.Contains(planner.policy.GuardedServices, service)
+}
+
 // extended returns the pool with the quarantined minions as available.
 func (planner *Planner) extended(now time.Time, original *pool) *pool {
 	if original.withQuarantined == nil {
--- a/planner/shrinkingminion_test.go
+++ b/planner/shrinkingminion_test.go
@@ -154,3 +154,42 @@
 	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 0)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestNoStartByAnOldReport guards against a holder that renews its claim but can't read the
+// minions' reports any more, and starts tasks by the capacity that a minion had long ago.
+func TestNoStartByAnOldReport(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 2)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.reportRegularly()
+	simulation.advance(2 * time.Second)
+	simulation.store.reportsUnreadableFrom[simulation.nodes[0]] = true
+	simulation.advance(time.Second)
+	full := simulation.minions["m00"].capacity
+	for _, minion := range simulation.sortedMinions() {
+		minion.isUnguarded = true
+		simulation.resize(minion, taskOf(8000, 2))
+	}
+	simulation.advance(shrinkTolerance + time.Second)
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(16000, 8), EstimatedRunTime: time.Second}))
+	simulation.advance(8 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 0)
+	c.Assert(strings.Contains(simulation.decisionsAbout("a"), "a step-waits: reports-outdated"), quicktest.IsTrue, quicktest.Commentf("%s", simulation.decisionsAbout("a")))
+	simulation.store.reportsUnreadableFrom[simulation.nodes[0]] = false
+	for _, minion := range simulation.sortedMinions() {
+		simulation.resize(minion, full)
+	}
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
+}
+
+// reportRegularly lets all minions write a report each reportInterval.
+func (simulation *simulation) reportRegularly() {
+	for _, node := range simulation.nodes {
+		for _, minion := range simulation.sortedMinions() {
+			simulation.deliverReport(node, minion)
+		}
+	}
+	simulation.schedule(reportInterval, simulation.reportRegularly)
+}
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -240,6 +240,7 @@
 		delete(simulation.store.followers, node)
 		if action.Enabled {
 			simulation.schedule(latency, func() { simulation.deliverReports(node) })
+			simulation.schedule(readInterval, func() { simulation.readReports(node) })
 		}
 	case messenger.HolderFenced:
 		if node.token == action.Token {
@@ -310,6 +311,20 @@
 	simulation.step(node, read)
 }
 
+// readInterval is the longest time between two reads of the minions' reports.
+const readInterval = 2 * time.Second
+
+// readReports lets a node that follows the reports read that there are no new ones.
+func (simulation *simulation) readReports(node *node) {
+	if !simulation.store.followers[node] {
+		return
+	}
+	if simulation.store.isReachableFrom(node) && !simulation.store.reportsUnreadableFrom[node] {
+		simulation.step(node, messenger.MinionsRead{SentAt: simulation.now})
+	}
+	simulation.schedule(readInterval, func() { simulation.readReports(node) })
+}
+
 // makeHolder makes a node the holder. The node renews its claim until it loses
 // its token.
 func (simulation *simulation) makeHolder(node *node) {
--- a/planner/store_test.go
+++ b/planner/store_test.go
@@ -51,6 +51,9 @@
 	unrecordable identifier.Job
 	// appendedSerials holds the newest appended record of each holder.
 	appendedSerials map[identifier.Term]uint64
+	// reportsUnreadableFrom holds the nodes whose reads of the minions' reports fail,
+	// although all other calls are carried out.
+	reportsUnreadableFrom map[*node]bool
 	// followers are the nodes that have read the list of minions.
 	followers map[*node]bool
 }
@@ -58,6 +61,7 @@
 func newFakeStore() *fakeStore {
 	return &fakeStore{
 		unreachableFrom: make(map[*node]bool), appendedSerials: make(map[identifier.Term]uint64), followers: make(map[*node]bool),
+		reportsUnreadableFrom: make(map[*node]bool),
 	}
 }
 
@@ -216,7 +220,7 @@
 func (simulation *simulation) deliverToFollower(node *node, read messenger.MinionsRead) {
 	switch {
 	case !slices.Contains(simulation.nodes, node) || !simulation.store.followers[node]:
-	case simulation.store.isReachableFrom(node):
+	case simulation.store.isReachableFrom(node) && !simulation.store.reportsUnreadableFrom[node]:
 		simulation.step(node, read)
 	default:
 		simulation.schedule(readRetryDelay, func() { simulation.deliverToFollower(node, read) })
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -63,6 +63,10 @@
 			waiting.step.passResult = waitsForMinions
 			continue
 		}
+		if !planner.hasCurrentReports(now, waiting.queue.Service) {
+			waiting.step.passResult = waitsForReports
+			continue
+		}
 		if planned := waiting.step.trial; planned != nil {
 			planner.startTrial(now, waiting.step, planned)
 		} else {
@@ -71,7 +75,17 @@
 	}
 }
 
-// suspectSteps returns the due steps with suspect tasks, in the order of their jobs.
+// mostCrashes returns the number of crashes of the task of the step that has most.
+func (step *step) mostCrashes() int {
+	most := 0
+	for _, index := range step.crashedTasks {
+		most = max(most, len(step.tasks[index].crashes))
+	}
+	return most
+}
+
+// suspectSteps returns the due steps with suspect tasks, those with fewest crashes first. A
+// task that has crashed one minion after the other must not hold up the trials of others.
 func (planner *Planner) suspectSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
 	for _, job := range planner.openJobs {
@@ -90,7 +104,9 @@
 			}
 		}
 	}
-	slices.SortFunc(steps, func(one, other *waitingStep) int { return compareArrival(one.step, other.step) })
+	slices.SortFunc(steps, func(one, other *waitingStep) int {
+		return cmp.Or(cmp.Compare(one.step.mostCrashes(), other.step.mostCrashes()), compareArrival(one.step, other.step))
+	})
 	return steps
 }
 
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -38,6 +38,7 @@
 	waitsForRecord
 	waitsForCapacity
 	waitsForTrial
+	waitsForReports
 	waitReasons // the number of reasons
 )
 
@@ -45,7 +46,7 @@
 func (reason waitReason) String() string {
 	return [...]string{
 		"pass-pending", "queue-unknown", "claim-unconfirmed", "former-runs-unresolved", "runs-ending", "starts-unanswered",
-		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending",
+		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated",
 	}[reason]
 }
 
--- a/specifier/policy.go
+++ b/specifier/policy.go
@@ -12,6 +12,9 @@
 	Version    int64
 	Queues     []Queue
 	Workspaces []Workspace
+	// GuardedServices are the services whose minions refuse runs beyond their capacity. The
+	// others start whatever they are told to.
+	GuardedServices []identifier.Service
 	// MaxBodyBytes limits the body of a request, 0 for the default.
 	MaxBodyBytes int64
 }
