Show that a job of the own log's model crashes worker after worker (red)

The same class as in the planner: failures count against a job, lost gangs do not. A job that crashes each worker 1 s after its start is started 479 times in two hours.

--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -60,6 +60,8 @@
 type behaviour struct {
 	runTime time.Duration
 	fails   bool
+	// crashesWorkers means that each worker that starts a task crashes soon after.
+	crashesWorkers bool
 }
 
 // observedGang is the state of a running gang according to its tasks, not to a
--- a/scheduler/vm_test.go
+++ b/scheduler/vm_test.go
@@ -131,6 +131,10 @@
 	vm.scheduleExpiry(existing)
 	actual := simulation.behaviours[request.Gang.Job]
 	// The members of a gang end at different times.
+	if actual.crashesWorkers {
+		simulation.after(crashDelay, vm.crash)
+		simulation.after(crashDelay+crashDowntime, vm.restart)
+	}
 	remaining, state := max(0, actual.runTime-request.Progress)+simulation.delay(20*time.Second), messenger.Completed
 	if vm.broken || actual.fails {
 		remaining, state = time.Second, messenger.Failed
