Count a crash only against runs that were there, and convict by certain ones

Causes: a start sent to a minion that had restarted unnoticed counted as a run under which it crashed; a start that was never confirmed counted again with each later crash of the same minion; of several tasks that started together on trial each was blamed, although the first one may have crashed the minion before the others arrived. A slow task whose first crash a takeover had hidden could start once too often.

Change: a start after the birth of the next incarnation, or answered by it, is no evidence; a run counts once; a crash on trial convicts only runs that had certainly started; after the second crash a step tries one task at a time; four crashes of any kind end the job, since a takeover may have hidden one. Trials may also take half of the idle minions, so that a small idle pool does not wait for a slot.

In the simulation a dead minion answers nothing, incarnations are start times, and a minion that was replaced stays away.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -21,11 +21,11 @@
 	// the minions that start it.
 	establishedAge = time.Minute
 	// maxCrashesOnTrial is the number of crashes on trial after which a task is not started
-	// again. One could be the crash of a minion for another reason.
+	// again. A single one could be the crash of a minion for another reason.
 	maxCrashesOnTrial = 2
 	// maxCrashes is the number of crashes after which a task is not started again even if
-	// other jobs were on each of the minions.
-	maxCrashes = 5
+	// other jobs were on each of the minions. A takeover may have hidden one more.
+	maxCrashes = 4
 )
 
 // Reasons of messenger.Crashes.
@@ -51,7 +51,7 @@
 	placement
 	// age is for how long the run had worked, at most.
 	age time.Duration
-	// onTrial means that no run of another job had just started on the minion.
+	// onTrial means that the run was on trial and had certainly started.
 	onTrial bool
 	// cleared means that a later run has passed its trial.
 	cleared bool
@@ -60,13 +60,8 @@
 // isSuspect reports whether the task may have crashed a minion, so that its next run is
 // on trial.
 func (task *task) isSuspect() bool {
-	crashes := 0
 	for _, crash := range task.crashes {
-		if crash.cleared {
-			continue
-		}
-		crashes++
-		if crash.onTrial || crash.age <= recentStart || crashes > 1 {
+		if !crash.cleared && (crash.onTrial || crash.age <= recentStart || len(task.crashes) > 1) {
 			return !task.done
 		}
 	}
@@ -95,13 +90,33 @@
 	return false
 }
 
+// noteRestart notes the start of the next incarnation under the minion's name. This one has
+// ended before.
+func (minion *minion) noteRestart(now time.Time, next identifier.Incarnation) {
+	minion.endedBy = now
+	if born := time.UnixMilli(int64(next)); born.Before(now) {
+		minion.endedBy = born
+	}
+}
+
 // lastSignOfLife returns until when the minion may have worked, as far as the holder
-// knows: until the first order without an answer.
+// knows: until the first order without an answer, or the start of its next incarnation.
 func (minion *minion) lastSignOfLife(now time.Time) time.Time {
+	last := now
 	if minion.unresponsive {
-		return minion.unresponsiveSince
+		last = minion.unresponsiveSince
 	}
-	return now
+	if !minion.endedBy.IsZero() && minion.endedBy.Before(last) {
+		last = minion.endedBy
+	}
+	return last
+}
+
+// mayHaveRun reports whether the minion may have had the run before it died. A start that
+// was sent later has reached the next incarnation, if any.
+func (run *run) mayHaveRun() bool {
+	endedBy := run.minion.endedBy
+	return !run.isAnsweredByOther && (endedBy.IsZero() || !run.startedAt.After(endedBy))
 }
 
 func (run *run) placement() placement { return run.minion.placement(run.number) }
@@ -129,7 +144,9 @@
 		return // it has left as announced
 	}
 	for _, run := range runs {
-		planner.noteCrash(now, run)
+		if run.mayHaveRun() {
+			planner.noteCrash(now, run)
+		}
 	}
 }
 
@@ -156,7 +173,7 @@
 	task := run.task()
 	age := run.ageAtDeath(now)
 	if age < establishedAge {
-		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial})
+		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun()})
 		return
 	}
 	if len(task.crashes) > 0 {
@@ -165,10 +182,28 @@
 	}
 }
 
-// addCrash adds a crash under a run of a task, unless it is known.
+// hasCertainlyRun reports whether a run on trial has started on its minion, now that the
+// minion has crashed: its start is confirmed, or no other one on trial could be the reason.
+func (run *run) hasCertainlyRun() bool {
+	if !run.startConfirmedAt.IsZero() {
+		return true
+	}
+	if !run.mayHaveArrived {
+		return false
+	}
+	for _, other := range run.minion.runs {
+		if other != run && other.onTrial && !run.step.spec.Gang {
+			return false
+		}
+	}
+	return true
+}
+
+// addCrash adds a crash under a run of a task. A run counts once: if its start may still
+// arrive at the minion's next incarnation, that says nothing about a crash of the next one.
 func (planner *Planner) addCrash(step *step, index int, added crash) {
 	task, job := &step.tasks[index], step.occurrence.job
-	isKnown := slices.ContainsFunc(task.crashes, func(known crash) bool { return known.placement == added.placement })
+	isKnown := slices.ContainsFunc(task.crashes, func(known crash) bool { return known.run == added.run })
 	if isKnown || task.done || !job.isOpen() {
 		return
 	}
--- a/planner/crashingtask_test.go
+++ b/planner/crashingtask_test.go
@@ -81,7 +81,7 @@
 
 // bringBack starts a crashed minion again, under its name or another one.
 func (simulation *simulation) bringBack(minion *fakeMinion) {
-	if minion.alive {
+	if minion.alive || minion.replacedBy != nil {
 		return
 	}
 	if !simulation.crashing.renames {
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -78,6 +78,8 @@
 	// lostRuns are the runs that were given up since the minion fell silent. If it has
 	// crashed, it may have done so under them.
 	lostRuns []*run
+	// endedBy is when this incarnation had certainly ended, zero if it is not known.
+	endedBy time.Time
 }
 
 type runKey struct {
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -73,10 +73,14 @@
 	return minion
 }
 
-// start starts a new incarnation. The runs of an earlier one end.
+// start starts a new incarnation, unless another minion has taken the minion's place. The
+// runs of an earlier one end.
 func (minion *fakeMinion) start() {
+	if minion.replacedBy != nil {
+		return
+	}
 	minion.crash()
-	minion.incarnation++
+	minion.incarnation = max(minion.incarnation+1, identifier.Incarnation(minion.simulation.now.UnixMilli()))
 	minion.alive, minion.started = true, minion.simulation.now
 	minion.token, minion.lease, minion.lastEnd = 0, 0, 0
 	minion.runs = make(map[specifier.Task]*fakeRun)
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -78,6 +78,7 @@
 // confirmed move to the next one, because their order may still reach it, and are
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
+	earlier.noteRestart(now, next.report.Incarnation)
 	planner.noteDeath(now, earlier, countRestarted, "it has restarted")
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() {
@@ -85,7 +86,7 @@
 			continue
 		}
 		earlier.removeRun(run)
-		run.minion, run.mayHaveArrived = next, true
+		run.minion, run.mayHaveArrived, run.onTrial = next, true, false
 		next.addRun(run)
 		// The lease in that order is on the clock of the earlier incarnation. The next one
 		// shortens it to the maximum.
@@ -194,7 +195,7 @@
 	if isPoll {
 		minion.polling = false
 	}
-	if planner.answeredByOtherIncarnation(now, minion, event) {
+	if planner.answeredByOtherIncarnation(now, minion, run, event) {
 		return
 	}
 	if event.IsRepeat {
@@ -243,11 +244,14 @@
 // answeredByOtherIncarnation reports whether the answer is from the next
 // incarnation or another minion. The addressed incarnation has then ended and is
 // replaced or removed.
-func (planner *Planner) answeredByOtherIncarnation(now time.Time, minion *minion, event messenger.OrderAnswered) bool {
+func (planner *Planner) answeredByOtherIncarnation(now time.Time, minion *minion, run *run, event messenger.OrderAnswered) bool {
 	unknownNode := event.Err != nil && event.Err.Code == classifier.UnknownNode
 	if !unknownNode && (event.Incarnation == 0 || event.Incarnation == minion.report.Incarnation) {
 		return false
 	}
+	if _, isStart := event.Sent.Order.(messenger.StartRun); isStart && run != nil && run.startAttempts == 1 {
+		run.isAnsweredByOther = true
+	}
 	if unknownNode {
 		planner.removeDeadMinion(now, minion, "another minion answered at its address")
 		return true
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -28,7 +28,11 @@
 	}
 	incarnation := minion.incarnation
 	execute := func(answer func(messenger.OrderAnswered)) {
-		if !minion.alive || (minion.incarnation != incarnation && !minion.faults.keepsName) {
+		if !minion.alive {
+			answer(unknown) // the connection breaks
+			return
+		}
+		if minion.incarnation != incarnation && !minion.faults.keepsName {
 			answer(messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.UnknownNode, "another incarnation")})
 			return
 		}
--- a/planner/run.go
+++ b/planner/run.go
@@ -62,6 +62,9 @@
 	paceSetAt   time.Time
 	// onTrial means that the run is on trial: it must work for some time on its minion.
 	onTrial bool
+	// isAnsweredByOther means that another incarnation or minion has answered the only order
+	// to start the run.
+	isAnsweredByOther bool
 }
 
 func (run *run) task() *task { return &run.step.tasks[run.id.Index] }
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -29,8 +29,10 @@
 	// idleMinionWait is how long a trial waits for a minion without runs.
 	idleMinionWait = time.Second
 	// trialShare is the part of the minions of a service, as a divisor, that may have
-	// trials, or be down after them, at a time.
-	trialShare = 4
+	// trials, or be down after them, at a time. Beyond that, trials may take idleTrialShare
+	// of the minions without runs.
+	trialShare     = 4
+	idleTrialShare = 2
 )
 
 // trial is a planned trial whose starts wait for their record.
@@ -111,7 +113,8 @@
 }
 
 // tasksForTrial returns the tasks that the next trial of the step is to run, those with
-// most crashes first: all members of a gang, or the suspects.
+// most crashes first: all members of a gang, or the suspects. After the second crash it is
+// one task, so that the next crash is certainly due to it.
 func (step *step) tasksForTrial(now time.Time) []int {
 	var indexes []int
 	for index := range step.tasks {
@@ -126,6 +129,9 @@
 	slices.SortStableFunc(indexes, func(one, other int) int {
 		return cmp.Compare(len(step.tasks[other].crashes), len(step.tasks[one].crashes))
 	})
+	if !step.spec.Gang && step.mostCrashes() > 1 {
+		indexes = indexes[:min(1, len(indexes))]
+	}
 	return indexes
 }
 
@@ -180,11 +186,11 @@
 			closed++
 		}
 	}
-	limit := max(1, len(pool.registered)/trialShare) - closed
+	idle := pool.filtered(func(minion *minion) bool { return len(minion.runs) == 0 })
+	limit := max(1, len(pool.registered)/trialShare, len(idle.available)/idleTrialShare) - closed
 	if limit <= 0 {
 		return nil
 	}
-	idle := pool.filtered(func(minion *minion) bool { return len(minion.runs) == 0 })
 	chosen := planner.chooseForTrial(waiting, idle)
 	if len(chosen) == 0 && now.Sub(waiting.step.trialWantedSince) >= idleMinionWait {
 		chosen = planner.chooseAmongRuns(now, waiting, pool)
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -91,7 +91,7 @@
 	Incarnation identifier.Incarnation
 	// Age is for how long the run had worked, at most.
 	Age time.Duration
-	// OnTrial means that the minion had no runs of other jobs that had just started.
+	// OnTrial means that the run was on trial, see planner, and had certainly started.
 	OnTrial bool
 	// Cleared means that a later run has passed its trial.
 	Cleared bool
