Put failures of a task that fails everywhere down to the task

What could be seen: one long-running task that fails wherever it starts sets one minion after the other aside (38 times in a minute in a pool of 8), and so does a task whose start no minion carries out (12 times); jobs of others then wait for minions. Change: of failures that may repeat without limit, only the first counts against a minion, until the task has worked for 10 s. Failed runs of other tasks count as before, since their number is limited.

--- a/planner/health.go
+++ b/planner/health.go
@@ -12,6 +12,9 @@
 	// quarantineWait is how long a step waits before it may use quarantined minions
 	// while less than half of the pool is in use.
 	quarantineWait = 2 * time.Second
+	// soundRunTime is how long a long-running task has to work to show that its earlier
+	// failures were not its own fault.
+	soundRunTime = 10 * time.Second
 )
 
 // health counts the failures of a minion and quarantines the minion after
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -227,6 +227,8 @@
 		simulation.runGangWhenComplete(run)
 	} else if !run.spec.LongRunning {
 		simulation.schedule(simulation.workTime(run), func() { minion.finishRun(run) })
+	} else if simulation.lastingFailsAfter > 0 {
+		simulation.schedule(simulation.lastingFailsAfter, func() { minion.endRun(run, messenger.EndFailed) })
 	}
 	simulation.crashMinionOf(run)
 	return classifier.OK
--- a/planner/run.go
+++ b/planner/run.go
@@ -228,8 +228,16 @@
 // next start of the task goes elsewhere. Answers to polls alone do not show that the
 // minion can be used.
 func (planner *Planner) countFailedStart(now time.Time, run *run) {
-	run.task().lastFailedOn = run.minion.report.Minion
-	planner.countMinionFailure(now, run.minion)
+	planner.countUnlimitedFailure(now, run.task(), run.minion)
+}
+
+// countUnlimitedFailure counts a failure that may repeat without limit. It counts against
+// the minion unless the task has failed on another one before: the task is then at fault.
+func (planner *Planner) countUnlimitedFailure(now time.Time, task *task, minion *minion) {
+	if task.lastFailedOn == "" || task.lastFailedOn == minion.report.Minion {
+		planner.countMinionFailure(now, minion)
+	}
+	task.lastFailedOn = minion.report.Minion
 }
 
 // abandonStart releases a run whose start certainly did not arrive. Otherwise it
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -117,9 +117,16 @@
 // counts once, even if its end is listed again.
 func (planner *Planner) countFailure(now time.Time, step *step, end messenger.RunEnd, minion *minion) {
 	task := &step.tasks[end.Task.Index]
+	if step.spec.LongRunning {
+		if run, ok := minion.runs[runKey{end.Task, end.Run}]; ok && now.Sub(run.startedAt) >= soundRunTime {
+			task.lastFailedOn = ""
+		}
+		planner.countUnlimitedFailure(now, task, minion)
+		return
+	}
 	task.lastFailedOn = minion.report.Minion
 	planner.countMinionFailure(now, minion)
-	if !step.spec.LongRunning && task.addFailure(end.Run) {
+	if task.addFailure(end.Run) {
 		planner.recording.markTaskDirty(step, end.Task.Index)
 	}
 }
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -66,6 +66,8 @@
 	// workTime returns how long a run works.
 	workTime func(run *fakeRun) time.Duration
 	crashing crashingTasks
+	// lastingFailsAfter is the time after which long-running tasks fail, zero for never.
+	lastingFailsAfter time.Duration
 }
 
 // taskState is the actual state of a task in the simulation.
