Count a reading without reports as one

Cause: a reading of the minions' reports without news was not delivered to the planner, which took its last reports for outdated; only on services without enforcesCapacity, and with minions that write nothing for 3 s. Change: each reading is delivered, and one without news takes 1 s at most, because it counts from when it was requested.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -173,7 +173,7 @@
 	// lateClaimPace is the pace of nodes that claim only after others. With claimWait it
 	// stays below the gap between reads that makes a claimer wait anew.
 	lateClaimPace = 800 * time.Millisecond
-	minionWait    = 2 * time.Second
+	minionWait    = time.Second
 	minionPace    = 150 * time.Millisecond
 )
 
--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -167,9 +167,6 @@
 	sink.recordSuccess(sink.assembler)
 	read, failures := platform.DecodeMinionReports(reading)
 	sink.assembler.reportIgnoredRecords(failures)
-	if !read.Complete && len(read.Reports) == 0 && len(read.Removed) == 0 {
-		return nil
-	}
 	return sink.eventSink.Deliver(ctx, read)
 }
 
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -17,8 +17,12 @@
 		return
 	}
 	if event.SentAt.After(planner.reportsAsOf) {
+		planner.passNeeded = planner.passNeeded || now.Sub(planner.reportsAsOf) > maxReportAge
 		planner.reportsAsOf = event.SentAt
 	}
+	if !event.Complete && len(event.Reports)+len(event.Removed) == 0 {
+		return
+	}
 	if event.Complete {
 		for _, minion := range planner.minions {
 			minion.registered = false
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -28,7 +28,8 @@
 	// this node's clock, rounded up.
 	slowClockFactor = 1.0625
 	// maxReportAge is how long after the last reading of the minions' reports tasks are
-	// started on minions that do not guard their capacity. A reading waits for up to 2 s.
+	// started on minions that do not guard their capacity. A reading without news takes 1 s,
+	// and counts from when it was requested.
 	maxReportAge = 3 * time.Second
 	// maxSilence is the time since the last answer of a minion that is listed in the store
 	// after which its runs are given up although it may be alive.
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -314,7 +314,7 @@
 }
 
 // readInterval is the longest time between two reads of the minions' reports.
-const readInterval = 2 * time.Second
+const readInterval = time.Second
 
 // readReports lets a node that follows the reports read that there are no new ones.
 func (simulation *simulation) readReports(node *node) {
@@ -322,7 +322,7 @@
 		return
 	}
 	if simulation.store.isReachableFrom(node) && !simulation.store.reportsUnreadableFrom[node] {
-		simulation.step(node, messenger.MinionsRead{SentAt: simulation.now})
+		simulation.step(node, messenger.MinionsRead{SentAt: simulation.now.Add(-readInterval)})
 	}
 	simulation.schedule(readInterval, func() { simulation.readReports(node) })
 }
