Answer requests that arrive during a stop before the end of the process

Cause: the server is shut down 5 s after SIGTERM, but a request that arrives up to 3.5 s after it may wait for the store for its whole time. Change: requests that arrive during the stop have to be answered 0.3 s before its end, as refused or unknown.

--- a/assembler/httpserver.go
+++ b/assembler/httpserver.go
@@ -34,6 +34,9 @@
 	// shutdownTimeout limits the wait for answers that are not complete when the
 	// server shuts down.
 	shutdownTimeout = 1500 * time.Millisecond
+	// lastAnswerMargin is the time before the end of shutdownTimeout by which the last
+	// answers are written.
+	lastAnswerMargin = 300 * time.Millisecond
 )
 
 // httpServer is an HTTP server with its address.
@@ -89,7 +92,7 @@
 	if err := assembler.claims.Put(ctx, messenger.DrainArrived{}); err != nil {
 		return
 	}
-	assembler.frontEnd.Drain()
+	assembler.frontEnd.Drain(assembler.clock().Add(assembler.settings.Bounds.Grace - stopReserve + shutdownTimeout - lastAnswerMargin))
 	wait := time.NewTimer(assembler.settings.Bounds.Grace - stopReserve)
 	defer wait.Stop()
 	select {
