Forget the crashes under a task once a run has worked for a minute

A long-running task would be given up after four crashes soon after its starts, even if months of work lie between them: only a crash of a long run ended the count. Change: so does a run that has worked for a minute. TestEstablishedTaskIsNotGivenUp fails without the change.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -170,13 +170,17 @@
 // noteCrash notes that the minion of a run has crashed. A run that had worked for long
 // shows that its task is not the reason.
 func (planner *Planner) noteCrash(now time.Time, run *run) {
-	task := run.task()
 	age := run.ageAtDeath(now)
 	if age < establishedAge {
 		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun()})
 		return
 	}
-	if len(task.crashes) > 0 {
+	planner.forgetCrashes(run)
+}
+
+// forgetCrashes removes the crashes under the task of a run that has worked for long.
+func (planner *Planner) forgetCrashes(run *run) {
+	if task := run.task(); len(task.crashes) > 0 {
 		task.crashes = nil
 		planner.recording.markCrashesDirty(run.step)
 	}
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -137,3 +137,29 @@
 	}
 	return reason
 }
+
+// TestEstablishedTaskIsNotGivenUp guards against a long-running task that is given up for
+// crashes of its minions that lie months apart.
+func TestEstablishedTaskIsNotGivenUp(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 3)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("service", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Second, LongRunning: true}))
+	task := specifier.Task{Job: "service"}
+	for range 8 {
+		simulation.advance(5 * time.Second) // a crash soon after the start
+		minion := simulation.runningOn(task)
+		minion.crash()
+		simulation.schedule(crashDownTime, func() { simulation.restart(minion) })
+		simulation.advance(100 * time.Second)
+		minion = simulation.runningOn(task)
+		minion.faults.draining, minion.faults.remaining = true, time.Second
+		simulation.deliverAllReports()
+		simulation.advance(2 * time.Second)
+		minion.faults.draining = false
+		simulation.restart(minion)
+	}
+	c.Assert(simulation.countWorking("service"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("service")))
+	c.Assert(simulation.recordedState("service"), quicktest.Equals, specifier.Running)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -121,6 +121,9 @@
 	run.checkpoint, run.load = report.Checkpoint, report.Load
 	planner.refuteCrash(run.step, run.id.Index, run.placement())
 	planner.clearIfPassed(now, run)
+	if now.Sub(run.startConfirmedAt) >= establishedAge {
+		planner.forgetCrashes(run)
+	}
 }
 
 // adoptRun takes over a run that a former holder started, or stops one that
