--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -163,3 +163,27 @@
 	c.Assert(simulation.recordedState("service"), quicktest.Equals, specifier.Running)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestCrashesSurviveAHolderOfAnEarlierBuild guards against crashes that are forgotten when a
+// holder that does not know of them records the progress of the job.
+func TestCrashesSurviveAHolderOfAnEarlierBuild(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 2, 8)
+	simulation.jobsCrash("bad", 50*time.Millisecond)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("bad", smallStep(1, 4*time.Second)))
+	for simulation.crashing.crashes < 2 {
+		simulation.advance(100 * time.Millisecond)
+	}
+	simulation.nodes[0].alive = false
+	latest := simulation.taskState(specifier.Task{Job: "bad"}).startedRuns[1]
+	simulation.progress = append(simulation.progress, messenger.Progressed{Job: "bad", Progress: specifier.Progress{
+		State: specifier.Running, Restarts: []specifier.TaskRestart{{LatestRun: latest}},
+	}})
+	simulation.advance(claimTimeout)
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.advance(40 * time.Second)
+	c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed)
+	c.Assert(simulation.crashing.crashes, quicktest.Equals, 3, quicktest.Commentf("%s", simulation.decisionsAbout("bad")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
