--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -42,6 +42,9 @@
 
 // Execute implements subcommands.Command.
 func (*enter) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// A SIGHUP may arrive before the settings are read, and would end the process.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return connector.Fail(err, false)
@@ -56,8 +59,6 @@
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
 	node := assembler.New(settings, keeper.Now)
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go node.Reload(ctx, reload, platform.LoadSettings)
 	if err := node.Run(ctx, stop.Done()); err != nil && !errors.Is(err, context.Canceled) {
 		return connector.Fail(classifier.New(classifier.Internal, "%v", err), false)
