--- a/planner/minions.go
+++ b/planner/minions.go
@@ -90,7 +90,7 @@
 			continue
 		}
 		earlier.removeRun(run)
-		run.minion, run.mayHaveArrived, run.onTrial = next, true, false
+		run.minion, run.mayHaveArrived, run.onTrial, run.isAnsweredByOther = next, true, false, false
 		next.addRun(run)
 		// The lease in that order is on the clock of the earlier incarnation. The next one
 		// shortens it to the maximum.
