Give up a planned trial whose task is not suspect any more

A minion stayed closed for good when the crash for which a trial was planned on it was refuted before the record of the trial was durable, or the queue of the job went away. Change: such a trial is cancelled with the next pass.

--- a/planner/trial.go
+++ b/planner/trial.go
@@ -232,14 +232,20 @@
 	return false
 }
 
-// reopenMinions opens the minions for other runs whose trials have ended.
+// reopenMinions opens the minions for other runs whose trials have ended, or will not be
+// held: the step may not be suspect any more, or its job may have ended.
 func (planner *Planner) reopenMinions() {
 	for _, minion := range planner.minions {
 		step := minion.trial
-		if step == nil || (step.trial != nil && step.occurrence.job.isOpen()) {
+		if step == nil {
 			continue
 		}
-		if !step.hasSuspect() || !minion.hasTrialRun() {
+		job := step.occurrence.job
+		isWanted := step.hasSuspect() && job.isOpen() && planner.queue(job) != nil
+		if step.trial != nil && !isWanted {
+			step.cancelTrial()
+		}
+		if step.trial == nil && !(step.hasSuspect() && minion.hasTrialRun()) {
 			minion.trial = nil
 		}
 	}
