Give the proxies of the soak ports that no outgoing connection uses

Its proxy listens anew with each restart, on an ephemeral port that another connection may have got meanwhile.

--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -204,7 +204,11 @@
 }
 
 func (deployment *Deployment) newProxy(name string, upstream netip.AddrPort) (*toxiproxy.Proxy, error) {
-	proxy := toxiproxy.NewProxy(deployment.proxies, name, "127.0.0.1:0", upstream.String())
+	addresses, err := freeAddresses(1)
+	if err != nil {
+		return nil, err
+	}
+	proxy := toxiproxy.NewProxy(deployment.proxies, name, addresses[0].String(), upstream.String())
 	return proxy, errors.Wrap(proxy.Start(), name)
 }
 
@@ -239,8 +243,9 @@
 	deployment.Store.Close()
 }
 
-// The ports of the nodes lie below the ephemeral port range. Otherwise an outgoing
-// connection could use a node's port while the node is down.
+// The ports of nodes and proxies lie below the ephemeral port range. Otherwise an outgoing
+// connection could use the port of a node that is down, or of a proxy that gets another
+// upstream.
 const (
 	firstPort       = 12000
 	portsPerProcess = 40 // for each process of the soak test
