Try tasks that have crashed no minion on trial first

Change: the number of crashes on trial decides, then that of all crashes.

The soak also spreads its ports wider: two soaks side by side met on one.

--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -248,8 +248,8 @@
 // upstream.
 const (
 	firstPort       = 12000
-	portsPerProcess = 40 // for each process of the soak test
-	maxProcesses    = 400
+	portsPerProcess = 400 // for each process of the soak test
+	maxProcesses    = 50
 )
 
 // lastPort is the port that was last assigned to a node.
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -59,13 +59,18 @@
 
 // isGivenUp reports whether the task must not start again, because it crashes its minions.
 func (task *task) isGivenUp() bool {
-	onTrial := 0
+	return task.crashesOnTrial() >= maxCrashesOnTrial || len(task.crashes) >= maxCrashes
+}
+
+// crashesOnTrial returns the number of crashes on trial since the task was last cleared.
+func (task *task) crashesOnTrial() int {
+	count := 0
 	for _, crash := range task.crashes {
 		if crash.onTrial && !crash.cleared {
-			onTrial++
+			count++
 		}
 	}
-	return onTrial >= maxCrashesOnTrial || len(task.crashes) >= maxCrashes
+	return count
 }
 
 // hasSuspect reports whether a task of the step is suspect. Its other tasks are not started
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -86,8 +86,19 @@
 	return most
 }
 
-// suspectSteps returns the due steps with suspect tasks, those with fewest crashes first. A
-// task that has crashed one minion after the other must not hold up the trials of others.
+// mostCrashesOnTrial returns the number of crashes on trial of the task of the step that
+// has most.
+func (step *step) mostCrashesOnTrial() int {
+	most := 0
+	for _, index := range step.crashedTasks {
+		most = max(most, step.tasks[index].crashesOnTrial())
+	}
+	return most
+}
+
+// suspectSteps returns the due steps with suspect tasks, those with fewest crashes on trial
+// and then with fewest crashes first. A task that has crashed one minion after the other
+// must not hold up the trials of others.
 func (planner *Planner) suspectSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
 	for _, job := range planner.openJobs {
@@ -107,7 +118,11 @@
 		}
 	}
 	slices.SortFunc(steps, func(one, other *waitingStep) int {
-		return cmp.Or(cmp.Compare(one.step.mostCrashes(), other.step.mostCrashes()), compareArrival(one.step, other.step))
+		return cmp.Or(
+			cmp.Compare(one.step.mostCrashesOnTrial(), other.step.mostCrashesOnTrial()),
+			cmp.Compare(one.step.mostCrashes(), other.step.mostCrashes()),
+			compareArrival(one.step, other.step),
+		)
 	})
 	return steps
 }
