Keep a run blocked while an unanswered attempt to start it may reach a reborn minion

Cause: a start that was repeated and confirmed was released when its minion had restarted, although its first attempt was still on its way, and the next incarnation under the name carried it out. Change: such a run moves to the next incarnation and is stopped there, as one whose start was never confirmed. In the simulation a minion that restarts under its name now takes the orders to that name; it used to answer some of them as another minion, which no real one does.

--- a/planner/crashingtask_test.go
+++ b/planner/crashingtask_test.go
@@ -85,7 +85,6 @@
 		return
 	}
 	if !simulation.crashing.renames {
-		minion.faults.keepsName = true
 		simulation.restart(minion)
 		return
 	}
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -30,9 +30,6 @@
 	refusesUnknownStop bool
 	// answersAs is the incarnation that the answers name, zero for the actual one.
 	answersAs identifier.Incarnation
-	// keepsName means that a later incarnation carries out the orders to an earlier
-	// one, because it has started again under its name.
-	keepsName bool
 	// draining and remaining are what the minion's report says.
 	draining  bool
 	remaining time.Duration
--- a/planner/liveness_test.go
+++ b/planner/liveness_test.go
@@ -118,7 +118,6 @@
 		return func() { simulation.restart(minion) }
 	},
 	"restart-under-its-name": func(simulation *simulation, minion *fakeMinion) func() {
-		minion.faults.keepsName = true
 		minion.crash()
 		minion.start() // its report follows when the fault ends
 		return simulation.deliverAllReports
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -78,19 +78,21 @@
 }
 
 // replaceIncarnation replaces an incarnation with the next one under the same
-// name. The runs of the earlier one have ended. Runs whose start was never
-// confirmed move to the next one, because their order may still reach it, and are
+// name. The runs of the earlier one have ended. Runs with an attempt to start them that
+// was not answered move to the next one, because that order may still reach it, and are
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	earlier.noteRestart(now, next.report.Incarnation)
 	planner.noteDeath(now, earlier, countRestarted, "it has restarted")
 	for _, run := range earlier.sortedRuns() {
-		if !run.startConfirmedAt.IsZero() {
+		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
 			planner.markRunLost(now, run, "its minion has restarted")
 			continue
 		}
 		earlier.removeRun(run)
 		run.minion, run.mayHaveArrived, run.onTrial, run.isAnsweredByOther = next, true, false, false
+		run.startConfirmedAt, run.startConfirmedClock = time.Time{}, 0
+		run.stopAcknowledgedAt, run.stopAcknowledgedClock = time.Time{}, 0
 		next.addRun(run)
 		// The lease in that order is on the clock of the earlier incarnation. The next one
 		// shortens it to the maximum.
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -26,16 +26,11 @@
 		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 		return
 	}
-	incarnation := minion.incarnation
 	execute := func(answer func(messenger.OrderAnswered)) {
 		if !minion.alive {
 			answer(unknown) // the connection breaks
 			return
 		}
-		if minion.incarnation != incarnation && !minion.faults.keepsName {
-			answer(messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.UnknownNode, "another incarnation")})
-			return
-		}
 		minion.execute(order, sentAt, answer)
 	}
 	if simulation.random.Float64() < simulation.lateOrderShare {
--- a/planner/rebornminion_test.go
+++ b/planner/rebornminion_test.go
@@ -26,7 +26,6 @@
 	simulation.deliverAllReports()
 	simulation.advance(time.Second)
 	minion := simulation.minions["m00"]
-	minion.faults.keepsName = true
 	minion.faults.loses = func(order messenger.Order) bool {
 		_, isStart := order.(messenger.StartRun)
 		return isStart
@@ -62,7 +61,6 @@
 	simulation.makeHolder(simulation.nodes[0])
 	simulation.advance(time.Second)
 	minion := simulation.minions["m00"]
-	minion.faults.keepsName = true
 	minion.faults.loses = func(order messenger.Order) bool {
 		_, isStart := order.(messenger.StartRun)
 		return isStart
