--- a/planner/advice.go
+++ b/planner/advice.go
@@ -83,6 +83,18 @@
 	}
 }
 
+// hasValidTicket reports whether the ticket of a run, if it needs one, can be used again.
+func (run *run) hasValidTicket(now time.Time) bool {
+	if run.ticket == "" {
+		return true
+	}
+	if run.step.advice == nil {
+		return false
+	}
+	ticket := run.step.advice.tickets[run.minion.report.Minion]
+	return ticket.value == run.ticket && !now.Add(ticketMargin).After(ticket.expiresAt)
+}
+
 // ensureTickets reports whether the step has a ticket for each chosen minion. If
 // not, it requests advice about those without one and about other minions with
 // free capacity.
