Forget no crashes for a run whose start is not confirmed

Cause: a run that a minion lists before its start was answered counted as one that had worked since the year one, and cleared its task of all crashes.

--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
@@ -187,3 +188,25 @@
 	c.Assert(simulation.crashing.crashes, quicktest.Equals, 3, quicktest.Commentf("%s", simulation.decisionsAbout("bad")))
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestUnansweredStartForgetsNoCrash guards against crashes that are forgotten because a run
+// whose start was not answered is taken for one that has worked for long.
+func TestUnansweredStartForgetsNoCrash(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.jobsCrash("bad", 50*time.Millisecond)
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults.garbles = func(order messenger.Order) classifier.Code {
+			if _, isStart := order.(messenger.StartRun); isStart {
+				return classifier.CorruptAnswer
+			}
+			return classifier.OK
+		}
+	}
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("bad", smallStep(1, 4*time.Second)))
+	simulation.advance(2 * time.Minute)
+	comment := quicktest.Commentf("%d crashes\n%s", simulation.crashing.crashes, simulation.decisionsAbout("bad"))
+	c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
+	c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
+}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -121,7 +121,7 @@
 	run.checkpoint, run.load = report.Checkpoint, report.Load
 	planner.refuteCrash(run.step, run.id.Index, run.placement())
 	planner.clearIfPassed(now, run)
-	if now.Sub(run.startConfirmedAt) >= establishedAge {
+	if !run.startConfirmedAt.IsZero() && now.Sub(run.startConfirmedAt) >= establishedAge {
 		planner.forgetCrashes(run)
 	}
 }
