Start nothing on a minion that has shrunk below what it runs

Change: nothing starts there until enough has ended. TestNothingStartsOnAMinionOverItsCapacity was red before. The property test now also shows holders each second which minions have lost their entry; without that, a minion that could not report had shrunk unnoticed.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -74,7 +74,7 @@
 			}
 		}
 	}
-	if limit <= 0 || !step.canRunOn(minion) {
+	if limit <= 0 || !step.canRunOn(minion) || minion.isOverCapacity() {
 		return 0
 	}
 	return planner.reservations.freeCapacity(step, minion).Fit(requiredCapacity(step.spec), limit)
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -184,6 +184,11 @@
 	return minion.report.Capacity.Sub(minion.used)
 }
 
+// isOverCapacity reports whether the minion has shrunk below what its runs occupy.
+func (minion *minion) isOverCapacity() bool {
+	return !minion.freeCapacity().Holds(specifier.Resources{})
+}
+
 // closeForCapacity closes the minion for new runs for a time, because it refused one
 // for lack of capacity.
 func (minion *minion) closeForCapacity(now time.Time) {
--- a/planner/shrinkingminion_test.go
+++ b/planner/shrinkingminion_test.go
@@ -56,6 +56,17 @@
 	simulation.reportViolation("%s: run %d brings %s to %+v of %+v", started.task, started.number, minion.name, used, minion.capacity)
 }
 
+// listRegularly lets the nodes that follow the reports see each second which minions have an
+// entry. That of a minion without access to the store expires.
+func (simulation *simulation) listRegularly() {
+	for _, node := range simulation.nodes {
+		if simulation.store.followers[node] && simulation.store.isReachableFrom(node) {
+			simulation.deliverReports(node)
+		}
+	}
+	simulation.schedule(reportInterval, simulation.listRegularly)
+}
+
 // TestStartsFitShrinkingMinions guards against starts that bring a minion over its capacity
 // after it has shrunk (LIMIT): from a reservation, as a member of a gang, beside runs that are
 // being stopped, or by a holder that has just taken over; and against jobs that do not
@@ -70,6 +81,7 @@
 			minion.isUnguarded = true
 		}
 		simulation.makeHolder(simulation.nodes[0])
+		simulation.listRegularly()
 		full := simulation.sortedMinions()[0].capacity
 		for range rapid.IntRange(1, 20).Draw(t, "changes") {
 			minion := simulation.sortedMinions()[rapid.IntRange(0, livenessMinions-1).Draw(t, "minion")]
@@ -193,3 +205,22 @@
 	}
 	simulation.schedule(reportInterval, simulation.reportRegularly)
 }
+
+// TestNothingStartsOnAMinionOverItsCapacity guards against a start on a minion that has shrunk
+// below what runs there, of a task that needs nothing of the resource that lacks.
+func TestNothingStartsOnAMinionOverItsCapacity(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 1)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(16000, 1), EstimatedRunTime: 20 * time.Second}))
+	simulation.advance(time.Second)
+	minion := simulation.minions["m00"]
+	minion.isUnguarded = true
+	simulation.resize(minion, specifier.Resources{MilliCPU: 8000, MemoryMB: 64000, Accelerators: 8})
+	simulation.advance(shrinkTolerance)
+	simulation.submit(jobOf("b", specifier.Step{Tasks: 1, Request: taskOf(4000, 0), EstimatedRunTime: time.Second, Backfill: true}))
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.advance(20 * time.Second)
+	c.Assert(simulation.recordedState("b"), quicktest.Equals, specifier.Completed)
+}
