--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -82,10 +82,10 @@
 	runWorkload(ctx, options, seed, deployment, faultLog)
 	deployment.Close()
 	violations := deployment.Checker.Violations()
-	fmt.Printf("seed %d: %d faults, %d of %d jobs accepted, %d refused, %d cancelled, %d starts, %d crashes by tasks, %d violations\n", seed,
+	fmt.Printf("seed %d: %d faults, %d of %d jobs accepted, %d refused, %d cancelled, %d starts, %d crashes by tasks, %d jobs seen as given up, %d violations\n", seed,
 		deployment.Checker.Counter("faults"), deployment.Checker.Counter("accepted"), deployment.Checker.Counter("submitted"),
 		deployment.Checker.Counter("refused"), deployment.Checker.Counter("cancelled"), deployment.Checker.Counter("starts"),
-		deployment.Checker.Counter("crashes"), len(violations))
+		deployment.Checker.Counter("crashes"), deployment.Checker.Counter("given up"), len(violations))
 	for _, violation := range violations {
 		fmt.Println("  " + violation)
 	}
