Let no job wait long for a trial after a single crash

Cause: trials are limited, and each neighbour of a crash needs one. Change: a step of which no task has more than one crash waits 3 s for a trial and then starts without one; its crashes still count, so that a second one makes it suspect for good. A gang takes one place among the trials, however many minions it needs.

--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -210,3 +210,33 @@
 	c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
 	c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
 }
+
+// TestCrashOfAllMinionsHoldsUpNoJob guards against jobs that wait for one trial after the
+// other because all minions have crashed soon after the starts, for a reason of their own.
+func TestCrashOfAllMinionsHoldsUpNoJob(t *testing.T) {
+	const (
+		jobs = 60
+		// maxRestartTime is the time from the return of the minions until all jobs run again:
+		// the wait for trials, and a poll.
+		maxRestartTime = 5 * time.Second
+	)
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 9)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	for number := range jobs {
+		simulation.submit(jobOf(fmt.Sprintf("good%d", number), smallStep(1, time.Minute)))
+	}
+	simulation.advance(time.Second)
+	for _, minion := range simulation.sortedMinions() {
+		minion.crash()
+		simulation.schedule(crashDownTime, func() { simulation.restart(minion) })
+	}
+	simulation.advance(crashDownTime + maxRestartTime)
+	working := 0
+	for number := range jobs {
+		working += simulation.countWorking(identifier.Job(fmt.Sprintf("good%d", number)))
+	}
+	c.Assert(working, quicktest.Equals, jobs)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/death.go
+++ b/planner/death.go
@@ -15,6 +15,7 @@
 	countUnreachable = "minion-unreachable"
 	countSuspected   = "task-suspected"
 	countCleared     = "task-cleared"
+	countReleased    = "suspects-released"
 	countRefuted     = "crash-refuted"
 	countGivenUp     = "job-given-up"
 )
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -28,9 +28,11 @@
 	trialPollWait = 250 * time.Millisecond
 	// idleMinionWait is how long a trial waits for a minion without runs.
 	idleMinionWait = time.Second
-	// trialShare is the part of the minions of a service, as a divisor, that may have
-	// trials, or be down after them, at a time. Beyond that, trials may take idleTrialShare
-	// of the minions without runs.
+	// maxTrialWait is how long a step of which no task has more than one crash waits for its
+	// trial. Its tasks then start as if they had passed.
+	maxTrialWait = 3 * time.Second
+	// A service may have a trial, or a minion that is down after one, for each trialShare of
+	// its minions, or for each idleTrialShare of those without runs if that is more.
 	trialShare     = 4
 	idleTrialShare = 2
 )
@@ -166,6 +168,9 @@
 	chosen := planner.minionsForTrial(now, waitingStep, pool)
 	if len(chosen) == 0 {
 		step.passResult = waitsForTrial
+		if step.mostCrashes() == 1 && now.Sub(step.trialWantedSince) >= maxTrialWait {
+			planner.releaseSuspects(now, step)
+		}
 		return
 	}
 	if !planner.ensureTickets(now, waitingStep, chosen, pool.available) {
@@ -275,6 +280,27 @@
 	return false
 }
 
+// releaseSuspects lets the suspect tasks of a step start without a trial. One crash alone is
+// weak evidence, and must not keep a job waiting behind the trials of others.
+func (planner *Planner) releaseSuspects(now time.Time, step *step) {
+	for _, index := range step.crashedTasks {
+		planner.clear(step, &step.tasks[index])
+	}
+	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countReleased})
+	planner.emitDecision(string(step.occurrence.job.spec.ID), "suspects-released", "no minion was free for a trial",
+		fmt.Sprintf("step=%d tasks=%d", step.number, len(step.crashedTasks)), now.Sub(step.trialWantedSince))
+	step.trialWantedSince = time.Time{}
+	planner.passNeeded = true
+}
+
+// clear ends the suspicion of a task. Its crashes still count.
+func (planner *Planner) clear(step *step, task *task) {
+	for index := range task.crashes {
+		task.crashes[index].cleared = true
+	}
+	planner.recording.markCrashesDirty(step)
+}
+
 // clearIfPassed clears a task of which a run on trial has worked for long enough.
 func (planner *Planner) clearIfPassed(now time.Time, run *run) {
 	task := run.task()
@@ -286,10 +312,7 @@
 	if !task.isSuspect() {
 		return // a member of a gang with a suspect one
 	}
-	for index := range task.crashes {
-		task.crashes[index].cleared = true
-	}
-	planner.recording.markCrashesDirty(run.step)
+	planner.clear(run.step, task)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCleared})
 	planner.emitDecision(run.id.String(), "task-cleared", "its run has passed its trial",
 		fmt.Sprintf("run=%d minion=%s crashes=%d", run.number, run.minion.report.Minion, len(task.crashes)), worked)
--- a/planner/trialminions.go
+++ b/planner/trialminions.go
@@ -9,27 +9,28 @@
 // minionsForTrial returns a minion for each task of a gang, or one minion for as many other
 // tasks as fit there. It prefers minions without runs.
 func (planner *Planner) minionsForTrial(now time.Time, waitingStep *waitingStep, pool *pool) []*minion {
-	closed := 0
-	for _, minion := range pool.registered {
-		if minion.trial != nil {
-			closed++
-		}
-	}
 	idle := pool.filtered(func(minion *minion) bool { return len(minion.runs) == 0 })
-	limit := max(1, len(pool.registered)/trialShare, len(idle.available)/idleTrialShare) - closed
-	if limit <= 0 {
+	if countTrials(pool) >= max(1, len(pool.registered)/trialShare, len(idle.available)/idleTrialShare) {
 		return nil
 	}
 	chosen := planner.chooseForTrial(waitingStep, idle)
 	if len(chosen) == 0 && now.Sub(waitingStep.step.trialWantedSince) >= idleMinionWait {
 		chosen = planner.chooseAmongRuns(now, waitingStep, pool)
 	}
-	if closed > 0 && countMinions(chosen) > limit {
-		return nil
-	}
 	return chosen
 }
 
+// countTrials returns the number of steps that have a trial on minions of a pool.
+func countTrials(pool *pool) int {
+	steps := make(map[*step]bool)
+	for _, minion := range pool.registered {
+		if minion.trial != nil {
+			steps[minion.trial] = true
+		}
+	}
+	return len(steps)
+}
+
 // chooseAmongRuns chooses minions that have runs. A single one is that where a crash would
 // lose least work.
 func (planner *Planner) chooseAmongRuns(now time.Time, waitingStep *waitingStep, pool *pool) []*minion {
@@ -65,14 +66,6 @@
 	return chosen
 }
 
-func countMinions(chosen []*minion) int {
-	distinct := make(map[*minion]bool, len(chosen))
-	for _, minion := range chosen {
-		distinct[minion] = true
-	}
-	return len(distinct)
-}
-
 // workAtStake returns the core-seconds that a crash of the minion would lose.
 func (minion *minion) workAtStake(now time.Time) float64 {
 	sum := 0.0
