Test that crashes are recorded before the next start, through takeovers

With a store that takes 0.2 s longer, each start of a crashing task finds all its earlier crashes in the progress; with the holder killed 0.3 s after each start, all but that of the first run.

--- a/planner/crashshare_test.go
+++ b/planner/crashshare_test.go
@@ -23,9 +23,9 @@
 	objective = 3*shareRunTime + time.Second
 )
 
-// measureShare runs jobs of which some tenths crash their minions, and returns the shares of
-// the other jobs that complete, and that complete within their objective.
-func measureShare(tenths int, takeovers bool) (completed, inTime float64, crashes int) {
+// measureShare runs jobs of which some tenths crash their minions, or are left out, and returns
+// the shares of the other jobs that complete, and that complete within their objective.
+func measureShare(tenths int, takeovers, leavesOut bool) (completed, inTime float64, crashes int) {
 	simulation := newSimulation(1, 2, 32)
 	simulation.jobsCrash("bad", 50*time.Millisecond)
 	simulation.makeHolder(simulation.nodes[0])
@@ -33,6 +33,9 @@
 	for number := range shareJobs {
 		simulation.schedule(time.Duration(number)*shareInterval, func() {
 			id := identifier.Job(fmt.Sprintf("good%d", number))
+			if number%10 < tenths && leavesOut {
+				return
+			}
 			if number%10 < tenths {
 				id = identifier.Job(fmt.Sprintf("bad%d", number))
 			} else {
@@ -69,8 +72,8 @@
 		for _, takeovers := range []bool{false, true} {
 			t.Run(fmt.Sprintf("tenths=%d,takeovers=%t", tenths, takeovers), func(t *testing.T) {
 				c := quicktest.New(t)
-				completed, inTime, crashes := measureShare(tenths, takeovers)
-				_, inTimeWithout, _ := measureShare(0, takeovers)
+				completed, inTime, crashes := measureShare(tenths, takeovers, false)
+				_, inTimeWithout, _ := measureShare(tenths, takeovers, true)
 				t.Logf("%.2f completed, %.2f in time (%.2f without crashing jobs), %d crashes", completed, inTime, inTimeWithout, crashes)
 				c.Assert(completed, quicktest.Equals, 1.0)
 				c.Assert(crashes <= shareJobs*tenths/10*maxCrashesPerJob, quicktest.IsTrue)
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -240,3 +241,58 @@
 	c.Assert(working, quicktest.Equals, jobs)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// recordedCrashes returns the number of crashes under a task in the newest record of them.
+func (simulation *simulation) recordedCrashes(task specifier.Task) int {
+	part := simulation.jobs[task.Job].CrashPart()
+	for _, record := range slices.Backward(simulation.progress) {
+		if record.Job != task.Job || record.Part != part {
+			continue
+		}
+		count := 0
+		for _, crash := range record.Progress.Crashes {
+			if crash.Step == task.Step && crash.Index == task.Index {
+				count++
+			}
+		}
+		return count
+	}
+	return 0
+}
+
+// TestCrashesAreRecordedBeforeTheNextStart guards against a start of a task whose earlier
+// crashes are not durable, so that they are lost with the holder. Only the crash under the
+// first run may be lost, if no holder has seen it.
+func TestCrashesAreRecordedBeforeTheNextStart(t *testing.T) {
+	for _, takeovers := range []bool{false, true} {
+		t.Run(fmt.Sprintf("takeovers=%t", takeovers), func(t *testing.T) {
+			c := quicktest.New(t)
+			simulation := newSimulation(1, 2, 8)
+			simulation.store.addedAppendTime = 200 * time.Millisecond
+			simulation.jobsCrash("bad", 700*time.Millisecond)
+			isBad, starts := simulation.crashing.contains, 0
+			simulation.crashing.contains = func(task specifier.Task) bool {
+				state := simulation.taskState(task)
+				if !isBad(task) || len(state.startedRuns) == starts {
+					return isBad(task)
+				}
+				starts = len(state.startedRuns)
+				required := starts - 1
+				if takeovers {
+					required = max(0, starts-2)
+					from := (starts - 1) % 2 // the holder dies before it learns of the crash
+					simulation.schedule(300*time.Millisecond, func() { simulation.changeHolder(from, 1-from) })
+				}
+				c.Check(simulation.recordedCrashes(task) >= required, quicktest.IsTrue, quicktest.Commentf("start %d", starts))
+				return true
+			}
+			simulation.makeHolder(simulation.nodes[0])
+			simulation.submit(jobOf("bad", smallStep(1, 4*time.Second)))
+			simulation.advance(2 * time.Minute)
+			comment := quicktest.Commentf("%s", simulation.decisionsAbout("bad"))
+			c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
+			c.Assert(starts > 2, quicktest.IsTrue)
+			c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
+		})
+	}
+}
