--- a/review/standin/rules.go
+++ b/review/standin/rules.go
@@ -1,8 +1,6 @@
-package standin
+package main
 
-import (
-	"time"
-)
+import "time"
 
 // CheckLost applies rule LOST at finish_s after the end of the traffic: for three seconds, an
 // accepted job has nothing running while a task's turn has come, there is capacity for it
