--- /dev/null
+++ b/planner/innocentjob_test.go
@@ -0,0 +1,188 @@
+package planner_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// minCrashesOfFailedJob is the number of minions that must have crashed under one task before
+// its job may be shown as failed.
+const minCrashesOfFailedJob = 2
+
+// innocentJobs is the number of jobs whose tasks neither fail nor crash their minions.
+const innocentJobs = 3
+
+// mostCrashedTask returns the largest number of minions that have crashed while they had a run
+// of one and the same task of a job.
+func (simulation *simulation) mostCrashedTask(id identifier.Job) int {
+	most := 0
+	for task, state := range simulation.tasks {
+		if task.Job == id {
+			most = max(most, state.lostWithMinion)
+		}
+	}
+	return most
+}
+
+// checkFailures reports the jobs that are shown as failed although no minion, or only one, has
+// crashed under any of their tasks. No task of them fails by itself.
+func (simulation *simulation) checkFailures() {
+	for id := range simulation.jobs {
+		if simulation.recordedState(id) == specifier.Failed && simulation.mostCrashedTask(id) < minCrashesOfFailedJob {
+			simulation.reportViolation("%s: shown as failed, %d minions have crashed under its most tried task", id, simulation.mostCrashedTask(id))
+		}
+	}
+}
+
+// minionsWithRuns returns the minions that run tasks, in the order of their names.
+func (simulation *simulation) minionsWithRuns() []*fakeMinion {
+	var busy []*fakeMinion
+	for _, minion := range simulation.sortedMinions() {
+		if len(minion.runs) > 0 {
+			busy = append(busy, minion)
+		}
+	}
+	return busy
+}
+
+// outage is what happens to minions that are cut off from all nodes and from the store.
+type outage struct {
+	// rebornAfter is when the minion starts anew behind the cut, zero for never. Its runs have
+	// ended before if that is later than their leases.
+	rebornAfter time.Duration
+	duration    time.Duration
+}
+
+// strike cuts a minion off for the time of an outage.
+func (simulation *simulation) strike(minion *fakeMinion, outage outage) {
+	simulation.cutOff(true, minion.name)
+	if outage.rebornAfter > 0 {
+		simulation.schedule(outage.rebornAfter, minion.start)
+	}
+	simulation.schedule(outage.duration, func() { simulation.cutOff(false, minion.name) })
+}
+
+// outages are those of TestMinionsOutOfReachFailNoJob by name.
+var outages = map[string]outage{
+	"out-of-reach":     {duration: 9 * time.Second},
+	"reborn-when-idle": {rebornAfter: 7 * time.Second, duration: 12 * time.Second},
+	"reborn-at-last":   {rebornAfter: 7 * time.Second, duration: 7100 * time.Millisecond},
+}
+
+// TestMinionsOutOfReachFailNoJob guards against jobs that are shown as failed (LOST) because
+// their minions were out of reach again and again: their runs ended with their leases, and
+// what happened to the minions afterwards says nothing about the tasks.
+func TestMinionsOutOfReachFailNoJob(t *testing.T) {
+	const seeds = 12
+	for name, outage := range outages {
+		for _, gang := range []bool{false, true} {
+			for _, takeovers := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s,gang=%t,takeovers=%t", name, gang, takeovers), func(t *testing.T) {
+					t.Parallel()
+					c := quicktest.New(t)
+					violations := 0
+					for seed := range uint64(seeds) {
+						simulation := newSimulation(seed, 3, 8)
+						simulation.submitInnocentJobs(gang)
+						simulation.strikeBusyMinions(outage, seed, takeovers)
+						simulation.checkFailures()
+						violations += len(simulation.violations)
+						c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("seed %d", seed))
+					}
+					t.Logf("%d violations with %d jobs", violations, seeds*innocentJobs)
+				})
+			}
+		}
+	}
+}
+
+// submitInnocentJobs submits innocentJobs jobs that work longer than an outage lasts.
+func (simulation *simulation) submitInnocentJobs(gang bool) {
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	for number := range innocentJobs {
+		step := smallStep(2, 30*time.Second)
+		step.Gang = gang
+		simulation.submit(jobOf(fmt.Sprintf("good%d", number), step))
+	}
+	simulation.advance(time.Second)
+}
+
+// strikeBusyMinions cuts off the minions that run tasks, round after round, and lets the jobs
+// complete afterwards.
+func (simulation *simulation) strikeBusyMinions(outage outage, seed uint64, takeovers bool) {
+	const (
+		rounds        = 10
+		roundInterval = 13 * time.Second
+		variation     = 3 * time.Second
+	)
+	random := rand.New(rand.NewPCG(seed, 2))
+	for round := range rounds {
+		for _, minion := range simulation.minionsWithRuns() {
+			delay := time.Duration(random.Int64N(int64(2 * time.Second)))
+			simulation.schedule(delay, func() { simulation.strike(minion, outage) })
+		}
+		if takeovers && round%3 == 0 {
+			from := round / 3 % 3
+			simulation.schedule(3*time.Second, func() { simulation.changeHolder(from, (from+1)%3) })
+		}
+		simulation.advance(roundInterval + time.Duration(random.Int64N(int64(variation))))
+	}
+	simulation.advance(90 * time.Second)
+}
+
+// TestRunThatNeverBeganFailsNoJob guards against a job that is shown as failed (LOST) after
+// one crash: the orders to start its next runs do not arrive, and the minions that were to
+// run them start anew many seconds later.
+func TestRunThatNeverBeganFailsNoJob(t *testing.T) {
+	const (
+		lossTime   = 40 * time.Second
+		rebornTime = 10 * time.Second
+	)
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.jobsCrash("none", 0)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("good", smallStep(1, 20*time.Second)))
+	task := specifier.Task{Job: "good"}
+	for simulation.runOf(task) == nil {
+		simulation.advance(10 * time.Millisecond)
+	}
+	simulation.crashUnder(simulation.runOf(task))
+	losesUntil := simulation.now.Add(lossTime)
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults.loses = func(order messenger.Order) bool {
+			start, isStart := order.(messenger.StartRun)
+			if !isStart || start.Task != task || simulation.now.After(losesUntil) {
+				return false
+			}
+			if !minion.unregistered {
+				minion.unregistered = true
+				simulation.schedule(0, func() { simulation.strike(minion, outage{rebornAfter: rebornTime, duration: rebornTime}) })
+			}
+			return true
+		}
+	}
+	simulation.advance(lossTime + time.Minute)
+	simulation.checkFailures()
+	comment := quicktest.Commentf("%s", simulation.decisionsAbout("good"))
+	c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
+	c.Assert(simulation.recordedState("good"), quicktest.Equals, specifier.Completed, comment)
+}
+
+// runOf returns the run of a task that works.
+func (simulation *simulation) runOf(task specifier.Task) *fakeRun {
+	for run := range simulation.taskState(task).running {
+		return run
+	}
+	return nil
+}
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -94,7 +94,9 @@
 	minion.alive = false
 	for _, run := range minion.runs {
 		run.ended = true
-		delete(minion.simulation.taskState(run.task).running, run)
+		state := minion.simulation.taskState(run.task)
+		state.lostWithMinion++
+		delete(state.running, run)
 	}
 	clear(minion.runs)
 }
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -80,6 +80,8 @@
 	// crashes counts the minions that the task has crashed, startsAfterCrashes the starts
 	// after crashesBeforeLimit of them.
 	crashes, startsAfterCrashes int
+	// lostWithMinion counts the runs that ended because their minion ended.
+	lostWithMinion int
 }
 
 type scheduledCall struct {
