Log what shows that a minion has crashed under a run

The line minion-crashed tells the evidence now: unproven (silence, or a missing entry), restarted (another incarnation has shown itself; the run may have ended before) or proven (the run was reported, and its lease certainly held until the minion had ended), and how many other minions fell silent at the same moment. minion-gone tells whether the death is certain, and whether the next incarnation was out of reach.

No decision uses it yet. The end of a replaced minion is dated by the start of the one that answered, where that is known, and not before its last answer.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -44,6 +44,10 @@
 	onTrial bool
 	// cleared means that a later run has passed its trial.
 	cleared bool
+	// evidence is what shows that the minion crashed while it had the run.
+	evidence evidence
+	// silentPeers is the number of other minions that fell silent at the same moment.
+	silentPeers int
 }
 
 // isSuspect reports whether the task may have crashed a minion, so that its next run is
@@ -112,8 +116,8 @@
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countSuspected})
 	planner.emitDecision(step.id(index).String(), "minion-crashed", "the minion of its run has crashed",
-		fmt.Sprintf("run=%d minion=%s age-at-death=%s on-trial=%t crashes=%d suspect=%t", added.run, added.minion,
-			added.age.Round(time.Millisecond), added.onTrial, len(task.crashes), task.isSuspect()), 0)
+		fmt.Sprintf("run=%d minion=%s age-at-death=%s on-trial=%t evidence=%s silent-peers=%d crashes=%d suspect=%t", added.run, added.minion,
+			added.age.Round(time.Millisecond), added.onTrial, added.evidence, added.silentPeers, len(task.crashes), task.isSuspect()), 0)
 	planner.passNeeded = true
 }
 
--- a/planner/death.go
+++ b/planner/death.go
@@ -20,11 +20,12 @@
 	countGivenUp     = "job-given-up"
 )
 
-// noteRestart notes the start of the next incarnation under the minion's name. This one has
-// ended before.
+// noteRestart notes the start of the next incarnation under the minion's name, or of another
+// minion at its address, zero if it is not known. This one has ended before.
 func (minion *minion) noteRestart(now time.Time, next identifier.Incarnation) {
 	minion.endedBy = now
-	if born := time.UnixMilli(int64(next)); born.Before(now) {
+	born := time.UnixMilli(int64(next))
+	if next > 0 && born.Before(now) && born.After(minion.answeredAt) {
 		minion.endedBy = born
 	}
 }
@@ -58,24 +59,57 @@
 	return max(run.minion.lastSignOfLife(now).Sub(begun), 0)
 }
 
+// death is the end of an incarnation of a minion, as far as the holder knows.
+type death struct {
+	minion *minion
+	at     time.Time
+	// isCertain means that another incarnation, or another minion at its address, has shown
+	// itself. Silence and a missing entry do not prove a death.
+	isCertain bool
+	// wasOutOfReach means that the next incarnation was alive for some time before it showed
+	// itself, so that the earlier one may have been as well when it fell silent.
+	wasOutOfReach bool
+	counted       string
+	reason        string
+}
+
+// newDeath returns the end of a minion that has restarted or been replaced, noted by
+// noteRestart.
+func newDeath(now time.Time, minion *minion, counted, reason string) *death {
+	return &death{
+		minion: minion, at: now, isCertain: true, wasOutOfReach: minion.unresponsive && now.Sub(minion.endedBy) > maxReachDelay,
+		counted: counted, reason: reason,
+	}
+}
+
+// latest returns until when the minion may have worked.
+func (death *death) latest() time.Time {
+	if death.minion.endedBy.Before(death.at) {
+		return death.minion.endedBy.Add(maxWallClockSkew)
+	}
+	return death.at
+}
+
 // noteDeath notes the death of an incarnation of a minion with the runs that it had, and
 // those that it may have had when it fell silent.
-func (planner *Planner) noteDeath(now time.Time, minion *minion, counted, reason string) {
+func (planner *Planner) noteDeath(now time.Time, death *death) {
+	minion := death.minion
 	runs := append(minion.sortedRuns(), minion.lostRuns...)
-	planner.reportDeath(now, minion, runs, counted, reason)
+	planner.reportDeath(now, death, runs)
 	if minion.report.Draining || minion.closedForMaintenance {
 		return // it has left as announced
 	}
 	for _, run := range runs {
 		if run.mayHaveRun() {
-			planner.noteCrash(now, run)
+			planner.noteCrash(now, death, run)
 		}
 	}
 }
 
 // reportDeath logs and counts the death of a minion with the youngest run that it had. A
 // task that crashes its minions shows as the youngest run again and again.
-func (planner *Planner) reportDeath(now time.Time, minion *minion, runs []*run, counted, reason string) {
+func (planner *Planner) reportDeath(now time.Time, death *death, runs []*run) {
+	minion := death.minion
 	detail := fmt.Sprintf("runs=%d", len(runs))
 	var youngest *run
 	for _, run := range runs {
@@ -86,19 +120,23 @@
 	if youngest != nil {
 		detail += fmt.Sprintf(" youngest-run=%s age-at-death=%s", youngest.id, youngest.ageAtDeath(now).Round(time.Millisecond))
 	}
-	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: counted})
-	planner.emitDecision(string(minion.report.Minion), "minion-gone", reason, detail, now.Sub(minion.clockAt))
+	detail += fmt.Sprintf(" certain=%t out-of-reach=%t", death.isCertain, death.wasOutOfReach)
+	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: death.counted})
+	planner.emitDecision(string(minion.report.Minion), "minion-gone", death.reason, detail, now.Sub(minion.clockAt))
 }
 
 // noteCrash notes that the minion of a run has crashed. A run that had worked for long
 // shows that its task is not the reason.
-func (planner *Planner) noteCrash(now time.Time, run *run) {
+func (planner *Planner) noteCrash(now time.Time, death *death, run *run) {
 	age := run.ageAtDeath(now)
-	if age < establishedAge {
-		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun()})
+	if age >= establishedAge {
+		planner.forgetCrashes(run)
 		return
 	}
-	planner.forgetCrashes(run)
+	planner.addCrash(run.step, run.id.Index, crash{
+		placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun(),
+		evidence: death.evidenceAgainst(run), silentPeers: planner.countSilentPeers(now, run),
+	})
 }
 
 // hasCertainlyRun reports whether a run on trial has started on its minion, now that the
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -80,6 +80,9 @@
 	lostRuns []*run
 	// endedBy is when this incarnation had certainly ended, zero if it is not known.
 	endedBy time.Time
+	// answeredAt is when its last answer arrived, zero if there was none.
+	answeredAt time.Time
+	lease      leaseReading
 }
 
 type runKey struct {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"corianderroad/classifier"
+	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
 
@@ -83,7 +84,7 @@
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	earlier.noteRestart(now, next.report.Incarnation)
-	planner.noteDeath(now, earlier, countRestarted, "it has restarted")
+	planner.noteDeath(now, newDeath(now, earlier, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
 			planner.markRunLost(now, run, "its minion has restarted")
@@ -108,8 +109,9 @@
 
 // removeDeadMinion marks all runs of an incarnation that has ended as lost and
 // removes the minion.
-func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, reason string) {
-	planner.noteDeath(now, minion, countReplaced, reason)
+func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, next identifier.Incarnation, reason string) {
+	minion.noteRestart(now, next)
+	planner.noteDeath(now, newDeath(now, minion, countReplaced, reason))
 	for _, run := range minion.sortedRuns() {
 		planner.markRunLost(now, run, reason)
 	}
@@ -125,7 +127,7 @@
 		}
 		if !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
-			planner.noteDeath(now, minion, countUnreachable, "neither registered nor reachable")
+			planner.noteDeath(now, &death{minion: minion, at: now, counted: countUnreachable, reason: "neither registered nor reachable"})
 		}
 	}
 	planner.sendDuePolls(now)
@@ -259,7 +261,7 @@
 		run.isAnsweredByOther = true
 	}
 	if unknownNode {
-		planner.removeDeadMinion(now, minion, "another minion answered at its address")
+		planner.removeDeadMinion(now, minion, event.Incarnation, "another minion answered at its address")
 		return true
 	}
 	report := minion.report
@@ -281,14 +283,19 @@
 		}
 		minion.unresponsive, minion.lostRuns = false, nil
 		planner.silentMinions.remove(minion)
+		minion.answeredAt = now
 		if event.Clock > 0 {
 			minion.updateClock(event.Clock, now)
 		}
+		if event.Clock > 0 && event.Err == nil {
+			minion.lease.update(event.Clock, event.SentAt, leaseOf(event.Sent.Order))
+		}
 		return
 	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
 		planner.silentMinions.add(minion)
+		planner.noteSilence(now, minion)
 		planner.emitDecision(string(minion.report.Minion), "minion-lost", event.Err.Code.Name(), event.Err.Message, now.Sub(minion.clockAt))
 		if !minion.polling {
 			minion.schedulePoll(now)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -35,6 +35,8 @@
 	minionsByName []*minion
 	polls         pollSchedule
 	silentMinions silentMinions
+	// silences are those of the last time, oldest first.
+	silences      []silence
 	pendingOrders map[uint64]*run
 	// stopRetries are the stops that are repeated, the next one first.
 	stopRetries   []stopRetry
--- /dev/null
+++ b/planner/silence.go
@@ -0,0 +1,63 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"corianderroad/identifier"
+)
+
+// silence is the time in which a minion has stopped answering: after its last answer, and
+// before the first order without one failed.
+type silence struct {
+	minion      identifier.Minion
+	incarnation identifier.Incarnation
+	after       time.Time
+	before      time.Time
+	// steps are those of the runs that it had.
+	steps []*step
+	// hasTrial means that it had suspect tasks.
+	hasTrial bool
+}
+
+const (
+	// silenceRetention is how long silences are kept. A minion that has crashed is back
+	// earlier.
+	silenceRetention = 30 * time.Second
+	// maxSilences bounds the silences that are kept.
+	maxSilences = 512
+)
+
+// noteSilence notes that a minion has not answered an order for the first time.
+func (planner *Planner) noteSilence(now time.Time, minion *minion) {
+	added := silence{
+		minion: minion.report.Minion, incarnation: minion.report.Incarnation, after: minion.answeredAt, before: now, hasTrial: minion.trial != nil,
+	}
+	for _, run := range minion.runs {
+		if !slices.Contains(added.steps, run.step) {
+			added.steps = append(added.steps, run.step)
+		}
+	}
+	planner.silences = slices.DeleteFunc(planner.silences, func(known silence) bool { return now.Sub(known.before) > silenceRetention })
+	planner.silences = append(planner.silences, added)
+	planner.silences = planner.silences[max(0, len(planner.silences)-maxSilences):]
+}
+
+// countSilentPeers returns the number of other minions that may have fallen silent at the
+// same moment as the one that had a run, and had neither tasks of the same step nor suspect
+// ones. If there are several, the cause is one that they have in common.
+func (planner *Planner) countSilentPeers(now time.Time, run *run) int {
+	name := run.minion.report.Minion
+	after, before := run.minion.answeredAt, now
+	if run.minion.unresponsive {
+		before = run.minion.unresponsiveSince
+	}
+	peers := make(map[identifier.Minion]bool)
+	for _, silence := range planner.silences {
+		isConcurrent := !silence.before.Before(after) && !silence.after.After(before)
+		if isConcurrent && silence.minion != name && !silence.hasTrial && !slices.Contains(silence.steps, run.step) {
+			peers[silence.minion] = true
+		}
+	}
+	return len(peers)
+}
