End a job for crashes only by evidence that no later reading withdraws

Cause: a minion that was neither listed nor reachable counted as crashed, one that had started anew counted as crashed at the moment in which it fell silent, under the runs that it had then, and a start without an answer as one that had begun. A crash could be withdrawn, a verdict can't.

Change: each crash has its evidence, which is recorded with the incarnation that showed it. Two crashes on trial that are proven, without others that fell silent at the same moment, end a job, or four certain ones of any kind. Certain is only what a later life has shown, under the minion's name or at its address, within the time in which a crashed minion is back; a minion that was alive before it could be reached proves nothing. Placements carry address and time, so that a new holder can tell the same.

Simulated minions have addresses of their own.

--- a/encoder/journal.go
+++ b/encoder/journal.go
@@ -1,6 +1,7 @@
 package encoder
 
 import (
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -162,18 +163,8 @@
 	for _, restart := range wire.Restarts {
 		progress.Restarts = append(progress.Restarts, specifier.TaskRestart(restart))
 	}
-	for _, crash := range wire.Crashes {
-		progress.Crashes = append(progress.Crashes, specifier.TaskCrash{
-			Occurrence: crash.Occurrence, Step: crash.Step, Index: crash.Index, Run: crash.Run, Minion: identifier.Minion(crash.Minion),
-			Incarnation: identifier.Incarnation(crash.Incarnation), Age: time.Duration(crash.Age), OnTrial: crash.OnTrial, Cleared: crash.Cleared,
-		})
-	}
-	for _, placement := range wire.Placements {
-		progress.Placements = append(progress.Placements, specifier.TaskPlacement{
-			Occurrence: placement.Occurrence, Step: placement.Step, Index: placement.Index, Run: placement.Run,
-			Minion: identifier.Minion(placement.Minion), Incarnation: identifier.Incarnation(placement.Incarnation),
-		})
-	}
+	progress.Crashes = crashesFromWire(&wire)
+	progress.Placements = placementsFromWire(&wire)
 	progressed := messenger.Progressed{Job: part.Job, Part: part.Part, Progress: progress}
 	if err := progressed.Check(); err != nil {
 		return nil, err
@@ -181,6 +172,56 @@
 	return progressed, nil
 }
 
+// optionalAddressFromWire returns an address, an invalid one if it is not known.
+func optionalAddressFromWire(wire []byte) netip.AddrPort {
+	address, err := addressFromWire(wire)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return address
+}
+
+// placementsFromWire returns the placements of a progress. Those of an earlier version have
+// no details.
+func placementsFromWire(wire *JournalProgress) []specifier.TaskPlacement {
+	var placements []specifier.TaskPlacement
+	hasDetails := len(wire.PlacementDetails) == len(wire.Placements)
+	for index, placement := range wire.Placements {
+		decoded := specifier.TaskPlacement{
+			Occurrence: placement.Occurrence, Step: placement.Step, Index: placement.Index, Run: placement.Run,
+			Minion: identifier.Minion(placement.Minion), Incarnation: identifier.Incarnation(placement.Incarnation),
+		}
+		if hasDetails {
+			detail := wire.PlacementDetails[index]
+			decoded.Address, decoded.PlacedAt = optionalAddressFromWire(detail.Address), timeFromWire(detail.PlacedAt)
+		}
+		placements = append(placements, decoded)
+	}
+	return placements
+}
+
+// crashesFromWire returns the crashes of a progress. Those of an earlier version have no
+// evidence: it counted a crash of which nothing was known as well as a restart.
+func crashesFromWire(wire *JournalProgress) []specifier.TaskCrash {
+	var crashes []specifier.TaskCrash
+	hasEvidence := len(wire.Evidence) == len(wire.Crashes)
+	for index, crash := range wire.Crashes {
+		decoded := specifier.TaskCrash{
+			Occurrence: crash.Occurrence, Step: crash.Step, Index: crash.Index, Run: crash.Run, Minion: identifier.Minion(crash.Minion),
+			Incarnation: identifier.Incarnation(crash.Incarnation), Age: time.Duration(crash.Age), OnTrial: crash.OnTrial, Cleared: crash.Cleared,
+			Evidence: specifier.Restarted,
+		}
+		if hasEvidence {
+			evidence := wire.Evidence[index]
+			decoded.Evidence, decoded.SilentPeers = specifier.CrashEvidence(evidence.Kind), evidence.SilentPeers
+			decoded.NextIncarnation = identifier.Incarnation(evidence.NextIncarnation)
+			decoded.Address = optionalAddressFromWire(evidence.Address)
+		}
+		crashes = append(crashes, decoded)
+	}
+	return crashes
+}
+
 func progressToWire(progress specifier.Progress) *JournalProgress {
 	wire := &JournalProgress{State: uint8(progress.State), EndedAt: timeToWire(progress.EndedAt), Reason: progress.Reason}
 	for _, task := range progress.Tasks {
@@ -194,12 +235,18 @@
 			Occurrence: crash.Occurrence, Step: crash.Step, Index: crash.Index, Run: crash.Run, Minion: string(crash.Minion),
 			Incarnation: uint64(crash.Incarnation), Age: int64(crash.Age), OnTrial: crash.OnTrial, Cleared: crash.Cleared,
 		})
+		wire.Evidence = append(wire.Evidence, JournalEvidence{
+			Kind: uint8(crash.Evidence), SilentPeers: crash.SilentPeers, NextIncarnation: uint64(crash.NextIncarnation), Address: addressToWire(crash.Address),
+		})
 	}
 	for _, placement := range progress.Placements {
 		wire.Placements = append(wire.Placements, JournalPlacement{
 			Occurrence: placement.Occurrence, Step: placement.Step, Index: placement.Index, Run: placement.Run,
 			Minion: string(placement.Minion), Incarnation: uint64(placement.Incarnation),
 		})
+		wire.PlacementDetails = append(wire.PlacementDetails, JournalPlacementDetail{
+			Address: addressToWire(placement.Address), PlacedAt: timeToWire(placement.PlacedAt),
+		})
 	}
 	return wire
 }
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -57,6 +57,10 @@
 	// read nor replace.
 	Crashes    []JournalCrash     `msg:"crashes,omitempty"`
 	Placements []JournalPlacement `msg:"placements,omitempty"`
+	// Evidence has an element for each crash. Earlier versions write none.
+	Evidence []JournalEvidence `msg:"evidence,omitempty"`
+	// PlacementDetails has an element for each placement. Earlier versions write none.
+	PlacementDetails []JournalPlacementDetail `msg:"placement-details,omitempty"`
 }
 
 // JournalRestart is specifier.TaskRestart on the wire.
@@ -84,6 +88,16 @@
 	Cleared     bool   `msg:"cleared"`
 }
 
+// JournalEvidence is what specifier.TaskCrash says about the evidence, on the wire.
+//
+//msgp:tuple JournalEvidence
+type JournalEvidence struct {
+	Kind            uint8  `msg:"kind"`
+	SilentPeers     int    `msg:"silent-peers"`
+	NextIncarnation uint64 `msg:"next-incarnation"`
+	Address         []byte `msg:"address"`
+}
+
 // JournalPlacement is specifier.TaskPlacement on the wire.
 //
 //msgp:tuple JournalPlacement
@@ -96,6 +110,14 @@
 	Incarnation uint64 `msg:"incarnation"`
 }
 
+// JournalPlacementDetail is the rest of specifier.TaskPlacement on the wire.
+//
+//msgp:tuple JournalPlacementDetail
+type JournalPlacementDetail struct {
+	Address  []byte `msg:"address"`
+	PlacedAt int64  `msg:"placed-at"`
+}
+
 // JournalTask is specifier.TaskProgress on the wire.
 //
 //msgp:tuple JournalTask
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -188,6 +188,76 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *JournalEvidence) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 4
+	o = append(o, 0x94)
+	o = msgp.AppendUint8(o, z.Kind)
+	o = msgp.AppendInt(o, z.SilentPeers)
+	o = msgp.AppendUint64(o, z.NextIncarnation)
+	o = msgp.AppendBytes(o, z.Address)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JournalEvidence) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+		return
+	}
+	z.Kind, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Kind")
+		return
+	}
+	z.SilentPeers, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "SilentPeers")
+		return
+	}
+	z.NextIncarnation, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "NextIncarnation")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	if zb0002 > z52a732eflimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Address == nil || uint32(cap(z.Address)) < zb0002 {
+		z.Address = make([]byte, zb0002)
+	} else {
+		z.Address = z.Address[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Address, bts[:zb0002])
+	bts = bts[zb0002:]
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JournalEvidence) Msgsize() (s int) {
+	s = 1 + msgp.Uint8Size + msgp.IntSize + msgp.Uint64Size + msgp.BytesPrefixSize + len(z.Address)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalJob) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -401,12 +471,70 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *JournalPlacementDetail) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendBytes(o, z.Address)
+	o = msgp.AppendInt64(o, z.PlacedAt)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JournalPlacementDetail) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadBytesHeader(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Address")
+		return
+	}
+	if zb0002 > z52a732eflimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Address == nil || uint32(cap(z.Address)) < zb0002 {
+		z.Address = make([]byte, zb0002)
+	} else {
+		z.Address = z.Address[:zb0002]
+	}
+	if uint32(len(bts)) < zb0002 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Address, bts[:zb0002])
+	bts = bts[zb0002:]
+	z.PlacedAt, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "PlacedAt")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JournalPlacementDetail) Msgsize() (s int) {
+	s = 1 + msgp.BytesPrefixSize + len(z.Address) + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalProgress) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.Reason == "" {
 		zb0001Len--
@@ -424,6 +552,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Evidence == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.PlacementDetails == nil {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -486,6 +622,29 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "evidence"
+			o = append(o, 0xa8, 0x65, 0x76, 0x69, 0x64, 0x65, 0x6e, 0x63, 0x65)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Evidence)))
+			for za0005 := range z.Evidence {
+				o, err = z.Evidence[za0005].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Evidence", za0005)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "placement-details"
+			o = append(o, 0xb1, 0x70, 0x6c, 0x61, 0x63, 0x65, 0x6d, 0x65, 0x6e, 0x74, 0x2d, 0x64, 0x65, 0x74, 0x61, 0x69, 0x6c, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.PlacementDetails)))
+			for za0006 := range z.PlacementDetails {
+				// array header, size 2
+				o = append(o, 0x92)
+				o = msgp.AppendBytes(o, z.PlacementDetails[za0006].Address)
+				o = msgp.AppendInt64(o, z.PlacementDetails[za0006].PlacedAt)
+			}
+		}
 	}
 	return
 }
@@ -622,6 +781,83 @@
 					return
 				}
 			}
+		case "evidence":
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evidence")
+				return
+			}
+			if zb0006 > z52a732eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evidence) >= int(zb0006) {
+				z.Evidence = z.Evidence[:zb0006]
+			} else {
+				z.Evidence = make([]JournalEvidence, zb0006)
+			}
+			for za0005 := range z.Evidence {
+				bts, err = z.Evidence[za0005].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evidence", za0005)
+					return
+				}
+			}
+		case "placement-details":
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PlacementDetails")
+				return
+			}
+			if zb0007 > z52a732eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.PlacementDetails) >= int(zb0007) {
+				z.PlacementDetails = z.PlacementDetails[:zb0007]
+			} else {
+				z.PlacementDetails = make([]JournalPlacementDetail, zb0007)
+			}
+			for za0006 := range z.PlacementDetails {
+				var zb0008 uint32
+				zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PlacementDetails", za0006)
+					return
+				}
+				if zb0008 != 2 {
+					err = msgp.ArrayError{Wanted: 2, Got: zb0008}
+					return
+				}
+				var zb0009 uint32
+				zb0009, bts, err = msgp.ReadBytesHeader(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PlacementDetails", za0006, "Address")
+					return
+				}
+				if zb0009 > z52a732eflimitArrays {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				if z.PlacementDetails[za0006].Address == nil || uint32(cap(z.PlacementDetails[za0006].Address)) < zb0009 {
+					z.PlacementDetails[za0006].Address = make([]byte, zb0009)
+				} else {
+					z.PlacementDetails[za0006].Address = z.PlacementDetails[za0006].Address[:zb0009]
+				}
+				if uint32(len(bts)) < zb0009 {
+					err = msgp.ErrShortBytes
+					return
+				}
+				copy(z.PlacementDetails[za0006].Address, bts[:zb0009])
+				bts = bts[zb0009:]
+				z.PlacementDetails[za0006].PlacedAt, bts, err = msgp.ReadInt64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "PlacementDetails", za0006, "PlacedAt")
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -652,6 +888,14 @@
 	for za0004 := range z.Placements {
 		s += z.Placements[za0004].Msgsize()
 	}
+	s += 9 + msgp.ArrayHeaderSize
+	for za0005 := range z.Evidence {
+		s += z.Evidence[za0005].Msgsize()
+	}
+	s += 18 + msgp.ArrayHeaderSize
+	for za0006 := range z.PlacementDetails {
+		s += 1 + msgp.BytesPrefixSize + len(z.PlacementDetails[za0006].Address) + msgp.Int64Size
+	}
 	return
 }
 
--- a/encoder/journal_test.go
+++ b/encoder/journal_test.go
@@ -107,12 +107,15 @@
 		crash.Step = int(uint(crash.Step) % specifier.MaxSteps)
 		crash.Index = int(uint(crash.Index) % specifier.MaxTasks)
 		crash.Age &= math.MaxInt64
+		crash.Evidence %= specifier.Proven + 1
+		crash.SilentPeers &= math.MaxInt
 	}
 	for index := range progress.Placements {
 		placement := &progress.Placements[index]
 		placement.Occurrence = int(uint(placement.Occurrence) % specifier.MaxOccurrences)
 		placement.Step = int(uint(placement.Step) % specifier.MaxSteps)
 		placement.Index = int(uint(placement.Index) % specifier.MaxTasks)
+		placement.PlacedAt = validTime(placement.PlacedAt)
 	}
 	return progress
 }
--- a/messenger/limits.go
+++ b/messenger/limits.go
@@ -167,11 +167,17 @@
 		if crash.Age < 0 {
 			return classifier.New(classifier.BadRequest, "a run was %s old when its minion crashed", crash.Age)
 		}
+		if crash.Evidence > specifier.Proven || crash.SilentPeers < 0 {
+			return classifier.New(classifier.BadRequest, "a crash has evidence %d and %d silent peers", crash.Evidence, crash.SilentPeers)
+		}
 		if err := checkTaskNumbers(crash.Occurrence, crash.Step, crash.Index); err != nil {
 			return err
 		}
 	}
 	for _, placement := range progress.Placements {
+		if !isRecordTime(placement.PlacedAt) {
+			return classifier.New(classifier.BadRequest, "a run was placed at %s", placement.PlacedAt)
+		}
 		if err := checkTaskNumbers(placement.Occurrence, placement.Step, placement.Index); err != nil {
 			return err
 		}
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // A task may crash each minion that starts it. A crash is evidence against every run that
@@ -20,11 +22,22 @@
 	// establishedAge is the time after which a run has shown that its task does not crash
 	// the minions that start it.
 	establishedAge = time.Minute
-	// maxCrashesOnTrial is the number of crashes on trial after which a task is not started
-	// again. A single one could be the crash of a minion for another reason.
-	maxCrashesOnTrial = 2
-	// maxCrashes is the number of crashes after which a task is not started again even if
-	// other jobs were on each of the minions. A takeover may have hidden one more.
+	// maxUnprovenAge is the age up to which a run that may have ended before its minion
+	// counts as one during which the minion crashed.
+	maxUnprovenAge = 8 * time.Second
+	// maxUndecidedTime is the time after the loss of a run until its minion, if it has crashed,
+	// is back and listed.
+	maxUndecidedTime = 3 * time.Second
+	// unknownAge stands for the age of a run that ended before this holder took over.
+	unknownAge = 4 * time.Second
+	// minSilentPeers is the number of other minions that fall silent at the same moment from
+	// which on a crash has a cause that they have in common.
+	minSilentPeers = 2
+	// maxConclusiveCrashes is the number of conclusive crashes after which a task is not
+	// started again. A single one could be the crash of a minion for another reason.
+	maxConclusiveCrashes = 2
+	// maxCrashes is the number of certain crashes after which a task is not started again
+	// although none of them is conclusive. A takeover may have hidden one more.
 	maxCrashes = 4
 )
 
@@ -33,6 +46,21 @@
 	run         uint64
 	minion      identifier.Minion
 	incarnation identifier.Incarnation
+	// address is the minion's, invalid if it is not known.
+	address netip.AddrPort
+}
+
+// isSame reports whether two placements name the same run on the same incarnation.
+func (placement placement) isSame(other placement) bool {
+	placement.address = other.address
+	return placement == other
+}
+
+// isFollowedBy reports whether a minion is a later life of the one that was to start the
+// run, under its name or at its address.
+func (placement placement) isFollowedBy(report *messenger.MinionReport) bool {
+	isAtAddress := placement.address.IsValid() && placement.address == report.Address
+	return (placement.minion == report.Minion || isAtAddress) && report.Incarnation > placement.incarnation
 }
 
 // crash is the end of an incarnation of a minion that had a run of a task.
@@ -42,41 +70,72 @@
 	age time.Duration
 	// onTrial means that the run was on trial and had certainly started.
 	onTrial bool
-	// cleared means that a later run has passed its trial.
+	// cleared means that the task has been started again without a trial.
 	cleared bool
 	// evidence is what shows that the minion crashed while it had the run.
-	evidence evidence
+	evidence specifier.CrashEvidence
+	// next is the incarnation that showed it, zero if none has.
+	next identifier.Incarnation
 	// silentPeers is the number of other minions that fell silent at the same moment.
 	silentPeers int
+	// undecidedUntil is the time until which the next life of the minion may still show that
+	// the crash is certain, zero for a crash that a former holder has noted.
+	undecidedUntil time.Time
 }
 
 // isSuspect reports whether the task may have crashed a minion, so that its next run is
 // on trial.
 func (task *task) isSuspect() bool {
-	for _, crash := range task.crashes {
-		if !crash.cleared && (crash.onTrial || crash.age <= recentStart || len(task.crashes) > 1) {
-			return !task.done
-		}
-	}
-	return false
+	return !task.done && (task.countCrashes(crash.isSoonAfterStart) > 0 || task.countCrashes(crash.isUncleared) > 1)
 }
 
 // isGivenUp reports whether the task must not start again, because it crashes its minions.
 func (task *task) isGivenUp() bool {
-	return task.crashesOnTrial() >= maxCrashesOnTrial || len(task.crashes) >= maxCrashes
+	return !task.done &&
+		(task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes || task.countCrashes(crash.isCertain) >= maxCrashes)
+}
+
+// awaitsEvidence reports whether a crash that may still turn out to be certain would be the
+// last one of the task.
+func (task *task) awaitsEvidence(now time.Time) bool {
+	isUndecided := func(crash crash) bool { return !crash.isCertain() && now.Before(crash.undecidedUntil) }
+	undecided := task.countCrashes(isUndecided)
+	return undecided > 0 && task.countCrashes(crash.isCertain)+undecided >= maxCrashes
 }
 
-// crashesOnTrial returns the number of crashes on trial since the task was last cleared.
-func (task *task) crashesOnTrial() int {
+// countCrashes returns the number of crashes that have a property.
+func (task *task) countCrashes(has func(crash) bool) int {
 	count := 0
 	for _, crash := range task.crashes {
-		if crash.onTrial && !crash.cleared {
+		if has(crash) {
 			count++
 		}
 	}
 	return count
 }
 
+// isSoonAfterStart reports whether the task may be the reason because it had just started.
+func (crash crash) isSoonAfterStart() bool {
+	return !crash.cleared && (crash.onTrial || crash.age <= recentStart)
+}
+
+// isUncleared reports whether the crash, which is certain, makes the task suspect together
+// with another one.
+func (crash crash) isUncleared() bool { return !crash.cleared && crash.isCertain() }
+
+// isCertain reports whether the minion has certainly ended.
+func (crash crash) isCertain() bool { return crash.evidence >= specifier.Restarted }
+
+// isOnTrial reports whether the run was on trial.
+func (crash crash) isOnTrial() bool { return crash.onTrial }
+
+// isConclusive reports whether the task is the likely reason for the end of the minion: it
+// worked there, no other suspect did, and there is no sign of a cause that several minions
+// have in common.
+func (crash crash) isConclusive() bool {
+	return crash.onTrial && crash.evidence == specifier.Proven && crash.silentPeers < minSilentPeers
+}
+
 // hasSuspect reports whether a task of the step is suspect. Its other tasks are not started
 // meanwhile: they may do the same.
 func (step *step) hasSuspect() bool {
@@ -92,7 +151,7 @@
 
 // placement returns the placement of a run on the minion.
 func (minion *minion) placement(run uint64) placement {
-	return placement{run, minion.report.Minion, minion.report.Incarnation}
+	return placement{run, minion.report.Minion, minion.report.Incarnation, minion.report.Address}
 }
 
 // forgetCrashes removes the crashes under the task of a run that has worked for long.
@@ -107,11 +166,9 @@
 // arrive at the minion's next incarnation, that says nothing about a crash of the next one.
 func (planner *Planner) addCrash(step *step, index int, added crash) {
 	task, job := &step.tasks[index], step.occurrence.job
-	isKnown := slices.ContainsFunc(task.crashes, func(known crash) bool { return known.run == added.run })
-	if isKnown || task.done || !job.isOpen() {
+	if task.done || !job.isOpen() || !step.addCrash(index, added) {
 		return
 	}
-	step.addCrash(index, added)
 	task.lastFailedOn = added.minion
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countSuspected})
@@ -121,19 +178,33 @@
 	planner.passNeeded = true
 }
 
-func (step *step) addCrash(index int, added crash) {
-	step.tasks[index].crashes = append(step.tasks[index].crashes, added)
+// addCrash adds a crash, or better evidence of a known one. It reports whether anything is new.
+func (step *step) addCrash(index int, added crash) bool {
+	task := &step.tasks[index]
+	for position := range task.crashes {
+		known := &task.crashes[position]
+		if known.run != added.run {
+			continue
+		}
+		if !known.placement.isSame(added.placement) || known.evidence >= added.evidence {
+			return false
+		}
+		known.evidence, known.next, known.silentPeers = added.evidence, added.next, added.silentPeers
+		return true
+	}
+	task.crashes = append(task.crashes, added)
 	if !slices.Contains(step.crashedTasks, index) {
 		step.crashedTasks = append(step.crashedTasks, index)
 	}
 	step.occurrence.job.hasCrashes = true
+	return true
 }
 
 // refuteCrash removes the crash under a run whose minion reports the run or its end, and so
 // had only been out of reach.
 func (planner *Planner) refuteCrash(step *step, index int, reported placement) {
 	task := &step.tasks[index]
-	kept := slices.DeleteFunc(task.crashes, func(known crash) bool { return known.placement == reported })
+	kept := slices.DeleteFunc(task.crashes, func(known crash) bool { return known.placement.isSame(reported) })
 	if len(kept) == len(task.crashes) {
 		return
 	}
@@ -151,9 +222,31 @@
 	if !task.unresolved || placement.run == 0 || placement.run < task.latestRun {
 		return
 	}
-	minion, isKnown := planner.minions[placement.minion]
-	if isKnown && minion.report.Incarnation <= placement.incarnation {
+	if minion, isListed := planner.minions[placement.minion]; isListed && minion.report.Incarnation <= placement.incarnation {
 		return // the start has not arrived
 	}
-	planner.addCrash(step, index, crash{placement: placement, onTrial: isKnown && task.isSuspect()})
+	added := crash{placement: placement, age: unknownAge}
+	if next := planner.laterLife(placement); next != nil && task.isEarlyLife(next) {
+		added.evidence, added.next, added.onTrial = specifier.Restarted, next.report.Incarnation, task.isSuspect()
+	}
+	planner.addCrash(step, index, added)
+}
+
+// isEarlyLife reports whether a minion has begun so soon after the placement of the task's run
+// that the earlier one may have crashed soon after its start. Otherwise it may have been out
+// of reach first.
+func (task *task) isEarlyLife(next *minion) bool {
+	born := time.UnixMilli(int64(next.report.Incarnation))
+	return task.placedAt.IsZero() || born.Sub(task.placedAt) <= unknownAge+maxDownTime
+}
+
+// laterLife returns a minion that is a later life of the one that was to start a run, nil if
+// none is known.
+func (planner *Planner) laterLife(placement placement) *minion {
+	for _, minion := range planner.sortedMinions() {
+		if placement.isFollowedBy(&minion.report) {
+			return minion
+		}
+	}
+	return nil
 }
--- a/planner/crashpart.go
+++ b/planner/crashpart.go
@@ -50,6 +50,7 @@
 		recorded = append(recorded, specifier.TaskCrash{
 			Occurrence: step.occurrence.number, Step: step.number, Index: index,
 			Run: crash.run, Minion: crash.minion, Incarnation: crash.incarnation, Age: crash.age, OnTrial: crash.onTrial, Cleared: crash.cleared,
+			Address: crash.address, Evidence: crash.evidence, SilentPeers: crash.silentPeers, NextIncarnation: crash.next,
 		})
 	}
 	return recorded
@@ -65,7 +66,8 @@
 	}
 	return []specifier.TaskPlacement{{
 		Occurrence: step.occurrence.number, Step: step.number, Index: index,
-		Run: placement.run, Minion: placement.minion, Incarnation: placement.incarnation,
+		Run: placement.run, Minion: placement.minion, Incarnation: placement.incarnation, Address: placement.address,
+		PlacedAt: task.placedAt,
 	}}
 }
 
@@ -75,7 +77,8 @@
 		step, task := job.find(specifier.Task{Occurrence: recorded.Occurrence, Step: recorded.Step, Index: recorded.Index})
 		if task != nil {
 			step.addCrash(recorded.Index, crash{
-				placement: placement{recorded.Run, recorded.Minion, recorded.Incarnation}, age: recorded.Age, onTrial: recorded.OnTrial, cleared: recorded.Cleared,
+				placement: placement{recorded.Run, recorded.Minion, recorded.Incarnation, recorded.Address}, age: recorded.Age, onTrial: recorded.OnTrial, cleared: recorded.Cleared,
+				evidence: recorded.Evidence, silentPeers: recorded.SilentPeers, next: recorded.NextIncarnation,
 			})
 			task.lastFailedOn = recorded.Minion
 		}
@@ -83,7 +86,8 @@
 	for _, recorded := range progress.Placements {
 		_, task := job.find(specifier.Task{Occurrence: recorded.Occurrence, Step: recorded.Step, Index: recorded.Index})
 		if task != nil {
-			task.placement = placement{recorded.Run, recorded.Minion, recorded.Incarnation}
+			task.placedAt = recorded.PlacedAt
+			task.placement = placement{recorded.Run, recorded.Minion, recorded.Incarnation, recorded.Address}
 		}
 	}
 	job.hasCrashPart = job.hasCrashPart || len(progress.Crashes)+len(progress.Placements) > 0
--- a/planner/death.go
+++ b/planner/death.go
@@ -6,6 +6,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // Reasons of messenger.Crashes.
@@ -13,6 +14,7 @@
 	countRestarted   = "minion-restarted"
 	countReplaced    = "minion-replaced"
 	countUnreachable = "minion-unreachable"
+	countReturned    = "minion-returned"
 	countSuspected   = "task-suspected"
 	countCleared     = "task-cleared"
 	countReleased    = "suspects-released"
@@ -56,7 +58,11 @@
 	if begun.IsZero() {
 		begun = run.startedAt
 	}
-	return max(run.minion.lastSignOfLife(now).Sub(begun), 0)
+	age := max(run.minion.lastSignOfLife(now).Sub(begun), 0)
+	if run.isAdopted {
+		return max(age, unknownAge) // it had worked under the former holder
+	}
+	return age
 }
 
 // death is the end of an incarnation of a minion, as far as the holder knows.
@@ -66,6 +72,8 @@
 	// isCertain means that another incarnation, or another minion at its address, has shown
 	// itself. Silence and a missing entry do not prove a death.
 	isCertain bool
+	// next is that incarnation, zero if it is not known.
+	next identifier.Incarnation
 	// wasOutOfReach means that the next incarnation was alive for some time before it showed
 	// itself, so that the earlier one may have been as well when it fell silent.
 	wasOutOfReach bool
@@ -73,11 +81,12 @@
 	reason        string
 }
 
-// newDeath returns the end of a minion that has restarted or been replaced, noted by
-// noteRestart.
-func newDeath(now time.Time, minion *minion, counted, reason string) *death {
+// newDeath returns the end of a minion that has restarted or been replaced, as its later life
+// shows from a time on.
+func newDeath(now time.Time, minion *minion, next identifier.Incarnation, counted, reason string) *death {
+	minion.noteRestart(now, next)
 	return &death{
-		minion: minion, at: now, isCertain: true, wasOutOfReach: minion.unresponsive && now.Sub(minion.endedBy) > maxReachDelay,
+		minion: minion, at: now, isCertain: true, next: next, wasOutOfReach: minion.unresponsive && now.Sub(minion.endedBy) > maxReachDelay,
 		counted: counted, reason: reason,
 	}
 }
@@ -90,6 +99,16 @@
 	return death.at
 }
 
+// downTime returns the time between the last sign of a run's minion and its next life, at most.
+// A minion without runs is not polled, so that its last answer may be old.
+func (death *death) downTime(run *run) time.Duration {
+	last := death.minion.answeredAt
+	if run.startedAt.After(last) {
+		last = run.startedAt
+	}
+	return death.minion.endedBy.Sub(last)
+}
+
 // noteDeath notes the death of an incarnation of a minion with the runs that it had, and
 // those that it may have had when it fell silent.
 func (planner *Planner) noteDeath(now time.Time, death *death) {
@@ -133,9 +152,14 @@
 		planner.forgetCrashes(run)
 		return
 	}
+	evidence := planner.evidenceAgainst(run, death)
+	if evidence < specifier.Proven && age > maxUnprovenAge {
+		return
+	}
 	planner.addCrash(run.step, run.id.Index, crash{
 		placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun(),
-		evidence: death.evidenceAgainst(run), silentPeers: planner.countSilentPeers(now, run),
+		evidence: evidence, next: death.next, silentPeers: planner.countSilentPeers(now, run),
+		undecidedUntil: now.Add(maxUndecidedTime),
 	})
 }
 
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -1,37 +1,22 @@
 package planner
 
 import (
+	"slices"
 	"time"
 
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
-// evidence tells what shows that a minion has ended while it had a run of a task. Answers of
-// that incarnation that arrive later are not read, so that a proof stays one.
-type evidence uint8
-
-const (
-	// unproven means that the minion may be alive, or may have ended after the run.
-	unproven evidence = iota
-	// restarted means that the minion has begun anew since the run was ordered. The run may
-	// have ended before, or may never have begun.
-	restarted
-	// proven means that the minion has begun anew before the lease of the run, which it
-	// had reported, could end.
-	proven
-)
-
-// String returns the name in log lines.
-func (evidence evidence) String() string {
-	return [...]string{"unproven", "restarted", "proven"}[evidence]
-}
-
 const (
 	// maxClockRate is the highest rate of a minion's clock relative to this node's.
 	maxClockRate = 1.02
 	// maxWallClockSkew bounds the difference between the wall clocks of a minion and this
 	// node, as far as evidence relies on them.
 	maxWallClockSkew = 500 * time.Millisecond
+	// maxDownTime is the time within which a crashed minion is back, from its last answer on.
+	// One that was silent for longer may have been out of reach first.
+	maxDownTime = 6*time.Second + maxPollWait
 	// maxReachDelay is the time from the start of an incarnation after which it has answered
 	// or is listed, unless it is out of reach: two of the longest intervals of polls and their
 	// timeouts.
@@ -83,32 +68,33 @@
 }
 
 // evidenceAgainst returns what the death of a minion proves against the task of a run.
-func (death *death) evidenceAgainst(run *run) evidence {
+func (planner *Planner) evidenceAgainst(run *run, death *death) specifier.CrashEvidence {
 	switch {
-	case !death.isCertain || death.wasOutOfReach:
-		return unproven
-	case run.startConfirmedAt.IsZero() || run.state == stopping || run.hasLostMember():
-		return restarted
+	case !death.isCertain || death.wasOutOfReach || death.downTime(run) > maxDownTime:
+		return specifier.Unproven
+	case run.startConfirmedAt.IsZero() || run.mayHaveBeenStopped() || planner.hasLostMember(run):
+		return specifier.Restarted
 	case death.latest().After(run.minion.lease.holdsUntil):
-		return restarted
+		return specifier.Restarted
 	}
-	return proven
+	return specifier.Proven
 }
 
-// hasLostMember reports whether another member of the run's gang does not work any more as
-// far as the holder knows. This one may have ended with it.
-func (run *run) hasLostMember() bool {
+// mayHaveBeenStopped reports whether the run may have ended because it was ordered to. A
+// minion that had fallen silent before did not receive the order.
+func (run *run) mayHaveBeenStopped() bool {
+	wasSilent := run.minion.unresponsive && !run.stopOrderedAt.Before(run.minion.unresponsiveSince)
+	return run.state == stopping && !wasSilent
+}
+
+// hasLostMember reports whether the minion of another member of the run's gang fell silent
+// before the run's own minion answered for the last time. The run may have ended with it.
+func (planner *Planner) hasLostMember(run *run) bool {
 	if !run.step.spec.Gang {
 		return false
 	}
-	for index := range run.step.tasks {
-		member := run.step.tasks[index].run
-		if member == nil || member.number != run.number || member.state != running {
-			return true
-		}
-		if member.minion != run.minion && member.minion.unresponsive {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(planner.silences, func(silence silence) bool {
+		return silence.minion != run.minion.report.Minion && slices.Contains(silence.steps, run.step) &&
+			silence.before.After(run.startedAt) && silence.before.Before(run.minion.answeredAt)
+	})
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -122,8 +122,10 @@
 	lastFailedOn identifier.Minion
 	// crashes are the crashes of minions that had a run of the task, oldest first.
 	crashes []crash
-	// placement is that of the newest run after the first, if it is known.
+	// placement is that of the newest run after the first, if it is known, and placedAt when
+	// it was chosen.
 	placement placement
+	placedAt  time.Time
 }
 
 // addFailure adds a failed run and reports whether it is new.
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -80,6 +80,8 @@
 	lostRuns []*run
 	// endedBy is when this incarnation had certainly ended, zero if it is not known.
 	endedBy time.Time
+	// seenAt is when this incarnation first showed itself.
+	seenAt time.Time
 	// answeredAt is when its last answer arrived, zero if there was none.
 	answeredAt time.Time
 	lease      leaseReading
@@ -91,7 +93,7 @@
 }
 
 func newMinion(report messenger.MinionReport, now time.Time, polls *pollSchedule) *minion {
-	minion := &minion{runs: make(map[runKey]*run), polls: polls}
+	minion := &minion{runs: make(map[runKey]*run), polls: polls, seenAt: now}
 	minion.update(report, now)
 	return minion
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -71,6 +71,8 @@
 	}
 	if earlier != nil {
 		planner.replaceIncarnation(now, earlier, added)
+	} else if missing := planner.missing.take(&report); missing != nil {
+		planner.noteDeath(now, newDeath(now, missing, report.Incarnation, countReturned, "its next incarnation is listed"))
 	}
 	planner.setMinion(added)
 	planner.emitDecision(string(report.Minion), "minion-registered", "its report was read",
@@ -83,8 +85,7 @@
 // was not answered move to the next one, because that order may still reach it, and are
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
-	earlier.noteRestart(now, next.report.Incarnation)
-	planner.noteDeath(now, newDeath(now, earlier, countRestarted, "it has restarted"))
+	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
 			planner.markRunLost(now, run, "its minion has restarted")
@@ -110,8 +111,7 @@
 // removeDeadMinion marks all runs of an incarnation that has ended as lost and
 // removes the minion.
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, next identifier.Incarnation, reason string) {
-	minion.noteRestart(now, next)
-	planner.noteDeath(now, newDeath(now, minion, countReplaced, reason))
+	planner.noteDeath(now, newDeath(now, minion, next, countReplaced, reason))
 	for _, run := range minion.sortedRuns() {
 		planner.markRunLost(now, run, reason)
 	}
@@ -127,13 +127,24 @@
 		}
 		if !minion.registered && len(minion.runs) == 0 {
 			planner.removeMinion(minion)
-			planner.noteDeath(now, &death{minion: minion, at: now, counted: countUnreachable, reason: "neither registered nor reachable"})
+			planner.noteAbsence(now, minion)
 		}
 	}
 	planner.sendDuePolls(now)
 	planner.reconcile(now)
 }
 
+// noteAbsence notes that a minion is neither listed nor reachable. That alone does not show
+// that it has ended.
+func (planner *Planner) noteAbsence(now time.Time, minion *minion) {
+	if later := planner.laterLife(minion.placement(0)); later != nil {
+		planner.noteDeath(now, newDeath(later.seenAt, minion, later.report.Incarnation, countReplaced, "another minion is listed at its address"))
+		return
+	}
+	planner.missing.add(now, minion)
+	planner.noteDeath(now, &death{minion: minion, at: now, counted: countUnreachable, reason: "neither registered nor reachable"})
+}
+
 // markExpiredRunsLost marks the runs of a silent minion as lost whose leases have expired.
 // A run that may have ended before keeps its task from another start while the minion is
 // listed in the store, and so is alive: it will list the end.
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -136,7 +136,7 @@
 		return nil
 	}
 	run := &run{
-		id: report.Task, number: report.Run, step: step, minion: minion, state: running,
+		id: report.Task, number: report.Run, step: step, minion: minion, state: running, isAdopted: true,
 		startedAt: now, startConfirmedAt: now, startConfirmedClock: minion.listClock, progressAt: now,
 	} // its pace is unknown; pacePercent starts at 0 and rises step by step
 	mayHaveLaterRun := report.Run < task.latestRun
--- a/planner/run.go
+++ b/planner/run.go
@@ -40,9 +40,13 @@
 	startLeaseUntil time.Duration
 	// ticket is the advice service's ticket for the run.
 	ticket string
+	// isAdopted means that a former holder has started the run.
+	isAdopted bool
 	// startConfirmedAt is when the holder first learned that the minion has the
 	// run.
 	startConfirmedAt time.Time
+	// stopOrderedAt is when the run was first ordered to stop, zero before.
+	stopOrderedAt time.Time
 	// stopAcknowledgedAt is when the minion acknowledged the order to stop.
 	stopAcknowledgedAt time.Time
 	// startConfirmedClock and stopAcknowledgedClock are the minion's clock in the answers
@@ -92,7 +96,7 @@
 	run.previousRun = step.tasks[index].latestRun
 	minion.addRun(run)
 	if task := &step.tasks[index]; run.previousRun > 0 || task.inherited {
-		task.placement = minion.placement(number)
+		task.placement, task.placedAt = minion.placement(number), now
 		planner.recording.markCrashesDirty(step)
 	}
 	job := run.job()
@@ -130,7 +134,7 @@
 	if run.state == stopping {
 		return
 	}
-	run.state = stopping
+	run.state, run.stopOrderedAt = stopping, now
 	planner.emitDecision(run.id.String(), "stop", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.progressPercent), now.Sub(run.startedAt))
 	planner.sendStop(now, run)
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -34,7 +34,9 @@
 
 	nodes   []*node
 	minions map[identifier.Minion]*fakeMinion
-	journal []messenger.JournalEntry
+	// addresses is the number of addresses that minions have.
+	addresses int
+	journal   []messenger.JournalEntry
 	// progress holds the records of the progress. One without tasks and state stands for
 	// a deletion.
 	progress []messenger.Progressed
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -1,6 +1,7 @@
 package specifier
 
 import (
+	"net/netip"
 	"time"
 
 	"corianderroad/identifier"
@@ -89,12 +90,48 @@
 	Minion     identifier.Minion
 	// Incarnation is the one that has ended.
 	Incarnation identifier.Incarnation
+	// Address is the minion's, invalid if it is not known.
+	Address netip.AddrPort
 	// Age is for how long the run had worked, at most.
 	Age time.Duration
 	// OnTrial means that the run was on trial, see planner, and had certainly started.
 	OnTrial bool
-	// Cleared means that a later run has passed its trial.
-	Cleared bool
+	// Cleared means that the task has been started again without a trial. Earlier versions
+	// also set it for a run that has passed its trial.
+	Cleared  bool
+	Evidence CrashEvidence
+	// SilentPeers is the number of other minions that fell silent at the same moment.
+	SilentPeers int
+	// NextIncarnation is the one that has shown that the minion had ended, zero if none has.
+	NextIncarnation identifier.Incarnation
+}
+
+// CrashEvidence tells what shows that a minion has ended while it had a run of a task.
+type CrashEvidence uint8
+
+// Evidence of a crash. Answers of an incarnation that arrive after its end are not read, so
+// that a proof stays one.
+const (
+	// Unproven means that the minion may be alive, or may have ended after the run.
+	Unproven CrashEvidence = iota
+	// Restarted means that the minion has begun anew since the run was ordered. The run may
+	// have ended before, or may never have begun.
+	Restarted
+	// Proven means that the minion has begun anew before the lease of the run, which it had
+	// reported, could end.
+	Proven
+)
+
+// String returns the evidence in kebab case.
+func (evidence CrashEvidence) String() string {
+	switch evidence {
+	case Restarted:
+		return "restarted"
+	case Proven:
+		return "proven"
+	default:
+		return "unproven"
+	}
 }
 
 // TaskPlacement names the minion that was to start the newest run of a task.
@@ -105,6 +142,10 @@
 	Run         uint64
 	Minion      identifier.Minion
 	Incarnation identifier.Incarnation
+	// Address is the minion's, invalid if it is not known.
+	Address netip.AddrPort
+	// PlacedAt is when the run was placed, zero if it is not known.
+	PlacedAt time.Time
 }
 
 // TaskRestart names the newest run of a task that may have been started. It is recorded
