Take a refused connection for the end of a minion

What happened: a task whose minions are down for longer than a lease after each crash was started again without end (BUDGET), because the run might have lapsed before. Cause: the end was dated by the start of the next life. A refused connection shows that nothing listens at the address any more; a minion that is out of reach refuses nothing.

--- a/planner/crashingtask_test.go
+++ b/planner/crashingtask_test.go
@@ -19,6 +19,8 @@
 	downTime time.Duration
 	// renames means that the minion comes back under another name.
 	renames bool
+	// refuses means that connections to a crashed minion are refused.
+	refuses bool
 	// crashes counts the crashes, innocentRuns the runs of other tasks that ended with them.
 	crashes, innocentRuns int
 }
@@ -73,6 +75,7 @@
 	simulation.noteFault("minion-crash of %s under %s run=%d", minion.name, cause.task, cause.number)
 	waiters := minion.waiters
 	minion.crash()
+	minion.faults.refusesConnections = crashing.refuses
 	for _, wake := range waiters {
 		wake()
 	}
@@ -84,6 +87,7 @@
 	if minion.alive || minion.replacedBy != nil {
 		return
 	}
+	minion.faults.refusesConnections = false
 	if !simulation.crashing.renames {
 		simulation.restart(minion)
 		return
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -72,6 +72,23 @@
 	}
 }
 
+// TestTaskThatCrashesMinionsForLongIsGivenUp guards against a task that is started again and
+// again (BUDGET) because its minions are down for so long after each crash that its runs might
+// have ended before: the connections that are refused show that they had not.
+func TestTaskThatCrashesMinionsForLongIsGivenUp(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.jobsCrash("bad", 50*time.Millisecond)
+	simulation.crashing.downTime, simulation.crashing.refuses, simulation.crashing.renames = 20*time.Second, true, true
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("bad", smallStep(1, 4*time.Second)))
+	simulation.advance(2 * time.Minute)
+	comment := quicktest.Commentf("%s", simulation.decisionsAbout("bad"))
+	c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
+	c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
+	c.Assert(simulation.crashing.crashes <= maxCrashesPerJob, quicktest.IsTrue, comment)
+}
+
 // TestInnocentJobCompletesBesideCrashingTask guards against one bad job that stops its
 // neighbours: its task goes where the others work, again and again.
 func TestInnocentJobCompletesBesideCrashingTask(t *testing.T) {
--- a/planner/death.go
+++ b/planner/death.go
@@ -30,6 +30,9 @@
 	if next > 0 && born.Before(now) && born.After(minion.answeredAt) {
 		minion.endedBy = born
 	}
+	if !minion.refusedAt.IsZero() && minion.refusedAt.Before(minion.endedBy) {
+		minion.endedBy = minion.refusedAt
+	}
 }
 
 // lastSignOfLife returns until when the minion may have worked, as far as the holder
@@ -86,17 +89,19 @@
 func newDeath(now time.Time, minion *minion, next identifier.Incarnation, counted, reason string) *death {
 	minion.noteRestart(now, next)
 	return &death{
-		minion: minion, at: now, isCertain: true, next: next, wasOutOfReach: minion.unresponsive && now.Sub(minion.endedBy) > maxReachDelay,
-		counted: counted, reason: reason,
+		minion: minion, at: now, isCertain: true, next: next,
+		wasOutOfReach: minion.unresponsive && minion.refusedAt.IsZero() && now.Sub(minion.endedBy) > maxReachDelay,
+		counted:       counted, reason: reason,
 	}
 }
 
 // latest returns until when the minion may have worked.
 func (death *death) latest() time.Time {
-	if death.minion.endedBy.Before(death.at) {
-		return death.minion.endedBy.Add(maxWallClockSkew)
+	endedBy := death.minion.endedBy
+	if endedBy.Before(death.at) && !endedBy.Equal(death.minion.refusedAt) {
+		return endedBy.Add(maxWallClockSkew) // by the wall clock of the next incarnation
 	}
-	return death.at
+	return endedBy
 }
 
 // downTime returns the time between the last sign of a run's minion and its next life, at most.
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -82,9 +82,10 @@
 	endedBy time.Time
 	// seenAt is when this incarnation first showed itself.
 	seenAt time.Time
-	// answeredAt is when its last answer arrived, zero if there was none.
-	answeredAt time.Time
-	lease      leaseReading
+	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
+	// connection to it was first refused since, zero if none was. It had ended then.
+	answeredAt, refusedAt time.Time
+	lease                 leaseReading
 }
 
 type runKey struct {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -294,7 +294,7 @@
 		}
 		minion.unresponsive, minion.lostRuns = false, nil
 		planner.silentMinions.remove(minion)
-		minion.answeredAt = now
+		minion.answeredAt, minion.refusedAt = now, time.Time{}
 		if event.Clock > 0 {
 			minion.updateClock(event.Clock, now)
 		}
@@ -303,6 +303,9 @@
 		}
 		return
 	}
+	if event.Err.ConnectionRefused && minion.refusedAt.IsZero() {
+		minion.refusedAt = now
+	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
 		planner.silentMinions.add(minion)
