Let crashes of many minions at once say nothing about a task

Change: minions that fall silent at the same moment, or come back at the same time, and whose tasks don't explain it, are counted. With several of them a crash is not conclusive; with as many as four and a sixteenth of the minions it is no evidence at all.

TestCrashesOfManyMinionsFailNoJob: 18 and 13 of 480 jobs failed on, none now. The simulation's answer of another minion at an address names its incarnation, as the platform's does.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -81,6 +81,10 @@
 	// undecidedUntil is the time until which the next life of the minion may still show that
 	// the crash is certain, zero for a crash that a former holder has noted.
 	undecidedUntil time.Time
+	// settledAt is when silentPeers can be final, zero for a crash that a former holder has
+	// noted, and isSettled means that it is.
+	settledAt time.Time
+	isSettled bool
 }
 
 // isSuspect reports whether the task may have crashed a minion, so that its next run is
@@ -95,9 +99,12 @@
 		(task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes || task.countCrashes(crash.isCertain) >= maxCrashes)
 }
 
-// awaitsEvidence reports whether a crash that may still turn out to be certain would be the
-// last one of the task.
+// awaitsEvidence reports whether the task would not be started again, but it is not known yet
+// how many minions crashed together with its own, or whether its last one has crashed.
 func (task *task) awaitsEvidence(now time.Time) bool {
+	if task.isGivenUp() && task.countCrashes(func(crash crash) bool { return crash.isCertain() && now.Before(crash.settledAt) }) > 0 {
+		return true
+	}
 	isUndecided := func(crash crash) bool { return !crash.isCertain() && now.Before(crash.undecidedUntil) }
 	undecided := task.countCrashes(isUndecided)
 	return undecided > 0 && task.countCrashes(crash.isCertain)+undecided >= maxCrashes
@@ -189,7 +196,7 @@
 		if !known.placement.isSame(added.placement) || known.evidence >= added.evidence {
 			return false
 		}
-		known.evidence, known.next, known.silentPeers = added.evidence, added.next, added.silentPeers
+		known.evidence, known.next, known.silentPeers, known.settledAt = added.evidence, added.next, added.silentPeers, added.settledAt
 		return true
 	}
 	task.crashes = append(task.crashes, added)
--- a/planner/death.go
+++ b/planner/death.go
@@ -15,6 +15,7 @@
 	countReplaced    = "minion-replaced"
 	countUnreachable = "minion-unreachable"
 	countReturned    = "minion-returned"
+	countCommonCause = "common-cause"
 	countSuspected   = "task-suspected"
 	countCleared     = "task-cleared"
 	countReleased    = "suspects-released"
@@ -157,14 +158,18 @@
 		planner.forgetCrashes(run)
 		return
 	}
-	evidence := planner.evidenceAgainst(run, death)
+	evidence, silentPeers := planner.evidenceAgainst(run, death), planner.countSilentPeers(now, run)
 	if evidence < specifier.Proven && age > maxUnprovenAge {
 		return
 	}
+	if planner.isMassSilence(silentPeers) {
+		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
+		return
+	}
 	planner.addCrash(run.step, run.id.Index, crash{
 		placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun(),
-		evidence: evidence, next: death.next, silentPeers: planner.countSilentPeers(now, run),
-		undecidedUntil: now.Add(maxUndecidedTime),
+		evidence: evidence, next: death.next, silentPeers: silentPeers,
+		undecidedUntil: now.Add(maxUndecidedTime), settledAt: now.Add(settlingTime),
 	})
 }
 
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -97,7 +97,8 @@
 func (planner *Planner) stepDown() {
 	planner.holder = holderState{}
 	planner.minions, planner.minionsByName = make(map[identifier.Minion]*minion), nil
-	planner.polls, planner.silentMinions, planner.silences, planner.missing = pollSchedule{}, nil, nil, nil
+	planner.polls, planner.silentMinions, planner.missing = pollSchedule{}, nil, nil
+	planner.silences, planner.births = nil, nil
 	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
 	planner.recording = newRecording()
 	planner.adviceRequest = adviceRequest{}
--- a/planner/innocentjob_test.go
+++ b/planner/innocentjob_test.go
@@ -139,6 +139,62 @@
 	simulation.advance(90 * time.Second)
 }
 
+// TestCrashesOfManyMinionsFailNoJob guards against jobs that are given up because a third of
+// all minions crashes at once, again and again: their callers lose them although the minions
+// crash for a reason of their own.
+func TestCrashesOfManyMinionsFailNoJob(t *testing.T) {
+	const (
+		seeds        = 8
+		minions      = 48
+		jobs         = 60
+		jobInterval  = 400 * time.Millisecond
+		waves        = 7
+		waveInterval = 3500 * time.Millisecond
+		waveShare    = 0.3
+	)
+	for _, refuses := range []bool{false, true} {
+		t.Run(fmt.Sprintf("refuses=%t", refuses), func(t *testing.T) {
+			c := quicktest.New(t)
+			failed := 0
+			for seed := range uint64(seeds) {
+				simulation := newSimulation(seed, 1, minions)
+				random := rand.New(rand.NewPCG(seed, 3))
+				simulation.crashing.renames, simulation.crashing.refuses = true, refuses
+				simulation.makeHolder(simulation.nodes[0])
+				for number := range jobs {
+					step := smallStep(6, 5*time.Second)
+					step.Gang = number%2 == 0
+					simulation.schedule(time.Duration(number)*jobInterval, func() { simulation.submit(jobOf(fmt.Sprintf("good%d", number), step)) })
+				}
+				for range waves {
+					simulation.advance(waveInterval)
+					simulation.crashShare(random, waveShare)
+				}
+				simulation.advance(90 * time.Second)
+				for number := range jobs {
+					if simulation.recordedState(identifier.Job(fmt.Sprintf("good%d", number))) != specifier.Completed {
+						failed++
+					}
+				}
+				c.Check(simulation.violations, quicktest.HasLen, 0)
+			}
+			c.Check(failed, quicktest.Equals, 0)
+		})
+	}
+}
+
+// crashShare crashes a share of the minions at once. They are back soon.
+func (simulation *simulation) crashShare(random *rand.Rand, share float64) {
+	for _, minion := range simulation.sortedMinions() {
+		if !minion.alive || random.Float64() >= share {
+			continue
+		}
+		minion.crash()
+		minion.faults.refusesConnections = simulation.crashing.refuses
+		simulation.schedule(crashDownTime, func() { simulation.bringBack(minion) })
+	}
+}
+
 // TestRunThatNeverBeganFailsNoJob guards against a job that is shown as failed (LOST) after
 // one crash: the orders to start its next runs do not arrive, and the minions that were to
 // run them start anew many seconds later.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -65,6 +65,7 @@
 // addMinion adds the minion of a report in place of its earlier incarnation, which is
 // nil if there is none.
 func (planner *Planner) addMinion(now time.Time, earlier *minion, report messenger.MinionReport) *minion {
+	planner.noteBirth(now, &report)
 	added := newMinion(report, now, &planner.polls)
 	if planner.holder.active {
 		added.schedulePoll(now)
--- a/planner/missing.go
+++ b/planner/missing.go
@@ -24,6 +24,16 @@
 	}
 }
 
+// find returns the minion of which a report shows a later life, nil if there is none.
+func (missing *missingMinions) find(report *messenger.MinionReport) *minion {
+	for _, known := range *missing {
+		if known.minion.placement(0).isFollowedBy(report) {
+			return known.minion
+		}
+	}
+	return nil
+}
+
 // take removes the minion that a report shows again, by its name or at its address. It returns
 // the minion if the report is that of a later life, nil otherwise.
 func (missing *missingMinions) take(report *messenger.MinionReport) *minion {
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -20,6 +20,7 @@
 	}
 	if minion.replacedBy != nil && minion.replacedBy.alive {
 		other := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.UnknownNode, "another minion")}
+		other.Incarnation, other.Clock = minion.replacedBy.incarnation, minion.replacedBy.clock()
 		simulation.schedule(latency, func() { simulation.step(node, other) })
 		return
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -37,6 +37,7 @@
 	silentMinions silentMinions
 	// silences are those of the last time, oldest first.
 	silences      []silence
+	births        []birth
 	missing       missingMinions
 	pendingOrders map[uint64]*run
 	// stopRetries are the stops that are repeated, the next one first.
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -15,10 +15,11 @@
 func (planner *Planner) prepareSteps(now time.Time) {
 	var steps []*step
 	for step, queue := range planner.dueSteps(now) {
+		planner.settleCrashes(now, step)
 		if !step.isReady() || !step.hasIdleTask(now) {
 			continue
 		}
-		if step.hasExhaustedTask(now, queue) || step.hasGivenUpTask() || step.isIncompleteGang(now) || step.needsRunNumbers(now) {
+		if step.hasExhaustedTask(now, queue) || step.hasGivenUpTask(now) || step.isIncompleteGang(now) || step.needsRunNumbers(now) {
 			steps = append(steps, step)
 		}
 	}
@@ -29,7 +30,7 @@
 		case !job.isOpen(): // another step has ended it
 		case step.hasExhaustedTask(now, planner.queue(job)):
 			planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
-		case step.hasGivenUpTask():
+		case step.hasGivenUpTask(now):
 			planner.giveUp(now, step)
 		case step.isIncompleteGang(now):
 			planner.stopGang(now, step)
@@ -75,12 +76,12 @@
 
 // hasGivenUpTask reports whether minions have crashed under a task of the step so often that
 // it must not start again.
-func (step *step) hasGivenUpTask() bool { return step.givenUpTask() >= 0 }
+func (step *step) hasGivenUpTask(now time.Time) bool { return step.givenUpTask(now) >= 0 }
 
 // givenUpTask returns the index of such a task, negative if there is none.
-func (step *step) givenUpTask() int {
+func (step *step) givenUpTask(now time.Time) int {
 	for _, index := range step.crashedTasks {
-		if step.tasks[index].isGivenUp() {
+		if task := &step.tasks[index]; task.isGivenUp() && !task.awaitsEvidence(now) {
 			return index
 		}
 	}
@@ -89,7 +90,7 @@
 
 // giveUp ends the job of a step with a task that crashes its minions.
 func (planner *Planner) giveUp(now time.Time, step *step) {
-	index := step.givenUpTask()
+	index := step.givenUpTask(now)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countGivenUp})
 	planner.endJob(now, step.occurrence.job, specifier.Failed,
 		fmt.Sprintf("task %s has crashed %d minions that started it", step.id(index), len(step.tasks[index].crashes)))
--- a/planner/silence.go
+++ b/planner/silence.go
@@ -16,8 +16,8 @@
 	before      time.Time
 	// steps are those of the runs that it had.
 	steps []*step
-	// hasTrial means that it had suspect tasks.
-	hasTrial bool
+	// isExplained means that a task may be the reason.
+	isExplained bool
 }
 
 const (
@@ -26,12 +26,19 @@
 	silenceRetention = 30 * time.Second
 	// maxSilences bounds the silences that are kept.
 	maxSilences = 512
+	// freshRunAge is the age of a run up to which it may be the reason for the silence of its
+	// minion.
+	freshRunAge = 500 * time.Millisecond
+	// A crash says nothing about a task if as many other minions fall silent at the same moment
+	// as minMassSilence, and as one of massSilenceShare that are known.
+	minMassSilence   = 4
+	massSilenceShare = 16
 )
 
 // noteSilence notes that a minion has not answered an order for the first time.
 func (planner *Planner) noteSilence(now time.Time, minion *minion) {
 	added := silence{
-		minion: minion.report.Minion, incarnation: minion.report.Incarnation, after: minion.answeredAt, before: now, hasTrial: minion.trial != nil,
+		minion: minion.report.Minion, incarnation: minion.report.Incarnation, after: minion.answeredAt, before: now, isExplained: minion.mayHaveCrashedUnderTask(),
 	}
 	for _, run := range minion.runs {
 		if !slices.Contains(added.steps, run.step) {
@@ -44,8 +51,8 @@
 }
 
 // countSilentPeers returns the number of other minions that may have fallen silent at the
-// same moment as the one that had a run, and had neither tasks of the same step nor suspect
-// ones. If there are several, the cause is one that they have in common.
+// same moment as the one that had a run, for no reason that their tasks explain. If there are
+// several, the cause is one that they have in common.
 func (planner *Planner) countSilentPeers(now time.Time, run *run) int {
 	name := run.minion.report.Minion
 	after, before := run.minion.answeredAt, now
@@ -55,7 +62,7 @@
 	peers := make(map[identifier.Minion]bool)
 	for _, silence := range planner.silences {
 		isConcurrent := !silence.before.Before(after) && !silence.after.After(before)
-		if isConcurrent && silence.minion != name && !silence.hasTrial && !slices.Contains(silence.steps, run.step) {
+		if isConcurrent && silence.minion != name && !silence.isExplained && !slices.Contains(silence.steps, run.step) {
 			peers[silence.minion] = true
 		}
 	}
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -169,15 +169,15 @@
 	if len(waitingStep.taskIndexes) == 0 || planner.hasTrial(step) {
 		return
 	}
+	if step.trialWantedSince.IsZero() {
+		step.trialWantedSince = now
+	}
 	if step.tasks[waitingStep.taskIndexes[0]].awaitsEvidence(now) {
 		step.passResult = waitsForTrial
 		planner.passNeeded = true
 		return
 	}
 	waitingStep.taskCount = len(waitingStep.taskIndexes)
-	if step.trialWantedSince.IsZero() {
-		step.trialWantedSince = now
-	}
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.minionsForTrial(now, waitingStep, pool)
 	if len(chosen) == 0 {
