Tell callers which runs or crashes have ended a job

The line minion-crashed names the incarnation that ended and the one that showed it. The test of the reason matches all of it now.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -180,8 +180,8 @@
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countSuspected})
 	planner.emitDecision(step.id(index).String(), "minion-crashed", "the minion of its run has crashed",
-		fmt.Sprintf("run=%d minion=%s age-at-death=%s on-trial=%t evidence=%s silent-peers=%d crashes=%d suspect=%t", added.run, added.minion,
-			added.age.Round(time.Millisecond), added.onTrial, added.evidence, added.silentPeers, len(task.crashes), task.isSuspect()), 0)
+		fmt.Sprintf("run=%d minion=%s incarnation=%d next=%d age-at-death=%s on-trial=%t evidence=%s silent-peers=%d crashes=%d suspect=%t",
+			added.run, added.minion, added.incarnation, added.next, added.age.Round(time.Millisecond), added.onTrial, added.evidence, added.silentPeers, len(task.crashes), task.isSuspect()), 0)
 	planner.passNeeded = true
 }
 
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -63,7 +63,8 @@
 						c.Assert(simulation.violations, quicktest.HasLen, 0, comment)
 						c.Assert(simulation.recordedState("bad"), quicktest.Equals, specifier.Failed, comment)
 						t.Logf("%d crashes", simulation.crashing.crashes)
-						c.Assert(simulation.recordedReason("bad"), quicktest.Matches, "task bad.0.0.. has crashed [0-9] minions that started it")
+						c.Assert(simulation.recordedReason("bad"), quicktest.Matches,
+							`task bad\.0\.0\.. has crashed [0-9] minions that started it: (m[0-9-]+ [0-9.ms]+ after its start \((proven|restarted|unproven)\)(, )?)+`)
 						c.Assert(simulation.crashing.crashes <= step.Tasks*maxCrashesPerJob, quicktest.IsTrue, comment)
 					})
 				}
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"time"
 
@@ -29,7 +28,7 @@
 		switch {
 		case !job.isOpen(): // another step has ended it
 		case step.hasExhaustedTask(now, planner.queue(job)):
-			planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+			planner.endJob(now, job, specifier.Failed, step.attemptsReason())
 		case step.hasGivenUpTask(now):
 			planner.giveUp(now, step)
 		case step.isIncompleteGang(now):
@@ -92,8 +91,7 @@
 func (planner *Planner) giveUp(now time.Time, step *step) {
 	index := step.givenUpTask(now)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countGivenUp})
-	planner.endJob(now, step.occurrence.job, specifier.Failed,
-		fmt.Sprintf("task %s has crashed %d minions that started it", step.id(index), len(step.tasks[index].crashes)))
+	planner.endJob(now, step.occurrence.job, specifier.Failed, step.crashReason(index))
 }
 
 // isIncompleteGang reports whether some members of a gang run without another one, for
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -148,7 +148,7 @@
 	for _, occurrence := range job.occurrences {
 		for _, step := range occurrence.steps {
 			if step.failedAttempts() >= queue.Attempts {
-				planner.endJob(now, job, specifier.Failed, "a task has used all its attempts")
+				planner.endJob(now, job, specifier.Failed, step.attemptsReason())
 				return
 			}
 		}
