Try more tasks of a step with each one that passes its trial

What callers saw: a job of 90 tasks on 12 minions, whose racks lost power four times within 16 s, was still running after 10 minutes, with one or two tasks at work.

Cause: after the second crash of any task a step was tried one task at a time, each for half as long again as the longest of its earlier runs, and its other tasks waited for the last trial. The wait grew with the number of tasks times the age of their crashes.

Change: the width of a step's trial is one after a crash, and twice the number of tasks that have passed since. A run keeps counting as on trial for the whole trial time; a task with a crash on trial is cleared only then, on a minion of its own, without holding up others.

A crash counts as one on trial only if the task was alone on trial on its minion, also after a takeover (judged by the recorded placements). So that this costs no more crashes, a step with one crash is now tried one task at a time if it had the youngest run on the minion; the others start together on one minion, as before.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -119,6 +119,7 @@
 
 func (step *step) addCrash(index int, added crash) {
 	step.tasks[index].crashes = append(step.tasks[index].crashes, added)
+	step.passedTrials = 0
 	if !slices.Contains(step.crashedTasks, index) {
 		step.crashedTasks = append(step.crashedTasks, index)
 	}
@@ -151,5 +152,5 @@
 	if isKnown && minion.report.Incarnation <= placement.incarnation {
 		return // the start has not arrived
 	}
-	planner.addCrash(step, index, crash{placement: placement, onTrial: isKnown && task.isSuspect()})
+	planner.addCrash(step, index, crash{placement: placement, onTrial: isKnown && task.isSuspect() && step.isPlacedAlone(index)})
 }
--- a/planner/death.go
+++ b/planner/death.go
@@ -95,7 +95,7 @@
 func (planner *Planner) noteCrash(now time.Time, run *run) {
 	age := run.ageAtDeath(now)
 	if age < establishedAge {
-		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun()})
+		planner.addCrash(run.step, run.id.Index, crash{placement: run.placement(), age: age, onTrial: run.isAloneOnTrial() && run.hasCertainlyRun()})
 		return
 	}
 	planner.forgetCrashes(run)
--- a/planner/job.go
+++ b/planner/job.go
@@ -88,6 +88,10 @@
 	// the time since which the step has waited for one, zero if it does not.
 	trial            *trial
 	trialWantedSince time.Time
+	// passedTrials counts the runs on trial that have passed since the last crash.
+	passedTrials int
+	// isLikelyCause means that the step had the youngest run on a minion that crashed.
+	isLikelyCause bool
 }
 
 // task is one task of a step.
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -105,7 +105,7 @@
 // waitingStep returns the step with its urgency, nil if it has no task to
 // start.
 func (step *step) waitingStep(now time.Time, queue *specifier.Queue) *waitingStep {
-	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.hasSuspect() {
+	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.awaitsTrial() {
 		step.waitingSince = time.Time{}
 		return nil
 	}
--- a/planner/restart.go
+++ b/planner/restart.go
@@ -30,7 +30,7 @@
 
 // needsRunNumbers reports whether numbers must be reserved for tasks of the step.
 func (step *step) needsRunNumbers(now time.Time) bool {
-	if step.hasSuspect() {
+	if step.awaitsTrial() {
 		return false // they are reserved with the minions of a trial
 	}
 	if step.spec.Gang {
--- a/planner/run.go
+++ b/planner/run.go
@@ -60,8 +60,11 @@
 	// paceSetAt.
 	pacePercent int
 	paceSetAt   time.Time
-	// onTrial means that the run is on trial: it must work for some time on its minion.
-	onTrial bool
+	// onTrial means that the run is on trial: a crash of its minion is evidence against its
+	// task. hasPassed means that it has worked for long enough to pass, trialEndsAt is when
+	// its trial then ends.
+	onTrial, hasPassed bool
+	trialEndsAt        time.Time
 	// isAnsweredByOther means that another incarnation or minion has answered the only order
 	// to start the run.
 	isAnsweredByOther bool
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -53,6 +53,9 @@
 		}
 	}
 	if ok {
+		if run.onTrial && !run.hasPassed && task.done {
+			planner.passTrial(run)
+		}
 		planner.releaseRun(now, run)
 	}
 	planner.endJobIfFinished(now, job)
--- /dev/null
+++ b/planner/trialwidth.go
@@ -0,0 +1,207 @@
+package planner
+
+import (
+	"fmt"
+	"iter"
+	"slices"
+	"time"
+
+	"corianderroad/messenger"
+)
+
+const (
+	// trialGrowth is how many more tasks of a step may be on trial for each one that passes.
+	trialGrowth = 2
+	// laterPassTime is the longest time after which a run on trial passes if others of its step
+	// have passed before. It exceeds recentStart.
+	laterPassTime = recentStart + trialMargin
+)
+
+// trialTime returns for how long a crash of the minion is evidence against a run of the task on
+// trial: beyond the age at which any earlier run may have crashed its minion.
+func (task *task) trialTime() time.Duration {
+	longest := time.Duration(0)
+	for _, crash := range task.crashes {
+		if !crash.cleared {
+			longest = max(longest, crash.age)
+		}
+	}
+	return min(max(longest+longest/2+trialMargin, minTrial), maxTrial)
+}
+
+// passTime returns for how long a run of a task on trial has to work until it passes. If the
+// task crashes its minions, it does so at about the shortest age of a crash.
+func (step *step) passTime(task *task) time.Duration {
+	var ages []time.Duration
+	for _, crash := range task.crashes {
+		if !crash.cleared {
+			ages = append(ages, crash.age)
+		}
+	}
+	if len(ages) == 0 {
+		return minTrial // a member of a gang with a suspect one
+	}
+	passTime := min(max(slices.Min(ages)+trialMargin, minTrial), maxTrial)
+	if step.passedTrials > 0 {
+		passTime = min(passTime, laterPassTime)
+	}
+	return passTime
+}
+
+// trialWidth returns how many tasks of the step may be on trial at a time. It is one after a
+// crash, so that the next one is certainly due to that task, and grows with those that pass.
+// After a single crash it is not limited if another step is more likely the reason.
+func (step *step) trialWidth() int {
+	if step.mostCrashes() == 1 && !step.isLikelyCause {
+		return len(step.tasks)
+	}
+	return max(1, trialGrowth*step.passedTrials)
+}
+
+// updateLikelyCauses notes which of the steps had the youngest run on a minion that crashed.
+func updateLikelyCauses(steps []*waitingStep) {
+	youngest := make(map[placement]time.Duration)
+	for _, waitingStep := range steps {
+		for crash := range waitingStep.step.crashes() {
+			if age, isKnown := youngest[crash.crashed()]; !isKnown || crash.age < age {
+				youngest[crash.crashed()] = crash.age
+			}
+		}
+	}
+	for _, waitingStep := range steps {
+		step := waitingStep.step
+		step.isLikelyCause = false
+		for crash := range step.crashes() {
+			step.isLikelyCause = step.isLikelyCause || crash.age <= youngest[crash.crashed()]
+		}
+	}
+}
+
+// crashed returns the incarnation that has crashed, as a placement without a run.
+func (crash crash) crashed() placement {
+	return placement{minion: crash.minion, incarnation: crash.incarnation}
+}
+
+// crashes yields the crashes under tasks of the step.
+func (step *step) crashes() iter.Seq[crash] {
+	return func(yield func(crash) bool) {
+		for _, index := range step.crashedTasks {
+			for _, crash := range step.tasks[index].crashes {
+				if !yield(crash) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// countUnpassedRuns returns the number of runs of the step on trial that have not passed. One
+// whose minion has fallen silent counts until it is certain what has become of the minion.
+func (step *step) countUnpassedRuns() int {
+	count := 0
+	for _, index := range step.crashedTasks {
+		if run := step.tasks[index].run; run != nil && run.onTrial && !run.hasPassed {
+			count++
+		}
+	}
+	return count
+}
+
+// isAloneOnTrial reports whether a run is on trial and its minion has no other run that could
+// be the reason for a crash: one that is on trial too, or has started later.
+func (run *run) isAloneOnTrial() bool {
+	if !run.onTrial {
+		return false
+	}
+	for _, other := range append(run.minion.sortedRuns(), run.minion.lostRuns...) {
+		isSameGang := run.step.spec.Gang && other.step == run.step && other.number == run.number
+		if other != run && !isSameGang && (other.onTrial || other.startedAt.After(run.startedAt)) {
+			return false
+		}
+	}
+	return true
+}
+
+// isPlacedAlone reports whether no other task of the step is placed on the same minion, as far
+// as it is recorded.
+func (step *step) isPlacedAlone(index int) bool {
+	if step.spec.Gang {
+		return true
+	}
+	placed := step.tasks[index].placement
+	for other := range step.tasks {
+		task := &step.tasks[other]
+		isThere := task.placement.minion == placed.minion && task.placement.incarnation == placed.incarnation
+		if other != index && isThere && !task.done && task.placement.run >= task.latestRun {
+			return false
+		}
+	}
+	return true
+}
+
+// releaseSuspects lets the suspect tasks of a step start without a trial. One crash alone is
+// weak evidence, and must not keep a job waiting behind the trials of others.
+func (planner *Planner) releaseSuspects(now time.Time, step *step) {
+	for _, index := range step.crashedTasks {
+		planner.clear(step, &step.tasks[index])
+	}
+	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countReleased})
+	planner.emitDecision(string(step.occurrence.job.spec.ID), "suspects-released", "no minion was free for a trial",
+		fmt.Sprintf("step=%d tasks=%d", step.number, len(step.crashedTasks)), now.Sub(step.trialWantedSince))
+	step.trialWantedSince = time.Time{}
+	planner.passNeeded = true
+}
+
+// clear ends the suspicion of a task. Its crashes still count.
+func (planner *Planner) clear(step *step, task *task) {
+	for index := range task.crashes {
+		task.crashes[index].cleared = true
+	}
+	planner.recording.markCrashesDirty(step)
+}
+
+// clearIfPassed clears a suspect task of which a run has worked for long enough. If the task has
+// crashed a minion on trial, that is the whole trial time.
+func (planner *Planner) clearIfPassed(now time.Time, run *run) {
+	task, worked := run.task(), now.Sub(run.startConfirmedAt)
+	if run.state != running || !(run.onTrial || task.isSuspect()) {
+		return
+	}
+	if !run.hasPassed {
+		if worked < run.step.passTime(task) {
+			return
+		}
+		planner.passTrial(run)
+	}
+	isOver := !now.Before(run.trialEndsAt)
+	run.onTrial = run.onTrial && !isOver
+	if !task.isSuspect() || (task.crashesOnTrial() > 0 && !isOver) {
+		return
+	}
+	planner.clear(run.step, task)
+	planner.passNeeded = true
+	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCleared})
+	planner.emitDecision(run.id.String(), "task-cleared", "its run has passed its trial",
+		fmt.Sprintf("run=%d minion=%s crashes=%d", run.number, run.minion.report.Minion, len(task.crashes)), worked)
+}
+
+// passTrial notes that a run has worked for long enough to let others of its step be tried.
+func (planner *Planner) passTrial(run *run) {
+	run.hasPassed, run.trialEndsAt = true, run.startConfirmedAt.Add(run.task().trialTime())
+	if run.onTrial {
+		run.step.passedTrials++
+	}
+	planner.passNeeded = true
+}
+
+// awaitsTrial reports whether a suspect task of the step has no run that has passed. The other
+// tasks are not started meanwhile: they may crash their minions too.
+func (step *step) awaitsTrial() bool {
+	for _, index := range step.crashedTasks {
+		task := &step.tasks[index]
+		if task.isSuspect() && (task.run == nil || !task.run.hasPassed) {
+			return true
+		}
+	}
+	return false
+}
