Shorten the trials of a service while other steps wait for one

Cause: a step with one task is its own first trial, which takes as long as an earlier run of the task. Where many of them wait for the few places, these times add up.

Ruled out by a trial: to release a step with two crashes after 10 s without a trial.

--- a/planner/planner.go
+++ b/planner/planner.go
@@ -48,7 +48,9 @@
 	waiting       waiting
 
 	passNeeded bool
-	lastPassAt time.Time
+	// awaitedTrials are the services for whose minions a trial waited in the last pass.
+	awaitedTrials map[identifier.Service]bool
+	lastPassAt    time.Time
 	// passInterval is the minimum time from the last pass to the next.
 	passInterval time.Duration
 	suspension   suspension
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -51,6 +51,7 @@
 // runTrials plans and starts the trials of the suspect tasks whose turn has come.
 func (planner *Planner) runTrials(now time.Time, suspects []*waitingStep, pools map[identifier.Service]*pool) {
 	updateLikelyCauses(suspects)
+	planner.awaitedTrials = make(map[identifier.Service]bool)
 	for _, waitingStep := range suspects {
 		pool := pools[waitingStep.queue.Service]
 		if pool == nil {
@@ -166,6 +167,7 @@
 	chosen := planner.minionsForTrial(now, waitingStep, pool)
 	if len(chosen) == 0 {
 		step.passResult = waitsForTrial
+		planner.awaitedTrials[waitingStep.queue.Service] = true
 		if step.mostCrashes() == 1 && step.mostCrashesOnTrial() == 0 && now.Sub(step.trialWantedSince) >= maxTrialWait {
 			planner.releaseSuspects(now, step)
 		}
--- a/planner/trialwidth.go
+++ b/planner/trialwidth.go
@@ -13,7 +13,7 @@
 	// trialGrowth is how many more tasks of a step may be on trial for each one that passes.
 	trialGrowth = 2
 	// laterPassTime is the longest time after which a run on trial passes if others of its step
-	// have passed before. It exceeds recentStart.
+	// have passed before, or other steps wait for a trial. It exceeds recentStart.
 	laterPassTime = recentStart + trialMargin
 )
 
@@ -29,11 +29,11 @@
 	return min(max(longest+longest/2+trialMargin, minTrial), maxTrial)
 }
 
-// passTime returns for how long a run of a task on trial has to work until it passes. If the
-// task crashes its minions, it does so at about the shortest age of a crash.
-func (step *step) passTime(task *task) time.Duration {
+// passTime returns for how long a run on trial has to work until it passes. If its task
+// crashes its minions, it does so at about the shortest age of a crash.
+func (planner *Planner) passTime(run *run) time.Duration {
 	var ages []time.Duration
-	for _, crash := range task.crashes {
+	for _, crash := range run.task().crashes {
 		if !crash.cleared {
 			ages = append(ages, crash.age)
 		}
@@ -42,7 +42,7 @@
 		return minTrial // a member of a gang with a suspect one
 	}
 	passTime := min(max(slices.Min(ages)+trialMargin, minTrial), maxTrial)
-	if step.passedTrials > 0 {
+	if run.step.passedTrials > 0 || planner.awaitedTrials[run.minion.report.Service] {
 		passTime = min(passTime, laterPassTime)
 	}
 	return passTime
@@ -168,7 +168,7 @@
 		return
 	}
 	if !run.hasPassed {
-		if worked < run.step.passTime(task) {
+		if worked < planner.passTime(run) {
 			return
 		}
 		planner.passTrial(run)
