Count minions with trials as idle in the share of trials

A trial may use each second minion without runs, but those with trials were left out of the count, so that trials alone in a pool got a third of it.

--- a/planner/trialminions.go
+++ b/planner/trialminions.go
@@ -10,7 +10,8 @@
 // gang, or for as many other tasks as fit on the minions that the trial may use.
 func (planner *Planner) minionsForTrial(now time.Time, waitingStep *waitingStep, pool *pool) []*minion {
 	idle := pool.filtered(func(minion *minion) bool { return len(minion.runs) == 0 })
-	allowed := max(1, len(pool.registered)/trialShare, len(idle.available)/idleTrialShare) - countTrials(pool)
+	used := countTrials(pool)
+	allowed := max(1, len(pool.registered)/trialShare, (len(idle.available)+used)/idleTrialShare) - used
 	if allowed <= 0 {
 		return nil
 	}
