--- a/planner/pass.go
+++ b/planner/pass.go
@@ -42,6 +42,7 @@
 		return // most passes of a pool with room, which need no look at its minions
 	}
 	pools := planner.newPools(now)
+	planner.hasWaitingSteps = len(steps) > 0
 	planner.runTrials(now, suspects, pools)
 	guarantees := &guarantees{planner: planner}
 	for index, waitingStep := range steps {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -48,6 +48,8 @@
 	waiting       waiting
 
 	passNeeded bool
+	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
+	hasWaitingSteps bool
 	// awaitedTrials are the services for whose minions a trial waited in the last pass.
 	awaitedTrials map[identifier.Service]bool
 	lastPassAt    time.Time
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -31,10 +31,11 @@
 	// trial. Its tasks then start as if they had passed.
 	maxTrialWait = 3 * time.Second
 	// A service may have a minion with a trial, or one that is down after it, for each
-	// trialShare of its minions, or for each idleTrialShare of those without runs if that is
-	// more.
-	trialShare     = 4
-	idleTrialShare = 2
+	// trialShare of its minions, or for each undisputedTrialShare while no other step waits for
+	// a minion, or for each idleTrialShare of those without other runs if that is more.
+	trialShare           = 4
+	undisputedTrialShare = 2
+	idleTrialShare       = 2
 )
 
 // trial is a planned trial whose starts wait for their record.
--- a/planner/trialminions.go
+++ b/planner/trialminions.go
@@ -10,8 +10,7 @@
 // gang, or for as many other tasks as fit on the minions that the trial may use.
 func (planner *Planner) minionsForTrial(now time.Time, waitingStep *waitingStep, pool *pool) []*minion {
 	idle := pool.filtered(func(minion *minion) bool { return len(minion.runs) == 0 })
-	used := countTrials(pool)
-	allowed := max(1, len(pool.registered)/trialShare, (len(idle.available)+used)/idleTrialShare) - used
+	allowed := planner.trialLimit(pool, idle) - countTrials(pool)
 	if allowed <= 0 {
 		return nil
 	}
@@ -24,6 +23,15 @@
 	return planner.minionsForTasks(now, waitingStep, pool, idle, allowed)
 }
 
+// trialLimit returns how many minions of a pool may have a trial.
+func (planner *Planner) trialLimit(pool, idle *pool) int {
+	share := trialShare
+	if !planner.hasWaitingSteps {
+		share = undisputedTrialShare
+	}
+	return max(1, len(pool.registered)/share, (len(idle.available)+countTrials(pool))/idleTrialShare)
+}
+
 // countTrials returns the number of minions of a pool that have a trial, but for those whose
 // runs have all passed. The minions of a gang count as one.
 func countTrials(pool *pool) int {
