--- a/planner/birth.go
+++ b/planner/birth.go
@@ -62,7 +62,7 @@
 		return true
 	}
 	for _, run := range append(minion.sortedRuns(), minion.lostRuns...) {
-		if minion.answeredAt.Sub(run.startedAt) < freshRunAge {
+		if minion.answeredAt.Sub(run.startedAt) < recentStart {
 			return true
 		}
 	}
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -24,11 +24,11 @@
 	establishedAge = time.Minute
 	// maxUnprovenAge is the age up to which a run that may have ended before its minion
 	// counts as one during which the minion crashed.
-	maxUnprovenAge = 8 * time.Second
+	maxUnprovenAge = 6500 * time.Millisecond
 	// maxUndecidedTime is the time after the loss of a run until its minion, if it has crashed,
 	// is back and listed.
 	maxUndecidedTime = 3 * time.Second
-	// unknownAge stands for the age of a run that ended before this holder took over.
+	// unknownAge stands for the age of a run that had worked under a former holder, at least.
 	unknownAge = 4 * time.Second
 	// minSilentPeers is the number of other minions that fall silent at the same moment from
 	// which on a crash has a cause that they have in common.
@@ -70,7 +70,7 @@
 	age time.Duration
 	// onTrial means that the run was on trial and had certainly started.
 	onTrial bool
-	// cleared means that the task has been started again without a trial.
+	// cleared means that the crash does not make the task suspect any more.
 	cleared bool
 	// evidence is what shows that the minion crashed while it had the run.
 	evidence specifier.CrashEvidence
@@ -126,9 +126,8 @@
 	return !crash.cleared && (crash.onTrial || crash.age <= recentStart)
 }
 
-// isUncleared reports whether the crash, which is certain, makes the task suspect together
-// with another one.
-func (crash crash) isUncleared() bool { return !crash.cleared && crash.isCertain() }
+// isUncleared reports whether the crash makes the task suspect together with another one.
+func (crash crash) isUncleared() bool { return !crash.cleared }
 
 // isCertain reports whether the minion has certainly ended.
 func (crash crash) isCertain() bool { return crash.evidence >= specifier.Restarted }
@@ -180,8 +179,9 @@
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countSuspected})
 	planner.emitDecision(step.id(index).String(), "minion-crashed", "the minion of its run has crashed",
-		fmt.Sprintf("run=%d minion=%s incarnation=%d next=%d age-at-death=%s on-trial=%t evidence=%s silent-peers=%d crashes=%d suspect=%t",
-			added.run, added.minion, added.incarnation, added.next, added.age.Round(time.Millisecond), added.onTrial, added.evidence, added.silentPeers, len(task.crashes), task.isSuspect()), 0)
+		fmt.Sprintf("run=%d minion=%s age-at-death=%s on-trial=%t crashes=%d suspect=%t evidence=%s incarnation=%d next=%d silent-peers=%d",
+			added.run, added.minion, added.age.Round(time.Millisecond), added.onTrial, len(task.crashes), task.isSuspect(),
+			added.evidence, added.incarnation, added.next, added.silentPeers), 0)
 	planner.passNeeded = true
 }
 
@@ -200,6 +200,7 @@
 		return true
 	}
 	task.crashes = append(task.crashes, added)
+	step.passedTrials = 0
 	if !slices.Contains(step.crashedTasks, index) {
 		step.crashedTasks = append(step.crashedTasks, index)
 	}
@@ -232,9 +233,10 @@
 	if minion, isListed := planner.minions[placement.minion]; isListed && minion.report.Incarnation <= placement.incarnation {
 		return // the start has not arrived
 	}
-	added := crash{placement: placement, age: unknownAge}
+	added := crash{placement: placement}
 	if next := planner.laterLife(placement); next != nil && task.isEarlyLife(next) {
-		added.evidence, added.next, added.onTrial = specifier.Restarted, next.report.Incarnation, task.isSuspect()
+		added.evidence, added.next = specifier.Restarted, next.report.Incarnation
+		added.onTrial = task.isSuspect() && step.isPlacedAlone(index)
 	}
 	planner.addCrash(step, index, added)
 }
@@ -244,7 +246,7 @@
 // of reach first.
 func (task *task) isEarlyLife(next *minion) bool {
 	born := time.UnixMilli(int64(next.report.Incarnation))
-	return task.placedAt.IsZero() || born.Sub(task.placedAt) <= unknownAge+maxDownTime
+	return task.placedAt.IsZero() || born.Sub(task.placedAt) <= unknownAge+maxPollWait+maxDownTime
 }
 
 // laterLife returns a minion that is a later life of the one that was to start a run, nil if
--- a/planner/death.go
+++ b/planner/death.go
@@ -160,14 +160,17 @@
 	}
 	evidence, silentPeers := planner.evidenceAgainst(run, death), planner.countSilentPeers(now, run)
 	if evidence < specifier.Proven && age > maxUnprovenAge {
-		return
+		if evidence == specifier.Unproven {
+			return
+		}
+		evidence = specifier.Unproven
 	}
 	if planner.isMassSilence(silentPeers) {
 		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
 		return
 	}
 	planner.addCrash(run.step, run.id.Index, crash{
-		placement: run.placement(), age: age, onTrial: run.onTrial && run.hasCertainlyRun(),
+		placement: run.placement(), age: age, onTrial: run.isAloneOnTrial() && run.hasCertainlyRun(),
 		evidence: evidence, next: death.next, silentPeers: silentPeers,
 		undecidedUntil: now.Add(maxUndecidedTime), settledAt: now.Add(settlingTime),
 	})
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -14,9 +14,9 @@
 	// maxWallClockSkew bounds the difference between the wall clocks of a minion and this
 	// node, as far as evidence relies on them.
 	maxWallClockSkew = 500 * time.Millisecond
-	// maxDownTime is the time within which a crashed minion is back, from its last answer on.
-	// One that was silent for longer may have been out of reach first.
-	maxDownTime = 6*time.Second + maxPollWait
+	// maxDownTime is the time within which a crashed minion is back. One that was silent for
+	// longer may have been out of reach first.
+	maxDownTime = 6 * time.Second
 	// maxReachDelay is the time from the start of an incarnation after which it has answered
 	// or is listed, unless it is out of reach: two of the longest intervals of polls and their
 	// timeouts.
@@ -70,7 +70,7 @@
 // evidenceAgainst returns what the death of a minion proves against the task of a run.
 func (planner *Planner) evidenceAgainst(run *run, death *death) specifier.CrashEvidence {
 	switch {
-	case !death.isCertain || death.wasOutOfReach || death.downTime(run) > maxDownTime:
+	case !death.isCertain || death.wasOutOfReach || death.downTime(run) > maxSilenceOf(run):
 		return specifier.Unproven
 	case run.startConfirmedAt.IsZero() || run.mayHaveBeenStopped() || planner.hasLostMember(run):
 		return specifier.Restarted
@@ -80,6 +80,15 @@
 	return specifier.Proven
 }
 
+// maxSilenceOf returns the longest time from the last answer of a run's minion to its next life
+// if the minion has crashed: until the poll that it would have answered, and then its down time.
+func maxSilenceOf(run *run) time.Duration {
+	if run.onTrial {
+		return maxDownTime + trialPollWait
+	}
+	return maxDownTime + maxPollWait
+}
+
 // mayHaveBeenStopped reports whether the run may have ended because it was ordered to. A
 // minion that had fallen silent before did not receive the order.
 func (run *run) mayHaveBeenStopped() bool {
--- a/planner/innocentjob_test.go
+++ b/planner/innocentjob_test.go
@@ -53,25 +53,25 @@
 	return busy
 }
 
-// outage is what happens to minions that are cut off from all nodes and from the store.
-type outage struct {
+// isolation is what happens to minions that are cut off from all nodes and from the store.
+type isolation struct {
 	// rebornAfter is when the minion starts anew behind the cut, zero for never. Its runs have
 	// ended before if that is later than their leases.
 	rebornAfter time.Duration
 	duration    time.Duration
 }
 
-// strike cuts a minion off for the time of an outage.
-func (simulation *simulation) strike(minion *fakeMinion, outage outage) {
+// strike isolates a minion for a time.
+func (simulation *simulation) strike(minion *fakeMinion, isolation isolation) {
 	simulation.cutOff(true, minion.name)
-	if outage.rebornAfter > 0 {
-		simulation.schedule(outage.rebornAfter, minion.start)
+	if isolation.rebornAfter > 0 {
+		simulation.schedule(isolation.rebornAfter, minion.start)
 	}
-	simulation.schedule(outage.duration, func() { simulation.cutOff(false, minion.name) })
+	simulation.schedule(isolation.duration, func() { simulation.cutOff(false, minion.name) })
 }
 
-// outages are those of TestMinionsOutOfReachFailNoJob by name.
-var outages = map[string]outage{
+// isolations are those of TestMinionsOutOfReachFailNoJob by name.
+var isolations = map[string]isolation{
 	"out-of-reach":     {duration: 9 * time.Second},
 	"reborn-when-idle": {rebornAfter: 7 * time.Second, duration: 12 * time.Second},
 	"reborn-at-last":   {rebornAfter: 7 * time.Second, duration: 7100 * time.Millisecond},
@@ -82,7 +82,7 @@
 // what happened to the minions afterwards says nothing about the tasks.
 func TestMinionsOutOfReachFailNoJob(t *testing.T) {
 	const seeds = 12
-	for name, outage := range outages {
+	for name, isolation := range isolations {
 		for _, gang := range []bool{false, true} {
 			for _, takeovers := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s,gang=%t,takeovers=%t", name, gang, takeovers), func(t *testing.T) {
@@ -92,7 +92,7 @@
 					for seed := range uint64(seeds) {
 						simulation := newSimulation(seed, 3, 8)
 						simulation.submitInnocentJobs(gang)
-						simulation.strikeBusyMinions(outage, seed, takeovers)
+						simulation.strikeBusyMinions(isolation, seed, takeovers)
 						simulation.checkFailures()
 						violations += len(simulation.violations)
 						c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("seed %d", seed))
@@ -104,7 +104,7 @@
 	}
 }
 
-// submitInnocentJobs submits innocentJobs jobs that work longer than an outage lasts.
+// submitInnocentJobs submits innocentJobs jobs that work longer than an isolation lasts.
 func (simulation *simulation) submitInnocentJobs(gang bool) {
 	simulation.makeHolder(simulation.nodes[0])
 	simulation.advance(time.Second)
@@ -118,7 +118,7 @@
 
 // strikeBusyMinions cuts off the minions that run tasks, round after round, and lets the jobs
 // complete afterwards.
-func (simulation *simulation) strikeBusyMinions(outage outage, seed uint64, takeovers bool) {
+func (simulation *simulation) strikeBusyMinions(isolation isolation, seed uint64, takeovers bool) {
 	const (
 		rounds        = 10
 		roundInterval = 13 * time.Second
@@ -128,7 +128,7 @@
 	for round := range rounds {
 		for _, minion := range simulation.minionsWithRuns() {
 			delay := time.Duration(random.Int64N(int64(2 * time.Second)))
-			simulation.schedule(delay, func() { simulation.strike(minion, outage) })
+			simulation.schedule(delay, func() { simulation.strike(minion, isolation) })
 		}
 		if takeovers && round%3 == 0 {
 			from := round / 3 % 3
@@ -223,7 +223,7 @@
 			}
 			if !minion.unregistered {
 				minion.unregistered = true
-				simulation.schedule(0, func() { simulation.strike(minion, outage{rebornAfter: rebornTime, duration: rebornTime}) })
+				simulation.schedule(0, func() { simulation.strike(minion, isolation{rebornAfter: rebornTime, duration: rebornTime}) })
 			}
 			return true
 		}
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -42,6 +42,7 @@
 		return // most passes of a pool with room, which need no look at its minions
 	}
 	pools := planner.newPools(now)
+	planner.hasWaitingSteps = len(steps) > 0
 	planner.runTrials(now, suspects, pools)
 	guarantees := &guarantees{planner: planner}
 	for index, waitingStep := range steps {
@@ -105,7 +106,7 @@
 // waitingStep returns the step with its urgency, nil if it has no task to
 // start.
 func (step *step) waitingStep(now time.Time, queue *specifier.Queue) *waitingStep {
-	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.hasSuspect() {
+	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.awaitsTrial() {
 		step.waitingSince = time.Time{}
 		return nil
 	}
--- a/planner/silence.go
+++ b/planner/silence.go
@@ -26,9 +26,6 @@
 	silenceRetention = 30 * time.Second
 	// maxSilences bounds the silences that are kept.
 	maxSilences = 512
-	// freshRunAge is the age of a run up to which it may be the reason for the silence of its
-	// minion.
-	freshRunAge = 500 * time.Millisecond
 	// A crash says nothing about a task if as many other minions fall silent at the same moment
 	// as minMassSilence, and as one of massSilenceShare that are known.
 	minMassSilence   = 4
--- a/specifier/progress.go
+++ b/specifier/progress.go
@@ -96,8 +96,7 @@
 	Age time.Duration
 	// OnTrial means that the run was on trial, see planner, and had certainly started.
 	OnTrial bool
-	// Cleared means that the task has been started again without a trial. Earlier versions
-	// also set it for a run that has passed its trial.
+	// Cleared means that the crash does not make the task suspect any more.
 	Cleared  bool
 	Evidence CrashEvidence
 	// SilentPeers is the number of other minions that fell silent at the same moment.
