Hear the ends behind an ignored end

Cause: the end of a run whose task has been started again must not be acknowledged (rules TWICE and BUDGET), and acknowledgements are cumulative. It blocked them for the rest of the minion's life.

Change: such an end may be acknowledged once the minion's lease has expired after it; it does not count as taken note of then. A later end "lapsed" in the minion's list shows that, to a new holder too, and releases the acknowledgements. From 250 ends and runs behind an ignored one on the holder lets the lease expire: the minion takes no new runs, serving tasks are stopped as their step allows, other runs have 10 s before their lease is no longer renewed. If the minion became idle before a run has lapsed, it takes runs again with a lease of 1 s, then half of that and so on, until one lapses. These runs fill half of the rest of the list at most, so that there is another attempt. A later run of the task that ends done does not help: rule TWICE names a start after the earlier end, whatever follows.

--- a/planner/availability.go
+++ b/planner/availability.go
@@ -13,6 +13,7 @@
 	closedForMaintenance
 	draining
 	unknownRuns
+	awaitingExpiry
 	refusedRecently
 	quarantined
 	onTrial
@@ -22,7 +23,7 @@
 // String returns the name of the value in log lines and metrics.
 func (availability availability) String() string {
 	return [...]string{
-		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "refused-recently", "quarantined", "on-trial",
+		"accepting", "unregistered", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "awaiting-expiry", "refused-recently", "quarantined", "on-trial",
 	}[availability]
 }
 
@@ -42,6 +43,8 @@
 		return draining
 	case minion.hasUnknownRuns:
 		return unknownRuns
+	case minion.awaitsExpiry(now):
+		return awaitingExpiry
 	case now.Before(minion.noCapacityUntil):
 		return refusedRecently
 	case minion.health.isQuarantined(now):
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -74,6 +74,9 @@
 			}
 		}
 	}
+	if minion.isExpiring() {
+		limit = min(limit, minion.expiringRunLimit(step))
+	}
 	if limit <= 0 || !step.canRunOn(minion) || minion.isOverCapacity() {
 		return 0
 	}
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -50,9 +50,8 @@
 	// recordedEnd is the last end that is recorded, processedEnd the last one that
 	// was processed.
 	recordedEnd, processedEnd uint64
-	// firstIgnoredEnd is the first end that must not be recorded, because its task
-	// has been started again since. It is zero if there is none.
-	firstIgnoredEnd uint64
+	// ignored are the ends that must not be recorded.
+	ignored ignoredEnds
 
 	runs map[runKey]*run
 	used specifier.Resources
@@ -160,26 +159,6 @@
 	minion.inheritedLease = max(minion.inheritedLease, clock+duration)
 }
 
-// ignoreEnd notes an end that must not be recorded.
-func (minion *minion) ignoreEnd(number uint64) {
-	if minion.firstIgnoredEnd == 0 || number < minion.firstIgnoredEnd {
-		minion.firstIgnoredEnd = number
-	}
-}
-
-// recordableEnd returns the last end that the minion may discard once it is
-// recorded.
-func (minion *minion) recordableEnd() uint64 {
-	if minion.firstIgnoredEnd > 0 {
-		return minion.firstIgnoredEnd - 1
-	}
-	return minion.processedEnd
-}
-
-// hasUnrecordableEnd reports whether the minion has listed an end that must not be
-// recorded.
-func (minion *minion) hasUnrecordableEnd() bool { return minion.firstIgnoredEnd > 0 }
-
 func (minion *minion) freeCapacity() specifier.Resources {
 	return minion.report.Capacity.Sub(minion.used)
 }
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -28,6 +28,9 @@
 	for _, end := range event.Ended {
 		if end.Number > minion.processedEnd {
 			minion.processedEnd = end.Number
+			if end.Kind == messenger.EndLeaseExpired {
+				planner.noteExpiredLease(now, minion)
+			}
 			planner.handleRunEnd(now, minion, end)
 		}
 	}
@@ -37,6 +40,7 @@
 	if len(event.Ended) < messenger.MaxListedEnds { // otherwise the ends of missing runs may follow
 		planner.markMissingRunsLost(now, minion, reported, event)
 	}
+	planner.expireLease(now, minion)
 	planner.evacuateDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
 	if !minion.polled {
--- a/planner/vmmaintenance.go
+++ b/planner/vmmaintenance.go
@@ -172,14 +172,19 @@
 	if !run.step.spec.LongRunning || run.step.spec.MaxUnavailable == 0 {
 		return true
 	}
+	return run.step.unavailableTasks() < run.step.spec.MaxUnavailable
+}
+
+// unavailableTasks returns the number of long-running tasks of the step that are not ready.
+func (step *step) unavailableTasks() int {
 	unavailable := 0
-	for index := range run.step.tasks {
-		other := run.step.tasks[index].run
-		if other == nil || other.state != running || other.progressPercent < readyPercent {
+	for index := range step.tasks {
+		run := step.tasks[index].run
+		if run == nil || run.state != running || run.progressPercent < readyPercent {
 			unavailable++
 		}
 	}
-	return unavailable < run.step.spec.MaxUnavailable
+	return unavailable
 }
 
 // readyPercent is the progress at which a long-running task is ready.
