Stop a late start of a run that has ended at the next incarnation

Cause: an attempt to start a run without an answer may be carried out seconds later, by the next incarnation under the minion's name. The holder stopped there the runs that the earlier incarnation had at its end, but not those that had ended before, so that one could start after its recorded end (TWICE).

Change: a minion keeps its ended runs with an unanswered attempt for a minute, and the next incarnation gets a stop for each, repeated until it is answered.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -77,6 +77,9 @@
 	// lostRuns are the runs that were given up since the minion fell silent. If it has
 	// crashed, it may have done so under them.
 	lostRuns []*run
+	// lateStarts are the runs that have ended although an attempt to start them may still be
+	// carried out.
+	lateStarts []*run
 	// endedBy is when this incarnation had certainly ended, zero if it is not known.
 	endedBy time.Time
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -84,6 +84,7 @@
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	earlier.noteRestart(now, next.report.Incarnation)
 	planner.noteDeath(now, earlier, countRestarted, "it has restarted")
+	planner.stopLateStarts(now, earlier, next)
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
 			planner.markRunLost(now, run, "its minion has restarted")
--- a/planner/run.go
+++ b/planner/run.go
@@ -145,6 +145,7 @@
 func (planner *Planner) handleRunOrderAnswer(now time.Time, run *run, event messenger.OrderAnswered) {
 	minion := run.minion
 	if minion.runs[runKey{run.id, run.number}] != run {
+		planner.handleLateStopAnswer(now, run, event)
 		return
 	}
 	switch event.Sent.Order.(type) {
@@ -282,6 +283,7 @@
 		return
 	}
 	run.minion.removeRun(run)
+	run.minion.keepLateStart(now, run)
 	task := run.task()
 	if task.run == run {
 		task.run = nil
--- a/planner/stop.go
+++ b/planner/stop.go
@@ -21,7 +21,7 @@
 		retry := planner.stopRetries[0]
 		planner.stopRetries = planner.stopRetries[1:]
 		run := retry.run
-		if run.nextStopAt.Equal(retry.at) && run.minion.runs[runKey{run.id, run.number}] == run {
+		if run.nextStopAt.Equal(retry.at) && run.awaitsStop(now) {
 			planner.sendStop(now, run)
 		}
 	}
