--- a/planner/minions.go
+++ b/planner/minions.go
@@ -87,6 +87,7 @@
 // stopped there: it may be of another kind, or have less capacity.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
+	planner.stopLateStarts(now, earlier, next)
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
 			planner.markRunLost(now, run, "its minion has restarted")
@@ -162,7 +163,7 @@
 func (planner *Planner) pollRuns(now time.Time, minion *minion) {
 	poll := messenger.PollRuns{AcknowledgedEnd: minion.recordedEnd}
 	mayRenew := planner.suspension.endedBefore(planner.holder.confirmedAt) && !planner.tokenCheck.isCutOff
-	if len(minion.runs) > 0 && minion.clock > 0 && mayRenew {
+	if len(minion.runs) > 0 && minion.clock > 0 && mayRenew && minion.mayRenewLease(now) {
 		poll.LeaseUntil = minion.renewLease(now, planner.bounds.MaxLease)
 	}
 	if minion.polled && !minion.unresponsive && len(minion.runs) > 0 && minion.recordedEnd == minion.processedEnd && !minion.hasUnrecordableEnd() {
--- a/planner/run.go
+++ b/planner/run.go
@@ -124,7 +124,7 @@
 
 func (planner *Planner) sendStart(now time.Time, run *run) {
 	run.startAttempts++
-	run.startLeaseUntil = run.minion.renewLease(now, planner.bounds.MaxLease)
+	run.startLeaseUntil = run.minion.startLease(now, planner.bounds.MaxLease)
 	planner.sendOrder(now, run.minion, messenger.StartRun{
 		Task: run.id, Run: run.number, Payload: run.job().spec.Payload, Checkpoint: run.task().checkpoint, Ticket: run.ticket,
 		LeaseUntil: run.startLeaseUntil,
@@ -152,6 +152,7 @@
 func (planner *Planner) handleRunOrderAnswer(now time.Time, run *run, event messenger.OrderAnswered) {
 	minion := run.minion
 	if minion.runs[runKey{run.id, run.number}] != run {
+		planner.handleLateStopAnswer(now, run, event)
 		return
 	}
 	switch event.Sent.Order.(type) {
@@ -289,6 +290,7 @@
 		return
 	}
 	run.minion.removeRun(run)
+	run.minion.keepLateStart(now, run)
 	task := run.task()
 	if task.run == run {
 		task.run = nil
