Let the log decide whether the job of a cancellation exists

Callers saw a cancellation refused as unknown-job, which is final, although another node had accepted the job just before.

Cause: applier.prepareCancel took the absence of the submission in this node's state for a fact, and that state need not include the newest appends of the log.

The cancellation of a job that this node does not know is now appended like any other, and its place in the log decides. The record has the caller's workspace, because the node that appends it can't check it. A record without a workspace, from an earlier version, has the effect that it had. A node of an earlier version ignores the field: until all nodes are updated, it would apply a cancellation from another workspace that was sent within the reading lag of the job's submission.

Two tests of the follower compared the printed form of entries, which the new field changes; they now compare the entries themselves, which is stricter.

--- a/applier/commands.go
+++ b/applier/commands.go
@@ -144,20 +144,20 @@
 }
 
 // prepareCancel returns the record of a cancellation. It answers immediately if the
-// job cannot be cancelled or has been cancelled already.
+// job cannot be cancelled or has been cancelled already. Whether an unknown job exists
+// is decided by the log, because another node may have accepted it just before.
 func (applier *Applier) prepareCancel(cancel commander.Cancel) (messenger.Record, *messenger.CommandAnswered) {
 	job := applier.jobs.job(cancel.Job)
 	switch {
 	case job == nil:
-		return nil, refusal(classifier.New(classifier.UnknownJob, "job %q does not exist", cancel.Job))
 	case job.Spec.Workspace != cancel.Workspace:
-		return nil, refusal(classifier.New(classifier.Forbidden, "job %q belongs to another workspace", cancel.Job))
+		return nil, refusal(forbiddenJobError(cancel.Job))
 	case !job.EndedAt.IsZero():
 		return nil, refusal(classifier.New(classifier.JobEnded, "job %q has ended", cancel.Job))
 	case job.CancelledAt > 0:
 		return nil, &messenger.CommandAnswered{Offset: job.CancelledAt}
 	}
-	return messenger.Cancellation{Job: cancel.Job}, nil
+	return messenger.Cancellation{Job: cancel.Job, Workspace: cancel.Workspace}, nil
 }
 
 // answerCommand answers the open command whose record was applied, if there is one.
--- a/applier/jobs.go
+++ b/applier/jobs.go
@@ -112,6 +112,8 @@
 	switch {
 	case !ok:
 		effect.err = classifier.New(classifier.UnknownJob, "job %q does not exist", cancellation.Job)
+	case cancellation.Workspace != "" && cancellation.Workspace != job.Spec.Workspace:
+		effect.err = forbiddenJobError(cancellation.Job)
 	case !job.EndedAt.IsZero():
 		effect.err = classifier.New(classifier.JobEnded, "job %q has ended", cancellation.Job)
 	case job.CancelledAt > 0:
@@ -123,6 +125,10 @@
 	return effect
 }
 
+func forbiddenJobError(job identifier.Job) *classifier.Error {
+	return classifier.New(classifier.Forbidden, "job %q belongs to another workspace", job)
+}
+
 // applyOutcome applies the end of a job. Only the first outcome has an effect.
 func (jobs *jobs) applyOutcome(read messenger.AppendRead, outcome messenger.Outcome) effect {
 	job, ok := jobs.jobs[outcome.Job]
--- a/encoder/log.go
+++ b/encoder/log.go
@@ -75,7 +75,7 @@
 		spec := jobSpecToWire(record.Spec)
 		wire.Submission = &spec
 	case messenger.Cancellation:
-		wire.Cancellation = &LogCancellation{string(record.Job)}
+		wire.Cancellation = &LogCancellation{string(record.Job), string(record.Workspace)}
 	case messenger.Outcome:
 		outcome := outcomeToWire(record)
 		wire.Outcome = &outcome
@@ -122,7 +122,9 @@
 		records = append(records, messenger.Submission{Spec: spec})
 	}
 	if wire.Cancellation != nil {
-		records = append(records, messenger.Cancellation{Job: identifier.Job(wire.Cancellation.Job)})
+		records = append(records, messenger.Cancellation{
+			Job: identifier.Job(wire.Cancellation.Job), Workspace: identifier.Workspace(wire.Cancellation.Workspace),
+		})
 	}
 	if wire.Outcome != nil {
 		records = append(records, wire.Outcome.decode())
@@ -160,7 +162,7 @@
 		names = append(names, approval.Organisation)
 	}
 	if cancellation := wire.Cancellation; cancellation != nil {
-		names = append(names, cancellation.Job)
+		names = append(names, cancellation.Job, cancellation.Workspace)
 	}
 	if outcome := wire.Outcome; outcome != nil {
 		names = append(names, outcome.Job)
--- a/encoder/log_limits_test.go
+++ b/encoder/log_limits_test.go
@@ -110,6 +110,7 @@
 		messenger.Publication{Organisation: identifier.Organisation(long)},
 		messenger.Approval{Organisation: identifier.Organisation(long)},
 		messenger.Cancellation{Job: identifier.Job(long)},
+		messenger.Cancellation{Job: "j", Workspace: identifier.Workspace(long)},
 		messenger.Outcome{Job: identifier.Job(long)},
 		messenger.Outcome{Job: "j", Reason: long},
 		messenger.RegionClaim{Region: identifier.Region(long)},
--- a/encoder/log_schema.go
+++ b/encoder/log_schema.go
@@ -60,7 +60,8 @@
 
 // LogCancellation is messenger.Cancellation on the wire.
 type LogCancellation struct {
-	Job string `msg:"job"`
+	Job       string `msg:"job"`
+	Workspace string `msg:"workspace,omitempty"`
 }
 
 // LogOutcome is messenger.Outcome on the wire.
--- a/encoder/log_schema_gen.go
+++ b/encoder/log_schema_gen.go
@@ -474,6 +474,12 @@
 				err = msgp.WrapError(err, "Job")
 				return
 			}
+		case "workspace":
+			z.Workspace, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -487,27 +493,73 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z LogCancellation) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 1
-	// write "job"
-	err = en.Append(0x81, 0xa3, 0x6a, 0x6f, 0x62)
-	if err != nil {
-		return
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Workspace == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
 	}
-	err = en.WriteString(z.Job)
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
-		err = msgp.WrapError(err, "Job")
 		return
 	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "job"
+		err = en.Append(0xa3, 0x6a, 0x6f, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Job)
+		if err != nil {
+			err = msgp.WrapError(err, "Job")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "workspace"
+			err = en.Append(0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Workspace)
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		}
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z LogCancellation) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 1
-	// string "job"
-	o = append(o, 0x81, 0xa3, 0x6a, 0x6f, 0x62)
-	o = msgp.AppendString(o, z.Job)
+	// check for omitted fields
+	zb0001Len := uint32(2)
+	var zb0001Mask uint8 /* 2 bits */
+	_ = zb0001Mask
+	if z.Workspace == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "job"
+		o = append(o, 0xa3, 0x6a, 0x6f, 0x62)
+		o = msgp.AppendString(o, z.Job)
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// string "workspace"
+			o = append(o, 0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+			o = msgp.AppendString(o, z.Workspace)
+		}
+	}
 	return
 }
 
@@ -539,6 +591,12 @@
 				err = msgp.WrapError(err, "Job")
 				return
 			}
+		case "workspace":
+			z.Workspace, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -553,7 +611,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z LogCancellation) Msgsize() (s int) {
-	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job)
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 10 + msgp.StringPrefixSize + len(z.Workspace)
 	return
 }
 
@@ -1552,6 +1610,12 @@
 							err = msgp.WrapError(err, "Cancellation", "Job")
 							return
 						}
+					case "workspace":
+						z.Cancellation.Workspace, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Cancellation", "Workspace")
+							return
+						}
 					default:
 						err = dc.Skip()
 						if err != nil {
@@ -1850,16 +1914,44 @@
 					return
 				}
 			} else {
-				// map header, size 1
-				// write "job"
-				err = en.Append(0x81, 0xa3, 0x6a, 0x6f, 0x62)
+				// check for omitted fields
+				zb0004Len := uint32(2)
+				var zb0004Mask uint8 /* 2 bits */
+				_ = zb0004Mask
+				if z.Cancellation.Workspace == "" {
+					zb0004Len--
+					zb0004Mask |= 0x2
+				}
+				// variable map header, size zb0004Len
+				err = en.Append(0x80 | uint8(zb0004Len))
 				if err != nil {
 					return
 				}
-				err = en.WriteString(z.Cancellation.Job)
-				if err != nil {
-					err = msgp.WrapError(err, "Cancellation", "Job")
-					return
+
+				// skip if no fields are to be emitted
+				if zb0004Len != 0 {
+					// write "job"
+					err = en.Append(0xa3, 0x6a, 0x6f, 0x62)
+					if err != nil {
+						return
+					}
+					err = en.WriteString(z.Cancellation.Job)
+					if err != nil {
+						err = msgp.WrapError(err, "Cancellation", "Job")
+						return
+					}
+					if (zb0004Mask & 0x2) == 0 { // if not omitted
+						// write "workspace"
+						err = en.Append(0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+						if err != nil {
+							return
+						}
+						err = en.WriteString(z.Cancellation.Workspace)
+						if err != nil {
+							err = msgp.WrapError(err, "Cancellation", "Workspace")
+							return
+						}
+					}
 				}
 			}
 		}
@@ -2068,10 +2160,28 @@
 			if z.Cancellation == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// map header, size 1
-				// string "job"
-				o = append(o, 0x81, 0xa3, 0x6a, 0x6f, 0x62)
-				o = msgp.AppendString(o, z.Cancellation.Job)
+				// check for omitted fields
+				zb0004Len := uint32(2)
+				var zb0004Mask uint8 /* 2 bits */
+				_ = zb0004Mask
+				if z.Cancellation.Workspace == "" {
+					zb0004Len--
+					zb0004Mask |= 0x2
+				}
+				// variable map header, size zb0004Len
+				o = append(o, 0x80|uint8(zb0004Len))
+
+				// skip if no fields are to be emitted
+				if zb0004Len != 0 {
+					// string "job"
+					o = append(o, 0xa3, 0x6a, 0x6f, 0x62)
+					o = msgp.AppendString(o, z.Cancellation.Job)
+					if (zb0004Mask & 0x2) == 0 { // if not omitted
+						// string "workspace"
+						o = append(o, 0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+						o = msgp.AppendString(o, z.Cancellation.Workspace)
+					}
+				}
 			}
 		}
 		if (zb0001Mask & 0x20) == 0 { // if not omitted
@@ -2337,6 +2447,12 @@
 							err = msgp.WrapError(err, "Cancellation", "Job")
 							return
 						}
+					case "workspace":
+						z.Cancellation.Workspace, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Cancellation", "Workspace")
+							return
+						}
 					default:
 						bts, err = msgp.Skip(bts)
 						if err != nil {
@@ -2489,7 +2605,7 @@
 	if z.Cancellation == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 4 + msgp.StringPrefixSize + len(z.Cancellation.Job)
+		s += 1 + 4 + msgp.StringPrefixSize + len(z.Cancellation.Job) + 10 + msgp.StringPrefixSize + len(z.Cancellation.Workspace)
 	}
 	s += 8
 	if z.Outcome == nil {
--- a/encoder/log_test.go
+++ b/encoder/log_test.go
@@ -39,7 +39,7 @@
 	case 2:
 		return messenger.Submission{Spec: spec}
 	case 3:
-		return messenger.Cancellation{Job: spec.Job}
+		return messenger.Cancellation{Job: spec.Job, Workspace: spec.Workspace}
 	case 4:
 		return outcome
 	case 5:
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -360,7 +360,7 @@
 	harness := run(server.Client(), netip.MustParseAddrPort(server.Listener.Addr().String()), follower.Parameters{})
 	defer harness.stop()
 	c.Assert(harness.appendRead().Entries, quicktest.HasLen, 0)
-	c.Assert(fmt.Sprint(harness.appendRead().Entries), quicktest.Equals, "[{7 {j}}]")
+	c.Assert(harness.appendRead().Entries, quicktest.DeepEquals, []messenger.Entry{{ID: "7", Record: messenger.Cancellation{Job: "j"}}})
 	c.Assert(harness.Corrupt(), quicktest.Equals, uint64(1))
 }
 
@@ -382,8 +382,10 @@
 	harness := run(server.Client(), netip.MustParseAddrPort(server.Listener.Addr().String()), follower.Parameters{})
 	defer harness.stop()
 	read := harness.appendRead()
-	c.Assert(fmt.Sprint(read.Entries), quicktest.Equals, "[{1 {j}} {3 {j}}]")
+	c.Assert(read.Entries, quicktest.DeepEquals, []messenger.Entry{
+		{ID: "1", Record: messenger.Cancellation{Job: "j"}}, {ID: "3", Record: messenger.Cancellation{Job: "j"}},
+	})
 	c.Assert(read.Refused, quicktest.HasLen, 1)
-	c.Assert(fmt.Sprint(harness.appendRead().Entries), quicktest.Equals, "[{7 {j}}]")
+	c.Assert(harness.appendRead().Entries, quicktest.DeepEquals, []messenger.Entry{{ID: "7", Record: messenger.Cancellation{Job: "j"}}})
 	c.Assert(harness.Corrupt(), quicktest.Equals, uint64(1))
 }
--- a/messenger/log.go
+++ b/messenger/log.go
@@ -29,6 +29,9 @@
 // Cancellation requests the end of a job.
 type Cancellation struct {
 	Job identifier.Job
+	// Workspace is that of the caller, empty in records of earlier versions. The node
+	// that appends the record need not have read the job's submission.
+	Workspace identifier.Workspace
 }
 
 // Outcome is the recorded result of a job.
