Test cancellations of jobs whose submission has no outcome yet

A cancellation is answered 410, which is final, while the same node repeats the append of the job, or after that node has answered the submission with an unknown outcome. The append is carried out afterwards, and the job runs.

--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -23,6 +23,7 @@
 	now       time.Time
 	random    *rand.Rand
 	pending   []pendingEvent
+	late      []lateAppend
 	journal   []messenger.JournalEntry
 	read      int
 	readAt    time.Time
@@ -33,7 +34,10 @@
 	// appendTooLarge means that the store will never take an append.
 	appendTooLarge  bool
 	lostAnswerShare float64
-	answers         map[identifier.Request]messenger.CommandAnswered
+	// appendDelay is how late the store carries out an append that it has not answered, zero
+	// if it answers.
+	appendDelay time.Duration
+	answers     map[identifier.Request]messenger.CommandAnswered
 	// appendedAt holds the times of the appends.
 	appendedAt []time.Time
 }
@@ -43,6 +47,12 @@
 	event messenger.Event
 }
 
+// lateAppend is an append that the store carries out at a time without an answer.
+type lateAppend struct {
+	at      time.Time
+	entries []messenger.JournalEntry
+}
+
 func newEntryVM(seed uint64) *entryVM {
 	return &entryVM{
 		registrar: registrar.New(), now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)),
@@ -74,6 +84,9 @@
 		if entryVM.random.Float64() < 0.5 {
 			entryVM.journal = append(entryVM.journal, action.Entries...)
 		}
+	case entryVM.appendDelay > 0:
+		appended.Err, delay = classifier.New(classifier.OutcomeUnknown, "no answer"), time.Second
+		entryVM.late = append(entryVM.late, lateAppend{entryVM.now.Add(entryVM.appendDelay), action.Entries})
 	case entryVM.appendTooLarge:
 		appended.Err = classifier.New(classifier.BodyTooLarge, "the record has 300000 bytes")
 	case entryVM.refusing, entryVM.appendsRefused:
@@ -98,6 +111,10 @@
 				entryVM.step(pending.event)
 			}
 		}
+		for len(entryVM.late) > 0 && !entryVM.late[0].at.After(entryVM.now) {
+			entryVM.journal = append(entryVM.journal, entryVM.late[0].entries...)
+			entryVM.late = entryVM.late[1:]
+		}
 		if !entryVM.refusing && !entryVM.unresponsive && entryVM.now.Sub(entryVM.readAt) > 100*time.Millisecond {
 			entries := entryVM.journal[entryVM.read:]
 			entryVM.read, entryVM.readAt = len(entryVM.journal), entryVM.now
@@ -128,10 +145,14 @@
 func (entryVM *entryVM) submit(request, id string) {
 	entryVM.step(messenger.SubmitArrived{
 		Request: identifier.Request(request), Deadline: entryVM.now.Add(3 * time.Second),
-		Job: specifier.Job{ID: identifier.Job(id), Queue: "q", Workspace: "w", Steps: []specifier.Step{{Tasks: 1}}},
+		Job: jobNamed(id),
 	})
 }
 
+func jobNamed(id string) specifier.Job {
+	return specifier.Job{ID: identifier.Job(id), Queue: "q", Workspace: "w", Steps: []specifier.Step{{Tasks: 1}}}
+}
+
 func (entryVM *entryVM) withdraw(request, id string) {
 	entryVM.step(messenger.WithdrawArrived{
 		Request: identifier.Request(request), Job: identifier.Job(id), Queue: "q", Workspace: "w",
