Answer no cancellation 410 while the job may still be stored

Callers of an entry VM saw 410 for a cancellation, which says that no such job exists, and the job ran afterwards: its submission at the same VM was stored later.

A cancellation now waits for the open submission of its job at this VM. After a submission without an outcome it is appended although the job is unknown: the entries of a job hold in either order, so that a job that is stored later is cancelled. Submissions of other workspaces don't count.

Another VM, which does not know of the submission, still answers 410.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -49,6 +49,8 @@
 	jobs     map[identifier.Job]*job
 	commands map[uint64]*command
 	lastID   uint64
+	// uncertain holds the submissions that were answered with an unknown outcome.
+	uncertain map[identifier.Job]uncertainSubmission
 	// asOf is the time up to which all acknowledged entries were read.
 	asOf time.Time
 	// storeRespondedAt is when a call to the store last succeeded.
@@ -97,6 +99,7 @@
 	return &Registrar{
 		jobs:         make(map[identifier.Job]*job),
 		commands:     make(map[uint64]*command),
+		uncertain:    make(map[identifier.Job]uncertainSubmission),
 		queueLengths: make(map[identifier.Queue]int),
 	}
 }
@@ -296,6 +299,7 @@
 	}
 	registrar.asOf = event.SentAt
 	registrar.storeRespondedAt, registrar.readFailed = now, false
+	registrar.forgetUncertain(now)
 	var actions []messenger.Action
 	for _, id := range registrar.pendingIDs() {
 		actions = append(actions, registrar.recheck(now, id, registrar.commands[id])...)
@@ -320,8 +324,7 @@
 		command.awaitsRead = false
 		return registrar.send(id, command)
 	case command.awaitsRead && registrar.asOf.After(command.arrived):
-		delete(registrar.commands, id)
-		return refuse(command.request, command.job, classifier.New(classifier.UnknownJob, "the journal has no such job"))
+		return registrar.withdrawUnread(id, command)
 	}
 	return nil
 }
@@ -352,7 +355,9 @@
 func (registrar *Registrar) expire(now time.Time, command *command) []messenger.Action {
 	err := classifier.New(classifier.OutcomeUnknown, "the store did not answer %d appends", command.attempts)
 	if command.awaitsRead {
-		err = classifier.New(classifier.LogUnavailable, "the journal could not be read in time")
+		err = classifier.New(classifier.LogUnavailable, "it was not known in time whether the job exists")
+	} else {
+		registrar.addUncertain(now, command)
 	}
 	return refuse(command.request, command.job, err.WithRetryAfter(registrar.retryDelay(now)))
 }
