--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -111,10 +111,7 @@
 				entryVM.step(pending.event)
 			}
 		}
-		for len(entryVM.late) > 0 && !entryVM.late[0].at.After(entryVM.now) {
-			entryVM.journal = append(entryVM.journal, entryVM.late[0].entries...)
-			entryVM.late = entryVM.late[1:]
-		}
+		entryVM.carryOutLateAppends()
 		if !entryVM.refusing && !entryVM.unresponsive && entryVM.now.Sub(entryVM.readAt) > 100*time.Millisecond {
 			entries := entryVM.journal[entryVM.read:]
 			entryVM.read, entryVM.readAt = len(entryVM.journal), entryVM.now
@@ -126,6 +123,18 @@
 	}
 }
 
+func (entryVM *entryVM) carryOutLateAppends() {
+	late := entryVM.late
+	entryVM.late = nil
+	for _, delayed := range late {
+		if delayed.at.After(entryVM.now) {
+			entryVM.late = append(entryVM.late, delayed)
+		} else {
+			entryVM.journal = append(entryVM.journal, delayed.entries...)
+		}
+	}
+}
+
 func (entryVM *entryVM) has(wanted messenger.JournalEntry) bool {
 	for _, existing := range entryVM.journal {
 		switch existing := existing.(type) {
@@ -162,9 +171,10 @@
 
 // TestAnswersMatchJournal guards against a job that is acknowledged but not
 // durable, against one that is refused as not accepted but is in the journal,
-// against a command without an answer, and against an acknowledged cancellation
-// that is not durable. The store does not respond, refuses appends, or loses
-// answers.
+// against a command without an answer, against an acknowledged cancellation that is not
+// durable, and against one that is refused as unknown although the job becomes durable
+// later. The store does not respond, refuses appends, loses answers, or carries out
+// appends late.
 func TestAnswersMatchJournal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		entryVM := newEntryVM(rapid.Uint64().Draw(t, "seed"))
@@ -173,10 +183,11 @@
 		count := rapid.IntRange(1, 15).Draw(t, "commands")
 		refused := make(map[string]int)
 		sent := make(map[string]int)
+		lastSubmission := make(map[string]int)
 		for number := range count {
 			entryVM.run(time.Duration(rapid.IntRange(0, 600).Draw(t, "after")) * time.Millisecond)
 			id := fmt.Sprintf("j%d", rapid.IntRange(0, 4).Draw(t, "job"))
-			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			switch rapid.IntRange(0, 6).Draw(t, "kind") {
 			case 0:
 				entryVM.withdraw(fmt.Sprint("cancel-", number, "-", id), id)
 			case 1:
@@ -185,14 +196,18 @@
 				entryVM.unresponsive = !entryVM.unresponsive
 			case 3:
 				entryVM.lostAnswerShare = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "lose-answers")
+			case 4:
+				entryVM.appendDelay = rapid.SampledFrom([]time.Duration{0, 1200 * time.Millisecond, 5 * time.Second}).Draw(t, "append-delay")
 			default:
 				jobs[id] = true
 				sent[id]++
+				lastSubmission[id] = number
 				entryVM.submit(fmt.Sprint("submit-", number, "-", id), id)
 			}
 		}
 		entryVM.refusing, entryVM.unresponsive, entryVM.lostAnswerShare = false, false, 0
-		entryVM.run(5 * time.Second)
+		entryVM.appendDelay = 0
+		entryVM.run(6 * time.Second)
 		for request, answer := range entryVM.answers {
 			var kind, id string
 			var number int
@@ -208,6 +223,9 @@
 				refused[id]++
 			case kind == "" && answer.Err == nil && !entryVM.has(messenger.Withdrawn{Job: identifier.Job(id)}):
 				t.Fatalf("%s is acknowledged but not durable", request)
+			case kind == "" && answer.Err != nil && answer.Err.Code == classifier.UnknownJob && number > lastSubmission[id] &&
+				entryVM.has(messenger.Submitted{Job: jobNamed(id)}) && !entryVM.has(messenger.Withdrawn{Job: identifier.Job(id)}):
+				t.Fatalf("%s is refused as unknown, but the journal contains the job", request)
 			}
 		}
 		for id := range jobs {
