Test a listing with an empty page

A page without records that says that more follow ends the listing, which is then delivered as complete. Its missing keys are never read, and their jobs count as unknown.

--- a/tailer/limits_test.go
+++ b/tailer/limits_test.go
@@ -84,3 +84,37 @@
 		c.Assert(failures, quicktest.Equals, 0)
 	})
 }
+
+// emptyPageLog answers the second request for a page with an empty one, although more follow.
+type emptyPageLog struct{ *fakeLog }
+
+func (log emptyPageLog) Newest(ctx context.Context, topic identifier.Topic, after string, stallTimeout time.Duration) (tailer.Page, error) {
+	page, err := log.fakeLog.Newest(ctx, topic, after, stallTimeout)
+	if pages, _ := log.counts(); pages == 2 {
+		page.Records, page.More = nil, true
+	}
+	return page, err
+}
+
+// TestEmptyPageDoesNotEndListing guards against a listing that is delivered as complete
+// although it lacks keys: their jobs would count as unknown.
+func TestEmptyPageDoesNotEndListing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		log, sink := &fakeLog{pageSize: 1}, &fakeSink{values: make(map[string]string)}
+		for _, key := range []string{"a", "b", "c"} {
+			log.add(key, key)
+		}
+		topicTailer := tailer.New(tailer.Options{Topic: "t", Wait: time.Second}, emptyPageLog{log}, sink, time.Now)
+		ended := make(chan error, 1)
+		go func() { ended <- topicTailer.Run(ctx) }()
+		time.Sleep(3 * time.Second) // virtual time
+		cancel()
+		<-ended
+		value, listings, failures, _ := sink.state("c")
+		c.Assert(value, quicktest.Equals, "c")
+		c.Assert(listings, quicktest.Equals, 1)
+		c.Assert(failures, quicktest.Equals, 1)
+	})
+}
