Fail a listing on an empty page with more to come

An entry VM would answer 410 for accepted jobs, and a holder would not run them: a listing was delivered as complete although the store had said that more keys follow.

Cause: the tailer took a page without records for the last one, whatever it said. Such a page is now a corrupt answer, and the same page is requested again after a delay. The protocol gives no key with which to continue after an empty page, so that a store that always sends one keeps the node from becoming ready, instead of hiding jobs.

No store was seen to send such a page.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -246,8 +246,11 @@
 		if listing.after == "" {
 			*listing = partialListing{end: page.End, begun: started}
 		}
+		if page.More && len(page.Records) == 0 {
+			return classifier.New(classifier.CorruptAnswer, "list of %s: the page after key %q is empty, and more follow", tailer.options.Topic, listing.after)
+		}
 		listing.records = append(listing.records, page.Records...)
-		more = page.More && len(page.Records) > 0
+		more = page.More
 		if more {
 			after := nextAfter(page.Records)
 			if after == listing.after {
