Deliver deletions that were trimmed before they were read

The node kept what it knew, and took over from it when it became the holder.

Cause: the records of a listing were applied one by one, so that the absence of a key was no information, although a complete listing proves it. The tailer now keeps the delivered keys of its topic, and adds a record without a value to a complete listing for each one that it lacks. Nothing counts as deleted if the listing ends before what was read, as that of a topic that the store does not know, or has a record whose key can't be read.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -73,7 +73,8 @@
 type Reading struct {
 	Records []Record
 	End     identifier.Offset
-	// Complete means that Records holds the newest record of every key.
+	// Complete means that Records holds the newest record of every key. It has one without
+	// a value for each key that was delivered before and has been deleted since.
 	Complete bool
 	// SentAt is a time before which no record was acknowledged that has not been
 	// delivered: that of the call, or of an earlier one if this one is not complete.
@@ -125,6 +126,7 @@
 	// isListed means that a listing is complete and reads continue at next.
 	isListed bool
 	coverage coverage
+	keys     keys
 	backoff  time.Duration
 }
 
@@ -133,7 +135,7 @@
 	tailer := &Tailer{
 		options: options, log: log, sink: sink, clock: clock, following: !options.Paused,
 		follow: buffer.New[bool](string(options.Topic)+"-follow", followCapacity),
-		pause:  pause{requests: buffer.New[struct{}](string(options.Topic)+"-refresh", 1)},
+		pause:  pause{requests: buffer.New[struct{}](string(options.Topic)+"-refresh", 1)}, keys: make(keys),
 	}
 	tailer.SetPace(options.Pace)
 	return tailer
@@ -203,6 +205,7 @@
 	tailer.following = enabled
 	tailer.isListed = false
 	tailer.partial = partialListing{}
+	clear(tailer.keys)
 }
 
 func (tailer *Tailer) read(ctx context.Context, started time.Time) error {
@@ -223,6 +226,7 @@
 	}
 	tailer.next = batch.Next
 	tailer.coverage.add(batch, started)
+	tailer.keys.add(batch.Records)
 	return tailer.sink.Deliver(ctx, Reading{Records: tailer.dropSuperseded(batch.Records), End: batch.Next, SentAt: tailer.coverage.until})
 }
 
@@ -266,8 +270,13 @@
 			tailer.listedOffsets[record.Key] = record.Offset
 		}
 	}
+	records := listing.records
+	if listing.end >= tailer.next { // otherwise it is not a later state of the topic
+		records = append(records, tailer.keys.deletions(listing)...)
+	}
+	tailer.keys.add(records)
 	reading := Reading{
-		Records: listing.records, End: listing.end, Complete: true, SentAt: listing.begun, RoundTrip: tailer.clock().Sub(listing.begun),
+		Records: records, End: listing.end, Complete: true, SentAt: listing.begun, RoundTrip: tailer.clock().Sub(listing.begun),
 	}
 	tailer.coverage = coverage{until: listing.begun}
 	tailer.next, tailer.isListed, tailer.partial = listing.end, true, partialListing{}
