--- a/planner/failedends_test.go
+++ b/planner/failedends_test.go
@@ -51,27 +51,6 @@
 	return most
 }
 
-// recordedMost is as failedEnds.most, but counts only the ends that minions have discarded
-// within their lease.
-func (simulation *simulation) recordedMost(id identifier.Job) int {
-	counts := make(map[specifier.Task]map[uint64]bool)
-	for task, state := range simulation.tasks {
-		if task.Job != id {
-			continue
-		}
-		if simulation.jobs[id].Steps[task.Step].Gang {
-			task.Index = 0
-		}
-		if counts[task] == nil {
-			counts[task] = make(map[uint64]bool)
-		}
-		for _, run := range state.failedRuns {
-			counts[task][run] = true
-		}
-	}
-	return failedEnds(counts).most(id)
-}
-
 // hasUsedAttempts reports whether a holder has ended a job because of its failed runs.
 func (simulation *simulation) hasUsedAttempts(id identifier.Job) bool {
 	return slices.ContainsFunc(simulation.decisions, func(line string) bool {
