--- a/classifier/error.go
+++ b/classifier/error.go
@@ -16,9 +16,6 @@
 	// MayHaveRun overrides an Execution of NotRun: the work may have been done,
 	// because the request repeats one for which it is unknown whether it ran.
 	MayHaveRun bool
-	// ConnectionRefused means that nothing listens at the address, so that the process that did
-	// has ended.
-	ConnectionRefused bool
 }
 
 // New returns an Error with a formatted message.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -305,7 +305,7 @@
 		}
 		return
 	}
-	if event.Err.ConnectionRefused && minion.refusedAt.IsZero() {
+	if event.ConnectionRefused && minion.refusedAt.IsZero() {
 		minion.refusedAt = now
 	}
 	if !minion.unresponsive {
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -14,7 +14,7 @@
 	unknown := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")}
 	if minion.faults.refusesConnections {
 		refused := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.MinionUnreachable, "connection refused")}
-		refused.Err.ConnectionRefused = true
+		refused.ConnectionRefused = true
 		simulation.schedule(latency, func() { simulation.step(node, refused) })
 		return
 	}
