End no job for a task that is done when a queue allows fewer attempts

A configuration with fewer attempts ended a job as failed at the next end of any of its runs, because of a task that was done and had failed as often. A task that is done is not started again, so that its attempts don't matter (as hasExhaustedTask has it).

--- a/planner/failure.go
+++ b/planner/failure.go
@@ -24,11 +24,11 @@
 }
 
 // attemptsReason returns why the job of a step fails whose attempts are used up.
-func (step *step) attemptsReason() string {
+func (step *step) attemptsReason(attempts int) string {
 	var parts []string
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if len(task.failedRuns) == 0 || (!step.spec.Gang && len(task.failedRuns) < step.failedAttempts()) {
+		if len(task.failedRuns) == 0 || (!step.spec.Gang && (task.done || len(task.failedRuns) < attempts)) {
 			continue
 		}
 		parts = append(parts, fmt.Sprintf("%s in run %s", step.id(index), joinNumbers(task.failedRuns)))
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -28,7 +28,7 @@
 		switch {
 		case !job.isOpen(): // another step has ended it
 		case step.hasExhaustedTask(now, planner.queue(job)):
-			planner.endJob(now, job, specifier.Failed, step.attemptsReason())
+			planner.endJob(now, job, specifier.Failed, step.attemptsReason(planner.queue(job).Attempts))
 		case step.hasGivenUpTask(now):
 			planner.giveUp(now, step)
 		case step.isIncompleteGang(now):
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -150,14 +150,28 @@
 	}
 	for _, occurrence := range job.occurrences {
 		for _, step := range occurrence.steps {
-			if step.failedAttempts() >= queue.Attempts {
-				planner.endJob(now, job, specifier.Failed, step.attemptsReason())
+			if step.hasUsedAttempts(queue.Attempts) {
+				planner.endJob(now, job, specifier.Failed, step.attemptsReason(queue.Attempts))
 				return
 			}
 		}
 	}
 }
 
+// hasUsedAttempts reports whether a task that is not done has failed as often as given. A
+// queue can come to allow no more attempts than a task that is done has used.
+func (step *step) hasUsedAttempts(attempts int) bool {
+	if step.spec.Gang {
+		return !step.isComplete() && step.failedAttempts() >= attempts
+	}
+	for index := range step.tasks {
+		if task := &step.tasks[index]; !task.done && len(task.failedRuns) >= attempts {
+			return true
+		}
+	}
+	return false
+}
+
 // failedAttempts returns the number of failures of the task that failed most.
 // The members of a gang share their attempts: one run counts once, however many
 // members fail in it.
