Count the retention of an ended job from the claim at the earliest

A holder deleted a job at once, so that its caller was told 410, if the holder that ended it had a clock behind by more than the retention. The retention counts from the later of the end and this holder's claim. Cost: with a new holder more often than the retention, ended jobs stay until one lasts that long.

--- a/planner/record.go
+++ b/planner/record.go
@@ -169,13 +169,18 @@
 			continue
 		}
 		_, isDirty := planner.recording.dirty[id]
-		isDeleted := now.Sub(job.endedAt) > planner.bounds.StatusRetention
+		// The clock of the holder that ended the job may have been behind this one.
+		since := job.endedAt
+		if since.Before(planner.holder.claimedAt) {
+			since = planner.holder.claimedAt
+		}
+		isDeleted := now.Sub(since) > planner.bounds.StatusRetention
 		if isDeleted {
 			job.deletionSent = true
 			delete(planner.recording.dirty, id)
 			deletions = append(deletions, id)
 		}
-		if job.hasProgress && (isDeleted || (!isDirty && now.Sub(job.endedAt) > progressRetention)) {
+		if job.hasProgress && (isDeleted || (!isDirty && now.Sub(since) > progressRetention)) {
 			job.hasProgress = false
 			expired = append(expired, job.progressParts()...)
 		}
