Find the lives of a minion by its address, and count its peers once

Each new entry looked through all minions, in an order that had to be sorted again, and each run of a minion that crashed through all silences: in a pool of 1,100 minions that start anew, a few seconds of the holder's processor. An index by address and one count for each step replace that. The minions that came back with one that crashed are counted once, when all have had the time to show themselves.

--- a/planner/birth.go
+++ b/planner/birth.go
@@ -47,8 +47,8 @@
 
 // earlierLife returns a minion of which a report shows a later life, nil if none is known.
 func (planner *Planner) earlierLife(report *messenger.MinionReport) *minion {
-	for _, minion := range planner.sortedMinions() {
-		if minion.placement(0).isFollowedBy(report) {
+	for _, minion := range []*minion{planner.minions[report.Minion], planner.minionsAt[report.Address]} {
+		if minion != nil && minion.placement(0).isFollowedBy(report) {
 			return minion
 		}
 	}
@@ -102,14 +102,14 @@
 }
 
 func (planner *Planner) settleCrash(now time.Time, step *step, crash *crash) {
-	if crash.isSettled || !crash.isCertain() {
+	if crash.isSettled || !crash.isCertain() || now.Before(crash.settledAt) {
 		return
 	}
+	crash.isSettled = true
 	if later := planner.laterLife(crash.placement); crash.next == 0 && later != nil {
 		crash.next = later.report.Incarnation
 	}
 	crash.silentPeers = max(crash.silentPeers, planner.countBornPeers(step, crash.next))
-	crash.isSettled = !now.Before(crash.settledAt)
 }
 
 // isMassSilence reports whether so many other minions ended together with one that the reason
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -252,8 +252,8 @@
 // laterLife returns a minion that is a later life of the one that was to start a run, nil if
 // none is known.
 func (planner *Planner) laterLife(placement placement) *minion {
-	for _, minion := range planner.sortedMinions() {
-		if placement.isFollowedBy(&minion.report) {
+	for _, minion := range []*minion{planner.minions[placement.minion], planner.minionsAt[placement.address]} {
+		if minion != nil && placement.isFollowedBy(&minion.report) {
 			return minion
 		}
 	}
--- a/planner/death.go
+++ b/planner/death.go
@@ -124,10 +124,15 @@
 	if minion.report.Draining || minion.closedForMaintenance {
 		return // it has left as announced
 	}
+	silentPeers := make(map[*step]int)
 	for _, run := range runs {
-		if run.mayHaveRun() {
-			planner.noteCrash(now, death, run)
+		if !run.mayHaveRun() {
+			continue
 		}
+		if _, isCounted := silentPeers[run.step]; !isCounted {
+			silentPeers[run.step] = planner.countSilentPeers(now, minion, run.step)
+		}
+		planner.noteCrash(now, death, run, silentPeers[run.step])
 	}
 }
 
@@ -152,13 +157,13 @@
 
 // noteCrash notes that the minion of a run has crashed. A run that had worked for long
 // shows that its task is not the reason.
-func (planner *Planner) noteCrash(now time.Time, death *death, run *run) {
+func (planner *Planner) noteCrash(now time.Time, death *death, run *run, silentPeers int) {
 	age := run.ageAtDeath(now)
 	if age >= establishedAge {
 		planner.forgetCrashes(run)
 		return
 	}
-	evidence, silentPeers := planner.evidenceAgainst(run, death), planner.countSilentPeers(now, run)
+	evidence := planner.evidenceAgainst(run, death)
 	if evidence < specifier.Proven && age > maxUnprovenAge {
 		if evidence == specifier.Unproven {
 			return
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -97,6 +98,7 @@
 func (planner *Planner) stepDown() {
 	planner.holder = holderState{}
 	planner.minions, planner.minionsByName = make(map[identifier.Minion]*minion), nil
+	planner.minionsAt = make(map[netip.AddrPort]*minion)
 	planner.polls, planner.silentMinions, planner.missing = pollSchedule{}, nil, nil
 	planner.silences, planner.births = nil, nil
 	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -4,6 +4,7 @@
 package planner
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -33,6 +34,8 @@
 	// minionsByName holds the minions in the order of their names, nil if it must
 	// be built again.
 	minionsByName []*minion
+	// minionsAt holds the newest minion at each address.
+	minionsAt     map[netip.AddrPort]*minion
 	polls         pollSchedule
 	silentMinions silentMinions
 	// silences are those of the last time, oldest first.
@@ -71,7 +74,7 @@
 	return &Planner{
 		node: node, bounds: bounds, policy: &specifier.Policy{},
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job),
-		minions: make(map[identifier.Minion]*minion), pendingOrders: make(map[uint64]*run),
+		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		recording: newRecording(), maintenance: newMaintenance(),
 	}
 }
@@ -248,12 +251,18 @@
 	planner.silentMinions.remove(added)
 	planner.minions[added.report.Minion] = added
 	planner.minionsByName = nil
+	if known := planner.minionsAt[added.report.Address]; known == nil || known.report.Incarnation <= added.report.Incarnation {
+		planner.minionsAt[added.report.Address] = added
+	}
 }
 
 func (planner *Planner) removeMinion(removed *minion) {
 	planner.silentMinions.remove(removed)
 	delete(planner.minions, removed.report.Minion)
 	planner.minionsByName = nil
+	if planner.minionsAt[removed.report.Address] == removed {
+		delete(planner.minionsAt, removed.report.Address)
+	}
 }
 
 // View returns the gauges of the holder.
--- a/planner/silence.go
+++ b/planner/silence.go
@@ -48,18 +48,17 @@
 }
 
 // countSilentPeers returns the number of other minions that may have fallen silent at the
-// same moment as the one that had a run, for no reason that their tasks explain. If there are
-// several, the cause is one that they have in common.
-func (planner *Planner) countSilentPeers(now time.Time, run *run) int {
-	name := run.minion.report.Minion
-	after, before := run.minion.answeredAt, now
-	if run.minion.unresponsive {
-		before = run.minion.unresponsiveSince
+// same moment as one that had a run of the step, for no reason that their tasks explain. If
+// there are several, the cause is one that they have in common.
+func (planner *Planner) countSilentPeers(now time.Time, minion *minion, step *step) int {
+	after, before := minion.answeredAt, now
+	if minion.unresponsive {
+		before = minion.unresponsiveSince
 	}
 	peers := make(map[identifier.Minion]bool)
 	for _, silence := range planner.silences {
 		isConcurrent := !silence.before.Before(after) && !silence.after.After(before)
-		if isConcurrent && silence.minion != name && !silence.isExplained && !slices.Contains(silence.steps, run.step) {
+		if isConcurrent && silence.minion != minion.report.Minion && !silence.isExplained && !slices.Contains(silence.steps, step) {
 			peers[silence.minion] = true
 		}
 	}
