Keep crashes with a common cause as suspicion, and count crashes until a minute of work

A crash that many minions share is unproven now: it ends no job, and makes its task suspect, so that the next run is on trial and apart from the others.

Also from the review: a run forgets the crashes of its task after a minute of work again, not after the trial time; a stop that was ordered before connections were refused counts as one that may have arrived; a run that may have completed by its estimate before that proves nothing; a new holder counts the minions that began with a later life; an upgrade of evidence keeps the larger number of peers and settles again; the crashes of a full record are kept by the certain ones; crashes settle in the order of the jobs. A task with four unproven crashes waits 2 s to a minute before each further start.

--- a/planner/birth.go
+++ b/planner/birth.go
@@ -6,6 +6,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // birth is the start of a later life of a minion. Minions that crash for a common reason come
@@ -84,32 +85,41 @@
 	return count
 }
 
-// settleCrashes counts for the recent crashes under the tasks of a step the minions that came
-// back with the one that crashed. A crash that many others share says nothing about a task.
-func (planner *Planner) settleCrashes(now time.Time, step *step) {
-	for _, index := range step.crashedTasks {
-		task := &step.tasks[index]
-		for position := range task.crashes {
-			planner.settleCrash(now, step, &task.crashes[position])
+// settleCrashes counts for the recent crashes under tasks the minions that came back with the
+// one that crashed. A crash that many others share proves nothing.
+func (planner *Planner) settleCrashes(now time.Time) {
+	var steps []*step
+	for step := range planner.dueSteps(now) {
+		if len(step.crashedTasks) > 0 {
+			steps = append(steps, step)
 		}
-		kept := slices.DeleteFunc(task.crashes, func(crash crash) bool { return planner.isMassSilence(crash.silentPeers) })
-		if len(kept) < len(task.crashes) {
-			planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
-			planner.recording.markCrashesDirty(step)
+	}
+	slices.SortFunc(steps, compareArrival)
+	for _, step := range steps {
+		for _, index := range step.crashedTasks {
+			crashes := step.tasks[index].crashes
+			for position := range crashes {
+				if crash := &crashes[position]; !crash.isSettled && crash.isCertain() && !now.Before(crash.settledAt) {
+					planner.settleCrash(step, crash)
+				}
+			}
 		}
-		task.crashes = kept
 	}
 }
 
-func (planner *Planner) settleCrash(now time.Time, step *step, crash *crash) {
-	if crash.isSettled || !crash.isCertain() || now.Before(crash.settledAt) {
-		return
-	}
+func (planner *Planner) settleCrash(step *step, crash *crash) {
 	crash.isSettled = true
-	if later := planner.laterLife(crash.placement); crash.next == 0 && later != nil {
-		crash.next = later.report.Incarnation
+	if crash.next == 0 {
+		if later := planner.laterLife(crash.placement); later != nil {
+			crash.next = later.report.Incarnation
+		}
 	}
 	crash.silentPeers = max(crash.silentPeers, planner.countBornPeers(step, crash.next))
+	if planner.isMassSilence(crash.silentPeers) {
+		crash.evidence = specifier.Unproven
+		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
+		planner.recording.markCrashesDirty(step)
+	}
 }
 
 // isMassSilence reports whether so many other minions ended together with one that the reason
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -25,6 +25,11 @@
 	// maxUnprovenAge is the age up to which a run that may have ended before its minion
 	// counts as one during which the minion crashed.
 	maxUnprovenAge = 6500 * time.Millisecond
+	// A task with maxCrashes unproven crashes is started again after minUnprovenDelay, and after
+	// twice the time with each further one, up to maxUnprovenDelay.
+	minUnprovenDelay  = 2 * time.Second
+	maxUnprovenDelay  = time.Minute
+	maxDelayDoublings = 5
 	// maxUndecidedTime is the time after the loss of a run until its minion, if it has crashed,
 	// is back and listed.
 	maxUndecidedTime = 3 * time.Second
@@ -170,12 +175,13 @@
 
 // addCrash adds a crash under a run of a task. A run counts once: if its start may still
 // arrive at the minion's next incarnation, that says nothing about a crash of the next one.
-func (planner *Planner) addCrash(step *step, index int, added crash) {
+func (planner *Planner) addCrash(now time.Time, step *step, index int, added crash) {
 	task, job := &step.tasks[index], step.occurrence.job
 	if task.done || !job.isOpen() || !step.addCrash(index, added) {
 		return
 	}
 	task.lastFailedOn = added.minion
+	task.delayUnproven(now)
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countSuspected})
 	planner.emitDecision(step.id(index).String(), "minion-crashed", "the minion of its run has crashed",
@@ -185,6 +191,19 @@
 	planner.passNeeded = true
 }
 
+// delayUnproven delays the next start of a task with many unproven crashes: it can't be given
+// up, and may cost a minion with each start.
+func (task *task) delayUnproven(now time.Time) {
+	excess := len(task.crashes) - task.countCrashes(crash.isCertain) - maxCrashes
+	if excess < 0 {
+		return
+	}
+	delay := min(minUnprovenDelay<<min(excess, maxDelayDoublings), maxUnprovenDelay)
+	if until := now.Add(delay); until.After(task.notBefore) {
+		task.notBefore = until
+	}
+}
+
 // addCrash adds a crash, or better evidence of a known one. It reports whether anything is new.
 func (step *step) addCrash(index int, added crash) bool {
 	task := &step.tasks[index]
@@ -196,7 +215,8 @@
 		if !known.placement.isSame(added.placement) || known.evidence >= added.evidence {
 			return false
 		}
-		known.evidence, known.next, known.silentPeers, known.settledAt = added.evidence, added.next, added.silentPeers, added.settledAt
+		known.evidence, known.next, known.silentPeers = added.evidence, added.next, max(known.silentPeers, added.silentPeers)
+		known.settledAt, known.isSettled = added.settledAt, false
 		return true
 	}
 	task.crashes = append(task.crashes, added)
@@ -224,7 +244,7 @@
 
 // judgeFormerRun concludes what has become of the run of an inherited task that neither
 // runs nor has ended anywhere, from where the former holder has placed it.
-func (planner *Planner) judgeFormerRun(step *step, index int) {
+func (planner *Planner) judgeFormerRun(now time.Time, step *step, index int) {
 	task := &step.tasks[index]
 	placement := task.placement
 	if !task.unresolved || placement.run == 0 || placement.run < task.latestRun {
@@ -237,8 +257,29 @@
 	if next := planner.laterLife(placement); next != nil && task.isEarlyLife(next) {
 		added.evidence, added.next = specifier.Restarted, next.report.Incarnation
 		added.onTrial = task.isSuspect() && step.isPlacedAlone(index)
+		added.silentPeers = planner.countContemporaries(step, next)
+		if planner.isMassSilence(added.silentPeers) {
+			added.evidence = specifier.Unproven
+		}
 	}
-	planner.addCrash(step, index, added)
+	planner.addCrash(now, step, index, added)
+}
+
+// countContemporaries returns the number of other minions that began at the same time as one,
+// but for later lives of minions that had runs of the step.
+func (planner *Planner) countContemporaries(step *step, one *minion) int {
+	placedAt := make(map[netip.AddrPort]bool, len(step.tasks))
+	for index := range step.tasks {
+		placedAt[step.tasks[index].placement.address] = true
+	}
+	count, begun := 0, time.UnixMilli(int64(one.report.Incarnation))
+	for _, other := range planner.minions {
+		isConcurrent := time.UnixMilli(int64(other.report.Incarnation)).Sub(begun).Abs() <= maxBirthSpread
+		if other != one && isConcurrent && !placedAt[other.report.Address] {
+			count++
+		}
+	}
+	return count
 }
 
 // isEarlyLife reports whether a minion has begun so soon after the placement of the task's run
--- a/planner/crashpart.go
+++ b/planner/crashpart.go
@@ -17,7 +17,7 @@
 }
 
 // crashProgress returns the part of the progress with the crashes and placements. If they
-// are too many, the tasks with most crashes are listed.
+// are too many, the tasks with most certain crashes are listed.
 func (job *job) crashProgress() specifier.Progress {
 	recorded := specifier.Progress{State: job.permittedState(), EndedAt: job.endedAt}
 	for _, occurrence := range job.occurrences {
@@ -41,7 +41,7 @@
 }
 
 func (job *job) crashCount(recorded specifier.TaskCrash) int {
-	return len(job.occurrences[recorded.Occurrence].steps[recorded.Step].tasks[recorded.Index].crashes)
+	return job.occurrences[recorded.Occurrence].steps[recorded.Step].tasks[recorded.Index].countCrashes(crash.isCertain)
 }
 
 func (step *step) recordedCrashes(index int) []specifier.TaskCrash {
--- a/planner/death.go
+++ b/planner/death.go
@@ -164,17 +164,17 @@
 		return
 	}
 	evidence := planner.evidenceAgainst(run, death)
-	if evidence < specifier.Proven && age > maxUnprovenAge {
-		if evidence == specifier.Unproven {
-			return
-		}
+	if evidence == specifier.Unproven && age > maxUnprovenAge {
+		return
+	}
+	if evidence == specifier.Restarted && age > maxUnprovenAge && !run.onTrial {
 		evidence = specifier.Unproven
 	}
 	if planner.isMassSilence(silentPeers) {
 		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
-		return
+		evidence = specifier.Unproven
 	}
-	planner.addCrash(run.step, run.id.Index, crash{
+	planner.addCrash(now, run.step, run.id.Index, crash{
 		placement: run.placement(), age: age, onTrial: run.isAloneOnTrial() && run.hasCertainlyRun(),
 		evidence: evidence, next: death.next, silentPeers: silentPeers,
 		undecidedUntil: now.Add(maxUndecidedTime), settledAt: now.Add(settlingTime),
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -74,7 +74,7 @@
 		return specifier.Unproven
 	case run.startConfirmedAt.IsZero() || run.mayHaveBeenStopped() || planner.hasLostMember(run):
 		return specifier.Restarted
-	case death.latest().After(run.minion.lease.holdsUntil):
+	case death.latest().After(run.minion.lease.holdsUntil) || run.mayHaveCompleted():
 		return specifier.Restarted
 	}
 	return specifier.Proven
@@ -89,11 +89,18 @@
 	return maxDownTime + maxPollWait
 }
 
-// mayHaveBeenStopped reports whether the run may have ended because it was ordered to. A
-// minion that had fallen silent before did not receive the order.
+// mayHaveBeenStopped reports whether the run may have ended because it was ordered to. The
+// order did not arrive if connections to its minion were refused before.
 func (run *run) mayHaveBeenStopped() bool {
-	wasSilent := run.minion.unresponsive && !run.stopOrderedAt.Before(run.minion.unresponsiveSince)
-	return run.state == stopping && !wasSilent
+	refusedAt := run.minion.refusedAt
+	return run.state == stopping && (refusedAt.IsZero() || run.stopOrderedAt.Before(refusedAt))
+}
+
+// mayHaveCompleted reports whether the run may have ended by itself, by its submitter's
+// estimate, before connections to its minion were refused.
+func (run *run) mayHaveCompleted() bool {
+	refusedAt := run.minion.refusedAt
+	return !run.step.spec.LongRunning && !refusedAt.IsZero() && refusedAt.Sub(run.startedAt) >= run.step.spec.EstimatedRunTime
 }
 
 // hasLostMember reports whether the minion of another member of the run's gang fell silent
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -233,7 +233,7 @@
 		for _, occurrence := range job.occurrences {
 			for _, step := range occurrence.steps {
 				for index := range step.tasks {
-					planner.judgeFormerRun(step, index)
+					planner.judgeFormerRun(now, step, index)
 					planner.markResolved(&step.tasks[index])
 				}
 			}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -125,7 +125,7 @@
 	run.checkpoint, run.load = report.Checkpoint, report.Load
 	planner.refuteCrash(run.step, run.id.Index, run.placement())
 	planner.clearIfPassed(now, run)
-	if !run.startConfirmedAt.IsZero() && now.Sub(run.startConfirmedAt) >= run.task().trialTime() {
+	if !run.startConfirmedAt.IsZero() && now.Sub(run.startConfirmedAt) >= establishedAge {
 		planner.forgetCrashes(run)
 	}
 }
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -12,9 +12,9 @@
 // prepareSteps does what must precede the starts of a pass: it ends the jobs whose
 // attempts are used up, stops incomplete gangs and reserves the numbers of repeated runs.
 func (planner *Planner) prepareSteps(now time.Time) {
+	planner.settleCrashes(now)
 	var steps []*step
 	for step, queue := range planner.dueSteps(now) {
-		planner.settleCrashes(now, step)
 		if !step.isReady() || !step.hasIdleTask(now) {
 			continue
 		}
--- a/planner/trialwidth.go
+++ b/planner/trialwidth.go
@@ -23,7 +23,9 @@
 func (task *task) trialTime() time.Duration {
 	longest := time.Duration(0)
 	for _, crash := range task.crashes {
-		longest = max(longest, cmp.Or(crash.age, unknownAge))
+		if !crash.cleared {
+			longest = max(longest, cmp.Or(crash.age, unknownAge))
+		}
 	}
 	return min(max(longest+longest/2+trialMargin, minTrial), maxTrial)
 }
@@ -151,8 +153,7 @@
 	planner.passNeeded = true
 }
 
-// clear ends the suspicion of a task. Its crashes still count, until a run has worked for the
-// whole trial time.
+// clear ends the suspicion of a task. Its crashes still count until it is established.
 func (planner *Planner) clear(step *step, task *task) {
 	for index := range task.crashes {
 		task.crashes[index].cleared = true
