--- a/planner/reviewevidence_test.go
+++ b/planner/reviewevidence_test.go
@@ -52,7 +52,7 @@
 				simulation := newSimulation(seed, 1, 8)
 				random := rand.New(rand.NewPCG(seed, 5))
 				simulation.jobsCrash("bad", 0)
-				simulation.crashing.contains = func(task specifier.Task) bool {
+				simulation.crashing.contains = func(specifier.Task) bool {
 					simulation.crashing.delay = 50*time.Millisecond + time.Duration(random.Int64N(int64(longest)))
 					return true
 				}
