Give up no job for crashes of which none was on trial

Four certain crashes end a job only if the task was alone on trial in one of them; from the third on it always is. The log of the soak shows the four crashes as on-trial=false.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -42,7 +42,8 @@
 	// started again. A single one could be the crash of a minion for another reason.
 	maxConclusiveCrashes = 2
 	// maxCrashes is the number of certain crashes after which a task is not started again
-	// although none of them is conclusive. A takeover may have hidden one more.
+	// although they are not conclusive, if one of them was on trial: a neighbor of such a task
+	// can be in as many. A takeover may have hidden one more.
 	maxCrashes = 4
 )
 
@@ -95,13 +96,17 @@
 // isSuspect reports whether the task may have crashed a minion, so that its next run is
 // on trial.
 func (task *task) isSuspect() bool {
-	return !task.done && (task.countCrashes(crash.isSoonAfterStart) > 0 || task.countCrashes(crash.isUncleared) > 1)
+	return !task.done && (task.countCrashes(crash.isSoonAfterStart) > 0 || task.countCrashes(crash.isUncleared) > 1 ||
+		task.countCrashes(crash.isCertain) >= maxCrashes-1)
 }
 
 // isGivenUp reports whether the task must not start again, because it crashes its minions.
 func (task *task) isGivenUp() bool {
-	return !task.done &&
-		(task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes || task.countCrashes(crash.isCertain) >= maxCrashes)
+	if task.done {
+		return false
+	}
+	isRepeated := task.countCrashes(crash.isCertain) >= maxCrashes && task.countCrashes(crash.isCertainOnTrial) > 0
+	return isRepeated || task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes
 }
 
 // awaitsEvidence reports whether the task would not be started again, but it is not known yet
@@ -137,6 +142,8 @@
 // isCertain reports whether the minion has certainly ended.
 func (crash crash) isCertain() bool { return crash.evidence >= specifier.Restarted }
 
+func (crash crash) isCertainOnTrial() bool { return crash.isCertain() && crash.onTrial }
+
 // isOnTrial reports whether the run was on trial.
 func (crash crash) isOnTrial() bool { return crash.onTrial }
 
