--- a/planner/crash.go
+++ b/planner/crash.go
@@ -74,7 +74,7 @@
 	placement
 	// age is for how long the run had worked, at most.
 	age time.Duration
-	// onTrial means that the run was on trial and had certainly started.
+	// onTrial means that the run was alone on trial on its minion.
 	onTrial bool
 	// cleared means that the crash does not make the task suspect any more.
 	cleared bool
@@ -142,6 +142,7 @@
 // isCertain reports whether the minion has certainly ended.
 func (crash crash) isCertain() bool { return crash.evidence >= specifier.Restarted }
 
+// isCertainOnTrial reports whether the minion has certainly ended and the run was on trial.
 func (crash crash) isCertainOnTrial() bool { return crash.isCertain() && crash.onTrial }
 
 // isOnTrial reports whether the run was on trial.
--- a/planner/death.go
+++ b/planner/death.go
@@ -81,8 +81,9 @@
 	// wasOutOfReach means that the next incarnation was alive for some time before it showed
 	// itself, so that the earlier one may have been as well when it fell silent.
 	wasOutOfReach bool
-	counted       string
-	reason        string
+	// counted is the reason of messenger.Crashes, reason that of the log line.
+	counted string
+	reason  string
 }
 
 // newDeath returns the end of a minion that has restarted or been replaced, as its later life
@@ -167,20 +168,26 @@
 	if evidence == specifier.Unproven && age > maxUnprovenAge {
 		return
 	}
-	if evidence == specifier.Restarted && age > maxUnprovenAge && !run.onTrial {
-		evidence = specifier.Unproven
-	}
-	if planner.isMassSilence(silentPeers) {
-		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
-		evidence = specifier.Unproven
-	}
 	planner.addCrash(now, run.step, run.id.Index, crash{
 		placement: run.placement(), age: age, onTrial: run.isAloneOnTrial() && run.hasCertainlyRun(),
-		evidence: evidence, next: death.next, silentPeers: silentPeers,
+		evidence: planner.weighEvidence(evidence, run, age, silentPeers), next: death.next, silentPeers: silentPeers,
 		undecidedUntil: now.Add(maxUndecidedTime), settledAt: now.Add(settlingTime),
 	})
 }
 
+// weighEvidence lowers the evidence of a crash that many minions share, or that came so long
+// after the start of a run that the run may have ended before.
+func (planner *Planner) weighEvidence(evidence specifier.CrashEvidence, run *run, age time.Duration, silentPeers int) specifier.CrashEvidence {
+	if planner.isMassSilence(silentPeers) {
+		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
+		return specifier.Unproven
+	}
+	if evidence == specifier.Restarted && age > maxUnprovenAge && !run.onTrial {
+		return specifier.Unproven
+	}
+	return evidence
+}
+
 // hasCertainlyRun reports whether a run on trial has started on its minion, now that the
 // minion has crashed: its start is confirmed, or no other one on trial could be the reason.
 func (run *run) hasCertainlyRun() bool {
--- a/planner/silence.go
+++ b/planner/silence.go
@@ -10,10 +10,9 @@
 // silence is the time in which a minion has stopped answering: after its last answer, and
 // before the first order without one failed.
 type silence struct {
-	minion      identifier.Minion
-	incarnation identifier.Incarnation
-	after       time.Time
-	before      time.Time
+	minion identifier.Minion
+	after  time.Time
+	before time.Time
 	// steps are those of the runs that it had.
 	steps []*step
 	// isExplained means that a task may be the reason.
@@ -26,17 +25,15 @@
 	silenceRetention = 30 * time.Second
 	// maxSilences bounds the silences that are kept.
 	maxSilences = 512
-	// A crash says nothing about a task if as many other minions fall silent at the same moment
-	// as minMassSilence, and as one of massSilenceShare that are known.
+	// A crash proves nothing against a task if at least minMassSilence other minions fall silent
+	// at the same moment, and at least one of massSilenceShare of those that are known.
 	minMassSilence   = 4
 	massSilenceShare = 16
 )
 
 // noteSilence notes that a minion has not answered an order for the first time.
 func (planner *Planner) noteSilence(now time.Time, minion *minion) {
-	added := silence{
-		minion: minion.report.Minion, incarnation: minion.report.Incarnation, after: minion.answeredAt, before: now, isExplained: minion.mayHaveCrashedUnderTask(),
-	}
+	added := silence{minion: minion.report.Minion, after: minion.answeredAt, before: now, isExplained: minion.mayHaveCrashedUnderTask()}
 	for _, run := range minion.runs {
 		if !slices.Contains(added.steps, run.step) {
 			added.steps = append(added.steps, run.step)
