Count the crashes of a gang over its members

Each run crashed the minion of another member, or of two; the crashes were counted for each task. Four runs of a gang in which a minion certainly crashed end the job now, if one was on trial and one member has two of the crashes.

--- a/planner/crash.go
+++ b/planner/crash.go
@@ -45,6 +45,8 @@
 	// although they are not conclusive, if one of them was on trial: a neighbor of such a task
 	// can be in as many. A takeover may have hidden one more.
 	maxCrashes = 4
+	// minMemberCrashes is the number of them that one member of a gang must have.
+	minMemberCrashes = 2
 )
 
 // placement is the incarnation of a minion that was to start a run.
@@ -109,6 +111,21 @@
 	return isRepeated || task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes
 }
 
+// isGangGivenUp reports whether the gang of the task must not start again: each of its runs may
+// crash the minion of another member.
+func (step *step) isGangGivenUp(task *task) bool {
+	runs, isOnTrial := make(map[uint64]bool), false
+	for _, index := range step.crashedTasks {
+		for _, crash := range step.tasks[index].crashes {
+			if crash.isCertain() {
+				runs[crash.run] = true
+				isOnTrial = isOnTrial || crash.onTrial
+			}
+		}
+	}
+	return !task.done && len(runs) >= maxCrashes && isOnTrial && task.countCrashes(crash.isCertain) >= minMemberCrashes
+}
+
 // awaitsEvidence reports whether the task would not be started again, but it is not known yet
 // how many minions crashed together with its own, or whether its last one has crashed.
 func (task *task) awaitsEvidence(now time.Time) bool {
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -80,7 +80,9 @@
 // givenUpTask returns the index of such a task, negative if there is none.
 func (step *step) givenUpTask(now time.Time) int {
 	for _, index := range step.crashedTasks {
-		if task := &step.tasks[index]; task.isGivenUp() && !task.awaitsEvidence(now) {
+		task := &step.tasks[index]
+		isGivenUp := task.isGivenUp() || (step.spec.Gang && step.isGangGivenUp(task))
+		if isGivenUp && !task.awaitsEvidence(now) {
 			return index
 		}
 	}
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -22,3 +23,19 @@
 	neighbor.crashes = append(neighbor.crashes, crash{evidence: specifier.Restarted, onTrial: true})
 	c.Assert(neighbor.isGivenUp(), quicktest.IsTrue)
 }
+
+// TestGangWhoseMembersCrashInTurnIsGivenUp guards against a gang that is started too often
+// (BUDGET, soak, seed 50001), because each run crashes the minion of another member.
+func TestGangWhoseMembersCrashInTurnIsGivenUp(t *testing.T) {
+	c := quicktest.New(t)
+	gang := &step{spec: &specifier.Step{Gang: true}, tasks: make([]task, 3), crashedTasks: []int{0, 1, 2}}
+	crashIn := func(run uint64, index int) {
+		added := crash{placement: placement{run: run}, evidence: specifier.Restarted, onTrial: run == maxCrashes}
+		gang.tasks[index].crashes = append(gang.tasks[index].crashes, added)
+	}
+	for run := range uint64(maxCrashes) {
+		c.Assert(gang.hasGivenUpTask(time.Time{}), quicktest.IsFalse)
+		crashIn(run+1, int(run)%len(gang.tasks))
+	}
+	c.Assert(gang.hasGivenUpTask(time.Time{}), quicktest.IsTrue)
+}
