Let no task that is not suspect hold up the trials of its step

A trial waits while the task with most crashes has a run that is being stopped; the rule, new in, compared the crashes alone, so that a task with two of them that was cleared, and not suspect any more, held up the suspect one for ever. Now the run itself decides.

--- a/planner/trial.go
+++ b/planner/trial.go
@@ -150,8 +150,8 @@
 			cmp.Compare(len(step.tasks[other].crashes), len(step.tasks[one].crashes)),
 		)
 	})
-	if step.trialWidth() == 1 && len(indexes) > 0 && len(step.tasks[indexes[0]].crashes) < step.mostCrashes() {
-		return nil // the task that is tried first has a run that is being stopped
+	if step.trialWidth() == 1 && len(indexes) > 0 && step.awaitsRunEnd(len(step.tasks[indexes[0]].crashes)) {
+		return nil // that task is tried first
 	}
 	room := max(0, step.trialWidth()-step.countUnpassedRuns())
 	if len(indexes) > 0 && len(step.tasks[indexes[0]].crashes) >= maxCrashes-1 {
@@ -160,6 +160,19 @@
 	return indexes[:min(room, len(indexes))]
 }
 
+// awaitsRunEnd reports whether a suspect task with more than a number of crashes has a run that
+// is being stopped.
+func (step *step) awaitsRunEnd(crashes int) bool {
+	for _, index := range step.crashedTasks {
+		task := &step.tasks[index]
+		isEnding := task.knownRuns > 0 && (task.run == nil || task.run.state == stopping)
+		if isEnding && task.isSuspect() && len(task.crashes) > crashes {
+			return true
+		}
+	}
+	return false
+}
+
 // planTrial chooses minions for suspect tasks of a step, closes them for other runs, and
 // records the trial.
 func (planner *Planner) planTrial(now time.Time, waitingStep *waitingStep, pool *pool) {
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -39,3 +39,16 @@
 	}
 	c.Assert(gang.hasGivenUpTask(time.Time{}), quicktest.IsTrue)
 }
+
+// TestClearedTaskHoldsUpNoTrial guards against a step that waits for ever (soak, seed 51020): a
+// task with more crashes than the suspect one is not suspect, and no run of it ends.
+func TestClearedTaskHoldsUpNoTrial(t *testing.T) {
+	c := quicktest.New(t)
+	cleared := crash{placement: placement{run: 1}, age: time.Second, evidence: specifier.Proven, cleared: true}
+	late := crash{placement: placement{run: 2}, age: 2 * recentStart, evidence: specifier.Proven}
+	step := &step{spec: &specifier.Step{}, tasks: make([]task, 2), crashedTasks: []int{0, 1}, isLikelyCause: true}
+	step.tasks[0].crashes = []crash{cleared, late}
+	step.tasks[1].crashes = []crash{{placement: placement{run: 3}, age: time.Second, evidence: specifier.Proven}}
+	c.Assert(step.tasks[0].isSuspect(), quicktest.IsFalse)
+	c.Assert(step.tasksForTrial(time.Time{}), quicktest.DeepEquals, []int{1})
+}
