--- a/planner/store_test.go
+++ b/planner/store_test.go
@@ -226,3 +226,34 @@
 		simulation.schedule(readRetryDelay, func() { simulation.deliverToFollower(node, read) })
 	}
 }
+
+// deliverReports delivers the reports of all minions that are alive and
+// registered. A node that can't read them now reads them later.
+func (simulation *simulation) deliverReports(node *node) {
+	if !simulation.store.isReachableFrom(node) {
+		simulation.schedule(readRetryDelay, func() { simulation.deliverReports(node) })
+		return
+	}
+	simulation.store.followers[node] = true
+	read := messenger.MinionsRead{Complete: true, SentAt: simulation.now}
+	for _, minion := range simulation.sortedMinions() {
+		if minion.alive && !minion.unregistered {
+			read.Reports = append(read.Reports, minion.report())
+		}
+	}
+	simulation.step(node, read)
+}
+
+// readInterval is the longest time between two reads of the minions' reports.
+const readInterval = time.Second
+
+// readReports lets a node that follows the reports read that there are no new ones.
+func (simulation *simulation) readReports(node *node) {
+	if !simulation.store.followers[node] {
+		return
+	}
+	if simulation.store.isReachableFrom(node) && !simulation.store.reportsUnreadableFrom[node] {
+		simulation.step(node, messenger.MinionsRead{SentAt: simulation.now.Add(-readInterval)})
+	}
+	simulation.schedule(readInterval, func() { simulation.readReports(node) })
+}
