Check for pidfd support before the soak looks for free addresses

Before its first start of a process the runtime forks a child to check whether the kernel supports pidfds, and does not hold the lock of forks meanwhile. The child has a copy of the socket that found the address free until it has exited. Later forks hold the lock, which fits that only the first ports failed. The same explains soaks that could not start.

Change: the check is made before the first address is looked for.

--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -256,9 +256,19 @@
 // lastPort is the port that was last assigned to a node.
 var lastPort atomic.Uint32
 
+// checkPidfds makes the runtime check whether the kernel supports descriptors of processes. It
+// does so once, before the first start of a process, and forks a process for it without the lock
+// of forks.
+var checkPidfds = sync.OnceFunc(func() {
+	if process, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = process.Release() // never fails for a process that was found
+	}
+})
+
 // isFree reports whether no process listens on an address. No process is forked meanwhile: until
 // it executes its program, it would have a copy of the listening socket.
 func isFree(address netip.AddrPort) (bool, error) {
+	checkPidfds()
 	syscall.ForkLock.RLock()
 	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", address.String())
