Name the rule of each stop, and pass enabled rules to the planner

Cause: why a run is stopped was free text, so that no counter could show it. New rules of the planner must take effect only where a deployment enables them, and "corianderroad enter" had no flags.

Change: stopRun takes one of an enumerated type, and the log line has "rule=". Flags of "enter" reach the planner as Features; none of them has an effect yet.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -47,6 +47,7 @@
 // Assembler is one entry VM.
 type Assembler struct {
 	settings    *platform.Settings
+	options     Options
 	clock       runner.Clock
 	decisionLog *decisionLog
 
@@ -70,14 +71,20 @@
 	duties   []duty
 }
 
+// Options are what the deployment sets for its entry VMs on the command line.
+type Options struct {
+	// Features are the rules of the planner that are enabled.
+	Features planner.Features
+}
+
 // duty runs until its context ends.
 type duty interface {
 	Run(ctx context.Context) error
 }
 
-// New returns an Assembler with the given settings.
-func New(settings *platform.Settings, clock runner.Clock) *Assembler {
-	assembler := &Assembler{settings: settings, clock: clock, decisionLog: newDecisionLog(settings.Node, os.Stdout)}
+// New returns an Assembler with the given settings and options.
+func New(settings *platform.Settings, options Options, clock runner.Clock) *Assembler {
+	assembler := &Assembler{settings: settings, options: options, clock: clock, decisionLog: newDecisionLog(settings.Node, os.Stdout)}
 	assembler.makeRings()
 	jobs := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.jobQueries})
 	all := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.claimQueries, assembler.jobQueries, assembler.planQueries})
@@ -128,7 +135,7 @@
 	assembler.duties = append(assembler.duties,
 		runner.New(claimer.New(settings.Node, incarnation, claimDelay(settings.Cores), source), assembler.claims, assembler.claimQueries, dispatcher, assembler.clock),
 		runner.New(registrar.New(), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
-		runner.New(planner.New(settings.Node, bounds), assembler.plans, assembler.planQueries, dispatcher, assembler.clock),
+		runner.New(planner.New(settings.Node, bounds, assembler.options.Features), assembler.plans, assembler.planQueries, dispatcher, assembler.clock),
 		assembler.answers)
 }
 
--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -85,7 +85,7 @@
 	keeper, err := timekeeper.New()
 	c.Assert(err, quicktest.IsNil)
 	stop, ended := make(chan struct{}), make(chan error, 1)
-	node := assembler.New(settings, keeper.Now)
+	node := assembler.New(settings, assembler.Options{}, keeper.Now)
 	go func() { ended <- node.Run(ctx, stop) }()
 
 	waitForAnswer(ctx, c, "http://"+settings.Readiness.String()+"/api/readyz", "", "")
--- a/assembler/oddrecords_test.go
+++ b/assembler/oddrecords_test.go
@@ -36,7 +36,7 @@
 	keeper, err := timekeeper.New()
 	c.Assert(err, quicktest.IsNil)
 	stop, ended := make(chan struct{}), make(chan error, 1)
-	node := assembler.New(settings, keeper.Now)
+	node := assembler.New(settings, assembler.Options{}, keeper.Now)
 	go func() { ended <- node.Run(ctx, stop) }()
 
 	fake.Write("keyed.op", "config", configuration)
--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -24,7 +24,9 @@
 
 // enter is the subcommand that runs an entry VM on the users' platform. On SIGTERM
 // or SIGINT the entry VM hands over its work and exits.
-type enter struct{}
+type enter struct {
+	options assembler.Options
+}
 
 // Name implements subcommands.Command.
 func (*enter) Name() string { return "enter" }
@@ -34,14 +36,19 @@
 
 // Usage implements subcommands.Command.
 func (*enter) Usage() string {
-	return "enter\nReads the settings file whose path is in " + platform.SettingsVariable + ".\n"
+	return "enter [flags]\nReads the settings file whose path is in " + platform.SettingsVariable + ".\n"
 }
 
 // SetFlags implements subcommands.Command.
-func (*enter) SetFlags(*flag.FlagSet) {}
+func (enter *enter) SetFlags(flags *flag.FlagSet) {
+	features := &enter.options.Features
+	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
+	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
+	flags.BoolVar(&features.MinionProfiles, "minion-profiles", false, "rank minions by what they did with earlier runs")
+}
 
 // Execute implements subcommands.Command.
-func (*enter) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (enter *enter) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	// A SIGHUP may arrive before the settings are read, and would end the process.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -58,7 +65,7 @@
 	}
 	stop, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	node := assembler.New(settings, keeper.Now)
+	node := assembler.New(settings, enter.options, keeper.Now)
 	go node.Reload(ctx, reload, platform.LoadSettings)
 	if err := node.Run(ctx, stop.Done()); err != nil && !errors.Is(err, context.Canceled) {
 		return connector.Fail(classifier.New(classifier.Internal, "%v", err), false)
--- a/planner/drain.go
+++ b/planner/drain.go
@@ -14,7 +14,7 @@
 			continue
 		}
 		if now.Add(run.remainingTime(now) + planner.bounds.StopTimeout).After(minion.leavesAt) {
-			planner.stopRun(now, run, "its minion is leaving")
+			planner.stopRun(now, run, stopForDrain, "its minion is leaving")
 		}
 	}
 }
--- a/planner/formerprogress_test.go
+++ b/planner/formerprogress_test.go
@@ -40,7 +40,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			claimed := planner.New("n", planner.Bounds{MaxLease: maxLease})
+			claimed := planner.New("n", planner.Bounds{MaxLease: maxLease}, planner.Features{})
 			claimed.Step(now, messenger.HolderChanged{Token: 1, ConfirmedAt: now})
 			active := isActive(claimed.Step(now, messenger.JournalFenced{Token: 1, ProgressEnd: fence}))
 			for _, read := range test.reads {
--- a/planner/idle_test.go
+++ b/planner/idle_test.go
@@ -15,7 +15,7 @@
 func TestHolderWithoutClaimDoesNotSpin(t *testing.T) {
 	c := quicktest.New(t)
 	now := time.Unix(1_000_000, 0)
-	holder := planner.New("n", planner.Bounds{MaxLease: maxLease})
+	holder := planner.New("n", planner.Bounds{MaxLease: maxLease}, planner.Features{})
 	holder.Step(now, messenger.HolderChanged{Token: 1, ConfirmedAt: now})
 	holder.Step(now, messenger.ProgressRead{Complete: true})
 	now = now.Add(2 * time.Second) // the fence is answered late
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -103,7 +103,7 @@
 		if run.state == stopping {
 			planner.sendStop(now, run)
 		} else {
-			planner.stopRun(now, run, "its minion has restarted")
+			planner.stopRun(now, run, stopForRestart, "its minion has restarted")
 		}
 	}
 }
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -17,6 +17,16 @@
 	ReclaimTime time.Duration
 }
 
+// Features are the rules that a deployment enables. Each is off by default.
+type Features struct {
+	// GangReservations lets gangs collect their places while capacity is short.
+	GangReservations bool
+	// LossAwareStops chooses the runs to be stopped by the work that is lost.
+	LossAwareStops bool
+	// MinionProfiles ranks minions by what they did with earlier runs.
+	MinionProfiles bool
+}
+
 // Leases.
 const (
 	// leaseDuration is longer than a takeover (about 2 s), and short enough that
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -18,7 +18,9 @@
 type Planner struct {
 	node   identifier.Node
 	bounds Bounds
-	policy *specifier.Policy
+	// features are the rules that the deployment enables.
+	features Features
+	policy   *specifier.Policy
 	queues map[identifier.Queue]*specifier.Queue
 
 	jobs        map[identifier.Job]*job
@@ -72,9 +74,9 @@
 }
 
 // New returns the state machine of a node.
-func New(node identifier.Node, bounds Bounds) *Planner {
+func New(node identifier.Node, bounds Bounds, features Features) *Planner {
 	return &Planner{
-		node: node, bounds: bounds, policy: &specifier.Policy{},
+		node: node, bounds: bounds, features: features, policy: &specifier.Policy{},
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
@@ -219,7 +221,7 @@
 		return // the members of a gang end without an order
 	}
 	for _, run := range planner.runsOf(job) {
-		planner.stopRun(now, run, reason)
+		planner.stopRun(now, run, stopForJobEnd, reason)
 	}
 }
 
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -167,10 +167,10 @@
 	}
 	switch {
 	case !step.occurrence.job.isOpen() || task.done || task.run != nil:
-		planner.stopRun(now, run, "the task has ended or runs elsewhere")
+		planner.stopRun(now, run, stopForTaskEnd, "the task has ended or runs elsewhere")
 		return run
 	case mayHaveLaterRun:
-		planner.stopRun(now, run, "a later run may exist")
+		planner.stopRun(now, run, stopForLaterRun, "a later run may exist")
 		return run
 	}
 	task.run = run
--- a/planner/pollschedule_test.go
+++ b/planner/pollschedule_test.go
@@ -28,7 +28,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			planner := New("n", Bounds{})
+			planner := New("n", Bounds{}, Features{})
 			minion := newMinion(messenger.MinionReport{Minion: "m"}, now, 6*time.Second, &planner.polls)
 			planner.setMinion(minion)
 			minion.schedulePoll(now)
--- a/planner/record_test.go
+++ b/planner/record_test.go
@@ -20,7 +20,7 @@
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	node := simulation.nodes[0]
-	node.planner = planner.New(node.name, planner.Bounds{MaxLease: maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Second})
+	node.planner = planner.New(node.name, planner.Bounds{MaxLease: maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Second}, planner.Features{})
 	simulation.step(node, messenger.PolicyRead{Policy: testPolicy(), SentAt: simulation.now})
 	simulation.makeHolder(node)
 	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Checkpoints: true}))
@@ -57,7 +57,7 @@
 func TestFailedFenceIsRepeatedAfterDelay(t *testing.T) {
 	c := quicktest.New(t)
 	now := time.Unix(1_000_000, 0)
-	claimed := planner.New("n", planner.Bounds{MaxLease: maxLease})
+	claimed := planner.New("n", planner.Bounds{MaxLease: maxLease}, planner.Features{})
 	c.Assert(countFences(claimed.Step(now, messenger.HolderChanged{Token: 1, ConfirmedAt: now})), quicktest.Equals, 1)
 	fences, begun := 1, now
 	for now.Sub(begun) < 10*time.Second {
--- a/planner/run.go
+++ b/planner/run.go
@@ -134,15 +134,15 @@
 	}, answerTimeout, run)
 }
 
-// stopRun orders the end of a run. Its capacity stays occupied until the end is
+// stopRun orders the end of a run by a rule. Its capacity stays occupied until the end is
 // certain.
-func (planner *Planner) stopRun(now time.Time, run *run, reason string) {
+func (planner *Planner) stopRun(now time.Time, run *run, rule stopRule, reason string) {
 	if run.state == stopping {
 		return
 	}
 	run.state, run.stopOrderedAt = stopping, now
 	planner.emitDecision(run.id.String(), "stop", reason,
-		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.progressPercent), now.Sub(run.startedAt))
+		fmt.Sprintf("run=%d minion=%s percent=%d rule=%s", run.number, run.minion.report.Minion, run.progressPercent, rule), now.Sub(run.startedAt))
 	planner.sendStop(now, run)
 }
 
@@ -255,7 +255,7 @@
 // minion refuses it once it has the order to stop.
 func (planner *Planner) abandonStart(now time.Time, run *run, reason string) {
 	if run.mayHaveArrived {
-		planner.stopRun(now, run, reason)
+		planner.stopRun(now, run, stopForAbandonedStart, reason)
 		return
 	}
 	run.withdraw()
@@ -302,7 +302,7 @@
 	}
 	for index := range run.step.tasks {
 		if member := run.step.tasks[index].run; member != nil && member.number == run.number {
-			planner.stopRun(now, member, "another member of its gang has ended")
+			planner.stopRun(now, member, stopForBrokenGang, "another member of its gang has ended")
 		}
 	}
 }
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -111,7 +111,7 @@
 		step.done++
 		planner.recording.markTaskDirty(step, index)
 		if task.run != nil && index != id.Index && !step.spec.Gang {
-			planner.stopRun(now, task.run, "the task is done")
+			planner.stopRun(now, task.run, stopForTaskEnd, "the task is done")
 		}
 	}
 }
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -36,6 +36,8 @@
 	minions map[identifier.Minion]*fakeMinion
 	// maxLease is the longest lease that the minions grant.
 	maxLease time.Duration
+	// features are the rules of the nodes that are created from now on.
+	features planner.Features
 	// addresses is the number of addresses that minions have.
 	addresses int
 	journal   []messenger.JournalEntry
@@ -159,7 +161,7 @@
 	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
 		MaxLease: simulation.maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Hour,
 		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second,
-	})}
+	}, simulation.features)}
 	simulation.step(node, messenger.PolicyRead{Policy: testPolicy(), SentAt: simulation.now})
 	return node
 }
--- a/planner/stop.go
+++ b/planner/stop.go
@@ -2,6 +2,32 @@
 
 import "time"
 
+// stopRule is the rule by which a run is stopped.
+type stopRule uint8
+
+const (
+	stopForDrain stopRule = iota // its minion is leaving
+	stopForMaintenance
+	stopForPreemption
+	stopForLeaseExpiry
+	stopForRestart // its minion has restarted
+	stopForJobEnd
+	stopForTaskEnd
+	stopForLaterRun
+	stopForIncompleteGang
+	stopForBrokenGang
+	stopForAbandonedStart
+	stopRules // the number of rules
+)
+
+// String returns the name of the rule in log lines and metrics.
+func (rule stopRule) String() string {
+	return [...]string{
+		"drain", "maintenance", "preemption", "lease-expiry", "minion-restart", "job-end", "task-end", "later-run",
+		"incomplete-gang", "broken-gang", "abandoned-start",
+	}[rule]
+}
+
 // awaitsStop reports whether a stop of the run that has failed must be repeated.
 func (run *run) awaitsStop() bool {
 	return run.minion.runs[runKey{run.id, run.number}] == run
