Reserve places for gangs while capacity is short

Cause: a pass goes through the waiting steps and lets those behind take each gap, so that a gang that needs many places at once waits behind single tasks of lower priority for as long as these come. A late step stands behind all that can be on time, without bound.

Change: package reserver computes the earliest time at which all tasks of a waiting step have room and keeps at most four reservations per service. A task of the same or lower priority starts on a reserved minion only if it is expected to end before, or if room is left beside the reservation. Late steps that have waited for three times their objective get a share of the starts of their priority. Both only with -gang-reservations.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -80,7 +80,8 @@
 	if limit <= 0 || !step.canRunOn(minion) || minion.isOverCapacity() {
 		return 0
 	}
-	return planner.reservations.freeCapacity(step, minion).Fit(requiredCapacity(step.spec), limit)
+	request := requiredCapacity(step.spec)
+	return minion.outlook.Fit(step.restrictions, request, planner.reservations.freeCapacity(step, minion).Fit(request, limit))
 }
 
 // chooseOnOneRack returns minions of one rack that hold all the given tasks. It
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -141,7 +141,7 @@
 	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
 	planner.recording = newRecording()
 	planner.adviceRequest = adviceRequest{}
-	planner.reservations = reservations{}
+	planner.reservations, planner.gangReservations, planner.aging = reservations{}, gangReservations{}, aging{}
 	planner.waiting = waiting{}
 	planner.maintenance.reset()
 	for _, job := range planner.jobs {
--- a/planner/job.go
+++ b/planner/job.go
@@ -7,6 +7,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/reserver"
 	"corianderroad/specifier"
 )
 
@@ -82,6 +83,9 @@
 	// stalledSince is the time since which the step has had nothing running although
 	// its turn has come, zero if it is not so.
 	stalledSince time.Time
+	// restrictions are the reservations that the step's tasks must leave room for, set
+	// whenever minions are chosen.
+	restrictions reserver.Restrictions
 	// crashedTasks are the indexes of the tasks with crashes.
 	crashedTasks []int
 	// trial is the planned trial of suspect tasks, nil if there is none. trialWantedSince is
--- a/planner/load_test.go
+++ b/planner/load_test.go
@@ -44,12 +44,18 @@
 // BenchmarkLoadedFleet measures the decisions of a holder whose minions are
 // nearly all in use, and of one with twice the work that its minions can do.
 // The time includes the simulated minions.
-func BenchmarkLoadedFleet(b *testing.B) {
+func BenchmarkLoadedFleet(b *testing.B) { benchmarkLoadedFleet(b, false) }
+
+// BenchmarkLoadedFleetWithReservations measures the same with reservations.
+func BenchmarkLoadedFleetWithReservations(b *testing.B) { benchmarkLoadedFleet(b, true) }
+
+func benchmarkLoadedFleet(b *testing.B, reserves bool) {
+	b.Helper()
 	for _, minions := range []int{48, 350, 1000} {
 		for _, load := range []float64{0.8, 2} {
 			b.Run(fmt.Sprintf("minions=%d/load=%v", minions, load), func(b *testing.B) {
 				for b.Loop() {
-					measureDecisions(b, minions, load)
+					measureDecisions(b, minions, load, reserves)
 				}
 			})
 		}
@@ -59,9 +65,9 @@
 // jobsPerMinion is how many jobs of benchmarkJob per second use a minion fully.
 const jobsPerMinion = 0.07
 
-func measureDecisions(b *testing.B, minions int, load float64) {
+func measureDecisions(b *testing.B, minions int, load float64, reserves bool) {
 	b.Helper()
-	simulation := newSimulation(1, 1, minions)
+	simulation := newReservingSimulation(1, 1, minions, reserves)
 	simulation.makeHolder(simulation.nodes[0])
 	count := int(float64(minions) * jobsPerMinion * load * benchmarkTime.Seconds())
 	for number := range count {
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -7,6 +7,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/reserver"
 	"corianderroad/specifier"
 )
 
@@ -91,6 +92,8 @@
 	// connection to it was first refused since, zero if none was. It had ended then.
 	answeredAt, refusedAt time.Time
 	lease                 leaseReading
+	// outlook is when capacity becomes free, with the room of reservations.
+	outlook reserver.Minion
 }
 
 type runKey struct {
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/identifier"
 	"corianderroad/specifier"
 )
 
@@ -21,6 +22,10 @@
 	latestStart time.Time
 	// late means that the job can't be on time any more.
 	late bool
+	// rank orders the steps of a priority. aged means that the step is late and has waited
+	// for so long that it may start before those that can be on time.
+	rank rank
+	aged bool
 }
 
 // runPass starts the tasks that can be started. It runs when an event may have
@@ -39,17 +44,26 @@
 	planner.passInterval = min(minPassInterval+time.Duration(len(steps))*passIntervalPerStep+
 		time.Duration(len(planner.minions))*passIntervalPerMinion, maxPassInterval)
 	if len(steps)+len(suspects) == 0 {
+		planner.giveUpReservations(now)
 		return // most passes of a pool with room, which need no look at its minions
 	}
 	pools := planner.newPools(now)
 	planner.hasWaitingSteps = len(steps) > 0
 	planner.runTrials(now, suspects, pools)
+	if planner.placeSteps(now, steps, pools) {
+		planner.planReservations(now, steps, pools)
+	}
+}
+
+// placeSteps starts the tasks of the steps that fit. It reports whether it has considered
+// all steps.
+func (planner *Planner) placeSteps(now time.Time, steps []*waitingStep, pools map[identifier.Service]*pool) bool {
 	guarantees := &guarantees{planner: planner}
 	for index, waitingStep := range steps {
 		if len(planner.pendingOrders) >= maxPendingOrders {
 			planner.passNeeded = true
 			markWaitingForOrders(steps[index:])
-			break
+			return false
 		}
 		pool := pools[waitingStep.queue.Service]
 		if pool == nil {
@@ -60,6 +74,7 @@
 			planner.reclaim(now, waitingStep, pool, guarantees)
 		}
 	}
+	return true
 }
 
 func markWaitingForOrders(steps []*waitingStep) {
@@ -76,6 +91,7 @@
 			steps = append(steps, waitingStep)
 		}
 	}
+	planner.rankAgedSteps(now, steps)
 	slices.SortFunc(steps, compareUrgency)
 	return steps
 }
@@ -119,7 +135,11 @@
 		step.waitingSince = now
 	}
 	latestStart := step.latestStart(queue)
-	return &waitingStep{step: step, queue: queue, taskCount: count, latestStart: latestStart, late: now.After(latestStart)}
+	late, rank := now.After(latestStart), timelyRank
+	if late {
+		rank = lateRank
+	}
+	return &waitingStep{step: step, queue: queue, taskCount: count, latestStart: latestStart, late: late, rank: rank}
 }
 
 // hasUnresolvedTask reports whether a task of the step may run on a minion that
@@ -159,12 +179,13 @@
 
 // compareUrgency orders waiting steps. Long-running tasks come first, because
 // they do no useful work while they are unavailable, then the queues by
-// priority, then the steps that can still be on time, the most urgent first.
+// priority, then the aged steps as far as their share allows, then those that can still
+// be on time, the most urgent first.
 func compareUrgency(one, other *waitingStep) int {
 	return cmp.Or(
 		-compareBool(one.step.spec.LongRunning, other.step.spec.LongRunning),
 		cmp.Compare(one.queue.Priority, other.queue.Priority),
-		compareBool(one.late, other.late),
+		cmp.Compare(one.rank, other.rank),
 		one.latestStart.Compare(other.latestStart),
 		compareArrival(one.step, other.step),
 	)
--- a/planner/place.go
+++ b/planner/place.go
@@ -10,6 +10,7 @@
 	if step.spec.Gang && waitingStep.taskCount < len(step.tasks)-step.done {
 		return true
 	}
+	planner.updateRestrictions(now, waitingStep)
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.findMinions(now, waitingStep, pool)
 	if len(chosen) == 0 && (!pool.crowded || step.spec.LongRunning) && now.Sub(step.waitingSince) >= quarantineWait {
@@ -41,8 +42,11 @@
 		}
 		planner.startRun(now, step, taskIndex, minion, number, step.ticket(minion))
 		pool.addUsage(minion, requiredCapacity(step.spec))
+		planner.noteStartBesideReservations(step, minion)
 	}
 	planner.reservations.remove(step)
+	planner.meetReservation(now, waitingStep)
+	planner.aging.noteStart(waitingStep, len(chosen))
 	return len(chosen) == waitingStep.taskCount
 }
 
@@ -51,9 +55,8 @@
 func (planner *Planner) findMinions(now time.Time, waitingStep *waitingStep, pool *pool) []*minion {
 	step := waitingStep.step
 	rackRequired := step.requiresRack(now, waitingStep, pool)
-	allOrNothing := step.spec.Gang || (step.spec.SameRack && !step.hasRuns() && (rackRequired || pool.crowded))
 	demand, tasks := step.demand(rackRequired), 1
-	if allOrNothing {
+	if step.startsTogether(rackRequired, pool) {
 		tasks = waitingStep.taskCount
 	}
 	cacheable := step.isCacheable() && !planner.reservations.has(step)
@@ -71,6 +74,11 @@
 	return chosen
 }
 
+// startsTogether reports whether the step starts all its tasks at once or none.
+func (step *step) startsTogether(rackRequired bool, pool *pool) bool {
+	return step.spec.Gang || (step.spec.SameRack && !step.hasRuns() && (rackRequired || pool.crowded))
+}
+
 func (planner *Planner) nextRunNumber() uint64 {
 	planner.lastRunNumber++
 	return planner.lastRunNumber
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,7 +21,7 @@
 	// features are the rules that the deployment enables.
 	features Features
 	policy   *specifier.Policy
-	queues map[identifier.Queue]*specifier.Queue
+	queues   map[identifier.Queue]*specifier.Queue
 
 	jobs        map[identifier.Job]*job
 	openJobs    map[identifier.Job]*job
@@ -52,11 +52,13 @@
 	lastOrderID   uint64
 	lastRunNumber uint64
 
-	recording     recording
-	reservations  reservations
-	adviceRequest adviceRequest
-	maintenance   maintenance
-	waiting       waiting
+	recording        recording
+	reservations     reservations
+	gangReservations gangReservations
+	aging            aging
+	adviceRequest    adviceRequest
+	maintenance      maintenance
+	waiting          waiting
 
 	passNeeded bool
 	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
@@ -283,5 +285,6 @@
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
+		{Name: "gang-reservations", Value: float64(planner.gangReservations.countReservations())},
 	}...)}
 }
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderroad/identifier"
+	"corianderroad/reserver"
 	"corianderroad/specifier"
 )
 
@@ -43,6 +44,8 @@
 	dataRack     identifier.Rack
 	sameRack     bool
 	rackRequired bool
+	// restrictions are the reservations that the tasks must leave room for.
+	restrictions reserver.Restrictions
 }
 
 // rackDemand is all that decides whether tasks fit on an empty rack.
@@ -214,6 +217,7 @@
 	return demand{
 		request: requiredCapacity(step.spec), limit: step.spec.MaxPerMinion, label: step.spec.Label,
 		dataRack: step.spec.DataRack, sameRack: step.spec.SameRack, rackRequired: rackRequired,
+		restrictions: step.restrictions,
 	}
 }
 
--- /dev/null
+++ b/reserver/demand.go
@@ -0,0 +1,122 @@
+package reserver
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"corianderroad/identifier"
+	"corianderroad/specifier"
+)
+
+// Step identifies a step of one execution of a job.
+type Step struct {
+	Job        identifier.Job
+	Occurrence int
+	Number     int
+}
+
+// Demand is what a step needs whose tasks start together.
+type Demand struct {
+	Step     Step
+	Priority int
+	// WaitingSince is the time since which the step has waited.
+	WaitingSince time.Time
+	Tasks        int
+	Request      specifier.Resources
+	// MaxPerMinion is the limit on tasks per minion.
+	MaxPerMinion int
+	// SameRack means that all tasks must run on one rack.
+	SameRack bool
+	// RunTime is the declared run time of a task.
+	RunTime time.Duration
+	// CanRunOn reports whether the step may run on the minion with an index.
+	CanRunOn func(index int) bool
+}
+
+// compareRank orders demands by priority and age.
+func compareRank(one, other *Demand) int {
+	return cmp.Or(
+		cmp.Compare(one.Priority, other.Priority), one.WaitingSince.Compare(other.WaitingSince),
+		strings.Compare(string(one.Step.Job), string(other.Step.Job)),
+		cmp.Compare(one.Step.Occurrence, other.Step.Occurrence), cmp.Compare(one.Step.Number, other.Step.Number),
+	)
+}
+
+// slot is the time at which a minion has room for one more task of a demand.
+type slot struct {
+	at     time.Time
+	minion int
+}
+
+func compareSlots(one, other slot) int {
+	return cmp.Or(one.at.Compare(other.at), cmp.Compare(one.minion, other.minion))
+}
+
+// earliestSlots returns the slots of the earliest time at which all tasks of the demand have
+// room, nil if they never have.
+func (demand *Demand) earliestSlots(now time.Time, minions []*Minion) []slot {
+	if !demand.SameRack {
+		return demand.slotsOn(now, minions, func(*Minion) bool { return true })
+	}
+	var best []slot
+	seen := make(map[identifier.Rack]bool)
+	for _, first := range minions {
+		if seen[first.Rack] {
+			continue
+		}
+		seen[first.Rack] = true
+		slots := demand.slotsOn(now, minions, func(minion *Minion) bool { return minion.Rack == first.Rack })
+		if slots != nil && (best == nil || slots[len(slots)-1].at.Before(best[len(best)-1].at)) {
+			best = slots
+		}
+	}
+	return best
+}
+
+// keptSlotsFactor is how many slots are collected before the later ones are discarded, in
+// multiples of the tasks.
+const keptSlotsFactor = 4
+
+// slotsOn returns the earliest slots on some of the minions, in the order of time, nil if
+// there are fewer than tasks.
+func (demand *Demand) slotsOn(now time.Time, minions []*Minion, isCandidate func(*Minion) bool) []slot {
+	slots := make([]slot, 0, (keptSlotsFactor+1)*demand.Tasks)
+	var latest time.Time // slots at or after this time are not needed, zero while all are
+	for index, minion := range minions {
+		if !isCandidate(minion) || !demand.CanRunOn(index) {
+			continue
+		}
+		slots = demand.appendSlots(slots, now, index, minion, latest)
+		if len(slots) > keptSlotsFactor*demand.Tasks {
+			slices.SortFunc(slots, compareSlots)
+			slots = slots[:demand.Tasks]
+			latest = slots[demand.Tasks-1].at
+		}
+	}
+	if len(slots) < demand.Tasks {
+		return nil
+	}
+	slices.SortFunc(slots, compareSlots)
+	return slots[:demand.Tasks]
+}
+
+// appendSlots appends the slots on a minion before a time.
+func (demand *Demand) appendSlots(slots []slot, now time.Time, index int, minion *Minion, latest time.Time) []slot {
+	limit := min(demand.MaxPerMinion, demand.Tasks)
+	free, at := minion.Free, now
+	count := 0
+	for next := 0; ; next++ {
+		if !latest.IsZero() && !at.Before(latest) {
+			return slots
+		}
+		for fitting := free.Fit(demand.Request, limit); count < fitting; count++ {
+			slots = append(slots, slot{at: at, minion: index})
+		}
+		if count >= limit || next >= len(minion.Ends) {
+			return slots
+		}
+		free, at = free.Add(minion.Ends[next].Frees), minion.Ends[next].At
+	}
+}
