Let late gangs yield their reservations, and scale their number

Cause: with four reservations by age alone, the oldest and already late gangs held the room that gangs which could still be on time needed, in a trial of three queues on 96 minions.

Change: a late gang ranks after the others of its priority unless it is aged and its share is not used up. A pool has one reservation for each 24 minions, four at least and 16 at most.

--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// maxGangReservations bounds the reservations of one service.
-	maxGangReservations = 4
 	// reservationPlanInterval is the time between two plans of the reservations.
 	reservationPlanInterval = 250 * time.Millisecond
 	// maxReservationLines bounds the log lines about reservations between two reports on
@@ -91,7 +89,7 @@
 		gangReservations.byService = make(map[identifier.Service]gangReserver)
 	}
 	if gangReservations.byService[service] == nil {
-		gangReservations.byService[service] = reserver.New(maxGangReservations)
+		gangReservations.byService[service] = reserver.New()
 	}
 	return gangReservations.byService[service]
 }
@@ -162,7 +160,7 @@
 		tasks = waitingStep.taskCount
 	}
 	return &reserver.Demand{
-		Step: step.reserverStep(), Priority: waitingStep.queue.Priority, WaitingSince: step.waitingSince, Tasks: tasks,
+		Step: step.reserverStep(), Priority: waitingStep.queue.Priority, Yields: waitingStep.rank == lateRank, WaitingSince: step.waitingSince, Tasks: tasks,
 		Request: requiredCapacity(step.spec), MaxPerMinion: step.maxPerMinion(), SameRack: step.spec.SameRack && rackRequired,
 		RunTime: step.expectedRunTime(),
 		CanRunOn: func(index int) bool {
--- a/reserver/demand.go
+++ b/reserver/demand.go
@@ -21,6 +21,8 @@
 type Demand struct {
 	Step     Step
 	Priority int
+	// Yields means that the step ranks after the others of its priority.
+	Yields bool
 	// WaitingSince is the time since which the step has waited.
 	WaitingSince time.Time
 	Tasks        int
@@ -35,15 +37,26 @@
 	CanRunOn func(index int) bool
 }
 
-// compareRank orders demands by priority and age.
+// compareRank orders demands by priority, then those that yield last, then by age.
 func compareRank(one, other *Demand) int {
 	return cmp.Or(
-		cmp.Compare(one.Priority, other.Priority), one.WaitingSince.Compare(other.WaitingSince),
+		cmp.Compare(one.Priority, other.Priority), compareYields(one, other), one.WaitingSince.Compare(other.WaitingSince),
 		strings.Compare(string(one.Step.Job), string(other.Step.Job)),
 		cmp.Compare(one.Step.Occurrence, other.Step.Occurrence), cmp.Compare(one.Step.Number, other.Step.Number),
 	)
 }
 
+func compareYields(one, other *Demand) int {
+	switch {
+	case one.Yields == other.Yields:
+		return 0
+	case one.Yields:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // slot is the time at which a minion has room for one more task of a demand.
 type slot struct {
 	at     time.Time
--- a/reserver/plan.go
+++ b/reserver/plan.go
@@ -52,7 +52,8 @@
 	given := len(changes)
 	demands = slices.Clone(demands)
 	slices.SortFunc(demands, compareRank)
-	for attempts := 0; len(demands) > 0 && len(reserver.reservations) < reserver.limit && attempts < maxAttemptsFactor*reserver.limit; demands = demands[1:] {
+	limit := min(max(len(minions)/minionsPerReservation, minReservations), maxReservations)
+	for attempts := 0; len(demands) > 0 && len(reserver.reservations) < limit && attempts < maxAttemptsFactor*limit; demands = demands[1:] {
 		if reserver.isBarred(now, demands[0].Step) {
 			continue
 		}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -15,10 +15,13 @@
 // Restrictions is a set of reservations that restrict the start of a task.
 type Restrictions uint64
 
-// MaxReservations is the highest number of reservations that a Reserver can keep.
-const MaxReservations = 64
-
 const (
+	// minReservations and maxReservations bound the reservations of a pool. Between them it
+	// has one for each minionsPerReservation minions. With few of them, gangs wait one after
+	// the other for minions to become free; with many, much capacity is idle.
+	minReservations       = 4
+	maxReservations       = 16
+	minionsPerReservation = 24
 	// retryDelay is how long a step gets no reservation after one was given up, or none was
 	// possible.
 	retryDelay = 2 * time.Second
@@ -64,16 +67,13 @@
 
 // Reserver keeps the reservations of one pool. It is not safe for concurrent use.
 type Reserver struct {
-	limit        int
 	reservations []*Reservation // the highest rank first
 	histories    map[Step]*history
 	plans        uint64
 }
 
-// New returns a Reserver that keeps at most limit reservations.
-func New(limit int) *Reserver {
-	return &Reserver{limit: min(limit, MaxReservations), histories: make(map[Step]*history)}
-}
+// New returns a Reserver without reservations.
+func New() *Reserver { return &Reserver{histories: make(map[Step]*history)} }
 
 // Reservations returns the reservations, the highest rank first.
 func (reserver *Reserver) Reservations() []*Reservation { return reserver.reservations }
