--- a/planner/pool.go
+++ b/planner/pool.go
@@ -176,6 +176,7 @@
 // if that rack were empty.
 func (pool *pool) fitsOnRack(step *step) bool {
 	key := rackDemand{step.demand(false), step.tasksPerRack()}
+	key.restrictions = 0 // they hold no room on an empty rack
 	if fits, cached := pool.rackFits[key]; cached && step.advice == nil {
 		return fits
 	}
--- a/reserver/demand.go
+++ b/reserver/demand.go
@@ -67,20 +67,38 @@
 	return cmp.Or(one.at.Compare(other.at), cmp.Compare(one.minion, other.minion))
 }
 
+// pool is the minions of one plan, with the indexes of all and of those on each rack.
+type pool struct {
+	minions []*Minion
+	all     []int
+	racks   [][]int
+}
+
+func newPool(minions []*Minion) *pool {
+	pool := &pool{minions: minions, all: make([]int, len(minions))}
+	rackIndexes := make(map[identifier.Rack]int)
+	for index, minion := range minions {
+		pool.all[index] = index
+		rackIndex, isKnown := rackIndexes[minion.Rack]
+		if !isKnown {
+			rackIndex = len(pool.racks)
+			rackIndexes[minion.Rack] = rackIndex
+			pool.racks = append(pool.racks, nil)
+		}
+		pool.racks[rackIndex] = append(pool.racks[rackIndex], index)
+	}
+	return pool
+}
+
 // earliestSlots returns the slots of the earliest time at which all tasks of the demand have
 // room, nil if they never have.
-func (demand *Demand) earliestSlots(now time.Time, minions []*Minion) []slot {
+func (demand *Demand) earliestSlots(now time.Time, pool *pool) []slot {
 	if !demand.SameRack {
-		return demand.slotsOn(now, minions, func(*Minion) bool { return true })
+		return demand.slotsOn(now, pool, pool.all)
 	}
 	var best []slot
-	seen := make(map[identifier.Rack]bool)
-	for _, first := range minions {
-		if seen[first.Rack] {
-			continue
-		}
-		seen[first.Rack] = true
-		slots := demand.slotsOn(now, minions, func(minion *Minion) bool { return minion.Rack == first.Rack })
+	for _, rack := range pool.racks {
+		slots := demand.slotsOn(now, pool, rack)
 		if slots != nil && (best == nil || slots[len(slots)-1].at.Before(best[len(best)-1].at)) {
 			best = slots
 		}
@@ -94,14 +112,14 @@
 
 // slotsOn returns the earliest slots on some of the minions, in the order of time, nil if
 // there are fewer than tasks.
-func (demand *Demand) slotsOn(now time.Time, minions []*Minion, isCandidate func(*Minion) bool) []slot {
+func (demand *Demand) slotsOn(now time.Time, pool *pool, indexes []int) []slot {
 	slots := make([]slot, 0, (keptSlotsFactor+1)*demand.Tasks)
 	var latest time.Time // slots at or after this time are not needed, zero while all are
-	for index, minion := range minions {
-		if !isCandidate(minion) || !demand.CanRunOn(index) {
+	for _, index := range indexes {
+		if !demand.CanRunOn(index) {
 			continue
 		}
-		slots = demand.appendSlots(slots, now, index, minion, latest)
+		slots = demand.appendSlots(slots, now, index, pool.minions[index], latest)
 		if len(slots) > keptSlotsFactor*demand.Tasks {
 			slices.SortFunc(slots, compareSlots)
 			slots = slots[:demand.Tasks]
--- a/reserver/plan.go
+++ b/reserver/plan.go
@@ -53,12 +53,13 @@
 	demands = slices.Clone(demands)
 	slices.SortFunc(demands, compareRank)
 	limit := min(max(len(minions)/minionsPerReservation, minReservations), maxReservations)
+	pool := newPool(minions)
 	for attempts := 0; len(demands) > 0 && len(reserver.reservations) < limit && attempts < maxAttemptsFactor*limit; demands = demands[1:] {
 		if reserver.isBarred(now, demands[0].Step) {
 			continue
 		}
 		attempts++
-		if made := reserver.plan(now, minions, demands[0], earlier); made != nil {
+		if made := reserver.plan(now, pool, demands[0], earlier); made != nil {
 			changes = append(changes, Change{made, Made})
 		}
 	}
@@ -152,8 +153,8 @@
 }
 
 // plan plans the reservation of a step. It returns the reservation if the step had none.
-func (reserver *Reserver) plan(now time.Time, minions []*Minion, demand *Demand, earlier []*Reservation) *Reservation {
-	slots := demand.earliestSlots(now, minions)
+func (reserver *Reserver) plan(now time.Time, pool *pool, demand *Demand, earlier []*Reservation) *Reservation {
+	slots := demand.earliestSlots(now, pool)
 	if slots == nil {
 		reserver.history(demand.Step).barredUntil = now.Add(retryDelay)
 		return nil
@@ -170,7 +171,7 @@
 			isNew = false
 		}
 	}
-	reservation.hold(demand, minions, slots)
+	reservation.hold(demand, pool.minions, slots)
 	reserver.reservations = append(reserver.reservations, reservation)
 	if !isNew {
 		return nil
