--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -6,6 +6,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/reserver"
+	"corianderroad/specifier"
 )
 
 const (
@@ -70,12 +71,7 @@
 		return
 	}
 	reservations.nextPlanAt = now.Add(reservationPlanInterval)
-	waiting := make(map[identifier.Service][]*waitingStep)
-	for _, waitingStep := range steps {
-		if planner.needsReservation(waitingStep) {
-			waiting[waitingStep.queue.Service] = append(waiting[waitingStep.queue.Service], waitingStep)
-		}
-	}
+	waiting := planner.stepsForReservations(steps)
 	for service, pool := range pools {
 		if planner.hasCurrentReports(now, service) && (len(waiting[service]) > 0 || reservations.isInUse(service)) {
 			planner.planServiceReservations(now, service, waiting[service], pool)
@@ -94,6 +90,23 @@
 	return gangReservations.byService[service]
 }
 
+// stepsForReservations returns the steps that need reservations, by service. Of the aged steps
+// without a gang it is the oldest of each queue: small ones start in their turn, so that only
+// one that is too large to start stays the oldest.
+func (planner *Planner) stepsForReservations(steps []*waitingStep) map[identifier.Service][]*waitingStep {
+	waiting := make(map[identifier.Service][]*waitingStep)
+	hasAged := make(map[*specifier.Queue]bool)
+	for _, waitingStep := range steps {
+		queue := waitingStep.queue
+		if !planner.needsReservation(waitingStep) || (!waitingStep.step.spec.Gang && hasAged[queue]) {
+			continue
+		}
+		hasAged[queue] = hasAged[queue] || !waitingStep.step.spec.Gang
+		waiting[queue.Service] = append(waiting[queue.Service], waitingStep)
+	}
+	return waiting
+}
+
 func (gangReservations *gangReservations) isInUse(service identifier.Service) bool {
 	gangReserver := gangReservations.byService[service]
 	return gangReserver != nil && len(gangReserver.Reservations()) > 0
