Start nothing in a failure domain that the operator has evacuated

Cause: nothing read the requests evacuate/ZONE of the operator's topic, so that runs went on being started in a domain that had to become empty.

Change: the operator's reading yields the requests and their withdrawals (EvacuationsRead, also without any, because it carries the age). The planner of every node keeps the set. Minions of an evacuated domain accept no runs and no trials, are no capacity to be reclaimed, and a start without an answer is not sent there again. Where evacuateMs is absent nothing is decoded and nothing changes.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -129,7 +129,7 @@
 	bounds := planner.Bounds{
 		MaxLease: settings.Bounds.MaxLease, StopTimeout: settings.Bounds.StopTimeout,
 		StatusRetention: settings.Bounds.StatusRetention + statusMargin,
-		MaintenanceTime: settings.Bounds.MaintenanceTime, ReclaimTime: settings.Bounds.ReclaimTime,
+		MaintenanceTime: settings.Bounds.MaintenanceTime, ReclaimTime: settings.Bounds.ReclaimTime, EvacuationTime: settings.Bounds.EvacuationTime,
 	}
 	dispatcher := actionDispatcher{assembler}
 	assembler.duties = append(assembler.duties,
--- a/assembler/reload.go
+++ b/assembler/reload.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 
 	"corianderroad/platform"
 )
@@ -21,7 +22,7 @@
 		switch {
 		case err != nil:
 			assembler.decisionLog.logState("reload refused", "SIGHUP", err.Error())
-		case *settings != *assembler.settings:
+		case !reflect.DeepEqual(settings, assembler.settings):
 			assembler.decisionLog.logState("reloaded", "SIGHUP", "the file differs; changes take effect at the next start")
 		default:
 			assembler.decisionLog.logState("reloaded", "SIGHUP", "no change")
--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -43,9 +43,23 @@
 		}
 	}
 	if len(waves.Waves) > 0 {
-		return sink.eventSink.Deliver(ctx, waves)
+		if err := sink.eventSink.Deliver(ctx, waves); err != nil {
+			return err
+		}
 	}
-	return nil
+	return sink.deliverEvacuations(ctx, reading)
+}
+
+// deliverEvacuations delivers the evacuations of a reading, also of one without any, because
+// it tells how recently they were read.
+func (sink *policySink) deliverEvacuations(ctx context.Context, reading tailer.Reading) error {
+	settings := sink.assembler.settings
+	if settings.Bounds.EvacuationTime == 0 {
+		return nil
+	}
+	read, failures := platform.DecodeEvacuations(reading, settings.Zones)
+	sink.assembler.reportIgnoredRecords(failures)
+	return sink.eventSink.Deliver(ctx, read)
 }
 
 // Fail implements tailer.Sink.
--- a/planner/availability.go
+++ b/planner/availability.go
@@ -15,6 +15,7 @@
 	draining
 	unknownRuns
 	awaitingExpiry
+	evacuated
 	refusedRecently
 	quarantined
 	onTrial
@@ -24,7 +25,7 @@
 // String returns the name of the value in log lines and metrics.
 func (availability availability) String() string {
 	return [...]string{
-		"accepting", "unregistered", "undescribed", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "awaiting-expiry", "refused-recently", "quarantined", "on-trial",
+		"accepting", "unregistered", "undescribed", "not-polled", "unresponsive", "closed-for-maintenance", "draining", "unknown-runs", "awaiting-expiry", "evacuated", "refused-recently", "quarantined", "on-trial",
 	}[availability]
 }
 
@@ -48,6 +49,8 @@
 		return unknownRuns
 	case minion.awaitsExpiry(now):
 		return awaitingExpiry
+	case minion.isEvacuated():
+		return evacuated
 	case now.Before(minion.noCapacityUntil):
 		return refusedRecently
 	case minion.health.isQuarantined(now):
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -51,6 +51,8 @@
 	// nextPollAt is when the next poll is due, zero if none is scheduled.
 	nextPollAt time.Time
 	polls      *pollSchedule
+	// evacuations are those of all failure domains.
+	evacuations *evacuations
 	// listClock is the minion's clock when it made the newest list of its runs.
 	listClock time.Duration
 	// recordedEnd is the last end that is recorded, processedEnd the last one that
@@ -98,8 +100,8 @@
 	run  uint64
 }
 
-func newMinion(report messenger.MinionReport, now time.Time, maxLease time.Duration, polls *pollSchedule) *minion {
-	minion := &minion{runs: make(map[runKey]*run), polls: polls, seenAt: now, leaseLimit: leaseLimit{maxLease: maxLease}}
+func newMinion(report messenger.MinionReport, now time.Time, maxLease time.Duration, polls *pollSchedule, evacuations *evacuations) *minion {
+	minion := &minion{runs: make(map[runKey]*run), polls: polls, evacuations: evacuations, seenAt: now, leaseLimit: leaseLimit{maxLease: maxLease}}
 	minion.update(report, now)
 	return minion
 }
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -118,11 +118,15 @@
 }
 
 func (minion *fakeMinion) report() messenger.MinionReport {
-	return messenger.MinionReport{
+	report := messenger.MinionReport{
 		Minion: minion.name, Incarnation: minion.incarnation, Service: poolService,
 		Address: minion.address, Labels: []string{minion.kind, fmt.Sprintf("r-%d", minion.rack)},
 		Capacity: minion.capacity, Clock: minion.clock(), Draining: minion.faults.draining, Remaining: minion.faults.remaining,
 	}
+	if minion.simulation.evacuationTime > 0 {
+		report.FailureDomain = minion.failureDomain()
+	}
+	return report
 }
 
 func (simulation *simulation) sortedMinions() []*fakeMinion {
@@ -377,6 +381,7 @@
 	taskState := simulation.taskState(run.task)
 	taskState.startedRuns = append(taskState.startedRuns, run.number)
 	simulation.checkCrashBudget(run)
+	simulation.checkEvacuation(run, sentAt)
 	if len(taskState.running) > 0 {
 		simulation.reportViolation("%s: run %d starts while another runs", run.task, run.number)
 	}
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -66,7 +66,7 @@
 // nil if there is none.
 func (planner *Planner) addMinion(now time.Time, earlier *minion, report messenger.MinionReport) *minion {
 	planner.noteBirth(now, &report)
-	added := newMinion(report, now, planner.bounds.MaxLease, &planner.polls)
+	added := newMinion(report, now, planner.bounds.MaxLease, &planner.polls, planner.evacuations)
 	if added.strayToken = planner.sentTokens.stray(now, report.Minion); added.strayToken > 0 {
 		added.leaseLimit.expectStrays(now)
 	}
@@ -182,13 +182,17 @@
 // sendOrder sends an order and stores the run that it concerns, if any.
 func (planner *Planner) sendOrder(now time.Time, minion *minion, order messenger.Order, timeout time.Duration, run *run) {
 	planner.lastOrderID++
+	expires := now.Add(orderLifetime)
+	if _, isStart := order.(messenger.StartRun); isStart {
+		expires = planner.startExpiry(now)
+	}
 	if run != nil {
 		planner.pendingOrders[planner.lastOrderID] = run
 	}
 	planner.emit(messenger.OrderMinion{
 		ID: planner.lastOrderID, Minion: minion.report.Minion, Incarnation: minion.report.Incarnation,
 		Address: minion.report.Address, Token: planner.orderToken(now, minion),
-		Expires: now.Add(orderLifetime), Timeout: timeout, MinClock: minion.clockLowerBound(now), Order: order,
+		Expires: expires, Timeout: timeout, MinClock: minion.clockLowerBound(now), Order: order,
 	})
 }
 
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -15,6 +15,9 @@
 	MaintenanceTime time.Duration
 	// ReclaimTime is the time within which guaranteed work must have started.
 	ReclaimTime time.Duration
+	// EvacuationTime is the time from the request for the evacuation of a failure domain until
+	// no run may be started there, zero if the deployment has no evacuations.
+	EvacuationTime time.Duration
 }
 
 // Features are the rules that a deployment enables. Each is off by default.
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -54,8 +54,8 @@
 		pool := pools[waitingStep.queue.Service]
 		if pool == nil {
 			waitingStep.step.passResult = waitsForMinions
-		} else if !planner.hasCurrentReports(now, waitingStep.queue.Service) {
-			waitingStep.step.passResult = waitsForReports
+		} else if reason, outdated := planner.outdatedReading(now, waitingStep.queue.Service); outdated {
+			waitingStep.step.passResult = reason
 		} else if !planner.placeStep(now, waitingStep, pool) {
 			planner.reclaim(now, waitingStep, pool, guarantees)
 		}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,7 +21,7 @@
 	// features are the rules that the deployment enables.
 	features Features
 	policy   *specifier.Policy
-	queues map[identifier.Queue]*specifier.Queue
+	queues   map[identifier.Queue]*specifier.Queue
 
 	jobs        map[identifier.Job]*job
 	openJobs    map[identifier.Job]*job
@@ -54,6 +54,7 @@
 
 	recording     recording
 	reservations  reservations
+	evacuations   *evacuations
 	adviceRequest adviceRequest
 	maintenance   maintenance
 	waiting       waiting
@@ -80,7 +81,7 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
 	}
 }
 
@@ -112,6 +113,8 @@
 		planner.handleAdvice(now, event)
 	case messenger.WavesRead:
 		planner.handleWaveRequests(event)
+	case messenger.EvacuationsRead:
+		planner.handleEvacuations(now, event)
 	case messenger.PoolVMsListed:
 		planner.handleVMList(now, event)
 	case messenger.VMMaintained:
--- a/planner/pollschedule_test.go
+++ b/planner/pollschedule_test.go
@@ -23,13 +23,13 @@
 		"pending":         {func(_ *Planner, minion *minion) { minion.polling = true }, 0},
 		"removed":         {func(planner *Planner, minion *minion) { planner.removeMinion(minion) }, 0},
 		"replaced": {func(planner *Planner, minion *minion) {
-			planner.setMinion(newMinion(minion.report, now, 6*time.Second, &planner.polls))
+			planner.setMinion(newMinion(minion.report, now, 6*time.Second, &planner.polls, planner.evacuations))
 		}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
 			planner := New("n", Bounds{}, Features{})
-			minion := newMinion(messenger.MinionReport{Minion: "m"}, now, 6*time.Second, &planner.polls)
+			minion := newMinion(messenger.MinionReport{Minion: "m"}, now, 6*time.Second, &planner.polls, planner.evacuations)
 			planner.setMinion(minion)
 			minion.schedulePoll(now)
 			test.change(planner, minion)
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -14,8 +14,10 @@
 	// available are the minions that accept new runs, in the order of their names.
 	available []*minion
 	// racks holds the racks of the pool, sorted by their first minion's name.
-	racks      []*rack
-	byRack     map[identifier.Rack]*rack
+	racks  []*rack
+	byRack map[identifier.Rack]*rack
+	// registered are the minions that count as capacity: those that are listed in the store
+	// and not in an evacuated domain.
 	registered []*minion
 	crowded    bool
 	// infeasible holds the smallest number of tasks that did not fit, for each
@@ -79,6 +81,15 @@
 	return now.Sub(planner.reportsAsOf) <= maxReportAge || slices.Contains(planner.policy.GuardedServices, service)
 }
 
+// outdatedReading returns the reason if tasks may not be started on the minions of a service
+// because a reading of the store is too old.
+func (planner *Planner) outdatedReading(now time.Time, service identifier.Service) (waitReason, bool) {
+	if !planner.hasCurrentEvacuations(now) {
+		return waitsForOperator, true
+	}
+	return waitsForReports, !planner.hasCurrentReports(now, service)
+}
+
 // extended returns the pool with the quarantined minions as available.
 func (planner *Planner) extended(now time.Time, original *pool) *pool {
 	if original.withQuarantined == nil {
@@ -101,7 +112,7 @@
 		pool.racks = append(pool.racks, minionRack)
 	}
 	minionRack.usage += weight(minion.used)
-	if minion.registered {
+	if minion.registered && !minion.isEvacuated() {
 		pool.registered = append(pool.registered, minion)
 	}
 	if accepts {
--- a/planner/run.go
+++ b/planner/run.go
@@ -223,7 +223,8 @@
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + code.Name()})
 	run.mayHaveArrived = run.mayHaveArrived || code.Execution() != classifier.NotRun
 	isClaimValid := planner.holder.isClaimValid(now)
-	mayRepeat := !run.onTrial && run.hasValidTicket(now) && planner.hasCurrentReports(now, run.minion.report.Service)
+	_, outdated := planner.outdatedReading(now, run.minion.report.Service)
+	mayRepeat := !run.onTrial && run.hasValidTicket(now) && !outdated && !run.minion.isEvacuated()
 	if run.startAttempts < maxStartAttempts && isClaimValid && mayRepeat {
 		planner.sendStart(now, run)
 		return
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -38,6 +38,9 @@
 	maxLease time.Duration
 	// features are the rules of the nodes that are created from now on.
 	features planner.Features
+	// evacuationTime is the bound of the nodes that are created from now on, zero for none.
+	evacuationTime time.Duration
+	operator       operatorTopic
 	// addresses is the number of addresses that minions have.
 	addresses int
 	journal   []messenger.JournalEntry
@@ -131,6 +134,9 @@
 	// are handled when it runs again.
 	frozen        bool
 	pendingEvents []messenger.Event
+	// operatorRead is the number of evacuation records that the node has read, negative before
+	// its first listing.
+	operatorRead int
 }
 
 func newSimulation(seed uint64, nodes, minions int) *simulation {
@@ -158,11 +164,14 @@
 }
 
 func (simulation *simulation) newNode(name string) *node {
-	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
+	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, operatorRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
 		MaxLease: simulation.maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Hour,
-		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second,
+		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second, EvacuationTime: simulation.evacuationTime,
 	}, simulation.features)}
 	simulation.step(node, messenger.PolicyRead{Policy: testPolicy(), SentAt: simulation.now})
+	if simulation.evacuationTime > 0 {
+		simulation.schedule(latency, func() { simulation.readOperatorTopic(node, simulation.now.Add(-latency)) })
+	}
 	return node
 }
 
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -62,8 +62,8 @@
 			waitingStep.step.passResult = waitsForMinions
 			continue
 		}
-		if !planner.hasCurrentReports(now, waitingStep.queue.Service) {
-			waitingStep.step.passResult = waitsForReports
+		if reason, outdated := planner.outdatedReading(now, waitingStep.queue.Service); outdated {
+			waitingStep.step.passResult = reason
 			continue
 		}
 		if planned := waitingStep.step.trial; planned != nil {
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -39,6 +39,7 @@
 	waitsForCapacity
 	waitsForTrial
 	waitsForReports
+	waitsForOperator
 	waitReasons // the number of reasons
 )
 
@@ -46,7 +47,7 @@
 func (reason waitReason) String() string {
 	return [...]string{
 		"pass-pending", "queue-unknown", "claim-unconfirmed", "former-runs-unresolved", "runs-ending", "starts-unanswered",
-		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated",
+		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated", "evacuations-outdated",
 	}[reason]
 }
 
