Move runs out of evacuated domains, and say which steps wait for them

Cause: after the request, long runs with checkpoints and long-running tasks stayed in the domain, a gang waited for a member whose start there got no answer, reservations kept capacity there, and neither log nor gauges showed an evacuation.

Change: the holder stops long-running tasks one after another, and runs with checkpoints that would work for more than 10 s, a gang as a whole, when there is free capacity elsewhere, which it reserves. A gang with an unanswered start there is stopped at once. Reservations lose their part there. A step does not join the others of its step on an evacuated rack. In deployments with evacuateMs, cold minions (coldRemainingMs) rank after warm ones. The functions that clear a draining minion or one in maintenance lose the word "evacuate".

The remaining time of a run counts from its newest progress report: with the time of the question, a run of 9 s was taken for one of more than 10 s between two polls. The drain keeps its estimate.

--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -24,6 +24,8 @@
 	// Clock is a reading of the minion's monotonic clock from before the report was
 	// read.
 	Clock time.Duration
+	// ColdRemaining is for how much longer the minion works slowly after its start.
+	ColdRemaining time.Duration
 }
 
 // MinionsRead delivers the reports of minions.
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -84,28 +84,33 @@
 }
 
 // chooseOnOneRack returns minions of one rack that hold all the given tasks. It
-// chooses the rack with the least capacity left over, so that large blocks stay
-// free. Without such a rack it returns nil.
+// chooses the rack with the fewest tasks on cold minions, then the one with the least
+// capacity left over, so that large blocks stay free. Without such a rack it returns nil.
 func (planner *Planner) chooseOnOneRack(step *step, indexes []int, pool *pool, rackRequired bool) []*minion {
 	wantedRack := step.currentRack()
 	if wantedRack == "" && rackRequired {
 		wantedRack = step.spec.DataRack
 	}
 	var best *rack
-	bestCapacity := 0
+	bestCapacity, bestColdTasks := 0, 0
 	for _, rack := range pool.racks {
 		if wantedRack != "" && rack.name != wantedRack {
 			continue
 		}
-		capacity := 0
+		capacity, coldCapacity := 0, 0
 		for _, minion := range rack.available {
-			capacity += planner.taskCapacity(step, minion)
+			taskCapacity := planner.taskCapacity(step, minion)
+			capacity += taskCapacity
+			if minion.isCold {
+				coldCapacity += taskCapacity
+			}
 		}
 		if capacity < len(indexes) {
 			continue
 		}
-		if best == nil || cmp.Or(cmp.Compare(capacity, bestCapacity), cmp.Compare(rack.name, best.name)) < 0 {
-			best, bestCapacity = rack, capacity
+		coldTasks := max(0, len(indexes)-(capacity-coldCapacity))
+		if best == nil || cmp.Or(cmp.Compare(coldTasks, bestColdTasks), cmp.Compare(capacity, bestCapacity), cmp.Compare(rack.name, best.name)) < 0 {
+			best, bestCapacity, bestColdTasks = rack, capacity, coldTasks
 		}
 	}
 	if best == nil {
@@ -114,10 +119,11 @@
 	return planner.assignTasks(step, indexes, pool, best.available)
 }
 
-// currentRack returns the rack on which tasks of the step already run.
+// currentRack returns the rack on which tasks of the step already run. A rack of an evacuated
+// domain does not count, because no task can join them there.
 func (step *step) currentRack() identifier.Rack {
 	for index := range step.tasks {
-		if run := step.tasks[index].run; run != nil {
+		if run := step.tasks[index].run; run != nil && !run.minion.isEvacuated() {
 			return run.minion.rack
 		}
 	}
@@ -141,10 +147,11 @@
 	withoutTicket = 1 << iota
 	mixedLoad
 	outsideDataRack
+	slowAfterStart
 )
 
 // assignTasks returns a minion for each task, up to the first task that does
-// not fit. Minions near the data come first, then those without a mix of
+// not fit. Minions that are not cold come first, then those near the data, then those without a mix of
 // serving and backfill tasks, then those with a ticket, then those with the
 // least capacity left, on the racks that are used most.
 func (planner *Planner) assignTasks(step *step, indexes []int, pool *pool, available []*minion) []*minion {
@@ -193,6 +200,9 @@
 		if step.spec.DataRack != "" && minion.rack != step.spec.DataRack {
 			penalty |= outsideDataRack
 		}
+		if minion.isCold {
+			penalty |= slowAfterStart
+		}
 		if step.mixesLoad(minion) {
 			penalty |= mixedLoad
 		}
--- a/planner/drain.go
+++ b/planner/drain.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// evacuateDraining stops the runs of a draining minion that can't end before it
+// clearDraining stops the runs of a draining minion that can't end before it
 // leaves and that lose little work when stopped. They are started again
 // elsewhere.
-func (planner *Planner) evacuateDraining(now time.Time, minion *minion) {
+func (planner *Planner) clearDraining(now time.Time, minion *minion) {
 	if minion.leavesAt.IsZero() {
 		return
 	}
--- a/planner/evacuation.go
+++ b/planner/evacuation.go
@@ -22,12 +22,16 @@
 	requested map[identifier.FailureDomain]*evacuation
 	// readAt is a time up to which all requests have been read, zero before the first reading.
 	readAt time.Time
+	// nextMoveAt is when runs that can move out of the domains are next searched for.
+	nextMoveAt time.Time
 }
 
 // evacuation is the evacuation of one failure domain.
 type evacuation struct {
 	// firstReadAt is when this node read the request.
 	firstReadAt time.Time
+	// isEmptyReported means that the end of the last run there has been reported.
+	isEmptyReported bool
 }
 
 func newEvacuations() *evacuations {
@@ -73,6 +77,11 @@
 func (planner *Planner) requestEvacuation(now time.Time, domain identifier.FailureDomain, age time.Duration) {
 	planner.evacuations.requested[domain] = &evacuation{firstReadAt: now}
 	planner.emitDecision(string(domain), "evacuation-requested", "the operator has requested it", planner.describeDomain(domain), age)
+	for _, minion := range planner.minions {
+		if minion.report.FailureDomain == domain {
+			planner.reservations.release(minion)
+		}
+	}
 	planner.passNeeded = true
 }
 
@@ -85,6 +94,26 @@
 	planner.passNeeded = true
 }
 
+// reportEmptyDomains reports the evacuated domains in which the last run has ended.
+func (planner *Planner) reportEmptyDomains(now time.Time) {
+	if !planner.holder.reconciled {
+		return // runs of a former holder may be unknown
+	}
+	hasRuns := make(map[identifier.FailureDomain]bool)
+	for _, minion := range planner.minions {
+		if len(minion.runs) > 0 || minion.hasUnknownRuns {
+			hasRuns[minion.report.FailureDomain] = true
+		}
+	}
+	for _, domain := range slices.Sorted(maps.Keys(planner.evacuations.requested)) {
+		evacuation := planner.evacuations.requested[domain]
+		if !evacuation.isEmptyReported && !hasRuns[domain] {
+			evacuation.isEmptyReported = true
+			planner.emitDecision(string(domain), "evacuation-empty", "the last run there has ended", planner.describeDomain(domain), now.Sub(evacuation.firstReadAt))
+		}
+	}
+}
+
 // describeDomain returns the number of minions and of runs in a domain, as inputs of a log
 // line. Only the holder knows them.
 func (planner *Planner) describeDomain(domain identifier.FailureDomain) string {
--- a/planner/evacuation_test.go
+++ b/planner/evacuation_test.go
@@ -7,7 +7,6 @@
 
 	"github.com/frankban/quicktest"
 
-	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
@@ -22,17 +21,6 @@
 	}
 }
 
-// startsIn returns the number of tasks that have started in a domain.
-func (simulation *simulation) startsIn(domain identifier.FailureDomain) int {
-	starts := 0
-	for _, minion := range simulation.sortedMinions() {
-		if minion.failureDomain() == domain {
-			starts += len(minion.highestRun)
-		}
-	}
-	return starts
-}
-
 // TestEvacuatedDomainGetsNoStart guards against starts in a domain, or in one of several, that
 // the operator has had evacuated, and against a domain that stays unused after the withdrawal.
 func TestEvacuatedDomainGetsNoStart(t *testing.T) {
@@ -44,16 +32,16 @@
 	simulation.advance(2 * latency)
 	simulation.startEverySecond("s", 8)
 	simulation.advance(8 * time.Second)
-	c.Assert(simulation.startsIn("z0"), quicktest.Equals, 0)
-	c.Assert(simulation.startsIn("z1") > 8, quicktest.IsTrue)
+	c.Assert(simulation.operator.starts["z0"], quicktest.Equals, 0)
+	c.Assert(simulation.operator.starts["z1"] > 8, quicktest.IsTrue)
 	simulation.evacuate("z1", true)
 	simulation.evacuate("z0", false)
 	simulation.advance(2 * latency)
-	before := simulation.startsIn("z1")
+	before := simulation.operator.starts["z1"]
 	simulation.startEverySecond("t", 8)
 	simulation.advance(8 * time.Second)
-	c.Assert(simulation.startsIn("z0") > 8, quicktest.IsTrue)
-	c.Assert(simulation.startsIn("z1"), quicktest.Equals, before)
+	c.Assert(simulation.operator.starts["z0"] > 8, quicktest.IsTrue)
+	c.Assert(simulation.operator.starts["z1"], quicktest.Equals, before)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
 
@@ -73,13 +61,13 @@
 	simulation.operator.unreadableFrom[restarted] = true
 	simulation.deliverJournal(restarted)
 	simulation.makeHolder(restarted)
-	before := simulation.startsIn("z1")
+	before := simulation.operator.starts["z1"]
 	simulation.advance(4 * time.Second)
-	c.Assert(simulation.startsIn("z1"), quicktest.Equals, before)
+	c.Assert(simulation.operator.starts["z1"], quicktest.Equals, before)
 	delete(simulation.operator.unreadableFrom, restarted)
 	simulation.advance(6 * time.Second)
-	c.Assert(simulation.startsIn("z1") > before, quicktest.IsTrue)
-	c.Assert(simulation.startsIn("z0"), quicktest.Equals, 0)
+	c.Assert(simulation.operator.starts["z1"] > before, quicktest.IsTrue)
+	c.Assert(simulation.operator.starts["z0"], quicktest.Equals, 0)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
 
@@ -95,10 +83,10 @@
 	simulation.evacuate("z0", true)
 	simulation.advance(10 * time.Second)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
-	before := simulation.startsIn("z0")
+	before := simulation.operator.starts["z0"]
 	delete(simulation.operator.unreadableFrom, simulation.nodes[0])
 	simulation.advance(5 * time.Second)
-	c.Assert(simulation.startsIn("z0"), quicktest.Equals, before)
+	c.Assert(simulation.operator.starts["z0"], quicktest.Equals, before)
 	c.Assert(simulation.recordedState("s11"), quicktest.Equals, specifier.Completed)
 }
 
--- /dev/null
+++ b/planner/evacuationmove.go
@@ -0,0 +1,173 @@
+package planner
+
+import (
+	"time"
+
+	"corianderroad/specifier"
+)
+
+// Runs move out of evacuated domains if a stop loses little of their work and there is free
+// capacity elsewhere. All others are left to end, because only new starts are forbidden there.
+
+const (
+	// moveInterval is the time between two searches for runs that can move.
+	moveInterval = 500 * time.Millisecond
+	// minMovedTime is the remaining time up to which a run with checkpoints is left to end.
+	minMovedTime = 10 * time.Second
+)
+
+// move is a step with runs that are to continue outside of their evacuated domain: some of its
+// tasks, or all members of its gang.
+type move struct {
+	step  *step
+	queue *specifier.Queue
+	runs  []*run
+}
+
+// moveEvacuatedRuns stops runs in evacuated domains that can continue elsewhere.
+func (planner *Planner) moveEvacuatedRuns(now time.Time) {
+	evacuations := planner.evacuations
+	if len(evacuations.requested) == 0 || now.Before(evacuations.nextMoveAt) {
+		return
+	}
+	evacuations.nextMoveAt = now.Add(moveInterval)
+	planner.reportEmptyDomains(now)
+	moves := planner.evacuationMoves(now)
+	if len(moves) == 0 {
+		return
+	}
+	pools := planner.newPools(now)
+	for _, move := range moves {
+		if len(planner.pendingOrders) >= maxPendingOrders {
+			return
+		}
+		planner.tryMove(now, move, pools[move.queue.Service])
+	}
+}
+
+// evacuationMoves returns the moves that would be of use, in the order of the minions' names.
+func (planner *Planner) evacuationMoves(now time.Time) []*move {
+	var moves []*move
+	byStep := make(map[*step]*move)
+	for _, minion := range planner.sortedMinions() {
+		if !minion.isEvacuated() {
+			continue
+		}
+		for _, run := range minion.sortedRuns() {
+			queue := planner.queue(run.job())
+			if queue == nil || run.state != running || !run.shouldMove(now) {
+				continue
+			}
+			known := byStep[run.step]
+			if known == nil {
+				known = &move{step: run.step, queue: queue}
+				byStep[run.step], moves = known, append(moves, known)
+			}
+			known.runs = append(known.runs, run)
+		}
+	}
+	return moves
+}
+
+// shouldMove reports whether little work is lost if the run is stopped, and more time than that
+// is gained.
+func (run *run) shouldMove(now time.Time) bool {
+	spec := run.step.spec
+	return !run.step.hasSuspect() && (spec.LongRunning || (spec.Checkpoints && run.expectedRemainder(now) > minMovedTime))
+}
+
+// expectedRemainder returns how much longer the run is expected to work, from the speed of its
+// progress up to the newest report. The start of an adopted run is not known.
+func (run *run) expectedRemainder(now time.Time) time.Duration {
+	total, begun := run.step.spec.EstimatedRunTime, run.startedAt
+	switch {
+	case run.progressPercent <= 0:
+	case run.isAdopted:
+		total, begun = total*time.Duration(fullPercent-run.progressPercent)/fullPercent, run.progressAt
+	default:
+		total = run.progressAt.Sub(begun) * fullPercent / time.Duration(run.progressPercent)
+	}
+	return total - now.Sub(begun)
+}
+
+// tryMove stops the runs of a move for which there is capacity elsewhere, and reserves it.
+func (planner *Planner) tryMove(now time.Time, move *move, pool *pool) {
+	step := move.step
+	runs := move.runsToStop()
+	if _, outdated := planner.outdatedReading(now, move.queue.Service); len(runs) == 0 || outdated || planner.reservations.has(step) {
+		return
+	}
+	waitingStep := &waitingStep{step: step, queue: move.queue, taskCount: len(runs)}
+	for _, run := range runs {
+		waitingStep.taskIndexes = append(waitingStep.taskIndexes, run.id.Index)
+	}
+	planner.updateTickets(now, waitingStep)
+	chosen := planner.chooseMinionsElsewhere(waitingStep, pool, runs)
+	if len(chosen) == 0 || (step.spec.Gang && len(chosen) < len(runs)) || !planner.ensureTickets(now, waitingStep, chosen, pool.available) {
+		return
+	}
+	reserved := make(map[*minion]specifier.Resources)
+	for _, minion := range chosen {
+		reserved[minion] = reserved[minion].Add(requiredCapacity(step.spec))
+	}
+	planner.reservations.add(step, reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
+	for _, run := range runs[:len(chosen)] {
+		planner.stopRun(now, run, stopForEvacuation, "its failure domain is evacuated")
+	}
+}
+
+// runsToStop returns the runs that may be stopped together: all members of a gang if all work,
+// and one long-running task while no more of its step are unavailable than allowed.
+func (move *move) runsToStop() []*run {
+	step := move.step
+	if step.spec.Gang {
+		return step.gangToMove()
+	}
+	if !step.spec.LongRunning {
+		return move.runs
+	}
+	if step.unavailableTasks() >= max(1, step.spec.MaxUnavailable) {
+		return nil
+	}
+	return move.runs[:1]
+}
+
+// gangToMove returns all members of a gang, none if one of them does not work or if the gang
+// must not be unavailable as a whole.
+func (step *step) gangToMove() []*run {
+	if step.spec.LongRunning && step.spec.MaxUnavailable > 0 && len(step.tasks) > step.spec.MaxUnavailable {
+		return nil
+	}
+	var members []*run
+	for index := range step.tasks {
+		member := step.tasks[index].run
+		if member == nil || member.state != running {
+			return nil
+		}
+		members = append(members, member)
+	}
+	return members
+}
+
+// chooseMinionsElsewhere returns minions with free capacity for the runs. What the runs occupy
+// outside of evacuated domains counts as free, because it is free once they have ended.
+func (planner *Planner) chooseMinionsElsewhere(waitingStep *waitingStep, pool *pool, runs []*run) []*minion {
+	request := requiredCapacity(waitingStep.step.spec)
+	for _, run := range runs {
+		run.minion.used = run.minion.used.Sub(request)
+	}
+	chosen := planner.chooseMinions(waitingStep, pool, false)
+	for _, run := range runs {
+		run.minion.used = run.minion.used.Add(request)
+	}
+	return chosen
+}
+
+// abandonEvacuatedStart gives up a start without an answer on a minion of an evacuated domain.
+// The other members of its gang would wait for it in vain.
+func (planner *Planner) abandonEvacuatedStart(now time.Time, run *run) {
+	planner.abandonStart(now, run, "the start in an evacuated domain was not answered")
+	if run.step.spec.Gang {
+		planner.stopMembers(now, run, stopForEvacuation, "a member in an evacuated domain has not started")
+	}
+}
--- /dev/null
+++ b/planner/evacuationwait.go
@@ -0,0 +1,62 @@
+package planner
+
+import (
+	"time"
+
+	"corianderroad/identifier"
+)
+
+// capacityCheck tells for the steps of one report whether they would fit if no failure domain
+// was evacuated.
+type capacityCheck struct {
+	planner *Planner
+	// pools have the minions of evacuated domains as available, and those have not.
+	pools, usable map[identifier.Service]*pool
+	// results holds the result for each kind of demand.
+	results map[rackDemand]bool
+}
+
+// newCapacityCheck returns the check for a report, nil if no domain is evacuated.
+func (planner *Planner) newCapacityCheck(now time.Time) *capacityCheck {
+	if len(planner.evacuations.requested) == 0 {
+		return nil
+	}
+	check := &capacityCheck{
+		planner: planner, usable: planner.newPools(now), pools: make(map[identifier.Service]*pool), results: make(map[rackDemand]bool),
+	}
+	for _, minion := range planner.sortedMinions() {
+		service := minion.report.Service
+		if check.pools[service] == nil {
+			check.pools[service] = newPool()
+		}
+		state := minion.availability(now)
+		check.pools[service].addMinion(minion, state == accepting || state == evacuated)
+	}
+	return check
+}
+
+// awaitsEvacuated reports whether a step without capacity would fit if no domain was evacuated.
+func (capacityCheck *capacityCheck) awaitsEvacuated(now time.Time, step *step) bool {
+	if capacityCheck == nil {
+		return false
+	}
+	queue := capacityCheck.planner.queue(step.occurrence.job)
+	tasks := step.startableTasks(now)
+	if queue == nil || len(tasks) == 0 {
+		return false
+	}
+	key := rackDemand{step.demand(false), 1}
+	if step.spec.Gang {
+		key.tasks = len(tasks)
+	}
+	result, cached := capacityCheck.results[key]
+	if !cached || !step.isCacheable() {
+		waitingStep := &waitingStep{step: step, queue: queue, taskCount: key.tasks, taskIndexes: tasks[:key.tasks]}
+		fits := func(pool *pool) bool {
+			return pool != nil && len(capacityCheck.planner.chooseMinions(waitingStep, pool, false)) == key.tasks
+		}
+		result = fits(capacityCheck.pools[queue.Service]) && !fits(capacityCheck.usable[queue.Service])
+		capacityCheck.results[key] = result
+	}
+	return result
+}
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -40,6 +40,8 @@
 	// draining and remaining are what the minion's report says.
 	draining  bool
 	remaining time.Duration
+	// coldRemaining is for how much longer the minion's report says that it is slow.
+	coldRemaining time.Duration
 	// addedLatency is what the load of a serving task itself adds to its tail latency, in
 	// milliseconds.
 	addedLatency float64
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -68,6 +68,10 @@
 	hasUnknownRuns bool
 	// reserved is the capacity that reservations withhold from other steps.
 	reserved specifier.Resources
+	// coldUntil is until when the minion works slowly after its start, zero if it does not.
+	// isCold means, as of the last pass, that it ranks after others for that reason.
+	coldUntil time.Time
+	isCold    bool
 	// nameIndex is the minion's index in the order of names, as of the last pass.
 	nameIndex int
 	// noCapacityUntil is the time until which a minion that refused a run for lack
@@ -115,6 +119,10 @@
 	if report.Draining {
 		minion.leavesAt = now.Add(report.Remaining)
 	}
+	minion.coldUntil = time.Time{}
+	if report.ColdRemaining > 0 {
+		minion.coldUntil = now.Add(report.ColdRemaining)
+	}
 	minion.updateClock(report.Clock, now)
 }
 
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -124,7 +124,7 @@
 		Capacity: minion.capacity, Clock: minion.clock(), Draining: minion.faults.draining, Remaining: minion.faults.remaining,
 	}
 	if minion.simulation.evacuationTime > 0 {
-		report.FailureDomain = minion.failureDomain()
+		report.FailureDomain, report.ColdRemaining = minion.failureDomain(), minion.faults.coldRemaining
 	}
 	return report
 }
--- a/planner/operatortopic_test.go
+++ b/planner/operatortopic_test.go
@@ -26,6 +26,8 @@
 	// unreadableFrom holds the nodes whose reads of the topic fail, although all other calls are
 	// carried out.
 	unreadableFrom map[*node]bool
+	// starts counts the starts in each domain.
+	starts map[identifier.FailureDomain]int
 }
 
 type evacuationRecord struct {
@@ -37,6 +39,7 @@
 func newEvacuationSimulation(seed uint64, nodes, minions int) *simulation {
 	simulation := newSimulation(seed, 0, minions)
 	simulation.evacuationTime = evacuationTime
+	simulation.operator.starts = make(map[identifier.FailureDomain]int)
 	simulation.operator.requestedAt = make(map[identifier.FailureDomain]time.Time)
 	simulation.operator.unreadableFrom = make(map[*node]bool)
 	for index := range nodes {
@@ -81,7 +84,7 @@
 // deliverOperatorTopic delivers the records that the node has not read, or lists them all.
 func (simulation *simulation) deliverOperatorTopic(node *node, sentAt time.Time) {
 	operator := &simulation.operator
-	if !simulation.store.isReachableFrom(node) || operator.unreadableFrom[node] {
+	if !node.alive || !simulation.store.isReachableFrom(node) || operator.unreadableFrom[node] {
 		return
 	}
 	read := messenger.EvacuationsRead{Complete: node.operatorRead < 0, SentAt: sentAt}
@@ -106,6 +109,10 @@
 // checkEvacuation checks that no start arrives in an evacuated domain after the bound, unless
 // its order was carried out late.
 func (simulation *simulation) checkEvacuation(run *fakeRun, sentAt time.Time) {
+	if simulation.evacuationTime == 0 {
+		return
+	}
+	simulation.operator.starts[run.minion.failureDomain()]++
 	requestedAt, evacuated := simulation.operator.requestedAt[run.minion.failureDomain()]
 	isLate := simulation.now.Sub(sentAt) >= latestPromptOrder
 	if evacuated && !isLate && simulation.now.Sub(requestedAt) > simulation.evacuationTime {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -137,6 +137,7 @@
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
 		planner.runPass(now)
+		planner.moveEvacuatedRuns(now)
 	} else {
 		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
@@ -286,5 +287,6 @@
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
+		{Name: "evacuated-domains", Value: float64(len(planner.evacuations.requested))},
 	}...)}
 }
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -45,7 +45,7 @@
 		planner.markMissingRunsLost(now, minion, reported, event)
 	}
 	planner.expireLease(now, minion)
-	planner.evacuateDraining(now, minion)
+	planner.clearDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
 	minion.acknowledgedEnd = max(minion.acknowledgedEnd, event.Sent.Order.(messenger.PollRuns).AcknowledgedEnd)
 	switch {
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -58,6 +58,7 @@
 	pools := make(map[identifier.Service]*pool)
 	for index, minion := range planner.sortedMinions() {
 		minion.nameIndex = index
+		minion.isCold = planner.bounds.EvacuationTime > 0 && now.Before(minion.coldUntil)
 		servicePool := pools[minion.report.Service]
 		if servicePool == nil {
 			servicePool = newPool()
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -42,6 +42,22 @@
 	}
 }
 
+// release removes the parts of all reservations on a minion, and the reservations that have
+// no other part.
+func (reservations *reservations) release(minion *minion) {
+	for step, reservation := range reservations.byStep {
+		amount, exists := reservation.reservedCapacity[minion]
+		if !exists {
+			continue
+		}
+		minion.reserved = minion.reserved.Sub(amount)
+		delete(reservation.reservedCapacity, minion)
+		if len(reservation.reservedCapacity) == 0 {
+			delete(reservations.byStep, step)
+		}
+	}
+}
+
 // expire removes the reservations that have expired or whose job is no longer open.
 func (reservations *reservations) expire(now time.Time) {
 	for step, reservation := range reservations.byStep {
--- a/planner/run.go
+++ b/planner/run.go
@@ -229,6 +229,10 @@
 		planner.sendStart(now, run)
 		return
 	}
+	if run.minion.isEvacuated() {
+		planner.abandonEvacuatedStart(now, run)
+		return
+	}
 	if code != classifier.RingFull && isClaimValid {
 		planner.countFailedStart(now, run)
 	}
@@ -298,12 +302,16 @@
 		task.run = nil
 	}
 	planner.passNeeded = true
-	if !run.step.spec.Gang || run.step.isComplete() {
-		return
+	if run.step.spec.Gang && !run.step.isComplete() {
+		planner.stopMembers(now, run, stopForBrokenGang, "another member of its gang has ended")
 	}
+}
+
+// stopMembers stops the members of the gang to which a run belongs.
+func (planner *Planner) stopMembers(now time.Time, run *run, rule stopRule, reason string) {
 	for index := range run.step.tasks {
 		if member := run.step.tasks[index].run; member != nil && member.number == run.number {
-			planner.stopRun(now, member, stopForBrokenGang, "another member of its gang has ended")
+			planner.stopRun(now, member, rule, reason)
 		}
 	}
 }
--- a/planner/stop.go
+++ b/planner/stop.go
@@ -17,14 +17,15 @@
 	stopForIncompleteGang
 	stopForBrokenGang
 	stopForAbandonedStart
-	stopRules // the number of rules
+	stopForEvacuation // its failure domain is evacuated
+	stopRules         // the number of rules
 )
 
 // String returns the name of the rule in log lines and metrics.
 func (rule stopRule) String() string {
 	return [...]string{
 		"drain", "maintenance", "preemption", "lease-expiry", "minion-restart", "job-end", "task-end", "later-run",
-		"incomplete-gang", "broken-gang", "abandoned-start",
+		"incomplete-gang", "broken-gang", "abandoned-start", "evacuation",
 	}[rule]
 }
 
--- a/planner/vmmaintenance.go
+++ b/planner/vmmaintenance.go
@@ -125,7 +125,7 @@
 	}
 	minion.closedForMaintenance, vm.closedMinion = true, minion.report.Minion
 	if now.Sub(vm.since) <= planner.clearingTimeout(wave) {
-		planner.evacuate(now, minion, "its VM needs maintenance")
+		planner.clearMinion(now, minion, "its VM needs maintenance")
 		return len(minion.runs) == 0 && planner.mayRequestMaintenance(now, minion)
 	}
 	for _, run := range minion.sortedRuns() {
@@ -156,9 +156,9 @@
 	return (minion != nil && minion.polled) || planner.formerLeasesExpired(now)
 }
 
-// evacuate stops the runs of a minion that lose little work when stopped: those
+// clearMinion stops the runs of a minion that lose little work when stopped: those
 // with checkpoints and the long-running ones.
-func (planner *Planner) evacuate(now time.Time, minion *minion, reason string) {
+func (planner *Planner) clearMinion(now time.Time, minion *minion, reason string) {
 	for _, run := range minion.sortedRuns() {
 		if run.state == running && (run.step.spec.Checkpoints || run.step.spec.LongRunning) && planner.mayInterrupt(run) {
 			planner.stopRun(now, run, stopForMaintenance, reason)
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -40,6 +40,7 @@
 	waitsForTrial
 	waitsForReports
 	waitsForOperator
+	waitsForEvacuated
 	waitReasons // the number of reasons
 )
 
@@ -48,6 +49,7 @@
 	return [...]string{
 		"pass-pending", "queue-unknown", "claim-unconfirmed", "former-runs-unresolved", "runs-ending", "starts-unanswered",
 		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated", "evacuations-outdated",
+		"domain-evacuated",
 	}[reason]
 }
 
@@ -66,18 +68,25 @@
 	}
 	planner.waiting = waiting{nextReportAt: now.Add(waitReportInterval)}
 	steps := planner.stalledSteps(now)
-	for _, step := range steps {
-		planner.waiting.counts[planner.waitReason(now, step)]++
-	}
 	if len(steps) == 0 {
 		return
 	}
+	check := planner.newCapacityCheck(now)
+	reasons := make(map[*step]waitReason, len(steps))
+	for _, step := range steps {
+		reason := planner.waitReason(now, step)
+		if reason == waitsForCapacity && check.awaitsEvacuated(now, step) {
+			reason = waitsForEvacuated
+		}
+		reasons[step] = reason
+		planner.waiting.counts[reason]++
+	}
 	slices.SortFunc(steps, func(one, other *step) int {
 		return cmp.Or(one.stalledSince.Compare(other.stalledSince), compareArrival(one, other))
 	})
 	minions := planner.describeMinions(now)
 	for _, step := range steps[:min(len(steps), maxReportedSteps)] {
-		planner.emitDecision(string(step.occurrence.job.spec.ID), "step-waits", planner.waitReason(now, step).String(),
+		planner.emitDecision(string(step.occurrence.job.spec.ID), "step-waits", reasons[step].String(),
 			fmt.Sprintf("occurrence=%d step=%d tasks=%d startable=%d waiting-steps=%d %s", step.occurrence.number, step.number,
 				len(step.tasks)-step.done, step.countStartableTasks(now), len(steps), minions), now.Sub(step.stalledSince))
 	}
