--- a/planner/liveness_test.go
+++ b/planner/liveness_test.go
@@ -268,6 +268,13 @@
 // workspace with a guarantee.
 func newLivenessSimulation(seed uint64) *simulation {
 	simulation := newSimulation(seed, 3, livenessMinions)
+	simulation.useLivenessPolicy()
+	return simulation
+}
+
+// useLivenessPolicy sets the kinds of the minions, the policy and the advice to those that the
+// step kinds need.
+func (simulation *simulation) useLivenessPolicy() {
 	for _, minion := range simulation.sortedMinions() {
 		if minion.rack%2 == 1 {
 			minion.kind = "b"
@@ -277,7 +284,6 @@
 		simulation.step(node, messenger.PolicyRead{Policy: livenessPolicy(), SentAt: simulation.now})
 	}
 	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion == "m04" || minion >= "m08" }
-	return simulation
 }
 
 // livenessPolicy returns a policy with the workspace's guarantee.
