--- a/planner/choose.go
+++ b/planner/choose.go
@@ -151,9 +151,9 @@
 )
 
 // assignTasks returns a minion for each task, up to the first task that does
-// not fit. Minions that are not cold come first, then those near the data, then those without a mix of
-// serving and backfill tasks, then those with a ticket, then those with the
-// least capacity left, on the racks that are used most.
+// not fit. Minions that are not cold come first, then those near the data, then
+// those without a mix of serving and backfill tasks, then those with a ticket,
+// then those with the least capacity left, on the racks that are used most.
 func (planner *Planner) assignTasks(step *step, indexes []int, pool *pool, available []*minion) []*minion {
 	candidates := planner.candidates(step, pool, available)
 	slices.SortFunc(candidates, func(one, other candidate) int {
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -48,8 +48,8 @@
 func (reason waitReason) String() string {
 	return [...]string{
 		"pass-pending", "queue-unknown", "claim-unconfirmed", "former-runs-unresolved", "runs-ending", "starts-unanswered",
-		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated", "evacuations-outdated",
-		"domain-evacuated",
+		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated",
+		"evacuations-outdated", "domain-evacuated",
 	}[reason]
 }
 
