--- a/planner/run.go
+++ b/planner/run.go
@@ -223,11 +223,16 @@
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + code.Name()})
 	run.mayHaveArrived = run.mayHaveArrived || code.Execution() != classifier.NotRun
 	isClaimValid := planner.holder.isClaimValid(now)
-	mayRepeat := !run.onTrial && run.hasValidTicket(now) && planner.hasCurrentReports(now, run.minion.report.Service)
+	_, outdated := planner.outdatedReading(now, run.minion.report.Service)
+	mayRepeat := !run.onTrial && run.hasValidTicket(now) && !outdated && !run.minion.isEvacuated()
 	if run.startAttempts < maxStartAttempts && isClaimValid && mayRepeat {
 		planner.sendStart(now, run)
 		return
 	}
+	if run.minion.isEvacuated() {
+		planner.abandonEvacuatedStart(now, run)
+		return
+	}
 	if code != classifier.RingFull && isClaimValid {
 		planner.countFailedStart(now, run)
 	}
@@ -297,12 +302,16 @@
 		task.run = nil
 	}
 	planner.passNeeded = true
-	if !run.step.spec.Gang || run.step.isComplete() {
-		return
+	if run.step.spec.Gang && !run.step.isComplete() {
+		planner.stopMembers(now, run, stopForBrokenGang, "another member of its gang has ended")
 	}
+}
+
+// stopMembers stops the members of the gang to which a run belongs.
+func (planner *Planner) stopMembers(now time.Time, run *run, rule stopRule, reason string) {
 	for index := range run.step.tasks {
 		if member := run.step.tasks[index].run; member != nil && member.number == run.number {
-			planner.stopRun(now, member, stopForBrokenGang, "another member of its gang has ended")
+			planner.stopRun(now, member, rule, reason)
 		}
 	}
 }
