Count stopped runs, the work lost with them, and broken gangs

Cause: no counter showed by which rule runs were stopped, what they had done since their newest checkpoint, how often the same task had been stopped before, or which member's end broke a gang.

Change: the planner counts each order to stop by its rule, the work since the newest checkpoint seen in a poll (or since the confirmed start) when a run ends without completing its task, stops of a task that had been stopped before, and each gang that ends as a whole once, by its first end that does not follow from another one. Runs that were not stopped are counted by how they ended. The lines stop, run-ended and run-lost get since-checkpoint=, stops= and, for a gang, broken-by=MEMBER:CAUSE.

--- a/assembler/dispatch.go
+++ b/assembler/dispatch.go
@@ -60,6 +60,8 @@
 		return nil, assembler.answers.Resolve(ctx, action.Request, action)
 	case messenger.Count:
 		assembler.exporter.Count(action)
+	case messenger.WorkLost:
+		assembler.exporter.CountLoss(action)
 	case messenger.Decision:
 		assembler.exporter.Count(messenger.Count{Counter: messenger.Transitions, Reason: action.Outcome})
 		assembler.decisionLog.logDecision(action)
--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -36,6 +36,7 @@
 	retries     *prometheus.CounterVec
 	transitions *prometheus.CounterVec
 	crashes     *prometheus.CounterVec
+	stops       stopCounters
 	bytes       *prometheus.CounterVec
 	io          *prometheus.CounterVec
 	storeBytes  *prometheus.CounterVec
@@ -56,6 +57,7 @@
 		retries:     counter("retries_total", "Repeated attempts by the reason's name.", "reason"),
 		transitions: counter("transitions_total", "Changes of state by their reason.", "reason"),
 		crashes:     counter("crashes_total", "Deaths of minions and the conclusions from them, by their reason.", "reason"),
+		stops:       newStopCounters(),
 		bytes:       counter("peer_bytes_total", "Bytes of frames by peer, its region and direction.", "peer", "region", "direction"),
 		io:          counter("io_events_total", "Events of I/O duties by kind and result.", "kind", "result"),
 		storeBytes:  counter("store_bytes_total", "Bytes of the store's answers by topic and result.", "topic", "result"),
@@ -64,6 +66,7 @@
 		Namespace: namespace, Name: "answer_seconds", Help: "Time to answer a request, by its kind and result.",
 		Buckets: prometheus.ExponentialBuckets(minAnswerTime, 2, answerBuckets),
 	}, []string{"kind", "result"})
+	exporter.registry.MustRegister(exporter.stops.collectors()...)
 	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.crashes, exporter.bytes, exporter.io, exporter.storeBytes,
 		newRingCollector(rings), newGaugeCollector(gauges),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -93,11 +96,22 @@
 		exporter.retries.WithLabelValues(count.Reason).Inc()
 	case messenger.Crashes:
 		exporter.crashes.WithLabelValues(count.Reason).Inc()
+	case messenger.StoppedRuns:
+		exporter.stops.runs.WithLabelValues(count.Reason).Inc()
+	case messenger.RepeatedStops:
+		exporter.stops.repeated.Inc()
+	case messenger.BrokenGangs:
+		exporter.stops.brokenGangs.WithLabelValues(count.Reason).Inc()
 	default:
 		exporter.transitions.WithLabelValues(count.Reason).Inc()
 	}
 }
 
+// CountLoss counts work that was lost.
+func (exporter *Exporter) CountLoss(lost messenger.WorkLost) {
+	exporter.stops.lost.WithLabelValues(lost.Rule).Add(lost.CoreSeconds)
+}
+
 // CountBytes counts bytes of frames exchanged with a peer.
 func (exporter *Exporter) CountBytes(peer identifier.Node, region identifier.Region, direction string, bytes int) {
 	exporter.bytes.WithLabelValues(string(peer), string(region), direction).Add(float64(bytes))
--- a/messenger/command.go
+++ b/messenger/command.go
@@ -32,6 +32,12 @@
 	Transitions
 	// Crashes counts the deaths of minions and what is concluded from them.
 	Crashes
+	// StoppedRuns counts the orders to stop a run, by the rule.
+	StoppedRuns
+	// RepeatedStops counts those for tasks that were stopped before. It has no reason.
+	RepeatedStops
+	// BrokenGangs counts the gangs that ended as a whole, by the cause.
+	BrokenGangs
 )
 
 // Count increments a counter. Reason is its label, in kebab case.
@@ -40,6 +46,14 @@
 	Reason  string
 }
 
+// WorkLost counts work that was done since the last checkpoint of a run that ended early. An
+// accelerator counts as 8 cores.
+type WorkLost struct {
+	// Rule is the rule by which the run was stopped, or else how it ended, in kebab case.
+	Rule        string
+	CoreSeconds float64
+}
+
 // Transition is a change of state that is logged.
 type Transition struct {
 	Subject string
@@ -55,4 +69,5 @@
 
 func (CommandAnswered) action() {}
 func (Count) action()           {}
+func (WorkLost) action()        {}
 func (Transition) action()      {}
--- a/planner/job.go
+++ b/planner/job.go
@@ -92,6 +92,8 @@
 	passedTrials int
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
 	isLikelyCause bool
+	// breakage is why the newest run of a gang that broke did so.
+	breakage breakage
 }
 
 // task is one task of a step.
@@ -115,6 +117,8 @@
 	// and all others that minions may still have, such as one that is being stopped.
 	run       *run
 	knownRuns int
+	// stops is how often this holder has stopped a run of the task that must run again.
+	stops int
 	// inherited means that a former holder may have started the task.
 	inherited bool
 	// unresolved means that the newest run of a former holder has neither been found
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -277,7 +277,7 @@
 	}
 	minion.lastEnd++
 	minion.expirationsAtEnd[minion.lastEnd] = minion.leaseExpirations
-	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind})
+	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind, Checkpoint: run.checkpoint()})
 	if run.spec.Gang && kind != messenger.EndGangBroken {
 		minion.simulation.breakGang(run, kind)
 	}
@@ -328,7 +328,7 @@
 
 func (minion *fakeMinion) listRuns(answered *messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
-		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run)})
+		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run), Checkpoint: run.checkpoint()})
 	}
 	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), messenger.MaxListedEnds)]...)
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -92,7 +92,7 @@
 	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
-			planner.markRunLost(now, run, "its minion has restarted")
+			planner.markRunLost(now, run, endMinionGone, "its minion has restarted")
 			continue
 		}
 		earlier.removeRun(run)
@@ -113,7 +113,7 @@
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, next identifier.Incarnation, reason string) {
 	planner.noteDeath(now, newDeath(now, minion, next, countReplaced, reason))
 	for _, run := range minion.sortedRuns() {
-		planner.markRunLost(now, run, reason)
+		planner.markRunLost(now, run, endMinionGone, reason)
 	}
 	planner.removeMinion(minion)
 }
@@ -153,7 +153,7 @@
 	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
 	for _, run := range minion.sortedRuns() {
 		if run.step.spec.LongRunning || !isAlive {
-			planner.markRunLost(now, run, "the lease has expired")
+			planner.markRunLost(now, run, endLeasesExpired, "the lease has expired")
 			minion.lostRuns = append(minion.lostRuns, run)
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -21,7 +21,7 @@
 	// features are the rules that the deployment enables.
 	features Features
 	policy   *specifier.Policy
-	queues map[identifier.Queue]*specifier.Queue
+	queues   map[identifier.Queue]*specifier.Queue
 
 	jobs        map[identifier.Job]*job
 	openJobs    map[identifier.Job]*job
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -119,7 +119,7 @@
 		// A list with the token of the life was made after orders to the earlier one were barred.
 		barred := run.isOfEarlierLife && minion.polled && event.Sent.Token == minion.token
 		if stopped || vanished || void || barred {
-			planner.markRunLost(now, run, "its minion does not report it")
+			planner.markRunLost(now, run, endUnreported, "its minion does not report it")
 		}
 	}
 }
@@ -137,7 +137,9 @@
 	if report.ProgressPercent != run.progressPercent {
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
 	}
-	run.checkpoint, run.load = report.Checkpoint, report.Load
+	run.noteStart(now)
+	run.noteCheckpoint(now, report.Checkpoint)
+	run.load = report.Load
 	planner.refuteCrash(run.step, run.id.Index, run.placement())
 	planner.clearIfPassed(now, run)
 	if !run.startConfirmedAt.IsZero() && now.Sub(run.startConfirmedAt) >= establishedAge {
--- a/planner/run.go
+++ b/planner/run.go
@@ -48,8 +48,10 @@
 	// startConfirmedAt is when the holder first learned that the minion has the
 	// run.
 	startConfirmedAt time.Time
-	// stopOrderedAt is when the run was first ordered to stop, zero before.
+	// stopOrderedAt is when the run was first ordered to stop, zero before, and stopRule the
+	// rule by which it was.
 	stopOrderedAt time.Time
+	stopRule      stopRule
 	// stopAcknowledgedAt is when the minion acknowledged the order to stop.
 	stopAcknowledgedAt time.Time
 	// startConfirmedClock and stopAcknowledgedClock are the minion's clock in the answers
@@ -62,7 +64,10 @@
 	progressPercent int
 	progressAt      time.Time
 	checkpoint      string
-	load            float64
+	// savedAt is when the newest checkpoint was first seen, or else the start of the run was
+	// confirmed; zero before. The work since then is lost if the run ends early.
+	savedAt time.Time
+	load    float64
 	// pacePercent is the share of its speed at which the run works, set at
 	// paceSetAt.
 	pacePercent int
@@ -140,9 +145,12 @@
 	if run.state == stopping {
 		return
 	}
-	run.state, run.stopOrderedAt = stopping, now
+	run.state, run.stopOrderedAt, run.stopRule = stopping, now, rule
+	planner.countStop(run)
+	planner.noteBreakage(run, endCause(rule))
 	planner.emitDecision(run.id.String(), "stop", reason,
-		fmt.Sprintf("run=%d minion=%s percent=%d rule=%s", run.number, run.minion.report.Minion, run.progressPercent, rule), now.Sub(run.startedAt))
+		fmt.Sprintf("run=%d minion=%s percent=%d rule=%s %s", run.number, run.minion.report.Minion, run.progressPercent, rule, run.describeLoss(now)),
+		now.Sub(run.startedAt))
 	planner.sendStop(now, run)
 }
 
@@ -187,6 +195,7 @@
 			run.state = running
 			run.minion.noCapacityDelay = 0
 			run.startConfirmedAt, run.progressAt = now, now
+			run.noteStart(now)
 			run.startConfirmedClock = event.Clock
 		}
 		return
@@ -259,7 +268,7 @@
 		return
 	}
 	run.withdraw()
-	planner.markRunLost(now, run, reason)
+	planner.markRunLost(now, run, endCause(stopForAbandonedStart), reason)
 }
 
 // withdraw undoes the start of a run that certainly did not arrive. A number that is in
@@ -277,20 +286,24 @@
 
 // markRunLost releases a run that certainly does not run although its minion
 // has not listed its end.
-func (planner *Planner) markRunLost(now time.Time, run *run, reason string) {
+func (planner *Planner) markRunLost(now time.Time, run *run, cause endCause, reason string) {
 	if run.checkpoint != "" {
 		planner.updateCheckpoint(run.step, run.id.Index, run.checkpoint)
 	}
+	cause = run.endCause(cause)
+	planner.noteBreakage(run, cause)
 	planner.emitDecision(run.id.String(), "run-lost", reason,
-		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.progressPercent), now.Sub(run.startedAt))
-	planner.releaseRun(now, run)
+		fmt.Sprintf("run=%d minion=%s percent=%d %s", run.number, run.minion.report.Minion, run.progressPercent, run.describeLoss(now)),
+		now.Sub(run.startedAt))
+	planner.releaseRun(now, run, cause)
 }
 
 // releaseRun frees a run's capacity. The other members of a gang stop with it.
-func (planner *Planner) releaseRun(now time.Time, run *run) {
+func (planner *Planner) releaseRun(now time.Time, run *run, cause endCause) {
 	if run.minion.runs[runKey{run.id, run.number}] != run {
 		return
 	}
+	planner.countLoss(now, run, cause)
 	run.minion.removeRun(run)
 	task := run.task()
 	if task.run == run {
@@ -300,11 +313,16 @@
 	if !run.step.spec.Gang || run.step.isComplete() {
 		return
 	}
+	hasMembers := false
 	for index := range run.step.tasks {
 		if member := run.step.tasks[index].run; member != nil && member.number == run.number {
+			hasMembers = true
 			planner.stopRun(now, member, stopForBrokenGang, "another member of its gang has ended")
 		}
 	}
+	if !hasMembers && run.step.breakage.number == run.number {
+		planner.countUnknownBreakage(run.step)
+	}
 }
 
 func (planner *Planner) countMinionFailure(now time.Time, minion *minion) {
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -26,20 +27,16 @@
 	planner.refuteCrash(step, end.Task.Index, minion.placement(end.Run))
 	job := step.occurrence.job
 	planner.markBegun(job)
-	age := time.Duration(0)
 	superseded := planner.isSuperseded(step, task, end)
 	task.latestRun = max(task.latestRun, end.Run)
 	if superseded {
 		minion.ignoreEnd(end.Number)
 	}
-	if ok {
-		age = now.Sub(run.startedAt)
-	} else if superseded {
+	if !ok && superseded {
 		planner.emitDecision(end.Task.String(), "end-ignored", end.Kind.String(), fmt.Sprintf("run=%d", end.Run), 0)
 		return
 	}
-	planner.emitDecision(end.Task.String(), "run-ended", end.Kind.String(),
-		fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), age)
+	planner.reportRunEnd(now, minion, run, end)
 	if end.Checkpoint != "" && !task.done {
 		planner.updateCheckpoint(step, end.Task.Index, end.Checkpoint)
 	}
@@ -56,11 +53,22 @@
 		if run.onTrial && !run.hasPassed && task.done {
 			planner.passTrial(run)
 		}
-		planner.releaseRun(now, run)
+		planner.releaseRun(now, run, run.endCause(causeOfKind(end.Kind)))
 	}
 	planner.endJobIfFinished(now, job)
 }
 
+// reportRunEnd logs an end that a minion lists. The run is nil if the holder does not know it.
+func (planner *Planner) reportRunEnd(now time.Time, minion *minion, run *run, end messenger.RunEnd) {
+	detail, age := fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), time.Duration(0)
+	if run != nil {
+		run.noteCheckpoint(now, cmp.Or(end.Checkpoint, run.checkpoint))
+		planner.noteBreakage(run, run.endCause(causeOfKind(end.Kind)))
+		detail, age = detail+" "+run.describeLoss(now), now.Sub(run.startedAt)
+	}
+	planner.emitDecision(end.Task.String(), "run-ended", end.Kind.String(), detail, age)
+}
+
 // isSuperseded reports whether an end must not be recorded because the task has
 // been started again since. That start would count as one after the end of the
 // task, or after its last attempt.
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -57,6 +57,8 @@
 	services   *fakeServices
 	violations []string
 	decisions  []string
+	// counts are the sums of the counters, by their name and reason.
+	counts map[string]float64
 
 	// Faults: the share of orders whose answer is lost, and of those that are
 	// executed late.
@@ -72,6 +74,9 @@
 	// workTime returns how long a run works.
 	workTime func(run *fakeRun) time.Duration
 	crashing crashingTasks
+	// checkpointInterval is the time between the checkpoints of a run with checkpoints, zero
+	// if minions list none.
+	checkpointInterval time.Duration
 	// lastingFailsAfter is the time after which long-running tasks fail, zero for never.
 	lastingFailsAfter time.Duration
 }
@@ -143,6 +148,7 @@
 		now: time.Unix(1_000_000, 0), maxLease: maxLease, random: rand.New(rand.NewPCG(seed, 1)),
 		minions: make(map[identifier.Minion]*fakeMinion), tasks: make(map[specifier.Task]*taskState),
 		jobs: make(map[identifier.Job]*specifier.Job), cancelled: make(map[identifier.Job]time.Time),
+		counts:   make(map[string]float64),
 		services: newFakeServices(), store: newFakeStore(),
 		fails:    func(*fakeRun) bool { return false },
 		workTime: func(run *fakeRun) time.Duration { return run.spec.EstimatedRunTime },
@@ -229,6 +235,10 @@
 	case messenger.Decision:
 		simulation.decisions = append(simulation.decisions, fmt.Sprintf("%s %s %s %s: %s %s",
 			simulation.now.Format("05.000"), node.name, action.Subject, action.Outcome, action.Reason, action.Detail))
+	case messenger.Count:
+		simulation.count(action)
+	case messenger.WorkLost:
+		simulation.counts["lost "+action.Rule] += action.CoreSeconds
 	case messenger.OrderMinion:
 		simulation.sendOrder(node, action)
 	case messenger.FenceJournal:
--- a/planner/stop.go
+++ b/planner/stop.go
@@ -28,6 +28,16 @@
 	}[rule]
 }
 
+// interrupts reports whether the task of a stopped run must run again. The start of an
+// abandoned run may never have arrived, so that it has interrupted nothing.
+func (rule stopRule) interrupts() bool {
+	switch rule {
+	case stopForJobEnd, stopForTaskEnd, stopForLaterRun, stopForAbandonedStart:
+		return false
+	}
+	return true
+}
+
 // awaitsStop reports whether a stop of the run that has failed must be repeated.
 func (run *run) awaitsStop() bool {
 	return run.minion.runs[runKey{run.id, run.number}] == run
