Answer at /explain/JOB why the steps of a job wait

Cause: nothing but a log line every 2 s, for at most six steps, said why a step waits, and nothing said when it may start.

Change: the planner of the holder answers querier.Explain with the waiting steps of one job: the reason, the place in the order of the pass, the number of minions that could hold a task, and the expected start with its basis. The basis room-free-at follows from the expected ends of the runs, reservation from a reservation; a further kind of reservation implements reservedStarts. The order is computed on a copy: step.urgency changes nothing, and step.waitingStep notes the wait of the pass as before. The new package explainer serves the answer beside the metrics. Other nodes answer 409, an unknown job 404. Five queries per second at most reach the planner, and eight steps are explained at most.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -15,6 +15,7 @@
 	"corianderroad/buffer"
 	"corianderroad/claimer"
 	"corianderroad/committer"
+	"corianderroad/explainer"
 	"corianderroad/exporter"
 	"corianderroad/identifier"
 	"corianderroad/inspector"
@@ -62,6 +63,7 @@
 
 	answers    *waiter.Waiter[messenger.CommandAnswered]
 	exporter   *exporter.Exporter
+	explainer  *explainer.Explainer
 	authorizer atomic.Pointer[authorizer.Authorizer]
 	readiness  readiness
 
@@ -89,6 +91,8 @@
 	jobs := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.jobQueries})
 	all := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.claimQueries, assembler.jobQueries, assembler.planQueries})
 	assembler.exporter = exporter.New(assembler.rings(), all)
+	plans := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.planQueries})
+	assembler.explainer = explainer.New(settings.Node, plans, clock)
 	assembler.addStateMachines()
 	assembler.addIODuties()
 	assembler.frontEnd = &platform.FrontEnd{
--- a/assembler/httpserver.go
+++ b/assembler/httpserver.go
@@ -11,6 +11,7 @@
 
 	"corianderroad/authorizer"
 	"corianderroad/classifier"
+	"corianderroad/explainer"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/watcher"
@@ -58,11 +59,20 @@
 		newServer(assembler.settings.Readiness, http.HandlerFunc(assembler.serveReadiness)),
 	}
 	if assembler.settings.Metrics.IsValid() {
-		servers = append(servers, newServer(assembler.settings.Metrics, assembler.exporter.Handler()))
+		servers = append(servers, newServer(assembler.settings.Metrics, assembler.operatorHandler()))
 	}
 	return servers
 }
 
+// operatorHandler returns the handler of the metrics address. All other paths than those of
+// the queries about jobs have the metrics.
+func (assembler *Assembler) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(explainer.Pattern, assembler.explainer)
+	mux.Handle("/", assembler.exporter.Handler())
+	return mux
+}
+
 func (httpServer *httpServer) run(ctx context.Context) error {
 	listener, err := net.Listen("tcp", httpServer.address.String())
 	if err != nil {
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -104,20 +104,27 @@
 }
 
 // waitingStep returns the step with its urgency, nil if it has no task to
-// start.
+// start, and notes since when it waits.
 func (step *step) waitingStep(now time.Time, queue *specifier.Queue) *waitingStep {
-	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.awaitsTrial() {
+	waitingStep := step.urgency(now, queue)
+	switch {
+	case waitingStep == nil:
 		step.waitingSince = time.Time{}
+	case step.waitingSince.IsZero():
+		step.waitingSince = now
+	}
+	return waitingStep
+}
+
+// urgency returns the step with its urgency, nil if it has no task to start.
+func (step *step) urgency(now time.Time, queue *specifier.Queue) *waitingStep {
+	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.awaitsTrial() {
 		return nil
 	}
 	count := step.countStartableTasks(now)
 	if count == 0 {
-		step.waitingSince = time.Time{}
 		return nil
 	}
-	if step.waitingSince.IsZero() {
-		step.waitingSince = now
-	}
 	latestStart := step.latestStart(queue)
 	return &waitingStep{step: step, queue: queue, taskCount: count, latestStart: latestStart, late: now.After(latestStart)}
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -270,11 +270,21 @@
 	}
 }
 
-// View returns the gauges of the holder.
+// View answers queries at the holder. Other nodes have no answer.
 func (planner *Planner) View(now time.Time, query querier.Query) querier.Answer {
-	if query.Kind != querier.Status || !planner.holder.active {
+	switch {
+	case !planner.holder.active:
 		return querier.Answer{}
+	case query.Kind == querier.Status:
+		return planner.status(now)
+	case query.Kind == querier.Explain:
+		return planner.explain(now, identifier.Job(query.Subject))
 	}
+	return querier.Answer{}
+}
+
+// status returns the gauges of the holder.
+func (planner *Planner) status(now time.Time) querier.Answer {
 	runs := 0
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
--- a/querier/query.go
+++ b/querier/query.go
@@ -16,7 +16,8 @@
 const (
 	// Status requests members, configuration, jobs and gauges.
 	Status Kind = iota + 1
-	// Explain requests the decisions about one subject.
+	// Explain requests the decisions about one subject, or from the holder on the users'
+	// platform what it knows of one job.
 	Explain
 	// Shares requests guarantees and use by workspace.
 	Shares
@@ -45,8 +46,12 @@
 	Minions       []Minion
 	Workers       []Worker
 	Decisions     []Decision
-	Shares        []Share
-	Gauges        []Gauge
+	// IsHolder is set for Explain by the holder, and Explanations has its answer, none if
+	// it has no such job.
+	IsHolder     bool
+	Explanations []Explanation
+	Shares       []Share
+	Gauges       []Gauge
 	// Submitted answers JobState. It is empty if the entry VM has no such job.
 	Submitted []SubmittedJob
 	// Waiting answers QueueLength.
@@ -74,6 +79,8 @@
 	answer.Minions = append(answer.Minions, part.Minions...)
 	answer.Workers = append(answer.Workers, part.Workers...)
 	answer.Decisions = append(answer.Decisions, part.Decisions...)
+	answer.IsHolder = answer.IsHolder || part.IsHolder
+	answer.Explanations = append(answer.Explanations, part.Explanations...)
 	answer.Shares = append(answer.Shares, part.Shares...)
 	answer.Gauges = append(answer.Gauges, part.Gauges...)
 	answer.Submitted = append(answer.Submitted, part.Submitted...)
