--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -78,10 +78,15 @@
 // startNode starts a node with one queue and one minion. The function that it returns
 // stops the node and checks how it ended.
 func startNode(ctx context.Context, c *quicktest.C, fake *imitator.Imitator, minion *imitator.Minion) (*platform.Settings, func()) {
+	settings := newSettings(c, fake)
+	return settings, startNodeWith(ctx, c, settings, fake, minion)
+}
+
+// startNodeWith starts a node as startNode does, with the given settings.
+func startNodeWith(ctx context.Context, c *quicktest.C, settings *platform.Settings, fake *imitator.Imitator, minion *imitator.Minion) func() {
 	fake.Reply = minion.Reply
 	fake.Write("keyed.servers", "i-1", minion.Report("s", fake.Address()))
 	fake.Write("keyed.op", "config", configuration)
-	settings := newSettings(c, fake)
 	keeper, err := timekeeper.New()
 	c.Assert(err, quicktest.IsNil)
 	stop, ended := make(chan struct{}), make(chan error, 1)
@@ -89,7 +94,7 @@
 	go func() { ended <- node.Run(ctx, stop) }()
 
 	waitForAnswer(ctx, c, "http://"+settings.Readiness.String()+"/api/readyz", "", "")
-	return settings, func() {
+	return func() {
 		close(stop)
 		c.Assert(<-ended, quicktest.Equals, context.Canceled)
 		c.Assert(ctx.Err(), quicktest.IsNil)
