Don't move runs whose minion is silent out of an evacuated domain

Cause: a gang was stopped as a whole although one of its minions did not answer. That member could not be stopped, so that the gang lost its work and waited until the lease there had expired.

Change: a run moves only while its minion answers, a gang only while all do.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -55,7 +55,7 @@
 		}
 		for _, run := range minion.sortedRuns() {
 			queue := planner.queue(run.job())
-			if queue == nil || run.state != running || !run.shouldMove(now) {
+			if queue == nil || !run.canMove() || !run.shouldMove(now) {
 				continue
 			}
 			known := byStep[run.step]
@@ -69,6 +69,10 @@
 	return moves
 }
 
+// canMove reports whether the run works and its minion answers. On a silent minion it can't be
+// stopped, and its task can't start again, before the lease has expired.
+func (run *run) canMove() bool { return run.state == running && !run.minion.unresponsive }
+
 // shouldMove reports whether little work is lost if the run is stopped, and more time than that
 // is gained.
 func (run *run) shouldMove(now time.Time) bool {
@@ -116,7 +120,7 @@
 	}
 }
 
-// runsToStop returns the runs that may be stopped together: all members of a gang if all work,
+// runsToStop returns the runs that may be stopped together: all members of a gang if all can move,
 // and one long-running task while no more of its step are unavailable than allowed.
 func (move *move) runsToStop() []*run {
 	step := move.step
@@ -132,8 +136,8 @@
 	return move.runs[:1]
 }
 
-// gangToMove returns all members of a gang, none if one of them does not work or if the gang
-// must not be unavailable as a whole.
+// gangToMove returns all members of a gang, none if one of them can't move or if the gang must
+// not be unavailable as a whole.
 func (step *step) gangToMove() []*run {
 	if step.spec.LongRunning && step.spec.MaxUnavailable > 0 && len(step.tasks) > step.spec.MaxUnavailable {
 		return nil
@@ -141,7 +145,7 @@
 	var members []*run
 	for index := range step.tasks {
 		member := step.tasks[index].run
-		if member == nil || member.state != running {
+		if member == nil || !member.canMove() {
 			return nil
 		}
 		members = append(members, member)
--- a/planner/evacuationmove_test.go
+++ b/planner/evacuationmove_test.go
@@ -103,6 +103,27 @@
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
 
+// TestGangWithSilentMemberIsNotMoved guards against a gang that is stopped while one of its
+// minions does not answer: it could not start again before the lease there has expired.
+func TestGangWithSilentMemberIsNotMoved(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newOccupiedSimulation(time.Second)
+	gang := wholeMinions(4, time.Minute)
+	gang.Gang, gang.Checkpoints = true, true
+	simulation.submit(jobOf("a", gang))
+	simulation.advance(2 * time.Second)
+	simulation.setReachable(false, "m01")
+	simulation.advance(2500 * time.Millisecond)
+	c.Assert(simulation.linesWith("m01 minion-lost"), quicktest.HasLen, 1)
+	simulation.evacuate("z0", true)
+	simulation.advance(time.Second)
+	c.Assert(simulation.linesWith("rule=evacuation"), quicktest.HasLen, 0)
+	simulation.setReachable(true, "m01")
+	simulation.advance(3 * time.Second)
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 4)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
 // TestLongRunningTasksLeaveEvacuatedDomainOneAfterAnother guards against a long-running step
 // with more tasks unavailable than it allows, and against tasks that stay in the domain.
 func TestLongRunningTasksLeaveEvacuatedDomainOneAfterAnother(t *testing.T) {
