Choose the runs to be stopped by the work that is lost

Victims were chosen by their age, and those with checkpoints by an assumed loss of a second. A gang that had just been started again was therefore the cheapest victim, and runs were stopped for room that came free at the same time anyway. Package evictor prices a stop by the work since the last known checkpoint of the whole gang with the restart, and more for each earlier stop of the task; it takes free room first, then the room of runs that end before a stop would. Runs with checkpoints on a minion that leaves work on until the last time at which they can be saved, and gangs are saved as a whole, with one checkpoint for all members. The planner asks it behind -loss-aware-stops.

--- /dev/null
+++ b/evictor/choose.go
@@ -0,0 +1,60 @@
+package evictor
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxSeeds is how many gangs are tried as the first victim of a choice.
+	maxSeeds = 4
+	// maxOverdue is how long after its expected end a run still counts as ending soon.
+	maxOverdue = 300 * time.Millisecond
+)
+
+// Choose returns where all tasks of a step fit, at the lowest price that it finds, or
+// false if they do not fit. Free room comes first, then the room of runs that are expected
+// to end before stops would have freed any, then victims. With a choice that stops
+// nothing, the step waits.
+func (evictor *Evictor) Choose(now time.Time, room *Room) (Choice, bool) {
+	ending := make([]bool, len(room.Victims))
+	for index := range room.Victims {
+		ending[index] = evictor.endsSoon(now, room.Victims[index].EndsAt)
+	}
+	best, found := newPlan(room, ending).fill()
+	if found && len(best.Stopped) == 0 {
+		return best, true
+	}
+	for _, seed := range seeds(room, ending) {
+		if found && room.Victims[seed].Loss.Price >= best.Loss.Price {
+			break
+		}
+		plan := newPlan(room, ending)
+		plan.stop(seed)
+		if choice, fits := plan.fill(); fits && (!found || choice.Loss.Price < best.Loss.Price) {
+			best, found = choice, true
+		}
+	}
+	return best, found
+}
+
+// endsSoon reports whether a run is expected to end before a stop would have ended it.
+func (evictor *Evictor) endsSoon(now, endsAt time.Time) bool {
+	return !endsAt.IsZero() && !now.After(endsAt.Add(maxOverdue)) && !endsAt.After(now.Add(evictor.stopTime()))
+}
+
+// seeds returns the cheapest victims that occupy more than one minion. One of them can
+// make room for several tasks, which a choice task by task does not see.
+func seeds(room *Room, ending []bool) []int {
+	var found []int
+	for index := range room.Victims {
+		if !ending[index] && len(room.Victims[index].Shares) > 1 {
+			found = append(found, index)
+		}
+	}
+	slices.SortStableFunc(found, func(one, other int) int {
+		return cmp.Compare(room.Victims[one].Loss.Price, room.Victims[other].Loss.Price)
+	})
+	return found[:min(len(found), maxSeeds)]
+}
--- a/planner/drain.go
+++ b/planner/drain.go
@@ -10,6 +10,9 @@
 		return
 	}
 	for _, run := range minion.sortedRuns() {
+		if planner.stops != nil && !run.step.spec.LongRunning {
+			continue // saved in time by saveLeaving
+		}
 		if run.state != running || !(run.step.spec.Checkpoints || run.step.spec.LongRunning) || !planner.mayInterrupt(run) {
 			continue
 		}
--- /dev/null
+++ b/planner/eviction.go
@@ -0,0 +1,179 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"corianderroad/evictor"
+	"corianderroad/specifier"
+)
+
+// stopDecider decides by the work that is lost.
+type stopDecider interface {
+	// Choose returns where the tasks of a step fit and what is stopped for them.
+	Choose(now time.Time, room *evictor.Room) (evictor.Choice, bool)
+	// Save returns which of the runs on leaving minions are stopped now, and when to decide
+	// again.
+	Save(now time.Time, leavers []evictor.Leaver, maxRuns int) (due []int, next time.Time)
+}
+
+// eviction is a choice of runs to stop for a step.
+type eviction struct {
+	choice   evictor.Choice
+	room     *evictionRoom
+	reserved map[*minion]specifier.Resources
+}
+
+// evict frees capacity for all tasks of a step that wait, or reserves what comes free
+// without a stop. It reports whether it found enough.
+func (planner *Planner) evict(now time.Time, waitingStep *waitingStep, pool *pool, guaranteed bool) bool {
+	step := waitingStep.step
+	if !planner.requestStart(step.occurrence.job) {
+		return true
+	}
+	taskCount := step.countStartableTasks(now)
+	eviction := planner.chooseEviction(now, step, taskCount, pool)
+	ownWork := step.estimatedWork(taskCount)
+	if eviction == nil || (!guaranteed && eviction.choice.Loss.Work > maxWasteFactor*ownWork) {
+		return false
+	}
+	planner.reservations.add(step, eviction.reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
+	choice := &eviction.choice
+	planner.emitDecision(string(step.occurrence.job.spec.ID), "reclaim", evictionReason(choice, guaranteed),
+		fmt.Sprintf("step=%d tasks=%d victims=%d lost-core-seconds=%.0f price=%.0f own-core-seconds=%.0f awaits-ends=%t",
+			step.number, taskCount, len(choice.Stopped), choice.Loss.Work, choice.Loss.Price, ownWork, choice.Awaits),
+		now.Sub(step.occurrence.dueAt))
+	for _, victim := range choice.Stopped {
+		for _, run := range eviction.room.runs[victim] {
+			planner.stopEvicted(now, run, stopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
+		}
+	}
+	return true
+}
+
+func evictionReason(choice *evictor.Choice, guaranteed bool) string {
+	switch {
+	case len(choice.Stopped) == 0:
+		return "enough comes free without a stop"
+	case guaranteed:
+		return "needed for the guarantee of its workspace"
+	}
+	return "needed for its objective"
+}
+
+// requestStart reports whether the journal allows the job's tasks to be started, and
+// requests that it does. Runs that are stopped for a job whose start must wait for the store
+// are stopped too early or in vain.
+func (planner *Planner) requestStart(job *job) bool {
+	if !job.mayHaveStarted && !job.startRequested {
+		job.startRequested = true
+		planner.recording.markDirty(job)
+	}
+	return job.mayHaveStarted
+}
+
+// stopEvicted stops a run by choice. Each such stop makes the next one of the task cost
+// more.
+func (planner *Planner) stopEvicted(now time.Time, run *run, rule stopRule, reason string) {
+	run.task().evictions++
+	planner.stopRun(now, run, rule, reason)
+}
+
+// chooseEviction returns the cheapest choice on one rack if the step needs one, or on all
+// minions, nil if the tasks fit nowhere.
+func (planner *Planner) chooseEviction(now time.Time, step *step, taskCount int, pool *pool) *eviction {
+	needsRack := step.spec.SameRack && pool.fitsOnRack(step)
+	if !needsRack {
+		available := pool.available
+		if step.spec.DataRack != "" && pool.fitsOnRack(step) {
+			available = pool.availableOnRack(step.spec.DataRack)
+		}
+		return planner.chooseEvictionOn(now, step, taskCount, available)
+	}
+	wantedRack := step.currentRack()
+	if wantedRack == "" {
+		wantedRack = step.spec.DataRack
+	}
+	var best *eviction
+	for _, rack := range pool.racks {
+		if wantedRack != "" && rack.name != wantedRack {
+			continue
+		}
+		found := planner.chooseEvictionOn(now, step, taskCount, rack.available)
+		if found != nil && (best == nil || found.choice.Loss.Price < best.choice.Loss.Price) {
+			best = found
+		}
+	}
+	return best
+}
+
+func (planner *Planner) chooseEvictionOn(now time.Time, step *step, taskCount int, available []*minion) *eviction {
+	room := planner.newEvictionRoom(now, step, taskCount, available)
+	choice, found := planner.stops.Choose(now, &room.Room)
+	if !found {
+		return nil
+	}
+	eviction := &eviction{choice: choice, room: room, reserved: make(map[*minion]specifier.Resources)}
+	for index, count := range choice.TasksOn {
+		if count > 0 {
+			eviction.reserved[room.minions[index]] = room.Request.Times(count)
+		}
+	}
+	return eviction
+}
+
+// releaseReservation removes what a step has reserved for the tasks that are started. The
+// other tasks keep their part, for which runs may have been stopped.
+func (planner *Planner) releaseReservation(waitingStep *waitingStep, chosen []*minion) {
+	step := waitingStep.step
+	if planner.stops == nil || len(chosen) == waitingStep.taskCount {
+		planner.reservations.remove(step)
+		return
+	}
+	request := requiredCapacity(step.spec)
+	var elsewhere int
+	for _, minion := range chosen {
+		if !planner.reservations.reduce(step, minion, request) {
+			elsewhere++
+		}
+	}
+	for _, minion := range planner.reservations.minionsOf(step) {
+		for elsewhere > 0 && planner.reservations.reduce(step, minion, request) {
+			elsewhere--
+		}
+	}
+}
+
+// reduce removes the part of one task from what a step has reserved on a minion. It reports
+// whether there was one.
+func (reservations *reservations) reduce(step *step, minion *minion, request specifier.Resources) bool {
+	own := reservations.byStep[step]
+	if own == nil || own.reservedCapacity[minion] == (specifier.Resources{}) {
+		return false
+	}
+	minion.reserved = minion.reserved.Sub(request)
+	own.reservedCapacity[minion] = own.reservedCapacity[minion].Sub(request)
+	if own.reservedCapacity[minion] == (specifier.Resources{}) {
+		delete(own.reservedCapacity, minion)
+	}
+	if len(own.reservedCapacity) == 0 {
+		delete(reservations.byStep, step)
+	}
+	return true
+}
+
+// minionsOf returns the minions on which a step has reserved capacity, in the order of their
+// names.
+func (reservations *reservations) minionsOf(step *step) []*minion {
+	own := reservations.byStep[step]
+	if own == nil {
+		return nil
+	}
+	minions := make([]*minion, 0, len(own.reservedCapacity))
+	for minion := range own.reservedCapacity {
+		minions = append(minions, minion)
+	}
+	slices.SortFunc(minions, compareNames)
+	return minions
+}
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -82,6 +82,9 @@
 	if run.spec.LongRunning {
 		return int(min(100*elapsed/startupTime, 100))
 	}
+	if simulation.checkpoints != nil {
+		elapsed = run.work()
+	}
 	return int(min(100*elapsed/max(simulation.workTime(run), 1), 99))
 }
 
--- a/planner/job.go
+++ b/planner/job.go
@@ -90,6 +90,8 @@
 	trialWantedSince time.Time
 	// passedTrials counts the runs on trial that have passed since the last crash.
 	passedTrials int
+	// gangCheckpoint is the newest checkpoint of the members of a gang.
+	gangCheckpoint gangCheckpoint
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
 	isLikelyCause bool
 }
@@ -111,6 +113,8 @@
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []uint64
 	checkpoint string
+	// evictions counts the stops by choice since this holder took over.
+	evictions int
 	// run is the run that may still be running, nil if there is none. knownRuns counts it
 	// and all others that minions may still have, such as one that is being stopped.
 	run       *run
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -69,6 +69,8 @@
 	ended        bool
 	leaseExpired bool
 	pacePercent  int
+	// resumed is the work of the checkpoint from which the run started.
+	resumed time.Duration
 }
 
 func newFakeMinion(simulation *simulation, name identifier.Minion, rack int) *fakeMinion {
@@ -240,10 +242,11 @@
 	minion.runs[sent.Task] = run
 	minion.checkCapacity(run)
 	simulation.taskState(sent.Task).running[run] = true
+	run.resume(sent.Checkpoint)
 	if run.spec.Gang {
 		simulation.runGangWhenComplete(run)
 	} else if !run.spec.LongRunning {
-		simulation.schedule(simulation.workTime(run), func() { minion.finishRun(run) })
+		simulation.schedule(simulation.remainingTime(run), func() { minion.finishRun(run) })
 	} else if simulation.lastingFailsAfter > 0 {
 		simulation.schedule(simulation.lastingFailsAfter, func() { minion.endRun(run, messenger.EndFailed) })
 	}
@@ -267,17 +270,18 @@
 	if run.ended || !minion.alive {
 		return
 	}
+	run.noteEnd(kind)
 	run.ended, run.leaseExpired = true, kind == messenger.EndLeaseExpired
 	delete(minion.runs, run.task)
 	minion.highestRun[run.task] = max(minion.highestRun[run.task], run.number)
 	taskState := minion.simulation.taskState(run.task)
 	delete(taskState.running, run)
 	if kind == messenger.EndDone {
-		taskState.done = true
+		taskState.done, taskState.doneAt = true, minion.simulation.now
 	}
 	minion.lastEnd++
 	minion.expirationsAtEnd[minion.lastEnd] = minion.leaseExpirations
-	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind})
+	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind, Checkpoint: run.checkpoint(kind == messenger.EndStopped)})
 	if run.spec.Gang && kind != messenger.EndGangBroken {
 		minion.simulation.breakGang(run, kind)
 	}
@@ -328,7 +332,9 @@
 
 func (minion *fakeMinion) listRuns(answered *messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
-		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run)})
+		answered.Running = append(answered.Running, messenger.RunReport{
+			Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run), Checkpoint: run.checkpoint(false),
+		})
 	}
 	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), messenger.MaxListedEnds)]...)
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/evictor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/querier"
@@ -20,8 +21,13 @@
 	bounds Bounds
 	// features are the rules that the deployment enables.
 	features Features
-	policy   *specifier.Policy
-	queues map[identifier.Queue]*specifier.Queue
+	// stops decides by the work that is lost, nil if the deployment does not enable it.
+	stops stopDecider
+	// nextDepartureAt is when the runs on leaving minions are next decided about, zero if
+	// there are none.
+	nextDepartureAt time.Time
+	policy          *specifier.Policy
+	queues          map[identifier.Queue]*specifier.Queue
 
 	jobs        map[identifier.Job]*job
 	openJobs    map[identifier.Job]*job
@@ -75,13 +81,17 @@
 
 // New returns the state machine of a node.
 func New(node identifier.Node, bounds Bounds, features Features) *Planner {
-	return &Planner{
+	planner := &Planner{
 		node: node, bounds: bounds, features: features, policy: &specifier.Policy{},
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
 		recording:  newRecording(), maintenance: newMaintenance(),
 	}
+	if features.LossAwareStops {
+		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
+	}
+	return planner
 }
 
 // Step handles an event and returns the resulting actions.
@@ -131,6 +141,7 @@
 	planner.pollMinions(now)
 	planner.checkToken(now)
 	planner.repeatStops(now)
+	planner.saveLeaving(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
 		planner.runPass(now)
@@ -156,6 +167,9 @@
 	if len(planner.stopRetries) > 0 && planner.stopRetries[0].at.Before(next) {
 		next = planner.stopRetries[0].at
 	}
+	if departure := planner.nextDepartureAt; !departure.IsZero() && departure.Before(next) {
+		next = departure
+	}
 	if poll, ok := planner.nextPoll(); ok && poll.at.Before(next) {
 		next = poll.at
 	}
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -134,6 +134,10 @@
 		}
 	}
 	planner.markBegun(run.job())
+	run.observe(now, report)
+	if report.Checkpoint != run.checkpoint {
+		planner.noteGangCheckpoint(run, report.Checkpoint, now, false)
+	}
 	if report.ProgressPercent != run.progressPercent {
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
 	}
--- a/planner/reclaim.go
+++ b/planner/reclaim.go
@@ -37,6 +37,12 @@
 	if !guaranteed && (waitingStep.late || now.Before(waitingStep.latestStart.Add(-stopTime))) {
 		return
 	}
+	if planner.stops != nil {
+		if !planner.evict(now, waitingStep, pool, guaranteed) {
+			step.nextReclaimAt = now.Add(reclaimRetryDelay)
+		}
+		return
+	}
 	maxCost := maxWasteFactor * step.estimatedWork(waitingStep.taskCount)
 	preemption := planner.planPreemption(now, waitingStep, pool)
 	if preemption == nil || (!guaranteed && preemption.cost > maxCost) {
--- a/planner/run.go
+++ b/planner/run.go
@@ -61,6 +61,7 @@
 	// progressPercent is the run's progress at progressAt, when it last changed.
 	progressPercent int
 	progressAt      time.Time
+	work            runWork
 	checkpoint      string
 	load            float64
 	// pacePercent is the share of its speed at which the run works, set at
@@ -280,6 +281,7 @@
 func (planner *Planner) markRunLost(now time.Time, run *run, reason string) {
 	if run.checkpoint != "" {
 		planner.updateCheckpoint(run.step, run.id.Index, run.checkpoint)
+		planner.shareGangCheckpoint(run.step)
 	}
 	planner.emitDecision(run.id.String(), "run-lost", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d", run.number, run.minion.report.Minion, run.progressPercent), now.Sub(run.startedAt))
--- /dev/null
+++ b/planner/runwork.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"time"
+
+	"corianderroad/evictor"
+	"corianderroad/messenger"
+)
+
+// minMeasuredPercent is the progress from which on the speed of a run is measured. Below,
+// the submitter's estimate of its run time counts.
+const minMeasuredPercent = 10
+
+// runWork is what the polls have shown of the work of a run.
+type runWork struct {
+	// firstPercent is the progress in the first report, at firstAt.
+	firstPercent int
+	firstAt      time.Time
+	// checkpointAt is when the newest checkpoint was first seen, zero if the run has given
+	// none.
+	checkpointAt time.Time
+}
+
+// observe notes the progress and the checkpoint in a report, before the run has them. A run
+// that has given no checkpoint reports that with which it was started.
+func (run *run) observe(now time.Time, report messenger.RunReport) {
+	if run.work.firstAt.IsZero() {
+		run.work.firstPercent, run.work.firstAt = report.ProgressPercent, now
+		if run.isAdopted || report.Checkpoint == run.task().checkpoint {
+			return
+		}
+	}
+	if report.Checkpoint != "" && report.Checkpoint != run.checkpoint {
+		run.work.checkpointAt = now
+	}
+}
+
+// expectedEnd returns when the run is expected to end by its progress, the zero time if it
+// has reported none.
+func (run *run) expectedEnd() time.Time {
+	if run.step.spec.LongRunning || run.progressPercent <= 0 || run.work.firstAt.IsZero() {
+		return time.Time{}
+	}
+	timePerPercent := run.step.spec.EstimatedRunTime / fullPercent
+	if done := run.progressPercent - run.work.firstPercent; done >= minMeasuredPercent {
+		timePerPercent = run.progressAt.Sub(run.work.firstAt) / time.Duration(done)
+	}
+	return run.progressAt.Add(time.Duration(fullPercent-run.progressPercent) * timePerPercent)
+}
+
+// unsavedTime returns how long the run has worked since its last known checkpoint. For a
+// run of a former holder its progress tells how long it has worked at least.
+func (run *run) unsavedTime(now time.Time) time.Duration {
+	if !run.work.checkpointAt.IsZero() {
+		return now.Sub(run.work.checkpointAt)
+	}
+	worked := now.Sub(run.startedAt)
+	if run.isAdopted && !run.step.spec.Checkpoints {
+		worked = max(worked, run.step.spec.EstimatedRunTime*time.Duration(run.progressPercent)/fullPercent)
+	}
+	return worked
+}
+
+// lostWorkOf returns what a stop of runs that end together would lose. A checkpoint of any
+// of them holds for all.
+func lostWorkOf(now time.Time, runs []*run) evictor.Work {
+	var work evictor.Work
+	for index, run := range runs {
+		work.Cores += float64(weight(run.step.spec.Request)) / milliPerCore
+		work.Stops = max(work.Stops, run.task().evictions)
+		work.SavesAtStop = work.SavesAtStop || !run.work.checkpointAt.IsZero()
+		if unsaved := run.unsavedTime(now); index == 0 || unsaved < work.Unsaved {
+			work.Unsaved = unsaved
+		}
+	}
+	return work
+}
+
+// expectedEndOf returns when the last of the runs is expected to end, the zero time if it is
+// not known of one.
+func expectedEndOf(runs []*run) time.Time {
+	var last time.Time
+	for _, run := range runs {
+		end := run.expectedEnd()
+		if end.IsZero() {
+			return time.Time{}
+		}
+		if end.After(last) {
+			last = end
+		}
+	}
+	return last
+}
+
+// runsEndingWith returns the runs that end with a run: itself, or all members of its gang
+// that are not being stopped.
+func runsEndingWith(ended *run) []*run {
+	if !ended.step.spec.Gang {
+		return []*run{ended}
+	}
+	var members []*run
+	for index := range ended.step.tasks {
+		if member := ended.step.tasks[index].run; member != nil && member.state != stopping {
+			members = append(members, member)
+		}
+	}
+	return members
+}
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -72,6 +72,12 @@
 	// workTime returns how long a run works.
 	workTime func(run *fakeRun) time.Duration
 	crashing crashingTasks
+	// checkpoints are those of the runs, nil if the simulation has none.
+	checkpoints *fakeCheckpoints
+	// lostCoreSeconds is the work that was done again, endsWithoutResult the number of runs
+	// that ended before they were done.
+	lostCoreSeconds   float64
+	endsWithoutResult map[messenger.EndKind]int
 	// lastingFailsAfter is the time after which long-running tasks fail, zero for never.
 	lastingFailsAfter time.Duration
 }
@@ -88,6 +94,10 @@
 	crashes, startsAfterCrashes int
 	// lostWithMinion counts the runs that ended because their minion ended.
 	lostWithMinion int
+	// workAtEnd is the work that the newest run had done when it ended without a result.
+	workAtEnd time.Duration
+	// doneAt is when the task was done.
+	doneAt time.Time
 }
 
 type scheduledCall struct {
@@ -143,7 +153,8 @@
 		now: time.Unix(1_000_000, 0), maxLease: maxLease, random: rand.New(rand.NewPCG(seed, 1)),
 		minions: make(map[identifier.Minion]*fakeMinion), tasks: make(map[specifier.Task]*taskState),
 		jobs: make(map[identifier.Job]*specifier.Job), cancelled: make(map[identifier.Job]time.Time),
-		services: newFakeServices(), store: newFakeStore(),
+		endsWithoutResult: make(map[messenger.EndKind]int),
+		services:          newFakeServices(), store: newFakeStore(),
 		fails:    func(*fakeRun) bool { return false },
 		workTime: func(run *fakeRun) time.Duration { return run.spec.EstimatedRunTime },
 	}
