--- a/evictor/choose.go
+++ b/evictor/choose.go
@@ -20,10 +20,11 @@
 func (evictor *Evictor) Choose(now time.Time, room *Room) (Choice, bool) {
 	ending := make([]bool, len(room.Victims))
 	for index := range room.Victims {
-		ending[index] = evictor.endsSoon(now, room.Victims[index].EndsAt)
+		ending[index] = endsSoon(now, room.Victims[index].EndsAt, evictor.patience(room))
 	}
 	best, found := newPlan(room, ending).fill()
 	if found && len(best.Stopped) == 0 {
+		best.AwaitsUntil = awaitsUntil(room, ending, &best)
 		return best, true
 	}
 	for _, seed := range seeds(room, ending) {
@@ -39,9 +40,35 @@
 	return best, found
 }
 
-// endsSoon reports whether a run is expected to end before a stop would have ended it.
-func (evictor *Evictor) endsSoon(now, endsAt time.Time) bool {
-	return !endsAt.IsZero() && !now.After(endsAt.Add(maxOverdue)) && !endsAt.After(now.Add(evictor.stopTime()))
+// patience returns within which time an expected end counts as sooner than a stop.
+func (evictor *Evictor) patience(room *Room) time.Duration {
+	if room.MustStart {
+		return evictor.bounds.OrderTime - maxOverdue
+	}
+	return evictor.stopTime()
+}
+
+// awaitsUntil returns until when the runs should have ended for which a choice waits, the
+// zero time if it waits for none.
+func awaitsUntil(room *Room, ending []bool, choice *Choice) time.Time {
+	var until time.Time
+	for index := range room.Victims {
+		if !choice.Awaits || !ending[index] {
+			continue
+		}
+		victim := &room.Victims[index]
+		for _, share := range victim.Shares {
+			if overdueAt := victim.EndsAt.Add(maxOverdue); choice.TasksOn[share.Minion] > 0 && overdueAt.After(until) {
+				until = overdueAt
+			}
+		}
+	}
+	return until
+}
+
+// endsSoon reports whether a run is expected to end within a time.
+func endsSoon(now, endsAt time.Time, within time.Duration) bool {
+	return !endsAt.IsZero() && !now.After(endsAt.Add(maxOverdue)) && !endsAt.After(now.Add(within))
 }
 
 // seeds returns the cheapest victims that occupy more than one minion. One of them can
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -111,6 +111,9 @@
 type Room struct {
 	Minions []Minion
 	Victims []Victim
+	// MustStart means that the tasks must start as soon as a stop would free room for them. An
+	// expected end that does not come must then leave time for the stop.
+	MustStart bool
 	// Request is what one task occupies, Tasks the number of tasks.
 	Request specifier.Resources
 	Tasks   int
@@ -124,5 +127,8 @@
 	Stopped []int
 	// Awaits means that some of the room comes free by runs that end by themselves.
 	Awaits bool
-	Loss   Loss
+	// AwaitsUntil is when all such runs should have ended if nothing is stopped, the zero
+	// time if there are none.
+	AwaitsUntil time.Time
+	Loss        Loss
 }
--- a/evictor/plan.go
+++ b/evictor/plan.go
@@ -92,12 +92,15 @@
 	return best
 }
 
-// isBetter reports whether a task costs less here. Room that is free is better than room
-// that is expected.
+// isBetter reports whether a task costs less here. At the same price, room without a stop is
+// better, and room that is free now is better than room that is expected.
 func (candidate *candidate) isBetter(other *candidate) bool {
 	if candidate.price != other.price {
 		return candidate.price < other.price
 	}
+	if len(candidate.selected) != len(other.selected) {
+		return len(candidate.selected) < len(other.selected)
+	}
 	return !candidate.awaits && other.awaits
 }
 
--- /dev/null
+++ b/planner/departure_test.go
@@ -0,0 +1,65 @@
+package planner_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/identifier"
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// leave lets a minion give notice and leave with all its runs.
+func (simulation *simulation) leave(minion *fakeMinion, notice time.Duration) {
+	minion.faults.draining, minion.faults.remaining = true, notice
+	for _, node := range simulation.nodes {
+		simulation.deliverReport(node, minion)
+	}
+	simulation.schedule(notice, func() {
+		minion.crash()
+		for _, node := range simulation.nodes {
+			simulation.step(node, messenger.MinionsRead{Removed: []identifier.Minion{minion.name}, SentAt: simulation.now})
+		}
+	})
+}
+
+// TestGangOnLeavingMinionIsSavedAsAWhole guards against a gang that loses its work because
+// the minion of one member leaves, although a stop of all members would have saved it, and
+// against members that resume from different checkpoints.
+func TestGangOnLeavingMinionIsSavedAsAWhole(t *testing.T) {
+	for _, notice := range []time.Duration{2 * time.Second, 6500 * time.Millisecond} {
+		c := quicktest.New(t)
+		simulation := newEvictionSimulation(1, 4)
+		simulation.submit(jobOf("gang", specifier.Step{Tasks: 3, Request: taskOf(1000, 8), EstimatedRunTime: 20 * time.Second, Gang: true, Checkpoints: true}))
+		simulation.advance(5 * time.Second)
+		simulation.leave(simulation.sortedMinions()[0], notice)
+		simulation.advance(30 * time.Second)
+		c.Assert(simulation.violations, quicktest.HasLen, 0)
+		c.Assert(simulation.stops("gang"), quicktest.HasLen, 3, quicktest.Commentf("%s", strings.Join(simulation.decisions, "\n")))
+		c.Assert(simulation.taskState(specifier.Task{Job: "gang"}).done, quicktest.IsTrue)
+		restarts := 3 * 65 * simulation.checkpoints.restartTime.Seconds()
+		c.Assert(simulation.lostCoreSeconds <= restarts+0.01, quicktest.IsTrue, quicktest.Commentf("%s: %f", notice, simulation.lostCoreSeconds))
+	}
+}
+
+// TestRunsThatEndInTimeStay guards against runs that are moved from a leaving minion although
+// they end before it leaves, and against work of the others that is lost.
+func TestRunsThatEndInTimeStay(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 2)
+	simulation.submit(jobOf("short", specifier.Step{Tasks: 4, Request: taskOf(1000, 1), EstimatedRunTime: 6 * time.Second, Checkpoints: true}))
+	simulation.submit(jobOf("long", specifier.Step{Tasks: 4, Request: taskOf(1000, 1), EstimatedRunTime: 20 * time.Second, Checkpoints: true}))
+	simulation.advance(3 * time.Second)
+	leaving := simulation.sortedMinions()[0]
+	c.Assert(leaving.runs, quicktest.HasLen, 8)
+	simulation.leave(leaving, 4*time.Second) // the short ones end 0.6 s before
+	simulation.advance(30 * time.Second)
+	c.Assert(simulation.stops("short"), quicktest.HasLen, 0)
+	c.Assert(simulation.stops("long"), quicktest.HasLen, 4)
+	c.Assert(simulation.recordedState("long"), quicktest.Equals, specifier.Completed)
+	restarts := 4 * 9 * simulation.checkpoints.restartTime.Seconds()
+	c.Assert(simulation.lostCoreSeconds <= restarts+0.01, quicktest.IsTrue, quicktest.Commentf("%f", simulation.lostCoreSeconds))
+}
--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -18,6 +18,15 @@
 	Save(now time.Time, leavers []evictor.Leaver, maxRuns int) (due []int, next time.Time)
 }
 
+// evictionRequest is the need of a step for room.
+type evictionRequest struct {
+	step *step
+	// taskCount is the number of tasks that wait.
+	taskCount int
+	// guaranteed means that the step must start now by the guarantee of its workspace.
+	guaranteed bool
+}
+
 // eviction is a choice of runs to stop for a step.
 type eviction struct {
 	choice   evictor.Choice
@@ -33,13 +42,17 @@
 		return true
 	}
 	taskCount := step.countStartableTasks(now)
-	eviction := planner.chooseEviction(now, step, taskCount, pool)
+	eviction := planner.chooseEviction(now, evictionRequest{step, taskCount, guaranteed}, pool)
 	ownWork := step.estimatedWork(taskCount)
 	if eviction == nil || (!guaranteed && eviction.choice.Loss.Work > maxWasteFactor*ownWork) {
 		return false
 	}
-	planner.reservations.add(step, eviction.reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
 	choice := &eviction.choice
+	until := now.Add(planner.bounds.StopTimeout + reservationSlack)
+	if !choice.AwaitsUntil.IsZero() {
+		until = choice.AwaitsUntil
+	}
+	planner.reservations.add(step, eviction.reserved, until)
 	planner.emitDecision(string(step.occurrence.job.spec.ID), "reclaim", evictionReason(choice, guaranteed),
 		fmt.Sprintf("step=%d tasks=%d victims=%d lost-core-seconds=%.0f price=%.0f own-core-seconds=%.0f awaits-ends=%t",
 			step.number, taskCount, len(choice.Stopped), choice.Loss.Work, choice.Loss.Price, ownWork, choice.Awaits),
@@ -82,25 +95,22 @@
 
 // chooseEviction returns the cheapest choice on one rack if the step needs one, or on all
 // minions, nil if the tasks fit nowhere.
-func (planner *Planner) chooseEviction(now time.Time, step *step, taskCount int, pool *pool) *eviction {
+func (planner *Planner) chooseEviction(now time.Time, request evictionRequest, pool *pool) *eviction {
+	step := request.step
 	needsRack := step.spec.SameRack && pool.fitsOnRack(step)
 	if !needsRack {
 		available := pool.available
 		if step.spec.DataRack != "" && pool.fitsOnRack(step) {
 			available = pool.availableOnRack(step.spec.DataRack)
 		}
-		return planner.chooseEvictionOn(now, step, taskCount, available)
-	}
-	wantedRack := step.currentRack()
-	if wantedRack == "" {
-		wantedRack = step.spec.DataRack
+		return planner.chooseEvictionOn(now, request, available)
 	}
 	var best *eviction
 	for _, rack := range pool.racks {
-		if wantedRack != "" && rack.name != wantedRack {
+		if step.spec.DataRack != "" && rack.name != step.spec.DataRack {
 			continue
 		}
-		found := planner.chooseEvictionOn(now, step, taskCount, rack.available)
+		found := planner.chooseEvictionOn(now, request, rack.available)
 		if found != nil && (best == nil || found.choice.Loss.Price < best.choice.Loss.Price) {
 			best = found
 		}
@@ -108,8 +118,8 @@
 	return best
 }
 
-func (planner *Planner) chooseEvictionOn(now time.Time, step *step, taskCount int, available []*minion) *eviction {
-	room := planner.newEvictionRoom(now, step, taskCount, available)
+func (planner *Planner) chooseEvictionOn(now time.Time, request evictionRequest, available []*minion) *eviction {
+	room := planner.newEvictionRoom(now, request, available)
 	choice, found := planner.stops.Choose(now, &room.Room)
 	if !found {
 		return nil
--- a/planner/evictionroom.go
+++ b/planner/evictionroom.go
@@ -19,9 +19,10 @@
 	gangs map[gangRunKey]int
 }
 
-func (planner *Planner) newEvictionRoom(now time.Time, step *step, taskCount int, available []*minion) *evictionRoom {
+func (planner *Planner) newEvictionRoom(now time.Time, request evictionRequest, available []*minion) *evictionRoom {
+	step := request.step
 	room := &evictionRoom{indexes: make(map[*minion]int, len(available)), gangs: make(map[gangRunKey]int)}
-	room.Request, room.Tasks = requiredCapacity(step.spec), taskCount
+	room.Request, room.Tasks, room.MustStart = requiredCapacity(step.spec), request.taskCount, request.guaranteed
 	for _, minion := range available {
 		if limit := minion.taskLimit(step); limit > 0 && step.canRunOn(minion) {
 			room.indexes[minion] = len(room.minions)
@@ -34,7 +35,7 @@
 		for _, run := range minion.sortedRuns() {
 			switch {
 			case run.state != stopping:
-				if planner.isPreemptible(run) {
+				if planner.isPreemptible(run) && run.startAttempts <= 1 { // the room of an unanswered start comes free late
 					room.addVictim(now, run)
 				}
 			case now.Sub(run.stopOrderedAt) < planner.bounds.StopTimeout+reservationSlack:
--- a/planner/gangcheckpoint.go
+++ b/planner/gangcheckpoint.go
@@ -16,33 +16,44 @@
 	at     time.Time
 }
 
-// noteGangCheckpoint notes a checkpoint that a poll lists or that a run had at its end.
-func (planner *Planner) noteGangCheckpoint(run *run, checkpoint string, at time.Time, atStop bool) {
-	known := &run.step.gangCheckpoint
-	if planner.stops == nil || !run.step.spec.Gang || checkpoint == "" || run.number < known.run {
+// noteGangCheckpoint notes a checkpoint of a run that a poll lists or that was in its end.
+func (planner *Planner) noteGangCheckpoint(step *step, checkpoint gangCheckpoint) {
+	known := &step.gangCheckpoint
+	if planner.stops == nil || !step.spec.Gang || checkpoint.checkpoint == "" || checkpoint.run < known.run {
 		return
 	}
-	if run.number == known.run && (known.atStop || (!atStop && at.Before(known.at))) {
+	if checkpoint.run == known.run && (known.atStop || (!checkpoint.atStop && checkpoint.at.Before(known.at))) {
 		return
 	}
-	*known = gangCheckpoint{run: run.number, checkpoint: checkpoint, atStop: atStop, at: at}
+	*known = checkpoint
 }
 
 // noteGangEnd notes the checkpoint in the end of a member and lets all members resume from
-// the newest one.
-func (planner *Planner) noteGangEnd(now time.Time, run *run, end messenger.RunEnd) {
-	if end.Checkpoint != run.checkpoint {
-		planner.noteGangCheckpoint(run, end.Checkpoint, now, end.Kind == messenger.EndStopped)
+// the newest one. The run is nil if it is not known.
+func (planner *Planner) noteGangEnd(now time.Time, step *step, run *run, end messenger.RunEnd) {
+	if planner.stops == nil || !step.spec.Gang {
+		return
+	}
+	if run == nil || end.Checkpoint != run.checkpoint {
+		planner.noteGangCheckpoint(step, gangCheckpoint{end.Run, end.Checkpoint, end.Kind == messenger.EndStopped, now})
 	}
-	planner.shareGangCheckpoint(run.step)
+	planner.shareGangCheckpoint(step)
 }
 
-// shareGangCheckpoint lets all members of a gang resume from its newest checkpoint.
+// shareGangCheckpoint lets all members of a gang resume from its newest checkpoint. Without
+// one of this holder's time, that is the first one in the progress: a former holder may have
+// recorded one for some members only.
 func (planner *Planner) shareGangCheckpoint(step *step) {
-	if planner.stops == nil || step.gangCheckpoint.checkpoint == "" || step.isComplete() {
+	if planner.stops == nil || !step.spec.Gang || step.isComplete() {
 		return
 	}
+	shared := step.gangCheckpoint.checkpoint
+	for index := range step.tasks {
+		if shared == "" {
+			shared = step.tasks[index].checkpoint
+		}
+	}
 	for index := range step.tasks {
-		planner.updateCheckpoint(step, index, step.gangCheckpoint.checkpoint)
+		planner.updateCheckpoint(step, index, shared)
 	}
 }
--- a/planner/place.go
+++ b/planner/place.go
@@ -33,6 +33,7 @@
 		step.passResult = waitsForRecord
 		return true // the tasks start once the record is durable
 	}
+	planner.shareGangCheckpoint(step)
 	var number uint64
 	for index, minion := range chosen {
 		taskIndex := waitingStep.taskIndexes[index]
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -136,7 +136,7 @@
 	planner.markBegun(run.job())
 	run.observe(now, report)
 	if report.Checkpoint != run.checkpoint {
-		planner.noteGangCheckpoint(run, report.Checkpoint, now, false)
+		planner.noteGangCheckpoint(run.step, gangCheckpoint{run: run.number, checkpoint: report.Checkpoint, at: now})
 	}
 	if report.ProgressPercent != run.progressPercent {
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -43,9 +43,7 @@
 	if end.Checkpoint != "" && !task.done {
 		planner.updateCheckpoint(step, end.Task.Index, end.Checkpoint)
 	}
-	if ok {
-		planner.noteGangEnd(now, run, end)
-	}
+	planner.noteGangEnd(now, step, run, end)
 	switch end.Kind {
 	case messenger.EndDone:
 		minion.health.resetFailures()
--- a/planner/stoppedwork_test.go
+++ b/planner/stoppedwork_test.go
@@ -51,10 +51,10 @@
 
 // burstResult is what one load of the burst gave.
 type burstResult struct {
-	lost           float64
-	stopped        int
-	broken         int
-	urgentOnTime   int
+	lost         float64
+	stopped      int
+	broken       int
+	urgentOnTime int
 	// otherWorkDone is the work of the other jobs that are done, in core-seconds.
 	otherWorkDone float64
 }
