Stop lost runs of leaving minions early, and wait only within the stop time

A gang without checkpoints kept its places on other minions until one of its minions had left, and a single run was started again only when the lease of that minion had expired, about 4.5 s later. Both are now stopped as soon as they certainly end too late.

--- a/evictor/choose.go
+++ b/evictor/choose.go
@@ -40,12 +40,13 @@
 	return best, found
 }
 
-// patience returns within which time an expected end counts as sooner than a stop.
+// patience returns within which time an expected end counts as sooner than a stop. If the run is
+// then overdue, there is still time for a stop.
 func (evictor *Evictor) patience(room *Room) time.Duration {
 	if room.MustStart {
 		return evictor.bounds.OrderTime - maxOverdue
 	}
-	return evictor.stopTime()
+	return evictor.bounds.StopTimeout
 }
 
 // awaitsUntil returns until when the runs should have ended for which a choice waits, the
--- a/planner/departure.go
+++ b/planner/departure.go
@@ -35,8 +35,9 @@
 	}
 }
 
-// saveLeaving stops the runs with checkpoints, and the whole gangs, that can't end before
-// their minion leaves. They go on elsewhere from the checkpoint that a stop gives.
+// saveLeaving stops the runs, and the whole gangs, that can't end before their minion leaves.
+// They go on elsewhere from the checkpoint that a stop gives, if they have any. The end of a run
+// that its minion has not listed when it leaves is certain only once the lease has expired.
 func (planner *Planner) saveLeaving(now time.Time) {
 	if planner.nextDepartureAt.IsZero() || now.Before(planner.nextDepartureAt) {
 		return
@@ -62,8 +63,8 @@
 	}
 }
 
-// leavers returns the runs with checkpoints on the minions that leave, gangs as a whole,
-// with the runs that end together.
+// leavers returns the runs on the minions that leave, gangs as a whole, with the runs that end
+// together.
 func (planner *Planner) leavers(now time.Time) ([]evictor.Leaver, [][]*run) {
 	var leavers []evictor.Leaver
 	var groups [][]*run
@@ -73,7 +74,7 @@
 			continue
 		}
 		for _, run := range minion.sortedRuns() {
-			if run.state != running || !run.step.spec.Checkpoints || run.step.spec.LongRunning {
+			if run.state != running || run.step.spec.LongRunning {
 				continue
 			}
 			if run.step.spec.Gang {
@@ -97,7 +98,9 @@
 	if endsAt.IsZero() {
 		endsAt = now.Add(runs[0].remainingTime(now))
 	}
-	return evictor.Leaver{Value: work.Cores * work.Unsaved.Seconds(), Runs: len(runs), EndsAt: endsAt, LeavesAt: leavesAt}
+	return evictor.Leaver{
+		Value: work.Cores * work.Unsaved.Seconds(), Saves: runs[0].step.spec.Checkpoints, Runs: len(runs), EndsAt: endsAt, LeavesAt: leavesAt,
+	}
 }
 
 func minTime(one, other time.Time) time.Time {
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -63,3 +63,30 @@
 	restarts := 4 * 9 * simulation.checkpoints.restartTime.Seconds()
 	c.Assert(simulation.lostCoreSeconds <= restarts+0.01, quicktest.IsTrue, quicktest.Commentf("%f", simulation.lostCoreSeconds))
 }
+
+// TestLostRunStartsAgainAtOnce guards against a run without checkpoints that can't end before
+// its minion leaves and is started again only when the lease of that minion has expired.
+func TestLostRunStartsAgainAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 2)
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 8 * time.Second}))
+	simulation.advance(2 * time.Second)
+	simulation.leave(simulation.sortedMinions()[0], 2*time.Second)
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 2)
+	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).running, quicktest.HasLen, 1)
+}
+
+// TestLostGangFreesItsPlaces guards against a gang without checkpoints that keeps its places on
+// other minions until one of its minions leaves, although it can't end before.
+func TestLostGangFreesItsPlaces(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 3)
+	simulation.submit(jobOf("gang", specifier.Step{Tasks: 3, Request: taskOf(1000, 8), EstimatedRunTime: 20 * time.Second, Gang: true}))
+	simulation.advance(4 * time.Second)
+	simulation.submit(jobOf("waiting", specifier.Step{Tasks: 2, Request: taskOf(1000, 8), EstimatedRunTime: time.Second}))
+	simulation.leave(simulation.sortedMinions()[0], 6*time.Second)
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.stops("gang"), quicktest.HasLen, 3)
+	c.Assert(simulation.taskState(specifier.Task{Job: "waiting"}).startedRuns, quicktest.HasLen, 1)
+}
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -107,6 +107,7 @@
 func (minion *fakeMinion) crash() {
 	minion.alive = false
 	for _, run := range minion.runs {
+		run.noteEnd(messenger.EndUnknown)
 		run.ended = true
 		state := minion.simulation.taskState(run.task)
 		state.lostWithMinion++
