--- a/planner/checkpoint_test.go
+++ b/planner/checkpoint_test.go
@@ -22,10 +22,13 @@
 	return min(run.resumed+max(worked, 0), simulation.workTime(run))
 }
 
-// checkpoint returns the newest checkpoint of a run, empty if the simulation has none. A run
+// savedCheckpoint returns the newest checkpoint of a run. If runs resume from theirs, a run
 // gives a new one at a stop.
-func (run *fakeRun) checkpoint(atStop bool) string {
-	if run.minion.simulation.checkpoints == nil || !run.spec.Checkpoints {
+func (run *fakeRun) savedCheckpoint(atStop bool) string {
+	if run.minion.simulation.checkpoints == nil {
+		return run.checkpoint()
+	}
+	if !run.spec.Checkpoints {
 		return ""
 	}
 	saved := run.work()
--- a/planner/departure.go
+++ b/planner/departure.go
@@ -51,7 +51,7 @@
 	for _, index := range due {
 		leaver := &leavers[index]
 		for _, run := range groups[index] {
-			planner.stopEvicted(now, run, stopForDrain, fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
+			planner.stopRun(now, run, stopForDrain, fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
 				leaver.LeavesAt.Sub(now).Truncate(time.Millisecond), leaver.EndsAt.Sub(now).Truncate(time.Millisecond), leaver.Value))
 		}
 	}
--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -59,7 +59,7 @@
 		now.Sub(step.occurrence.dueAt))
 	for _, victim := range choice.Stopped {
 		for _, run := range eviction.room.runs[victim] {
-			planner.stopEvicted(now, run, stopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
+			planner.stopRun(now, run, stopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
 		}
 	}
 	return true
@@ -86,13 +86,6 @@
 	return job.mayHaveStarted
 }
 
-// stopEvicted stops a run by choice. Each such stop makes the next one of the task cost
-// more.
-func (planner *Planner) stopEvicted(now time.Time, run *run, rule stopRule, reason string) {
-	run.task().evictions++
-	planner.stopRun(now, run, rule, reason)
-}
-
 // chooseEviction returns the cheapest choice on one rack if the step needs one, or on all
 // minions, nil if the tasks fit nowhere.
 func (planner *Planner) chooseEviction(now time.Time, request evictionRequest, pool *pool) *eviction {
--- a/planner/gangcheckpoint.go
+++ b/planner/gangcheckpoint.go
@@ -28,16 +28,12 @@
 	*known = checkpoint
 }
 
-// noteGangEnd notes the checkpoint in the end of a member and lets all members resume from
-// the newest one. The run is nil if it is not known.
+// noteGangEnd notes the checkpoint in the end of a member, before the run has it. The run is nil
+// if it is not known.
 func (planner *Planner) noteGangEnd(now time.Time, step *step, run *run, end messenger.RunEnd) {
-	if planner.stops == nil || !step.spec.Gang {
-		return
-	}
 	if run == nil || end.Checkpoint != run.checkpoint {
 		planner.noteGangCheckpoint(step, gangCheckpoint{end.Run, end.Checkpoint, end.Kind == messenger.EndStopped, now})
 	}
-	planner.shareGangCheckpoint(step)
 }
 
 // shareGangCheckpoint lets all members of a gang resume from its newest checkpoint. Without
--- a/planner/job.go
+++ b/planner/job.go
@@ -94,6 +94,8 @@
 	gangCheckpoint gangCheckpoint
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
 	isLikelyCause bool
+	// breakage is why the newest run of a gang that broke did so.
+	breakage breakage
 }
 
 // task is one task of a step.
@@ -113,12 +115,12 @@
 	// failedRuns are the numbers of the runs that failed.
 	failedRuns []uint64
 	checkpoint string
-	// evictions counts the stops by choice since this holder took over.
-	evictions int
 	// run is the run that may still be running, nil if there is none. knownRuns counts it
 	// and all others that minions may still have, such as one that is being stopped.
 	run       *run
 	knownRuns int
+	// stops is how often this holder has stopped a run of the task that must run again.
+	stops int
 	// inherited means that a former holder may have started the task.
 	inherited bool
 	// unresolved means that the newest run of a former holder has neither been found
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -51,6 +51,8 @@
 	// nextPollAt is when the next poll is due, zero if none is scheduled.
 	nextPollAt time.Time
 	polls      *pollSchedule
+	// evacuations are those of all failure domains.
+	evacuations *evacuations
 	// listClock is the minion's clock when it made the newest list of its runs.
 	listClock time.Duration
 	// recordedEnd is the last end that is recorded, processedEnd the last one that
@@ -66,6 +68,10 @@
 	hasUnknownRuns bool
 	// reserved is the capacity that reservations withhold from other steps.
 	reserved specifier.Resources
+	// coldUntil is until when the minion works slowly after its start, zero if it does not.
+	// isCold means, as of the last pass, that it ranks after others for that reason.
+	coldUntil time.Time
+	isCold    bool
 	// nameIndex is the minion's index in the order of names, as of the last pass.
 	nameIndex int
 	// noCapacityUntil is the time until which a minion that refused a run for lack
@@ -98,8 +104,8 @@
 	run  uint64
 }
 
-func newMinion(report messenger.MinionReport, now time.Time, maxLease time.Duration, polls *pollSchedule) *minion {
-	minion := &minion{runs: make(map[runKey]*run), polls: polls, seenAt: now, leaseLimit: leaseLimit{maxLease: maxLease}}
+func newMinion(report messenger.MinionReport, now time.Time, maxLease time.Duration, polls *pollSchedule, evacuations *evacuations) *minion {
+	minion := &minion{runs: make(map[runKey]*run), polls: polls, evacuations: evacuations, seenAt: now, leaseLimit: leaseLimit{maxLease: maxLease}}
 	minion.update(report, now)
 	return minion
 }
@@ -113,6 +119,10 @@
 	if report.Draining {
 		minion.leavesAt = now.Add(report.Remaining)
 	}
+	minion.coldUntil = time.Time{}
+	if report.ColdRemaining > 0 {
+		minion.coldUntil = now.Add(report.ColdRemaining)
+	}
 	minion.updateClock(report.Clock, now)
 }
 
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -121,11 +121,15 @@
 }
 
 func (minion *fakeMinion) report() messenger.MinionReport {
-	return messenger.MinionReport{
+	report := messenger.MinionReport{
 		Minion: minion.name, Incarnation: minion.incarnation, Service: poolService,
 		Address: minion.address, Labels: []string{minion.kind, fmt.Sprintf("r-%d", minion.rack)},
 		Capacity: minion.capacity, Clock: minion.clock(), Draining: minion.faults.draining, Remaining: minion.faults.remaining,
 	}
+	if minion.simulation.evacuationTime > 0 {
+		report.FailureDomain, report.ColdRemaining = minion.failureDomain(), minion.faults.coldRemaining
+	}
+	return report
 }
 
 func (simulation *simulation) sortedMinions() []*fakeMinion {
@@ -282,7 +286,7 @@
 	}
 	minion.lastEnd++
 	minion.expirationsAtEnd[minion.lastEnd] = minion.leaseExpirations
-	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind, Checkpoint: run.checkpoint(kind == messenger.EndStopped)})
+	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind, Checkpoint: run.savedCheckpoint(kind == messenger.EndStopped)})
 	if run.spec.Gang && kind != messenger.EndGangBroken {
 		minion.simulation.breakGang(run, kind)
 	}
@@ -334,7 +338,7 @@
 func (minion *fakeMinion) listRuns(answered *messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
 		answered.Running = append(answered.Running, messenger.RunReport{
-			Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run), Checkpoint: run.checkpoint(false),
+			Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run), Checkpoint: run.savedCheckpoint(false),
 		})
 	}
 	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), messenger.MaxListedEnds)]...)
@@ -384,6 +388,7 @@
 	taskState := simulation.taskState(run.task)
 	taskState.startedRuns = append(taskState.startedRuns, run.number)
 	simulation.checkCrashBudget(run)
+	simulation.checkEvacuation(run, sentAt)
 	if len(taskState.running) > 0 {
 		simulation.reportViolation("%s: run %d starts while another runs", run.task, run.number)
 	}
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -70,7 +70,7 @@
 // nil if there is none.
 func (planner *Planner) addMinion(now time.Time, earlier *minion, report messenger.MinionReport) *minion {
 	planner.noteBirth(now, &report)
-	added := newMinion(report, now, planner.bounds.MaxLease, &planner.polls)
+	added := newMinion(report, now, planner.bounds.MaxLease, &planner.polls, planner.evacuations)
 	if added.strayToken = planner.sentTokens.stray(now, report.Minion); added.strayToken > 0 {
 		added.leaseLimit.expectStrays(now)
 	}
@@ -96,7 +96,7 @@
 	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
-			planner.markRunLost(now, run, "its minion has restarted")
+			planner.markRunLost(now, run, endMinionGone, "its minion has restarted")
 			continue
 		}
 		earlier.removeRun(run)
@@ -117,7 +117,7 @@
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, next identifier.Incarnation, reason string) {
 	planner.noteDeath(now, newDeath(now, minion, next, countReplaced, reason))
 	for _, run := range minion.sortedRuns() {
-		planner.markRunLost(now, run, reason)
+		planner.markRunLost(now, run, endMinionGone, reason)
 	}
 	planner.removeMinion(minion)
 }
@@ -157,7 +157,7 @@
 	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
 	for _, run := range minion.sortedRuns() {
 		if run.step.spec.LongRunning || !isAlive {
-			planner.markRunLost(now, run, "the lease has expired")
+			planner.markRunLost(now, run, endLeasesExpired, "the lease has expired")
 			minion.lostRuns = append(minion.lostRuns, run)
 		}
 	}
@@ -186,13 +186,17 @@
 // sendOrder sends an order and stores the run that it concerns, if any.
 func (planner *Planner) sendOrder(now time.Time, minion *minion, order messenger.Order, timeout time.Duration, run *run) {
 	planner.lastOrderID++
+	expires := now.Add(orderLifetime)
+	if _, isStart := order.(messenger.StartRun); isStart {
+		expires = planner.startExpiry(now)
+	}
 	if run != nil {
 		planner.pendingOrders[planner.lastOrderID] = run
 	}
 	planner.emit(messenger.OrderMinion{
 		ID: planner.lastOrderID, Minion: minion.report.Minion, Incarnation: minion.report.Incarnation,
 		Address: minion.report.Address, Token: planner.orderToken(now, minion),
-		Expires: now.Add(orderLifetime), Timeout: timeout, MinClock: minion.clockLowerBound(now), Order: order,
+		Expires: expires, Timeout: timeout, MinClock: minion.clockLowerBound(now), Order: order,
 	})
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -60,6 +60,7 @@
 
 	recording     recording
 	reservations  reservations
+	evacuations   *evacuations
 	adviceRequest adviceRequest
 	maintenance   maintenance
 	waiting       waiting
@@ -86,7 +87,7 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
@@ -122,6 +123,8 @@
 		planner.handleAdvice(now, event)
 	case messenger.WavesRead:
 		planner.handleWaveRequests(event)
+	case messenger.EvacuationsRead:
+		planner.handleEvacuations(now, event)
 	case messenger.PoolVMsListed:
 		planner.handleVMList(now, event)
 	case messenger.VMMaintained:
@@ -145,6 +148,7 @@
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
 		planner.runPass(now)
+		planner.moveEvacuatedRuns(now)
 	} else {
 		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
@@ -284,11 +288,21 @@
 	}
 }
 
-// View returns the gauges of the holder.
+// View answers queries at the holder. Other nodes have no answer.
 func (planner *Planner) View(now time.Time, query querier.Query) querier.Answer {
-	if query.Kind != querier.Status || !planner.holder.active {
+	switch {
+	case !planner.holder.active:
 		return querier.Answer{}
+	case query.Kind == querier.Status:
+		return planner.status(now)
+	case query.Kind == querier.Explain:
+		return planner.explain(now, identifier.Job(query.Subject))
 	}
+	return querier.Answer{}
+}
+
+// status returns the gauges of the holder.
+func (planner *Planner) status(now time.Time) querier.Answer {
 	runs := 0
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
@@ -297,5 +311,6 @@
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
+		{Name: "evacuated-domains", Value: float64(len(planner.evacuations.requested))},
 	}...)}
 }
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -16,22 +16,18 @@
 	// firstPercent is the progress in the first report, at firstAt.
 	firstPercent int
 	firstAt      time.Time
-	// checkpointAt is when the newest checkpoint was first seen, zero if the run has given
-	// none.
-	checkpointAt time.Time
+	// givesCheckpoints means that the run has given a checkpoint of its own.
+	givesCheckpoints bool
 }
 
 // observe notes the progress and the checkpoint in a report, before the run has them. A run
-// that has given no checkpoint reports that with which it was started.
+// that has given no checkpoint reports that from which it resumed.
 func (run *run) observe(now time.Time, report messenger.RunReport) {
 	if run.work.firstAt.IsZero() {
 		run.work.firstPercent, run.work.firstAt = report.ProgressPercent, now
-		if run.isAdopted || report.Checkpoint == run.task().checkpoint {
-			return
-		}
 	}
-	if report.Checkpoint != "" && report.Checkpoint != run.checkpoint {
-		run.work.checkpointAt = now
+	if report.Checkpoint != "" && report.Checkpoint != run.checkpoint && report.Checkpoint != run.task().checkpoint {
+		run.work.givesCheckpoints = true
 	}
 }
 
@@ -48,17 +44,14 @@
 	return run.progressAt.Add(time.Duration(fullPercent-run.progressPercent) * timePerPercent)
 }
 
-// unsavedTime returns how long the run has worked since its last known checkpoint. For a
-// run of a former holder its progress tells how long it has worked at least.
-func (run *run) unsavedTime(now time.Time) time.Duration {
-	if !run.work.checkpointAt.IsZero() {
-		return now.Sub(run.work.checkpointAt)
-	}
-	worked := now.Sub(run.startedAt)
+// lostTime returns how much of the run's work a stop loses. How long a run of a former holder has
+// worked is known by its progress only.
+func (run *run) lostTime(now time.Time) time.Duration {
+	lost := run.unsavedTime(now)
 	if run.isAdopted && !run.step.spec.Checkpoints {
-		worked = max(worked, run.step.spec.EstimatedRunTime*time.Duration(run.progressPercent)/fullPercent)
+		lost = max(lost, run.step.spec.EstimatedRunTime*time.Duration(run.progressPercent)/fullPercent)
 	}
-	return worked
+	return lost
 }
 
 // lostWorkOf returns what a stop of runs that end together would lose. A checkpoint of any
@@ -67,9 +60,9 @@
 	var work evictor.Work
 	for index, run := range runs {
 		work.Cores += float64(weight(run.step.spec.Request)) / milliPerCore
-		work.Stops = max(work.Stops, run.task().evictions)
-		work.SavesAtStop = work.SavesAtStop || !run.work.checkpointAt.IsZero()
-		if unsaved := run.unsavedTime(now); index == 0 || unsaved < work.Unsaved {
+		work.Stops = max(work.Stops, run.task().stops)
+		work.SavesAtStop = work.SavesAtStop || run.work.givesCheckpoints
+		if unsaved := run.lostTime(now); index == 0 || unsaved < work.Unsaved {
 			work.Unsaved = unsaved
 		}
 	}
