--- a/planner/departure.go
+++ b/planner/departure.go
@@ -7,8 +7,7 @@
 	"corianderroad/evictor"
 )
 
-// departureCheckInterval is the time between two decisions while runs are left on minions
-// that leave soon.
+// departureCheckInterval is the time between two decisions while minions leave.
 const departureCheckInterval = 100 * time.Millisecond
 
 // noteDepartures lets the runs on minions that leave be decided about at once.
@@ -17,22 +16,25 @@
 		return
 	}
 	for _, minion := range planner.minions {
-		if !minion.leavesAt.IsZero() && len(minion.runs) > 0 {
+		if minion.leaves(now) {
 			planner.nextDepartureAt = now
 			return
 		}
 	}
 }
 
-// correctDeparture takes the age of an entry into account. It is at least what the minion's
-// clock has advanced since.
-func (minion *minion) correctDeparture(now time.Time) {
-	if minion.leavesAt.IsZero() || minion.report.Clock == 0 {
-		return
-	}
-	if age := minion.clockLowerBound(now) - minion.report.Clock; age > 0 {
-		minion.leavesAt = minion.leavesAt.Add(-age)
+// departure returns when a minion leaves that has given notice. The age of its entry is at least
+// what its clock has advanced since.
+func (minion *minion) departure(now time.Time) time.Time {
+	if age := minion.clockLowerBound(now) - minion.report.Clock; minion.report.Clock > 0 {
+		return now.Add(minion.report.Remaining - max(age, 0))
 	}
+	return minion.leavesAt
+}
+
+// leaves reports whether the minion has given notice and has not left.
+func (minion *minion) leaves(now time.Time) bool {
+	return !minion.leavesAt.IsZero() && now.Before(minion.departure(now))
 }
 
 // saveLeaving stops the runs, and the whole gangs, that can't end before their minion leaves.
@@ -43,22 +45,22 @@
 		return
 	}
 	planner.nextDepartureAt = time.Time{}
-	leavers, groups := planner.leavers(now)
-	if len(leavers) == 0 {
+	planner.noteDepartures(now)
+	if planner.nextDepartureAt.IsZero() {
 		return
 	}
+	planner.nextDepartureAt = now.Add(departureCheckInterval) // runs may be found or confirmed meanwhile
+	leavers, groups := planner.leavers(now)
 	due, next := planner.stops.Save(now, leavers, maxPendingOrders-len(planner.pendingOrders))
+	if !next.IsZero() && next.Before(planner.nextDepartureAt) {
+		planner.nextDepartureAt = next
+	}
 	for _, index := range due {
 		leaver := &leavers[index]
+		reason := fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
+			leaver.LeavesAt.Sub(now).Truncate(time.Millisecond), leaver.EndsAt.Sub(now).Truncate(time.Millisecond), leaver.Value)
 		for _, run := range groups[index] {
-			planner.stopRun(now, run, stopForDrain, fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
-				leaver.LeavesAt.Sub(now).Truncate(time.Millisecond), leaver.EndsAt.Sub(now).Truncate(time.Millisecond), leaver.Value))
-		}
-	}
-	if len(due) < len(leavers) {
-		planner.nextDepartureAt = now.Add(departureCheckInterval)
-		if !next.IsZero() && next.Before(planner.nextDepartureAt) {
-			planner.nextDepartureAt = next
+			planner.stopRun(now, run, stopForDrain, reason)
 		}
 	}
 }
@@ -70,9 +72,10 @@
 	var groups [][]*run
 	gangs := make(map[gangRunKey]int)
 	for _, minion := range planner.sortedMinions() {
-		if minion.leavesAt.IsZero() || now.After(minion.leavesAt) {
+		if !minion.leaves(now) {
 			continue
 		}
+		leavesAt := minion.departure(now)
 		for _, run := range minion.sortedRuns() {
 			if run.state != running || run.step.spec.LongRunning {
 				continue
@@ -80,13 +83,13 @@
 			if run.step.spec.Gang {
 				key := gangRunKey{run.id.Job, run.id.Occurrence, run.id.Step, run.number}
 				if index, known := gangs[key]; known {
-					leavers[index].LeavesAt = minTime(leavers[index].LeavesAt, minion.leavesAt)
+					leavers[index].LeavesAt = minTime(leavers[index].LeavesAt, leavesAt)
 					continue
 				}
 				gangs[key] = len(leavers)
 			}
 			runs := runsEndingWith(run)
-			leavers, groups = append(leavers, newLeaver(now, runs, minion.leavesAt)), append(groups, runs)
+			leavers, groups = append(leavers, newLeaver(now, runs, leavesAt)), append(groups, runs)
 		}
 	}
 	return leavers, groups
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -90,3 +90,27 @@
 	c.Assert(simulation.stops("gang"), quicktest.HasLen, 3)
 	c.Assert(simulation.taskState(specifier.Task{Job: "waiting"}).startedRuns, quicktest.HasLen, 1)
 }
+
+// TestNoticeOutlivesTakeover guards against a gang that is not saved because a new holder reads the
+// notice late and counts it from then, or has not found the runs when it reads it.
+func TestNoticeOutlivesTakeover(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(2, 4)
+	simulation.submit(jobOf("gang", specifier.Step{Tasks: 3, Request: taskOf(1000, 8), EstimatedRunTime: 20 * time.Second, Gang: true, Checkpoints: true}))
+	simulation.advance(5 * time.Second)
+	leaving := simulation.sortedMinions()[0]
+	simulation.leave(leaving, 6*time.Second)
+	entry := leaving.report()
+	leaving.formerEntry = &entry // the entry stays as it was written
+	simulation.advance(time.Second)
+	simulation.nodes[0].alive = false
+	simulation.advance(1500 * time.Millisecond)
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.advance(3400 * time.Millisecond) // the minion leaves 0.1 s later
+	c.Assert(leaving.runs, quicktest.HasLen, 0)
+	simulation.advance(30 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	c.Assert(simulation.stops("gang"), quicktest.HasLen, 3, quicktest.Commentf("%s", strings.Join(simulation.decisions, "\n")))
+	restarts := 3 * 65 * simulation.checkpoints.restartTime.Seconds()
+	c.Assert(simulation.lostCoreSeconds <= restarts+0.01, quicktest.IsTrue, quicktest.Commentf("%f", simulation.lostCoreSeconds))
+}
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -46,9 +46,6 @@
 	if ok && existing.report.Incarnation == report.Incarnation {
 		startsDraining := report.Draining && !existing.report.Draining
 		existing.update(report, now)
-		if planner.stops != nil {
-			existing.correctDeparture(now)
-		}
 		if startsDraining {
 			planner.emitDecision(string(report.Minion), "minion-draining", "its report announces it", "", report.Remaining)
 		}
