--- a/planner/place.go
+++ b/planner/place.go
@@ -33,6 +33,7 @@
 		step.passResult = waitsForRecord
 		return true // the tasks start once the record is durable
 	}
+	planner.shareGangCheckpoint(step)
 	var number uint64
 	for index, minion := range chosen {
 		taskIndex := waitingStep.taskIndexes[index]
@@ -42,7 +43,7 @@
 		planner.startRun(now, step, taskIndex, minion, number, step.ticket(minion))
 		pool.addUsage(minion, requiredCapacity(step.spec))
 	}
-	planner.reservations.remove(step)
+	planner.releaseReservation(waitingStep, chosen)
 	return len(chosen) == waitingStep.taskCount
 }
 
