--- a/planner/aging.go
+++ b/planner/aging.go
@@ -33,11 +33,11 @@
 	return now.Sub(step.occurrence.dueAt) >= agingFactor*objective
 }
 
-// rankAgedSteps sets the ranks of the steps that are aged. It discards the credits of
-// priorities without any.
-func (planner *Planner) rankAgedSteps(now time.Time, steps []*waitingStep) {
+// rankAgedSteps sets the ranks of the steps that are aged. It returns the work of the largest
+// one of each priority.
+func (planner *Planner) rankAgedSteps(now time.Time, steps []*waitingStep) map[int]float64 {
 	if !planner.features.GangReservations {
-		return
+		return nil
 	}
 	largest := make(map[int]float64)
 	for _, waitingStep := range steps {
@@ -51,10 +51,11 @@
 			waitingStep.rank = agedRank
 		}
 	}
-	planner.aging.limit(largest)
+	return largest
 }
 
-// limit bounds the credits by the work of the largest aged step of each priority.
+// limit bounds the credits by the work of the largest aged step of each priority. It discards
+// those of priorities without any.
 func (aging *aging) limit(largest map[int]float64) {
 	for priority := range aging.credits {
 		if _, hasAged := largest[priority]; !hasAged {
--- /dev/null
+++ b/planner/departure.go
@@ -0,0 +1,114 @@
+package planner
+
+import (
+	"fmt"
+	"time"
+
+	"corianderroad/evictor"
+)
+
+// departureCheckInterval is the time between two decisions while minions leave.
+const departureCheckInterval = 100 * time.Millisecond
+
+// noteDepartures lets the runs on minions that leave be decided about at once.
+func (planner *Planner) noteDepartures(now time.Time) {
+	if planner.stops == nil {
+		return
+	}
+	for _, minion := range planner.minions {
+		if minion.leaves(now) {
+			planner.nextDepartureAt = now
+			return
+		}
+	}
+}
+
+// departure returns when a minion leaves that has given notice. The age of its entry is at least
+// what its clock has advanced since.
+func (minion *minion) departure(now time.Time) time.Time {
+	if age := minion.clockLowerBound(now) - minion.report.Clock; minion.report.Clock > 0 {
+		return now.Add(minion.report.Remaining - max(age, 0))
+	}
+	return minion.leavesAt
+}
+
+// leaves reports whether the minion has given notice and has not left.
+func (minion *minion) leaves(now time.Time) bool {
+	return !minion.leavesAt.IsZero() && now.Before(minion.departure(now))
+}
+
+// saveLeaving stops the runs, and the whole gangs, that can't end before their minion leaves.
+// They go on elsewhere from the checkpoint that a stop gives, if they have any. The end of a run
+// that its minion has not listed when it leaves is certain only once the lease has expired.
+func (planner *Planner) saveLeaving(now time.Time) {
+	if planner.nextDepartureAt.IsZero() || now.Before(planner.nextDepartureAt) {
+		return
+	}
+	planner.nextDepartureAt = time.Time{}
+	planner.noteDepartures(now)
+	if planner.nextDepartureAt.IsZero() {
+		return
+	}
+	planner.nextDepartureAt = now.Add(departureCheckInterval) // runs may be found or confirmed meanwhile
+	leavers, groups := planner.leavers(now)
+	due, next := planner.stops.Save(now, leavers, maxPendingOrders-len(planner.pendingOrders))
+	if !next.IsZero() && next.Before(planner.nextDepartureAt) {
+		planner.nextDepartureAt = next
+	}
+	for _, index := range due {
+		leaver := &leavers[index]
+		reason := fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
+			leaver.LeavesAt.Sub(now).Truncate(time.Millisecond), leaver.EndsAt.Sub(now).Truncate(time.Millisecond), leaver.Value)
+		for _, run := range groups[index] {
+			planner.stopRun(now, run, stopForDrain, reason)
+		}
+	}
+}
+
+// leavers returns the runs on the minions that leave, gangs as a whole, with the runs that end
+// together.
+func (planner *Planner) leavers(now time.Time) ([]evictor.Leaver, [][]*run) {
+	var leavers []evictor.Leaver
+	var groups [][]*run
+	gangs := make(map[gangRunKey]int)
+	for _, minion := range planner.sortedMinions() {
+		if !minion.leaves(now) {
+			continue
+		}
+		leavesAt := minion.departure(now)
+		for _, run := range minion.sortedRuns() {
+			if run.state != running || run.step.spec.LongRunning {
+				continue
+			}
+			if run.step.spec.Gang {
+				key := gangRunKey{run.id.Job, run.id.Occurrence, run.id.Step, run.number}
+				if index, known := gangs[key]; known {
+					leavers[index].LeavesAt = minTime(leavers[index].LeavesAt, leavesAt)
+					continue
+				}
+				gangs[key] = len(leavers)
+			}
+			runs := runsEndingWith(run)
+			leavers, groups = append(leavers, newLeaver(now, runs, leavesAt)), append(groups, runs)
+		}
+	}
+	return leavers, groups
+}
+
+func newLeaver(now time.Time, runs []*run, leavesAt time.Time) evictor.Leaver {
+	work := lostWorkOf(now, runs)
+	endsAt := expectedEndOf(runs)
+	if endsAt.IsZero() {
+		endsAt = now.Add(runs[0].remainingTime(now))
+	}
+	return evictor.Leaver{
+		Value: work.Cores * work.Unsaved.Seconds(), Saves: runs[0].step.spec.Checkpoints, Runs: len(runs), EndsAt: endsAt, LeavesAt: leavesAt,
+	}
+}
+
+func minTime(one, other time.Time) time.Time {
+	if other.Before(one) {
+		return other
+	}
+	return one
+}
--- a/planner/gangfailure_test.go
+++ b/planner/gangfailure_test.go
@@ -91,6 +91,18 @@
 	c.Assert(simulation.reservationGauge(0), quicktest.Equals, 0.0)
 }
 
+// TestExplainNamesGangReservation guards against a start that seems unknown, or as early as the
+// first capacity, although the gang has a reservation.
+func TestExplainNamesGangReservation(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newFullPool(c, 1)
+	step := simulation.waitingSteps(c, simulation.nodes[0], "gang")[0]
+	c.Assert(step.Basis, quicktest.Equals, querier.Reservation)
+	expected := step.ExpectedStart.Sub(simulation.now)
+	waited, started := simulation.startOf("gang", maxGangWait)
+	c.Assert(started && (waited-expected).Abs() < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%s instead of %s", waited, expected))
+}
+
 // reservationGauge returns the number of reservations that a node shows.
 func (simulation *simulation) reservationGauge(node int) float64 {
 	answer := simulation.nodes[node].planner.View(simulation.now, querier.Query{Kind: querier.Status})
--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -22,7 +22,7 @@
 	Plan(now time.Time, minions []*reserver.Minion, demands []*reserver.Demand) []reserver.Change
 	Restrictions(start reserver.Start) reserver.Restrictions
 	Meet(step reserver.Step) *reserver.Reservation
-	Has(step reserver.Step) bool
+	Find(step reserver.Step) *reserver.Reservation
 	Reservations() []*reserver.Reservation
 }
 
@@ -36,6 +36,16 @@
 	linesSince time.Time
 }
 
+// reservedStart implements reservedStarts.
+func (gangReservations *gangReservations) reservedStart(step *step) (time.Time, bool) {
+	for _, gangReserver := range gangReservations.byService {
+		if reservation := gangReserver.Find(step.reserverStep()); reservation != nil {
+			return reservation.StartAt, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // updateRestrictions notes the reservations that restrict the starts of a step. It is called
 // before minions are chosen for the step.
 func (planner *Planner) updateRestrictions(now time.Time, waitingStep *waitingStep) {
@@ -127,7 +137,7 @@
 		return waitingStep.queue.Priority > 0 || waitingStep.late
 	}
 	gangReserver := planner.gangReservations.byService[waitingStep.queue.Service]
-	return (step.passResult == waitsForAdvice || step.passResult == waitsForRecord) && gangReserver != nil && gangReserver.Has(step.reserverStep())
+	return (step.passResult == waitsForAdvice || step.passResult == waitsForRecord) && gangReserver != nil && gangReserver.Find(step.reserverStep()) != nil
 }
 
 func (planner *Planner) planServiceReservations(now time.Time, service identifier.Service, steps []*waitingStep, pool *pool) {
@@ -195,7 +205,7 @@
 	outlook.Ends = outlook.Ends[:0]
 	for _, run := range minion.runs {
 		if !run.step.spec.LongRunning || run.state == stopping {
-			outlook.Ends = append(outlook.Ends, reserver.End{At: planner.expectedEnd(now, run), Frees: requiredCapacity(run.step.spec)})
+			outlook.Ends = append(outlook.Ends, reserver.End{At: planner.likelyEnd(now, run), Frees: requiredCapacity(run.step.spec)})
 		}
 	}
 }
--- a/planner/minion_test.go
+++ b/planner/minion_test.go
@@ -69,6 +69,8 @@
 	ended        bool
 	leaseExpired bool
 	pacePercent  int
+	// resumed is the work of the checkpoint from which the run started.
+	resumed time.Duration
 }
 
 func newFakeMinion(simulation *simulation, name identifier.Minion, rack int) *fakeMinion {
@@ -105,6 +107,7 @@
 func (minion *fakeMinion) crash() {
 	minion.alive = false
 	for _, run := range minion.runs {
+		run.noteEnd(messenger.EndUnknown)
 		run.ended = true
 		state := minion.simulation.taskState(run.task)
 		state.lostWithMinion++
@@ -118,11 +121,15 @@
 }
 
 func (minion *fakeMinion) report() messenger.MinionReport {
-	return messenger.MinionReport{
+	report := messenger.MinionReport{
 		Minion: minion.name, Incarnation: minion.incarnation, Service: poolService,
 		Address: minion.address, Labels: []string{minion.kind, fmt.Sprintf("r-%d", minion.rack)},
 		Capacity: minion.capacity, Clock: minion.clock(), Draining: minion.faults.draining, Remaining: minion.faults.remaining,
 	}
+	if minion.simulation.evacuationTime > 0 {
+		report.FailureDomain, report.ColdRemaining = minion.failureDomain(), minion.faults.coldRemaining
+	}
+	return report
 }
 
 func (simulation *simulation) sortedMinions() []*fakeMinion {
@@ -240,10 +247,11 @@
 	minion.runs[sent.Task] = run
 	minion.checkCapacity(run)
 	simulation.taskState(sent.Task).running[run] = true
+	run.resume(sent.Checkpoint)
 	if run.spec.Gang {
 		simulation.runGangWhenComplete(run)
 	} else if !run.spec.LongRunning {
-		simulation.schedule(simulation.workTime(run), func() { minion.finishRun(run) })
+		simulation.schedule(simulation.remainingTime(run), func() { minion.finishRun(run) })
 	} else if simulation.lastingFailsAfter > 0 {
 		simulation.schedule(simulation.lastingFailsAfter, func() { minion.endRun(run, messenger.EndFailed) })
 	}
@@ -267,17 +275,18 @@
 	if run.ended || !minion.alive {
 		return
 	}
+	run.noteEnd(kind)
 	run.ended, run.leaseExpired = true, kind == messenger.EndLeaseExpired
 	delete(minion.runs, run.task)
 	minion.highestRun[run.task] = max(minion.highestRun[run.task], run.number)
 	taskState := minion.simulation.taskState(run.task)
 	delete(taskState.running, run)
 	if kind == messenger.EndDone {
-		taskState.done = true
+		taskState.done, taskState.doneAt = true, minion.simulation.now
 	}
 	minion.lastEnd++
 	minion.expirationsAtEnd[minion.lastEnd] = minion.leaseExpirations
-	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind})
+	minion.ends = append(minion.ends, messenger.RunEnd{Number: minion.lastEnd, Task: run.task, Run: run.number, Kind: kind, Checkpoint: run.savedCheckpoint(kind == messenger.EndStopped)})
 	if run.spec.Gang && kind != messenger.EndGangBroken {
 		minion.simulation.breakGang(run, kind)
 	}
@@ -328,7 +337,9 @@
 
 func (minion *fakeMinion) listRuns(answered *messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
-		answered.Running = append(answered.Running, messenger.RunReport{Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run)})
+		answered.Running = append(answered.Running, messenger.RunReport{
+			Task: run.task, Run: run.number, ProgressPercent: run.percent(), Load: minion.tailLatency(run), Checkpoint: run.savedCheckpoint(false),
+		})
 	}
 	answered.Ended = append(answered.Ended, minion.ends[:min(len(minion.ends), messenger.MaxListedEnds)]...)
 }
@@ -377,6 +388,7 @@
 	taskState := simulation.taskState(run.task)
 	taskState.startedRuns = append(taskState.startedRuns, run.number)
 	simulation.checkCrashBudget(run)
+	simulation.checkEvacuation(run, sentAt)
 	if len(taskState.running) > 0 {
 		simulation.reportViolation("%s: run %d starts while another runs", run.task, run.number)
 	}
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -68,8 +68,8 @@
 		pool := pools[waitingStep.queue.Service]
 		if pool == nil {
 			waitingStep.step.passResult = waitsForMinions
-		} else if !planner.hasCurrentReports(now, waitingStep.queue.Service) {
-			waitingStep.step.passResult = waitsForReports
+		} else if reason, outdated := planner.outdatedReading(now, waitingStep.queue.Service); outdated {
+			waitingStep.step.passResult = reason
 		} else if !planner.placeStep(now, waitingStep, pool) {
 			planner.reclaim(now, waitingStep, pool, guarantees)
 		}
@@ -91,7 +91,7 @@
 			steps = append(steps, waitingStep)
 		}
 	}
-	planner.rankAgedSteps(now, steps)
+	planner.aging.limit(planner.rankAgedSteps(now, steps))
 	slices.SortFunc(steps, compareUrgency)
 	return steps
 }
@@ -120,20 +120,27 @@
 }
 
 // waitingStep returns the step with its urgency, nil if it has no task to
-// start.
+// start, and notes since when it waits.
 func (step *step) waitingStep(now time.Time, queue *specifier.Queue) *waitingStep {
-	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.awaitsTrial() {
+	waitingStep := step.urgency(now, queue)
+	switch {
+	case waitingStep == nil:
 		step.waitingSince = time.Time{}
+	case step.waitingSince.IsZero():
+		step.waitingSince = now
+	}
+	return waitingStep
+}
+
+// urgency returns the step with its urgency, nil if it has no task to start.
+func (step *step) urgency(now time.Time, queue *specifier.Queue) *waitingStep {
+	if step.isComplete() || !step.isReady() || (step.spec.Gang && step.hasUnresolvedTask()) || step.awaitsTrial() {
 		return nil
 	}
 	count := step.countStartableTasks(now)
 	if count == 0 {
-		step.waitingSince = time.Time{}
 		return nil
 	}
-	if step.waitingSince.IsZero() {
-		step.waitingSince = now
-	}
 	latestStart := step.latestStart(queue)
 	late, rank := now.After(latestStart), timelyRank
 	if late {
--- a/planner/place.go
+++ b/planner/place.go
@@ -34,6 +34,7 @@
 		step.passResult = waitsForRecord
 		return true // the tasks start once the record is durable
 	}
+	planner.shareGangCheckpoint(step)
 	var number uint64
 	for index, minion := range chosen {
 		taskIndex := waitingStep.taskIndexes[index]
@@ -44,7 +45,7 @@
 		pool.addUsage(minion, requiredCapacity(step.spec))
 		planner.noteStartBesideReservations(step, minion)
 	}
-	planner.reservations.remove(step)
+	planner.releaseReservation(waitingStep, chosen)
 	planner.meetReservation(now, waitingStep)
 	planner.aging.noteStart(waitingStep, len(chosen))
 	return len(chosen) == waitingStep.taskCount
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/evictor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/querier"
@@ -20,8 +21,13 @@
 	bounds Bounds
 	// features are the rules that the deployment enables.
 	features Features
-	policy   *specifier.Policy
-	queues   map[identifier.Queue]*specifier.Queue
+	// stops decides by the work that is lost, nil if the deployment does not enable it.
+	stops stopDecider
+	// nextDepartureAt is when the runs on leaving minions are next decided about, zero if
+	// there are none.
+	nextDepartureAt time.Time
+	policy          *specifier.Policy
+	queues          map[identifier.Queue]*specifier.Queue
 
 	jobs        map[identifier.Job]*job
 	openJobs    map[identifier.Job]*job
@@ -56,6 +62,7 @@
 	reservations     reservations
 	gangReservations gangReservations
 	aging            aging
+	evacuations      *evacuations
 	adviceRequest    adviceRequest
 	maintenance      maintenance
 	waiting          waiting
@@ -77,13 +84,17 @@
 
 // New returns the state machine of a node.
 func New(node identifier.Node, bounds Bounds, features Features) *Planner {
-	return &Planner{
+	planner := &Planner{
 		node: node, bounds: bounds, features: features, policy: &specifier.Policy{},
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
 	}
+	if features.LossAwareStops {
+		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
+	}
+	return planner
 }
 
 // Step handles an event and returns the resulting actions.
@@ -114,6 +125,8 @@
 		planner.handleAdvice(now, event)
 	case messenger.WavesRead:
 		planner.handleWaveRequests(event)
+	case messenger.EvacuationsRead:
+		planner.handleEvacuations(now, event)
 	case messenger.PoolVMsListed:
 		planner.handleVMList(now, event)
 	case messenger.VMMaintained:
@@ -133,9 +146,11 @@
 	planner.pollMinions(now)
 	planner.checkToken(now)
 	planner.repeatStops(now)
+	planner.saveLeaving(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
 		planner.runPass(now)
+		planner.moveEvacuatedRuns(now)
 	} else {
 		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
@@ -158,6 +173,9 @@
 	if len(planner.stopRetries) > 0 && planner.stopRetries[0].at.Before(next) {
 		next = planner.stopRetries[0].at
 	}
+	if departure := planner.nextDepartureAt; !departure.IsZero() && departure.Before(next) {
+		next = departure
+	}
 	if poll, ok := planner.nextPoll(); ok && poll.at.Before(next) {
 		next = poll.at
 	}
@@ -272,11 +290,21 @@
 	}
 }
 
-// View returns the gauges of the holder.
+// View answers queries at the holder. Other nodes have no answer.
 func (planner *Planner) View(now time.Time, query querier.Query) querier.Answer {
-	if query.Kind != querier.Status || !planner.holder.active {
+	switch {
+	case !planner.holder.active:
 		return querier.Answer{}
+	case query.Kind == querier.Status:
+		return planner.status(now)
+	case query.Kind == querier.Explain:
+		return planner.explain(now, identifier.Job(query.Subject))
 	}
+	return querier.Answer{}
+}
+
+// status returns the gauges of the holder.
+func (planner *Planner) status(now time.Time) querier.Answer {
 	runs := 0
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
@@ -286,5 +314,6 @@
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
 		{Name: "gang-reservations", Value: float64(planner.gangReservations.countReservations())},
+		{Name: "evacuated-domains", Value: float64(len(planner.evacuations.requested))},
 	}...)}
 }
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -38,6 +38,9 @@
 	maxLease time.Duration
 	// features are the rules of the nodes that are created from now on.
 	features planner.Features
+	// evacuationTime is the bound of the nodes that are created from now on, zero for none.
+	evacuationTime time.Duration
+	operator       operatorTopic
 	// addresses is the number of addresses that minions have.
 	addresses int
 	journal   []messenger.JournalEntry
@@ -57,6 +60,8 @@
 	services   *fakeServices
 	violations []string
 	decisions  []string
+	// counts are the sums of the counters, by their name and reason.
+	counts map[string]float64
 
 	// Faults: the share of orders whose answer is lost, and of those that are
 	// executed late.
@@ -72,6 +77,15 @@
 	// workTime returns how long a run works.
 	workTime func(run *fakeRun) time.Duration
 	crashing crashingTasks
+	// checkpoints are those of the runs, nil if the simulation has none.
+	checkpoints *fakeCheckpoints
+	// lostCoreSeconds is the work that was done again, endsWithoutResult the number of runs
+	// that ended before they were done.
+	lostCoreSeconds   float64
+	endsWithoutResult map[messenger.EndKind]int
+	// checkpointInterval is the time between the checkpoints of a run with checkpoints, zero
+	// if minions list none.
+	checkpointInterval time.Duration
 	// lastingFailsAfter is the time after which long-running tasks fail, zero for never.
 	lastingFailsAfter time.Duration
 }
@@ -88,6 +102,10 @@
 	crashes, startsAfterCrashes int
 	// lostWithMinion counts the runs that ended because their minion ended.
 	lostWithMinion int
+	// workAtEnd is the work that the newest run had done when it ended without a result.
+	workAtEnd time.Duration
+	// doneAt is when the task was done.
+	doneAt time.Time
 }
 
 type scheduledCall struct {
@@ -131,6 +149,9 @@
 	// are handled when it runs again.
 	frozen        bool
 	pendingEvents []messenger.Event
+	// operatorRead is the number of evacuation records that the node has read, negative before
+	// its first listing.
+	operatorRead int
 }
 
 func newSimulation(seed uint64, nodes, minions int) *simulation {
@@ -143,7 +164,9 @@
 		now: time.Unix(1_000_000, 0), maxLease: maxLease, random: rand.New(rand.NewPCG(seed, 1)),
 		minions: make(map[identifier.Minion]*fakeMinion), tasks: make(map[specifier.Task]*taskState),
 		jobs: make(map[identifier.Job]*specifier.Job), cancelled: make(map[identifier.Job]time.Time),
-		services: newFakeServices(), store: newFakeStore(),
+		endsWithoutResult: make(map[messenger.EndKind]int),
+		counts:            make(map[string]float64),
+		services:          newFakeServices(), store: newFakeStore(),
 		fails:    func(*fakeRun) bool { return false },
 		workTime: func(run *fakeRun) time.Duration { return run.spec.EstimatedRunTime },
 	}
@@ -158,11 +181,14 @@
 }
 
 func (simulation *simulation) newNode(name string) *node {
-	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
+	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, operatorRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
 		MaxLease: simulation.maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Hour,
-		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second,
+		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second, EvacuationTime: simulation.evacuationTime,
 	}, simulation.features)}
 	simulation.step(node, messenger.PolicyRead{Policy: testPolicy(), SentAt: simulation.now})
+	if simulation.evacuationTime > 0 {
+		simulation.schedule(latency, func() { simulation.readOperatorTopic(node, simulation.now.Add(-latency)) })
+	}
 	return node
 }
 
@@ -229,6 +255,10 @@
 	case messenger.Decision:
 		simulation.decisions = append(simulation.decisions, fmt.Sprintf("%s %s %s %s: %s %s",
 			simulation.now.Format("05.000"), node.name, action.Subject, action.Outcome, action.Reason, action.Detail))
+	case messenger.Count:
+		simulation.count(action)
+	case messenger.WorkLost:
+		simulation.counts["lost "+action.Rule] += action.CoreSeconds
 	case messenger.OrderMinion:
 		simulation.sendOrder(node, action)
 	case messenger.FenceJournal:
--- a/reserver/plan.go
+++ b/reserver/plan.go
@@ -64,7 +64,7 @@
 		}
 	}
 	for _, reservation := range earlier {
-		if !reserver.Has(reservation.Step) && !slices.ContainsFunc(changes[:given], func(change Change) bool { return change.Reservation == reservation }) {
+		if reserver.Find(reservation.Step) == nil && !slices.ContainsFunc(changes[:given], func(change Change) bool { return change.Reservation == reservation }) {
 			changes = append(changes, Change{reservation, reserver.lossOutcome(now, reservation)})
 		}
 	}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -105,10 +105,8 @@
 	return restrictions
 }
 
-// Has reports whether a step has a reservation.
-func (reserver *Reserver) Has(step Step) bool { return reserver.find(step) != nil }
-
-func (reserver *Reserver) find(step Step) *Reservation {
+// Find returns the reservation of a step, nil if there is none.
+func (reserver *Reserver) Find(step Step) *Reservation {
 	for _, reservation := range reserver.reservations {
 		if reservation.Step == step {
 			return reservation
@@ -119,7 +117,7 @@
 
 // Meet removes the reservation of a step that has started. It returns nil if there is none.
 func (reserver *Reserver) Meet(step Step) *Reservation {
-	met := reserver.find(step)
+	met := reserver.Find(step)
 	if met != nil {
 		reserver.remove(met)
 		delete(reserver.histories, step)
