Test gangs beside runs that take longer than declared, and the number of log lines

Cause: no test showed that a gang starts although its reservations are given up as overdue, nor that the lines on reservations are bounded.

--- a/planner/eachkind_test.go
+++ b/planner/eachkind_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -38,4 +39,18 @@
 		}
 	}
 	c.Assert(run.violations, quicktest.HasLen, 0)
+	c.Assert(run.countReservationLines() <= int(span/time.Second)*maxReservationLines/2, quicktest.IsTrue)
+}
+
+// maxReservationLines bounds the log lines about reservations in 2 s.
+const maxReservationLines = 12
+
+func (loadRun *loadRun) countReservationLines() int {
+	count := 0
+	for _, line := range loadRun.decisions {
+		if strings.Contains(line, " reservation-") {
+			count++
+		}
+	}
+	return count
 }
--- a/planner/gangload_test.go
+++ b/planner/gangload_test.go
@@ -103,3 +103,19 @@
 		})
 	}
 }
+
+// TestGangStartsAlthoughRunsAreLonger guards against a gang that waits without bound because
+// runs take three times their declared time, so that its reservation is never met in time.
+func TestGangStartsAlthoughRunsAreLonger(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newReservingSimulation(1, 1, 8, true)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.fill(8, 90*time.Second)
+	simulation.workTime = func(run *fakeRun) time.Duration { return 3 * run.spec.EstimatedRunTime }
+	simulation.advance(25 * time.Second)
+	simulation.submit(jobOf("gang", wholeMinionGang(6, 3*time.Second)))
+	waited, started := simulation.startOf("gang", 60*time.Second)
+	c.Assert(started && waited <= 3*maxGangWait, quicktest.IsTrue, quicktest.Commentf("%v %s\n%s", started, waited, simulation.decisionsAbout("gang")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	t.Log(waited)
+}
