Expect a step to start after the work of the steps before it

Change: the estimated work of the steps before it, divided by the capacity of the minions that accept runs, is added to the time at which there is room. A run that is overdue is expected to need as long again as it is overdue.

Result: the two new tests pass, and fail without the change.

--- a/planner/explain.go
+++ b/planner/explain.go
@@ -67,7 +67,8 @@
 		if queue != nil {
 			explained.Late = now.After(step.latestStart(queue))
 			explained.FittingMinions = forecast.countFitting(step)
-			explained.ExpectedStart, explained.Basis = planner.expectedStart(now, step, forecast)
+			before := order[:max(explained.Place-1, 0)]
+			explained.ExpectedStart, explained.Basis = planner.expectedStart(now, step, before, forecast)
 		}
 		explanation.Steps = append(explanation.Steps, explained)
 	}
@@ -112,7 +113,8 @@
 }
 
 // expectedStart returns when a step is expected to start, with the basis of the expectation.
-func (planner *Planner) expectedStart(now time.Time, step *step, forecast *forecast) (time.Time, querier.Basis) {
+// The steps before it in the order are expected to use the capacity first.
+func (planner *Planner) expectedStart(now time.Time, step *step, before []*waitingStep, forecast *forecast) (time.Time, querier.Basis) {
 	for _, reserved := range planner.reservedStarts() {
 		if at, ok := reserved.reservedStart(step); ok {
 			return latest(at, now), querier.Reservation
@@ -122,7 +124,7 @@
 		return time.Time{}, querier.Unknown
 	}
 	if at, ok := forecast.roomFreeAt(step); ok {
-		return at, querier.RoomFreeAt
+		return at.Add(forecast.timeFor(before)), querier.RoomFreeAt
 	}
 	return time.Time{}, querier.Unknown
 }
--- a/planner/explain_test.go
+++ b/planner/explain_test.go
@@ -72,6 +72,45 @@
 	c.Assert(unknown.Explanations, quicktest.HasLen, 0)
 }
 
+// TestExplainCountsTheStepsBefore guards against a long queue each of whose steps is told that
+// it starts next.
+func TestExplainCountsTheStepsBefore(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 1)
+	simulation.workTime = func(run *fakeRun) time.Duration {
+		if run.task.Job == "a" {
+			return 16 * time.Second
+		}
+		return run.spec.EstimatedRunTime
+	}
+	simulation.makeHolder(simulation.nodes[0])
+	whole := specifier.Step{Tasks: 1, Request: taskOf(32000, 8), EstimatedRunTime: 10 * time.Second}
+	for _, job := range []string{"a", "b", "c"} {
+		simulation.submit(jobOf(job, whole))
+		simulation.advance(time.Second)
+	}
+	step := simulation.waitingSteps(c, simulation.nodes[0], "c")[0]
+	c.Assert(step.Place, quicktest.Equals, 2)
+	expected := time.Unix(1_000_026, 0) // after 16 s of the first job and 10 s of the second
+	c.Assert(step.ExpectedStart.Sub(expected).Abs() < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", step.ExpectedStart.Sub(expected)))
+}
+
+// TestExplainBehindOverdueRun guards against a start that is expected now for as long as a run
+// is overdue.
+func TestExplainBehindOverdueRun(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 1)
+	simulation.workTime = func(*fakeRun) time.Duration { return time.Hour } // no progress is shown for 36 s
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("a", wholeMinions(1, 10*time.Second)))
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("b", wholeMinions(1, 10*time.Second)))
+	simulation.advance(19 * time.Second)
+	step := simulation.waitingSteps(c, simulation.nodes[0], "b")[0]
+	wait := step.ExpectedStart.Sub(simulation.now)
+	c.Assert(wait > 9*time.Second && wait < 11*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", wait))
+}
+
 // TestExplainAfterTakeover guards against an answer by a node that does not know what runs,
 // and against one that is lost with the former holder.
 func TestExplainAfterTakeover(t *testing.T) {
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -13,6 +13,7 @@
 type forecast struct {
 	planner *Planner
 	now     time.Time
+	service identifier.Service
 	pool    *pool
 	// ends are the expected ends of the runs on minions that accept runs, earliest first.
 	ends []expectedEnd
@@ -26,7 +27,7 @@
 
 // newForecast returns the forecast for the minions of a service.
 func (planner *Planner) newForecast(now time.Time, service identifier.Service) *forecast {
-	forecast := &forecast{planner: planner, now: now, pool: newPool()}
+	forecast := &forecast{planner: planner, now: now, service: service, pool: newPool()}
 	for _, minion := range planner.minions {
 		if minion.report.Service != service {
 			continue
@@ -62,7 +63,10 @@
 	default:
 		at = run.startedAt.Add(estimate)
 	}
-	return latest(at, forecast.now), true
+	if overdue := forecast.now.Sub(at); overdue > 0 {
+		at = forecast.now.Add(overdue) // the longer it is overdue, the less its estimate says
+	}
+	return at, true
 }
 
 // countFitting returns how many minions could hold a task of the step if nothing ran on them.
@@ -76,6 +80,24 @@
 	return count
 }
 
+// timeFor returns how long the minions that accept runs need for the estimated work of waiting
+// steps, if they do nothing else.
+func (forecast *forecast) timeFor(steps []*waitingStep) time.Duration {
+	work, capacity := 0.0, 0
+	for _, waitingStep := range steps {
+		if waitingStep.queue.Service == forecast.service {
+			work += waitingStep.step.estimatedWork(waitingStep.taskCount)
+		}
+	}
+	for _, minion := range forecast.pool.available {
+		capacity += weight(minion.report.Capacity)
+	}
+	if capacity == 0 {
+		return 0
+	}
+	return time.Duration(work * milliPerCore / float64(capacity) * float64(time.Second))
+}
+
 // roomFreeAt returns when there is capacity for the step, false if the runs that end do not
 // free enough. Steps before it in the order are not considered.
 func (forecast *forecast) roomFreeAt(step *step) (time.Time, bool) {
--- a/querier/explanation.go
+++ b/querier/explanation.go
@@ -14,8 +14,8 @@
 const (
 	// Unknown means that there is no expectation.
 	Unknown Basis = iota
-	// RoomFreeAt means that runs are expected to have ended by then whose capacity is
-	// enough for the step, if no step before it takes that capacity.
+	// RoomFreeAt means that by then enough runs are expected to have ended, and the minions
+	// to have done the estimated work of the steps before this one.
 	RoomFreeAt
 	// Reservation means that capacity is reserved for the step from then on.
 	Reservation
