Encode explanations in the answers between nodes

Cause: encoder.TestQueryRoundTrip failed since querier.Answer has explanations, because the encoding between nodes left them out.

Change: the wire answer has them. An unknown basis of another build is shown as unknown.

Result: TestQueryRoundTrip passes.

--- a/encoder/query.go
+++ b/encoder/query.go
@@ -95,8 +95,10 @@
 				Job: string(row.Job), Queue: string(row.Queue), Workspace: string(row.Workspace), State: uint8(row.State), Reason: row.Reason,
 			}
 		}),
-		Waiting: answer.Waiting,
-		AsOf:    answer.AsOf,
+		Waiting:      answer.Waiting,
+		AsOf:         answer.AsOf,
+		IsHolder:     answer.IsHolder,
+		Explanations: convertRows(answer.Explanations, explanationToWire),
 	}
 	return wire
 }
@@ -153,8 +155,10 @@
 				Workspace: identifier.Workspace(row.Workspace), State: specifier.State(row.State), Reason: row.Reason,
 			}
 		}),
-		Waiting: wire.Waiting,
-		AsOf:    wire.AsOf,
+		Waiting:      wire.Waiting,
+		AsOf:         wire.AsOf,
+		IsHolder:     wire.IsHolder,
+		Explanations: convertRows(wire.Explanations, explanationFromWire),
 	}
 }
 
--- a/encoder/query_schema.go
+++ b/encoder/query_schema.go
@@ -28,6 +28,37 @@
 	Submitted     []WireSubmittedRow    `msg:"submitted,omitempty,limit=16384"`
 	Waiting       int                   `msg:"waiting,omitempty"`
 	AsOf          time.Time             `msg:"as-of"`
+	IsHolder      bool                  `msg:"is-holder,omitempty"`
+	Explanations  []WireExplanationRow  `msg:"explanations,omitempty,limit=16384"`
+}
+
+// WireExplanationRow is a querier.Explanation.
+type WireExplanationRow struct {
+	Job       string               `msg:"job"`
+	Queue     string               `msg:"queue"`
+	Workspace string               `msg:"workspace"`
+	State     uint8                `msg:"state"`
+	Failure   string               `msg:"failure,omitempty"`
+	Token     uint64               `msg:"token"`
+	AsOf      time.Time            `msg:"as-of"`
+	Steps     []WireWaitingStepRow `msg:"steps,omitempty,limit=16384"`
+	Omitted   int                  `msg:"omitted,omitempty"`
+}
+
+// WireWaitingStepRow is a querier.WaitingStep.
+type WireWaitingStepRow struct {
+	Occurrence     int       `msg:"occurrence"`
+	Step           int       `msg:"step"`
+	Tasks          int       `msg:"tasks"`
+	Startable      int       `msg:"startable"`
+	Reason         string    `msg:"reason"`
+	Since          time.Time `msg:"since"`
+	Place          int       `msg:"place"`
+	Waiting        int       `msg:"waiting"`
+	Late           bool      `msg:"late"`
+	FittingMinions int       `msg:"fitting-minions"`
+	ExpectedStart  time.Time `msg:"expected-start"`
+	Basis          uint8     `msg:"basis"`
 }
 
 // WireSubmittedRow is a querier.SubmittedJob.
--- a/encoder/query_schema_gen.go
+++ b/encoder/query_schema_gen.go
@@ -292,6 +292,35 @@
 				err = msgp.WrapError(err, "AsOf")
 				return
 			}
+		case "is-holder":
+			z.IsHolder, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "IsHolder")
+				return
+			}
+		case "explanations":
+			var zb0012 uint32
+			zb0012, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Explanations")
+				return
+			}
+			if zb0012 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Explanations) >= int(zb0012) {
+				z.Explanations = (z.Explanations)[:zb0012]
+			} else {
+				z.Explanations = make([]WireExplanationRow, zb0012)
+			}
+			for za0010 := range z.Explanations {
+				err = z.Explanations[za0010].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Explanations", za0010)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -306,8 +335,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *WireAnswer) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
@@ -349,6 +378,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.IsHolder == false {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Explanations == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -594,6 +631,37 @@
 			err = msgp.WrapError(err, "AsOf")
 			return
 		}
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// write "is-holder"
+			err = en.Append(0xa9, 0x69, 0x73, 0x2d, 0x68, 0x6f, 0x6c, 0x64, 0x65, 0x72)
+			if err != nil {
+				return
+			}
+			err = en.WriteBool(z.IsHolder)
+			if err != nil {
+				err = msgp.WrapError(err, "IsHolder")
+				return
+			}
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// write "explanations"
+			err = en.Append(0xac, 0x65, 0x78, 0x70, 0x6c, 0x61, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Explanations)))
+			if err != nil {
+				err = msgp.WrapError(err, "Explanations")
+				return
+			}
+			for za0010 := range z.Explanations {
+				err = z.Explanations[za0010].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Explanations", za0010)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -602,8 +670,8 @@
 func (z *WireAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(11)
-	var zb0001Mask uint16 /* 11 bits */
+	zb0001Len := uint32(13)
+	var zb0001Mask uint16 /* 13 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
@@ -645,6 +713,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x200
 	}
+	if z.IsHolder == false {
+		zb0001Len--
+		zb0001Mask |= 0x800
+	}
+	if z.Explanations == nil {
+		zb0001Len--
+		zb0001Mask |= 0x1000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -786,6 +862,23 @@
 		// string "as-of"
 		o = append(o, 0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
 		o = msgp.AppendTime(o, z.AsOf)
+		if (zb0001Mask & 0x800) == 0 { // if not omitted
+			// string "is-holder"
+			o = append(o, 0xa9, 0x69, 0x73, 0x2d, 0x68, 0x6f, 0x6c, 0x64, 0x65, 0x72)
+			o = msgp.AppendBool(o, z.IsHolder)
+		}
+		if (zb0001Mask & 0x1000) == 0 { // if not omitted
+			// string "explanations"
+			o = append(o, 0xac, 0x65, 0x78, 0x70, 0x6c, 0x61, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Explanations)))
+			for za0010 := range z.Explanations {
+				o, err = z.Explanations[za0010].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Explanations", za0010)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1070,6 +1163,35 @@
 				err = msgp.WrapError(err, "AsOf")
 				return
 			}
+		case "is-holder":
+			z.IsHolder, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IsHolder")
+				return
+			}
+		case "explanations":
+			var zb0012 uint32
+			zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Explanations")
+				return
+			}
+			if zb0012 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Explanations) >= int(zb0012) {
+				z.Explanations = (z.Explanations)[:zb0012]
+			} else {
+				z.Explanations = make([]WireExplanationRow, zb0012)
+			}
+			for za0010 := range z.Explanations {
+				bts, err = z.Explanations[za0010].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Explanations", za0010)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1120,7 +1242,10 @@
 	for za0009 := range z.Submitted {
 		s += z.Submitted[za0009].Msgsize()
 	}
-	s += 8 + msgp.IntSize + 6 + msgp.TimeSize
+	s += 8 + msgp.IntSize + 6 + msgp.TimeSize + 10 + msgp.BoolSize + 13 + msgp.ArrayHeaderSize
+	for za0010 := range z.Explanations {
+		s += z.Explanations[za0010].Msgsize()
+	}
 	return
 }
 
@@ -1344,10 +1469,426 @@
 				err = msgp.WrapError(err, "Reason")
 				return
 			}
-		case "detail":
-			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+		case "detail":
+			z.Detail, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Detail")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WireDecisionRow) Msgsize() (s int) {
+	s = 1 + 3 + msgp.TimeSize + 5 + msgp.StringPrefixSize + len(z.Node) + 8 + msgp.StringPrefixSize + len(z.Subject) + 7 + msgp.StringPrefixSize + len(z.Reason) + 7 + msgp.StringPrefixSize + len(z.Detail)
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *WireExplanationRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "job":
+			z.Job, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		case "queue":
+			z.Queue, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "workspace":
+			z.Workspace, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		case "state":
+			z.State, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "failure":
+			z.Failure, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Failure")
+				return
+			}
+		case "token":
+			z.Token, err = dc.ReadUint64()
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
+		case "as-of":
+			z.AsOf, err = dc.ReadTimeUTC()
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
+		case "steps":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Steps")
+				return
+			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Steps) >= int(zb0002) {
+				z.Steps = (z.Steps)[:zb0002]
+			} else {
+				z.Steps = make([]WireWaitingStepRow, zb0002)
+			}
+			for za0001 := range z.Steps {
+				err = z.Steps[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		case "omitted":
+			z.Omitted, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Omitted")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *WireExplanationRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Failure == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Steps == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Omitted == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "job"
+		err = en.Append(0xa3, 0x6a, 0x6f, 0x62)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Job)
+		if err != nil {
+			err = msgp.WrapError(err, "Job")
+			return
+		}
+		// write "queue"
+		err = en.Append(0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Queue)
+		if err != nil {
+			err = msgp.WrapError(err, "Queue")
+			return
+		}
+		// write "workspace"
+		err = en.Append(0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteString(z.Workspace)
+		if err != nil {
+			err = msgp.WrapError(err, "Workspace")
+			return
+		}
+		// write "state"
+		err = en.Append(0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(z.State)
+		if err != nil {
+			err = msgp.WrapError(err, "State")
+			return
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "failure"
+			err = en.Append(0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Failure)
+			if err != nil {
+				err = msgp.WrapError(err, "Failure")
+				return
+			}
+		}
+		// write "token"
+		err = en.Append(0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Token)
+		if err != nil {
+			err = msgp.WrapError(err, "Token")
+			return
+		}
+		// write "as-of"
+		err = en.Append(0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteTime(z.AsOf)
+		if err != nil {
+			err = msgp.WrapError(err, "AsOf")
+			return
+		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// write "steps"
+			err = en.Append(0xa5, 0x73, 0x74, 0x65, 0x70, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Steps)))
+			if err != nil {
+				err = msgp.WrapError(err, "Steps")
+				return
+			}
+			for za0001 := range z.Steps {
+				err = z.Steps[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// write "omitted"
+			err = en.Append(0xa7, 0x6f, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+			if err != nil {
+				return
+			}
+			err = en.WriteInt(z.Omitted)
+			if err != nil {
+				err = msgp.WrapError(err, "Omitted")
+				return
+			}
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *WireExplanationRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Failure == "" {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.Steps == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.Omitted == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "job"
+		o = append(o, 0xa3, 0x6a, 0x6f, 0x62)
+		o = msgp.AppendString(o, z.Job)
+		// string "queue"
+		o = append(o, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+		o = msgp.AppendString(o, z.Queue)
+		// string "workspace"
+		o = append(o, 0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
+		o = msgp.AppendString(o, z.Workspace)
+		// string "state"
+		o = append(o, 0xa5, 0x73, 0x74, 0x61, 0x74, 0x65)
+		o = msgp.AppendUint8(o, z.State)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "failure"
+			o = append(o, 0xa7, 0x66, 0x61, 0x69, 0x6c, 0x75, 0x72, 0x65)
+			o = msgp.AppendString(o, z.Failure)
+		}
+		// string "token"
+		o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
+		o = msgp.AppendUint64(o, z.Token)
+		// string "as-of"
+		o = append(o, 0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
+		o = msgp.AppendTime(o, z.AsOf)
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "steps"
+			o = append(o, 0xa5, 0x73, 0x74, 0x65, 0x70, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Steps)))
+			for za0001 := range z.Steps {
+				o, err = z.Steps[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "omitted"
+			o = append(o, 0xa7, 0x6f, 0x6d, 0x69, 0x74, 0x74, 0x65, 0x64)
+			o = msgp.AppendInt(o, z.Omitted)
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WireExplanationRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "job":
+			z.Job, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "workspace":
+			z.Workspace, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		case "state":
+			z.State, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "failure":
+			z.Failure, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failure")
+				return
+			}
+		case "token":
+			z.Token, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
+		case "as-of":
+			z.AsOf, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
+		case "steps":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Steps")
+				return
+			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Steps) >= int(zb0002) {
+				z.Steps = (z.Steps)[:zb0002]
+			} else {
+				z.Steps = make([]WireWaitingStepRow, zb0002)
+			}
+			for za0001 := range z.Steps {
+				bts, err = z.Steps[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Steps", za0001)
+					return
+				}
+			}
+		case "omitted":
+			z.Omitted, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Detail")
+				err = msgp.WrapError(err, "Omitted")
 				return
 			}
 		default:
@@ -1363,8 +1904,12 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WireDecisionRow) Msgsize() (s int) {
-	s = 1 + 3 + msgp.TimeSize + 5 + msgp.StringPrefixSize + len(z.Node) + 8 + msgp.StringPrefixSize + len(z.Subject) + 7 + msgp.StringPrefixSize + len(z.Reason) + 7 + msgp.StringPrefixSize + len(z.Detail)
+func (z *WireExplanationRow) Msgsize() (s int) {
+	s = 1 + 4 + msgp.StringPrefixSize + len(z.Job) + 6 + msgp.StringPrefixSize + len(z.Queue) + 10 + msgp.StringPrefixSize + len(z.Workspace) + 6 + msgp.Uint8Size + 8 + msgp.StringPrefixSize + len(z.Failure) + 6 + msgp.Uint64Size + 6 + msgp.TimeSize + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Steps {
+		s += z.Steps[za0001].Msgsize()
+	}
+	s += 8 + msgp.IntSize
 	return
 }
 
@@ -3244,6 +3789,392 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *WireWaitingStepRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "occurrence":
+			z.Occurrence, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Occurrence")
+				return
+			}
+		case "step":
+			z.Step, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "tasks":
+			z.Tasks, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks")
+				return
+			}
+		case "startable":
+			z.Startable, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Startable")
+				return
+			}
+		case "reason":
+			z.Reason, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "since":
+			z.Since, err = dc.ReadTimeUTC()
+			if err != nil {
+				err = msgp.WrapError(err, "Since")
+				return
+			}
+		case "place":
+			z.Place, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Place")
+				return
+			}
+		case "waiting":
+			z.Waiting, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "late":
+			z.Late, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
+		case "fitting-minions":
+			z.FittingMinions, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "FittingMinions")
+				return
+			}
+		case "expected-start":
+			z.ExpectedStart, err = dc.ReadTimeUTC()
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedStart")
+				return
+			}
+		case "basis":
+			z.Basis, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "Basis")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *WireWaitingStepRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 12
+	// write "occurrence"
+	err = en.Append(0x8c, 0xaa, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Occurrence)
+	if err != nil {
+		err = msgp.WrapError(err, "Occurrence")
+		return
+	}
+	// write "step"
+	err = en.Append(0xa4, 0x73, 0x74, 0x65, 0x70)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Step)
+	if err != nil {
+		err = msgp.WrapError(err, "Step")
+		return
+	}
+	// write "tasks"
+	err = en.Append(0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Tasks)
+	if err != nil {
+		err = msgp.WrapError(err, "Tasks")
+		return
+	}
+	// write "startable"
+	err = en.Append(0xa9, 0x73, 0x74, 0x61, 0x72, 0x74, 0x61, 0x62, 0x6c, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Startable)
+	if err != nil {
+		err = msgp.WrapError(err, "Startable")
+		return
+	}
+	// write "reason"
+	err = en.Append(0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Reason)
+	if err != nil {
+		err = msgp.WrapError(err, "Reason")
+		return
+	}
+	// write "since"
+	err = en.Append(0xa5, 0x73, 0x69, 0x6e, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteTime(z.Since)
+	if err != nil {
+		err = msgp.WrapError(err, "Since")
+		return
+	}
+	// write "place"
+	err = en.Append(0xa5, 0x70, 0x6c, 0x61, 0x63, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Place)
+	if err != nil {
+		err = msgp.WrapError(err, "Place")
+		return
+	}
+	// write "waiting"
+	err = en.Append(0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Waiting)
+	if err != nil {
+		err = msgp.WrapError(err, "Waiting")
+		return
+	}
+	// write "late"
+	err = en.Append(0xa4, 0x6c, 0x61, 0x74, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.Late)
+	if err != nil {
+		err = msgp.WrapError(err, "Late")
+		return
+	}
+	// write "fitting-minions"
+	err = en.Append(0xaf, 0x66, 0x69, 0x74, 0x74, 0x69, 0x6e, 0x67, 0x2d, 0x6d, 0x69, 0x6e, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.FittingMinions)
+	if err != nil {
+		err = msgp.WrapError(err, "FittingMinions")
+		return
+	}
+	// write "expected-start"
+	err = en.Append(0xae, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x73, 0x74, 0x61, 0x72, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteTime(z.ExpectedStart)
+	if err != nil {
+		err = msgp.WrapError(err, "ExpectedStart")
+		return
+	}
+	// write "basis"
+	err = en.Append(0xa5, 0x62, 0x61, 0x73, 0x69, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteUint8(z.Basis)
+	if err != nil {
+		err = msgp.WrapError(err, "Basis")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *WireWaitingStepRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 12
+	// string "occurrence"
+	o = append(o, 0x8c, 0xaa, 0x6f, 0x63, 0x63, 0x75, 0x72, 0x72, 0x65, 0x6e, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.Occurrence)
+	// string "step"
+	o = append(o, 0xa4, 0x73, 0x74, 0x65, 0x70)
+	o = msgp.AppendInt(o, z.Step)
+	// string "tasks"
+	o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+	o = msgp.AppendInt(o, z.Tasks)
+	// string "startable"
+	o = append(o, 0xa9, 0x73, 0x74, 0x61, 0x72, 0x74, 0x61, 0x62, 0x6c, 0x65)
+	o = msgp.AppendInt(o, z.Startable)
+	// string "reason"
+	o = append(o, 0xa6, 0x72, 0x65, 0x61, 0x73, 0x6f, 0x6e)
+	o = msgp.AppendString(o, z.Reason)
+	// string "since"
+	o = append(o, 0xa5, 0x73, 0x69, 0x6e, 0x63, 0x65)
+	o = msgp.AppendTime(o, z.Since)
+	// string "place"
+	o = append(o, 0xa5, 0x70, 0x6c, 0x61, 0x63, 0x65)
+	o = msgp.AppendInt(o, z.Place)
+	// string "waiting"
+	o = append(o, 0xa7, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67)
+	o = msgp.AppendInt(o, z.Waiting)
+	// string "late"
+	o = append(o, 0xa4, 0x6c, 0x61, 0x74, 0x65)
+	o = msgp.AppendBool(o, z.Late)
+	// string "fitting-minions"
+	o = append(o, 0xaf, 0x66, 0x69, 0x74, 0x74, 0x69, 0x6e, 0x67, 0x2d, 0x6d, 0x69, 0x6e, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.FittingMinions)
+	// string "expected-start"
+	o = append(o, 0xae, 0x65, 0x78, 0x70, 0x65, 0x63, 0x74, 0x65, 0x64, 0x2d, 0x73, 0x74, 0x61, 0x72, 0x74)
+	o = msgp.AppendTime(o, z.ExpectedStart)
+	// string "basis"
+	o = append(o, 0xa5, 0x62, 0x61, 0x73, 0x69, 0x73)
+	o = msgp.AppendUint8(o, z.Basis)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WireWaitingStepRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "occurrence":
+			z.Occurrence, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Occurrence")
+				return
+			}
+		case "step":
+			z.Step, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Step")
+				return
+			}
+		case "tasks":
+			z.Tasks, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks")
+				return
+			}
+		case "startable":
+			z.Startable, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Startable")
+				return
+			}
+		case "reason":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "since":
+			z.Since, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Since")
+				return
+			}
+		case "place":
+			z.Place, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Place")
+				return
+			}
+		case "waiting":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "late":
+			z.Late, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Late")
+				return
+			}
+		case "fitting-minions":
+			z.FittingMinions, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FittingMinions")
+				return
+			}
+		case "expected-start":
+			z.ExpectedStart, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ExpectedStart")
+				return
+			}
+		case "basis":
+			z.Basis, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Basis")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WireWaitingStepRow) Msgsize() (s int) {
+	s = 1 + 11 + msgp.IntSize + 5 + msgp.IntSize + 6 + msgp.IntSize + 10 + msgp.IntSize + 7 + msgp.StringPrefixSize + len(z.Reason) + 6 + msgp.TimeSize + 6 + msgp.IntSize + 8 + msgp.IntSize + 5 + msgp.BoolSize + 16 + msgp.IntSize + 15 + msgp.TimeSize + 6 + msgp.Uint8Size
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *WireWorkerRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/querier/explanation.go
+++ b/querier/explanation.go
@@ -23,7 +23,13 @@
 
 // String returns the name of the basis in kebab case.
 func (basis Basis) String() string {
-	return [...]string{"unknown", "room-free-at", "reservation"}[basis]
+	switch basis {
+	case RoomFreeAt:
+		return "room-free-at"
+	case Reservation:
+		return "reservation"
+	}
+	return "unknown"
 }
 
 // Explanation is what the holder knows of one job.
