Rank minions by what they did with earlier runs (trial)

A failure frees capacity at once, which the tightest fit prefers; and a run that had started before the minion turned bad ended the count of its failures.

Change: package profiler judges a life of a minion by its failures since a run that started after them, and by its pace against the same kind of work elsewhere.

--- a/planner/minion.go
+++ b/planner/minion.go
@@ -7,6 +7,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/profiler"
 	"corianderroad/specifier"
 )
 
@@ -81,6 +82,7 @@
 	// out.
 	noCapacityDelay time.Duration
 	health          health
+	profile         profiler.Profile
 	// closedForMaintenance means that no run is started on the minion because its
 	// VM awaits maintenance.
 	closedForMaintenance bool
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -11,6 +11,7 @@
 	"corianderroad/evictor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/profiler"
 	"corianderroad/querier"
 	"corianderroad/specifier"
 )
@@ -75,6 +76,8 @@
 	passInterval time.Duration
 	suspension   suspension
 	tokenCheck   tokenCheck
+	// baseline is the usual pace of work, for the profiles of minions.
+	baseline *profiler.Baseline
 	// nextExpiryCheckAt is when the ended jobs are next checked for expiry.
 	nextExpiryCheckAt time.Time
 	actions           []messenger.Action
@@ -87,7 +90,7 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), baseline: profiler.NewBaseline(),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
