Revert the ranking of minions by earlier runs, and remove its flag

Change: the trial and the flag -minion-profiles are removed. What the trial saw remains open: last attempts on minions that have just failed.

--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -44,7 +44,6 @@
 	features := &enter.options.Features
 	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
-	flags.BoolVar(&features.MinionProfiles, "minion-profiles", false, "rank minions by what they did with earlier runs")
 }
 
 // Execute implements subcommands.Command.
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -146,17 +146,14 @@
 const (
 	withoutTicket = 1 << iota
 	mixedLoad
-	slow
 	outsideDataRack
 	slowAfterStart
-	likelyToFail
 )
 
 // assignTasks returns a minion for each task, up to the first task that does
-// not fit. Minions whose runs do not fail come first, then those that are not cold,
-// then those near the data, then those that are not slow, then those without a mix of
-// serving and backfill tasks, then those with a ticket, then those with the least
-// capacity left, on the racks that are used most.
+// not fit. Minions that are not cold come first, then those near the data, then
+// those without a mix of serving and backfill tasks, then those with a ticket,
+// then those with the least capacity left, on the racks that are used most.
 func (planner *Planner) assignTasks(step *step, indexes []int, pool *pool, available []*minion) []*minion {
 	candidates := planner.candidates(step, pool, available)
 	slices.SortFunc(candidates, func(one, other candidate) int {
@@ -193,7 +190,7 @@
 
 func (planner *Planner) candidates(step *step, pool *pool, available []*minion) []candidate {
 	candidates := make([]candidate, 0, len(available))
-	request, hasFailures := requiredCapacity(step.spec), step.hasFailures()
+	request := requiredCapacity(step.spec)
 	for _, minion := range available {
 		taskCapacity := planner.taskCapacity(step, minion)
 		if taskCapacity == 0 {
@@ -212,7 +209,6 @@
 		if step.advice != nil && step.ticket(minion) == "" {
 			penalty |= withoutTicket
 		}
-		penalty |= planner.profilePenalty(minion, hasFailures)
 		candidates = append(candidates, candidate{
 			minion: minion, taskCapacity: taskCapacity, penalty: penalty, rackUsage: pool.byRack[minion.rack].usage,
 			remaining: weight(planner.reservations.freeCapacity(step, minion).Sub(request)),
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -10,7 +10,6 @@
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
-	"corianderroad/profiler"
 )
 
 // holderState is the node's state as the holder.
@@ -144,7 +143,6 @@
 	planner.adviceRequest = adviceRequest{}
 	planner.reservations = reservations{}
 	planner.waiting = waiting{}
-	planner.baseline = profiler.NewBaseline()
 	planner.maintenance.reset()
 	for _, job := range planner.jobs {
 		job.reset()
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -7,7 +7,6 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
-	"corianderroad/profiler"
 	"corianderroad/specifier"
 )
 
@@ -82,7 +81,6 @@
 	// out.
 	noCapacityDelay time.Duration
 	health          health
-	profile         profiler.Profile
 	// closedForMaintenance means that no run is started on the minion because its
 	// VM awaits maintenance.
 	closedForMaintenance bool
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -26,8 +26,6 @@
 	GangReservations bool
 	// LossAwareStops chooses the runs to be stopped by the work that is lost.
 	LossAwareStops bool
-	// MinionProfiles ranks minions by what they did with earlier runs.
-	MinionProfiles bool
 }
 
 // Leases.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -11,7 +11,6 @@
 	"corianderroad/evictor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
-	"corianderroad/profiler"
 	"corianderroad/querier"
 	"corianderroad/specifier"
 )
@@ -76,8 +75,6 @@
 	passInterval time.Duration
 	suspension   suspension
 	tokenCheck   tokenCheck
-	// baseline is the usual pace of work, for the profiles of minions.
-	baseline *profiler.Baseline
 	// nextExpiryCheckAt is when the ended jobs are next checked for expiry.
 	nextExpiryCheckAt time.Time
 	actions           []messenger.Action
@@ -90,7 +87,7 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), baseline: profiler.NewBaseline(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -139,7 +139,6 @@
 		planner.noteGangCheckpoint(run.step, gangCheckpoint{run: run.number, checkpoint: report.Checkpoint, at: now})
 	}
 	if report.ProgressPercent != run.progressPercent {
-		planner.notePace(now, run, report.ProgressPercent)
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
 	}
 	run.noteStart(now)
--- a/planner/run.go
+++ b/planner/run.go
@@ -340,7 +340,6 @@
 }
 
 func (planner *Planner) countMinionFailure(now time.Time, minion *minion) {
-	planner.noteFailure(now, minion)
 	if minion.health.addFailure(now) {
 		planner.emitDecision(string(minion.report.Minion), "minion-set-aside", "its runs fail", "", minion.health.quarantineDuration)
 	}
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -45,7 +45,6 @@
 	switch end.Kind {
 	case messenger.EndDone:
 		minion.health.resetFailures()
-		planner.noteSuccess(run)
 		planner.markDone(now, step, end.Task, end.Run)
 	case messenger.EndFailed:
 		if !superseded {
