Merge reservations for gangs

Cause: while capacity is short, large gangs wait behind single tasks of lower priority for as long as these come, and late steps behind all that can still be on time.

Change: package reserver plans when a gang has room, and steps behind it start there only if they end before; late steps age.

--- a/planner/explain.go
+++ b/planner/explain.go
@@ -19,7 +19,7 @@
 
 // reservedStarts returns all kinds of reservations.
 func (planner *Planner) reservedStarts() []reservedStarts {
-	return []reservedStarts{&planner.reservations}
+	return []reservedStarts{&planner.reservations, &planner.gangReservations}
 }
 
 // reservedStart implements reservedStarts. The victims have ended by then.
@@ -99,6 +99,7 @@
 			order = append(order, waitingStep)
 		}
 	}
+	planner.rankAgedSteps(now, order)
 	slices.SortFunc(order, compareUrgency)
 	return order
 }
--- /dev/null
+++ b/planner/likelyend.go
@@ -0,0 +1,41 @@
+package planner
+
+import "time"
+
+const (
+	// overdueFactor is the share of the time since its expected end for which an overdue run
+	// is expected to run on.
+	overdueFactor = 0.5
+	// minOverdueTime is how long an overdue run is expected to run on at least.
+	minOverdueTime = 250 * time.Millisecond
+	// startDelay is the time from the decision to start a task until its run begins.
+	startDelay = 100 * time.Millisecond
+)
+
+// expectedRunTime returns the time from the decision to start a task of the step until its
+// expected end.
+func (step *step) expectedRunTime() time.Duration {
+	if step.spec.LongRunning {
+		return endlessRunTime
+	}
+	return startDelay + step.spec.EstimatedRunTime
+}
+
+// endlessRunTime exceeds the time of any reservation.
+const endlessRunTime = 10000 * time.Hour
+
+// likelyEnd returns when a run is likely to end, by its progress if that tells it, and by the
+// declared run time otherwise. An overdue run is likely to end soon.
+func (planner *Planner) likelyEnd(now time.Time, run *run) time.Time {
+	if run.state == stopping {
+		return latest(now, run.stopOrderedAt.Add(planner.bounds.StopTimeout))
+	}
+	end := run.expectedEnd()
+	if end.IsZero() {
+		end = run.startedAt.Add(startDelay + run.step.spec.EstimatedRunTime)
+	}
+	if overdue := now.Sub(end); overdue >= 0 {
+		return now.Add(max(minOverdueTime, time.Duration(overdueFactor*float64(overdue))))
+	}
+	return end
+}
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderroad/identifier"
+	"corianderroad/reserver"
 	"corianderroad/specifier"
 )
 
@@ -45,6 +46,8 @@
 	dataRack     identifier.Rack
 	sameRack     bool
 	rackRequired bool
+	// restrictions are the reservations that the tasks must leave room for.
+	restrictions reserver.Restrictions
 }
 
 // rackDemand is all that decides whether tasks fit on an empty rack.
@@ -185,6 +188,7 @@
 // if that rack were empty.
 func (pool *pool) fitsOnRack(step *step) bool {
 	key := rackDemand{step.demand(false), step.tasksPerRack()}
+	key.restrictions = 0 // they hold no room on an empty rack
 	if fits, cached := pool.rackFits[key]; cached && step.advice == nil {
 		return fits
 	}
@@ -226,6 +230,7 @@
 	return demand{
 		request: requiredCapacity(step.spec), limit: step.spec.MaxPerMinion, label: step.spec.Label,
 		dataRack: step.spec.DataRack, sameRack: step.spec.SameRack, rackRequired: rackRequired,
+		restrictions: step.restrictions,
 	}
 }
 
