Test entry VMs with clients that respect no limits

Cause: entry VMs bound each body but not the sum of all, nothing bounds their connections, and no test shows it (section 3 of docs/HARD-LOAD.md).

It checks that the process lives, that the peak of its memory with the bytes that the kernel holds for its connections stays below the 96 MB and its descriptors below the 1,000 of its settings, and that an ordinary job is accepted. Variables of the environment set other figures.

--- /dev/null
+++ b/cmd/corianderroad/intruder/stage_test.go
@@ -0,0 +1,201 @@
+// Package intruder_test holds tests in which crowds of clients that respect no limits
+// call a real process of an entry VM. The limits of the process and the size of the
+// crowds can be set by environment variables, for a run with those of a real VM.
+package intruder_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/platform"
+	"corianderroad/platform/imitator"
+)
+
+// Limits of the process and the size of the crowds.
+var (
+	memoryMB    = limit("INTRUDER_MEMORY_MB", 96)
+	descriptors = limit("INTRUDER_DESCRIPTORS", 1000)
+	crowdSize   = limit("INTRUDER_CONNECTIONS", 600)
+	bodyBytes   = limit("INTRUDER_BODY_BYTES", 128<<10)
+)
+
+// testTimeout limits the duration of a test. It is not a performance target.
+const testTimeout = 60 * time.Second
+
+// binary is the path of the program under test. It is built without the race detector,
+// whose memory would count.
+var binary string
+
+func limit(variable string, fallback int) int {
+	if value, err := strconv.Atoi(os.Getenv(variable)); err == nil {
+		return value
+	}
+	return fallback
+}
+
+func TestMain(m *testing.M) { os.Exit(run(m)) }
+
+func run(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "intruder")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder) //nolint:errcheck // it is only the folder of a test run
+	binary = filepath.Join(folder, "corianderroad")
+	if output, err := exec.Command("go", "build", "-o", binary, "corianderroad/cmd/corianderroad").CombinedOutput(); err != nil {
+		panic(string(output))
+	}
+	return m.Run()
+}
+
+// node is a process under test.
+type node struct {
+	c                         *quicktest.C
+	front, readiness, metrics netip.AddrPort
+	settings                  string
+	// command is nil while no process runs.
+	command *exec.Cmd
+	ended   chan error
+	sampler *sampler
+}
+
+const (
+	host    = "h.example"
+	service = "s"
+	// Keys of the two workspaces.
+	firstKey, secondKey = "key-a", "key-b"
+)
+
+// newStore returns a store with a queue, two workspaces and a minion.
+func newStore(c *quicktest.C) *imitator.Imitator {
+	store, minion := imitator.New(), imitator.NewMinion()
+	store.Reply = minion.Reply
+	store.Write("keyed.servers", "i-1", minion.Report(service, store.Address()))
+	store.Write("keyed.op", "config", fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":%q,"pathPrefix":"/q/","service":%q,"attempts":2,"stretch":3}],`+
+		`"services":[{"name":%q}],"tenants":[{"name":"a","apiKeys":[%q]},{"name":"b","apiKeys":[%q]}],"maxBodyBytes":%d}`,
+		host, service, service, firstKey, secondKey, bodyBytes))
+	c.Cleanup(func() {
+		store.CloseClientConnections()
+		store.Close()
+	})
+	return store
+}
+
+// freeAddress returns a loopback address on which no process listens. Crowds use another
+// local address, so that they do not take it.
+func freeAddress(c *quicktest.C) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer func() { c.Check(listener.Close(), quicktest.IsNil) }()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// newNode writes the settings of a node and starts it.
+func newNode(c *quicktest.C, store *imitator.Imitator, name string) *node {
+	node := &node{c: c, front: freeAddress(c), readiness: freeAddress(c), metrics: freeAddress(c)}
+	encoded, err := json.Marshal(map[string]any{
+		"nodeName": name, "zone": "a", "region": "r",
+		"listen":    map[string]string{"front": node.front.String(), "readiness": node.readiness.String()},
+		"portRange": []uint16{node.metrics.Port(), node.metrics.Port()},
+		"limits":    map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": memoryMB, "maxFds": descriptors},
+		"bounds":    map[string]any{"graceS": 4, "maxHoldMs": 6000, "stopTimeoutMs": 500},
+		"platform":  map[string]string{"address": store.Address().String()},
+	})
+	c.Assert(err, quicktest.IsNil)
+	node.settings = filepath.Join(c.TempDir(), "settings")
+	c.Assert(os.WriteFile(node.settings, encoded, 0o600), quicktest.IsNil)
+	node.start()
+	c.Cleanup(node.kill)
+	return node
+}
+
+// start starts the process and waits until it is ready.
+func (node *node) start() {
+	node.command = exec.Command(binary, "enter")
+	node.command.Env = append(os.Environ(), platform.SettingsVariable+"="+node.settings)
+	node.command.Stdout, node.command.Stderr = io.Discard, os.Stderr
+	node.c.Assert(node.command.Start(), quicktest.IsNil)
+	node.ended = make(chan error, 1)
+	go func(command *exec.Cmd, ended chan<- error) { ended <- command.Wait() }(node.command, node.ended)
+	node.sampler = newSampler(node)
+	node.await("the node is ready", func(ctx context.Context) bool {
+		status, _ := call(ctx, node.readiness, http.MethodGet, "/", "", "")
+		return status == http.StatusOK
+	})
+}
+
+func (node *node) kill() {
+	if node.command != nil {
+		_ = node.command.Process.Kill() // the process may have ended already
+		<-node.ended
+		node.endSampling()
+	}
+}
+
+func (node *node) endSampling() {
+	node.sampler.close()
+	node.command = nil
+}
+
+// await repeats a check until it succeeds.
+func (node *node) await(what string, check func(ctx context.Context) bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	for !check(ctx) {
+		select {
+		case err := <-node.ended:
+			node.ended <- err
+			node.c.Fatalf("the process has ended: %v", err)
+		case <-ctx.Done():
+			node.c.Fatalf("not seen: %s", what)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// awaitAnswer sends an ordinary job until it is accepted.
+func (node *node) awaitAnswer(key string) {
+	path := "/q/" + newJobID()
+	node.await("an ordinary job is accepted", func(ctx context.Context) bool {
+		status, _ := call(ctx, node.front, http.MethodPost, path, key, `{"spec":"text","steps":[{"count":1,"cpu":100,"estimateMs":10}]}`)
+		return status == http.StatusOK
+	})
+}
+
+var lastJob atomic.Uint64
+
+func newJobID() string { return fmt.Sprintf("%016x", lastJob.Add(1)) }
+
+// call sends one request on a connection of its own.
+func call(ctx context.Context, address netip.AddrPort, method, path, key, body string) (int, string) {
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, strings.NewReader(body))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host, request.Close = host, true
+	request.Header.Set("Authorization", "Token "+key)
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer answer.Body.Close() //nolint:errcheck // the answer was read
+	content, _ := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(content)
+}
