Bound the connections and the memory of clients in sum

Change: package shedder decides who is admitted, who may grow and who is closed; package gatekeeper owns its state and the connections of a listener as one duty. Bodies above 4 KiB are read in segments of 32 KiB that are reserved first, large ones are decoded one at a time, and lists are counted before they are decoded. Listeners set small buffers of the kernel. Limits are flags of enter. limits.maxFds is read.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -16,6 +16,7 @@
 	"corianderroad/claimer"
 	"corianderroad/committer"
 	"corianderroad/exporter"
+	"corianderroad/gatekeeper"
 	"corianderroad/identifier"
 	"corianderroad/inspector"
 	"corianderroad/messenger"
@@ -67,6 +68,9 @@
 
 	journalTailer, progressTailer, minionTailer *tailer.Tailer
 
+	// Each admits the clients of one listener.
+	clients, healthChecks, scrapes *gatekeeper.Gatekeeper
+
 	frontEnd *platform.FrontEnd
 	duties   []duty
 }
@@ -75,6 +79,8 @@
 type Options struct {
 	// Features are the rules of the planner that are enabled.
 	Features planner.Features
+	// Clients are the limits of clients.
+	Clients ClientLimits
 }
 
 // duty runs until its context ends.
@@ -82,17 +88,21 @@
 	Run(ctx context.Context) error
 }
 
-// New returns an Assembler with the given settings and options.
+// New returns an Assembler with the given settings and options. The limits of clients get
+// their defaults, and must have been checked by Complete.
 func New(settings *platform.Settings, options Options, clock runner.Clock) *Assembler {
 	assembler := &Assembler{settings: settings, options: options, clock: clock, decisionLog: newDecisionLog(settings.Node, os.Stdout)}
 	assembler.makeRings()
+	limits, _ := options.Clients.Complete(settings) // checked by the caller
+	assembler.addGatekeepers(limits)
 	jobs := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.jobQueries})
-	all := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.claimQueries, assembler.jobQueries, assembler.planQueries})
+	all := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.claimQueries, assembler.jobQueries, assembler.planQueries, assembler.clients.Queries(), assembler.healthChecks.Queries(), assembler.scrapes.Queries()})
 	assembler.exporter = exporter.New(assembler.rings(), all)
 	assembler.addStateMachines()
 	assembler.addIODuties()
 	assembler.frontEnd = &platform.FrontEnd{
-		Authorizer: requestAuthorizer{assembler}, Commands: commandSubmitter{assembler}, Queries: jobs, Journal: assembler.journalTailer, Observer: assembler.exporter, Clock: clock,
+		Authorizer: requestAuthorizer{assembler}, Commands: commandSubmitter{assembler}, Queries: jobs, Journal: assembler.journalTailer, Observer: assembler.exporter,
+		Callers: callerFinder{}, Decoder: platform.NewJobDecoder(), Clock: clock,
 	}
 	return assembler
 }
@@ -119,6 +129,7 @@
 		assembler.claims, assembler.entries, assembler.plans, assembler.claimQueries, assembler.jobQueries,
 		assembler.planQueries, assembler.claimAppends, assembler.entryAppends, assembler.progressAppends,
 		assembler.orders, assembler.polls, assembler.serviceCalls, assembler.answers,
+		assembler.clients.Operations(), assembler.healthChecks.Operations(), assembler.scrapes.Operations(),
 	}
 }
 
--- a/assembler/frontend_bench_test.go
+++ b/assembler/frontend_bench_test.go
@@ -15,9 +15,11 @@
 
 	"corianderroad/authorizer"
 	"corianderroad/classifier"
+	"corianderroad/gatekeeper"
 	"corianderroad/messenger"
 	"corianderroad/platform"
 	"corianderroad/querier"
+	"corianderroad/shedder"
 )
 
 // instantBackend accepts every command at once.
@@ -41,6 +43,15 @@
 
 func (instantBackend) ObserveAnswer(string, classifier.Code, time.Duration) {}
 
+func (instantBackend) ObserveShed(string, shedder.Reason) {}
+
+func (instantBackend) ObservePressure(string, shedder.PressureChanged) {}
+
+// newTestGatekeeper returns a gatekeeper whose limits no test reaches.
+func newTestGatekeeper() *gatekeeper.Gatekeeper {
+	return gatekeeper.New("test", shedder.Limits{Memory: 1 << 30, Connections: 1 << 10}, instantBackend{}, time.Now)
+}
+
 // BenchmarkSubmission measures what the front end costs for a job, with connections that
 // are used again and with a connection for each job. cpu-ns/op includes the client.
 func BenchmarkSubmission(b *testing.B) {
@@ -48,7 +59,7 @@
 		for _, reuse := range []bool{true, false} {
 			b.Run(fmt.Sprintf("padding=%d/reuse=%t", bodyBytes, reuse), func(b *testing.B) {
 				backend := instantBackend{}
-				frontEnd := &platform.FrontEnd{Authorizer: backend, Commands: backend, Queries: backend, Journal: backend, Observer: backend, Clock: time.Now}
+				frontEnd := &platform.FrontEnd{Authorizer: backend, Commands: backend, Queries: backend, Journal: backend, Observer: backend, Callers: callerFinder{}, Decoder: platform.NewJobDecoder(), Clock: time.Now}
 				address := serveForBenchmark(b, frontEnd)
 				body := `{"spec":"text","steps":[{"count":1,"cpu":100,"estimateMs":10}]}` + strings.Repeat(" ", bodyBytes)
 				text := []byte(fmt.Sprintf("POST /q/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: h\r\nAuthorization: Token key\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
@@ -103,7 +114,9 @@
 		b.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	server := newServer(netip.AddrPort{}, handler)
+	keeper := newTestGatekeeper()
+	go func() { _ = keeper.Run(ctx) }()
+	server := newServer(netip.AddrPort{}, keeper, handler)
 	ended := make(chan struct{})
 	go func() {
 		_ = server.serve(ctx, listener)
--- a/assembler/httpserver.go
+++ b/assembler/httpserver.go
@@ -11,9 +11,9 @@
 
 	"corianderroad/authorizer"
 	"corianderroad/classifier"
+	"corianderroad/gatekeeper"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
-	"corianderroad/watcher"
 )
 
 // Limits of the HTTP servers.
@@ -41,12 +41,14 @@
 
 // httpServer is an HTTP server with its address.
 type httpServer struct {
-	address netip.AddrPort
-	server  *http.Server
+	address    netip.AddrPort
+	gatekeeper *gatekeeper.Gatekeeper
+	server     *http.Server
 }
 
-func newServer(address netip.AddrPort, handler http.Handler) *httpServer {
-	return &httpServer{address, &http.Server{
+func newServer(address netip.AddrPort, keeper *gatekeeper.Gatekeeper, handler http.Handler) *httpServer {
+	return &httpServer{address, keeper, &http.Server{
+		ConnContext: gatekeeper.ConnContext, ConnState: gatekeeper.ConnState,
 		Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, IdleTimeout: idleTimeout,
 	}}
 }
@@ -54,17 +56,17 @@
 // servers returns the HTTP servers of this node. The first one serves clients.
 func (assembler *Assembler) servers() []*httpServer {
 	servers := []*httpServer{
-		newServer(assembler.settings.FrontEnd, assembler.frontEnd),
-		newServer(assembler.settings.Readiness, http.HandlerFunc(assembler.serveReadiness)),
+		newServer(assembler.settings.FrontEnd, assembler.clients, assembler.frontEnd),
+		newServer(assembler.settings.Readiness, assembler.healthChecks, http.HandlerFunc(assembler.serveReadiness)),
 	}
 	if assembler.settings.Metrics.IsValid() {
-		servers = append(servers, newServer(assembler.settings.Metrics, assembler.exporter.Handler()))
+		servers = append(servers, newServer(assembler.settings.Metrics, assembler.scrapes, assembler.exporter.Handler()))
 	}
 	return servers
 }
 
 func (httpServer *httpServer) run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", httpServer.address.String())
+	listener, err := gatekeeper.Listen(ctx, httpServer.address)
 	if err != nil {
 		return classifier.New(classifier.InvalidSettings, "listen: %v", err)
 	}
@@ -75,7 +77,7 @@
 func (httpServer *httpServer) serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = httpServer.server.Close() })
 	defer stop()
-	if err := httpServer.server.Serve(watcher.NewListener(listener, writeStallTimeout)); !errors.Is(err, http.ErrServerClosed) {
+	if err := httpServer.server.Serve(httpServer.gatekeeper.NewListener(listener, writeStallTimeout)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve HTTP")
 	}
 	<-ctx.Done()
--- a/assembler/httpserver_test.go
+++ b/assembler/httpserver_test.go
@@ -20,13 +20,15 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		var ended time.Time
-		server := newServer(netip.AddrPort{}, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		keeper := newTestGatekeeper()
+		server := newServer(netip.AddrPort{}, keeper, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 			_, _ = writer.Write(make([]byte, 1<<20))
 			ended = time.Now()
 		}))
 		link := throttler.New(1 << 30)
 		ctx, cancel := context.WithCancel(context.Background())
 		var group sync.WaitGroup
+		group.Go(func() { _ = keeper.Run(ctx) })
 		group.Go(func() { _ = server.serve(ctx, link) })
 		caller, err := link.Dial(ctx, netip.AddrPort{})
 		c.Assert(err, quicktest.IsNil)
--- a/classifier/code.go
+++ b/classifier/code.go
@@ -31,6 +31,7 @@
 	TooManyCalls        Code = 304
 	QuotaExceeded       Code = 305
 	RateLimited         Code = 306
+	MemoryShort         Code = 307
 	NoMinion            Code = 401
 	LogUnavailable      Code = 402
 	Leaving             Code = 403
--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -42,6 +42,11 @@
 // SetFlags implements subcommands.Command.
 func (enter *enter) SetFlags(flags *flag.FlagSet) {
 	features := &enter.options.Features
+	clients := &enter.options.Clients
+	flags.Var((*byteSize)(&clients.Memory), "client-memory", "limit of the memory for bodies and decoded jobs of clients, with a unit (24MiB); default an eighth of limits.memoryMb")
+	flags.IntVar(&clients.Connections, "client-connections", 0, "limit of the connections of clients; default by limits.memoryMb and limits.maxFds")
+	flags.IntVar(&clients.ReadinessConnections, "readiness-connections", 0, "limit of the connections of health checks; default 32")
+	flags.IntVar(&clients.MetricsConnections, "metrics-connections", 0, "limit of the connections that read metrics; default 16")
 	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
 	flags.BoolVar(&features.MinionProfiles, "minion-profiles", false, "rank minions by what they did with earlier runs")
@@ -56,6 +61,9 @@
 	if err != nil {
 		return connector.Fail(err, false)
 	}
+	if _, err := enter.options.Clients.Complete(settings); err != nil {
+		return connector.Fail(err, false)
+	}
 	if os.Getenv("GOMEMLIMIT") == "" && settings.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryMB) * (1 << 20)))
 	}
--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -39,6 +39,7 @@
 	bytes       *prometheus.CounterVec
 	io          *prometheus.CounterVec
 	storeBytes  *prometheus.CounterVec
+	shed        *prometheus.CounterVec
 	answers     *prometheus.HistogramVec
 }
 
@@ -59,12 +60,13 @@
 		bytes:       counter("peer_bytes_total", "Bytes of frames by peer, its region and direction.", "peer", "region", "direction"),
 		io:          counter("io_events_total", "Events of I/O duties by kind and result.", "kind", "result"),
 		storeBytes:  counter("store_bytes_total", "Bytes of the store's answers by topic and result.", "topic", "result"),
+		shed:        counter("clients_shed_total", "Clients that were turned away, by listener and reason.", "listener", "reason"),
 	}
 	exporter.answers = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "answer_seconds", Help: "Time to answer a request, by its kind and result.",
 		Buckets: prometheus.ExponentialBuckets(minAnswerTime, 2, answerBuckets),
 	}, []string{"kind", "result"})
-	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.crashes, exporter.bytes, exporter.io, exporter.storeBytes,
+	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.crashes, exporter.bytes, exporter.io, exporter.storeBytes, exporter.shed,
 		newRingCollector(rings), newGaugeCollector(gauges),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return exporter
@@ -74,9 +76,12 @@
 	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 }
 
+// maxScrapes limits the scrapes at the same time, each of which needs some hundred KB.
+const maxScrapes = 4
+
 // Handler returns the handler of /metrics.
 func (exporter *Exporter) Handler() http.Handler {
-	return promhttp.HandlerFor(exporter.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(exporter.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // CountRefusal counts a refusal at this node's client listener.
@@ -109,6 +114,11 @@
 	exporter.io.WithLabelValues(kind, result).Inc()
 }
 
+// CountShed counts a client that was turned away at a listener, by the reason's name.
+func (exporter *Exporter) CountShed(listener, reason string) {
+	exporter.shed.WithLabelValues(listener, reason).Inc()
+}
+
 // CountStoreBytes counts the bytes of an answer of the store. Those of an
 // incomplete answer were received in vain.
 func (exporter *Exporter) CountStoreBytes(topic identifier.Topic, complete bool, bytes int) {
--- /dev/null
+++ b/gatekeeper/conn.go
@@ -0,0 +1,116 @@
+package gatekeeper
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"corianderroad/classifier"
+	"corianderroad/identifier"
+	"corianderroad/shedder"
+)
+
+// Conn is an admitted connection. The goroutine that serves it counts its progress in
+// atomic values, which the gatekeeper reads only when it has to choose whom to close. A
+// message for each read would cost more than the read.
+type Conn struct {
+	net.Conn
+	id         shedder.Connection
+	gatekeeper *Gatekeeper
+	// progressAt is when bytes were last received or sent, in nanoseconds since 1970.
+	progressAt atomic.Int64
+	isBusy     atomic.Bool
+	// workspace is that of the newest request. Only the serving goroutine uses it.
+	workspace identifier.Workspace
+}
+
+// Read implements net.Conn.
+func (conn *Conn) Read(target []byte) (int, error) {
+	count, err := conn.Conn.Read(target)
+	if count > 0 {
+		conn.recordProgress()
+	}
+	return count, err
+}
+
+// Write implements net.Conn.
+func (conn *Conn) Write(content []byte) (int, error) {
+	count, err := conn.Conn.Write(content)
+	if count > 0 {
+		conn.recordProgress()
+	}
+	return count, err
+}
+
+func (conn *Conn) recordProgress() { conn.progressAt.Store(conn.gatekeeper.clock().UnixNano()) }
+
+func (conn *Conn) sample() shedder.Sample {
+	return shedder.Sample{ProgressAt: time.Unix(0, conn.progressAt.Load()), IsBusy: conn.isBusy.Load()}
+}
+
+// SetBusy says whether the node works on a request of the connection.
+func (conn *Conn) SetBusy(isBusy bool) { conn.isBusy.Store(isBusy) }
+
+// Identify says for which workspace a request of the connection was authorized.
+func (conn *Conn) Identify(workspace identifier.Workspace) {
+	if conn.workspace != workspace {
+		conn.workspace = workspace
+		conn.tell(shedder.Identified{Connection: conn.id, Workspace: workspace})
+	}
+}
+
+// Reserve waits for memory for the request of the connection. If it is refused, the rest
+// of the request is not read.
+func (conn *Conn) Reserve(bytes int64) *classifier.Error {
+	err := conn.ask(shedder.MemoryRequested{Connection: conn.id, Bytes: bytes})
+	if err != nil {
+		_ = conn.SetReadDeadline(time.Unix(1, 0)) // fails only if the connection is closed
+	}
+	return err
+}
+
+// Release returns reserved memory.
+func (conn *Conn) Release(bytes int64) {
+	conn.tell(shedder.MemoryReleased{Connection: conn.id, Bytes: bytes})
+}
+
+// AllowRead sets the time within which the next part of a body must arrive.
+func (conn *Conn) AllowRead(timeout time.Duration) {
+	_ = conn.SetReadDeadline(time.Now().Add(timeout)) // fails only if the connection is closed
+}
+
+// tell passes on an event without an answer.
+func (conn *Conn) tell(event shedder.Event) {
+	_ = conn.gatekeeper.operations.Put(conn.gatekeeper.running, operation{event: event, connection: conn}) // fails only after Run
+}
+
+// ask passes on an event and waits for the answer, which the shedder gives within a
+// bounded time.
+func (conn *Conn) ask(event shedder.Event) *classifier.Error {
+	reply := make(chan *classifier.Error, 1)
+	running := conn.gatekeeper.running
+	if err := conn.gatekeeper.operations.Put(running, operation{event, conn, reply}); err == nil {
+		select {
+		case err := <-reply:
+			return err
+		case <-running.Done():
+		}
+	}
+	return classifier.New(classifier.Leaving, "the node has stopped").WithRetryAfter(RetryDelay)
+}
+
+type contextKey struct{}
+
+// ConnContext implements the hook of http.Server, so that FromContext finds the
+// connection of a request.
+func ConnContext(ctx context.Context, connection net.Conn) context.Context {
+	return context.WithValue(ctx, contextKey{}, connection)
+}
+
+// FromContext returns the connection of a request, nil if it was not admitted by a
+// Gatekeeper.
+func FromContext(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(contextKey{}).(*Conn)
+	return conn
+}
