--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"corianderroad/buffer"
@@ -38,6 +39,10 @@
 	clock      runner.Clock
 	operations *buffer.Ring[operation]
 	queries    *buffer.Ring[runner.QueryRequest]
+	// open is at least the number of connections that the shedder has.
+	open atomic.Int64
+	// unlimited is the number of connections up to which each is admitted.
+	unlimited int64
 	// running ends with Run. Nobody waits for an answer afterwards.
 	running context.Context
 	end     context.CancelFunc
@@ -72,6 +77,7 @@
 	gatekeeper := &Gatekeeper{
 		name: name, observer: observer, clock: clock, connections: make(connections),
 		operations: buffer.New[operation](name+"-operations", operationCapacity),
+		unlimited:  int64(limits.Connections / 2),
 		queries:    buffer.New[runner.QueryRequest](name+"-queries", queryCapacity),
 	}
 	gatekeeper.shedder = shedder.New(limits, gatekeeper.connections)
@@ -192,5 +198,6 @@
 func ConnState(connection net.Conn, state http.ConnState) {
 	if conn, ok := connection.(*Conn); ok && state == http.StateClosed {
 		conn.tell(shedder.Closed{Connection: conn.id})
+		conn.gatekeeper.open.Add(-1)
 	}
 }
--- a/gatekeeper/listener.go
+++ b/gatekeeper/listener.go
@@ -18,6 +18,7 @@
 const (
 	receiveBufferBytes = 16 << 10
 	sendBufferBytes    = 16 << 10
+	backlog            = 128 // connections
 )
 
 // Listen returns a listener for clients whose connections have small receive buffers. The
@@ -33,7 +34,27 @@
 		}
 		return failure
 	}}
-	return config.Listen(ctx, "tcp", address.String())
+	listener, err := config.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return listener, shortenBacklog(listener)
+}
+
+// shortenBacklog limits the connections that wait to be accepted, for each of which the
+// kernel keeps what it has received. Package net asks for the system's maximum. Linux
+// ignores connections beyond the limit, and the client tries again after a second.
+func shortenBacklog(listener net.Listener) error {
+	raw, err := listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	err = raw.Control(func(descriptor uintptr) { failure = unix.Listen(int(descriptor), backlog) })
+	if err != nil {
+		return err
+	}
+	return failure
 }
 
 // Listener accepts the connections that its gatekeeper admits. Writes to them fail when
@@ -62,7 +83,8 @@
 		listener.latest++
 		conn := &Conn{Conn: watcher.NewConn(accepted, listener.stallTimeout), id: listener.latest, gatekeeper: listener.gatekeeper}
 		conn.recordProgress()
-		if conn.ask(shedder.Opened{Connection: conn.id}) != nil {
+		if !conn.isAdmitted() {
+			listener.gatekeeper.open.Add(-1)
 			_ = accepted.Close() // nothing was read
 			continue
 		}
@@ -72,3 +94,14 @@
 		return conn, nil
 	}
 }
+
+// isAdmitted reports whether the gatekeeper admits a connection. While there are few, it
+// does so without waiting for the answer, which would cost more than the rest.
+func (conn *Conn) isAdmitted() bool {
+	opened := shedder.Opened{Connection: conn.id}
+	if conn.gatekeeper.open.Add(1) <= conn.gatekeeper.unlimited {
+		conn.tell(opened)
+		return true
+	}
+	return conn.ask(opened) == nil
+}
--- a/shedder/connection.go
+++ b/shedder/connection.go
@@ -69,11 +69,13 @@
 	return 1
 }
 
-// sortedGroups returns the workspaces with clients, the largest first.
+// sortedGroups returns the workspaces whose size is not 0, the largest first.
 func (shedder *Shedder) sortedGroups(size func(group *group) int64) []identifier.Workspace {
 	workspaces := make([]identifier.Workspace, 0, len(shedder.groups))
-	for workspace := range shedder.groups {
-		workspaces = append(workspaces, workspace)
+	for workspace, group := range shedder.groups {
+		if size(group) > 0 {
+			workspaces = append(workspaces, workspace)
+		}
 	}
 	slices.SortFunc(workspaces, func(a, b identifier.Workspace) int {
 		return cmp.Or(cmp.Compare(size(shedder.groups[b]), size(shedder.groups[a])), cmp.Compare(a, b))
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -91,7 +91,8 @@
 
 // group is what the clients of one workspace use. Clients without a key are a group too.
 type group struct {
-	connections int
+	members     int
+	connections int // members that are not closed
 	held        int64
 }
 
@@ -167,6 +168,7 @@
 		joined = &group{}
 		shedder.groups[client.workspace] = joined
 	}
+	joined.members++
 	if !client.isClosing {
 		joined.connections++
 	}
@@ -175,11 +177,12 @@
 
 func (shedder *Shedder) leaveGroup(client *client) {
 	left := shedder.groups[client.workspace]
+	left.members--
 	if !client.isClosing {
 		left.connections--
 	}
 	left.held -= client.held
-	if left.connections == 0 && left.held == 0 {
+	if left.members == 0 {
 		delete(shedder.groups, client.workspace)
 	}
 }
