--- a/assembler/clients.go
+++ b/assembler/clients.go
@@ -28,6 +28,8 @@
 	// Shares of the machine's memory, in eighths. The rest is for the state of the node
 	// and for garbage.
 	connectionEighths, bodyEighths, eighths = 3, 1, 8
+	// Share of the memory that the flags may give to clients, in quarters.
+	maxClientQuarters, quarters = 3, 4
 	// reservedDescriptors are kept for files.
 	reservedDescriptors = 200
 	// Share of the other descriptors, in tenths. The holder needs the rest for minions.
@@ -69,6 +71,10 @@
 	if limits.Memory < minClientMemory || limits.Memory > memory/2 {
 		return classifier.New(classifier.InvalidSettings, "client-memory: %d bytes, %d to %d are allowed, half of limits.memoryMb", limits.Memory, minClientMemory, memory/2)
 	}
+	if needed := limits.Memory + int64(limits.Connections)*connectionBytes; needed > memory*maxClientQuarters/quarters {
+		return classifier.New(classifier.InvalidSettings, "client-memory and client-connections: %d bytes with %d for each connection, at most three quarters of limits.memoryMb are allowed",
+			needed, connectionBytes)
+	}
 	for _, field := range []struct {
 		name  string
 		value int
--- a/assembler/clients_test.go
+++ b/assembler/clients_test.go
@@ -34,7 +34,7 @@
 	c := quicktest.New(t)
 	machine := &platform.Settings{MemoryMB: 184, Descriptors: 4100}
 	for _, limits := range []assembler.ClientLimits{
-		{Memory: 100 << 20}, {Memory: 1}, {Memory: -1}, {Connections: 4000}, {Connections: 1}, {ReadinessConnections: -1}, {MetricsConnections: 1},
+		{Memory: 100 << 20}, {Memory: 1}, {Memory: -1}, {Connections: 4000}, {Connections: 1400}, {Connections: 1}, {ReadinessConnections: -1}, {MetricsConnections: 1},
 	} {
 		_, err := limits.Complete(machine)
 		c.Check(classifier.CodeOf(err), quicktest.Equals, classifier.InvalidSettings, quicktest.Commentf("%+v", limits))
--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -19,7 +19,9 @@
 )
 
 // memoryLimitFraction is the fraction of the VM's memory that is set as the
-// runtime's soft limit, above which garbage is collected more often.
+// runtime's soft limit, above which garbage is collected more often. It covers the
+// memory of clients and its garbage, but not the kernel's buffers of their connections,
+// which take a quarter by default (assembler.ClientLimits), and the program itself.
 const memoryLimitFraction = 0.6
 
 // enter is the subcommand that runs an entry VM on the users' platform. On SIGTERM
--- a/cmd/corianderroad/intruder/crowd_test.go
+++ b/cmd/corianderroad/intruder/crowd_test.go
@@ -62,7 +62,7 @@
 	crowd.group.Wait()
 }
 
-// dial connects from a local address that no node listens on. It returns nil if the
+// dial connects from a local address of the crowds. It returns nil if the
 // process does not accept the connection.
 func dial(ctx context.Context, address netip.AddrPort) net.Conn {
 	dialer := net.Dialer{Timeout: sendTimeout, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
--- a/cmd/corianderroad/intruder/intruder_test.go
+++ b/cmd/corianderroad/intruder/intruder_test.go
@@ -20,7 +20,7 @@
 	node.awaitAnswer(firstKey)
 	crowd.dismiss()
 	node.awaitAnswer(firstKey)
-	node.checkLimits()
+	node.checkLimits(node.sampler.awaitSample())
 }
 
 // TestUnfinishedBodiesWithLength guards against memory that grows with the bodies of
@@ -88,7 +88,7 @@
 		gather(c, node.front, crowdSize, func(int) []string { return []string{post(firstKey, "Content-Length: 9")} }).dismiss()
 	}
 	node.awaitAnswer(firstKey)
-	node.checkLimits()
+	node.checkLimits(node.sampler.awaitSample())
 }
 
 // TestCrowdOnReadinessAndMetrics guards against health checks that fail, and descriptors
@@ -115,7 +115,7 @@
 		})
 	}
 	node.awaitAnswer(firstKey)
-	node.checkLimits()
+	node.checkLimits(node.sampler.awaitSample())
 }
 
 // TestCrowdWhileTheNodeStops guards against a stopping node that a crowd makes exceed its
@@ -127,8 +127,7 @@
 	c.Assert(node.command.Process.Signal(syscall.SIGTERM), quicktest.IsNil)
 	gather(c, node.front, crowdSize/2, unfinished(firstKey))
 	c.Assert(<-node.ended, quicktest.IsNil)
-	node.endSampling()
-	node.checkLimits()
+	node.checkLimits(node.endSampling())
 	node.start()
 	node.awaitAnswer(firstKey)
 }
@@ -145,7 +144,7 @@
 	holder.kill()
 	node.await("the node is the holder", node.isHolder)
 	node.awaitAnswer(firstKey)
-	node.checkLimits()
+	node.checkLimits(node.sampler.awaitSample())
 }
 
 func (node *node) isHolder(ctx context.Context) bool {
@@ -162,7 +161,7 @@
 	gather(c, node.front, crowdSize, unfinished(firstKey))
 	store.SetFaults(0, false)
 	node.awaitAnswer(firstKey)
-	node.checkLimits()
+	node.checkLimits(node.sampler.awaitSample())
 }
 
 // TestCrowdOfOneKey guards against a crowd that shuts out the callers with another key.
@@ -171,5 +170,5 @@
 	node := newNode(c, newStore(c), "n1")
 	gather(c, node.front, crowdSize, unfinished(firstKey))
 	node.awaitAnswer(secondKey)
-	node.checkLimits()
+	node.checkLimits(node.sampler.awaitSample())
 }
--- a/cmd/corianderroad/intruder/measure_test.go
+++ b/cmd/corianderroad/intruder/measure_test.go
@@ -14,19 +14,21 @@
 // sampleInterval is the time between two samples of what the kernel holds.
 const sampleInterval = 50 * time.Millisecond
 
-// sampler records the largest values of what a process and the kernel hold for it. Only its
-// goroutine writes them until run returns.
+// peaks are the largest values of what a process and the kernel hold for it.
+type peaks struct{ resident, kernel, openFiles int64 }
+
+// sampler records the peaks of a process. Only its goroutine uses them until it has ended.
 type sampler struct {
-	node                        *node
-	process                     int
-	requests                    chan chan struct{} // a request is answered after a further sample
-	stop, ended                 chan struct{}
-	resident, kernel, openFiles int64
+	node        *node
+	process     int
+	requests    chan chan<- peaks // a request is answered after a further sample
+	stop, ended chan struct{}
+	peaks       peaks
 }
 
 func newSampler(node *node) *sampler {
 	sampler := &sampler{
-		node: node, process: node.command.Process.Pid, requests: make(chan chan struct{}),
+		node: node, process: node.command.Process.Pid, requests: make(chan chan<- peaks),
 		stop: make(chan struct{}), ended: make(chan struct{}),
 	}
 	go sampler.run()
@@ -38,7 +40,7 @@
 	ticker := time.NewTicker(sampleInterval)
 	defer ticker.Stop()
 	for {
-		var answer chan struct{}
+		var answer chan<- peaks
 		select {
 		case <-sampler.stop:
 			return
@@ -47,30 +49,33 @@
 		}
 		sampler.sample()
 		if answer != nil {
-			close(answer)
+			answer <- sampler.peaks
 		}
 	}
 }
 
 // sample takes one sample. The peak of the resident memory is counted by the kernel.
 func (sampler *sampler) sample() {
-	sampler.resident = max(sampler.resident, peakMemory(sampler.process))
-	sampler.kernel = max(sampler.kernel, sampler.node.kernelBytes())
+	peaks := &sampler.peaks
+	peaks.resident = max(peaks.resident, peakMemory(sampler.process))
+	peaks.kernel = max(peaks.kernel, sampler.node.kernelBytes())
 	if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", sampler.process)); err == nil {
-		sampler.openFiles = max(sampler.openFiles, int64(len(files)))
+		peaks.openFiles = max(peaks.openFiles, int64(len(files)))
 	}
 }
 
-// awaitSample returns after a further sample.
-func (sampler *sampler) awaitSample() {
-	answer := make(chan struct{})
+// awaitSample takes a further sample and returns the peaks.
+func (sampler *sampler) awaitSample() peaks {
+	answer := make(chan peaks, 1)
 	sampler.requests <- answer
-	<-answer
+	return <-answer
 }
 
-func (sampler *sampler) close() {
+// close ends the samples and returns the peaks.
+func (sampler *sampler) close() peaks {
 	close(sampler.stop)
 	<-sampler.ended
+	return sampler.peaks
 }
 
 var peakPattern = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
@@ -104,7 +109,7 @@
 	}
 	ports := map[string]bool{}
 	for _, port := range []uint16{node.front.Port(), node.readiness.Port(), node.metrics.Port()} {
-		ports[fmt.Sprintf("0100007F:%04X", port)] = true
+		ports[fmt.Sprintf("0300007F:%04X", port)] = true
 	}
 	bytes := int64(0)
 	for line := range strings.Lines(string(table)) {
@@ -120,15 +125,11 @@
 	return bytes
 }
 
-// checkLimits checks the peaks of memory and descriptors against the limits in the settings.
-func (node *node) checkLimits() {
-	if node.command != nil {
-		node.sampler.awaitSample()
-	}
-	sampler := node.sampler
-	figures := quicktest.Commentf("resident %d kB, held by the kernel %d kB, %d descriptors", sampler.resident>>10, sampler.kernel>>10, sampler.openFiles)
+// checkLimits checks peaks of memory and descriptors against the limits in the settings.
+func (node *node) checkLimits(peaks peaks) {
+	figures := quicktest.Commentf("resident %d kB, held by the kernel %d kB, %d descriptors", peaks.resident>>10, peaks.kernel>>10, peaks.openFiles)
 	node.c.Logf("peaks: %s", figures)
-	node.c.Check(sampler.resident > 0, quicktest.IsTrue)
-	node.c.Check(sampler.resident+sampler.kernel <= int64(memoryMB)<<20, quicktest.IsTrue, figures)
-	node.c.Check(sampler.openFiles <= int64(descriptors), quicktest.IsTrue, figures)
+	node.c.Check(peaks.resident > 0, quicktest.IsTrue)
+	node.c.Check(peaks.resident+peaks.kernel <= int64(memoryMB)<<20, quicktest.IsTrue, figures)
+	node.c.Check(peaks.openFiles <= int64(descriptors), quicktest.IsTrue, figures)
 }
--- a/cmd/corianderroad/intruder/stage_test.go
+++ b/cmd/corianderroad/intruder/stage_test.go
@@ -96,18 +96,26 @@
 	return store
 }
 
-// freeAddress returns a loopback address on which no process listens. Crowds use another
-// local address, so that they do not take it.
-func freeAddress(c *quicktest.C) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, quicktest.IsNil)
-	defer func() { c.Check(listener.Close(), quicktest.IsNil) }()
-	return netip.MustParseAddrPort(listener.Addr().String())
+// nodeIP is the local address of the nodes. No connection begins there, so that none takes
+// a port of a node that does not listen yet.
+var nodeIP = netip.AddrFrom4([4]byte{127, 0, 0, 3})
+
+// freeAddresses returns different addresses on which no process listens.
+func freeAddresses(c *quicktest.C, count int) []netip.AddrPort {
+	var addresses []netip.AddrPort
+	for range count {
+		listener, err := net.Listen("tcp", netip.AddrPortFrom(nodeIP, 0).String())
+		c.Assert(err, quicktest.IsNil)
+		defer func() { c.Check(listener.Close(), quicktest.IsNil) }()
+		addresses = append(addresses, netip.MustParseAddrPort(listener.Addr().String()))
+	}
+	return addresses
 }
 
 // newNode writes the settings of a node and starts it.
 func newNode(c *quicktest.C, store *imitator.Imitator, name string) *node {
-	node := &node{c: c, front: freeAddress(c), readiness: freeAddress(c), metrics: freeAddress(c)}
+	addresses := freeAddresses(c, 3)
+	node := &node{c: c, front: addresses[0], readiness: addresses[1], metrics: addresses[2]}
 	encoded, err := json.Marshal(map[string]any{
 		"nodeName": name, "zone": "a", "region": "r",
 		"listen":    map[string]string{"front": node.front.String(), "readiness": node.readiness.String()},
@@ -147,9 +155,10 @@
 	}
 }
 
-func (node *node) endSampling() {
-	node.sampler.close()
+// endSampling returns the peaks of a process that has ended.
+func (node *node) endSampling() peaks {
 	node.command = nil
+	return node.sampler.close()
 }
 
 // await repeats a check until it succeeds.
@@ -170,8 +179,10 @@
 
 // awaitAnswer sends an ordinary job until it is accepted.
 func (node *node) awaitAnswer(key string) {
-	path := "/q/" + newJobID()
+	path, attempts := "/q/"+newJobID(), 0
+	defer func() { node.c.Logf("accepted at attempt %d", attempts) }()
 	node.await("an ordinary job is accepted", func(ctx context.Context) bool {
+		attempts++
 		status, _ := call(ctx, node.front, http.MethodPost, path, key, `{"spec":"text","steps":[{"count":1,"cpu":100,"estimateMs":10}]}`)
 		return status == http.StatusOK
 	})
