Test that no workspace loses connections to a larger one

Cause: two mutations of the shedder that ignore the equal shares of workspaces passed its tests.

Change: the property test checks the share of each closed connection's workspace, and a test covers a crowd whose requests are worked on. The gatekeeper has the methods of a ring, as waiter has.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -129,7 +129,7 @@
 		assembler.claims, assembler.entries, assembler.plans, assembler.claimQueries, assembler.jobQueries,
 		assembler.planQueries, assembler.claimAppends, assembler.entryAppends, assembler.progressAppends,
 		assembler.orders, assembler.polls, assembler.serviceCalls, assembler.answers,
-		assembler.clients.Operations(), assembler.healthChecks.Operations(), assembler.scrapes.Operations(),
+		assembler.clients, assembler.healthChecks, assembler.scrapes,
 	}
 }
 
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -88,14 +88,15 @@
 // Queries returns the ring of queries for the gauges.
 func (gatekeeper *Gatekeeper) Queries() *buffer.Ring[runner.QueryRequest] { return gatekeeper.queries }
 
-// Operations returns the ring of operations.
-func (gatekeeper *Gatekeeper) Operations() interface {
-	Name() string
-	Depth() int
-	Refused() uint64
-} {
-	return gatekeeper.operations
-}
+// Name returns the name of the ring of operations.
+func (gatekeeper *Gatekeeper) Name() string { return gatekeeper.operations.Name() }
+
+// Depth returns the number of operations in the ring.
+func (gatekeeper *Gatekeeper) Depth() int { return gatekeeper.operations.Depth() }
+
+// Refused returns how often the ring has refused an operation. Those who add operations
+// wait instead, so that it is 0.
+func (gatekeeper *Gatekeeper) Refused() uint64 { return gatekeeper.operations.Refused() }
 
 // Run applies operations until the context ends.
 func (gatekeeper *Gatekeeper) Run(ctx context.Context) error {
--- a/shedder/invariants_test.go
+++ b/shedder/invariants_test.go
@@ -36,6 +36,7 @@
 
 // apply applies an event and checks that each action is allowed.
 func (model *model) apply(event shedder.Event) {
+	connections := model.connections()
 	for _, action := range model.Step(model.now, event) {
 		switch action := action.(type) {
 		case shedder.Admit:
@@ -50,6 +51,11 @@
 			if model.closing[action.Connection] || model.samples[action.Connection].IsBusy && action.Reason != shedder.IdleConnection {
 				model.t.Fatalf("connection %d is closed (%s)", action.Connection, action.Reason)
 			}
+			if action.Reason == shedder.IdleConnection {
+				model.checkShare(action.Connection, connections, connectionLimit)
+			} else {
+				model.checkShare(action.Connection, model.memory(), memoryLimit)
+			}
 			delete(model.requested, action.Connection)
 			model.closing[action.Connection] = true
 		}
@@ -57,6 +63,40 @@
 	model.check()
 }
 
+// connections returns the number of open connections of each workspace.
+func (model *model) connections() map[identifier.Workspace]int64 {
+	counts := make(map[identifier.Workspace]int64)
+	for id, workspace := range model.open {
+		if !model.closing[id] {
+			counts[workspace]++
+		}
+	}
+	return counts
+}
+
+// memory returns what each workspace holds.
+func (model *model) memory() map[identifier.Workspace]int64 {
+	sums := make(map[identifier.Workspace]int64)
+	for id, held := range model.held {
+		if held > 0 {
+			sums[model.open[id]] += held
+		}
+	}
+	return sums
+}
+
+// checkShare checks that a connection is not closed for others while its workspace uses
+// less than another one and less than an equal share.
+func (model *model) checkShare(id shedder.Connection, uses map[identifier.Workspace]int64, limit int64) {
+	use, largest := uses[model.open[id]], int64(0)
+	for _, other := range uses {
+		largest = max(largest, other)
+	}
+	if use < largest && use*int64(len(uses)) < limit {
+		model.t.Fatalf("connection %d of workspace %q is closed, which uses %d of %v", id, model.open[id], use, uses)
+	}
+}
+
 // finish checks that a connection waits for an answer.
 func (model *model) finish(id shedder.Connection) {
 	if _, ok := model.requested[id]; !ok {
@@ -143,8 +183,9 @@
 	}
 }
 
-// TestLimitsHoldUnderAnyLoad guards against sums above the limits, requests for memory
-// without an answer or with two, and ticks that follow each other without a pause.
+// TestLimitsHoldUnderAnyLoad guards against sums above the limits, workspaces that lose
+// connections to a larger one, requests for memory without an answer or with two, and
+// ticks that follow each other without a pause.
 func TestLimitsHoldUnderAnyLoad(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		model := &model{
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -167,6 +167,24 @@
 	c.Assert(scene.open(19, "w"), quicktest.HasLen, 2)
 }
 
+// TestBusyCrowdTakesNoConnections guards against a crowd whose requests are worked on and
+// that replaces the connections of another workspace one by one.
+func TestBusyCrowdTakesNoConnections(t *testing.T) {
+	c := quicktest.New(t)
+	scene := newScene(100, 16)
+	for id := range shedder.Connection(16) {
+		workspace := identifier.Workspace("crowd")
+		if id < 4 {
+			workspace = "ordinary"
+		}
+		scene.open(id, workspace)
+		scene.samples[id] = shedder.Sample{ProgressAt: scene.now, IsBusy: id >= 4}
+	}
+	c.Assert(scene.step(shedder.Opened{Connection: 16}), quicktest.DeepEquals, []shedder.Action{shedder.Refuse{Connection: 16, Reason: shedder.ConnectionLimit}})
+	scene.now = scene.now.Add(2 * time.Second)
+	c.Assert(scene.step(shedder.Opened{Connection: 17}), quicktest.DeepEquals, []shedder.Action{shedder.Close{Connection: 4, Reason: shedder.IdleConnection}, shedder.Admit{Connection: 17}})
+}
+
 // TestPressureIsReportedOnce guards against a log line for each client that is turned away.
 func TestPressureIsReportedOnce(t *testing.T) {
 	c := quicktest.New(t)
