Move no run out of an evacuated domain that would then wait for its rack

Cause: the search for capacity elsewhere ignored the rack of a step's data, and the rack that its tasks share. The pass that starts the task again requires that rack while the pool is crowded, and for 2 s otherwise. The run was stopped, and its reservation expired unused.

Change: the search requires the rack that the next start requires. The runs of a gang no longer name its rack, because all of them end before it starts again.

Measured: TestRunThatWouldWaitForItsRackIsNotMoved had 0 of 2 tasks running 5 s after the request, and has 2. TestSameRackGangLeavesForAnotherRack fails without the rule for gangs.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -42,18 +42,24 @@
 }
 
 // requiresRack reports whether the step must run on its rack and waits until it can,
-// instead of running slowly elsewhere. A step that is late does not wait unless it is
-// long-running. No step waits for a rack that can never hold it, nor longer than
-// rackWait if it is long-running or the pool is not crowded.
+// instead of running slowly elsewhere. No step waits longer than rackWait if it is
+// long-running or the pool is not crowded.
 func (step *step) requiresRack(now time.Time, waitingStep *waitingStep, pool *pool) bool {
+	isPatient := pool.crowded && !step.spec.LongRunning
+	return (now.Sub(step.waitingSince) < rackWait || isPatient) && step.wantsRack(waitingStep, pool)
+}
+
+// wantsRack reports whether the step requires its rack at least at the beginning of its wait.
+// A step that is late does not unless it is long-running, and no step requires a rack that
+// can never hold it.
+func (step *step) wantsRack(waitingStep *waitingStep, pool *pool) bool {
 	if !step.spec.SameRack && step.spec.DataRack == "" {
 		return false
 	}
 	if waitingStep.late && !step.spec.LongRunning {
 		return false
 	}
-	isPatient := pool.crowded && !step.spec.LongRunning
-	return (now.Sub(step.waitingSince) < rackWait || isPatient) && pool.fitsOnRack(step)
+	return pool.fitsOnRack(step)
 }
 
 // maxPerMinion returns the limit on tasks of the step per minion.
@@ -120,8 +126,12 @@
 }
 
 // currentRack returns the rack on which tasks of the step already run. A rack of an evacuated
-// domain does not count, because no task can join them there.
+// domain does not count, because no task can join them there. The members of a gang start
+// together, so that none joins a run.
 func (step *step) currentRack() identifier.Rack {
+	if step.spec.Gang {
+		return ""
+	}
 	for index := range step.tasks {
 		if run := step.tasks[index].run; run != nil && !run.minion.isEvacuated() {
 			return run.minion.rack
--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -101,7 +101,7 @@
 	if _, outdated := planner.outdatedReading(now, move.queue.Service); len(runs) == 0 || outdated || planner.reservations.has(step) {
 		return
 	}
-	waitingStep := &waitingStep{step: step, queue: move.queue, taskCount: len(runs)}
+	waitingStep := &waitingStep{step: step, queue: move.queue, taskCount: len(runs), late: now.After(step.latestStart(move.queue))}
 	for _, run := range runs {
 		waitingStep.taskIndexes = append(waitingStep.taskIndexes, run.id.Index)
 	}
@@ -154,13 +154,14 @@
 }
 
 // chooseMinionsElsewhere returns minions with free capacity for the runs. What the runs occupy
-// outside of evacuated domains counts as free, because it is free once they have ended.
+// outside of evacuated domains counts as free, because it is free once they have ended. Their
+// tasks begin to wait then, so that they would not use capacity outside of a rack that they want.
 func (planner *Planner) chooseMinionsElsewhere(waitingStep *waitingStep, pool *pool, runs []*run) []*minion {
 	request := requiredCapacity(waitingStep.step.spec)
 	for _, run := range runs {
 		run.minion.used = run.minion.used.Sub(request)
 	}
-	chosen := planner.chooseMinions(waitingStep, pool, false)
+	chosen := planner.chooseMinions(waitingStep, pool, waitingStep.step.wantsRack(waitingStep, pool))
 	for _, run := range runs {
 		run.minion.used = run.minion.used.Add(request)
 	}
--- /dev/null
+++ b/planner/evacuationrestart_test.go
@@ -0,0 +1,50 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestRunThatWouldWaitForItsRackIsNotMoved guards against a run that is stopped for an
+// evacuation, and then waits for the rack of its data instead of using the capacity for which
+// it was stopped.
+func TestRunThatWouldWaitForItsRackIsNotMoved(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvacuationSimulation(1, 1, 12)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(100 * time.Millisecond)
+	simulation.occupy("z1", "busy", time.Minute)
+	near := wholeMinions(2, time.Minute)
+	near.DataRack, near.Checkpoints = "r-1", true
+	simulation.submit(jobOf("near", near))
+	simulation.advance(4 * time.Second)
+	c.Assert(simulation.runningIn("z0", "near"), quicktest.Equals, 2)
+	simulation.evacuate("z0", true)
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.runningIn("z0", "near")+simulation.runningIn("z2", "near"), quicktest.Equals, 2)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+// TestSameRackGangLeavesForAnotherRack guards against a gang that must stay together and is not
+// moved, because one of its members is on a rack that does not hold all of them.
+func TestSameRackGangLeavesForAnotherRack(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvacuationSimulation(1, 1, 12)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(100 * time.Millisecond)
+	simulation.occupy("z2", "busy", 4*time.Second)
+	simulation.minions["m00"].unregistered, simulation.minions["m05"].unregistered = true, true
+	simulation.deliverAllReports()
+	gang := wholeMinions(4, time.Minute)
+	gang.Gang, gang.SameRack, gang.Checkpoints = true, true, true
+	simulation.submit(jobOf("a", gang))
+	simulation.advance(3 * time.Second)
+	c.Assert(simulation.runningIn("z0", "a"), quicktest.Equals, 3)
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 1)
+	simulation.evacuate("z0", true)
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.runningIn("z2", "a"), quicktest.Equals, 4)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
