Keep capacity reserved for moved runs that end later than others of their step

Cause: a step's first start removes its whole reservation. The runs that an evacuation moves end one after the other, so that the capacity reserved for the later ones was free for other jobs.

Change: a start of a moved task uses up only its own part. Reservations of reclaimed capacity and of gangs are removed with the first start as before.

Measured: in TestCapacityOfLaterMovedRunStaysReserved 1 of 2 moved tasks ran 2 s after the start of the first one beside a competing job, and both do now.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -114,7 +114,7 @@
 	for _, minion := range chosen {
 		reserved[minion] = reserved[minion].Add(requiredCapacity(step.spec))
 	}
-	planner.reservations.add(step, reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
+	planner.reservations.addForMove(step, reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
 	for _, run := range runs[:len(chosen)] {
 		planner.stopRun(now, run, stopForEvacuation, "its failure domain is evacuated")
 	}
--- a/planner/evacuationrestart_test.go
+++ b/planner/evacuationrestart_test.go
@@ -48,3 +48,26 @@
 	c.Assert(simulation.runningIn("z2", "a"), quicktest.Equals, 4)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestCapacityOfLaterMovedRunStaysReserved guards against a run that is stopped for an
+// evacuation and finds its capacity taken, because another run of its step has ended and
+// started again earlier.
+func TestCapacityOfLaterMovedRunStaysReserved(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newOccupiedSimulation(500 * time.Millisecond)
+	step := wholeMinions(2, time.Minute)
+	step.Checkpoints = true
+	simulation.submit(jobOf("a", step))
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.runningIn("z0", "a"), quicktest.Equals, 2)
+	simulation.minions["m01"].faults.delay = 150 * time.Millisecond
+	simulation.evacuate("z0", true)
+	for simulation.runningIn("z1", "a") == 0 {
+		simulation.advance(time.Millisecond)
+	}
+	simulation.submit(jobOf("b", wholeMinions(4, 30*time.Second)))
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 2)
+	c.Assert(simulation.runningIn("z1", "b"), quicktest.Equals, 2)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/place.go
+++ b/planner/place.go
@@ -42,7 +42,7 @@
 		planner.startRun(now, step, taskIndex, minion, number, step.ticket(minion))
 		pool.addUsage(minion, requiredCapacity(step.spec))
 	}
-	planner.reservations.remove(step)
+	planner.reservations.use(step, chosen)
 	return len(chosen) == waitingStep.taskCount
 }
 
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -17,6 +17,9 @@
 type reservation struct {
 	reservedCapacity map[*minion]specifier.Resources
 	until            time.Time
+	// isForMove means that the capacity is for tasks whose runs end one after the other, so that
+	// a start uses up only its own part.
+	isForMove bool
 }
 
 func (reservations *reservations) add(step *step, reservedCapacity map[*minion]specifier.Resources, until time.Time) {
@@ -29,6 +32,13 @@
 	}
 }
 
+// addForMove reserves capacity for tasks of a step whose runs are stopped for it. The members of
+// a gang start together, so that one start uses up all of it.
+func (reservations *reservations) addForMove(step *step, reservedCapacity map[*minion]specifier.Resources, until time.Time) {
+	reservations.add(step, reservedCapacity, until)
+	reservations.byStep[step].isForMove = !step.spec.Gang
+}
+
 func (reservations *reservations) has(step *step) bool { return reservations.byStep[step] != nil }
 
 func (reservations *reservations) remove(step *step) {
@@ -42,6 +52,30 @@
 	}
 }
 
+// use removes what a start of tasks of the step on the given minions needs no more of its
+// reservation.
+func (reservations *reservations) use(step *step, chosen []*minion) {
+	reservation := reservations.byStep[step]
+	if reservation == nil || !reservation.isForMove {
+		reservations.remove(step)
+		return
+	}
+	request := requiredCapacity(step.spec)
+	for _, minion := range chosen {
+		amount, exists := reservation.reservedCapacity[minion]
+		if !exists {
+			continue
+		}
+		minion.reserved = minion.reserved.Sub(request)
+		if reservation.reservedCapacity[minion] = amount.Sub(request); amount == request {
+			delete(reservation.reservedCapacity, minion)
+		}
+	}
+	if len(reservation.reservedCapacity) == 0 {
+		delete(reservations.byStep, step)
+	}
+}
+
 // release removes the parts of all reservations on a minion, and the reservations that have
 // no other part.
 func (reservations *reservations) release(minion *minion) {
