Move a gang whose own members take up its limit of tasks per minion

Cause: the search for capacity elsewhere discounted what the runs of the gang occupy, and not the runs themselves, which count against the limit of the step's tasks per minion.

Change: the search leaves the runs out altogether.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -153,17 +153,16 @@
 	return members
 }
 
-// chooseMinionsElsewhere returns minions with free capacity for the runs. What the runs occupy
-// outside of evacuated domains counts as free, because it is free once they have ended. Their
-// tasks begin to wait then, so that they would not use capacity outside of a rack that they want.
+// chooseMinionsElsewhere returns minions with free capacity for the runs. The runs themselves do
+// not count, neither for their capacity nor for the limit per minion, because they have ended by
+// the start of the next ones. Their tasks begin to wait then, so that they would not use capacity outside of a rack that they want.
 func (planner *Planner) chooseMinionsElsewhere(waitingStep *waitingStep, pool *pool, runs []*run) []*minion {
-	request := requiredCapacity(waitingStep.step.spec)
 	for _, run := range runs {
-		run.minion.used = run.minion.used.Sub(request)
+		run.minion.removeRun(run)
 	}
 	chosen := planner.chooseMinions(waitingStep, pool, waitingStep.step.wantsRack(waitingStep, pool))
 	for _, run := range runs {
-		run.minion.used = run.minion.used.Add(request)
+		run.minion.addRun(run)
 	}
 	return chosen
 }
--- a/planner/evacuationrestart_test.go
+++ b/planner/evacuationrestart_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"corianderroad/specifier"
 )
 
 // TestRunThatWouldWaitForItsRackIsNotMoved guards against a run that is stopped for an
@@ -71,3 +73,23 @@
 	c.Assert(simulation.runningIn("z1", "b"), quicktest.Equals, 2)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestGangWithLimitPerMinionIsMoved guards against a gang that is not moved because its own
+// members, which end with it, count against the limit of its tasks per minion.
+func TestGangWithLimitPerMinionIsMoved(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newOccupiedSimulation(time.Second)
+	gang := specifier.Step{
+		Tasks: 4, Request: taskOf(10000, 1), EstimatedRunTime: time.Minute, Gang: true, Checkpoints: true, MaxPerMinion: 1,
+	}
+	simulation.minions["m00"].unregistered = true
+	simulation.deliverAllReports()
+	simulation.submit(jobOf("a", gang))
+	simulation.advance(3 * time.Second)
+	c.Assert(simulation.runningIn("z0", "a"), quicktest.Equals, 3)
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 1)
+	simulation.evacuate("z0", true)
+	simulation.advance(3 * time.Second)
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 4)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
