Search once for capacity for evacuated runs of the same demand

Cause: each step with runs in an evacuated domain searched all minions twice a second, also after a step of the same demand had found no capacity. A pass remembers that.

Change: the search uses the pool's memory of demands without capacity.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -155,15 +155,27 @@
 
 // chooseMinionsElsewhere returns minions with free capacity for the runs. The runs themselves do
 // not count, neither for their capacity nor for the limit per minion, because they have ended by
-// the start of the next ones. Their tasks begin to wait then, so that they would not use capacity outside of a rack that they want.
+// the start of the next ones. Their tasks begin to wait then, so that they would not use capacity
+// outside of a rack that they want.
 func (planner *Planner) chooseMinionsElsewhere(waitingStep *waitingStep, pool *pool, runs []*run) []*minion {
+	step := waitingStep.step
+	rackRequired := step.wantsRack(waitingStep, pool)
+	// Gangs, and tasks that share a rack, need capacity for several tasks at once.
+	cacheable := step.isCacheable() && !step.spec.Gang && !step.spec.SameRack
+	demand := step.demand(rackRequired)
+	if cacheable && pool.isInfeasible(demand, 1) {
+		return nil
+	}
 	for _, run := range runs {
 		run.minion.removeRun(run)
 	}
-	chosen := planner.chooseMinions(waitingStep, pool, waitingStep.step.wantsRack(waitingStep, pool))
+	chosen := planner.chooseMinions(waitingStep, pool, rackRequired)
 	for _, run := range runs {
 		run.minion.addRun(run)
 	}
+	if cacheable && len(chosen) == 0 {
+		pool.markInfeasible(demand, 1)
+	}
 	return chosen
 }
 
