Explain that a step waits for the end of an evacuation, as its report does

Cause: step-waits lines and the gauge say domain-evacuated, and /explain said no-capacity for the same step. The check also set the order and the cold minions of the last pass, which a query must not, and its results for steps of one demand depended on the order of a map.

Change: the query uses the check, which only reads, and the report goes through the steps in their order. Ranks of minions are not needed: the check counts places, and all tasks of a step are equal.

Measured: TestExplainNamesEvacuatedDomain fails before and passes; the tests of evacuations and of the query pass.

--- a/planner/evacuationwait.go
+++ b/planner/evacuationwait.go
@@ -16,20 +16,22 @@
 	results map[rackDemand]bool
 }
 
-// newCapacityCheck returns the check for a report, nil if no domain is evacuated.
+// newCapacityCheck returns the check for a report, nil if no domain is evacuated. It changes no
+// state of the planner, because a query uses it too.
 func (planner *Planner) newCapacityCheck(now time.Time) *capacityCheck {
 	if len(planner.evacuations.requested) == 0 {
 		return nil
 	}
 	check := &capacityCheck{
-		planner: planner, usable: planner.newPools(now), pools: make(map[identifier.Service]*pool), results: make(map[rackDemand]bool),
+		planner: planner, usable: make(map[identifier.Service]*pool), pools: make(map[identifier.Service]*pool), results: make(map[rackDemand]bool),
 	}
-	for _, minion := range planner.sortedMinions() {
+	for _, minion := range planner.minions {
 		service := minion.report.Service
 		if check.pools[service] == nil {
-			check.pools[service] = newPool()
+			check.pools[service], check.usable[service] = newPool(), newPool()
 		}
 		state := minion.availability(now)
+		check.usable[service].addMinion(minion, state == accepting)
 		check.pools[service].addMinion(minion, state == accepting || state == evacuated)
 	}
 	return check
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -57,13 +57,13 @@
 	shown := steps[:min(len(steps), maxExplainedSteps)]
 	explanation.Omitted = len(steps) - len(shown)
 	queue := planner.queue(job)
-	order := planner.orderOfSteps(now)
+	order, check := planner.orderOfSteps(now), planner.newCapacityCheck(now)
 	var forecast *forecast
 	if queue != nil {
 		forecast = planner.newForecast(now, queue.Service)
 	}
 	for _, step := range shown {
-		explained := planner.explainStep(now, step, order)
+		explained := planner.explainStep(now, step, order, check)
 		if queue != nil {
 			explained.Late = now.After(step.latestStart(queue))
 			explained.FittingMinions = forecast.countFitting(step)
@@ -102,12 +102,12 @@
 	return order
 }
 
-func (planner *Planner) explainStep(now time.Time, step *step, order []*waitingStep) querier.WaitingStep {
+func (planner *Planner) explainStep(now time.Time, step *step, order []*waitingStep, check *capacityCheck) querier.WaitingStep {
 	place := 1 + slices.IndexFunc(order, func(other *waitingStep) bool { return other.step == step })
 	return querier.WaitingStep{
 		Occurrence: step.occurrence.number, Step: step.number,
 		Tasks: len(step.tasks) - step.done, Startable: step.countStartableTasks(now),
-		Reason: planner.waitReason(now, step).String(), Since: step.waitingSince, Place: place, Waiting: len(order),
+		Reason: planner.reportedReason(now, step, check).String(), Since: step.waitingSince, Place: place, Waiting: len(order),
 	}
 }
 
--- a/planner/explain_test.go
+++ b/planner/explain_test.go
@@ -148,6 +148,26 @@
 	}
 }
 
+// TestExplainNamesEvacuatedDomain guards against an answer that differs from the report of the
+// same step: it does not lack capacity, but waits for the end of an evacuation.
+func TestExplainNamesEvacuatedDomain(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvacuationSimulation(1, 1, 8)
+	for _, minion := range simulation.sortedMinions()[:4] {
+		minion.kind = "b"
+	}
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.evacuate("z0", true)
+	labelled, large := wholeMinions(1, time.Second), wholeMinions(9, time.Second)
+	labelled.Label, large.Gang = "b", true
+	simulation.submit(jobOf("labelled", labelled))
+	simulation.submit(jobOf("large", large))
+	simulation.advance(time.Second)
+	c.Assert(simulation.waitingSteps(c, simulation.nodes[0], "labelled")[0].Reason, quicktest.Equals, "domain-evacuated")
+	c.Assert(simulation.waitingSteps(c, simulation.nodes[0], "large")[0].Reason, quicktest.Equals, "no-capacity")
+}
+
 // TestExplainDoesNotBeginAWait guards against a query that counts as the first pass over a
 // step: without a valid claim no pass has seen the step.
 func TestExplainDoesNotBeginAWait(t *testing.T) {
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -71,19 +71,16 @@
 	if len(steps) == 0 {
 		return
 	}
+	slices.SortFunc(steps, func(one, other *step) int {
+		return cmp.Or(one.stalledSince.Compare(other.stalledSince), compareArrival(one, other))
+	})
 	check := planner.newCapacityCheck(now)
 	reasons := make(map[*step]waitReason, len(steps))
 	for _, step := range steps {
-		reason := planner.waitReason(now, step)
-		if reason == waitsForCapacity && check.awaitsEvacuated(now, step) {
-			reason = waitsForEvacuated
-		}
+		reason := planner.reportedReason(now, step, check)
 		reasons[step] = reason
 		planner.waiting.counts[reason]++
 	}
-	slices.SortFunc(steps, func(one, other *step) int {
-		return cmp.Or(one.stalledSince.Compare(other.stalledSince), compareArrival(one, other))
-	})
 	minions := planner.describeMinions(now)
 	for _, step := range steps[:min(len(steps), maxReportedSteps)] {
 		planner.emitDecision(string(step.occurrence.job.spec.ID), "step-waits", reasons[step].String(),
@@ -153,6 +150,16 @@
 	return waitsAfterRefusal
 }
 
+// reportedReason returns why the step has nothing running, as it is reported: a step that only
+// lacks capacity because of an evacuation waits for its end.
+func (planner *Planner) reportedReason(now time.Time, step *step, check *capacityCheck) waitReason {
+	reason := planner.waitReason(now, step)
+	if reason == waitsForCapacity && check.awaitsEvacuated(now, step) {
+		return waitsForEvacuated
+	}
+	return reason
+}
+
 // blockingRun returns the reason if the step waits for runs that are not confirmed
 // or not ended yet.
 func (step *step) blockingRun() (waitReason, bool) {
