Leave capacity that has become free to the steps that wait before runs move there

Cause: the search for moves is due every 500 ms, also between the end of a run and the next pass. A run of an evacuated domain, which works, took that capacity from steps that waited for it. The same happened while a step with enough capacity waited for the record of its first start.

Change: no run is moved while a pass is due or such a record is pending.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -30,6 +30,10 @@
 	if len(evacuations.requested) == 0 || now.Before(evacuations.nextMoveAt) {
 		return
 	}
+	isPassDue := planner.passNeeded && planner.lastPassAt.Before(now)
+	if isPassDue || planner.hasUnrecordedStarts {
+		return // steps that wait come first
+	}
 	evacuations.nextMoveAt = now.Add(moveInterval)
 	planner.reportEmptyDomains(now)
 	moves := planner.evacuationMoves(now)
--- a/planner/evacuationrestart_test.go
+++ b/planner/evacuationrestart_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,21 @@
 	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 4)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestWaitingStepsComeBeforeMoves guards against a move that takes capacity from a step that has
+// waited for it, because a run has ended since the last pass.
+func TestWaitingStepsComeBeforeMoves(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newOccupiedSimulation(3 * time.Second)
+	step := wholeMinions(4, time.Hour)
+	step.Checkpoints = true
+	simulation.submit(jobOf("a", step))
+	simulation.advance(time.Second)
+	for number := range 700 { // so many that a pass is not due with each end of a run
+		simulation.submit(jobOf(fmt.Sprintf("w%03d", number), wholeMinions(1, 300*time.Millisecond)))
+	}
+	simulation.evacuate("z0", true)
+	simulation.advance(20 * time.Second)
+	c.Assert(simulation.linesWith("rule=evacuation"), quicktest.HasLen, 0)
+	c.Assert(simulation.runningIn("z0", "a"), quicktest.Equals, 4)
+}
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -30,7 +30,7 @@
 	if since < planner.passInterval || (!planner.passNeeded && since < idleInterval) {
 		return
 	}
-	planner.lastPassAt, planner.passNeeded = now, false
+	planner.lastPassAt, planner.passNeeded, planner.hasUnrecordedStarts = now, false, false
 	planner.reservations.expire(now)
 	planner.reopenMinions()
 	planner.prepareSteps(now)
--- a/planner/place.go
+++ b/planner/place.go
@@ -30,7 +30,7 @@
 			job.startRequested = true
 			planner.recording.markDirty(job)
 		}
-		step.passResult = waitsForRecord
+		step.passResult, planner.hasUnrecordedStarts = waitsForRecord, true
 		return true // the tasks start once the record is durable
 	}
 	var number uint64
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -62,6 +62,9 @@
 	passNeeded bool
 	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
 	hasWaitingSteps bool
+	// hasUnrecordedStarts means that steps with enough capacity waited for the record of their
+	// first start in the last pass.
+	hasUnrecordedStarts bool
 	// awaitedTrials are the services for whose minions a trial waited in the last pass.
 	awaitedTrials map[identifier.Service]bool
 	lastPassAt    time.Time
