--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -7,7 +7,8 @@
 )
 
 // Runs move out of evacuated domains if a stop loses little of their work and there is free
-// capacity elsewhere. All others are left to end, because only new starts are forbidden there.
+// capacity elsewhere that no waiting step can use. All others are left to end, because only new
+// starts are forbidden there.
 
 const (
 	// moveInterval is the time between two searches for runs that can move.
--- a/planner/evacuationproperty_test.go
+++ b/planner/evacuationproperty_test.go
@@ -116,9 +116,8 @@
 
 // TestEvacuationsUnderFaults guards against a start that arrives in an evacuated domain after
 // the bound, and against a domain that stays evacuated and jobs that do not end after the
-// withdrawals. Meanwhile
-// holders change, are cut off from the store, frozen or killed, answers are lost, orders arrive
-// late, nodes can't read the operator's topic, and its history is dropped.
+// withdrawals. Meanwhile holders change, are cut off from the store, frozen or killed, answers
+// are lost, orders arrive late, nodes can't read the operator's topic, and its history is dropped.
 func TestEvacuationsUnderFaults(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
--- a/planner/evacuationwait.go
+++ b/planner/evacuationwait.go
@@ -6,33 +6,34 @@
 	"corianderroad/identifier"
 )
 
-// capacityCheck tells for the steps of one report whether they would fit if no failure domain
-// was evacuated.
+// capacityCheck tells for the steps of one report or query whether they would fit if no failure
+// domain was evacuated.
 type capacityCheck struct {
 	planner *Planner
-	// pools have the minions of evacuated domains as available, and those have not.
-	pools, usable map[identifier.Service]*pool
+	// usable are the pools of a pass. In withEvacuated the minions of evacuated domains are
+	// available too.
+	usable, withEvacuated map[identifier.Service]*pool
 	// results holds the result for each kind of demand.
 	results map[rackDemand]bool
 }
 
-// newCapacityCheck returns the check for a report, nil if no domain is evacuated. It changes no
-// state of the planner, because a query uses it too.
+// newCapacityCheck returns the check, nil if no domain is evacuated. It changes no state
+// of the planner, because a query uses it too.
 func (planner *Planner) newCapacityCheck(now time.Time) *capacityCheck {
 	if len(planner.evacuations.requested) == 0 {
 		return nil
 	}
 	check := &capacityCheck{
-		planner: planner, usable: make(map[identifier.Service]*pool), pools: make(map[identifier.Service]*pool), results: make(map[rackDemand]bool),
+		planner: planner, usable: make(map[identifier.Service]*pool), withEvacuated: make(map[identifier.Service]*pool), results: make(map[rackDemand]bool),
 	}
 	for _, minion := range planner.minions {
 		service := minion.report.Service
-		if check.pools[service] == nil {
-			check.pools[service], check.usable[service] = newPool(), newPool()
+		if check.withEvacuated[service] == nil {
+			check.withEvacuated[service], check.usable[service] = newPool(), newPool()
 		}
 		state := minion.availability(now)
 		check.usable[service].addMinion(minion, state == accepting)
-		check.pools[service].addMinion(minion, state == accepting || state == evacuated)
+		check.withEvacuated[service].addMinion(minion, state == accepting || state == evacuated)
 	}
 	return check
 }
@@ -57,7 +58,7 @@
 		fits := func(pool *pool) bool {
 			return pool != nil && len(capacityCheck.planner.chooseMinions(waitingStep, pool, false)) == key.tasks
 		}
-		result = fits(capacityCheck.pools[queue.Service]) && !fits(capacityCheck.usable[queue.Service])
+		result = fits(capacityCheck.withEvacuated[queue.Service]) && !fits(capacityCheck.usable[queue.Service])
 		capacityCheck.results[key] = result
 	}
 	return result
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// countStop counts the stop of a run by its rule, and for its task if that must run again.
+// countStop counts the stop of a run by its rule. If its task must run again, the stop also counts
+// for the task.
 func (planner *Planner) countStop(run *run) {
 	planner.emit(messenger.Count{Counter: messenger.StoppedRuns, Reason: run.stopRule.String()})
 	if !run.stopRule.interrupts() {
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -105,8 +105,8 @@
 // markMissingRunsLost marks runs as lost that the minion does not report although
 // an order was confirmed before it made its list, or that can't start any more
 // because the lease in their start had expired by then, or because the minion refuses orders to
-// its earlier life. The minion's clock tells when it
-// made the list: an answer can be late, and that of an earlier poll.
+// its earlier life. The minion's clock tells when it made the list: an answer can be late, and
+// that of an earlier poll.
 func (planner *Planner) markMissingRunsLost(now time.Time, minion *minion, reported map[runKey]bool, event messenger.OrderAnswered) {
 	for _, run := range minion.sortedRuns() {
 		if reported[runKey{run.id, run.number}] {
