Keep capacity reserved for moved runs while the store takes long for their records

Cause: a moved task starts again once the record of its next number is durable. The reservation lasted for the stop bound and 1 s, so that with appends of 2 s other jobs took the capacity for which the runs had been stopped.

Change: the reservation of a move is extended while its tasks wait for their records, by 6 s at most. Reservations of reclaimed capacity are not extended.

Measured: in TestMovedRunsKeepTheirCapacityUntilTheyAreRecorded 1 of 4 moved tasks ran 4.5 s after the request, and all do now.

--- a/planner/evacuationrestart_test.go
+++ b/planner/evacuationrestart_test.go
@@ -112,3 +112,25 @@
 	c.Assert(simulation.linesWith("rule=evacuation"), quicktest.HasLen, 0)
 	c.Assert(simulation.runningIn("z0", "a"), quicktest.Equals, 4)
 }
+
+// TestMovedRunsKeepTheirCapacityUntilTheyAreRecorded guards against runs that are stopped for an
+// evacuation and find their capacity taken, because the store needs longer for the record of
+// their next start than the reservation lasts.
+func TestMovedRunsKeepTheirCapacityUntilTheyAreRecorded(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newOccupiedSimulation(500 * time.Millisecond)
+	step := wholeMinions(4, time.Minute)
+	step.Checkpoints = true
+	simulation.submit(jobOf("a", step))
+	simulation.advance(2 * time.Second)
+	simulation.store.addedAppendTime = 2 * time.Second
+	for number := range 12 {
+		simulation.schedule(time.Duration(number)*400*time.Millisecond, func() {
+			simulation.submit(jobOf(fmt.Sprintf("b%d", number), wholeMinions(1, time.Second)))
+		})
+	}
+	simulation.evacuate("z0", true)
+	simulation.advance(4500 * time.Millisecond) // two records, one after the other
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 4)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -20,6 +20,19 @@
 	// isForMove means that the capacity is for tasks whose runs end one after the other, so that
 	// a start uses up only its own part.
 	isForMove bool
+	// latestUntil limits how often it is extended while those tasks wait for the record of their
+	// next start, zero if it is not extended.
+	latestUntil time.Time
+}
+
+// maxRecordWait is how long capacity is reserved for moved tasks beyond the end of their runs.
+// The holder loses its claim while the store answers nothing, so that this covers a slow store.
+const maxRecordWait = 6 * time.Second
+
+// isExtended reports whether the reservation lasts longer, because moved tasks of the step wait
+// for a record.
+func (reservation *reservation) isExtended(now time.Time, step *step) bool {
+	return now.Before(reservation.latestUntil) && !step.awaitsTrial() && step.awaitsRecord(now)
 }
 
 func (reservations *reservations) add(step *step, reservedCapacity map[*minion]specifier.Resources, until time.Time) {
@@ -36,7 +49,8 @@
 // a gang start together, so that one start uses up all of it.
 func (reservations *reservations) addForMove(step *step, reservedCapacity map[*minion]specifier.Resources, until time.Time) {
 	reservations.add(step, reservedCapacity, until)
-	reservations.byStep[step].isForMove = !step.spec.Gang
+	reservation := reservations.byStep[step]
+	reservation.isForMove, reservation.latestUntil = !step.spec.Gang, until.Add(maxRecordWait)
 }
 
 func (reservations *reservations) has(step *step) bool { return reservations.byStep[step] != nil }
@@ -95,6 +109,9 @@
 // expire removes the reservations that have expired or whose job is no longer open.
 func (reservations *reservations) expire(now time.Time) {
 	for step, reservation := range reservations.byStep {
+		if reservation.isExtended(now, step) {
+			reservation.until = latest(reservation.until, now.Add(reservationSlack))
+		}
 		if !now.Before(reservation.until) || !step.occurrence.job.isOpen() {
 			reservations.remove(step)
 		}
