--- a/planner/job.go
+++ b/planner/job.go
@@ -90,6 +90,8 @@
 	trialWantedSince time.Time
 	// passedTrials counts the runs on trial that have passed since the last crash.
 	passedTrials int
+	// gangCheckpoint is the newest checkpoint of the members of a gang.
+	gangCheckpoint gangCheckpoint
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
 	isLikelyCause bool
 	// breakage is why the newest run of a gang that broke did so.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -37,6 +37,7 @@
 			minion.registered = false
 		}
 	}
+	planner.noteDepartures(now)
 	planner.passNeeded = true
 }
 
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -53,6 +53,13 @@
 	reservation.isForMove, reservation.latestUntil = !step.spec.Gang, until.Add(maxRecordWait)
 }
 
+// isForMove reports whether the reservation of a step is for tasks whose runs end one after the
+// other.
+func (reservations *reservations) isForMove(step *step) bool {
+	reservation := reservations.byStep[step]
+	return reservation != nil && reservation.isForMove
+}
+
 func (reservations *reservations) has(step *step) bool { return reservations.byStep[step] != nil }
 
 func (reservations *reservations) remove(step *step) {
@@ -66,30 +73,6 @@
 	}
 }
 
-// use removes what a start of tasks of the step on the given minions needs no more of its
-// reservation.
-func (reservations *reservations) use(step *step, chosen []*minion) {
-	reservation := reservations.byStep[step]
-	if reservation == nil || !reservation.isForMove {
-		reservations.remove(step)
-		return
-	}
-	request := requiredCapacity(step.spec)
-	for _, minion := range chosen {
-		amount, exists := reservation.reservedCapacity[minion]
-		if !exists {
-			continue
-		}
-		minion.reserved = minion.reserved.Sub(request)
-		if reservation.reservedCapacity[minion] = amount.Sub(request); amount == request {
-			delete(reservation.reservedCapacity, minion)
-		}
-	}
-	if len(reservation.reservedCapacity) == 0 {
-		delete(reservations.byStep, step)
-	}
-}
-
 // release removes the parts of all reservations on a minion, and the reservations that have
 // no other part.
 func (reservations *reservations) release(minion *minion) {
--- a/planner/run.go
+++ b/planner/run.go
@@ -63,6 +63,7 @@
 	// progressPercent is the run's progress at progressAt, when it last changed.
 	progressPercent int
 	progressAt      time.Time
+	work            runWork
 	checkpoint      string
 	// savedAt is when the newest checkpoint was first seen, or else the start of the run was
 	// confirmed; zero before. The work since then is lost if the run ends early.
@@ -294,6 +295,7 @@
 func (planner *Planner) markRunLost(now time.Time, run *run, cause endCause, reason string) {
 	if run.checkpoint != "" {
 		planner.updateCheckpoint(run.step, run.id.Index, run.checkpoint)
+		planner.shareGangCheckpoint(run.step)
 	}
 	cause = run.endCause(cause)
 	planner.noteBreakage(run, cause)
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -36,10 +36,12 @@
 		planner.emitDecision(end.Task.String(), "end-ignored", end.Kind.String(), fmt.Sprintf("run=%d", end.Run), 0)
 		return
 	}
+	planner.noteGangEnd(now, step, run, end)
 	planner.reportRunEnd(now, minion, run, end)
 	if end.Checkpoint != "" && !task.done {
 		planner.updateCheckpoint(step, end.Task.Index, end.Checkpoint)
 	}
+	planner.shareGangCheckpoint(step)
 	switch end.Kind {
 	case messenger.EndDone:
 		minion.health.resetFailures()
