--- a/planner/planner.go
+++ b/planner/planner.go
@@ -58,12 +58,14 @@
 	lastOrderID   uint64
 	lastRunNumber uint64
 
-	recording     recording
-	reservations  reservations
-	evacuations   *evacuations
-	adviceRequest adviceRequest
-	maintenance   maintenance
-	waiting       waiting
+	recording        recording
+	reservations     reservations
+	gangReservations gangReservations
+	aging            aging
+	evacuations      *evacuations
+	adviceRequest    adviceRequest
+	maintenance      maintenance
+	waiting          waiting
 
 	passNeeded bool
 	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
@@ -314,6 +316,7 @@
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
+		{Name: "gang-reservations", Value: float64(planner.gangReservations.countReservations())},
 		{Name: "evacuated-domains", Value: float64(len(planner.evacuations.requested))},
 	}...)}
 }
