Move no run to room that is reserved for a waiting gang

Cause: the search for capacity elsewhere used the restrictions of the step's previous start. The pass that starts the task again updates them, and leaves the room of gang reservations. The run was stopped, and its task waited.

Change: the search updates the restrictions first.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -110,6 +110,7 @@
 	for _, run := range runs {
 		waitingStep.taskIndexes = append(waitingStep.taskIndexes, run.id.Index)
 	}
+	planner.updateRestrictions(now, waitingStep)
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.chooseMinionsElsewhere(waitingStep, pool, runs)
 	if len(chosen) == 0 || (step.spec.Gang && len(chosen) < len(runs)) || !planner.ensureTickets(now, waitingStep, chosen, pool.available) {
--- a/planner/evacuationrestart_test.go
+++ b/planner/evacuationrestart_test.go
@@ -134,3 +134,38 @@
 	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 4)
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestMoveLeavesRoomReservedForGang guards against a run that is stopped for an evacuation, and
+// then may not use the capacity elsewhere because it is reserved for a gang that waits.
+func TestMoveLeavesRoomReservedForGang(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 0, 8)
+	simulation.features.GangReservations = true
+	simulation.addEvacuations(1)
+	simulation.workTime = func(run *fakeRun) time.Duration {
+		if run.minion.name == "m04" {
+			return 4 * time.Second
+		}
+		return run.spec.EstimatedRunTime
+	}
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(100 * time.Millisecond)
+	simulation.occupy("z1", "busy", 10*time.Second)
+	step := wholeMinions(1, time.Hour)
+	step.Checkpoints = true
+	simulation.submit(jobOf("a", step))
+	simulation.advance(time.Second)
+	simulation.evacuate("z0", true)
+	simulation.advance(100 * time.Millisecond)
+	gang := wholeMinions(4, time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.linesWith("gang reservation-made"), quicktest.HasLen, 1)
+	simulation.advance(4 * time.Second)
+	c.Assert(simulation.runningIn("z0", "a"), quicktest.Equals, 1)
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.runningIn("z1", "a"), quicktest.Equals, 1)
+	c.Assert(simulation.recordedState("gang"), quicktest.Equals, specifier.Completed)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/operatortopic_test.go
+++ b/planner/operatortopic_test.go
@@ -38,6 +38,12 @@
 // newEvacuationSimulation returns a simulation with evacuations. Each rack is a failure domain.
 func newEvacuationSimulation(seed uint64, nodes, minions int) *simulation {
 	simulation := newSimulation(seed, 0, minions)
+	simulation.addEvacuations(nodes)
+	return simulation
+}
+
+// addEvacuations adds the operator's topic, and nodes that read it.
+func (simulation *simulation) addEvacuations(nodes int) {
 	simulation.evacuationTime = evacuationTime
 	simulation.operator.starts = make(map[identifier.FailureDomain]int)
 	simulation.operator.requestedAt = make(map[identifier.FailureDomain]time.Time)
@@ -45,7 +51,6 @@
 	for index := range nodes {
 		simulation.nodes = append(simulation.nodes, simulation.newNode(fmt.Sprintf("n%d", index)))
 	}
-	return simulation
 }
 
 func domainOf(rack int) identifier.FailureDomain {
