--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -7,7 +7,8 @@
 )
 
 // Runs move out of evacuated domains if a stop loses little of their work and there is free
-// capacity elsewhere. All others are left to end, because only new starts are forbidden there.
+// capacity elsewhere that no waiting step can use. All others are left to end, because only new
+// starts are forbidden there.
 
 const (
 	// moveInterval is the time between two searches for runs that can move.
@@ -30,6 +31,10 @@
 	if len(evacuations.requested) == 0 || now.Before(evacuations.nextMoveAt) {
 		return
 	}
+	isPassDue := planner.passNeeded && planner.lastPassAt.Before(now)
+	if isPassDue || planner.hasUnrecordedStarts {
+		return // steps that wait come first
+	}
 	evacuations.nextMoveAt = now.Add(moveInterval)
 	planner.reportEmptyDomains(now)
 	moves := planner.evacuationMoves(now)
@@ -101,10 +106,11 @@
 	if _, outdated := planner.outdatedReading(now, move.queue.Service); len(runs) == 0 || outdated || planner.reservations.has(step) {
 		return
 	}
-	waitingStep := &waitingStep{step: step, queue: move.queue, taskCount: len(runs)}
+	waitingStep := &waitingStep{step: step, queue: move.queue, taskCount: len(runs), late: now.After(step.latestStart(move.queue))}
 	for _, run := range runs {
 		waitingStep.taskIndexes = append(waitingStep.taskIndexes, run.id.Index)
 	}
+	planner.updateRestrictions(now, waitingStep)
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.chooseMinionsElsewhere(waitingStep, pool, runs)
 	if len(chosen) == 0 || (step.spec.Gang && len(chosen) < len(runs)) || !planner.ensureTickets(now, waitingStep, chosen, pool.available) {
@@ -114,7 +120,7 @@
 	for _, minion := range chosen {
 		reserved[minion] = reserved[minion].Add(requiredCapacity(step.spec))
 	}
-	planner.reservations.add(step, reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
+	planner.reservations.addForMove(step, reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
 	for _, run := range runs[:len(chosen)] {
 		planner.stopRun(now, run, stopForEvacuation, "its failure domain is evacuated")
 	}
@@ -153,16 +159,28 @@
 	return members
 }
 
-// chooseMinionsElsewhere returns minions with free capacity for the runs. What the runs occupy
-// outside of evacuated domains counts as free, because it is free once they have ended.
+// chooseMinionsElsewhere returns minions with free capacity for the runs. The runs themselves do
+// not count, neither for their capacity nor for the limit per minion, because they have ended by
+// the start of the next ones. Their tasks begin to wait then, so that they would not use capacity
+// outside of a rack that they want.
 func (planner *Planner) chooseMinionsElsewhere(waitingStep *waitingStep, pool *pool, runs []*run) []*minion {
-	request := requiredCapacity(waitingStep.step.spec)
+	step := waitingStep.step
+	rackRequired := step.wantsRack(waitingStep, pool)
+	// Gangs, and tasks that share a rack, need capacity for several tasks at once.
+	cacheable := step.isCacheable() && !step.spec.Gang && !step.spec.SameRack
+	demand := step.demand(rackRequired)
+	if cacheable && pool.isInfeasible(demand, 1) {
+		return nil
+	}
 	for _, run := range runs {
-		run.minion.used = run.minion.used.Sub(request)
+		run.minion.removeRun(run)
 	}
-	chosen := planner.chooseMinions(waitingStep, pool, false)
+	chosen := planner.chooseMinions(waitingStep, pool, rackRequired)
 	for _, run := range runs {
-		run.minion.used = run.minion.used.Add(request)
+		run.minion.addRun(run)
+	}
+	if cacheable && len(chosen) == 0 {
+		pool.markInfeasible(demand, 1)
 	}
 	return chosen
 }
--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -130,7 +130,8 @@
 // other tasks keep their part, for which runs may have been stopped.
 func (planner *Planner) releaseReservation(waitingStep *waitingStep, chosen []*minion) {
 	step := waitingStep.step
-	if planner.stops == nil || len(chosen) == waitingStep.taskCount {
+	isForMove := planner.reservations.isForMove(step)
+	if !isForMove && (planner.stops == nil || len(chosen) == waitingStep.taskCount) {
 		planner.reservations.remove(step)
 		return
 	}
@@ -141,6 +142,9 @@
 			elsewhere++
 		}
 	}
+	if isForMove {
+		return // runs whose tasks do not wait yet need the rest
+	}
 	for _, minion := range planner.reservations.minionsOf(step) {
 		for elsewhere > 0 && planner.reservations.reduce(step, minion, request) {
 			elsewhere--
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -17,6 +17,22 @@
 type reservation struct {
 	reservedCapacity map[*minion]specifier.Resources
 	until            time.Time
+	// isForMove means that the capacity is for tasks whose runs end one after the other, so that
+	// a start uses up only its own part.
+	isForMove bool
+	// latestUntil limits how often it is extended while those tasks wait for the record of their
+	// next start, zero if it is not extended.
+	latestUntil time.Time
+}
+
+// maxRecordWait is how long capacity is reserved for moved tasks beyond the end of their runs.
+// The holder loses its claim while the store answers nothing, so that this covers a slow store.
+const maxRecordWait = 6 * time.Second
+
+// isExtended reports whether the reservation lasts longer, because moved tasks of the step wait
+// for a record.
+func (reservation *reservation) isExtended(now time.Time, step *step) bool {
+	return now.Before(reservation.latestUntil) && !step.awaitsTrial() && step.awaitsRecord(now)
 }
 
 func (reservations *reservations) add(step *step, reservedCapacity map[*minion]specifier.Resources, until time.Time) {
@@ -29,6 +45,21 @@
 	}
 }
 
+// addForMove reserves capacity for tasks of a step whose runs are stopped for it. The members of
+// a gang start together, so that one start uses up all of it.
+func (reservations *reservations) addForMove(step *step, reservedCapacity map[*minion]specifier.Resources, until time.Time) {
+	reservations.add(step, reservedCapacity, until)
+	reservation := reservations.byStep[step]
+	reservation.isForMove, reservation.latestUntil = !step.spec.Gang, until.Add(maxRecordWait)
+}
+
+// isForMove reports whether the reservation of a step is for tasks whose runs end one after the
+// other.
+func (reservations *reservations) isForMove(step *step) bool {
+	reservation := reservations.byStep[step]
+	return reservation != nil && reservation.isForMove
+}
+
 func (reservations *reservations) has(step *step) bool { return reservations.byStep[step] != nil }
 
 func (reservations *reservations) remove(step *step) {
@@ -61,6 +92,9 @@
 // expire removes the reservations that have expired or whose job is no longer open.
 func (reservations *reservations) expire(now time.Time) {
 	for step, reservation := range reservations.byStep {
+		if reservation.isExtended(now, step) {
+			reservation.until = latest(reservation.until, now.Add(reservationSlack))
+		}
 		if !now.Before(reservation.until) || !step.occurrence.job.isOpen() {
 			reservations.remove(step)
 		}
