Let long-running tasks start beside reservations for gangs

Cause: a long-running task ends after the time of every reservation, so that it had to leave room for all of them. A stream of wide gangs always has a reservation on each minion, and the task never started, although long-running steps come first in the order of a pass.

Change: reservations do not restrict long-running steps.

--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -47,10 +47,14 @@
 }
 
 // updateRestrictions notes the reservations that restrict the starts of a step. It is called
-// before minions are chosen for the step.
+// before minions are chosen for the step. Long-running steps are not restricted: they come before
+// all others, and would wait for as long as there are reservations, because they end after each.
 func (planner *Planner) updateRestrictions(now time.Time, waitingStep *waitingStep) {
 	step := waitingStep.step
 	step.restrictions = 0
+	if step.spec.LongRunning {
+		return
+	}
 	if gangReserver := planner.gangReservations.byService[waitingStep.queue.Service]; gangReserver != nil {
 		step.restrictions = gangReserver.Restrictions(reserver.Start{
 			Step: step.reserverStep(), Priority: waitingStep.queue.Priority, EndsAt: now.Add(step.expectedRunTime()),
--- a/planner/likelyend.go
+++ b/planner/likelyend.go
@@ -15,15 +15,9 @@
 // expectedRunTime returns the time from the decision to start a task of the step until its
 // expected end.
 func (step *step) expectedRunTime() time.Duration {
-	if step.spec.LongRunning {
-		return endlessRunTime
-	}
 	return startDelay + step.spec.EstimatedRunTime
 }
 
-// endlessRunTime exceeds the time of any reservation.
-const endlessRunTime = 10000 * time.Hour
-
 // likelyEnd returns when a run is likely to end, by its progress if that tells it, and by the
 // declared run time otherwise. An overdue run is likely to end soon.
 func (planner *Planner) likelyEnd(now time.Time, run *run) time.Time {
