Keep reservations for gangs while a reading is outdated

Cause: while the evacuations are not read in time, a pass considers no step, and notes another reason than the lack of capacity. The plan of the reservations took all gangs for gone: reservations, the times that they promise and the counts of those given up were lost.

Change: reservations are not planned while any reading that starts depend on is outdated.

Measured: TestReservationsOutliveOutdatedEvacuations: one reservation was given up as step-gone during 10 s without readings before the change, none after.

--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -78,7 +78,8 @@
 	}
 }
 
-// planReservations plans the reservations for the steps that did not fit in this pass.
+// planReservations plans the reservations for the steps that did not fit in this pass. While a
+// reading is outdated, no step is considered and the reservations stay as they are.
 func (planner *Planner) planReservations(now time.Time, steps []*waitingStep, pools map[identifier.Service]*pool) {
 	reservations := &planner.gangReservations
 	if !planner.features.GangReservations || now.Before(reservations.nextPlanAt) {
@@ -87,7 +88,7 @@
 	reservations.nextPlanAt = now.Add(reservationPlanInterval)
 	waiting := planner.stepsForReservations(steps)
 	for service, pool := range pools {
-		if planner.hasCurrentReports(now, service) && (len(waiting[service]) > 0 || reservations.isInUse(service)) {
+		if _, outdated := planner.outdatedReading(now, service); !outdated && (len(waiting[service]) > 0 || reservations.isInUse(service)) {
 			planner.planServiceReservations(now, service, waiting[service], pool)
 		}
 	}
--- a/planner/reservationbounds_test.go
+++ b/planner/reservationbounds_test.go
@@ -31,3 +31,25 @@
 		})
 	}
 }
+
+// TestReservationsOutliveOutdatedEvacuations guards against reservations, and the times that they
+// promise, that are lost while the evacuations are not read in time.
+func TestReservationsOutliveOutdatedEvacuations(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 0, 8)
+	simulation.features.GangReservations = true
+	simulation.addEvacuations(1)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(100 * time.Millisecond)
+	simulation.occupy("z1", "busy", 20*time.Second)
+	simulation.occupy("z0", "busy-too", 20*time.Second)
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("gang", wholeMinionGang(4, time.Second)))
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.linesWith("gang reservation-made"), quicktest.HasLen, 1)
+	simulation.operator.unreadableFrom[simulation.nodes[0]] = true
+	simulation.advance(10 * time.Second)
+	simulation.operator.unreadableFrom[simulation.nodes[0]] = false
+	simulation.advance(time.Second)
+	c.Assert(simulation.linesWith("gang reservation-given-up"), quicktest.HasLen, 0)
+}
