Leave a run without progress on a minion that leaves after its end

Cause: a run that has reported no progress counted as just started at each decision about a leaving minion, however long it had worked. It was stopped although it would have ended in time, or given up as lost if it has no checkpoints.

Change: such decisions use the likely end that reservations use, from the time of the start and the declared run time, of the run that ends last. Functions for the later and the earlier time stand beside it.

Measured: TestRunWithoutProgressStaysIfItEndsInTime: a run that ends 0.9 s before its minion leaves was stopped once with and without checkpoints before the change, and never after.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -83,32 +83,22 @@
 			if run.step.spec.Gang {
 				key := gangRunKey{run.id.Job, run.id.Occurrence, run.id.Step, run.number}
 				if index, known := gangs[key]; known {
-					leavers[index].LeavesAt = minTime(leavers[index].LeavesAt, leavesAt)
+					leavers[index].LeavesAt = earliest(leavers[index].LeavesAt, leavesAt)
 					continue
 				}
 				gangs[key] = len(leavers)
 			}
 			runs := runsEndingWith(run)
-			leavers, groups = append(leavers, newLeaver(now, runs, leavesAt)), append(groups, runs)
+			leavers, groups = append(leavers, planner.newLeaver(now, runs, leavesAt)), append(groups, runs)
 		}
 	}
 	return leavers, groups
 }
 
-func newLeaver(now time.Time, runs []*run, leavesAt time.Time) evictor.Leaver {
+func (planner *Planner) newLeaver(now time.Time, runs []*run, leavesAt time.Time) evictor.Leaver {
 	work := lostWorkOf(now, runs)
-	endsAt := expectedEndOf(runs)
-	if endsAt.IsZero() {
-		endsAt = now.Add(runs[0].remainingTime(now))
-	}
 	return evictor.Leaver{
-		Value: work.Cores * work.Unsaved.Seconds(), Saves: runs[0].step.spec.Checkpoints, Runs: len(runs), EndsAt: endsAt, LeavesAt: leavesAt,
-	}
-}
-
-func minTime(one, other time.Time) time.Time {
-	if other.Before(one) {
-		return other
+		Value: work.Cores * work.Unsaved.Seconds(), Saves: runs[0].step.spec.Checkpoints, Runs: len(runs),
+		EndsAt: planner.likelyEndOf(now, runs), LeavesAt: leavesAt,
 	}
-	return one
 }
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -114,3 +114,19 @@
 	restarts := 3 * 65 * simulation.checkpoints.restartTime.Seconds()
 	c.Assert(simulation.lostCoreSeconds <= restarts+0.01, quicktest.IsTrue, quicktest.Commentf("%f", simulation.lostCoreSeconds))
 }
+
+// TestRunWithoutProgressStaysIfItEndsInTime guards against a run that is moved from a leaving
+// minion although it ends before, because it reports no progress and counts as just started.
+func TestRunWithoutProgressStaysIfItEndsInTime(t *testing.T) {
+	for _, checkpoints := range []bool{false, true} {
+		c := quicktest.New(t)
+		simulation := newEvictionSimulation(1, 2)
+		simulation.hidesProgress = true
+		simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 6 * time.Second, Checkpoints: checkpoints}))
+		simulation.advance(4 * time.Second)
+		simulation.leave(simulation.sortedMinions()[0], 3*time.Second) // the run ends 0.9 s before
+		simulation.advance(10 * time.Second)
+		c.Assert(simulation.stops("a"), quicktest.HasLen, 0)
+		c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
+	}
+}
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -130,13 +130,6 @@
 	return time.Time{}, querier.Unknown
 }
 
-func latest(one, other time.Time) time.Time {
-	if one.After(other) {
-		return one
-	}
-	return other
-}
-
 // endsWithCapacity reports whether a step that waits for this reason starts soon after there
 // is capacity for it.
 func (reason waitReason) endsWithCapacity() bool {
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -80,6 +80,9 @@
 // long-running task that is at work.
 func (run *fakeRun) percent() int {
 	simulation := run.minion.simulation
+	if simulation.hidesProgress {
+		return 0
+	}
 	elapsed := simulation.now.Sub(run.started)
 	if run.spec.LongRunning {
 		return int(min(100*elapsed/startupTime, 100))
--- a/planner/likelyend.go
+++ b/planner/likelyend.go
@@ -33,3 +33,26 @@
 	}
 	return end
 }
+
+// likelyEndOf returns when the last of the runs is likely to end.
+func (planner *Planner) likelyEndOf(now time.Time, runs []*run) time.Time {
+	var last time.Time
+	for _, run := range runs {
+		last = latest(last, planner.likelyEnd(now, run))
+	}
+	return last
+}
+
+func latest(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+func earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+	return other
+}
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -78,9 +78,7 @@
 		if end.IsZero() {
 			return time.Time{}
 		}
-		if end.After(last) {
-			last = end
-		}
+		last = latest(last, end)
 	}
 	return last
 }
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -79,6 +79,8 @@
 	crashing crashingTasks
 	// checkpoints are those of the runs, nil if the simulation has none.
 	checkpoints *fakeCheckpoints
+	// hidesProgress means that runs report no progress.
+	hidesProgress bool
 	// lostCoreSeconds is the work that was done again, endsWithoutResult the number of runs
 	// that ended before they were done.
 	lostCoreSeconds   float64
