Reserve room for an aged step only where it may run

Cause: a reservation for an aged step could be on a minion that already runs as many of its tasks as its limit per minion allows. The step could not start there, the reservation was given up as overdue, and the next one was on the same minion.

Change: such minions do not count for reservations. The limit is computed in one function, which stops for urgent steps and placements use too.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -70,8 +70,9 @@
 	return len(step.tasks)
 }
 
-// taskCapacity returns how many more tasks of the step fit on a minion now.
-func (planner *Planner) taskCapacity(step *step, minion *minion) int {
+// taskLimit returns how many more tasks of a step the minion may take, whatever its free
+// capacity.
+func (minion *minion) taskLimit(step *step) int {
 	limit := step.maxPerMinion()
 	if step.spec.MaxPerMinion > 0 {
 		for _, run := range minion.runs {
@@ -83,6 +84,12 @@
 	if minion.isExpiring() {
 		limit = min(limit, minion.expiringRunLimit(step))
 	}
+	return limit
+}
+
+// taskCapacity returns how many more tasks of the step fit on a minion now.
+func (planner *Planner) taskCapacity(step *step, minion *minion) int {
+	limit := minion.taskLimit(step)
 	if limit <= 0 || !step.canRunOn(minion) || minion.isOverCapacity() {
 		return 0
 	}
--- a/planner/evictionroom.go
+++ b/planner/evictionroom.go
@@ -49,23 +49,6 @@
 	return room
 }
 
-// taskLimit returns how many more tasks of a step the minion may take, whatever its free
-// capacity.
-func (minion *minion) taskLimit(step *step) int {
-	limit := step.maxPerMinion()
-	if step.spec.MaxPerMinion > 0 {
-		for _, run := range minion.runs {
-			if run.step == step {
-				limit--
-			}
-		}
-	}
-	if minion.isExpiring() {
-		limit = min(limit, minion.expiringRunLimit(step))
-	}
-	return limit
-}
-
 // addVictim adds a run, or the gang of a run, unless the room has it.
 func (room *evictionRoom) addVictim(now time.Time, member *run) {
 	if member.step.spec.Gang {
--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -193,7 +193,7 @@
 		RunTime: step.expectedRunTime(),
 		CanRunOn: func(index int) bool {
 			minion := pool.available[index]
-			return step.canRunOn(minion) && !minion.isExpiring() && !(rackRequired && step.spec.DataRack != "" && minion.rack != step.spec.DataRack)
+			return step.canRunOn(minion) && minion.taskLimit(step) > 0 && !minion.isExpiring() && !(rackRequired && step.spec.DataRack != "" && minion.rack != step.spec.DataRack)
 		},
 	}
 }
