--- a/planner/gangreservation.go
+++ b/planner/gangreservation.go
@@ -47,10 +47,14 @@
 }
 
 // updateRestrictions notes the reservations that restrict the starts of a step. It is called
-// before minions are chosen for the step.
+// before minions are chosen for the step. Long-running steps are not restricted: they come before
+// all others, and would wait for as long as there are reservations, because they end after each.
 func (planner *Planner) updateRestrictions(now time.Time, waitingStep *waitingStep) {
 	step := waitingStep.step
 	step.restrictions = 0
+	if step.spec.LongRunning {
+		return
+	}
 	if gangReserver := planner.gangReservations.byService[waitingStep.queue.Service]; gangReserver != nil {
 		step.restrictions = gangReserver.Restrictions(reserver.Start{
 			Step: step.reserverStep(), Priority: waitingStep.queue.Priority, EndsAt: now.Add(step.expectedRunTime()),
@@ -74,7 +78,8 @@
 	}
 }
 
-// planReservations plans the reservations for the steps that did not fit in this pass.
+// planReservations plans the reservations for the steps that did not fit in this pass. While a
+// reading is outdated, no step is considered and the reservations stay as they are.
 func (planner *Planner) planReservations(now time.Time, steps []*waitingStep, pools map[identifier.Service]*pool) {
 	reservations := &planner.gangReservations
 	if !planner.features.GangReservations || now.Before(reservations.nextPlanAt) {
@@ -83,7 +88,7 @@
 	reservations.nextPlanAt = now.Add(reservationPlanInterval)
 	waiting := planner.stepsForReservations(steps)
 	for service, pool := range pools {
-		if planner.hasCurrentReports(now, service) && (len(waiting[service]) > 0 || reservations.isInUse(service)) {
+		if _, outdated := planner.outdatedReading(now, service); !outdated && (len(waiting[service]) > 0 || reservations.isInUse(service)) {
 			planner.planServiceReservations(now, service, waiting[service], pool)
 		}
 	}
@@ -188,7 +193,7 @@
 		RunTime: step.expectedRunTime(),
 		CanRunOn: func(index int) bool {
 			minion := pool.available[index]
-			return step.canRunOn(minion) && !minion.isExpiring() && !(rackRequired && step.spec.DataRack != "" && minion.rack != step.spec.DataRack)
+			return step.canRunOn(minion) && minion.taskLimit(step) > 0 && !minion.isExpiring() && !(rackRequired && step.spec.DataRack != "" && minion.rack != step.spec.DataRack)
 		},
 	}
 }
--- a/planner/likelyend.go
+++ b/planner/likelyend.go
@@ -15,15 +15,9 @@
 // expectedRunTime returns the time from the decision to start a task of the step until its
 // expected end.
 func (step *step) expectedRunTime() time.Duration {
-	if step.spec.LongRunning {
-		return endlessRunTime
-	}
 	return startDelay + step.spec.EstimatedRunTime
 }
 
-// endlessRunTime exceeds the time of any reservation.
-const endlessRunTime = 10000 * time.Hour
-
 // likelyEnd returns when a run is likely to end, by its progress if that tells it, and by the
 // declared run time otherwise. An overdue run is likely to end soon.
 func (planner *Planner) likelyEnd(now time.Time, run *run) time.Time {
@@ -39,3 +33,26 @@
 	}
 	return end
 }
+
+// likelyEndOf returns when the last of the runs is likely to end.
+func (planner *Planner) likelyEndOf(now time.Time, runs []*run) time.Time {
+	var last time.Time
+	for _, run := range runs {
+		last = latest(last, planner.likelyEnd(now, run))
+	}
+	return last
+}
+
+func latest(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
+	}
+	return other
+}
+
+func earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+	return other
+}
