Limit the lines of a request's header

net/http bounds the size of a header, not the number of its lines.

Each connection now counts the lines that it reads, and a header with more than 256 is refused with 400.

--- a/gatekeeper/conn.go
+++ b/gatekeeper/conn.go
@@ -23,14 +23,20 @@
 	isBusy     atomic.Bool
 	// workspace is that of the newest request. Only the serving goroutine uses it.
 	workspace identifier.Workspace
+	// header is that of the request that is read. Only the server's reads and its hook use it.
+	header headerCounter
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails if a header has too many lines.
 func (conn *Conn) Read(target []byte) (int, error) {
 	count, err := conn.Conn.Read(target)
 	if count > 0 {
 		conn.recordProgress()
 	}
+	if conn.header.add(target[:count]) {
+		conn.gatekeeper.observer.ObserveShed(conn.gatekeeper.name, shedder.HeaderLines)
+		return 0, errHeaderLines
+	}
 	return count, err
 }
 
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -195,9 +195,18 @@
 }
 
 // ConnState implements the hook of http.Server: a connection counts until the server has
-// left it.
+// left it, and each request has a header of its own.
 func ConnState(connection net.Conn, state http.ConnState) {
-	if conn, ok := connection.(*Conn); ok && state == http.StateClosed {
+	conn, ok := connection.(*Conn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		conn.header.isDone = true
+	case http.StateIdle:
+		conn.header = headerCounter{}
+	case http.StateClosed:
 		conn.tell(shedder.Closed{Connection: conn.id})
 		conn.gatekeeper.open.Add(-1)
 	}
--- a/shedder/message.go
+++ b/shedder/message.go
@@ -93,11 +93,12 @@
 	SlowSender                    // it sends its body more slowly than others
 	LargestHolder                 // it holds more than others
 	MemoryLimit                   // no memory became free in time
+	HeaderLines                   // a header has too many lines; decided by the connection itself
 )
 
 // String returns the name of the reason in counters.
 func (reason Reason) String() string {
-	return [...]string{"idle-connection", "connection-limit", "slow-sender", "largest-holder", "memory-limit"}[reason]
+	return [...]string{"idle-connection", "connection-limit", "slow-sender", "largest-holder", "memory-limit", "header-lines"}[reason]
 }
 
 func (reason Reason) resource() Resource {
