Count the end of work on a request as progress of its connection

The connection of a request that the node had worked on for long looked like the longest idle one from the end of the work until its answer was written. A new connection then closed it, and the client lost the answer of its job. TestEndOfWorkIsProgress failed with a closed connection.

--- a/gatekeeper/conn.go
+++ b/gatekeeper/conn.go
@@ -55,8 +55,14 @@
 	return shedder.Sample{ProgressAt: time.Unix(0, conn.progressAt.Load()), IsBusy: conn.isBusy.Load()}
 }
 
-// SetBusy says whether the node works on a request of the connection.
-func (conn *Conn) SetBusy(isBusy bool) { conn.isBusy.Store(isBusy) }
+// SetBusy says whether the node works on a request of the connection. The end of the work
+// is progress, so that the connection is not closed before its answer is written.
+func (conn *Conn) SetBusy(isBusy bool) {
+	if !isBusy {
+		conn.recordProgress()
+	}
+	conn.isBusy.Store(isBusy)
+}
 
 // Identify says for which workspace a request of the connection was authorized.
 func (conn *Conn) Identify(workspace identifier.Workspace) {
--- a/gatekeeper/gatekeeper_test.go
+++ b/gatekeeper/gatekeeper_test.go
@@ -89,6 +89,21 @@
 	c.Assert([]int64{counter.shed.Load(), counter.changes.Load()}, quicktest.DeepEquals, []int64{1, 1})
 }
 
+// TestEndOfWorkIsProgress guards against a connection that is closed just before its answer
+// is written, because the node has worked on its request for longer than others were idle.
+func TestEndOfWorkIsProgress(t *testing.T) {
+	c := quicktest.New(t)
+	_, listener, _, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 8})
+	_, busy := connect(c, listener)
+	busy.SetBusy(true)
+	for range 7 {
+		connect(c, listener)
+	}
+	busy.SetBusy(false)
+	connect(c, listener)
+	c.Assert(busy.SetReadDeadline(time.Now().Add(testTimeout)), quicktest.IsNil, quicktest.Commentf("the connection is closed"))
+}
+
 // TestMemoryIsReturnedWithTheConnection guards against memory that stays reserved for a
 // connection whose handler has ended.
 func TestMemoryIsReturnedWithTheConnection(t *testing.T) {
