--- a/shedder/memory.go
+++ b/shedder/memory.go
@@ -95,7 +95,7 @@
 	if shedder.held-shedder.releasing+waiting.wanted <= shedder.limits.Memory {
 		return false
 	}
-	isUrgent := now.Sub(waiting.wantedAt) >= patience
+	isUrgent := now.Sub(waiting.wantedAt) >= reliefDelay
 	holding := shedder.sortedGroups(func(group *group) int64 { return group.held })
 	for index, workspace := range holding {
 		if index > 0 && shedder.groups[workspace].held*int64(len(holding)) < shedder.limits.Memory {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -13,14 +13,14 @@
 	// slowAfter is the age from which on a transfer's speed is compared with others. The
 	// speed of a younger one is not known.
 	slowAfter = 500 * time.Millisecond
-	// patience is how long a transfer waits for memory before one is closed that is not
-	// known to be slow. Most bodies are complete and released within this time.
-	patience = 250 * time.Millisecond
+	// reliefDelay is how long a transfer waits for memory before the largest holder is closed
+	// although it is not known to be slow. Most bodies are complete and released by then.
+	reliefDelay = 250 * time.Millisecond
 	// maxWait is how long a transfer waits for memory before it is refused.
 	maxWait = time.Second
 	// calmAfter is the time without a closed or refused client after which pressure may end.
 	calmAfter = 5 * time.Second
-	// calmDivisor is the part of a limit, three quarters, below which pressure may end.
+	// calmNumerator and calmDivisor are the part of a limit below which pressure may end.
 	calmNumerator, calmDivisor = 3, 4
 	// lingeringDivisor is the part of the connection limit up to which closed connections
 	// may still have their goroutines while others take their places.
@@ -81,7 +81,7 @@
 	id        Connection
 	workspace identifier.Workspace
 	held      int64
-	// startedAt is when the transfer of the present body began.
+	// startedAt is when the first memory of the present request was requested.
 	startedAt time.Time
 	// wanted is the memory that the connection waits for since wantedAt, 0 for none.
 	wanted    int64
@@ -130,8 +130,8 @@
 func (shedder *Shedder) Next() time.Time {
 	var next time.Time
 	for _, client := range shedder.waiting {
-		wait := patience
-		if shedder.steppedAt.Sub(client.wantedAt) >= patience {
+		wait := reliefDelay
+		if shedder.steppedAt.Sub(client.wantedAt) >= reliefDelay {
 			wait = maxWait
 		}
 		next = earlier(next, client.wantedAt.Add(wait))
