--- a/gatekeeper/conn.go
+++ b/gatekeeper/conn.go
@@ -23,14 +23,20 @@
 	isBusy     atomic.Bool
 	// workspace is that of the newest request. Only the serving goroutine uses it.
 	workspace identifier.Workspace
+	// header is that of the request that is read. Only the server's reads and its hook use it.
+	header headerCounter
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It fails if a header has too many lines.
 func (conn *Conn) Read(target []byte) (int, error) {
 	count, err := conn.Conn.Read(target)
 	if count > 0 {
 		conn.recordProgress()
 	}
+	if conn.header.add(target[:count]) {
+		conn.gatekeeper.observer.ObserveShed(conn.gatekeeper.name, shedder.HeaderLines)
+		return 0, errHeaderLines
+	}
 	return count, err
 }
 
@@ -49,8 +55,14 @@
 	return shedder.Sample{ProgressAt: time.Unix(0, conn.progressAt.Load()), IsBusy: conn.isBusy.Load()}
 }
 
-// SetBusy says whether the node works on a request of the connection.
-func (conn *Conn) SetBusy(isBusy bool) { conn.isBusy.Store(isBusy) }
+// SetBusy says whether the node works on a request of the connection. The end of the work
+// is progress, so that the connection is not closed before its answer is written.
+func (conn *Conn) SetBusy(isBusy bool) {
+	if !isBusy {
+		conn.recordProgress()
+	}
+	conn.isBusy.Store(isBusy)
+}
 
 // Identify says for which workspace a request of the connection was authorized.
 func (conn *Conn) Identify(workspace identifier.Workspace) {
