Measure the speed of a run only once its work has begun

The time that a run needs to begin counted as a low speed where a poll came before, so that runs without checkpoints were stopped on leaving minions although they end in time. The speed counts from the first report with progress, and such a run is stopped only if its speed is measured. TestSlowStartIsNoLowSpeed fails without this.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -77,7 +77,7 @@
 		}
 		leavesAt := minion.departure(now)
 		for _, run := range minion.sortedRuns() {
-			if run.state != running || run.step.spec.LongRunning {
+			if run.state != running || !run.isLeaver() {
 				continue
 			}
 			if run.step.spec.Gang {
@@ -95,6 +95,12 @@
 	return leavers, groups
 }
 
+// isLeaver reports whether the run must be decided about when its minion leaves. One without
+// checkpoints is stopped only if its measured speed shows that it ends too late.
+func (run *run) isLeaver() bool {
+	return !run.step.spec.LongRunning && (run.step.spec.Checkpoints || run.isMeasured())
+}
+
 func newLeaver(now time.Time, runs []*run, leavesAt time.Time) evictor.Leaver {
 	work := lostWorkOf(now, runs)
 	endsAt := expectedEndOf(runs)
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -114,3 +114,19 @@
 	restarts := 3 * 65 * simulation.checkpoints.restartTime.Seconds()
 	c.Assert(simulation.lostCoreSeconds <= restarts+0.01, quicktest.IsTrue, quicktest.Commentf("%f", simulation.lostCoreSeconds))
 }
+
+// TestSlowStartIsNoLowSpeed guards against a run that is stopped on a leaving minion although it
+// ends in time, because the time that it needed to begin counts as a low speed.
+func TestSlowStartIsNoLowSpeed(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 2)
+	simulation.checkpoints.restartTime = time.Second
+	simulation.submit(jobOf("b", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 200 * time.Millisecond}))
+	simulation.advance(900 * time.Millisecond)
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 4 * time.Second}))
+	simulation.advance(600 * time.Millisecond) // the end of b has shown a before its work began
+	simulation.leave(simulation.sortedMinions()[0], 4800*time.Millisecond)
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.stops("a"), quicktest.HasLen, 0)
+	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
+}
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -13,7 +13,11 @@
 
 // runWork is what the polls have shown of the work of a run.
 type runWork struct {
-	// firstPercent is the progress in the first report, at firstAt.
+	// initialPercent is the progress in the first report, if isObserved.
+	initialPercent int
+	isObserved     bool
+	// firstPercent is the progress in the first report beyond that, at firstAt. The time up to
+	// then includes the start of the work and says little about its speed.
 	firstPercent int
 	firstAt      time.Time
 	// givesCheckpoints means that the run has given a checkpoint of its own.
@@ -23,8 +27,11 @@
 // observe notes the progress and the checkpoint in a report, before the run has them. A run
 // that has given no checkpoint reports that from which it resumed.
 func (run *run) observe(now time.Time, report messenger.RunReport) {
-	if run.work.firstAt.IsZero() {
-		run.work.firstPercent, run.work.firstAt = report.ProgressPercent, now
+	switch work := &run.work; {
+	case !work.isObserved:
+		work.isObserved, work.initialPercent = true, report.ProgressPercent
+	case work.firstAt.IsZero() && report.ProgressPercent > work.initialPercent:
+		work.firstPercent, work.firstAt = report.ProgressPercent, now
 	}
 	if report.Checkpoint != "" && report.Checkpoint != run.checkpoint && report.Checkpoint != run.task().checkpoint {
 		run.work.givesCheckpoints = true
@@ -34,16 +41,21 @@
 // expectedEnd returns when the run is expected to end by its progress, the zero time if it
 // has reported none.
 func (run *run) expectedEnd() time.Time {
-	if run.step.spec.LongRunning || run.progressPercent <= 0 || run.work.firstAt.IsZero() {
+	if run.step.spec.LongRunning || run.progressPercent <= 0 || !run.work.isObserved {
 		return time.Time{}
 	}
 	timePerPercent := run.step.spec.EstimatedRunTime / fullPercent
-	if done := run.progressPercent - run.work.firstPercent; done >= minMeasuredPercent {
-		timePerPercent = run.progressAt.Sub(run.work.firstAt) / time.Duration(done)
+	if run.isMeasured() {
+		timePerPercent = run.progressAt.Sub(run.work.firstAt) / time.Duration(run.progressPercent-run.work.firstPercent)
 	}
 	return run.progressAt.Add(time.Duration(fullPercent-run.progressPercent) * timePerPercent)
 }
 
+// isMeasured reports whether the speed of the run is known from its progress.
+func (run *run) isMeasured() bool {
+	return !run.work.firstAt.IsZero() && run.progressPercent-run.work.firstPercent >= minMeasuredPercent
+}
+
 // lostTime returns how much of the run's work a stop loses. How long a run of a former holder has
 // worked is known by its progress only.
 func (run *run) lostTime(now time.Time) time.Duration {
