Choose minions for a trial by the reservations that hold now

Cause: a trial used the restrictions of the step's last placement. The reservations of that time may be over, and others, also of lower priority, have their places in the set.

Change: the restrictions are updated before minions are chosen for a trial, as before a placement.

Measured: TestTrialIgnoresFormerRestrictions: beside the reservation of a gang of lower priority, the trial found no minion for 3 s and was given up before the change; it starts within 2 s after.

--- a/planner/trial.go
+++ b/planner/trial.go
@@ -191,6 +191,7 @@
 		return
 	}
 	waitingStep.taskCount = len(waitingStep.taskIndexes)
+	planner.updateRestrictions(now, waitingStep)
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.minionsForTrial(now, waitingStep, pool)
 	if len(chosen) == 0 {
