Name limits of waits in the evictor and the choice of racks

Cause: patience and isPatient are figurative names.

Change: maxEndWait and mayWaitLonger say what the values are. No behaviour changes.

Measured: the tests of evictor pass.

--- a/evictor/choose.go
+++ b/evictor/choose.go
@@ -20,7 +20,7 @@
 func (evictor *Evictor) Choose(now time.Time, room *Room) (Choice, bool) {
 	ending := make([]bool, len(room.Victims))
 	for index := range room.Victims {
-		ending[index] = endsSoon(now, room.Victims[index].EndsAt, evictor.patience(room))
+		ending[index] = endsSoon(now, room.Victims[index].EndsAt, evictor.maxEndWait(room))
 	}
 	best, found := newPlan(room, ending).fill()
 	if found && len(best.Stopped) == 0 {
@@ -40,9 +40,9 @@
 	return best, found
 }
 
-// patience returns within which time an expected end counts as sooner than a stop. If the run is
+// maxEndWait returns within which time an expected end counts as sooner than a stop. If the run is
 // then overdue, there is still time for a stop.
-func (evictor *Evictor) patience(room *Room) time.Duration {
+func (evictor *Evictor) maxEndWait(room *Room) time.Duration {
 	if room.MustStart {
 		return evictor.bounds.OrderTime - maxOverdue
 	}
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -45,8 +45,8 @@
 // instead of running slowly elsewhere. No step waits longer than rackWait if it is
 // long-running or the pool is not crowded.
 func (step *step) requiresRack(now time.Time, waitingStep *waitingStep, pool *pool) bool {
-	isPatient := pool.crowded && !step.spec.LongRunning
-	return (now.Sub(step.waitingSince) < rackWait || isPatient) && step.wantsRack(waitingStep, pool)
+	mayWaitLonger := pool.crowded && !step.spec.LongRunning
+	return (now.Sub(step.waitingSince) < rackWait || mayWaitLonger) && step.wantsRack(waitingStep, pool)
 }
 
 // wantsRack reports whether the step requires its rack at least at the beginning of its wait.
