Extrapolate the end of a run in one function

Cause: forecasts and the moves of evacuations computed the same end of a run, by its progress up to its last change, in two places.

Change: run.extrapolatedEnd is the one place.

Measured: the tests of explanations and evacuations in planner pass.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -82,21 +82,7 @@
 // is gained.
 func (run *run) shouldMove(now time.Time) bool {
 	spec := run.step.spec
-	return !run.step.hasSuspect() && (spec.LongRunning || (spec.Checkpoints && run.expectedRemainder(now) > minMovedTime))
-}
-
-// expectedRemainder returns how much longer the run is expected to work, from the speed of its
-// progress up to the newest report. The start of an adopted run is not known.
-func (run *run) expectedRemainder(now time.Time) time.Duration {
-	total, begun := run.step.spec.EstimatedRunTime, run.startedAt
-	switch {
-	case run.progressPercent <= 0:
-	case run.isAdopted:
-		total, begun = total*time.Duration(fullPercent-run.progressPercent)/fullPercent, run.progressAt
-	default:
-		total = run.progressAt.Sub(begun) * fullPercent / time.Duration(run.progressPercent)
-	}
-	return total - now.Sub(begun)
+	return !run.step.hasSuspect() && (spec.LongRunning || (spec.Checkpoints && run.extrapolatedEnd().Sub(now) > minMovedTime))
 }
 
 // tryMove stops the runs of a move for which there is capacity elsewhere, and reserves it.
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -48,20 +48,14 @@
 
 // endOf returns when a run is expected to end, false if it may run for ever.
 func (forecast *forecast) endOf(run *run) (time.Time, bool) {
-	estimate := run.step.spec.EstimatedRunTime
 	var at time.Time
 	switch {
 	case run.state == stopping:
 		at = run.stopOrderedAt.Add(forecast.planner.bounds.StopTimeout)
 	case run.step.spec.LongRunning:
 		return time.Time{}, false
-	case run.isAdopted: // its start is unknown
-		at = run.progressAt.Add(estimate * time.Duration(fullPercent-run.progressPercent) / fullPercent)
-	case run.progressPercent > 0: // as fast as until the progress last changed
-		worked := run.progressAt.Sub(run.startedAt)
-		at = run.progressAt.Add(worked * time.Duration(fullPercent-run.progressPercent) / time.Duration(run.progressPercent))
 	default:
-		at = run.startedAt.Add(estimate)
+		at = run.extrapolatedEnd()
 	}
 	if overdue := forecast.now.Sub(at); overdue > 0 {
 		at = forecast.now.Add(overdue) // the longer it is overdue, the less its estimate says
--- a/planner/likelyend.go
+++ b/planner/likelyend.go
@@ -34,6 +34,19 @@
 	return end
 }
 
+// extrapolatedEnd returns the end of a run that goes on as fast as until its progress last changed,
+// the declared one before it has any. The start of an adopted run is not known.
+func (run *run) extrapolatedEnd() time.Time {
+	declared, percentLeft := run.step.spec.EstimatedRunTime, time.Duration(fullPercent-run.progressPercent)
+	switch {
+	case run.isAdopted:
+		return run.progressAt.Add(declared * percentLeft / fullPercent)
+	case run.progressPercent > 0:
+		return run.progressAt.Add(run.progressAt.Sub(run.startedAt) * percentLeft / time.Duration(run.progressPercent))
+	}
+	return run.startedAt.Add(declared)
+}
+
 // likelyEndOf returns when the last of the runs is likely to end.
 func (planner *Planner) likelyEndOf(now time.Time, runs []*run) time.Time {
 	var last time.Time
