Plan a reservation as soon as more minions accept runs

Cause: a step for which the minions never have room gets no reservation for 2 s. The first plan of a new holder sees only the minions that have answered by then, so that a large gang was left without one in that time, while other tasks took its room.

Change: the delay ends when a plan has more minions than the one that had no room.

TestReservationIsPlannedWhenMinionsJoin shows it in the reserver.

--- a/planner/reservationbounds_test.go
+++ b/planner/reservationbounds_test.go
@@ -53,3 +53,21 @@
 	simulation.advance(time.Second)
 	c.Assert(simulation.linesWith("gang reservation-given-up"), quicktest.HasLen, 0)
 }
+
+// TestNewHolderReservesAtOnce guards against a gang that has no reservation for seconds after a
+// takeover, because its first plan saw only the minions that had answered by then.
+func TestNewHolderReservesAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newReservingSimulation(1, 2, 4, true)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(100 * time.Millisecond)
+	simulation.submit(jobOf("occupied", wholeMinions(2, 6*time.Second)))
+	simulation.advance(300 * time.Millisecond)
+	simulation.submit(jobOf("gang", wholeMinionGang(4, time.Second)))
+	simulation.advance(time.Second)
+	c.Assert(simulation.linesWith("n0 gang reservation-made"), quicktest.HasLen, 1)
+	simulation.nodes[0].alive = false
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.advance(time.Second)
+	c.Assert(simulation.linesWith("n1 gang reservation-made"), quicktest.HasLen, 1)
+}
--- a/reserver/plan.go
+++ b/reserver/plan.go
@@ -42,6 +42,7 @@
 // minions.
 func (reserver *Reserver) Plan(now time.Time, minions []*Minion, demands []*Demand) []Change {
 	reserver.plans++
+	reserver.minions = len(minions)
 	earlier := reserver.releaseReservations()
 	for _, minion := range minions {
 		minion.sortEnds(now)
@@ -123,7 +124,7 @@
 		case now.Sub(reservation.PromisedAt) > reservation.margin:
 			history := reserver.history(reservation.Step)
 			history.givenUp++
-			history.barredUntil = now.Add(retryDelay)
+			history.barredUntil, history.lackedRoom = now.Add(retryDelay), false
 			changes = append(changes, Change{reservation, Overdue})
 		}
 	}
@@ -140,7 +141,10 @@
 
 func (reserver *Reserver) isBarred(now time.Time, step Step) bool {
 	history := reserver.histories[step]
-	return history != nil && now.Before(history.barredUntil)
+	if history == nil || (history.lackedRoom && reserver.minions > history.minionsThen) {
+		return false
+	}
+	return now.Before(history.barredUntil)
 }
 
 func (reserver *Reserver) history(step Step) *history {
@@ -156,7 +160,8 @@
 func (reserver *Reserver) plan(now time.Time, pool *pool, demand *Demand, earlier []*Reservation) *Reservation {
 	slots := demand.earliestSlots(now, pool)
 	if slots == nil {
-		reserver.history(demand.Step).barredUntil = now.Add(retryDelay)
+		history := reserver.history(demand.Step)
+		history.barredUntil, history.lackedRoom, history.minionsThen = now.Add(retryDelay), true, len(pool.minions)
 		return nil
 	}
 	reservation := &Reservation{
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -63,6 +63,10 @@
 	givenUp int
 	// barredUntil is the time until which the step gets no reservation.
 	barredUntil time.Time
+	// lackedRoom means that it is barred because minionsThen minions had no room. It gets a
+	// reservation as soon as there are more.
+	lackedRoom  bool
+	minionsThen int
 }
 
 // Reserver keeps the reservations of one pool. It is not safe for concurrent use.
@@ -70,6 +74,7 @@
 	reservations []*Reservation // the highest rank first
 	histories    map[Step]*history
 	plans        uint64
+	minions      int // of the newest plan
 }
 
 // New returns a Reserver without reservations.
--- a/reserver/reserver_test.go
+++ b/reserver/reserver_test.go
@@ -175,3 +175,17 @@
 		})
 	}
 }
+
+// TestReservationIsPlannedWhenMinionsJoin guards against a gang that gets no reservation for a
+// while after a takeover, because there was no room for it among the first minions that answered.
+func TestReservationIsPlannedWhenMinionsJoin(t *testing.T) {
+	c := quicktest.New(t)
+	minions := []*reserver.Minion{busyMinion("r", 2, 2), busyMinion("r", 3, 3)}
+	demands := []*reserver.Demand{gang("a", 1, 2, 8)}
+	planned := reserver.New()
+	planned.Plan(start, nil, demands)
+	planned.Plan(start, minions[:1], demands)
+	c.Assert(planned.Reservations(), quicktest.HasLen, 0)
+	planned.Plan(start.Add(250*time.Millisecond), minions, demands)
+	c.Assert(startsIn(planned), quicktest.DeepEquals, map[string]int{"a": 3})
+}
