--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -34,9 +34,23 @@
 	reserved map[*minion]specifier.Resources
 }
 
+// Stops before a step is due. The declared run times by which it could still be on time later are
+// rough, and a stop of runs that have just saved their work costs little.
+const (
+	// earlyEvictionDelay is how long the step waits for capacity that becomes free without a stop.
+	earlyEvictionDelay = 100 * time.Millisecond
+	// earlyWasteFactor bounds the work lost, in multiples of the step's own work.
+	earlyWasteFactor = 0.5
+)
+
+// mayEvictEarly reports whether runs may be stopped for a step that could still be on time later.
+func (planner *Planner) mayEvictEarly(now time.Time, step *step) bool {
+	return planner.stops != nil && now.Sub(step.waitingSince) >= earlyEvictionDelay
+}
+
 // evict frees capacity for all tasks of a step that wait, or reserves what comes free
 // without a stop. It reports whether it found enough.
-func (planner *Planner) evict(now time.Time, waitingStep *waitingStep, pool *pool, guaranteed bool) bool {
+func (planner *Planner) evict(now time.Time, waitingStep *waitingStep, pool *pool, guaranteed bool, maxWaste float64) bool {
 	step := waitingStep.step
 	if !planner.requestStart(step.occurrence.job) {
 		return true
@@ -44,7 +58,7 @@
 	taskCount := step.countStartableTasks(now)
 	eviction := planner.chooseEviction(now, evictionRequest{step, taskCount, guaranteed}, pool)
 	ownWork := step.estimatedWork(taskCount)
-	if eviction == nil || (!guaranteed && eviction.choice.Loss.Work > maxWasteFactor*ownWork) {
+	if eviction == nil || (!guaranteed && eviction.choice.Loss.Work > maxWaste*ownWork) {
 		return false
 	}
 	choice := &eviction.choice
--- a/planner/reclaim.go
+++ b/planner/reclaim.go
@@ -34,11 +34,16 @@
 	}
 	stopTime := planner.bounds.StopTimeout + stopOrderSlack
 	guaranteed := !now.Before(step.occurrence.dueAt.Add(planner.bounds.ReclaimTime-stopTime)) && guarantees.covers(step.occurrence.job)
-	if !guaranteed && (waitingStep.late || now.Before(waitingStep.latestStart.Add(-stopTime))) {
+	isDue := !now.Before(waitingStep.latestStart.Add(-stopTime))
+	if !guaranteed && (waitingStep.late || !(isDue || planner.mayEvictEarly(now, step))) {
 		return
 	}
 	if planner.stops != nil {
-		if !planner.evict(now, waitingStep, pool, guaranteed) {
+		maxWaste := maxWasteFactor
+		if !isDue {
+			maxWaste = earlyWasteFactor
+		}
+		if !planner.evict(now, waitingStep, pool, guaranteed, maxWaste) {
 			step.nextReclaimAt = now.Add(reclaimRetryDelay)
 		}
 		return
