Let busy clients of one key shut out nobody, and serve a single long header

(b) Every header of more than 256 lines was refused, also a single one within 16 KiB, which clients within the limits may send.

Change: a group with more than half of the connections may lose a busy one; the gatekeeper ends the work on the request of a connection that it closes. 16 requests of a listener may have long headers at a time.

--- a/cmd/corianderroad/intruder/headerlines_test.go
+++ b/cmd/corianderroad/hostileclients/headerlines_test.go
@@ -1,4 +1,4 @@
-package intruder_test
+package hostileclients_test
 
 import (
 	"fmt"
--- a/gatekeeper/conn.go
+++ b/gatekeeper/conn.go
@@ -25,17 +25,22 @@
 	workspace identifier.Workspace
 	// header is that of the request that is read. Only the server's reads and its hook use it.
 	header headerCounter
+	// closing ends when the gatekeeper closes the connection. A request whose client has sent
+	// more meanwhile does not notice otherwise, and its work would keep the connection's place.
+	closing context.Context
+	cancel  context.CancelFunc
+	// hasLongHeader means that the request counts as one with a long header.
+	hasLongHeader bool
 }
 
-// Read implements net.Conn. It fails if a header has too many lines.
+// Read implements net.Conn. It fails if the header is long and too many others are.
 func (conn *Conn) Read(target []byte) (int, error) {
 	count, err := conn.Conn.Read(target)
 	if count > 0 {
 		conn.recordProgress()
 	}
-	if conn.header.add(target[:count]) {
-		conn.gatekeeper.observer.ObserveShed(conn.gatekeeper.name, shedder.HeaderLines)
-		return 0, errHeaderLines
+	if conn.header.add(target[:count]); !conn.admitHeader(conn.header.lines) {
+		return 0, errLongHeaders
 	}
 	return count, err
 }
@@ -115,8 +120,13 @@
 type contextKey struct{}
 
 // ConnContext implements the hook of http.Server, so that FromContext finds the
-// connection of a request.
+// connection of a request. The work on it ends when the connection is closed.
 func ConnContext(ctx context.Context, connection net.Conn) context.Context {
+	if conn, ok := connection.(*Conn); ok {
+		closable, cancel := context.WithCancel(ctx)
+		context.AfterFunc(conn.closing, cancel)
+		ctx = closable
+	}
 	return context.WithValue(ctx, contextKey{}, connection)
 }
 
--- a/gatekeeper/gatekeeper.go
+++ b/gatekeeper/gatekeeper.go
@@ -41,6 +41,8 @@
 	queries    *buffer.Ring[runner.QueryRequest]
 	// open is at least the number of connections that the shedder has.
 	open atomic.Int64
+	// longHeaders is the number of requests with long headers.
+	longHeaders atomic.Int64
 	// unlimited is the number of connections up to which each is admitted.
 	unlimited int64
 	// running ends with Run. Nobody waits for an answer afterwards.
@@ -152,7 +154,9 @@
 			gatekeeper.answer(action.Connection, refusal(action.Reason))
 		case shedder.Close:
 			gatekeeper.observer.ObserveShed(gatekeeper.name, action.Reason)
-			_ = gatekeeper.connections[action.Connection].connection.Close() // its goroutine may have closed it
+			connection := gatekeeper.connections[action.Connection].connection
+			connection.cancel()
+			_ = connection.Close() // its goroutine may have closed it
 			gatekeeper.answer(action.Connection, refusal(action.Reason))
 		case shedder.PressureChanged:
 			gatekeeper.observer.ObservePressure(gatekeeper.name, action)
@@ -206,7 +210,10 @@
 		conn.header.isDone = true
 	case http.StateIdle:
 		conn.header = headerCounter{}
+		conn.releaseHeader()
 	case http.StateClosed:
+		conn.releaseHeader()
+		conn.cancel()
 		conn.tell(shedder.Closed{Connection: conn.id})
 		conn.gatekeeper.open.Add(-1)
 	}
--- a/gatekeeper/listener.go
+++ b/gatekeeper/listener.go
@@ -82,6 +82,7 @@
 		}
 		listener.latest++
 		conn := &Conn{Conn: watcher.NewConn(accepted, listener.stallTimeout), id: listener.latest, gatekeeper: listener.gatekeeper}
+		conn.closing, conn.cancel = context.WithCancel(context.Background())
 		conn.recordProgress()
 		if !conn.isAdmitted() {
 			listener.gatekeeper.open.Add(-1)
--- a/shedder/connection.go
+++ b/shedder/connection.go
@@ -43,15 +43,17 @@
 }
 
 // closeIdleOf is closeIdle for one group. Connections on whose requests the node works
-// come last, and only if the work has lasted for long.
+// come last, and only if the work has lasted for long or the group has most connections of the
+// listener: busy clients of one workspace that reconnect would shut out all others.
 func (shedder *Shedder) closeIdleOf(now time.Time, workspace identifier.Workspace, count int) int {
 	candidates := shedder.closable(workspace)
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(compareBool(a.isBusy, b.isBusy), a.progressAt.Compare(b.progressAt), cmp.Compare(a.id, b.id))
 	})
+	hasMost := 2*shedder.groups[workspace].connections > shedder.limits.Connections
 	for index, candidate := range candidates {
 		isRecent := now.Sub(candidate.progressAt) < idleAfter
-		if index == count || isRecent && (index > 0 || candidate.isBusy) {
+		if index == count || isRecent && (index > 0 || candidate.isBusy && !hasMost) {
 			return index
 		}
 		shedder.close(now, candidate.client, IdleConnection)
