--- a/cmd/corianderroad/hostileclients/stage_test.go
+++ b/cmd/corianderroad/hostileclients/stage_test.go
@@ -1,4 +1,4 @@
-// Package hostile client_test holds tests in which crowds of clients that respect no limits
+// Package hostileclients_test holds tests in which crowds of clients that respect no limits
 // call a real process of an entry VM. The limits of the process and the size of the
 // crowds can be set by environment variables, for a run with those of a real VM.
 package hostileclients_test
