--- a/gatekeeper/header_test.go
+++ b/gatekeeper/header_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -17,7 +18,7 @@
 )
 
 // serve serves requests whose bodies are read, and returns the address.
-func serve(c *quicktest.C) (string, *counter) {
+func serve(c *quicktest.C) (netip.AddrPort, *counter) {
 	_, listener, counter, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 64})
 	server := &http.Server{ConnContext: gatekeeper.ConnContext, ConnState: gatekeeper.ConnState, ReadHeaderTimeout: testTimeout, Handler: gatekeeper.LimitHeaders(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		_, _ = io.Copy(io.Discard, request.Body) // the client checks the status only
@@ -31,13 +32,13 @@
 		_ = server.Close() // connections may be open
 		<-ended
 	})
-	return listener.Addr().String(), counter
+	return listener.Addr().(*net.TCPAddr).AddrPort(), counter
 }
 
 // exchange sends requests in one write, and returns the status of each answer until the
 // connection ends.
-func exchange(c *quicktest.C, address, requests string) []int {
-	client, err := net.Dial("tcp", address)
+func exchange(c *quicktest.C, address netip.AddrPort, requests string) []int {
+	client, err := net.Dial("tcp", address.String())
 	c.Assert(err, quicktest.IsNil)
 	defer client.Close() //nolint:errcheck // the server may have closed it
 	c.Assert(client.SetDeadline(time.Now().Add(testTimeout)), quicktest.IsNil)
@@ -84,9 +85,9 @@
 const allowedLongHeaders = 16
 
 // occupy lets clients keep unfinished headers of a number of lines open until the test ends.
-func occupy(c *quicktest.C, address string, clients, lines int) {
+func occupy(c *quicktest.C, address netip.AddrPort, clients, lines int) {
 	for range clients {
-		client, err := net.Dial("tcp", address)
+		client, err := net.Dial("tcp", address.String())
 		c.Assert(err, quicktest.IsNil)
 		c.Cleanup(func() { _ = client.Close() }) // the server may have closed it
 		_, err = io.WriteString(client, strings.TrimSuffix(post(lines, 0, ""), "\r\n"))
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"corianderroad/classifier"
@@ -389,28 +388,3 @@
 	}
 	return state
 }
-
-func (simulation *simulation) reportViolation(format string, arguments ...any) {
-	simulation.violations = append(simulation.violations, simulation.now.Format("05.000 ")+fmt.Sprintf(format, arguments...))
-}
-
-// decisionsAbout returns the decisions about a job, the holder and the minions, and
-// the faults of the store.
-func (simulation *simulation) decisionsAbout(job string) string {
-	var kept []string
-	for _, line := range simulation.decisions {
-		if strings.Contains(line, job) || strings.Contains(line, "holder-") || strings.Contains(line, "minion-") || strings.Contains(line, "store-") {
-			kept = append(kept, line)
-		}
-	}
-	return strings.Join(kept, "\n")
-}
-
-func (simulation *simulation) taskState(task specifier.Task) *taskState {
-	found, ok := simulation.tasks[task]
-	if !ok {
-		found = &taskState{running: make(map[*fakeRun]bool)}
-		simulation.tasks[task] = found
-	}
-	return found
-}
--- /dev/null
+++ b/planner/simulationchecks_test.go
@@ -0,0 +1,63 @@
+package planner_test
+
+import (
+	"slices"
+	"time"
+
+	"corianderroad/messenger"
+	"corianderroad/specifier"
+)
+
+// recordEnd registers an end that its minion may discard.
+func (simulation *simulation) recordEnd(end messenger.RunEnd) {
+	taskState := simulation.taskState(end.Task)
+	switch end.Kind {
+	case messenger.EndDone:
+		taskState.endRecorded = true
+		if latest := slices.Max(taskState.startedRuns); latest > end.Run {
+			simulation.reportViolation("%s: the end of run %d is recorded although run %d has started", end.Task, end.Run, latest)
+		}
+	case messenger.EndFailed:
+		taskState.failedRuns = append(taskState.failedRuns, end.Run)
+	}
+}
+
+// checkAttempts checks that no run of a task starts after as many runs have
+// failed as its queue allows. Failures that no holder recorded do not count.
+func (simulation *simulation) checkAttempts() {
+	for task, taskState := range simulation.tasks {
+		slices.Sort(taskState.failedRuns)
+		failed := slices.Compact(taskState.failedRuns)
+		if len(failed) >= attempts && slices.Max(taskState.startedRuns) > failed[attempts-1] {
+			simulation.reportViolation("%s: run %d starts after runs %v have failed", task, slices.Max(taskState.startedRuns), failed)
+		}
+	}
+}
+
+// checkStart checks the guarantees for each start. The bound after a
+// cancellation applies to the time of the order, because a minion may execute
+// it late.
+func (simulation *simulation) checkStart(run *fakeRun, sentAt time.Time) {
+	taskState := simulation.taskState(run.task)
+	taskState.startedRuns = append(taskState.startedRuns, run.number)
+	simulation.checkCrashBudget(run)
+	simulation.checkEvacuation(run, sentAt)
+	if len(taskState.running) > 0 {
+		simulation.reportViolation("%s: run %d starts while another runs", run.task, run.number)
+	}
+	if taskState.endRecorded {
+		simulation.reportViolation("%s: run %d starts after a recorded end", run.task, run.number)
+	}
+	if at, ok := simulation.cancelled[run.task.Job]; ok && sentAt.Sub(at) > 3*time.Second {
+		simulation.reportViolation("%s: run %d starts after the cancellation", run.task, run.number)
+	}
+	job := simulation.jobs[run.task.Job]
+	for _, earlier := range run.spec.DependsOn {
+		for index := range job.Steps[earlier].Tasks {
+			if !simulation.taskState(specifier.Task{Job: job.ID, Occurrence: run.task.Occurrence, Step: earlier, Index: index}).done &&
+				!job.Steps[earlier].Gang {
+				simulation.reportViolation("%s: run %d starts before step %d is done", run.task, run.number, earlier)
+			}
+		}
+	}
+}
