Move the weight of resources to specifier

Change: specifier.Resources.Weight, with the constants MilliPerCore and AcceleratorWeight, in place of planner.weight, milliPerCore and acceleratorWeight. Behaviour does not change.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -229,7 +229,7 @@
 		}
 		candidates = append(candidates, candidate{
 			minion: minion, taskCapacity: taskCapacity, penalty: penalty, rackUsage: pool.byRack[minion.rack].usage,
-			remaining: weight(planner.reservations.freeCapacity(step, minion).Sub(request)),
+			remaining: planner.reservations.freeCapacity(step, minion).Sub(request).Weight(),
 		})
 	}
 	return candidates
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -84,12 +84,12 @@
 		}
 	}
 	for _, minion := range forecast.pool.available {
-		capacity += weight(minion.report.Capacity)
+		capacity += minion.report.Capacity.Weight()
 	}
 	if capacity == 0 {
 		return 0
 	}
-	return time.Duration(work * milliPerCore / float64(capacity) * float64(time.Second))
+	return time.Duration(work * specifier.MilliPerCore / float64(capacity) * float64(time.Second))
 }
 
 // roomFreeAt returns when there is capacity for the step, false if the runs that end do not
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // endCause is why a run ended: the rule by which it was stopped, or else how it ended.
@@ -103,7 +104,7 @@
 	if run.step.spec.LongRunning || (task.done && task.doneRun == run.number) {
 		return
 	}
-	lost := run.unsavedTime(now).Seconds() * float64(weight(run.step.spec.Request)) / milliPerCore
+	lost := run.unsavedTime(now).Seconds() * float64(run.step.spec.Request.Weight()) / specifier.MilliPerCore
 	if lost > 0 {
 		planner.emit(messenger.WorkLost{Rule: cause.String(), CoreSeconds: lost})
 	}
--- a/planner/maintenance.go
+++ b/planner/maintenance.go
@@ -179,7 +179,7 @@
 		if !ok {
 			return 0
 		}
-		return minion.used.MilliCPU + minion.used.Accelerators*acceleratorWeight
+		return minion.used.Weight()
 	}
 	slices.SortStableFunc(names, func(one, other identifier.VM) int { return cmp.Compare(load(one), load(other)) })
 	return names
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -115,7 +115,7 @@
 		pool.byRack[minion.rack] = minionRack
 		pool.racks = append(pool.racks, minionRack)
 	}
-	minionRack.usage += weight(minion.used)
+	minionRack.usage += minion.used.Weight()
 	if minion.registered && !minion.isEvacuated() {
 		pool.registered = append(pool.registered, minion)
 	}
@@ -158,7 +158,7 @@
 
 // addUsage adds what a task started in this pass occupies.
 func (pool *pool) addUsage(minion *minion, request specifier.Resources) {
-	pool.byRack[minion.rack].usage += weight(request)
+	pool.byRack[minion.rack].usage += request.Weight()
 }
 
 // isCrowded reports whether at least half of the processors or accelerators is in use.
@@ -239,12 +239,3 @@
 func (step *step) isCacheable() bool {
 	return step.advice == nil && step.spec.MaxPerMinion == 0 && (!step.spec.SameRack || step.currentRack() == "")
 }
-
-// weight returns the size of an amount of capacity as one number. Accelerators
-// have a higher weight, because large blocks of them are the rarest.
-func weight(amount specifier.Resources) int {
-	return amount.Accelerators*acceleratorWeight + amount.MilliCPU
-}
-
-// acceleratorWeight is the weight of an accelerator in thousandths of a core.
-const acceleratorWeight = 8000
--- a/planner/reclaim.go
+++ b/planner/reclaim.go
@@ -77,11 +77,9 @@
 // estimatedWork returns the estimated core-seconds of a number of the step's
 // tasks.
 func (step *step) estimatedWork(count int) float64 {
-	return step.spec.EstimatedRunTime.Seconds() * float64(weight(step.spec.Request.Times(count))) / milliPerCore
+	return step.spec.EstimatedRunTime.Seconds() * float64(step.spec.Request.Times(count).Weight()) / specifier.MilliPerCore
 }
 
-const milliPerCore = 1000
-
 // planPreemption returns where a step fits once the victims have ended, at the
 // lowest cost that a greedy choice finds. It returns nil if it fits nowhere.
 func (planner *Planner) planPreemption(now time.Time, waitingStep *waitingStep, pool *pool) *preemption {
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -5,6 +5,7 @@
 
 	"corianderroad/evictor"
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // minMeasuredPercent is the progress from which on the speed of a run is measured. Below,
@@ -71,7 +72,7 @@
 func lostWorkOf(now time.Time, runs []*run) evictor.Work {
 	var work evictor.Work
 	for index, run := range runs {
-		work.Cores += float64(weight(run.step.spec.Request)) / milliPerCore
+		work.Cores += float64(run.step.spec.Request.Weight()) / specifier.MilliPerCore
 		work.Stops = max(work.Stops, run.task().stops)
 		work.SavesAtStop = work.SavesAtStop || run.work.givesCheckpoints
 		if unsaved := run.lostTime(now); index == 0 || unsaved < work.Unsaved {
--- a/planner/victim.go
+++ b/planner/victim.go
@@ -142,5 +142,5 @@
 	if run.step.spec.Checkpoints {
 		age = min(age, maxCheckpointAge)
 	}
-	return age.Seconds() * float64(weight(run.step.spec.Request)) / milliPerCore
+	return age.Seconds() * float64(run.step.spec.Request.Weight()) / specifier.MilliPerCore
 }
--- a/specifier/resources.go
+++ b/specifier/resources.go
@@ -55,6 +55,18 @@
 	return count
 }
 
+// MilliPerCore is the number of thousandths of a core in a core.
+const MilliPerCore = 1000
+
+// AcceleratorWeight is the weight of an accelerator in thousandths of a core.
+const AcceleratorWeight = 8 * MilliPerCore
+
+// Weight returns the size of an amount as one number, in thousandths of a core. Accelerators have a
+// higher weight, because large blocks of them are the rarest.
+func (resources Resources) Weight() int {
+	return resources.Accelerators*AcceleratorWeight + resources.MilliCPU
+}
+
 func (resources Resources) nonNegative() bool {
 	return resources.MilliCPU >= 0 && resources.MemoryMB >= 0 && resources.Accelerators >= 0
 }
