Move the forecast of ends and room into the package forecaster

Change: forecaster.Run has the estimates of a run's end, forecaster.Forecaster the times at which minions have room, over a table that the planner fills. Rack and room are found in one pass over the ends in place of one pass for each rack. Behaviour does not change, and the planner's tests are unchanged. None of them was a test of the forecast alone, so that none was moved.

--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -82,7 +82,7 @@
 // is gained.
 func (run *run) shouldMove(now time.Time) bool {
 	spec := run.step.spec
-	return !run.step.hasSuspect() && (spec.LongRunning || (spec.Checkpoints && run.extrapolatedEnd().Sub(now) > minMovedTime))
+	return !run.step.hasSuspect() && (spec.LongRunning || (spec.Checkpoints && run.known(0).ExtrapolatedEnd().Sub(now) > minMovedTime))
 }
 
 // tryMove stops the runs of a move for which there is capacity elsewhere, and reserves it.
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -66,7 +66,7 @@
 		explained := planner.explainStep(now, step, order, check)
 		if queue != nil {
 			explained.Late = now.After(step.latestStart(queue))
-			explained.FittingMinions = forecast.countFitting(step)
+			explained.FittingMinions = forecast.pool.countFitting(step)
 			before := order[:max(explained.Place-1, 0)]
 			explained.ExpectedStart, explained.Basis = planner.expectedStart(now, step, before, forecast)
 		}
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -1,121 +1,73 @@
 package planner
 
 import (
-	"slices"
 	"time"
 
+	"corianderroad/forecaster"
 	"corianderroad/identifier"
 	"corianderroad/specifier"
 )
 
-// forecast is when the runs on the minions of a service are expected to end. It is made for
-// one query, and changes no state of the planner.
+// forecast is when the minions of a service have capacity for waiting steps. It is made for one
+// query, and changes no state of the planner.
 type forecast struct {
 	planner *Planner
 	now     time.Time
 	service identifier.Service
 	pool    *pool
-	// ends are the expected ends of the runs on minions that accept runs, earliest first.
-	ends []expectedEnd
-}
-
-// expectedEnd is when a run is expected to end.
-type expectedEnd struct {
-	at  time.Time
-	run *run
+	// capacity has the minions that accept runs, in the order of the pool.
+	capacity *forecaster.Forecaster
 }
 
 // newForecast returns the forecast for the minions of a service.
 func (planner *Planner) newForecast(now time.Time, service identifier.Service) *forecast {
-	forecast := &forecast{planner: planner, now: now, service: service, pool: newPool()}
+	forecast := &forecast{planner: planner, now: now, service: service, pool: newPool(), capacity: forecaster.New(now)}
 	for _, minion := range planner.minions {
-		if minion.report.Service != service {
-			continue
+		if minion.report.Service == service {
+			forecast.pool.addMinion(minion, minion.acceptsRuns(now))
 		}
-		forecast.pool.addMinion(minion, minion.acceptsRuns(now))
 	}
 	forecast.pool.crowded = isCrowded(forecast.pool.registered)
 	for _, minion := range forecast.pool.available {
+		index := forecast.capacity.AddMinion(forecaster.Minion{
+			Rack: minion.rack, Capacity: minion.report.Capacity, Free: minion.freeCapacity().Sub(minion.reserved),
+		})
 		for _, run := range minion.runs {
-			if at, ok := forecast.endOf(run); ok {
-				forecast.ends = append(forecast.ends, expectedEnd{at, run})
-			}
+			forecast.capacity.AddRun(index, run.known(planner.bounds.StopTimeout), requiredCapacity(run.step.spec))
 		}
 	}
-	slices.SortFunc(forecast.ends, func(one, other expectedEnd) int { return one.at.Compare(other.at) })
 	return forecast
 }
 
-// endOf returns when a run is expected to end, false if it may run for ever.
-func (forecast *forecast) endOf(run *run) (time.Time, bool) {
-	var at time.Time
-	switch {
-	case run.state == stopping:
-		at = run.stopOrderedAt.Add(forecast.planner.bounds.StopTimeout)
-	case run.step.spec.LongRunning:
-		return time.Time{}, false
-	default:
-		at = run.extrapolatedEnd()
-	}
-	if overdue := forecast.now.Sub(at); overdue > 0 {
-		at = forecast.now.Add(overdue) // the longer it is overdue, the less its estimate says
-	}
-	return at, true
-}
-
-// countFitting returns how many minions could hold a task of the step if nothing ran on them.
-func (forecast *forecast) countFitting(step *step) int {
-	count, request := 0, requiredCapacity(step.spec)
-	for _, minion := range forecast.pool.registered {
-		if step.canRunOn(minion) && minion.report.Capacity.Holds(request) {
-			count++
-		}
-	}
-	return count
-}
-
 // timeFor returns how long the minions that accept runs need for the estimated work of waiting
 // steps, if they do nothing else.
 func (forecast *forecast) timeFor(steps []*waitingStep) time.Duration {
-	work, capacity := 0.0, 0
+	work := 0.0
 	for _, waitingStep := range steps {
 		if waitingStep.queue.Service == forecast.service {
 			work += waitingStep.step.estimatedWork(waitingStep.taskCount)
 		}
 	}
-	for _, minion := range forecast.pool.available {
-		capacity += minion.report.Capacity.Weight()
-	}
-	if capacity == 0 {
-		return 0
-	}
-	return time.Duration(work * specifier.MilliPerCore / float64(capacity) * float64(time.Second))
+	return forecast.capacity.TimeFor(work)
 }
 
 // roomFreeAt returns when there is capacity for the step, false if the runs that end do not
 // free enough. Steps before it in the order are not considered.
 func (forecast *forecast) roomFreeAt(step *step) (time.Time, bool) {
-	needed := 1
-	if step.spec.Gang || (step.spec.SameRack && !step.hasRuns()) {
-		needed = len(step.tasks) - step.done
+	reserved := forecast.planner.reservations.capacityFor(step)
+	demand := &forecaster.Demand{
+		Tasks: 1, Request: requiredCapacity(step.spec), MaxPerMinion: step.maxPerMinion(),
+		IsOnOneRack: forecast.requiresRack(step), Rack: step.currentRack(),
+		CanRunOn:   func(minion int) bool { return step.canRunOn(forecast.pool.available[minion]) },
+		ReservedOn: func(minion int) specifier.Resources { return reserved[forecast.pool.available[minion]] },
 	}
-	rack := step.currentRack()
-	if rack == "" {
-		rack = step.spec.DataRack
+	if step.spec.Gang || (step.spec.SameRack && !step.hasRuns()) {
+		demand.Tasks = len(step.tasks) - step.done
 	}
-	if !forecast.requiresRack(step) {
-		return forecast.roomFreeOn(step, needed, forecast.pool.available)
+	if demand.Rack == "" {
+		demand.Rack = step.spec.DataRack
 	}
-	var earliest time.Time
-	for _, candidate := range forecast.pool.racks {
-		if rack != "" && candidate.name != rack {
-			continue
-		}
-		if at, ok := forecast.roomFreeOn(step, needed, candidate.available); ok && (earliest.IsZero() || at.Before(earliest)) {
-			earliest = at
-		}
-	}
-	return earliest, !earliest.IsZero()
+	return forecast.capacity.RoomAt(demand)
 }
 
 func (forecast *forecast) requiresRack(step *step) bool {
@@ -124,38 +76,61 @@
 	return step.requiresRack(forecast.now, waitingStep, forecast.pool)
 }
 
-// roomFreeOn returns when some minions have capacity for a number of the step's tasks.
-func (forecast *forecast) roomFreeOn(step *step, needed int, minions []*minion) (time.Time, bool) {
-	free := make(map[*minion]specifier.Resources, len(minions))
-	room := 0
-	for _, minion := range minions {
-		if step.canRunOn(minion) {
-			free[minion] = forecast.planner.reservations.freeCapacity(step, minion)
-			room += step.fit(free[minion])
-		}
+// known returns what is known of the run for the estimates of its end. A stop takes as long as
+// stopTimeout at most.
+func (run *run) known(stopTimeout time.Duration) forecaster.Run {
+	return forecaster.Run{
+		StartedAt: run.startedAt, RunTime: run.step.spec.EstimatedRunTime, IsLongRunning: run.step.spec.LongRunning, IsAdopted: run.isAdopted,
+		IsStopping: run.state == stopping, StopsBy: run.stopOrderedAt.Add(stopTimeout),
+		Percent: run.progressPercent, ProgressAt: run.progressAt,
+		IsObserved: run.work.isObserved, FirstPercent: run.work.firstPercent, FirstAt: run.work.firstAt,
 	}
-	if room >= needed {
-		return forecast.now, true
+}
+
+// expectedRunTime returns the time from the decision to start a task of the step until its
+// expected end.
+func (step *step) expectedRunTime() time.Duration {
+	return forecaster.StartDelay + step.spec.EstimatedRunTime
+}
+
+// likelyEnd returns when a run is likely to end.
+func (planner *Planner) likelyEnd(now time.Time, run *run) time.Time {
+	return run.known(planner.bounds.StopTimeout).LikelyEnd(now)
+}
+
+// likelyEndOf returns when the last of the runs is likely to end.
+func (planner *Planner) likelyEndOf(now time.Time, runs []*run) time.Time {
+	var last time.Time
+	for _, run := range runs {
+		last = latest(last, planner.likelyEnd(now, run))
 	}
-	for _, end := range forecast.ends {
-		minion := end.run.minion
-		before, ok := free[minion]
-		if !ok {
-			continue
-		}
-		free[minion] = before.Add(requiredCapacity(end.run.step.spec))
-		room += step.fit(free[minion]) - step.fit(before)
-		if room >= needed {
-			return end.at, true
+	return last
+}
+
+// expectedEndOf returns when the last of the runs is expected to end by their progress, the zero
+// time if it is not known of one.
+func expectedEndOf(runs []*run) time.Time {
+	var last time.Time
+	for _, run := range runs {
+		end := run.known(0).EndByProgress()
+		if end.IsZero() {
+			return time.Time{}
 		}
+		last = latest(last, end)
+	}
+	return last
+}
+
+func latest(one, other time.Time) time.Time {
+	if one.After(other) {
+		return one
 	}
-	return time.Time{}, false
+	return other
 }
 
-// fit returns how many tasks of the step fit into an amount of capacity on one minion.
-func (step *step) fit(free specifier.Resources) int {
-	if !free.Holds(specifier.Resources{}) {
-		return 0
+func earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
 	}
-	return free.Fit(requiredCapacity(step.spec), step.maxPerMinion())
+	return other
 }
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -216,6 +216,17 @@
 	return false
 }
 
+// countFitting returns how many minions could hold a task of the step if nothing ran on them.
+func (pool *pool) countFitting(step *step) int {
+	count, request := 0, requiredCapacity(step.spec)
+	for _, minion := range pool.registered {
+		if step.canRunOn(minion) && minion.report.Capacity.Holds(request) {
+			count++
+		}
+	}
+	return count
+}
+
 // tasksPerRack returns the smallest number of tasks for which the step's rack is
 // of use: all of them if they start together.
 func (step *step) tasksPerRack() int {
--- a/planner/reservation.go
+++ b/planner/reservation.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// capacityFor returns the capacity that is reserved for a step, nil if there is none.
+func (reservations *reservations) capacityFor(step *step) map[*minion]specifier.Resources {
+	if reservation := reservations.byStep[step]; reservation != nil {
+		return reservation.reservedCapacity
+	}
+	return nil
+}
+
 // freeCapacity returns the capacity of a minion that is free for a step.
 func (reservations *reservations) freeCapacity(step *step, minion *minion) specifier.Resources {
 	free := minion.freeCapacity().Sub(minion.reserved)
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -8,10 +8,6 @@
 	"corianderroad/specifier"
 )
 
-// minMeasuredPercent is the progress from which on the speed of a run is measured. Below,
-// the submitter's estimate of its run time counts.
-const minMeasuredPercent = 10
-
 // runWork is what the polls have shown of the work of a run.
 type runWork struct {
 	// initialPercent is the progress in the first report, if isObserved.
@@ -39,22 +35,9 @@
 	}
 }
 
-// expectedEnd returns when the run is expected to end by its progress, the zero time if it
-// has reported none.
-func (run *run) expectedEnd() time.Time {
-	if run.step.spec.LongRunning || run.progressPercent <= 0 || !run.work.isObserved {
-		return time.Time{}
-	}
-	timePerPercent := run.step.spec.EstimatedRunTime / fullPercent
-	if run.isMeasured() {
-		timePerPercent = run.progressAt.Sub(run.work.firstAt) / time.Duration(run.progressPercent-run.work.firstPercent)
-	}
-	return run.progressAt.Add(time.Duration(fullPercent-run.progressPercent) * timePerPercent)
-}
-
 // isMeasured reports whether the speed of the run is known from its progress.
 func (run *run) isMeasured() bool {
-	return !run.work.firstAt.IsZero() && run.progressPercent-run.work.firstPercent >= minMeasuredPercent
+	return run.known(0).IsMeasured()
 }
 
 // lostTime returns how much of the run's work a stop loses. How long a run of a former holder has
@@ -82,20 +65,6 @@
 	return work
 }
 
-// expectedEndOf returns when the last of the runs is expected to end, the zero time if it is
-// not known of one.
-func expectedEndOf(runs []*run) time.Time {
-	var last time.Time
-	for _, run := range runs {
-		end := run.expectedEnd()
-		if end.IsZero() {
-			return time.Time{}
-		}
-		last = latest(last, end)
-	}
-	return last
-}
-
 // runsEndingWith returns the runs that end with a run: itself, or all members of its gang
 // that are not being stopped.
 func runsEndingWith(ended *run) []*run {
