Expect the end of a run whose start was superseded now

Cause: a run whose start was refused as superseded is in the state stopping without an order to stop. Its stop was expected stopTimeout after the zero time, so that it was overdue by the longest duration, and CautiousEnd expected it to need as long again.

Change: StopsBy is zero for such a run, and CautiousEnd expects its end now, as LikelyEnd does: it has ended, and its end is listed by the next poll.

--- a/forecaster/run.go
+++ b/forecaster/run.go
@@ -27,7 +27,8 @@
 	IsLongRunning bool
 	// IsAdopted means that the start of the run is not known, and StartedAt is a later time.
 	IsAdopted bool
-	// IsStopping means that the run is being stopped and has ended by StopsBy.
+	// IsStopping means that the run is being stopped and has ended by StopsBy, or that it has
+	// ended already and only its end must still be listed, if StopsBy is zero.
 	IsStopping bool
 	StopsBy    time.Time
 
@@ -98,6 +99,8 @@
 func (run Run) CautiousEnd(now time.Time) (time.Time, bool) {
 	var at time.Time
 	switch {
+	case run.IsStopping && run.StopsBy.IsZero():
+		return now, true
 	case run.IsStopping:
 		at = run.StopsBy
 	case run.IsLongRunning:
--- a/forecaster/run_test.go
+++ b/forecaster/run_test.go
@@ -105,3 +105,13 @@
 		c.Assert(end.Sub(at(test.expected)), quicktest.Equals, time.Duration(0))
 	}
 }
+
+// TestCautiousEndWithoutStop guards against an end that never comes because no stop was ordered:
+// the run has ended, and its end is not listed yet.
+func TestCautiousEndWithoutStop(t *testing.T) {
+	c, ended := quicktest.New(t), started
+	ended.IsStopping = true
+	end, ends := ended.CautiousEnd(at(8))
+	c.Assert(ends, quicktest.IsTrue)
+	c.Assert(end.Sub(at(8)), quicktest.Equals, time.Duration(0))
+}
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -77,11 +77,16 @@
 }
 
 // known returns what is known of the run for the estimates of its end. A stop takes as long as
-// stopTimeout at most.
+// stopTimeout at most. A run whose start was refused as superseded has ended without an order to
+// stop.
 func (run *run) known(stopTimeout time.Duration) forecaster.Run {
+	var stopsBy time.Time
+	if !run.stopOrderedAt.IsZero() {
+		stopsBy = run.stopOrderedAt.Add(stopTimeout)
+	}
 	return forecaster.Run{
 		StartedAt: run.startedAt, RunTime: run.step.spec.EstimatedRunTime, IsLongRunning: run.step.spec.LongRunning, IsAdopted: run.isAdopted,
-		IsStopping: run.state == stopping, StopsBy: run.stopOrderedAt.Add(stopTimeout),
+		IsStopping: run.state == stopping, StopsBy: stopsBy,
 		Percent: run.progressPercent, ProgressAt: run.progressAt,
 		IsObserved: run.work.isObserved, FirstPercent: run.work.firstPercent, FirstAt: run.work.firstAt,
 	}
