Move rules, causes, losses and breakages into the package accountant

The planner's run embeds the account, its step the breakage; it counts stops of tasks and emits the counters as before. Behaviour, names of rules and log lines do not change, and no existing test does.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/evictor"
 )
 
@@ -60,7 +61,7 @@
 		reason := fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
 			leaver.LeavesAt.Sub(now).Truncate(time.Millisecond), leaver.EndsAt.Sub(now).Truncate(time.Millisecond), leaver.Value)
 		for _, run := range groups[index] {
-			planner.stopRun(now, run, stopForDrain, reason)
+			planner.stopRun(now, run, accountant.StopForDrain, reason)
 		}
 	}
 }
--- a/planner/drain.go
+++ b/planner/drain.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"corianderroad/accountant"
+)
 
 // clearDraining stops the runs of a draining minion that can't end before it
 // leaves and that lose little work when stopped. They are started again
@@ -17,7 +21,7 @@
 			continue
 		}
 		if now.Add(run.remainingTime(now) + planner.bounds.StopTimeout).After(minion.leavesAt) {
-			planner.stopRun(now, run, stopForDrain, "its minion is leaving")
+			planner.stopRun(now, run, accountant.StopForDrain, "its minion is leaving")
 		}
 	}
 }
--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/specifier"
 )
 
@@ -108,7 +109,7 @@
 	}
 	planner.reservations.addForMove(step, reserved, now.Add(planner.bounds.StopTimeout+reservationSlack))
 	for _, run := range runs[:len(chosen)] {
-		planner.stopRun(now, run, stopForEvacuation, "its failure domain is evacuated")
+		planner.stopRun(now, run, accountant.StopForEvacuation, "its failure domain is evacuated")
 	}
 }
 
@@ -176,6 +177,6 @@
 func (planner *Planner) abandonEvacuatedStart(now time.Time, run *run) {
 	planner.abandonStart(now, run, "the start in an evacuated domain was not answered")
 	if run.step.spec.Gang {
-		planner.stopMembers(now, run, stopForEvacuation, "a member in an evacuated domain has not started")
+		planner.stopMembers(now, run, accountant.StopForEvacuation, "a member in an evacuated domain has not started")
 	}
 }
--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/evictor"
 	"corianderroad/specifier"
 )
@@ -73,7 +74,7 @@
 		now.Sub(step.occurrence.dueAt))
 	for _, victim := range choice.Stopped {
 		for _, run := range eviction.room.runs[victim] {
-			planner.stopRun(now, run, stopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
+			planner.stopRun(now, run, accountant.StopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
 		}
 	}
 	return true
--- a/planner/evictionroom.go
+++ b/planner/evictionroom.go
@@ -38,7 +38,7 @@
 				if planner.isPreemptible(run) && run.startAttempts <= 1 { // the room of an unanswered start comes free late
 					room.addVictim(now, run)
 				}
-			case now.Sub(run.stopOrderedAt) < planner.bounds.StopTimeout+reservationSlack:
+			case now.Sub(run.account.StoppedAt) < planner.bounds.StopTimeout+reservationSlack:
 				ending = ending.Add(requiredCapacity(run.step.spec))
 			}
 		}
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -93,7 +93,7 @@
 // order did not arrive if connections to its minion were refused before.
 func (run *run) mayHaveBeenStopped() bool {
 	refusedAt := run.minion.refusedAt
-	return run.state == stopping && (refusedAt.IsZero() || run.stopOrderedAt.Before(refusedAt))
+	return run.state == stopping && (refusedAt.IsZero() || run.account.StoppedAt.Before(refusedAt))
 }
 
 // mayHaveCompleted reports whether the run may have ended by itself, by its submitter's
--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -81,8 +81,8 @@
 // stop.
 func (run *run) known(stopTimeout time.Duration) forecaster.Run {
 	var stopsBy time.Time
-	if !run.stopOrderedAt.IsZero() {
-		stopsBy = run.stopOrderedAt.Add(stopTimeout)
+	if !run.account.StoppedAt.IsZero() {
+		stopsBy = run.account.StoppedAt.Add(stopTimeout)
 	}
 	return forecaster.Run{
 		StartedAt: run.startedAt, RunTime: run.step.spec.EstimatedRunTime, IsLongRunning: run.step.spec.LongRunning, IsAdopted: run.isAdopted,
--- a/planner/ignoredends.go
+++ b/planner/ignoredends.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 )
 
@@ -90,7 +91,7 @@
 	}
 	for _, run := range minion.sortedRuns() {
 		if run.state == running && run.step.spec.MaxUnavailable > 0 && planner.mayInterrupt(run) {
-			planner.stopRun(now, run, stopForLeaseExpiry, "the lease of its minion is to expire")
+			planner.stopRun(now, run, accountant.StopForLeaseExpiry, "the lease of its minion is to expire")
 		}
 	}
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/reserver"
@@ -99,7 +100,7 @@
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
 	isLikelyCause bool
 	// breakage is why the newest run of a gang that broke did so.
-	breakage breakage
+	breakage accountant.Breakage
 }
 
 // task is one task of a step.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -93,7 +94,7 @@
 	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
-			planner.markRunLost(now, run, endMinionGone, "its minion has restarted")
+			planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has restarted")
 			continue
 		}
 		earlier.removeRun(run)
@@ -104,7 +105,7 @@
 		if run.state == stopping {
 			planner.sendStop(now, run)
 		} else {
-			planner.stopRun(now, run, stopForRestart, "its minion has restarted")
+			planner.stopRun(now, run, accountant.StopForRestart, "its minion has restarted")
 		}
 	}
 }
@@ -114,7 +115,7 @@
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, next identifier.Incarnation, reason string) {
 	planner.noteDeath(now, newDeath(now, minion, next, countReplaced, reason))
 	for _, run := range minion.sortedRuns() {
-		planner.markRunLost(now, run, endMinionGone, reason)
+		planner.markRunLost(now, run, accountant.EndMinionGone, reason)
 	}
 	planner.removeMinion(minion)
 }
@@ -154,7 +155,7 @@
 	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
 	for _, run := range minion.sortedRuns() {
 		if run.step.spec.LongRunning || !isAlive {
-			planner.markRunLost(now, run, endLeasesExpired, "the lease has expired")
+			planner.markRunLost(now, run, accountant.EndLeasesExpired, "the lease has expired")
 			minion.lostRuns = append(minion.lostRuns, run)
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/evictor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -244,7 +245,7 @@
 		return // the members of a gang end without an order
 	}
 	for _, run := range planner.runsOf(job) {
-		planner.stopRun(now, run, stopForJobEnd, reason)
+		planner.stopRun(now, run, accountant.StopForJobEnd, reason)
 	}
 }
 
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
@@ -119,7 +120,7 @@
 		// A list with the token of the life was made after orders to the earlier one were barred.
 		barred := run.isOfEarlierLife && minion.polled && event.Sent.Token == minion.token
 		if stopped || vanished || void || barred {
-			planner.markRunLost(now, run, endUnreported, "its minion does not report it")
+			planner.markRunLost(now, run, accountant.EndUnreported, "its minion does not report it")
 		}
 	}
 }
@@ -141,7 +142,7 @@
 	if report.ProgressPercent != run.progressPercent {
 		run.progressPercent, run.progressAt = report.ProgressPercent, now
 	}
-	run.noteStart(now)
+	run.account.NoteStart(now)
 	run.noteCheckpoint(now, report.Checkpoint)
 	run.load = report.Load
 	planner.refuteCrash(run.step, run.id.Index, run.placement())
@@ -173,10 +174,10 @@
 	}
 	switch {
 	case !step.occurrence.job.isOpen() || task.done || task.run != nil:
-		planner.stopRun(now, run, stopForTaskEnd, "the task has ended or runs elsewhere")
+		planner.stopRun(now, run, accountant.StopForTaskEnd, "the task has ended or runs elsewhere")
 		return run
 	case mayHaveLaterRun:
-		planner.stopRun(now, run, stopForLaterRun, "a later run may exist")
+		planner.stopRun(now, run, accountant.StopForLaterRun, "a later run may exist")
 		return run
 	}
 	task.run = run
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
@@ -114,7 +115,7 @@
 func (planner *Planner) stopGang(now time.Time, step *step) {
 	for index := range step.tasks {
 		if run := step.tasks[index].run; run != nil {
-			planner.stopRun(now, run, stopForIncompleteGang, "its gang is incomplete")
+			planner.stopRun(now, run, accountant.StopForIncompleteGang, "its gang is incomplete")
 		}
 	}
 }
--- a/planner/reclaim.go
+++ b/planner/reclaim.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/identifier"
 	"corianderroad/specifier"
 )
@@ -59,7 +60,7 @@
 		planner.emitReclaimDecision(now, waitingStep, preemption, guaranteed)
 	}
 	for _, run := range preemption.runs {
-		planner.stopRun(now, run, stopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
+		planner.stopRun(now, run, accountant.StopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
 	}
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/classifier"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
@@ -48,10 +49,8 @@
 	// startConfirmedAt is when the holder first learned that the minion has the
 	// run.
 	startConfirmedAt time.Time
-	// stopOrderedAt is when the run was first ordered to stop, zero before, and stopRule the
-	// rule by which it was.
-	stopOrderedAt time.Time
-	stopRule      stopRule
+	// account has the order to stop the run, and how much of its work is saved.
+	account accountant.Run
 	// stopAcknowledgedAt is when the minion acknowledged the order to stop.
 	stopAcknowledgedAt time.Time
 	// startConfirmedClock and stopAcknowledgedClock are the minion's clock in the answers
@@ -65,10 +64,7 @@
 	progressAt      time.Time
 	work            runWork
 	checkpoint      string
-	// savedAt is when the newest checkpoint was first seen, or else the start of the run was
-	// confirmed; zero before. The work since then is lost if the run ends early.
-	savedAt time.Time
-	load    float64
+	load            float64
 	// pacePercent is the share of its speed at which the run works, set at
 	// paceSetAt.
 	pacePercent int
@@ -142,13 +138,14 @@
 
 // stopRun orders the end of a run by a rule. Its capacity stays occupied until the end is
 // certain.
-func (planner *Planner) stopRun(now time.Time, run *run, rule stopRule, reason string) {
+func (planner *Planner) stopRun(now time.Time, run *run, rule accountant.Rule, reason string) {
 	if run.state == stopping {
 		return
 	}
-	run.state, run.stopOrderedAt, run.stopRule = stopping, now, rule
+	run.state = stopping
+	run.account.NoteStop(now, rule)
 	planner.countStop(run)
-	planner.noteBreakage(run, endCause(rule))
+	planner.noteBreakage(run, accountant.Cause(rule))
 	planner.emitDecision(run.id.String(), "stop", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d rule=%s %s", run.number, run.minion.report.Minion, run.progressPercent, rule, run.describeLoss(now)),
 		now.Sub(run.startedAt))
@@ -196,7 +193,7 @@
 			run.state = running
 			run.minion.noCapacityDelay = 0
 			run.startConfirmedAt, run.progressAt = now, now
-			run.noteStart(now)
+			run.account.NoteStart(now)
 			run.startConfirmedClock = event.Clock
 		}
 		return
@@ -270,11 +267,11 @@
 // minion refuses it once it has the order to stop.
 func (planner *Planner) abandonStart(now time.Time, run *run, reason string) {
 	if run.mayHaveArrived {
-		planner.stopRun(now, run, stopForAbandonedStart, reason)
+		planner.stopRun(now, run, accountant.StopForAbandonedStart, reason)
 		return
 	}
 	run.withdraw()
-	planner.markRunLost(now, run, endCause(stopForAbandonedStart), reason)
+	planner.markRunLost(now, run, accountant.Cause(accountant.StopForAbandonedStart), reason)
 }
 
 // withdraw undoes the start of a run that certainly did not arrive. A number that is in
@@ -292,12 +289,12 @@
 
 // markRunLost releases a run that certainly does not run although its minion
 // has not listed its end.
-func (planner *Planner) markRunLost(now time.Time, run *run, cause endCause, reason string) {
+func (planner *Planner) markRunLost(now time.Time, run *run, cause accountant.Cause, reason string) {
 	if run.checkpoint != "" {
 		planner.updateCheckpoint(run.step, run.id.Index, run.checkpoint)
 		planner.shareGangCheckpoint(run.step)
 	}
-	cause = run.endCause(cause)
+	cause = run.account.Cause(cause)
 	planner.noteBreakage(run, cause)
 	planner.emitDecision(run.id.String(), "run-lost", reason,
 		fmt.Sprintf("run=%d minion=%s percent=%d %s", run.number, run.minion.report.Minion, run.progressPercent, run.describeLoss(now)),
@@ -306,7 +303,7 @@
 }
 
 // releaseRun frees a run's capacity. The other members of a gang stop with it.
-func (planner *Planner) releaseRun(now time.Time, run *run, cause endCause) {
+func (planner *Planner) releaseRun(now time.Time, run *run, cause accountant.Cause) {
 	if run.minion.runs[runKey{run.id, run.number}] != run {
 		return
 	}
@@ -320,15 +317,15 @@
 	if !run.step.spec.Gang || run.step.isComplete() {
 		return
 	}
-	hasMembers := planner.stopMembers(now, run, stopForBrokenGang, "another member of its gang has ended")
-	if !hasMembers && run.step.breakage.number == run.number {
-		planner.countUnknownBreakage(run.step)
+	hasMembers := planner.stopMembers(now, run, accountant.StopForBrokenGang, "another member of its gang has ended")
+	if !hasMembers && run.step.breakage.NoteEnd(run.number) {
+		planner.countBreakage(accountant.EndUnknown)
 	}
 }
 
 // stopMembers stops the members of the gang to which a run belongs, and reports whether it has
 // any.
-func (planner *Planner) stopMembers(now time.Time, run *run, rule stopRule, reason string) bool {
+func (planner *Planner) stopMembers(now time.Time, run *run, rule accountant.Rule, reason string) bool {
 	hasMembers := false
 	for index := range run.step.tasks {
 		if member := run.step.tasks[index].run; member != nil && member.number == run.number {
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
@@ -55,7 +56,7 @@
 		if run.onTrial && !run.hasPassed && task.done {
 			planner.passTrial(run)
 		}
-		planner.releaseRun(now, run, run.endCause(causeOfKind(end.Kind)))
+		planner.releaseRun(now, run, run.account.Cause(accountant.CauseOf(end.Kind)))
 	}
 	planner.endJobIfFinished(now, job)
 }
@@ -65,7 +66,7 @@
 	detail, age := fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), time.Duration(0)
 	if run != nil {
 		run.noteCheckpoint(now, cmp.Or(end.Checkpoint, run.checkpoint))
-		planner.noteBreakage(run, run.endCause(causeOfKind(end.Kind)))
+		planner.noteBreakage(run, run.account.Cause(accountant.CauseOf(end.Kind)))
 		detail, age = detail+" "+run.describeLoss(now), now.Sub(run.startedAt)
 	}
 	planner.emitDecision(end.Task.String(), "run-ended", end.Kind.String(), detail, age)
@@ -121,7 +122,7 @@
 		step.done++
 		planner.recording.markTaskDirty(step, index)
 		if task.run != nil && index != id.Index && !step.spec.Gang {
-			planner.stopRun(now, task.run, stopForTaskEnd, "the task is done")
+			planner.stopRun(now, task.run, accountant.StopForTaskEnd, "the task is done")
 		}
 	}
 }
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -43,7 +43,7 @@
 // lostTime returns how much of the run's work a stop loses. How long a run of a former holder has
 // worked is known by its progress only.
 func (run *run) lostTime(now time.Time) time.Duration {
-	lost := run.unsavedTime(now)
+	lost := run.account.UnsavedTime(now)
 	if run.isAdopted && !run.step.spec.Checkpoints {
 		lost = max(lost, run.step.spec.EstimatedRunTime*time.Duration(run.progressPercent)/fullPercent)
 	}
--- a/planner/stop.go
+++ b/planner/stop.go
@@ -2,43 +2,6 @@
 
 import "time"
 
-// stopRule is the rule by which a run is stopped.
-type stopRule uint8
-
-const (
-	stopForDrain stopRule = iota // its minion is leaving
-	stopForMaintenance
-	stopForPreemption
-	stopForLeaseExpiry
-	stopForRestart // its minion has restarted
-	stopForJobEnd
-	stopForTaskEnd
-	stopForLaterRun
-	stopForIncompleteGang
-	stopForBrokenGang
-	stopForAbandonedStart
-	stopForEvacuation // its failure domain is evacuated
-	stopRules         // the number of rules
-)
-
-// String returns the name of the rule in log lines and metrics.
-func (rule stopRule) String() string {
-	return [...]string{
-		"drain", "maintenance", "preemption", "lease-expiry", "minion-restart", "job-end", "task-end", "later-run",
-		"incomplete-gang", "broken-gang", "abandoned-start", "evacuation",
-	}[rule]
-}
-
-// interrupts reports whether the task of a stopped run must run again. The start of an
-// abandoned run may never have arrived, so that it has interrupted nothing.
-func (rule stopRule) interrupts() bool {
-	switch rule {
-	case stopForJobEnd, stopForTaskEnd, stopForLaterRun, stopForAbandonedStart:
-		return false
-	}
-	return true
-}
-
 // awaitsStop reports whether a stop of the run that has failed must be repeated.
 func (run *run) awaitsStop() bool {
 	return run.minion.runs[runKey{run.id, run.number}] == run
--- a/planner/vmmaintenance.go
+++ b/planner/vmmaintenance.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 )
@@ -130,7 +131,7 @@
 	}
 	for _, run := range minion.sortedRuns() {
 		if planner.mayInterrupt(run) {
-			planner.stopRun(now, run, stopForMaintenance, "its VM needs maintenance")
+			planner.stopRun(now, run, accountant.StopForMaintenance, "its VM needs maintenance")
 		}
 	}
 	return len(minion.runs) == 0 && planner.mayRequestMaintenance(now, minion)
@@ -161,7 +162,7 @@
 func (planner *Planner) clearMinion(now time.Time, minion *minion, reason string) {
 	for _, run := range minion.sortedRuns() {
 		if run.state == running && (run.step.spec.Checkpoints || run.step.spec.LongRunning) && planner.mayInterrupt(run) {
-			planner.stopRun(now, run, stopForMaintenance, reason)
+			planner.stopRun(now, run, accountant.StopForMaintenance, reason)
 		}
 	}
 }
