Serve the status of the pool at the metrics address

Change: GET /status answers with JSON: whether the node is the holder, the evacuated domains with the age of the request's reading, and from the holder the minions and runs there, waiting steps by reason, minions by availability, reservations and accepted jobs. It is querier.PoolStatus, answered by planner.View without a change of state, also by nodes that are not the holder. explainer.Explainer and explainer.Status share the limit on queries (five a second each) as planQuerier. The rows are encoded for peers as all rows of querier.Answer are.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -65,6 +65,7 @@
 	answers    *waiter.Waiter[messenger.CommandAnswered]
 	exporter   *exporter.Exporter
 	explainer  *explainer.Explainer
+	poolStatus *explainer.Status
 	authorizer atomic.Pointer[authorizer.Authorizer]
 	readiness  readiness
 
@@ -101,7 +102,7 @@
 	all := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.claimQueries, assembler.jobQueries, assembler.planQueries, assembler.clients.Queries(), assembler.healthChecks.Queries(), assembler.scrapes.Queries()})
 	assembler.exporter = exporter.New(assembler.rings(), all)
 	plans := inspector.New([]*buffer.Ring[runner.QueryRequest]{assembler.planQueries})
-	assembler.explainer = explainer.New(settings.Node, plans, clock)
+	assembler.explainer, assembler.poolStatus = explainer.New(settings.Node, plans, clock), explainer.NewStatus(settings.Node, plans, clock)
 	assembler.addStateMachines()
 	assembler.addIODuties()
 	assembler.frontEnd = &platform.FrontEnd{
--- a/assembler/httpserver.go
+++ b/assembler/httpserver.go
@@ -67,10 +67,11 @@
 }
 
 // operatorHandler returns the handler of the metrics address. All other paths than those of
-// the queries about jobs have the metrics.
+// the queries about jobs and the pool have the metrics.
 func (assembler *Assembler) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(explainer.Pattern, assembler.explainer)
+	mux.Handle(explainer.StatusPattern, assembler.poolStatus)
 	mux.Handle("/", assembler.exporter.Handler())
 	return mux
 }
--- a/encoder/query.go
+++ b/encoder/query.go
@@ -99,6 +99,7 @@
 		AsOf:         answer.AsOf,
 		IsHolder:     answer.IsHolder,
 		Explanations: convertRows(answer.Explanations, explanationToWire),
+		Pools:        convertRows(answer.Pools, poolToWire),
 	}
 	return wire
 }
@@ -159,6 +160,7 @@
 		AsOf:         wire.AsOf,
 		IsHolder:     wire.IsHolder,
 		Explanations: convertRows(wire.Explanations, explanationFromWire),
+		Pools:        convertRows(wire.Pools, poolFromWire),
 	}
 }
 
--- a/encoder/query_schema.go
+++ b/encoder/query_schema.go
@@ -30,6 +30,34 @@
 	AsOf          time.Time             `msg:"as-of"`
 	IsHolder      bool                  `msg:"is-holder,omitempty"`
 	Explanations  []WireExplanationRow  `msg:"explanations,omitempty,limit=16384"`
+	Pools         []WirePoolRow         `msg:"pools,omitempty,limit=16384"`
+}
+
+// WirePoolRow is a querier.Pool.
+type WirePoolRow struct {
+	Token                 uint64              `msg:"token"`
+	AsOf                  time.Time           `msg:"as-of"`
+	EvacuationsReadAt     time.Time           `msg:"evacuations-read-at"`
+	Evacuations           []WireEvacuationRow `msg:"evacuations,omitempty,limit=16384"`
+	Minions               []WireTallyRow      `msg:"minions,omitempty,limit=16384"`
+	WaitingSteps          []WireTallyRow      `msg:"waiting-steps,omitempty,limit=16384"`
+	GangReservations      int                 `msg:"gang-reservations"`
+	ReclaimedReservations int                 `msg:"reclaimed-reservations"`
+	AcceptedJobs          int                 `msg:"accepted-jobs"`
+}
+
+// WireEvacuationRow is a querier.Evacuation.
+type WireEvacuationRow struct {
+	Domain  string    `msg:"domain"`
+	ReadAt  time.Time `msg:"read-at"`
+	Minions int       `msg:"minions"`
+	Runs    int       `msg:"runs"`
+}
+
+// WireTallyRow is a querier.Tally.
+type WireTallyRow struct {
+	Name  string `msg:"name"`
+	Count int    `msg:"count"`
 }
 
 // WireExplanationRow is a querier.Explanation.
--- a/encoder/query_schema_gen.go
+++ b/encoder/query_schema_gen.go
@@ -321,6 +321,29 @@
 					return
 				}
 			}
+		case "pools":
+			var zb0013 uint32
+			zb0013, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "Pools")
+				return
+			}
+			if zb0013 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Pools) >= int(zb0013) {
+				z.Pools = (z.Pools)[:zb0013]
+			} else {
+				z.Pools = make([]WirePoolRow, zb0013)
+			}
+			for za0011 := range z.Pools {
+				err = z.Pools[za0011].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Pools", za0011)
+					return
+				}
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -335,8 +358,8 @@
 // EncodeMsg implements msgp.Encodable
 func (z *WireAnswer) EncodeMsg(en *msgp.Writer) (err error) {
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
@@ -386,6 +409,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.Pools == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	err = en.Append(0x80 | uint8(zb0001Len))
 	if err != nil {
@@ -662,6 +689,25 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// write "pools"
+			err = en.Append(0xa5, 0x70, 0x6f, 0x6f, 0x6c, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Pools)))
+			if err != nil {
+				err = msgp.WrapError(err, "Pools")
+				return
+			}
+			for za0011 := range z.Pools {
+				err = z.Pools[za0011].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Pools", za0011)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -670,8 +716,8 @@
 func (z *WireAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(13)
-	var zb0001Mask uint16 /* 13 bits */
+	zb0001Len := uint32(14)
+	var zb0001Mask uint16 /* 14 bits */
 	_ = zb0001Mask
 	if z.Members == nil {
 		zb0001Len--
@@ -721,6 +767,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x1000
 	}
+	if z.Pools == nil {
+		zb0001Len--
+		zb0001Mask |= 0x2000
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -879,6 +929,18 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x2000) == 0 { // if not omitted
+			// string "pools"
+			o = append(o, 0xa5, 0x70, 0x6f, 0x6f, 0x6c, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Pools)))
+			for za0011 := range z.Pools {
+				o, err = z.Pools[za0011].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Pools", za0011)
+					return
+				}
+			}
+		}
 	}
 	return
 }
@@ -1192,6 +1254,29 @@
 					return
 				}
 			}
+		case "pools":
+			var zb0013 uint32
+			zb0013, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Pools")
+				return
+			}
+			if zb0013 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Pools) >= int(zb0013) {
+				z.Pools = (z.Pools)[:zb0013]
+			} else {
+				z.Pools = make([]WirePoolRow, zb0013)
+			}
+			for za0011 := range z.Pools {
+				bts, err = z.Pools[za0011].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Pools", za0011)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1246,6 +1331,10 @@
 	for za0010 := range z.Explanations {
 		s += z.Explanations[za0010].Msgsize()
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0011 := range z.Pools {
+		s += z.Pools[za0011].Msgsize()
+	}
 	return
 }
 
@@ -1493,6 +1582,192 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *WireEvacuationRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "domain":
+			z.Domain, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Domain")
+				return
+			}
+		case "read-at":
+			z.ReadAt, err = dc.ReadTimeUTC()
+			if err != nil {
+				err = msgp.WrapError(err, "ReadAt")
+				return
+			}
+		case "minions":
+			z.Minions, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Minions")
+				return
+			}
+		case "runs":
+			z.Runs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *WireEvacuationRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 4
+	// write "domain"
+	err = en.Append(0x84, 0xa6, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Domain)
+	if err != nil {
+		err = msgp.WrapError(err, "Domain")
+		return
+	}
+	// write "read-at"
+	err = en.Append(0xa7, 0x72, 0x65, 0x61, 0x64, 0x2d, 0x61, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteTime(z.ReadAt)
+	if err != nil {
+		err = msgp.WrapError(err, "ReadAt")
+		return
+	}
+	// write "minions"
+	err = en.Append(0xa7, 0x6d, 0x69, 0x6e, 0x69, 0x6f, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Minions)
+	if err != nil {
+		err = msgp.WrapError(err, "Minions")
+		return
+	}
+	// write "runs"
+	err = en.Append(0xa4, 0x72, 0x75, 0x6e, 0x73)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Runs)
+	if err != nil {
+		err = msgp.WrapError(err, "Runs")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *WireEvacuationRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "domain"
+	o = append(o, 0x84, 0xa6, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	o = msgp.AppendString(o, z.Domain)
+	// string "read-at"
+	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x2d, 0x61, 0x74)
+	o = msgp.AppendTime(o, z.ReadAt)
+	// string "minions"
+	o = append(o, 0xa7, 0x6d, 0x69, 0x6e, 0x69, 0x6f, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Minions)
+	// string "runs"
+	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
+	o = msgp.AppendInt(o, z.Runs)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WireEvacuationRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "domain":
+			z.Domain, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Domain")
+				return
+			}
+		case "read-at":
+			z.ReadAt, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReadAt")
+				return
+			}
+		case "minions":
+			z.Minions, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Minions")
+				return
+			}
+		case "runs":
+			z.Runs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Runs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WireEvacuationRow) Msgsize() (s int) {
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.Domain) + 8 + msgp.TimeSize + 8 + msgp.IntSize + 5 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *WireExplanationRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
@@ -3187,7 +3462,7 @@
 }
 
 // DecodeMsg implements msgp.Decodable
-func (z *WireQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+func (z *WirePoolRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
 	_ = field
 	var zb0001 uint32
@@ -3208,81 +3483,773 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "kind":
-			z.Kind, err = dc.ReadUint8()
+		case "token":
+			z.Token, err = dc.ReadUint64()
 			if err != nil {
-				err = msgp.WrapError(err, "Kind")
+				err = msgp.WrapError(err, "Token")
 				return
 			}
-		case "subject":
-			z.Subject, err = dc.ReadString()
+		case "as-of":
+			z.AsOf, err = dc.ReadTimeUTC()
 			if err != nil {
-				err = msgp.WrapError(err, "Subject")
+				err = msgp.WrapError(err, "AsOf")
 				return
 			}
-		case "workspace":
-			z.Workspace, err = dc.ReadString()
+		case "evacuations-read-at":
+			z.EvacuationsReadAt, err = dc.ReadTimeUTC()
 			if err != nil {
-				err = msgp.WrapError(err, "Workspace")
+				err = msgp.WrapError(err, "EvacuationsReadAt")
 				return
 			}
-		default:
-			err = dc.Skip()
+		case "evacuations":
+			var zb0002 uint32
+			zb0002, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err)
+				err = msgp.WrapError(err, "Evacuations")
 				return
 			}
-		}
-	}
-	return
-}
-
-// EncodeMsg implements msgp.Encodable
-func (z WireQuery) EncodeMsg(en *msgp.Writer) (err error) {
-	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
-	_ = zb0001Mask
-	if z.Subject == "" {
-		zb0001Len--
-		zb0001Mask |= 0x2
-	}
-	if z.Workspace == "" {
-		zb0001Len--
-		zb0001Mask |= 0x4
-	}
-	// variable map header, size zb0001Len
-	err = en.Append(0x80 | uint8(zb0001Len))
-	if err != nil {
-		return
-	}
-
-	// skip if no fields are to be emitted
-	if zb0001Len != 0 {
-		// write "kind"
-		err = en.Append(0xa4, 0x6b, 0x69, 0x6e, 0x64)
-		if err != nil {
-			return
-		}
-		err = en.WriteUint8(z.Kind)
-		if err != nil {
-			err = msgp.WrapError(err, "Kind")
-			return
-		}
-		if (zb0001Mask & 0x2) == 0 { // if not omitted
-			// write "subject"
-			err = en.Append(0xa7, 0x73, 0x75, 0x62, 0x6a, 0x65, 0x63, 0x74)
-			if err != nil {
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
 				return
 			}
-			err = en.WriteString(z.Subject)
+			if cap(z.Evacuations) >= int(zb0002) {
+				z.Evacuations = (z.Evacuations)[:zb0002]
+			} else {
+				z.Evacuations = make([]WireEvacuationRow, zb0002)
+			}
+			for za0001 := range z.Evacuations {
+				err = z.Evacuations[za0001].DecodeMsg(dc)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuations", za0001)
+					return
+				}
+			}
+		case "minions":
+			var zb0003 uint32
+			zb0003, err = dc.ReadArrayHeader()
 			if err != nil {
-				err = msgp.WrapError(err, "Subject")
+				err = msgp.WrapError(err, "Minions")
 				return
 			}
-		}
-		if (zb0001Mask & 0x4) == 0 { // if not omitted
-			// write "workspace"
+			if zb0003 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Minions) >= int(zb0003) {
+				z.Minions = (z.Minions)[:zb0003]
+			} else {
+				z.Minions = make([]WireTallyRow, zb0003)
+			}
+			for za0002 := range z.Minions {
+				var zb0004 uint32
+				zb0004, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "Minions", za0002)
+					return
+				}
+				if zb0004 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "Minions", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "name":
+						z.Minions[za0002].Name, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "Minions", za0002, "Name")
+							return
+						}
+					case "count":
+						z.Minions[za0002].Count, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "Minions", za0002, "Count")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "Minions", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "waiting-steps":
+			var zb0005 uint32
+			zb0005, err = dc.ReadArrayHeader()
+			if err != nil {
+				err = msgp.WrapError(err, "WaitingSteps")
+				return
+			}
+			if zb0005 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.WaitingSteps) >= int(zb0005) {
+				z.WaitingSteps = (z.WaitingSteps)[:zb0005]
+			} else {
+				z.WaitingSteps = make([]WireTallyRow, zb0005)
+			}
+			for za0003 := range z.WaitingSteps {
+				var zb0006 uint32
+				zb0006, err = dc.ReadMapHeader()
+				if err != nil {
+					err = msgp.WrapError(err, "WaitingSteps", za0003)
+					return
+				}
+				if zb0006 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, err = dc.ReadMapKeyPtr()
+					if err != nil {
+						err = msgp.WrapError(err, "WaitingSteps", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "name":
+						z.WaitingSteps[za0003].Name, err = dc.ReadString()
+						if err != nil {
+							err = msgp.WrapError(err, "WaitingSteps", za0003, "Name")
+							return
+						}
+					case "count":
+						z.WaitingSteps[za0003].Count, err = dc.ReadInt()
+						if err != nil {
+							err = msgp.WrapError(err, "WaitingSteps", za0003, "Count")
+							return
+						}
+					default:
+						err = dc.Skip()
+						if err != nil {
+							err = msgp.WrapError(err, "WaitingSteps", za0003)
+							return
+						}
+					}
+				}
+			}
+		case "gang-reservations":
+			z.GangReservations, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "GangReservations")
+				return
+			}
+		case "reclaimed-reservations":
+			z.ReclaimedReservations, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "ReclaimedReservations")
+				return
+			}
+		case "accepted-jobs":
+			z.AcceptedJobs, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedJobs")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z *WirePoolRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Evacuations == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Minions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.WaitingSteps == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "token"
+		err = en.Append(0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint64(z.Token)
+		if err != nil {
+			err = msgp.WrapError(err, "Token")
+			return
+		}
+		// write "as-of"
+		err = en.Append(0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
+		if err != nil {
+			return
+		}
+		err = en.WriteTime(z.AsOf)
+		if err != nil {
+			err = msgp.WrapError(err, "AsOf")
+			return
+		}
+		// write "evacuations-read-at"
+		err = en.Append(0xb3, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x2d, 0x72, 0x65, 0x61, 0x64, 0x2d, 0x61, 0x74)
+		if err != nil {
+			return
+		}
+		err = en.WriteTime(z.EvacuationsReadAt)
+		if err != nil {
+			err = msgp.WrapError(err, "EvacuationsReadAt")
+			return
+		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// write "evacuations"
+			err = en.Append(0xab, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Evacuations)))
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuations")
+				return
+			}
+			for za0001 := range z.Evacuations {
+				err = z.Evacuations[za0001].EncodeMsg(en)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuations", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// write "minions"
+			err = en.Append(0xa7, 0x6d, 0x69, 0x6e, 0x69, 0x6f, 0x6e, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.Minions)))
+			if err != nil {
+				err = msgp.WrapError(err, "Minions")
+				return
+			}
+			for za0002 := range z.Minions {
+				// map header, size 2
+				// write "name"
+				err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.Minions[za0002].Name)
+				if err != nil {
+					err = msgp.WrapError(err, "Minions", za0002, "Name")
+					return
+				}
+				// write "count"
+				err = en.Append(0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.Minions[za0002].Count)
+				if err != nil {
+					err = msgp.WrapError(err, "Minions", za0002, "Count")
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// write "waiting-steps"
+			err = en.Append(0xad, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67, 0x2d, 0x73, 0x74, 0x65, 0x70, 0x73)
+			if err != nil {
+				return
+			}
+			err = en.WriteArrayHeader(uint32(len(z.WaitingSteps)))
+			if err != nil {
+				err = msgp.WrapError(err, "WaitingSteps")
+				return
+			}
+			for za0003 := range z.WaitingSteps {
+				// map header, size 2
+				// write "name"
+				err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+				if err != nil {
+					return
+				}
+				err = en.WriteString(z.WaitingSteps[za0003].Name)
+				if err != nil {
+					err = msgp.WrapError(err, "WaitingSteps", za0003, "Name")
+					return
+				}
+				// write "count"
+				err = en.Append(0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+				if err != nil {
+					return
+				}
+				err = en.WriteInt(z.WaitingSteps[za0003].Count)
+				if err != nil {
+					err = msgp.WrapError(err, "WaitingSteps", za0003, "Count")
+					return
+				}
+			}
+		}
+		// write "gang-reservations"
+		err = en.Append(0xb1, 0x67, 0x61, 0x6e, 0x67, 0x2d, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.GangReservations)
+		if err != nil {
+			err = msgp.WrapError(err, "GangReservations")
+			return
+		}
+		// write "reclaimed-reservations"
+		err = en.Append(0xb6, 0x72, 0x65, 0x63, 0x6c, 0x61, 0x69, 0x6d, 0x65, 0x64, 0x2d, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.ReclaimedReservations)
+		if err != nil {
+			err = msgp.WrapError(err, "ReclaimedReservations")
+			return
+		}
+		// write "accepted-jobs"
+		err = en.Append(0xad, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x2d, 0x6a, 0x6f, 0x62, 0x73)
+		if err != nil {
+			return
+		}
+		err = en.WriteInt(z.AcceptedJobs)
+		if err != nil {
+			err = msgp.WrapError(err, "AcceptedJobs")
+			return
+		}
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *WirePoolRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// check for omitted fields
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
+	_ = zb0001Mask
+	if z.Evacuations == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.Minions == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	if z.WaitingSteps == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "token"
+		o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
+		o = msgp.AppendUint64(o, z.Token)
+		// string "as-of"
+		o = append(o, 0xa5, 0x61, 0x73, 0x2d, 0x6f, 0x66)
+		o = msgp.AppendTime(o, z.AsOf)
+		// string "evacuations-read-at"
+		o = append(o, 0xb3, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73, 0x2d, 0x72, 0x65, 0x61, 0x64, 0x2d, 0x61, 0x74)
+		o = msgp.AppendTime(o, z.EvacuationsReadAt)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "evacuations"
+			o = append(o, 0xab, 0x65, 0x76, 0x61, 0x63, 0x75, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuations)))
+			for za0001 := range z.Evacuations {
+				o, err = z.Evacuations[za0001].MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuations", za0001)
+					return
+				}
+			}
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "minions"
+			o = append(o, 0xa7, 0x6d, 0x69, 0x6e, 0x69, 0x6f, 0x6e, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Minions)))
+			for za0002 := range z.Minions {
+				// map header, size 2
+				// string "name"
+				o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+				o = msgp.AppendString(o, z.Minions[za0002].Name)
+				// string "count"
+				o = append(o, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+				o = msgp.AppendInt(o, z.Minions[za0002].Count)
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "waiting-steps"
+			o = append(o, 0xad, 0x77, 0x61, 0x69, 0x74, 0x69, 0x6e, 0x67, 0x2d, 0x73, 0x74, 0x65, 0x70, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.WaitingSteps)))
+			for za0003 := range z.WaitingSteps {
+				// map header, size 2
+				// string "name"
+				o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+				o = msgp.AppendString(o, z.WaitingSteps[za0003].Name)
+				// string "count"
+				o = append(o, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+				o = msgp.AppendInt(o, z.WaitingSteps[za0003].Count)
+			}
+		}
+		// string "gang-reservations"
+		o = append(o, 0xb1, 0x67, 0x61, 0x6e, 0x67, 0x2d, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.GangReservations)
+		// string "reclaimed-reservations"
+		o = append(o, 0xb6, 0x72, 0x65, 0x63, 0x6c, 0x61, 0x69, 0x6d, 0x65, 0x64, 0x2d, 0x72, 0x65, 0x73, 0x65, 0x72, 0x76, 0x61, 0x74, 0x69, 0x6f, 0x6e, 0x73)
+		o = msgp.AppendInt(o, z.ReclaimedReservations)
+		// string "accepted-jobs"
+		o = append(o, 0xad, 0x61, 0x63, 0x63, 0x65, 0x70, 0x74, 0x65, 0x64, 0x2d, 0x6a, 0x6f, 0x62, 0x73)
+		o = msgp.AppendInt(o, z.AcceptedJobs)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WirePoolRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "token":
+			z.Token, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
+		case "as-of":
+			z.AsOf, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AsOf")
+				return
+			}
+		case "evacuations-read-at":
+			z.EvacuationsReadAt, bts, err = msgp.ReadTimeUTCBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationsReadAt")
+				return
+			}
+		case "evacuations":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuations")
+				return
+			}
+			if zb0002 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Evacuations) >= int(zb0002) {
+				z.Evacuations = (z.Evacuations)[:zb0002]
+			} else {
+				z.Evacuations = make([]WireEvacuationRow, zb0002)
+			}
+			for za0001 := range z.Evacuations {
+				bts, err = z.Evacuations[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuations", za0001)
+					return
+				}
+			}
+		case "minions":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Minions")
+				return
+			}
+			if zb0003 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Minions) >= int(zb0003) {
+				z.Minions = (z.Minions)[:zb0003]
+			} else {
+				z.Minions = make([]WireTallyRow, zb0003)
+			}
+			for za0002 := range z.Minions {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Minions", za0002)
+					return
+				}
+				if zb0004 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Minions", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "name":
+						z.Minions[za0002].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Minions", za0002, "Name")
+							return
+						}
+					case "count":
+						z.Minions[za0002].Count, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Minions", za0002, "Count")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Minions", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "waiting-steps":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitingSteps")
+				return
+			}
+			if zb0005 > 16384 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.WaitingSteps) >= int(zb0005) {
+				z.WaitingSteps = (z.WaitingSteps)[:zb0005]
+			} else {
+				z.WaitingSteps = make([]WireTallyRow, zb0005)
+			}
+			for za0003 := range z.WaitingSteps {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "WaitingSteps", za0003)
+					return
+				}
+				if zb0006 > 16384 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "WaitingSteps", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "name":
+						z.WaitingSteps[za0003].Name, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WaitingSteps", za0003, "Name")
+							return
+						}
+					case "count":
+						z.WaitingSteps[za0003].Count, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WaitingSteps", za0003, "Count")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "WaitingSteps", za0003)
+							return
+						}
+					}
+				}
+			}
+		case "gang-reservations":
+			z.GangReservations, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "GangReservations")
+				return
+			}
+		case "reclaimed-reservations":
+			z.ReclaimedReservations, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ReclaimedReservations")
+				return
+			}
+		case "accepted-jobs":
+			z.AcceptedJobs, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AcceptedJobs")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *WirePoolRow) Msgsize() (s int) {
+	s = 1 + 6 + msgp.Uint64Size + 6 + msgp.TimeSize + 20 + msgp.TimeSize + 12 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evacuations {
+		s += z.Evacuations[za0001].Msgsize()
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Minions {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.Minions[za0002].Name) + 6 + msgp.IntSize
+	}
+	s += 14 + msgp.ArrayHeaderSize
+	for za0003 := range z.WaitingSteps {
+		s += 1 + 5 + msgp.StringPrefixSize + len(z.WaitingSteps[za0003].Name) + 6 + msgp.IntSize
+	}
+	s += 18 + msgp.IntSize + 23 + msgp.IntSize + 14 + msgp.IntSize
+	return
+}
+
+// DecodeMsg implements msgp.Decodable
+func (z *WireQuery) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "kind":
+			z.Kind, err = dc.ReadUint8()
+			if err != nil {
+				err = msgp.WrapError(err, "Kind")
+				return
+			}
+		case "subject":
+			z.Subject, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Subject")
+				return
+			}
+		case "workspace":
+			z.Workspace, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Workspace")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z WireQuery) EncodeMsg(en *msgp.Writer) (err error) {
+	// check for omitted fields
+	zb0001Len := uint32(3)
+	var zb0001Mask uint8 /* 3 bits */
+	_ = zb0001Mask
+	if z.Subject == "" {
+		zb0001Len--
+		zb0001Mask |= 0x2
+	}
+	if z.Workspace == "" {
+		zb0001Len--
+		zb0001Mask |= 0x4
+	}
+	// variable map header, size zb0001Len
+	err = en.Append(0x80 | uint8(zb0001Len))
+	if err != nil {
+		return
+	}
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// write "kind"
+		err = en.Append(0xa4, 0x6b, 0x69, 0x6e, 0x64)
+		if err != nil {
+			return
+		}
+		err = en.WriteUint8(z.Kind)
+		if err != nil {
+			err = msgp.WrapError(err, "Kind")
+			return
+		}
+		if (zb0001Mask & 0x2) == 0 { // if not omitted
+			// write "subject"
+			err = en.Append(0xa7, 0x73, 0x75, 0x62, 0x6a, 0x65, 0x63, 0x74)
+			if err != nil {
+				return
+			}
+			err = en.WriteString(z.Subject)
+			if err != nil {
+				err = msgp.WrapError(err, "Subject")
+				return
+			}
+		}
+		if (zb0001Mask & 0x4) == 0 { // if not omitted
+			// write "workspace"
 			err = en.Append(0xa9, 0x77, 0x6f, 0x72, 0x6b, 0x73, 0x70, 0x61, 0x63, 0x65)
 			if err != nil {
 				return
@@ -3789,6 +4756,142 @@
 	return
 }
 
+// DecodeMsg implements msgp.Decodable
+func (z *WireTallyRow) DecodeMsg(dc *msgp.Reader) (err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, err = dc.ReadMapHeader()
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, err = dc.ReadMapKeyPtr()
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, err = dc.ReadString()
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "count":
+			z.Count, err = dc.ReadInt()
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			err = dc.Skip()
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	return
+}
+
+// EncodeMsg implements msgp.Encodable
+func (z WireTallyRow) EncodeMsg(en *msgp.Writer) (err error) {
+	// map header, size 2
+	// write "name"
+	err = en.Append(0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	if err != nil {
+		return
+	}
+	err = en.WriteString(z.Name)
+	if err != nil {
+		err = msgp.WrapError(err, "Name")
+		return
+	}
+	// write "count"
+	err = en.Append(0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	if err != nil {
+		return
+	}
+	err = en.WriteInt(z.Count)
+	if err != nil {
+		err = msgp.WrapError(err, "Count")
+		return
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z WireTallyRow) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "name"
+	o = append(o, 0x82, 0xa4, 0x6e, 0x61, 0x6d, 0x65)
+	o = msgp.AppendString(o, z.Name)
+	// string "count"
+	o = append(o, 0xa5, 0x63, 0x6f, 0x75, 0x6e, 0x74)
+	o = msgp.AppendInt(o, z.Count)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *WireTallyRow) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z3de96621limitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "name":
+			z.Name, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Name")
+				return
+			}
+		case "count":
+			z.Count, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Count")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z WireTallyRow) Msgsize() (s int) {
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Name) + 6 + msgp.IntSize
+	return
+}
+
 // DecodeMsg implements msgp.Decodable
 func (z *WireWaitingStepRow) DecodeMsg(dc *msgp.Reader) (err error) {
 	var field []byte
--- a/planner/evacuation.go
+++ b/planner/evacuation.go
@@ -117,13 +117,7 @@
 // describeDomain returns the number of minions and of runs in a domain, as inputs of a log
 // line. Only the holder knows them.
 func (planner *Planner) describeDomain(domain identifier.FailureDomain) string {
-	minions, runs := 0, 0
-	for _, minion := range planner.minions {
-		if minion.report.FailureDomain == domain {
-			minions++
-			runs += len(minion.runs)
-		}
-	}
+	minions, runs := planner.countDomain(domain)
 	return fmt.Sprintf("minions=%d runs=%d holder=%t", minions, runs, planner.holder.active)
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -294,9 +294,11 @@
 	}
 }
 
-// View answers queries at the holder. Other nodes have no answer.
+// View answers queries at the holder. Other nodes answer only what they know of the pool.
 func (planner *Planner) View(now time.Time, query querier.Query) querier.Answer {
 	switch {
+	case query.Kind == querier.PoolStatus:
+		return planner.poolStatus(now)
 	case !planner.holder.active:
 		return querier.Answer{}
 	case query.Kind == querier.Status:
@@ -306,18 +308,3 @@
 	}
 	return querier.Answer{}
 }
-
-// status returns the gauges of the holder.
-func (planner *Planner) status(now time.Time) querier.Answer {
-	runs := 0
-	for _, minion := range planner.minions {
-		runs += len(minion.runs)
-	}
-	return querier.Answer{Gauges: append(planner.waitingGauges(now), []querier.Gauge{
-		{Name: "minions", Value: float64(len(planner.minions))},
-		{Name: "runs", Value: float64(runs)},
-		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
-		{Name: "gang-reservations", Value: float64(planner.gangReservations.countReservations())},
-		{Name: "evacuated-domains", Value: float64(len(planner.evacuations.requested))},
-	}...)}
-}
--- /dev/null
+++ b/planner/status_test.go
@@ -0,0 +1,82 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"corianderroad/identifier"
+	"corianderroad/querier"
+)
+
+// poolStatus returns a node's answer about the pool.
+func (simulation *simulation) poolStatus(c *quicktest.C, node *node) (querier.Pool, bool) {
+	answer := node.planner.View(simulation.now, querier.Query{Kind: querier.PoolStatus})
+	c.Assert(answer.Pools, quicktest.HasLen, 1)
+	return answer.Pools[0], answer.IsHolder
+}
+
+// TestStatusShowsEvacuation guards against an operator who can't see whether a domain is empty, at
+// the holder or, as far as a request has been read, at another node.
+func TestStatusShowsEvacuation(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvacuationSimulation(1, 2, 8)
+	holder, other := simulation.nodes[0], simulation.nodes[1]
+	simulation.makeHolder(holder)
+	simulation.submit(jobOf("a", wholeMinions(8, time.Minute)))
+	simulation.advance(2 * time.Second)
+	requestedAt := simulation.now
+	simulation.evacuate("z0", true)
+	simulation.submit(jobOf("b", wholeMinions(1, time.Minute)))
+	simulation.advance(8 * time.Second) // until the step is reported as waiting
+
+	pool, isHolder := simulation.poolStatus(c, holder)
+	c.Assert(isHolder, quicktest.IsTrue)
+	c.Assert(pool.Token, quicktest.Equals, holder.token)
+	c.Assert(pool.AcceptedJobs, quicktest.Equals, 2)
+	c.Assert(pool.Minions, quicktest.DeepEquals, []querier.Tally{{Name: "accepting", Count: 4}, {Name: "evacuated", Count: 4}})
+	c.Assert(pool.WaitingSteps, quicktest.DeepEquals, []querier.Tally{{Name: "no-capacity", Count: 1}})
+	c.Assert(pool.Evacuations, quicktest.HasLen, 1)
+	row := pool.Evacuations[0]
+	c.Assert([]int{row.Minions, row.Runs}, quicktest.DeepEquals, []int{4, 4})
+	c.Assert(row.Domain, quicktest.Equals, identifier.FailureDomain("z0"))
+	c.Assert(row.ReadAt.Sub(requestedAt), quicktest.Equals, latency)
+	c.Assert(simulation.now.Sub(pool.EvacuationsReadAt) < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", pool.EvacuationsReadAt))
+
+	pool, isHolder = simulation.poolStatus(c, other)
+	c.Assert(isHolder, quicktest.IsFalse)
+	c.Assert(pool.Evacuations, quicktest.HasLen, 1)
+	c.Assert(pool.Evacuations[0].Domain, quicktest.Equals, identifier.FailureDomain("z0"))
+	c.Assert(pool.Minions, quicktest.HasLen, 0)
+	c.Assert(pool.AcceptedJobs, quicktest.Equals, 0)
+
+	simulation.evacuate("z0", false)
+	simulation.advance(2 * time.Second)
+	pool, _ = simulation.poolStatus(c, holder)
+	c.Assert(pool.Evacuations, quicktest.HasLen, 0)
+	c.Assert(pool.Minions, quicktest.DeepEquals, []querier.Tally{{Name: "accepting", Count: 8}})
+}
+
+// TestStatusCountsReservations guards against reclaimed capacity that no answer shows, and against
+// a query that changes what the planner does.
+func TestStatusCountsReservations(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 1)
+	simulation.makeHolder(simulation.nodes[0])
+	filler := wholeMinions(1, time.Minute)
+	filler.Checkpoints = true
+	simulation.submit(jobOf("a", filler))
+	simulation.advance(time.Second)
+	urgent := jobOf("b", wholeMinions(1, time.Second))
+	urgent.Queue = urgentQueue
+	simulation.submit(urgent)
+	for simulation.countsOf("stopped ")["preemption"] == 0 {
+		simulation.advance(10 * time.Millisecond)
+	}
+	for range 2 {
+		pool, _ := simulation.poolStatus(c, simulation.nodes[0])
+		c.Assert(pool.ReclaimedReservations, quicktest.Equals, 1)
+		c.Assert(pool.GangReservations, quicktest.Equals, 0)
+	}
+}
--- a/querier/query.go
+++ b/querier/query.go
@@ -26,6 +26,9 @@
 	// QueueLength requests from an entry VM the number of jobs that have not started
 	// in the queue that Subject names.
 	QueueLength
+	// PoolStatus requests from a node on the users' platform what it knows of the pool as a
+	// whole.
+	PoolStatus
 )
 
 // Query is a query to the state machines of one node or of all nodes.
@@ -46,12 +49,14 @@
 	Minions       []Minion
 	Workers       []Worker
 	Decisions     []Decision
-	// IsHolder is set for Explain by the holder, and Explanations has its answer, none if
+	// IsHolder is set for Explain and PoolStatus by the holder, and Explanations has its answer, none if
 	// it has no such job.
 	IsHolder     bool
 	Explanations []Explanation
 	Shares       []Share
 	Gauges       []Gauge
+	// Pools answers PoolStatus, in one row.
+	Pools []Pool
 	// Submitted answers JobState. It is empty if the entry VM has no such job.
 	Submitted []SubmittedJob
 	// Waiting answers QueueLength.
@@ -81,6 +86,7 @@
 	answer.Decisions = append(answer.Decisions, part.Decisions...)
 	answer.IsHolder = answer.IsHolder || part.IsHolder
 	answer.Explanations = append(answer.Explanations, part.Explanations...)
+	answer.Pools = append(answer.Pools, part.Pools...)
 	answer.Shares = append(answer.Shares, part.Shares...)
 	answer.Gauges = append(answer.Gauges, part.Gauges...)
 	answer.Submitted = append(answer.Submitted, part.Submitted...)
