Show in the status whether an evacuated domain is certainly empty

Change: each row of the holder has 'empty', by the rule of the line evacuation-empty: no run is known, no minion lists unknown runs, and the runs of the former holder are accounted for.

Result: TestStatusAwaitsFormerRuns fails without the last condition.

--- a/encoder/pool.go
+++ b/encoder/pool.go
@@ -10,7 +10,7 @@
 	return WirePoolRow{
 		Token: uint64(row.Token), AsOf: row.AsOf, EvacuationsReadAt: row.EvacuationsReadAt,
 		Evacuations: convertRows(row.Evacuations, func(row querier.Evacuation) WireEvacuationRow {
-			return WireEvacuationRow{Domain: string(row.Domain), ReadAt: row.ReadAt, Minions: row.Minions, Runs: row.Runs}
+			return WireEvacuationRow{Domain: string(row.Domain), ReadAt: row.ReadAt, Minions: row.Minions, Runs: row.Runs, IsEmpty: row.IsEmpty}
 		}),
 		Minions: convertRows(row.Minions, tally), WaitingSteps: convertRows(row.WaitingSteps, tally),
 		GangReservations: row.GangReservations, ReclaimedReservations: row.ReclaimedReservations, AcceptedJobs: row.AcceptedJobs,
@@ -22,7 +22,7 @@
 	return querier.Pool{
 		Token: identifier.Term(row.Token), AsOf: row.AsOf, EvacuationsReadAt: row.EvacuationsReadAt,
 		Evacuations: convertRows(row.Evacuations, func(row WireEvacuationRow) querier.Evacuation {
-			return querier.Evacuation{Domain: identifier.FailureDomain(row.Domain), ReadAt: row.ReadAt, Minions: row.Minions, Runs: row.Runs}
+			return querier.Evacuation{Domain: identifier.FailureDomain(row.Domain), ReadAt: row.ReadAt, Minions: row.Minions, Runs: row.Runs, IsEmpty: row.IsEmpty}
 		}),
 		Minions: convertRows(row.Minions, tally), WaitingSteps: convertRows(row.WaitingSteps, tally),
 		GangReservations: row.GangReservations, ReclaimedReservations: row.ReclaimedReservations, AcceptedJobs: row.AcceptedJobs,
--- a/encoder/query_schema.go
+++ b/encoder/query_schema.go
@@ -52,6 +52,7 @@
 	ReadAt  time.Time `msg:"read-at"`
 	Minions int       `msg:"minions"`
 	Runs    int       `msg:"runs"`
+	IsEmpty bool      `msg:"is-empty"`
 }
 
 // WireTallyRow is a querier.Tally.
--- a/encoder/query_schema_gen.go
+++ b/encoder/query_schema_gen.go
@@ -1628,6 +1628,12 @@
 				err = msgp.WrapError(err, "Runs")
 				return
 			}
+		case "is-empty":
+			z.IsEmpty, err = dc.ReadBool()
+			if err != nil {
+				err = msgp.WrapError(err, "IsEmpty")
+				return
+			}
 		default:
 			err = dc.Skip()
 			if err != nil {
@@ -1641,9 +1647,9 @@
 
 // EncodeMsg implements msgp.Encodable
 func (z *WireEvacuationRow) EncodeMsg(en *msgp.Writer) (err error) {
-	// map header, size 4
+	// map header, size 5
 	// write "domain"
-	err = en.Append(0x84, 0xa6, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	err = en.Append(0x85, 0xa6, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
 	if err != nil {
 		return
 	}
@@ -1682,15 +1688,25 @@
 		err = msgp.WrapError(err, "Runs")
 		return
 	}
+	// write "is-empty"
+	err = en.Append(0xa8, 0x69, 0x73, 0x2d, 0x65, 0x6d, 0x70, 0x74, 0x79)
+	if err != nil {
+		return
+	}
+	err = en.WriteBool(z.IsEmpty)
+	if err != nil {
+		err = msgp.WrapError(err, "IsEmpty")
+		return
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *WireEvacuationRow) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "domain"
-	o = append(o, 0x84, 0xa6, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
+	o = append(o, 0x85, 0xa6, 0x64, 0x6f, 0x6d, 0x61, 0x69, 0x6e)
 	o = msgp.AppendString(o, z.Domain)
 	// string "read-at"
 	o = append(o, 0xa7, 0x72, 0x65, 0x61, 0x64, 0x2d, 0x61, 0x74)
@@ -1701,6 +1717,9 @@
 	// string "runs"
 	o = append(o, 0xa4, 0x72, 0x75, 0x6e, 0x73)
 	o = msgp.AppendInt(o, z.Runs)
+	// string "is-empty"
+	o = append(o, 0xa8, 0x69, 0x73, 0x2d, 0x65, 0x6d, 0x70, 0x74, 0x79)
+	o = msgp.AppendBool(o, z.IsEmpty)
 	return
 }
 
@@ -1750,6 +1769,12 @@
 				err = msgp.WrapError(err, "Runs")
 				return
 			}
+		case "is-empty":
+			z.IsEmpty, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "IsEmpty")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1764,7 +1789,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *WireEvacuationRow) Msgsize() (s int) {
-	s = 1 + 7 + msgp.StringPrefixSize + len(z.Domain) + 8 + msgp.TimeSize + 8 + msgp.IntSize + 5 + msgp.IntSize
+	s = 1 + 7 + msgp.StringPrefixSize + len(z.Domain) + 8 + msgp.TimeSize + 8 + msgp.IntSize + 5 + msgp.IntSize + 9 + msgp.BoolSize
 	return
 }
 
--- a/explainer/status.go
+++ b/explainer/status.go
@@ -59,9 +59,14 @@
 	Domain identifier.FailureDomain `json:"domain"`
 	ReadAt time.Time                `json:"read-at"`
 	AgeMs  int64                    `json:"age-ms"`
-	// Minions and Runs are unknown to nodes that are not the holder.
-	Minions *int `json:"minions,omitempty"`
-	Runs    *int `json:"runs,omitempty"`
+	*evacuatedCounts
+}
+
+// evacuatedCounts is the part about a failure domain that only the holder knows.
+type evacuatedCounts struct {
+	Minions int  `json:"minions"`
+	Runs    int  `json:"runs"`
+	IsEmpty bool `json:"empty"`
 }
 
 func renderPool(node identifier.Node, isHolder bool, pool *querier.Pool) poolStatus {
@@ -73,7 +78,7 @@
 	for _, row := range pool.Evacuations {
 		domain := evacuated{Domain: row.Domain, ReadAt: row.ReadAt.UTC(), AgeMs: pool.AsOf.Sub(row.ReadAt).Milliseconds()}
 		if isHolder {
-			domain.Minions, domain.Runs = &row.Minions, &row.Runs
+			domain.evacuatedCounts = &evacuatedCounts{row.Minions, row.Runs, row.IsEmpty}
 		}
 		body.Evacuations = append(body.Evacuations, domain)
 	}
--- a/explainer/status_test.go
+++ b/explainer/status_test.go
@@ -25,7 +25,7 @@
 func pool() querier.Pool {
 	return querier.Pool{
 		AsOf: epoch, EvacuationsReadAt: epoch.Add(-900 * time.Millisecond),
-		Evacuations: []querier.Evacuation{{Domain: "zone-a", ReadAt: epoch.Add(-time.Minute), Minions: 20, Runs: 3}, {Domain: "zone-b", ReadAt: epoch}},
+		Evacuations: []querier.Evacuation{{Domain: "zone-a", ReadAt: epoch.Add(-time.Minute), Minions: 20, Runs: 3}, {Domain: "zone-b", ReadAt: epoch, IsEmpty: true}},
 	}
 }
 
@@ -41,8 +41,8 @@
 	c.Assert(inspector.queries, quicktest.DeepEquals, []querier.Query{{Kind: querier.PoolStatus}})
 	c.Assert(recorder.Code, quicktest.Equals, http.StatusOK)
 	c.Assert(recorder.Body.String(), quicktest.Equals, `{"node":"n1","holder":true,"as-of":"2026-12-07T00:00:00Z","evacuations-age-ms":900,`+
-		`"evacuated-domains":[{"domain":"zone-a","read-at":"2026-12-06T23:59:00Z","age-ms":60000,"minions":20,"runs":3},`+
-		`{"domain":"zone-b","read-at":"2026-12-07T00:00:00Z","age-ms":0,"minions":0,"runs":0}],"token":7,"accepted-jobs":40,`+
+		`"evacuated-domains":[{"domain":"zone-a","read-at":"2026-12-06T23:59:00Z","age-ms":60000,"minions":20,"runs":3,"empty":false},`+
+		`{"domain":"zone-b","read-at":"2026-12-07T00:00:00Z","age-ms":0,"minions":0,"runs":0,"empty":true}],"token":7,"accepted-jobs":40,`+
 		`"waiting-steps":{"no-capacity":5},"minions-by-availability":{"accepting":330,"evacuated":20},"gang-reservations":2,"reclaimed-reservations":1}`+"\n")
 }
 
--- a/planner/evacuation.go
+++ b/planner/evacuation.go
@@ -96,24 +96,26 @@
 
 // reportEmptyDomains reports the evacuated domains in which the last run has ended.
 func (planner *Planner) reportEmptyDomains(now time.Time) {
-	if !planner.holder.reconciled {
-		return // runs of a former holder may be unknown
-	}
-	hasRuns := make(map[identifier.FailureDomain]bool)
-	for _, minion := range planner.minions {
-		if len(minion.runs) > 0 || minion.hasUnknownRuns {
-			hasRuns[minion.report.FailureDomain] = true
-		}
-	}
 	for _, domain := range slices.Sorted(maps.Keys(planner.evacuations.requested)) {
 		evacuation := planner.evacuations.requested[domain]
-		if !evacuation.isEmptyReported && !hasRuns[domain] {
+		if !evacuation.isEmptyReported && planner.isEmptyDomain(domain) {
 			evacuation.isEmptyReported = true
 			planner.emitDecision(string(domain), "evacuation-empty", "the last run there has ended", planner.describeDomain(domain), now.Sub(evacuation.firstReadAt))
 		}
 	}
 }
 
+// isEmptyDomain reports whether certainly no run is left in a failure domain. Runs of a former
+// holder may be unknown until the holder is reconciled.
+func (planner *Planner) isEmptyDomain(domain identifier.FailureDomain) bool {
+	for _, minion := range planner.minions {
+		if minion.report.FailureDomain == domain && (len(minion.runs) > 0 || minion.hasUnknownRuns) {
+			return false
+		}
+	}
+	return planner.holder.reconciled
+}
+
 // describeDomain returns the number of minions and of runs in a domain, as inputs of a log
 // line. Only the holder knows them.
 func (planner *Planner) describeDomain(domain identifier.FailureDomain) string {
--- a/planner/status.go
+++ b/planner/status.go
@@ -42,7 +42,10 @@
 	var rows []querier.Evacuation
 	for _, domain := range slices.Sorted(maps.Keys(planner.evacuations.requested)) {
 		minions, runs := planner.countDomain(domain)
-		rows = append(rows, querier.Evacuation{Domain: domain, ReadAt: planner.evacuations.requested[domain].firstReadAt, Minions: minions, Runs: runs})
+		rows = append(rows, querier.Evacuation{
+			Domain: domain, ReadAt: planner.evacuations.requested[domain].firstReadAt, Minions: minions, Runs: runs,
+			IsEmpty: planner.holder.active && planner.isEmptyDomain(domain),
+		})
 	}
 	return rows
 }
--- a/planner/status_test.go
+++ b/planner/status_test.go
@@ -40,6 +40,7 @@
 	c.Assert(pool.Evacuations, quicktest.HasLen, 1)
 	row := pool.Evacuations[0]
 	c.Assert([]int{row.Minions, row.Runs}, quicktest.DeepEquals, []int{4, 4})
+	c.Assert(row.IsEmpty, quicktest.IsFalse)
 	c.Assert(row.Domain, quicktest.Equals, identifier.FailureDomain("z0"))
 	c.Assert(row.ReadAt.Sub(requestedAt), quicktest.Equals, latency)
 	c.Assert(simulation.now.Sub(pool.EvacuationsReadAt) < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", pool.EvacuationsReadAt))
@@ -80,3 +81,32 @@
 		c.Assert(pool.GangReservations, quicktest.Equals, 0)
 	}
 }
+
+// TestStatusAwaitsFormerRuns guards against an evacuated domain that an operator takes for empty
+// because a new holder has not heard of the runs there yet.
+func TestStatusAwaitsFormerRuns(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvacuationSimulation(1, 2, 4)
+	first, second := simulation.nodes[0], simulation.nodes[1]
+	simulation.makeHolder(first)
+	simulation.submit(jobOf("a", wholeMinions(4, 20*time.Second)))
+	simulation.advance(2 * time.Second)
+	simulation.evacuate("z0", true)
+	simulation.advance(time.Second)
+	first.alive = false
+	simulation.setReachable(false, "m00", "m01", "m02", "m03")
+	simulation.makeHolder(second)
+	isEmpty := func() bool {
+		pool, _ := simulation.poolStatus(c, second)
+		return pool.Evacuations[0].IsEmpty
+	}
+	simulation.advance(time.Second)
+	c.Assert(isEmpty(), quicktest.IsFalse)
+	simulation.setReachable(true, "m00", "m01", "m02", "m03")
+	simulation.advance(3 * time.Second)
+	pool, isHolder := simulation.poolStatus(c, second)
+	c.Assert(isHolder, quicktest.IsTrue)
+	c.Assert(pool.Evacuations[0].Runs, quicktest.Equals, 4)
+	simulation.advance(20 * time.Second)
+	c.Assert(isEmpty(), quicktest.IsTrue)
+}
--- a/querier/pool.go
+++ b/querier/pool.go
@@ -34,6 +34,9 @@
 	ReadAt time.Time
 	// Minions and Runs are those in the domain. Only the holder knows them.
 	Minions, Runs int
+	// IsEmpty means that the holder is certain that no run is left there. After a takeover it is
+	// not before it has heard of the runs of the former holder.
+	IsEmpty bool
 }
 
 // Tally is a number of things that have a value in common.
