Wait for the server's read instead of 100 ms in a test of the gatekeeper

Cause: TestWorkEndsWithItsConnection paused for 100 ms, so that the server had read the first byte of the second request. A slow machine may need longer, and tests do not sleep.

Change: the listener under the gatekeeper reports the bytes of each read, and the test waits until the server has read one byte more than the first request. From then on the server reads nothing, which is the case that the test is about.

--- a/gatekeeper/closing_test.go
+++ b/gatekeeper/closing_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -13,12 +12,39 @@
 	"corianderroad/shedder"
 )
 
+// countingListener reports how many bytes each read of its connections returns.
+type countingListener struct {
+	net.Listener
+	read chan int
+}
+
+// Accept implements net.Listener.
+func (countingListener countingListener) Accept() (net.Conn, error) {
+	accepted, err := countingListener.Listener.Accept()
+	return countingConn{accepted, countingListener.read}, err
+}
+
+// countingConn is a connection of a countingListener.
+type countingConn struct {
+	net.Conn
+	read chan int
+}
+
+// Read implements net.Conn.
+func (countingConn countingConn) Read(target []byte) (int, error) {
+	count, err := countingConn.Conn.Read(target)
+	countingConn.read <- count
+	return count, err
+}
+
 // TestWorkEndsWithItsConnection guards against work on the request of a closed connection that
 // goes on and keeps its place, because the client had already sent more and the server does
 // not notice the end.
 func TestWorkEndsWithItsConnection(t *testing.T) {
 	c := quicktest.New(t)
 	_, listener, _, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 1})
+	read := make(chan int, 16) // more than the reads of both connections
+	listener.Listener = countingListener{listener.Listener, read}
 	begun, ended := make(chan struct{}, 2), make(chan struct{}, 2)
 	server := &http.Server{ConnContext: gatekeeper.ConnContext, ConnState: gatekeeper.ConnState, ReadHeaderTimeout: testTimeout, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		gatekeeper.FromContext(request.Context()).SetBusy(true)
@@ -45,7 +71,9 @@
 		<-begun
 		_, err = io.WriteString(client, request) // the server reads its first byte, and then no more
 		c.Assert(err, quicktest.IsNil)
-		time.Sleep(100 * time.Millisecond)
+		for unread := len(request) + 1; unread > 0; {
+			unread -= <-read
+		}
 	}
 	<-ended
 }
