Move logic that the planner had in several places to one, and split planTrial

Change: job.steps and job.dueSteps yield steps, pool.areasFor the minions on which a step may start together, step.runsToStop the runs, and specifier.Resources.CoreSeconds the work, which accountant.Run.Loss uses as well. reserveTrial is the second half of planTrial.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -9,6 +9,7 @@
 
 	"corianderroad/accountant"
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // at returns a time as seconds of the test.
@@ -16,12 +17,15 @@
 	return time.Unix(1_000_000, 0).Add(time.Duration(seconds) * time.Second)
 }
 
+// twelveCores is an amount that counts as 12 cores.
+var twelveCores = specifier.Resources{MilliCPU: 4000, Accelerators: 1}
+
 // A gang breaks because the minion of one member has ended; the ends of the others follow.
 func Example() {
 	var run accountant.Run
 	run.NoteStart(at(0))
 	run.NoteCheckpoint(at(8), "own", "")
-	lost, isLoss := run.Loss(at(11), 12, run.Cause(accountant.EndMinionGone))
+	lost, isLoss := run.Loss(at(11), twelveCores, run.Cause(accountant.EndMinionGone))
 	fmt.Println(lost.Rule, lost.CoreSeconds, isLoss)
 
 	var breakage accountant.Breakage
@@ -52,10 +56,10 @@
 func TestLossOfRunWithoutWork(t *testing.T) {
 	c := quicktest.New(t)
 	var run accountant.Run
-	_, isLoss := run.Loss(at(5), 12, accountant.EndUnreported)
+	_, isLoss := run.Loss(at(5), twelveCores, accountant.EndUnreported)
 	c.Assert(isLoss, quicktest.IsFalse)
 	run.NoteStart(at(5))
-	_, isLoss = run.Loss(at(5), 12, accountant.EndUnreported)
+	_, isLoss = run.Loss(at(5), twelveCores, accountant.EndUnreported)
 	c.Assert(isLoss, quicktest.IsFalse)
 }
 
--- a/accountant/run.go
+++ b/accountant/run.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corianderroad/messenger"
+	"corianderroad/specifier"
 )
 
 // Run is the account of one run. The zero value is that of a run that has not started.
@@ -62,8 +63,8 @@
 	return Cause(run.Rule)
 }
 
-// Loss returns the work that is lost with a run of a number of cores, false if there is none.
-func (run Run) Loss(now time.Time, cores float64, cause Cause) (messenger.WorkLost, bool) {
-	lost := run.UnsavedTime(now).Seconds() * cores
+// Loss returns the work that is lost with a run that used an amount, false if there is none.
+func (run Run) Loss(now time.Time, used specifier.Resources, cause Cause) (messenger.WorkLost, bool) {
+	lost := used.CoreSeconds(run.UnsavedTime(now))
 	return messenger.WorkLost{Rule: cause.String(), CoreSeconds: lost}, lost > 0
 }
--- a/planner/crashpart.go
+++ b/planner/crashpart.go
@@ -20,13 +20,11 @@
 // are too many, the tasks with most certain crashes are listed.
 func (job *job) crashProgress() specifier.Progress {
 	recorded := specifier.Progress{State: job.permittedState(), EndedAt: job.endedAt}
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			for index := range step.tasks {
-				if task := &step.tasks[index]; !task.done {
-					recorded.Crashes = append(recorded.Crashes, step.recordedCrashes(index)...)
-					recorded.Placements = append(recorded.Placements, step.recordedPlacement(index)...)
-				}
+	for step := range job.steps() {
+		for index := range step.tasks {
+			if task := &step.tasks[index]; !task.done {
+				recorded.Crashes = append(recorded.Crashes, step.recordedCrashes(index)...)
+				recorded.Placements = append(recorded.Placements, step.recordedPlacement(index)...)
 			}
 		}
 	}
--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -81,13 +81,10 @@
 }
 
 func evictionReason(choice *evictor.Choice, guaranteed bool) string {
-	switch {
-	case len(choice.Stopped) == 0:
+	if len(choice.Stopped) == 0 {
 		return "enough comes free without a stop"
-	case guaranteed:
-		return "needed for the guarantee of its workspace"
 	}
-	return "needed for its objective"
+	return reclaimReason(guaranteed)
 }
 
 // requestStart reports whether the journal allows the job's tasks to be started, and
@@ -104,21 +101,9 @@
 // chooseEviction returns the cheapest choice on one rack if the step needs one, or on all
 // minions, nil if the tasks fit nowhere.
 func (planner *Planner) chooseEviction(now time.Time, request evictionRequest, pool *pool) *eviction {
-	step := request.step
-	needsRack := step.spec.SameRack && pool.fitsOnRack(step)
-	if !needsRack {
-		available := pool.available
-		if step.spec.DataRack != "" && pool.fitsOnRack(step) {
-			available = pool.availableOnRack(step.spec.DataRack)
-		}
-		return planner.chooseEvictionOn(now, request, available)
-	}
 	var best *eviction
-	for _, rack := range pool.racks {
-		if step.spec.DataRack != "" && rack.name != step.spec.DataRack {
-			continue
-		}
-		found := planner.chooseEvictionOn(now, request, rack.available)
+	for _, available := range pool.areasFor(request.step) {
+		found := planner.chooseEvictionOn(now, request, available)
 		if found != nil && (best == nil || found.choice.Loss.Price < best.choice.Loss.Price) {
 			best = found
 		}
--- a/planner/explain.go
+++ b/planner/explain.go
@@ -78,14 +78,9 @@
 // tasks that could be started.
 func (job *job) stepsToExplain(now time.Time) []*step {
 	var steps []*step
-	for _, occurrence := range job.occurrences {
-		if now.Before(occurrence.dueAt) {
-			break
-		}
-		for _, step := range occurrence.steps {
-			if !step.isComplete() && step.isReady() && (!step.isWorking() || step.countStartableTasks(now) > 0) {
-				steps = append(steps, step)
-			}
+	for step := range job.dueSteps(now) {
+		if !step.isComplete() && step.isReady() && (!step.isWorking() || step.countStartableTasks(now) > 0) {
+			steps = append(steps, step)
 		}
 	}
 	return steps
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -228,13 +228,11 @@
 // started as unresolved and returns their number.
 func (job *job) markInheritedTasks() int {
 	count := 0
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			for index := range step.tasks {
-				if !step.tasks[index].done {
-					step.tasks[index].inherited, step.tasks[index].unresolved = true, true
-					count++
-				}
+	for step := range job.steps() {
+		for index := range step.tasks {
+			if !step.tasks[index].done {
+				step.tasks[index].inherited, step.tasks[index].unresolved = true, true
+				count++
 			}
 		}
 	}
@@ -266,12 +264,10 @@
 	planner.emitDecision(string(planner.node), "holder-settled", "the leases of the former holder have expired",
 		fmt.Sprintf("unaccounted-tasks=%d", planner.holder.unresolvedTasks), now.Sub(planner.holder.claimedAt))
 	for _, job := range planner.openJobs {
-		for _, occurrence := range job.occurrences {
-			for _, step := range occurrence.steps {
-				for index := range step.tasks {
-					planner.judgeFormerRun(now, step, index)
-					planner.markResolved(&step.tasks[index])
-				}
+		for step := range job.steps() {
+			for index := range step.tasks {
+				planner.judgeFormerRun(now, step, index)
+				planner.markResolved(&step.tasks[index])
 			}
 		}
 	}
--- a/planner/job.go
+++ b/planner/job.go
@@ -223,11 +223,9 @@
 	if job.spec.IsLongRunning() {
 		return false
 	}
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			if !step.isComplete() {
-				return false
-			}
+	for step := range job.steps() {
+		if !step.isComplete() {
+			return false
 		}
 	}
 	return true
--- a/planner/loss.go
+++ b/planner/loss.go
@@ -6,7 +6,6 @@
 
 	"corianderroad/accountant"
 	"corianderroad/messenger"
-	"corianderroad/specifier"
 )
 
 // noteCheckpoint notes the checkpoint that a minion lists for the run.
@@ -24,8 +23,7 @@
 	if run.step.spec.LongRunning || (task.done && task.doneRun == run.number) {
 		return
 	}
-	cores := float64(run.step.spec.Request.Weight()) / specifier.MilliPerCore
-	if lost, isLoss := run.account.Loss(now, cores, cause); isLoss {
+	if lost, isLoss := run.account.Loss(now, run.step.spec.Request, cause); isLoss {
 		planner.emit(lost)
 	}
 }
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -105,14 +105,9 @@
 			if queue == nil {
 				continue
 			}
-			for _, occurrence := range job.occurrences {
-				if now.Before(occurrence.dueAt) {
-					break
-				}
-				for _, step := range occurrence.steps {
-					if !yield(step, queue) {
-						return
-					}
+			for step := range job.dueSteps(now) {
+				if !yield(step, queue) {
+					return
 				}
 			}
 		}
--- a/planner/reclaim.go
+++ b/planner/reclaim.go
@@ -66,38 +66,30 @@
 
 func (planner *Planner) emitReclaimDecision(now time.Time, waitingStep *waitingStep, preemption *preemption, guaranteed bool) {
 	step := waitingStep.step
-	reason := "needed for its objective"
-	if guaranteed {
-		reason = "needed for the guarantee of its workspace"
-	}
-	planner.emitDecision(string(step.occurrence.job.spec.ID), "reclaim", reason,
+	planner.emitDecision(string(step.occurrence.job.spec.ID), "reclaim", reclaimReason(guaranteed),
 		fmt.Sprintf("step=%d tasks=%d stops=%d lost-core-seconds=%.0f own-core-seconds=%.0f", step.number, waitingStep.taskCount,
 			len(preemption.runs), preemption.cost, step.estimatedWork(waitingStep.taskCount)), now.Sub(step.occurrence.dueAt))
 }
 
+func reclaimReason(guaranteed bool) string {
+	if guaranteed {
+		return "needed for the guarantee of its workspace"
+	}
+	return "needed for its objective"
+}
+
 // estimatedWork returns the estimated core-seconds of a number of the step's
 // tasks.
 func (step *step) estimatedWork(count int) float64 {
-	return step.spec.EstimatedRunTime.Seconds() * float64(step.spec.Request.Times(count).Weight()) / specifier.MilliPerCore
+	return step.spec.Request.Times(count).CoreSeconds(step.spec.EstimatedRunTime)
 }
 
 // planPreemption returns where a step fits once the victims have ended, at the
 // lowest cost that a greedy choice finds. It returns nil if it fits nowhere.
 func (planner *Planner) planPreemption(now time.Time, waitingStep *waitingStep, pool *pool) *preemption {
-	step := waitingStep.step
-	if !step.spec.SameRack || !pool.fitsOnRack(step) {
-		available := pool.available
-		if step.spec.DataRack != "" && pool.fitsOnRack(step) {
-			available = pool.availableOnRack(step.spec.DataRack)
-		}
-		return planner.planPreemptionOn(now, waitingStep, available)
-	}
 	var best *preemption
-	for _, rack := range pool.racks {
-		if step.spec.DataRack != "" && rack.name != step.spec.DataRack {
-			continue
-		}
-		preemption := planner.planPreemptionOn(now, waitingStep, rack.available)
+	for _, available := range pool.areasFor(waitingStep.step) {
+		preemption := planner.planPreemptionOn(now, waitingStep, available)
 		if preemption != nil && (best == nil || preemption.cost < best.cost) {
 			best = preemption
 		}
@@ -105,6 +97,22 @@
 	return best
 }
 
+// areasFor returns the minions on which all tasks of a step may start together: those of each rack
+// if they need a common one, and otherwise those of the rack with its data, or of the whole pool.
+func (pool *pool) areasFor(step *step) [][]*minion {
+	if prefersRack := step.spec.SameRack || step.spec.DataRack != ""; !prefersRack || !pool.fitsOnRack(step) {
+		return [][]*minion{pool.available}
+	}
+	if step.spec.DataRack != "" {
+		return [][]*minion{pool.availableOnRack(step.spec.DataRack)}
+	}
+	areas := make([][]*minion, 0, len(pool.racks))
+	for _, rack := range pool.racks {
+		areas = append(areas, rack.available)
+	}
+	return areas
+}
+
 // preemption is the capacity for a step with the runs that must be stopped for
 // it.
 type preemption struct {
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -159,12 +159,10 @@
 	if queue == nil {
 		return
 	}
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			if step.hasUsedAttempts(queue.Attempts) {
-				planner.endJob(now, job, specifier.Failed, step.attemptsReason(queue.Attempts))
-				return
-			}
+	for step := range job.steps() {
+		if step.hasUsedAttempts(queue.Attempts) {
+			planner.endJob(now, job, specifier.Failed, step.attemptsReason(queue.Attempts))
+			return
 		}
 	}
 }
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -71,11 +71,16 @@
 	if !ended.step.spec.Gang {
 		return []*run{ended}
 	}
-	var members []*run
-	for index := range ended.step.tasks {
-		if member := ended.step.tasks[index].run; member != nil && member.state != stopping {
-			members = append(members, member)
+	return ended.step.runsToStop()
+}
+
+// runsToStop returns the runs of the step's tasks that are not being stopped.
+func (step *step) runsToStop() []*run {
+	var runs []*run
+	for index := range step.tasks {
+		if run := step.tasks[index].run; run != nil && run.state != stopping {
+			runs = append(runs, run)
 		}
 	}
-	return members
+	return runs
 }
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -106,14 +106,9 @@
 		if !job.hasCrashes || queue == nil {
 			continue
 		}
-		for _, occurrence := range job.occurrences {
-			if now.Before(occurrence.dueAt) {
-				break
-			}
-			for _, step := range occurrence.steps {
-				if step.hasSuspect() && step.isReady() {
-					steps = append(steps, &waitingStep{step: step, queue: queue})
-				}
+		for step := range job.dueSteps(now) {
+			if step.hasSuspect() && step.isReady() {
+				steps = append(steps, &waitingStep{step: step, queue: queue})
 			}
 		}
 	}
@@ -173,8 +168,7 @@
 	return false
 }
 
-// planTrial chooses minions for suspect tasks of a step, closes them for other runs, and
-// records the trial.
+// planTrial chooses minions for suspect tasks of a step, and plans their trial there.
 func (planner *Planner) planTrial(now time.Time, waitingStep *waitingStep, pool *pool) {
 	step := waitingStep.step
 	waitingStep.taskIndexes = step.tasksForTrial(now)
@@ -206,6 +200,13 @@
 		step.passResult = waitsForAdvice
 		return
 	}
+	planner.reserveTrial(now, waitingStep, chosen, pool)
+	step.passResult = waitsForRecord
+}
+
+// reserveTrial closes the chosen minions for other runs, and records the trial.
+func (planner *Planner) reserveTrial(now time.Time, waitingStep *waitingStep, chosen []*minion, pool *pool) {
+	step := waitingStep.step
 	step.trialWantedSince = time.Time{}
 	step.trial = &trial{plannedAt: now}
 	number := planner.nextRunNumber()
@@ -226,7 +227,6 @@
 		planner.recording.markTaskDirty(step, index)
 	}
 	planner.recording.markCrashesDirty(step)
-	step.passResult = waitsForRecord
 }
 
 // startTrial starts a trial once it is recorded, or gives it up if one of its minions can't
--- a/planner/victim.go
+++ b/planner/victim.go
@@ -123,11 +123,9 @@
 // gangVictim returns the victim for a gang: its runs that are not being stopped.
 func (planner *Planner) gangVictim(now time.Time, step *step) *victim {
 	gang := &victim{}
-	for index := range step.tasks {
-		if member := step.tasks[index].run; member != nil && member.state != stopping {
-			gang.runs = append(gang.runs, member)
-			gang.cost += member.lostWork(now)
-		}
+	for _, member := range step.runsToStop() {
+		gang.runs = append(gang.runs, member)
+		gang.cost += member.lostWork(now)
 	}
 	return gang
 }
@@ -142,5 +140,5 @@
 	if run.step.spec.Checkpoints {
 		age = min(age, maxCheckpointAge)
 	}
-	return age.Seconds() * float64(run.step.spec.Request.Weight()) / specifier.MilliPerCore
+	return run.step.spec.Request.CoreSeconds(age)
 }
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -94,21 +94,16 @@
 func (planner *Planner) stalledSteps(now time.Time) []*step {
 	var stalled []*step
 	for _, job := range planner.openJobs {
-		for _, occurrence := range job.occurrences {
-			if now.Before(occurrence.dueAt) {
-				break
+		for step := range job.dueSteps(now) {
+			if step.isComplete() || !step.isReady() || step.isWorking() {
+				step.stalledSince = time.Time{}
+				continue
 			}
-			for _, step := range occurrence.steps {
-				if step.isComplete() || !step.isReady() || step.isWorking() {
-					step.stalledSince = time.Time{}
-					continue
-				}
-				if step.stalledSince.IsZero() {
-					step.stalledSince = now
-				}
-				if now.Sub(step.stalledSince) >= minReportedWait {
-					stalled = append(stalled, step)
-				}
+			if step.stalledSince.IsZero() {
+				step.stalledSince = now
+			}
+			if now.Sub(step.stalledSince) >= minReportedWait {
+				stalled = append(stalled, step)
 			}
 		}
 	}
--- a/specifier/resources.go
+++ b/specifier/resources.go
@@ -1,5 +1,7 @@
 package specifier
 
+import "time"
+
 // Resources is an amount of the resources that a minion offers and a task uses.
 type Resources struct {
 	MilliCPU     int // thousandths of a core
@@ -67,6 +69,11 @@
 	return resources.Accelerators*AcceleratorWeight + resources.MilliCPU
 }
 
+// CoreSeconds returns the work that an amount does in a time, by its weight.
+func (resources Resources) CoreSeconds(span time.Duration) float64 {
+	return span.Seconds() * float64(resources.Weight()) / MilliPerCore
+}
+
 func (resources Resources) nonNegative() bool {
 	return resources.MilliCPU >= 0 && resources.MemoryMB >= 0 && resources.Accelerators >= 0
 }
