Check that the query for the status changes no decision

Cause: the status of the pool is read while the holder decides, and no test showed that it changes nothing.

The set-up of TestExplainNamesReservation becomes reclaimMinion, which the test of reservations in the status uses too; what it checks is as before.

--- a/planner/explain_test.go
+++ b/planner/explain_test.go
@@ -134,10 +134,8 @@
 	c.Assert(step.ExpectedStart.Sub(due).Abs() < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", step.ExpectedStart.Sub(due)))
 }
 
-// TestExplainNamesReservation guards against a start that seems far away although capacity
-// has been reclaimed for it.
-func TestExplainNamesReservation(t *testing.T) {
-	c := quicktest.New(t)
+// reclaimMinion starts a task on the only minion, and stops it for an urgent job "b".
+func reclaimMinion() *simulation {
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
 	filler := wholeMinions(1, time.Minute)
@@ -150,6 +148,14 @@
 	for simulation.countsOf("stopped ")["preemption"] == 0 {
 		simulation.advance(10 * time.Millisecond)
 	}
+	return simulation
+}
+
+// TestExplainNamesReservation guards against a start that seems far away although capacity
+// has been reclaimed for it.
+func TestExplainNamesReservation(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := reclaimMinion()
 	step := simulation.waitingSteps(c, simulation.nodes[0], "b")[0]
 	c.Assert(step.Basis, quicktest.Equals, querier.Reservation)
 	wait := step.ExpectedStart.Sub(simulation.now)
--- a/planner/status_test.go
+++ b/planner/status_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -63,18 +64,7 @@
 // a query that changes what the planner does.
 func TestStatusCountsReservations(t *testing.T) {
 	c := quicktest.New(t)
-	simulation := newSimulation(1, 1, 1)
-	simulation.makeHolder(simulation.nodes[0])
-	filler := wholeMinions(1, time.Minute)
-	filler.Checkpoints = true
-	simulation.submit(jobOf("a", filler))
-	simulation.advance(time.Second)
-	urgent := jobOf("b", wholeMinions(1, time.Second))
-	urgent.Queue = urgentQueue
-	simulation.submit(urgent)
-	for simulation.countsOf("stopped ")["preemption"] == 0 {
-		simulation.advance(10 * time.Millisecond)
-	}
+	simulation := reclaimMinion()
 	for range 2 {
 		pool, _ := simulation.poolStatus(c, simulation.nodes[0])
 		c.Assert(pool.ReclaimedReservations, quicktest.Equals, 1)
@@ -110,3 +100,29 @@
 	simulation.advance(20 * time.Second)
 	c.Assert(isEmpty(), quicktest.IsTrue)
 }
+
+// TestStatusChangesNothing guards against a query that changes what the holder decides: the
+// decisions of a load with evacuations are the same with a query after each 10 ms and without.
+func TestStatusChangesNothing(t *testing.T) {
+	decisions := func(asks bool) []string {
+		simulation := newEvacuationSimulation(7, 2, 8)
+		simulation.lostAnswerShare = 0.05
+		simulation.makeHolder(simulation.nodes[0])
+		for index := range 12 {
+			step := wholeMinions(1+index%4, time.Duration(1+index%5)*time.Second)
+			step.Gang, step.Checkpoints = index%3 == 0, index%2 == 0
+			simulation.submit(jobOf(fmt.Sprintf("j%02d", index), step))
+			simulation.evacuate(domainOf(index%2), index%4 < 2)
+			for range 100 {
+				simulation.advance(10 * time.Millisecond)
+				for index := 0; asks && index < len(simulation.nodes); index++ {
+					simulation.nodes[index].planner.View(simulation.now, querier.Query{Kind: querier.PoolStatus})
+				}
+			}
+		}
+		simulation.advance(20 * time.Second)
+		return simulation.decisions
+	}
+	c := quicktest.New(t)
+	c.Assert(decisions(true), quicktest.DeepEquals, decisions(false))
+}
