Restart the soak's proxies although a process was just forked

A process that was just forked has a copy of the listening socket of a proxy until it executes its program.

Change: a restart of a proxy that finds its address in use is tried again for two seconds at most.

--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -164,9 +164,7 @@
 		minion.mutex.Lock()
 		defer minion.mutex.Unlock()
 		minion.incarnation, minion.down = deployment.pool.NewMinion(minion.name(), minion.clockRate()), false
-		if err := minion.Proxy.Update(&toxiproxy.Proxy{
-			Listen: minion.Proxy.Listen, Upstream: minion.incarnation.Listener.Addr().String(), Enabled: true,
-		}); err != nil {
+		if err := redirect(minion.Proxy, minion.incarnation.Address()); err != nil {
 			deployment.Checker.ReportViolation("the soak test could not restart a minion: %v", err)
 			return
 		}
@@ -174,6 +172,26 @@
 	})
 }
 
+// A restart of a proxy is tried again every restartInterval, up to maxRestarts times.
+const (
+	restartInterval = 10 * time.Millisecond
+	maxRestarts     = 200
+)
+
+// redirect restarts a proxy with another upstream on the same address. A process that was just
+// forked has a copy of the listening socket until it executes its program, so that the address may
+// still be in use. syscall.ForkLock does not help: the lock is free some time before the copy is
+// closed.
+func redirect(proxy *toxiproxy.Proxy, upstream netip.AddrPort) error {
+	restarted := &toxiproxy.Proxy{Listen: proxy.Listen, Upstream: upstream.String(), Enabled: true}
+	err := proxy.Update(restarted)
+	for tries := 1; tries < maxRestarts && errors.Is(err, syscall.EADDRINUSE); tries++ {
+		time.Sleep(restartInterval)
+		err = proxy.Update(restarted)
+	}
+	return err
+}
+
 // Downtime of a minion that a task has crashed.
 const (
 	minCrashDowntime  = 1500 * time.Millisecond
