Evacuate failure domains in the soak

Change: each rack of three minions is a failure domain, which is evacuated again and again, by the seed and independent of the other faults, also several at once. With every second request the holder, found by /status, is killed, paused or cut off from the store. The checker knows the domain of each minion, and reports a start later than evacuateMs (5 s) and 2 s for the proxies' delays after the acknowledgement.

--- a/cmd/soak/checker/checker.go
+++ b/cmd/soak/checker/checker.go
@@ -31,12 +31,16 @@
 // Checker records observations and violations. It is safe for concurrent use and
 // implements imitator.Observer.
 type Checker struct {
-	mutex      sync.Mutex
-	startedAt  time.Time
-	jobs       map[identifier.Job]*job
-	tasks      map[string]*task
-	violations []string
-	counts     map[string]int
+	mutex     sync.Mutex
+	startedAt time.Time
+	jobs      map[identifier.Job]*job
+	tasks     map[string]*task
+	// domains are the failure domains of the minions, and evacuatedAt the times at which the
+	// requests for the evacuations that hold were acknowledged.
+	domains     map[string]identifier.FailureDomain
+	evacuatedAt map[identifier.FailureDomain]time.Time
+	violations  []string
+	counts      map[string]int
 }
 
 type job struct {
@@ -76,6 +80,7 @@
 func New() *Checker {
 	return &Checker{
 		startedAt: time.Now(), jobs: make(map[identifier.Job]*job), tasks: make(map[string]*task), counts: make(map[string]int),
+		domains: make(map[string]identifier.FailureDomain), evacuatedAt: make(map[identifier.FailureDomain]time.Time),
 	}
 }
 
@@ -241,6 +246,7 @@
 	checker.mutex.Lock()
 	defer checker.mutex.Unlock()
 	checker.counts["starts"]++
+	checker.checkEvacuation(minion, name, run)
 	id, step := parseTaskName(name)
 	job, task := checker.jobs[id], checker.task(name)
 	switch {
--- a/cmd/soak/disturber/disturber.go
+++ b/cmd/soak/disturber/disturber.go
@@ -46,7 +46,7 @@
 var faults = []fault{
 	{"node killed", 3, func(disturber *Disturber, _ time.Duration) { disturber.randomNode().Signal(syscall.SIGKILL) }},
 	{"node stopped", 3, func(disturber *Disturber, _ time.Duration) { disturber.randomNode().Terminate() }},
-	{"node paused", 3, (*Disturber).pauseNode},
+	{"node paused", 3, func(disturber *Disturber, span time.Duration) { pause(disturber.randomNode(), span) }},
 	{"settings reloaded", 1, func(disturber *Disturber, _ time.Duration) { disturber.randomNode().Signal(syscall.SIGHUP) }},
 	{"all nodes killed", 1, func(disturber *Disturber, _ time.Duration) {
 		for _, node := range disturber.deployment.Nodes {
@@ -135,8 +135,7 @@
 	return disturber.deployment.Minions[disturber.random.IntN(len(disturber.deployment.Minions))]
 }
 
-func (disturber *Disturber) pauseNode(span time.Duration) {
-	node := disturber.randomNode()
+func pause(node *stager.Node, span time.Duration) {
 	node.Signal(syscall.SIGSTOP)
 	time.AfterFunc(span, func() { node.Signal(syscall.SIGCONT) })
 }
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -82,10 +82,10 @@
 	runWorkload(ctx, options, seed, deployment, faultLog)
 	deployment.Close()
 	violations := deployment.Checker.Violations()
-	fmt.Printf("seed %d: %d faults, %d of %d jobs accepted, %d refused, %d cancelled, %d starts, %d crashes by tasks, %d jobs seen as given up, %d violations\n", seed,
-		deployment.Checker.Counter("faults"), deployment.Checker.Counter("accepted"), deployment.Checker.Counter("submitted"),
+	fmt.Printf("seed %d: %d faults, %d evacuations, %d of %d jobs accepted, %d refused, %d cancelled, %d starts, %d of them in evacuated domains, %d crashes by tasks, %d jobs seen as given up, %d violations\n", seed,
+		deployment.Checker.Counter("faults"), deployment.Checker.Counter("evacuations"), deployment.Checker.Counter("accepted"), deployment.Checker.Counter("submitted"),
 		deployment.Checker.Counter("refused"), deployment.Checker.Counter("cancelled"), deployment.Checker.Counter("starts"),
-		deployment.Checker.Counter("crashes"), deployment.Checker.Counter("given up"), len(violations))
+		deployment.Checker.Counter("starts in evacuated domains"), deployment.Checker.Counter("crashes"), deployment.Checker.Counter("given up"), len(violations))
 	for _, violation := range violations {
 		fmt.Println("  " + violation)
 	}
@@ -99,8 +99,9 @@
 // Streams of random numbers beside those of the faults and of the callers' jobs, so that
 // these do not depend on them.
 const (
-	resizeStream     = 1 << 20
-	firstCrashStream = 1 << 21
+	resizeStream          = 1 << 20
+	firstCrashStream      = 1 << 21
+	firstEvacuationStream = 1 << 22
 )
 
 // runWorkload runs callers while faults are injected, and then waits until all jobs
@@ -127,6 +128,10 @@
 	group.Go(func() error {
 		return disturber.New(deployment, rand.New(rand.NewPCG(seed, resizeStream)), log).RunResizes(faultsCtx)
 	})
+	for index, domain := range deployment.Domains() {
+		random := rand.New(rand.NewPCG(seed, uint64(index)+firstEvacuationStream))
+		group.Go(func() error { return disturber.New(deployment, random, log).RunEvacuations(faultsCtx, domain) })
+	}
 	_ = group.Wait() // neither callers nor faults return errors
 	awaitCompletion(ctx, deployment, callers[0])
 }
--- a/cmd/soak/stager/node.go
+++ b/cmd/soak/stager/node.go
@@ -19,8 +19,9 @@
 // Node is an entry VM: a process that is restarted whenever it ends.
 type Node struct {
 	Name string
-	// ClientAddress serves the calls of clients, ReadinessAddress the health checks.
-	ClientAddress, ReadinessAddress netip.AddrPort
+	// ClientAddress serves the calls of clients, ReadinessAddress the health checks, and
+	// MetricsAddress the queries of operators.
+	ClientAddress, ReadinessAddress, MetricsAddress netip.AddrPort
 	// StoreProxy is the proxy between the node and the store.
 	StoreProxy *toxiproxy.Proxy
 
@@ -52,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node.ClientAddress, node.ReadinessAddress = addresses[0], addresses[1]
+	node.ClientAddress, node.ReadinessAddress, node.MetricsAddress = addresses[0], addresses[1], addresses[2]
 	if node.settings, err = deployment.writeSettings(node.Name, addresses, proxy.Listen); err != nil {
 		return nil, err
 	}
--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -138,7 +138,8 @@
 func (deployment *Deployment) register(minion *Minion) {
 	address := netip.MustParseAddrPort(minion.Proxy.Listen)
 	rack := fmt.Sprintf("r-%d", minion.index/minionsPerRack)
-	deployment.Store.Write("keyed.servers", minion.incarnation.Name, minion.incarnation.Report(service, rack, address))
+	deployment.Checker.Registered(minion.incarnation.Name, minion.domain())
+	deployment.Store.Write("keyed.servers", minion.incarnation.Name, minion.incarnation.Report(service, string(minion.domain()), rack, address))
 }
 
 // Crash ends a minion's incarnation and begins another after the given time. It has
@@ -319,13 +320,14 @@
 // writeSettings writes the settings file of a node.
 func (deployment *Deployment) writeSettings(name string, addresses []netip.AddrPort, store string) (string, error) {
 	settings := map[string]any{
-		"nodeName": name, "zone": "a", "region": "r",
+		"nodeName": name, "zone": nodeDomain, "region": region, "zones": deployment.zones(),
 		"listen":    map[string]string{"front": addresses[0].String(), "readiness": addresses[1].String()},
 		"portRange": []uint16{addresses[2].Port(), addresses[2].Port()},
 		"limits":    map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": 256},
 		"bounds": map[string]any{
 			"graceS": 6, "revokeMs": checker.RevokeBound.Milliseconds(), "maxHoldMs": imitator.MaxLease.Milliseconds(),
 			"stopTimeoutMs": 200, "status_s": 600, "reclaimMs": 3000,
+			"evacuateMs": checker.EvacuationTime.Milliseconds(),
 		},
 		"platform": map[string]string{"address": store},
 	}
