Check in one place that a step starts in time in tests of the planner

Change: assertWorking and assertWholeGangStarts do it. Each test checks what it checked before; two of them, which did not check the violations of the simulation, do so now.

--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -25,6 +25,24 @@
 	return working
 }
 
+// assertWholeGangStarts submits a gang with a task on each of a number of whole minions, and checks
+// that it starts in time.
+func (simulation *simulation) assertWholeGangStarts(c *quicktest.C, tasks int) {
+	c.Helper()
+	gang := wholeMinions(tasks, 10*time.Second)
+	gang.Gang = true
+	simulation.submit(jobOf("gang", gang))
+	simulation.assertWorking(c, "gang", tasks)
+}
+
+// assertWorking checks that a number of tasks of a job run in time, and that no rule is broken.
+func (simulation *simulation) assertWorking(c *quicktest.C, id identifier.Job, tasks int) {
+	c.Helper()
+	simulation.advance(maxIdleTime)
+	c.Assert(simulation.countWorking(id), quicktest.Equals, tasks, quicktest.Commentf("%s", simulation.decisionsAbout(string(id))))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
 // TestGangLargerThanDataRackStarts guards against a gang that waits for its data
 // rack while most accelerators are in use, although the rack can hold only a part
 // of the gang at best. The gang needs processors, and few of those are in use.
@@ -40,9 +58,7 @@
 	simulation.submit(jobOf("gang", specifier.Step{
 		Tasks: 5, Request: taskOf(20000, 0), EstimatedRunTime: 10 * time.Second, Gang: true, DataRack: "r-0",
 	}))
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 5, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWorking(c, "gang", 5)
 }
 
 // TestTaskIsReleasedWhenItsStopIsRefused guards against a task that never starts
@@ -64,9 +80,7 @@
 	// expired when the minion can be reached again.
 	simulation.advance(3 * time.Second)
 	simulation.setReachable(true, names...)
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("a"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWorking(c, "a", 1)
 }
 
 // TestMinionReopensWhenMaintenanceIsRefused guards against a minion that takes no
@@ -84,12 +98,7 @@
 				Wave: 1, VMs: []identifier.VM{"vm-m00", "vm-m01", "vm-m02", "vm-m03"}, Duration: 20 * time.Second, MaxUnavailable: 4,
 			}}})
 			simulation.advance(4 * time.Second)
-			gang := wholeMinions(3, 10*time.Second)
-			gang.Gang = true
-			simulation.submit(jobOf("gang", gang))
-			simulation.advance(maxIdleTime)
-			c.Assert(simulation.countWorking("gang"), quicktest.Equals, 3, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
-			c.Assert(simulation.violations, quicktest.HasLen, 0)
+			simulation.assertWholeGangStarts(c, 3)
 		})
 	}
 }
@@ -112,12 +121,7 @@
 	for _, minion := range simulation.sortedMinions() {
 		minion.faults.answersAs = 0
 	}
-	gang := wholeMinions(8, 10*time.Second)
-	gang.Gang = true
-	simulation.submit(jobOf("gang", gang))
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 8, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWholeGangStarts(c, 8)
 }
 
 // TestStartAnsweredByOlderIncarnationIsRepeated guards against a task that waits
@@ -142,9 +146,7 @@
 	for _, minion := range simulation.sortedMinions() {
 		minion.faults = minionFaults{}
 	}
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("a"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWorking(c, "a", 1)
 }
 
 // TestApprovedMinionMayReturn guards against a step that never starts because the
@@ -171,9 +173,7 @@
 	simulation.advance(adviceTime)
 	minion.faults.refuse = nil
 	simulation.deliverAllReports()
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("advised"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("advised")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWorking(c, "advised", 1)
 }
 
 // TestWideSameRackStepStarts guards against a step on one rack, not a gang, that
@@ -212,12 +212,7 @@
 	simulation.makeHolder(simulation.nodes[1])
 	simulation.advance(15 * time.Second)
 	c.Assert(simulation.services.isCompleted(1), quicktest.IsTrue)
-	gang := wholeMinions(4, 10*time.Second)
-	gang.Gang = true
-	simulation.submit(jobOf("gang", gang))
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWholeGangStarts(c, 4)
 }
 
 // TestFailingJobLeavesMinionsToOthers guards against a job whose tasks fail by their
@@ -232,8 +227,7 @@
 	simulation.submit(jobOf("failing", specifier.Step{Tasks: 32, Request: taskOf(1000, 2), EstimatedRunTime: 500 * time.Millisecond}))
 	simulation.advance(time.Second)
 	simulation.submit(jobOf("other", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 10 * time.Second}))
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
+	simulation.assertWorking(c, "other", 1)
 }
 
 // TestTaskFindsItsApprovedMinion guards against a task that asks the advice service
@@ -269,12 +263,7 @@
 	}
 	simulation.deliverAllReports()
 	simulation.advance(leaseTime)
-	gang := wholeMinions(4, 10*time.Second)
-	gang.Gang = true
-	simulation.submit(jobOf("gang", gang))
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("gang"), quicktest.Equals, 4, quicktest.Commentf("%s", simulation.decisionsAbout("gang")))
-	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	simulation.assertWholeGangStarts(c, 4)
 }
 
 // TestUnansweredStopsLeaveOthersRunning guards against orders to minions that do
@@ -295,6 +284,5 @@
 	simulation.cancel("many")
 	simulation.advance(100 * time.Millisecond)
 	simulation.submit(jobOf("other", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 20 * time.Second}))
-	simulation.advance(maxIdleTime)
-	c.Assert(simulation.countWorking("other"), quicktest.Equals, 1, quicktest.Commentf("%s", simulation.decisionsAbout("other")))
+	simulation.assertWorking(c, "other", 1)
 }
