Check the status of a whole node beside the explanation of a job

Cause: assembler.TestStatusEndToEnd repeated the set-up of TestExplainEndToEnd.

Change: TestExplainEndToEnd asks for both, and checks what both checked.

--- a/assembler/explain_test.go
+++ b/assembler/explain_test.go
@@ -11,8 +11,8 @@
 	"corianderroad/platform/imitator"
 )
 
-// TestExplainEndToEnd guards against a node that does not serve the query beside its
-// metrics, and against one that says nothing of a job that no minion can hold.
+// TestExplainEndToEnd guards against a node that does not serve the queries beside its
+// metrics, says nothing of a job that no minion can hold, or does not tell that it is the holder.
 func TestExplainEndToEnd(t *testing.T) {
 	c := quicktest.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
@@ -27,6 +27,8 @@
 	metrics := "http://" + settings.Metrics.String()
 	waitForAnswer(ctx, c, metrics+"/explain/5c0e7a21d94b36f8", "", `"reason":"no-capacity"`)
 	waitForAnswer(ctx, c, metrics+"/explain/5c0e7a21d94b36f8", "", `"fitting-minions":0,"basis":"unknown"`)
+	waitForAnswer(ctx, c, metrics+"/status", "", `"holder":true,`)
+	waitForAnswer(ctx, c, metrics+"/status", "", `"minions-by-availability":{"accepting":1}`)
 	waitForAnswer(ctx, c, metrics+"/metrics", "", `corianderroad_runs{label=""} 0`)
 	stop()
 }
