Measure the query for the status of the pool

Cause: /status has a limit of five queries a second of its own, and its cost to the holder was not known.

Change: BenchmarkPoolStatus beside BenchmarkExplain, with the same set-up (addWaitingSteps).

--- a/planner/explain_test.go
+++ b/planner/explain_test.go
@@ -269,9 +269,8 @@
 	c.Assert(decisions(true), quicktest.DeepEquals, decisions(false))
 }
 
-// BenchmarkExplain measures a query beside 2,000 waiting steps and 350 minions.
-func BenchmarkExplain(b *testing.B) {
-	simulation := newSimulation(1, 1, 350)
+// addWaitingSteps fills a pool of 350 minions, and adds 2,000 steps that wait.
+func (simulation *simulation) addWaitingSteps() {
 	simulation.makeHolder(simulation.nodes[0])
 	for index := range 10 {
 		simulation.submit(jobOf(fmt.Sprintf("f%d", index), specifier.Step{Tasks: 350, Request: taskOf(3000, 0), EstimatedRunTime: time.Hour}))
@@ -281,6 +280,12 @@
 		simulation.submit(jobOf(fmt.Sprintf("w%d", index), wholeMinions(13, time.Second)))
 	}
 	simulation.advance(2 * time.Second)
+}
+
+// BenchmarkExplain measures a query beside 2,000 waiting steps and 350 minions.
+func BenchmarkExplain(b *testing.B) {
+	simulation := newSimulation(1, 1, 350)
+	simulation.addWaitingSteps()
 	for b.Loop() {
 		simulation.explain(simulation.nodes[0], "w1000")
 	}
--- a/planner/status_test.go
+++ b/planner/status_test.go
@@ -126,3 +126,17 @@
 	c := quicktest.New(t)
 	c.Assert(decisions(true), quicktest.DeepEquals, decisions(false))
 }
+
+// BenchmarkPoolStatus measures a query beside 2,000 waiting steps and 350 minions, with five
+// evacuated domains.
+func BenchmarkPoolStatus(b *testing.B) {
+	simulation := newEvacuationSimulation(1, 1, 350)
+	simulation.addWaitingSteps()
+	for rack := range 5 {
+		simulation.evacuate(domainOf(rack), true)
+	}
+	simulation.advance(time.Second)
+	for b.Loop() {
+		simulation.nodes[0].planner.View(simulation.now, querier.Query{Kind: querier.PoolStatus})
+	}
+}
