--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -191,6 +191,13 @@
 // injectFaults schedules takeovers, crashes and disconnections within the first
 // 12 seconds.
 func injectFaults(t *rapid.T, simulation *simulation) {
+	injectTakeovers(t, simulation)
+	for range rapid.IntRange(0, 4).Draw(t, "minion-faults") {
+		injectMinionFault(t, simulation)
+	}
+}
+
+func injectTakeovers(t *rapid.T, simulation *simulation) {
 	at := time.Duration(0)
 	for range rapid.IntRange(0, 3).Draw(t, "takeovers") {
 		at += claimTimeout + time.Duration(rapid.IntRange(1, 4000).Draw(t, "takeover-after"))*time.Millisecond
@@ -215,41 +222,39 @@
 			simulation.schedule(claimTimeout, func() { simulation.makeHolder(next) })
 		})
 	}
-	for range rapid.IntRange(0, 4).Draw(t, "minion-faults") {
-		minion := simulation.sortedMinions()[rapid.IntRange(0, 15).Draw(t, "minion")]
-		at := time.Duration(rapid.IntRange(100, 10000).Draw(t, "fault-at")) * time.Millisecond
-		span := time.Duration(rapid.IntRange(100, 8000).Draw(t, "fault-for")) * time.Millisecond
-		if rapid.Bool().Draw(t, "unlisted") {
-			// The minion has lost access to the store. Its entry has expired, but it
-			// still runs tasks.
-			simulation.schedule(at, func() { minion.unregistered = true })
-			simulation.schedule(at+span, func() {
-				minion.unregistered = false
-				for _, node := range simulation.nodes {
-					simulation.deliverReports(node)
-				}
-			})
-			continue
-		}
-		if rapid.Bool().Draw(t, "crash") {
-			simulation.schedule(at, func() { minion.crash() })
-			simulation.schedule(at+span, func() {
-				if !minion.alive {
-					minion.start()
-					for _, node := range simulation.nodes {
-						simulation.deliverReports(node)
-					}
-				}
-			})
-			continue
-		}
-		simulation.schedule(at, func() {
-			for _, node := range simulation.nodes {
-				minion.unreachableFrom[node] = true
+}
+
+// injectMinionFault schedules that a minion is unlisted, down or out of reach for a time.
+func injectMinionFault(t *rapid.T, simulation *simulation) {
+	minion := simulation.sortedMinions()[rapid.IntRange(0, 15).Draw(t, "minion")]
+	at := time.Duration(rapid.IntRange(100, 10000).Draw(t, "fault-at")) * time.Millisecond
+	span := time.Duration(rapid.IntRange(100, 8000).Draw(t, "fault-for")) * time.Millisecond
+	if rapid.Bool().Draw(t, "unlisted") {
+		// The minion has lost access to the store. Its entry has expired, but it
+		// still runs tasks.
+		simulation.schedule(at, func() { minion.unregistered = true })
+		simulation.schedule(at+span, func() {
+			minion.unregistered = false
+			simulation.deliverAllReports()
+		})
+		return
+	}
+	if rapid.Bool().Draw(t, "crash") {
+		simulation.schedule(at, func() { minion.crash() })
+		simulation.schedule(at+span, func() {
+			if !minion.alive {
+				minion.start()
+				simulation.deliverAllReports()
 			}
 		})
-		simulation.schedule(at+span, func() { clear(minion.unreachableFrom) })
+		return
 	}
+	simulation.schedule(at, func() {
+		for _, node := range simulation.nodes {
+			minion.unreachableFrom[node] = true
+		}
+	})
+	simulation.schedule(at+span, func() { clear(minion.unreachableFrom) })
 }
 
 // TestUnrecordedEndIsDiscardedOnStepDown guards against a former holder that
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -78,47 +78,10 @@
 	services := simulation.services
 	switch action := action.(type) {
 	case messenger.RequestAdvice:
-		services.adviceRequests++
-		sentAt := simulation.now
-		if adviceTime+services.adviceDelay > action.Timeout {
-			simulation.schedule(action.Timeout, func() {
-				simulation.step(node, messenger.AdviceReceived{Sent: action, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")})
-			})
-			return
-		}
-		simulation.schedule(adviceTime+services.adviceDelay, func() {
-			received := messenger.AdviceReceived{Sent: action, SentAt: sentAt, Validity: ticketValidity}
-			if services.failAdvice() {
-				received.Err = classifier.New(classifier.MinionBusy, "too many calls wait")
-				simulation.step(node, received)
-				return
-			}
-			for _, minion := range action.Minions {
-				if services.isApproved(minion) {
-					value := string(minion) + simulation.now.String()
-					services.tickets[value] = simulation.now.Add(ticketValidity)
-					received.Tickets = append(received.Tickets, messenger.Ticket{Minion: minion, Ticket: value})
-				}
-			}
-			simulation.step(node, received)
-		})
+		simulation.advise(node, action)
 	case messenger.ListPoolVMs:
 		sentAt := simulation.now
-		simulation.schedule(services.listDelay, func() {
-			services.lists++
-			listed := messenger.PoolVMsListed{SentAt: sentAt}
-			for _, minion := range simulation.sortedMinions() {
-				if services.omits(vmName(minion)) {
-					continue
-				}
-				state := messenger.VMUp
-				if services.unavailable[vmName(minion)] {
-					state = messenger.VMInMaintenance
-				}
-				listed.VMs = append(listed.VMs, messenger.VMReport{VM: vmName(minion), Pool: poolService, State: state, Minion: minion.name})
-			}
-			simulation.step(node, listed)
-		})
+		simulation.schedule(services.listDelay, func() { simulation.step(node, simulation.listVMs(sentAt)) })
 	case messenger.MaintainVM:
 		services.maintenanceRequests++
 		simulation.schedule(services.maintenanceDelay(node), func() {
@@ -135,6 +98,52 @@
 	}
 }
 
+// advise answers a request for advice, after the timeout if the service is too slow.
+func (simulation *simulation) advise(node *node, action messenger.RequestAdvice) {
+	services, sentAt := simulation.services, simulation.now
+	services.adviceRequests++
+	if adviceTime+services.adviceDelay > action.Timeout {
+		simulation.schedule(action.Timeout, func() {
+			simulation.step(node, messenger.AdviceReceived{Sent: action, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")})
+		})
+		return
+	}
+	simulation.schedule(adviceTime+services.adviceDelay, func() {
+		received := messenger.AdviceReceived{Sent: action, SentAt: sentAt, Validity: ticketValidity}
+		if services.failAdvice() {
+			received.Err = classifier.New(classifier.MinionBusy, "too many calls wait")
+			simulation.step(node, received)
+			return
+		}
+		for _, minion := range action.Minions {
+			if services.isApproved(minion) {
+				value := string(minion) + simulation.now.String()
+				services.tickets[value] = simulation.now.Add(ticketValidity)
+				received.Tickets = append(received.Tickets, messenger.Ticket{Minion: minion, Ticket: value})
+			}
+		}
+		simulation.step(node, received)
+	})
+}
+
+// listVMs returns the VMs of the pool, but for those that the service omits.
+func (simulation *simulation) listVMs(sentAt time.Time) messenger.PoolVMsListed {
+	services := simulation.services
+	services.lists++
+	listed := messenger.PoolVMsListed{SentAt: sentAt}
+	for _, minion := range simulation.sortedMinions() {
+		if services.omits(vmName(minion)) {
+			continue
+		}
+		state := messenger.VMUp
+		if services.unavailable[vmName(minion)] {
+			state = messenger.VMInMaintenance
+		}
+		listed.VMs = append(listed.VMs, messenger.VMReport{VM: vmName(minion), Pool: poolService, State: state, Minion: minion.name})
+	}
+	return listed
+}
+
 func (simulation *simulation) maintainVM(sent messenger.MaintainVM) *classifier.Error {
 	services, vm := simulation.services, sent.VM
 	sent.Token, sent.Expires = 0, time.Time{}
