Start the tasks of a minion that has left at once

Change: with -loss-aware-stops, a minion that has given notice and refuses two connections at least 150 ms apart has ended, and its runs are lost at once. Minions without a notice are as before: they may have crashed under a task, and the task must not reach further minions before their next life shows that. A minion that leaves and is cut off is silent and keeps its tasks.

Measured: TestGangOfMinionThatHasLeftStartsAgainAtOnce fails without the change; planner passes.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -7,8 +7,13 @@
 	"corianderroad/evictor"
 )
 
-// departureCheckInterval is the time between two decisions while minions leave.
-const departureCheckInterval = 100 * time.Millisecond
+const (
+	// departureCheckInterval is the time between two decisions while minions leave.
+	departureCheckInterval = 100 * time.Millisecond
+	// minRefusalTime is the time between two refused connections after which a minion counts as
+	// ended. A single one may be due to a short lack of resources at its machine.
+	minRefusalTime = 150 * time.Millisecond
+)
 
 // noteDepartures lets the runs on minions that leave be decided about at once.
 func (planner *Planner) noteDepartures(now time.Time) {
@@ -37,9 +42,31 @@
 	return !minion.leavesAt.IsZero() && now.Before(minion.departure(now))
 }
 
+// noteRefusedConnection notes that nothing listens at the minion's address.
+func (minion *minion) noteRefusedConnection(now time.Time) {
+	if minion.refusedAt.IsZero() {
+		minion.refusedAt = now
+	}
+	minion.hasEnded = now.Sub(minion.refusedAt) >= minRefusalTime
+}
+
+// hasLeft reports whether a minion that has given notice has ended. Whatever ran on it ended
+// with it, so that the tasks need not wait until its leases have expired. Without a notice they
+// wait, because their minion may have crashed under one of them, which its next life shows.
+func (minion *minion) hasLeft() bool { return minion.report.Draining && minion.hasEnded }
+
+// markLeftRunsLost marks the runs of a minion that has left as lost.
+func (planner *Planner) markLeftRunsLost(now time.Time, minion *minion) {
+	for _, run := range minion.sortedRuns() {
+		planner.markRunLost(now, run, endMinionGone, "its minion has left as announced")
+		minion.lostRuns = append(minion.lostRuns, run)
+	}
+}
+
 // saveLeaving stops the runs, and the whole gangs, that can't end before their minion leaves.
 // They go on elsewhere from the checkpoint that a stop gives, if they have any. The end of a run
-// that its minion has not listed when it leaves is certain only once the lease has expired.
+// that its minion has not listed when it leaves is certain only once the lease has expired, or
+// the minion refuses connections.
 func (planner *Planner) saveLeaving(now time.Time) {
 	if planner.nextDepartureAt.IsZero() || now.Before(planner.nextDepartureAt) {
 		return
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -146,3 +146,39 @@
 	c.Assert(simulation.stops("a"), quicktest.HasLen, 0)
 	c.Assert(simulation.recordedState("a"), quicktest.Equals, specifier.Completed)
 }
+
+// TestGangOfMinionThatHasLeftStartsAgainAtOnce guards against a gang whose tasks wait for the
+// leases of a minion that has left as announced and refuses connections.
+func TestGangOfMinionThatHasLeftStartsAgainAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 4)
+	simulation.hidesProgress = true // the gang might end in time, so that it is not stopped before
+	simulation.submit(jobOf("gang", specifier.Step{Tasks: 3, Request: taskOf(1000, 8), EstimatedRunTime: 3 * time.Second, Gang: true}))
+	simulation.advance(time.Second)
+	leaving := simulation.sortedMinions()[0]
+	simulation.schedule(time.Second, func() { leaving.faults.refusesConnections = true })
+	simulation.leave(leaving, time.Second)
+	simulation.advance(2500 * time.Millisecond) // the leases expire 2.3 s later
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	for index := range 3 {
+		c.Assert(simulation.taskState(specifier.Task{Job: "gang", Index: index}).startedRuns, quicktest.HasLen, 2, quicktest.Commentf("%s", strings.Join(simulation.decisions, "\n")))
+	}
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.recordedState("gang"), quicktest.Equals, specifier.Completed)
+}
+
+// TestRunOnLeavingMinionThatIsCutOffWaits guards against a second run of a task whose minion
+// leaves and can't be reached, but has not ended.
+func TestRunOnLeavingMinionThatIsCutOffWaits(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 2)
+	simulation.hidesProgress = true
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 6 * time.Second}))
+	simulation.advance(time.Second)
+	leaving := simulation.sortedMinions()[0]
+	simulation.leave(leaving, 10*time.Second)
+	simulation.cutOff(true, leaving.name)
+	simulation.advance(3 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1)
+}
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -97,6 +97,8 @@
 	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
 	// connection to it was first refused since, zero if none was. It had ended then.
 	answeredAt, refusedAt time.Time
+	// hasEnded means that a later connection was refused as well.
+	hasEnded bool
 	lease                 leaseReading
 	// outlook is when capacity becomes free, with the room of reservations.
 	outlook reserver.Minion
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -126,6 +126,9 @@
 		if len(minion.runs) > 0 && minion.leasesExpired(now) {
 			planner.markExpiredRunsLost(now, minion)
 		}
+		if planner.stops != nil && minion.hasLeft() {
+			planner.markLeftRunsLost(now, minion)
+		}
 		isAwaited := !planner.holder.reconciled && planner.mayHaveFormerRuns(minion)
 		if !minion.registered && len(minion.runs) == 0 && !isAwaited {
 			planner.removeMinion(minion)
@@ -306,7 +309,7 @@
 		}
 		minion.unresponsive, minion.lostRuns = false, nil
 		planner.silentMinions.remove(minion)
-		minion.answeredAt, minion.refusedAt = now, time.Time{}
+		minion.answeredAt, minion.refusedAt, minion.hasEnded = now, time.Time{}, false
 		if event.Clock > 0 {
 			minion.updateClock(event.Clock, now)
 		}
@@ -315,8 +318,8 @@
 		}
 		return
 	}
-	if event.ConnectionRefused && minion.refusedAt.IsZero() {
-		minion.refusedAt = now
+	if event.ConnectionRefused {
+		minion.noteRefusedConnection(now)
 	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
