--- a/planner/minion.go
+++ b/planner/minion.go
@@ -73,6 +73,8 @@
 	// isCold means, as of the last pass, that it ranks after others for that reason.
 	coldUntil time.Time
 	isCold    bool
+	// probedAt is the time of the last pass if the minion was half-open then, zero otherwise.
+	probedAt time.Time
 	// nameIndex is the minion's index in the order of names, as of the last pass.
 	nameIndex int
 	// noCapacityUntil is the time until which a minion that refused a run for lack
@@ -97,7 +99,9 @@
 	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
 	// connection to it was first refused since, zero if none was. It had ended then.
 	answeredAt, refusedAt time.Time
-	lease                 leaseReading
+	// hasEnded means that a later connection was refused as well.
+	hasEnded bool
+	lease    leaseReading
 	// outlook is when capacity becomes free, with the room of reservations.
 	outlook reserver.Minion
 }
