Blame no paused node for calls that the soak itself cuts

Traced in the logs: n0 was told to stop at 4.444 s, paused at 7.624 s (for 3.8 s), and told to stop again at 8.908 s. The second order made its stop count as one without disturbance. At 10.444 s the soak killed n0, because the grace period of the first order had passed, which cut the call. That n0 was the node of the second and third fault is concluded from the gaps in the logs of the nodes; the soak does not log it.

Change: a repeated SIGTERM changes neither when the stop began nor when the node was last disturbed, so that the pause between counts. A node that outlasts its grace period without a pause is reported as before, also if it was told to stop twice.

--- a/cmd/soak/stager/node.go
+++ b/cmd/soak/stager/node.go
@@ -32,9 +32,10 @@
 	mutex   sync.Mutex
 	process *os.Process
 	closed  bool
-	// disturbedAt is when the process was last sent a signal other than SIGHUP.
+	// disturbedAt is when the process was last sent a signal other than SIGHUP, and other than
+	// SIGTERM while it was stopping.
 	disturbedAt time.Time
-	// stoppingSince is when the process was sent SIGTERM, zero if it was not.
+	// stoppingSince is when the process was first sent SIGTERM, zero if it was not.
 	stoppingSince time.Time
 	ended         chan struct{}
 }
@@ -120,10 +121,11 @@
 	if node.process == nil {
 		return
 	}
-	if signal != syscall.SIGHUP {
+	isRepeatedStop := signal == syscall.SIGTERM && !node.stoppingSince.IsZero()
+	if signal != syscall.SIGHUP && !isRepeatedStop {
 		node.disturbedAt = time.Now()
 	}
-	if signal == syscall.SIGTERM {
+	if signal == syscall.SIGTERM && !isRepeatedStop {
 		node.stoppingSince = node.disturbedAt
 	}
 	if err := node.process.Signal(signal); err != nil {
