Let no crowds of several keys shut out others, and spare work beside idle clients without a key

Cause: (a) a busy connection was closed for a new one only if its workspace had more than half of all. Busy clients of two or more keys that share the connections shut out every other caller. (b) A workspace with more than half lost the work on a request for a new connection, also while clients that had shown no key did nothing.

Change: the largest group loses a busy connection, whatever its share; the others are spared as before. Clients without a key that are idle for 1 s go before work that makes progress.

Measured: TestBusyCrowdsOfSeveralKeysShutNobodyOut fails without (a) for 2, 3 and 4 keys, the newcomer is refused. TestIdleClientsWithoutKeyGoBeforeWork fails without (b), the oldest work is ended. The other tests of shedder pass unchanged.

--- a/shedder/connection.go
+++ b/shedder/connection.go
@@ -35,25 +35,39 @@
 		if index > 0 && shedder.groups[workspace].connections*len(groups) < shedder.limits.Connections {
 			break
 		}
-		if closed := shedder.closeIdleOf(now, workspace, count); closed > 0 {
+		if closed := shedder.closeIdleOf(now, workspace, count, index == 0); closed > 0 {
 			return closed
 		}
 	}
 	return 0
 }
 
-// closeIdleOf is closeIdle for one group. Connections on whose requests the node works
-// come last, and only if the work has lasted for long or the group has most connections of the
-// listener: busy clients of one workspace that reconnect would shut out all others.
-func (shedder *Shedder) closeIdleOf(now time.Time, workspace identifier.Workspace, count int) int {
-	candidates := shedder.closable(workspace)
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(compareBool(a.isBusy, b.isBusy), a.progressAt.Compare(b.progressAt), cmp.Compare(a.id, b.id))
-	})
-	hasMost := 2*shedder.groups[workspace].connections > shedder.limits.Connections
+// closeIdleOf is closeIdle for one group. Connections on whose requests the node works come last.
+// If the work has not lasted for long, only the largest group loses one, because busy clients that
+// reconnect would shut out all others, and only if no client without a key is idle for long.
+func (shedder *Shedder) closeIdleOf(now time.Time, workspace identifier.Workspace, count int, isLargest bool) int {
+	candidates := shedder.sortedCandidates(workspace)
 	for index, candidate := range candidates {
 		isRecent := now.Sub(candidate.progressAt) < idleAfter
-		if index == count || isRecent && (index > 0 || candidate.isBusy && !hasMost) {
+		if index == count || isRecent && (index > 0 || candidate.isBusy && !isLargest) {
+			return index
+		}
+		if isRecent && candidate.isBusy {
+			if closed := shedder.closeWithoutKey(now, count); closed > 0 {
+				return closed
+			}
+		}
+		shedder.close(now, candidate.client, IdleConnection)
+	}
+	return len(candidates)
+}
+
+// closeWithoutKey closes up to count clients that have shown no key and are idle for long. It
+// returns how many it has closed.
+func (shedder *Shedder) closeWithoutKey(now time.Time, count int) int {
+	candidates := shedder.sortedCandidates("")
+	for index, candidate := range candidates {
+		if index == count || now.Sub(candidate.progressAt) < idleAfter {
 			return index
 		}
 		shedder.close(now, candidate.client, IdleConnection)
@@ -61,6 +75,15 @@
 	return len(candidates)
 }
 
+// sortedCandidates returns the connections of a group in the order in which they are closed.
+func (shedder *Shedder) sortedCandidates(workspace identifier.Workspace) []candidate {
+	candidates := shedder.closable(workspace)
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(compareBool(a.isBusy, b.isBusy), a.progressAt.Compare(b.progressAt), cmp.Compare(a.id, b.id))
+	})
+	return candidates
+}
+
 func compareBool(first, second bool) int {
 	switch {
 	case first == second:
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -200,6 +200,41 @@
 	c.Assert(scene.step(shedder.Opened{Connection: 16}), quicktest.DeepEquals, []shedder.Action{shedder.Close{Connection: 0, Reason: shedder.IdleConnection}, shedder.Admit{Connection: 16}})
 }
 
+// TestIdleClientsWithoutKeyGoBeforeWork guards against work of a workspace with most connections
+// that is ended for a new connection, while clients that have shown no key do nothing.
+func TestIdleClientsWithoutKeyGoBeforeWork(t *testing.T) {
+	c := quicktest.New(t)
+	scene := newScene(100, 16)
+	for id := range shedder.Connection(16) {
+		scene.now = scene.now.Add(time.Millisecond)
+		if id < 12 {
+			scene.open(id, "ordinary")
+		} else {
+			scene.step(shedder.Opened{Connection: id})
+			scene.samples[id] = shedder.Sample{ProgressAt: scene.now}
+		}
+	}
+	scene.now = scene.now.Add(2 * time.Second)
+	for id := range shedder.Connection(12) {
+		scene.samples[id] = shedder.Sample{ProgressAt: scene.now, IsBusy: true}
+	}
+	c.Assert(scene.step(shedder.Opened{Connection: 16}), quicktest.DeepEquals, []shedder.Action{shedder.Close{Connection: 12, Reason: shedder.IdleConnection}, shedder.Admit{Connection: 16}})
+}
+
+// TestBusyCrowdsOfSeveralKeysShutNobodyOut guards against busy clients of several workspaces that
+// take all connections together, although none of them has more than half.
+func TestBusyCrowdsOfSeveralKeysShutNobodyOut(t *testing.T) {
+	c := quicktest.New(t)
+	for crowds := 2; crowds <= 4; crowds++ {
+		scene := newScene(100, 16)
+		for id := range shedder.Connection(16) {
+			scene.open(id, identifier.Workspace(rune('a'+int(id)%crowds)))
+			scene.samples[id] = shedder.Sample{ProgressAt: scene.now, IsBusy: true}
+		}
+		c.Check(scene.step(shedder.Opened{Connection: 16}), quicktest.DeepEquals, []shedder.Action{shedder.Close{Connection: 0, Reason: shedder.IdleConnection}, shedder.Admit{Connection: 16}})
+	}
+}
+
 // TestPressureIsReportedOnce guards against a log line for each client that is turned away.
 func TestPressureIsReportedOnce(t *testing.T) {
 	c := quicktest.New(t)
