Close a connection with a refused long header without an answer

Cause: the server answers an unknown error of a read with 400. A client within the limits whose header of more than 256 lines arrives beside 16 others was told that its request is malformed, and does not try again.

Change: the error is a net.OpError of a read, for which net/http leaves the connection without an answer.

Measured: TestRefusedLongHeaderIsNoBadRequest gets status 400 without the change, and none with it.

--- a/gatekeeper/conn.go
+++ b/gatekeeper/conn.go
@@ -33,14 +33,16 @@
 	hasLongHeader bool
 }
 
-// Read implements net.Conn. It fails if the header is long and too many others are.
+// Read implements net.Conn. It fails if the header is long and too many others are. The server
+// leaves the connection without an answer for an error of this type; it would answer others with
+// 400, which the client takes for a fault of its request.
 func (conn *Conn) Read(target []byte) (int, error) {
 	count, err := conn.Conn.Read(target)
 	if count > 0 {
 		conn.recordProgress()
 	}
 	if conn.header.add(target[:count]); !conn.admitHeader(conn.header.lines) {
-		return 0, errLongHeaders
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errLongHeaders}
 	}
 	return count, err
 }
--- a/gatekeeper/header_test.go
+++ b/gatekeeper/header_test.go
@@ -119,6 +119,18 @@
 	c.Assert(exchange(c, address, post(200, 0, "")+last), quicktest.DeepEquals, []int{200, 200})
 }
 
+// TestRefusedLongHeaderIsNoBadRequest guards against an answer that calls a request within the limits
+// malformed, so that its client does not try again: the connection ends without an answer.
+func TestRefusedLongHeaderIsNoBadRequest(t *testing.T) {
+	c := quicktest.New(t)
+	address, counter := serve(c)
+	occupy(c, address, allowedLongHeaders+1, 1500)
+	for counter.shed.Load() < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(exchange(c, address, post(1500, 0, "")), quicktest.HasLen, 0)
+}
+
 // TestLinesBehindARequestAreCounted guards against header lines that are not counted because
 // they are read together with an earlier request.
 func TestLinesBehindARequestAreCounted(t *testing.T) {
