Test that busy clients of one key can't hold all connections

Cause: TestBusyClientsOfOneKeyThatReconnect passes also without the rule that it guards. With 600 clients and 320 connections there are always clients of the crowd that are just being replaced.

Change: a second test with as many clients as the node has connections. Each of 20 ordinary calls has ten attempts; no time is checked. The first test is unchanged, except that its crowd is started by a function.

--- a/cmd/corianderroad/hostileclients/reconnect_test.go
+++ b/cmd/corianderroad/hostileclients/reconnect_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -45,6 +48,19 @@
 	}
 }
 
+// besiege lets busy clients of the first key reconnect until the test ends.
+func besiege(node *node, clients int) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	node.c.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	for range clients {
+		group.Go(func() { reconnect(ctx, node.front, queries(firstKey)) })
+	}
+}
+
 // ordinaryCalls is how many calls of another key must be answered beside the crowd.
 const ordinaryCalls = 5
 
@@ -53,15 +69,7 @@
 func TestBusyClientsOfOneKeyThatReconnect(t *testing.T) {
 	c := quicktest.New(t)
 	node := newNode(c, newStore(c), "n1")
-	ctx, cancel := context.WithCancel(context.Background())
-	var group sync.WaitGroup
-	c.Cleanup(func() {
-		cancel()
-		group.Wait()
-	})
-	for range crowdSize {
-		group.Go(func() { reconnect(ctx, node.front, queries(firstKey)) })
-	}
+	besiege(node, crowdSize)
 	// Whether a new connection is refused or replaces another one depends on how soon closed
 	// ones are gone. Both mean that the crowd has all connections.
 	node.await("the crowd has all connections", func(ctx context.Context) bool {
@@ -73,3 +81,31 @@
 	}
 	node.checkLimits(node.sampler.awaitSample())
 }
+
+// maxAttempts is how often an ordinary call may be turned away by a node whose connections are all
+// busy. If these were never closed, 2 of 1,000 attempts would be served, in the moment in which a
+// client of the crowd reconnects.
+const maxAttempts = 10
+
+var connectionLimit = regexp.MustCompile(`client_connections_limit\{label="clients"\} (\d+)`)
+
+// TestBusyClientsThatHoldAllConnections guards against a key whose busy clients, as many as the
+// node has connections, keep all of them, so that another key's callers are refused.
+func TestBusyClientsThatHoldAllConnections(t *testing.T) {
+	c := quicktest.New(t)
+	node := newNode(c, newStore(c), "n1")
+	_, metrics := call(t.Context(), node.metrics, http.MethodGet, "/metrics", "", "")
+	found := connectionLimit.FindStringSubmatch(metrics)
+	c.Assert(found, quicktest.HasLen, 2)
+	limit, err := strconv.Atoi(found[1])
+	c.Assert(err, quicktest.IsNil)
+	besiege(node, limit)
+	node.await("the crowd has all connections", func(ctx context.Context) bool {
+		_, metrics := call(ctx, node.metrics, http.MethodGet, "/metrics", "", "")
+		return strings.Contains(metrics, fmt.Sprintf(`client_connections{label="clients"} %d`, limit))
+	})
+	for range 4 * ordinaryCalls {
+		c.Check(node.awaitAnswer(secondKey) <= maxAttempts, quicktest.IsTrue)
+	}
+	node.checkLimits(node.sampler.awaitSample())
+}
--- a/cmd/corianderroad/hostileclients/stage_test.go
+++ b/cmd/corianderroad/hostileclients/stage_test.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// awaitAnswer sends an ordinary job until it is accepted.
-func (node *node) awaitAnswer(key string) {
+// awaitAnswer sends an ordinary job until it is accepted, and returns the number of attempts.
+func (node *node) awaitAnswer(key string) int {
 	path, attempts := "/q/"+newJobID(), 0
 	defer func() { node.c.Logf("accepted at attempt %d", attempts) }()
 	node.await("an ordinary job is accepted", func(ctx context.Context) bool {
@@ -186,6 +186,7 @@
 		status, _ := call(ctx, node.front, http.MethodPost, path, key, `{"spec":"text","steps":[{"count":1,"cpu":100,"estimateMs":10}]}`)
 		return status == http.StatusOK
 	})
+	return attempts
 }
 
 var lastJob atomic.Uint64
