Wait for the read of the server instead of a time

Cause: TestWorkEndsWithItsConnection slept 100 ms so that the server reads the first byte of the next request. On a busy machine that may be too short, and the test then passes without the change that it guards.

Change: the test counts what the server reads.

--- a/gatekeeper/closing_test.go
+++ b/gatekeeper/closing_test.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"testing"
-	"time"
 
 	"github.com/frankban/quicktest"
 
@@ -13,12 +12,38 @@
 	"corianderroad/shedder"
 )
 
+// readListener reports how many bytes each read of its connections has got.
+type readListener struct {
+	net.Listener
+	reads chan int
+}
+
+func (listener readListener) Accept() (net.Conn, error) {
+	accepted, err := listener.Listener.Accept()
+	return readConn{accepted, listener.reads}, err
+}
+
+type readConn struct {
+	net.Conn
+	reads chan int
+}
+
+func (conn readConn) Read(target []byte) (int, error) {
+	count, err := conn.Conn.Read(target)
+	if err == nil {
+		conn.reads <- count
+	}
+	return count, err
+}
+
 // TestWorkEndsWithItsConnection guards against work on the request of a closed connection that
 // goes on and keeps its place, because the client had already sent more and the server does
 // not notice the end.
 func TestWorkEndsWithItsConnection(t *testing.T) {
 	c := quicktest.New(t)
-	_, listener, _, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 1})
+	keeper, inner, _, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 1})
+	reads := make(chan int, 16)
+	listener := keeper.NewListener(readListener{inner.Listener, reads}, testTimeout)
 	begun, ended := make(chan struct{}, 2), make(chan struct{}, 2)
 	server := &http.Server{ConnContext: gatekeeper.ConnContext, ConnState: gatekeeper.ConnState, ReadHeaderTimeout: testTimeout, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		gatekeeper.FromContext(request.Context()).SetBusy(true)
@@ -45,7 +70,9 @@
 		<-begun
 		_, err = io.WriteString(client, request) // the server reads its first byte, and then no more
 		c.Assert(err, quicktest.IsNil)
-		time.Sleep(100 * time.Millisecond)
+		for unread := len(request) + 1; unread > 0; {
+			unread -= <-reads
+		}
 	}
 	<-ended
 }
