Count the whole work of adopted runs that have no checkpoint

Cause: a new holder counted the unsaved work of a run whose step gives checkpoints from its own first poll on, also if the run has given none yet. Such runs looked free: after a takeover an urgent step that could wait a minute stopped one that had worked for 25 s ("percent=40 since-checkpoint=545ms"), and all its work was lost.

Change: without a checkpoint, its progress counts, as for steps without checkpoints.

Measured: TestTakeoverKeepsWorkWithoutCheckpoint fails before (one stop) and passes. Open: if a former holder has seen the checkpoint, the work since then is still counted from the takeover on.

--- a/planner/earlyeviction_test.go
+++ b/planner/earlyeviction_test.go
@@ -56,3 +56,29 @@
 	c.Assert(simulation.stops("low"), quicktest.HasLen, 0)
 	c.Assert(simulation.taskState(specifier.Task{Job: "u"}).startedRuns, quicktest.HasLen, 1)
 }
+
+// TestTakeoverKeepsWorkWithoutCheckpoint guards against runs that are stopped early after a takeover
+// because the new holder counts their unsaved work from its first poll: a run that has given no
+// checkpoint yet loses all of it.
+func TestTakeoverKeepsWorkWithoutCheckpoint(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(2, 1)
+	simulation.checkpoints.interval = 50 * time.Second
+	policy := burstPolicy()
+	policy.Version++
+	for index := range policy.Queues {
+		policy.Queues[index].Slack = time.Minute
+	}
+	for _, node := range simulation.nodes {
+		simulation.step(node, messenger.PolicyRead{Policy: policy, SentAt: simulation.now})
+	}
+	simulation.submit(jobOf("low", specifier.Step{Tasks: 8, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Checkpoints: true}))
+	simulation.advance(25 * time.Second)
+	simulation.nodes[0].alive = false
+	simulation.makeHolder(simulation.nodes[1])
+	simulation.advance(300 * time.Millisecond)
+	simulation.submit(urgent("u", 1, 3*time.Second))
+	simulation.advance(5 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+	c.Assert(simulation.stops("low"), quicktest.HasLen, 0)
+}
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -41,10 +41,11 @@
 }
 
 // lostTime returns how much of the run's work a stop loses. How long a run of a former holder has
-// worked is known by its progress only.
+// worked is known by its progress only, which is lost unless it has given a checkpoint or resumed
+// from one.
 func (run *run) lostTime(now time.Time) time.Duration {
 	lost := run.unsavedTime(now)
-	if run.isAdopted && !run.step.spec.Checkpoints {
+	if run.isAdopted && (!run.step.spec.Checkpoints || run.checkpoint == "") {
 		lost = max(lost, run.step.spec.EstimatedRunTime*time.Duration(run.progressPercent)/fullPercent)
 	}
 	return lost
