--- a/gatekeeper/closing_test.go
+++ b/gatekeeper/closing_test.go
@@ -12,28 +12,27 @@
 	"corianderroad/shedder"
 )
 
-// countingListener reports how many bytes each read of its connections returns.
-type countingListener struct {
+// readListener reports how many bytes each read of its connections has got.
+type readListener struct {
 	net.Listener
-	read chan int
+	reads chan int
 }
 
-// Accept implements net.Listener.
-func (countingListener countingListener) Accept() (net.Conn, error) {
-	accepted, err := countingListener.Listener.Accept()
-	return countingConn{accepted, countingListener.read}, err
+func (listener readListener) Accept() (net.Conn, error) {
+	accepted, err := listener.Listener.Accept()
+	return readConn{accepted, listener.reads}, err
 }
 
-// countingConn is a connection of a countingListener.
-type countingConn struct {
+type readConn struct {
 	net.Conn
-	read chan int
+	reads chan int
 }
 
-// Read implements net.Conn.
-func (countingConn countingConn) Read(target []byte) (int, error) {
-	count, err := countingConn.Conn.Read(target)
-	countingConn.read <- count
+func (conn readConn) Read(target []byte) (int, error) {
+	count, err := conn.Conn.Read(target)
+	if err == nil {
+		conn.reads <- count
+	}
 	return count, err
 }
 
@@ -42,9 +41,9 @@
 // not notice the end.
 func TestWorkEndsWithItsConnection(t *testing.T) {
 	c := quicktest.New(t)
-	_, listener, _, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 1})
-	read := make(chan int, 16) // more than the reads of both connections
-	listener.Listener = countingListener{listener.Listener, read}
+	keeper, inner, _, _ := start(c, shedder.Limits{Memory: 1 << 20, Connections: 1})
+	reads := make(chan int, 16)
+	listener := keeper.NewListener(readListener{inner.Listener, reads}, testTimeout)
 	begun, ended := make(chan struct{}, 2), make(chan struct{}, 2)
 	server := &http.Server{ConnContext: gatekeeper.ConnContext, ConnState: gatekeeper.ConnState, ReadHeaderTimeout: testTimeout, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		gatekeeper.FromContext(request.Context()).SetBusy(true)
@@ -72,7 +71,7 @@
 		_, err = io.WriteString(client, request) // the server reads its first byte, and then no more
 		c.Assert(err, quicktest.IsNil)
 		for unread := len(request) + 1; unread > 0; {
-			unread -= <-read
+			unread -= <-reads
 		}
 	}
 	<-ended
