--- a/planner/choose.go
+++ b/planner/choose.go
@@ -73,6 +73,9 @@
 // taskLimit returns how many more tasks of a step the minion may take, whatever its free
 // capacity.
 func (minion *minion) taskLimit(step *step) int {
+	if minion.isHeadroom && !step.mayUseHeadroom() {
+		return 0
+	}
 	limit := step.maxPerMinion()
 	if step.spec.MaxPerMinion > 0 {
 		for _, run := range minion.runs {
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -136,7 +136,7 @@
 	planner.holder = holderState{}
 	planner.minions, planner.minionsByName = make(map[identifier.Minion]*minion), nil
 	planner.minionsAt = make(map[netip.AddrPort]*minion)
-	planner.polls, planner.silentMinions, planner.missing = pollSchedule{}, nil, nil
+	planner.polls, planner.silentMinions, planner.missing, planner.headroom = pollSchedule{}, nil, nil, headroom{}
 	planner.silences, planner.births, planner.sentTokens = nil, nil, make(sentTokens)
 	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
 	planner.recording = newRecording()
--- a/planner/job.go
+++ b/planner/job.go
@@ -100,6 +100,8 @@
 	isLikelyCause bool
 	// breakage is why the newest run of a gang that broke did so.
 	breakage breakage
+	// isUrgent means that the priority of the queue was 0 when the step last waited.
+	isUrgent bool
 }
 
 // task is one task of a step.
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -75,6 +75,8 @@
 	isCold    bool
 	// probedAt is the time of the last pass if the minion was half-open then, zero otherwise.
 	probedAt time.Time
+	// isHeadroom means, as of the last pass, that only urgent work is started on the minion.
+	isHeadroom bool
 	// nameIndex is the minion's index in the order of names, as of the last pass.
 	nameIndex int
 	// noCapacityUntil is the time until which a minion that refused a run for lack
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -28,6 +28,8 @@
 	LossAwareStops bool
 	// MinionProfiles uses what minions did with earlier runs.
 	MinionProfiles bool
+	// UrgentHeadroom keeps capacity free for urgent jobs while capacity is short.
+	UrgentHeadroom bool
 }
 
 // Leases.
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -87,7 +87,12 @@
 func (planner *Planner) waitingSteps(now time.Time) []*waitingStep {
 	var steps []*waitingStep
 	for step, queue := range planner.dueSteps(now) {
+		wasWaiting := !step.waitingSince.IsZero()
 		if waitingStep := step.waitingStep(now, queue); waitingStep != nil {
+			step.isUrgent = queue.Priority == 0
+			if !wasWaiting {
+				planner.noteUrgentArrival(now, waitingStep)
+			}
 			steps = append(steps, waitingStep)
 		}
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -47,6 +47,7 @@
 	minionsAt     map[netip.AddrPort]*minion
 	polls         pollSchedule
 	silentMinions silentMinions
+	headroom      headroom
 	// silences are those of the last time, oldest first.
 	silences      []silence
 	births        []birth
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -40,12 +40,14 @@
 
 // demand is all that decides whether tasks fit, apart from their number.
 type demand struct {
-	request      specifier.Resources
-	limit        int
-	label        string
-	dataRack     identifier.Rack
-	sameRack     bool
-	rackRequired bool
+	request specifier.Resources
+	limit   int
+	// mayUseHeadroom means that minions that are kept for urgent work count.
+	mayUseHeadroom bool
+	label          string
+	dataRack       identifier.Rack
+	sameRack       bool
+	rackRequired   bool
 	// restrictions are the reservations that the tasks must leave room for.
 	restrictions reserver.Restrictions
 }
@@ -62,7 +64,7 @@
 	for index, minion := range planner.sortedMinions() {
 		minion.nameIndex = index
 		minion.isCold = planner.bounds.EvacuationTime > 0 && now.Before(minion.coldUntil)
-		minion.probedAt = time.Time{}
+		minion.probedAt, minion.isHeadroom = time.Time{}, false
 		if planner.features.MinionProfiles && minion.health.isHalfOpen() {
 			minion.probedAt = now
 		}
@@ -73,8 +75,10 @@
 		}
 		servicePool.addMinion(minion, minion.acceptsRuns(now))
 	}
-	for _, pool := range pools {
+	planner.headroom.kept = 0
+	for service, pool := range pools {
 		pool.crowded = isCrowded(pool.registered)
+		planner.keepHeadroom(now, service, pool)
 	}
 	return pools
 }
@@ -245,7 +249,7 @@
 	return demand{
 		request: requiredCapacity(step.spec), limit: step.spec.MaxPerMinion, label: step.spec.Label,
 		dataRack: step.spec.DataRack, sameRack: step.spec.SameRack, rackRequired: rackRequired,
-		restrictions: step.restrictions,
+		restrictions: step.restrictions, mayUseHeadroom: step.mayUseHeadroom(),
 	}
 }
 
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -197,6 +197,7 @@
 		gauges = append(gauges, querier.Gauge{Name: "minions-by-availability", Label: availability(value).String(), Value: float64(count)})
 	}
 	gauges = append(gauges, querier.Gauge{Name: "half-open-minions", Value: float64(planner.countHalfOpenMinions())})
+	gauges = append(gauges, querier.Gauge{Name: "headroom-minions", Value: float64(planner.headroom.kept)})
 	for reason, count := range planner.waiting.counts {
 		gauges = append(gauges, querier.Gauge{Name: "waiting-steps", Label: waitReason(reason).String(), Value: float64(count)})
 	}
--- a/reserver/minion.go
+++ b/reserver/minion.go
@@ -37,6 +37,9 @@
 	spare specifier.Resources
 }
 
+// IsHeld reports whether a reservation holds room on the minion.
+func (minion *Minion) IsHeld() bool { return minion.held != 0 }
+
 // Fit returns how many tasks of a request may start on the minion beside the reservations
 // that restrict them, up to a limit. Whether there is room now is for the caller to check.
 func (minion *Minion) Fit(restrictions Restrictions, request specifier.Resources, limit int) int {
