Publish the expected waits of queues, and refuse jobs that would earn nothing

Cause: a job that can't be served in time is accepted, waits, and delays others.

Change: behind -early-refusals the holder computes the waits of its queues and publishes them with its renewals; entry VMs refuse by them before they append a submission. Without the flag nothing is published and nothing refused.

Result: tests of registrar, claimer, encoder, classifier and exporter pass.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"corianderroad/admitter"
 	"corianderroad/authorizer"
 	"corianderroad/buffer"
 	"corianderroad/claimer"
@@ -149,11 +150,20 @@
 	dispatcher := actionDispatcher{assembler}
 	assembler.duties = append(assembler.duties,
 		runner.New(claimer.New(settings.Node, incarnation, claimDelay(settings.Cores), source), assembler.claims, assembler.claimQueries, dispatcher, assembler.clock),
-		runner.New(registrar.New(), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
+		runner.New(assembler.newRegistrar(source), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
 		runner.New(planner.New(settings.Node, bounds, assembler.options.Features), assembler.plans, assembler.planQueries, dispatcher, assembler.clock),
 		assembler.answers)
 }
 
+// newRegistrar returns the registrar, which refuses submissions early only if the deployment
+// enables it.
+func (assembler *Assembler) newRegistrar(source *rand.Rand) *registrar.Registrar {
+	if !assembler.options.Features.EarlyRefusals {
+		return registrar.New(nil)
+	}
+	return registrar.New(admitter.New(rand.New(rand.NewPCG(source.Uint64(), source.Uint64()))))
+}
+
 // Delays of claims on nodes with few processors. The holder needs more processor
 // time than the other nodes, so nodes with more processors claim first.
 const (
--- a/assembler/dispatch.go
+++ b/assembler/dispatch.go
@@ -56,6 +56,12 @@
 		return nil, assembler.plans.Put(ctx, action)
 	case messenger.HolderFenced:
 		return nil, assembler.claims.Put(ctx, action)
+	case messenger.WaitsComputed:
+		_ = assembler.claims.Offer(action) // lost waits are replaced by later ones, or become too old
+	case messenger.WaitsRead:
+		if assembler.options.Features.EarlyRefusals {
+			_ = assembler.entries.Offer(action)
+		}
 	case messenger.CommandAnswered:
 		return nil, assembler.answers.Resolve(ctx, action.Request, action)
 	case messenger.Count:
@@ -106,6 +112,12 @@
 		return assembler.claims.Put(ctx, event)
 	case messenger.EntriesAppended, messenger.JournalReadFailed:
 		return assembler.entries.Put(ctx, event)
+	case messenger.PolicyRead:
+		if assembler.options.Features.EarlyRefusals {
+			if err := assembler.entries.Put(ctx, event); err != nil {
+				return err
+			}
+		}
 	case messenger.JournalRead:
 		if err := assembler.entries.Put(ctx, event); err != nil {
 			return err
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -75,6 +75,7 @@
 	draining       bool
 	// releaseToken is the token of the claim to release, zero for none.
 	releaseToken identifier.Term
+	waits        publishedWaits
 }
 
 // New returns the state machine of a node. The capacityDelay postpones its
@@ -101,6 +102,8 @@
 		}
 	case messenger.DrainArrived:
 		actions = claimer.drain(now)
+	case messenger.WaitsComputed:
+		claimer.waits.own = event.Waits
 	}
 	return append(actions, claimer.advance(now)...)
 }
@@ -110,7 +113,8 @@
 	if read.RoundTrip > 0 {
 		claimer.storeDelay = min(delayPerRoundTrip*read.RoundTrip, maxStoreDelay)
 	}
-	if now.Sub(claimer.lastReadAt) > maxReadGap {
+	isFirstRead := now.Sub(claimer.lastReadAt) > maxReadGap
+	if isFirstRead {
 		claimer.unrenewedSince = now
 	}
 	claimer.lastReadAt = now
@@ -121,13 +125,14 @@
 	claimer.newest, claimer.offset = read.Claim, read.Offset
 	claimer.unrenewedSince = now
 	claimer.candidateDelay = 0
-	if claimer.isOwn(read.Claim) {
-		return claimer.confirmOwn(read)
-	}
-	if claimer.token != 0 && claimer.newestToken() > claimer.token {
-		return claimer.stepDown(now, "another node has claimed")
+	actions := claimer.waits.report(read.Claim, read.SentAt, isFirstRead)
+	switch {
+	case claimer.isOwn(read.Claim):
+		return append(actions, claimer.confirmOwn(read)...)
+	case claimer.token != 0 && claimer.newestToken() > claimer.token:
+		return append(actions, claimer.stepDown(now, "another node has claimed")...)
 	}
-	return nil
+	return actions
 }
 
 // confirmOwn confirms a claim of this node that a read shows and whose append got
@@ -169,7 +174,7 @@
 		if claimer.draining {
 			return nil
 		}
-		return claimer.confirm(claimer.newestToken(), appended.SentAt)
+		return append(claimer.waits.report(&claim, appended.SentAt, false), claimer.confirm(claimer.newestToken(), appended.SentAt)...)
 	case appended.Err.Code == classifier.Conflict:
 		// The next read returns the claim that was appended first.
 		claimer.retryAt = now.Add(retryDelay)
@@ -199,6 +204,9 @@
 		Node: claimer.node, Incarnation: claimer.incarnation, Serial: claimer.lastAppend.Serial + 1,
 		Token: max(claimer.token, claimer.releaseToken), Released: claimer.releaseToken != 0,
 	}
+	if claimer.token != 0 {
+		claim.Waits = claimer.waits.toPublish(now)
+	}
 	claimer.lastAppend, claimer.lastAppendAt, claimer.appendPending = claim, now, true
 	return []messenger.Action{messenger.AppendClaim{Claim: claim, At: claimer.end}}
 }
@@ -254,7 +262,7 @@
 
 func (claimer *Claimer) stepDown(now time.Time, reason string) []messenger.Action {
 	token := claimer.token
-	claimer.token = 0
+	claimer.token, claimer.waits.own = 0, nil
 	claimer.unrenewedSince = now
 	return []messenger.Action{
 		messenger.HolderChanged{},
--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -51,6 +51,7 @@
 	flags.IntVar(&clients.MetricsConnections, "metrics-connections", 0, "limit of the connections that read metrics; default 16")
 	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
+	flags.BoolVar(&features.EarlyRefusals, "early-refusals", false, "refuse jobs whose expected wait is so long that they earn nothing")
 }
 
 // Execute implements subcommands.Command.
--- a/encoder/claim.go
+++ b/encoder/claim.go
@@ -15,13 +15,21 @@
 		Node: string(claim.Node), Incarnation: uint64(claim.Incarnation), Token: uint64(claim.Token),
 		Serial: claim.Serial, Released: claim.Released,
 	}
+	if claim.Waits != nil {
+		waits, err := marshalWaits(claim.Waits)
+		if err != nil {
+			return KeyedRecord{}, err
+		}
+		wire.Waits = waits
+	}
 	value, err := wire.MarshalMsg(nil)
 	return KeyedRecord{Key: claimKey, Value: value}, err
 }
 
 // UnmarshalClaim decodes the claim in the record at the given offset of the topic of
 // claims. The error has code BadFrame and names the key. Such a record has no
-// effect: the caller keeps the claim that it knows from earlier records.
+// effect: the caller keeps the claim that it knows from earlier records. A claim whose waits
+// are invalid is valid and has none.
 func UnmarshalClaim(record KeyedRecord, at identifier.Offset) (messenger.Claim, error) {
 	refusal := func(format string, arguments ...any) (messenger.Claim, error) {
 		err := classifier.New(classifier.BadFrame, format, arguments...)
@@ -47,5 +55,6 @@
 	return messenger.Claim{
 		Node: identifier.Node(wire.Node), Incarnation: identifier.Incarnation(wire.Incarnation),
 		Token: identifier.Term(wire.Token), Serial: wire.Serial, Released: wire.Released,
+		Waits: unmarshalWaits(wire.Waits),
 	}, nil
 }
--- a/encoder/journal_schema.go
+++ b/encoder/journal_schema.go
@@ -138,4 +138,25 @@
 	Token       uint64 `msg:"token"`
 	Serial      uint64 `msg:"serial"`
 	Released    bool   `msg:"released"`
+	// Waits is an encoded ClaimWaits, so that waits that can't be decoded do not make the claim
+	// unreadable. It is left out if there are none. Earlier versions ignore it.
+	Waits []byte `msg:"waits,omitempty"`
+}
+
+// ClaimWaits is messenger.QueueWaits on the wire.
+type ClaimWaits struct {
+	ComputedAt int64            `msg:"computed-at"`
+	Queues     []ClaimQueueWait `msg:"queues,limit=16"`
+}
+
+// ClaimQueueWait is messenger.QueueWait on the wire. Its times are in milliseconds.
+type ClaimQueueWait struct {
+	Queue        string `msg:"queue"`
+	TimelyWait   int64  `msg:"timely-wait"`
+	Wait         int64  `msg:"wait"`
+	RunTime      int64  `msg:"run-time"`
+	Tasks        int    `msg:"tasks"`
+	MilliCPU     int    `msg:"milli-cpu"`
+	MemoryMB     int    `msg:"memory-mb"`
+	Accelerators int    `msg:"accelerators"`
 }
--- a/encoder/journal_schema_gen.go
+++ b/encoder/journal_schema_gen.go
@@ -12,25 +12,254 @@
 	z52a732eflimitMaps   = 64
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z *ClaimQueueWait) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 8
+	// string "queue"
+	o = append(o, 0x88, 0xa5, 0x71, 0x75, 0x65, 0x75, 0x65)
+	o = msgp.AppendString(o, z.Queue)
+	// string "timely-wait"
+	o = append(o, 0xab, 0x74, 0x69, 0x6d, 0x65, 0x6c, 0x79, 0x2d, 0x77, 0x61, 0x69, 0x74)
+	o = msgp.AppendInt64(o, z.TimelyWait)
+	// string "wait"
+	o = append(o, 0xa4, 0x77, 0x61, 0x69, 0x74)
+	o = msgp.AppendInt64(o, z.Wait)
+	// string "run-time"
+	o = append(o, 0xa8, 0x72, 0x75, 0x6e, 0x2d, 0x74, 0x69, 0x6d, 0x65)
+	o = msgp.AppendInt64(o, z.RunTime)
+	// string "tasks"
+	o = append(o, 0xa5, 0x74, 0x61, 0x73, 0x6b, 0x73)
+	o = msgp.AppendInt(o, z.Tasks)
+	// string "milli-cpu"
+	o = append(o, 0xa9, 0x6d, 0x69, 0x6c, 0x6c, 0x69, 0x2d, 0x63, 0x70, 0x75)
+	o = msgp.AppendInt(o, z.MilliCPU)
+	// string "memory-mb"
+	o = append(o, 0xa9, 0x6d, 0x65, 0x6d, 0x6f, 0x72, 0x79, 0x2d, 0x6d, 0x62)
+	o = msgp.AppendInt(o, z.MemoryMB)
+	// string "accelerators"
+	o = append(o, 0xac, 0x61, 0x63, 0x63, 0x65, 0x6c, 0x65, 0x72, 0x61, 0x74, 0x6f, 0x72, 0x73)
+	o = msgp.AppendInt(o, z.Accelerators)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ClaimQueueWait) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z52a732eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "queue":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "timely-wait":
+			z.TimelyWait, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "TimelyWait")
+				return
+			}
+		case "wait":
+			z.Wait, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Wait")
+				return
+			}
+		case "run-time":
+			z.RunTime, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RunTime")
+				return
+			}
+		case "tasks":
+			z.Tasks, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Tasks")
+				return
+			}
+		case "milli-cpu":
+			z.MilliCPU, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MilliCPU")
+				return
+			}
+		case "memory-mb":
+			z.MemoryMB, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MemoryMB")
+				return
+			}
+		case "accelerators":
+			z.Accelerators, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accelerators")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ClaimQueueWait) Msgsize() (s int) {
+	s = 1 + 6 + msgp.StringPrefixSize + len(z.Queue) + 12 + msgp.Int64Size + 5 + msgp.Int64Size + 9 + msgp.Int64Size + 6 + msgp.IntSize + 10 + msgp.IntSize + 10 + msgp.IntSize + 13 + msgp.IntSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ClaimWaits) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "computed-at"
+	o = append(o, 0x82, 0xab, 0x63, 0x6f, 0x6d, 0x70, 0x75, 0x74, 0x65, 0x64, 0x2d, 0x61, 0x74)
+	o = msgp.AppendInt64(o, z.ComputedAt)
+	// string "queues"
+	o = append(o, 0xa6, 0x71, 0x75, 0x65, 0x75, 0x65, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Queues)))
+	for za0001 := range z.Queues {
+		o, err = z.Queues[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Queues", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ClaimWaits) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 > z52a732eflimitMaps {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "computed-at":
+			z.ComputedAt, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ComputedAt")
+				return
+			}
+		case "queues":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queues")
+				return
+			}
+			if zb0002 > 16 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if cap(z.Queues) >= int(zb0002) {
+				z.Queues = z.Queues[:zb0002]
+			} else {
+				z.Queues = make([]ClaimQueueWait, zb0002)
+			}
+			for za0001 := range z.Queues {
+				bts, err = z.Queues[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Queues", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ClaimWaits) Msgsize() (s int) {
+	s = 1 + 12 + msgp.Int64Size + 7 + msgp.ArrayHeaderSize
+	for za0001 := range z.Queues {
+		s += z.Queues[za0001].Msgsize()
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *JournalClaim) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
-	// string "node"
-	o = append(o, 0x85, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
-	o = msgp.AppendString(o, z.Node)
-	// string "incarnation"
-	o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, z.Incarnation)
-	// string "token"
-	o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
-	o = msgp.AppendUint64(o, z.Token)
-	// string "serial"
-	o = append(o, 0xa6, 0x73, 0x65, 0x72, 0x69, 0x61, 0x6c)
-	o = msgp.AppendUint64(o, z.Serial)
-	// string "released"
-	o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Released)
+	// check for omitted fields
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
+	_ = zb0001Mask
+	if z.Waits == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "node"
+		o = append(o, 0xa4, 0x6e, 0x6f, 0x64, 0x65)
+		o = msgp.AppendString(o, z.Node)
+		// string "incarnation"
+		o = append(o, 0xab, 0x69, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, z.Incarnation)
+		// string "token"
+		o = append(o, 0xa5, 0x74, 0x6f, 0x6b, 0x65, 0x6e)
+		o = msgp.AppendUint64(o, z.Token)
+		// string "serial"
+		o = append(o, 0xa6, 0x73, 0x65, 0x72, 0x69, 0x61, 0x6c)
+		o = msgp.AppendUint64(o, z.Serial)
+		// string "released"
+		o = append(o, 0xa8, 0x72, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Released)
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "waits"
+			o = append(o, 0xa5, 0x77, 0x61, 0x69, 0x74, 0x73)
+			o = msgp.AppendBytes(o, z.Waits)
+		}
+	}
 	return
 }
 
@@ -86,6 +315,28 @@
 				err = msgp.WrapError(err, "Released")
 				return
 			}
+		case "waits":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadBytesHeader(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waits")
+				return
+			}
+			if zb0002 > z52a732eflimitArrays {
+				err = msgp.ErrLimitExceeded
+				return
+			}
+			if z.Waits == nil || uint32(cap(z.Waits)) < zb0002 {
+				z.Waits = make([]byte, zb0002)
+			} else {
+				z.Waits = z.Waits[:zb0002]
+			}
+			if uint32(len(bts)) < zb0002 {
+				err = msgp.ErrShortBytes
+				return
+			}
+			copy(z.Waits, bts[:zb0002])
+			bts = bts[zb0002:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -100,7 +351,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JournalClaim) Msgsize() (s int) {
-	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.Uint64Size + 6 + msgp.Uint64Size + 7 + msgp.Uint64Size + 9 + msgp.BoolSize
+	s = 1 + 5 + msgp.StringPrefixSize + len(z.Node) + 12 + msgp.Uint64Size + 6 + msgp.Uint64Size + 7 + msgp.Uint64Size + 9 + msgp.BoolSize + 6 + msgp.BytesPrefixSize + len(z.Waits)
 	return
 }
 
--- a/exporter/exporter.go
+++ b/exporter/exporter.go
@@ -41,6 +41,7 @@
 	io          *prometheus.CounterVec
 	storeBytes  *prometheus.CounterVec
 	shed        *prometheus.CounterVec
+	early       *prometheus.CounterVec
 	answers     *prometheus.HistogramVec
 }
 
@@ -63,13 +64,14 @@
 		io:          counter("io_events_total", "Events of I/O duties by kind and result.", "kind", "result"),
 		storeBytes:  counter("store_bytes_total", "Bytes of the store's answers by topic and result.", "topic", "result"),
 		shed:        counter("clients_shed_total", "Clients that were turned away, by listener and reason.", "listener", "reason"),
+		early:       counter("early_refusals_total", "Submissions that were refused because of the expected wait, by queue.", "queue"),
 	}
 	exporter.answers = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: "answer_seconds", Help: "Time to answer a request, by its kind and result.",
 		Buckets: prometheus.ExponentialBuckets(minAnswerTime, 2, answerBuckets),
 	}, []string{"kind", "result"})
 	exporter.registry.MustRegister(exporter.stops.collectors()...)
-	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.crashes, exporter.bytes, exporter.io, exporter.storeBytes, exporter.shed,
+	exporter.registry.MustRegister(exporter.answers, exporter.refusals, exporter.retries, exporter.transitions, exporter.crashes, exporter.bytes, exporter.io, exporter.storeBytes, exporter.shed, exporter.early,
 		newRingCollector(rings), newGaugeCollector(gauges),
 		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return exporter
@@ -107,6 +109,8 @@
 		exporter.stops.repeated.Inc()
 	case messenger.BrokenGangs:
 		exporter.stops.brokenGangs.WithLabelValues(count.Reason).Inc()
+	case messenger.EarlyRefusals:
+		exporter.early.WithLabelValues(count.Reason).Inc()
 	default:
 		exporter.transitions.WithLabelValues(count.Reason).Inc()
 	}
--- a/messenger/claim.go
+++ b/messenger/claim.go
@@ -18,6 +18,8 @@
 	Serial uint64
 	// Released means that the holder has given up the claim.
 	Released bool
+	// Waits are published with renewals, nil if there are none.
+	Waits *QueueWaits
 }
 
 // ClaimRead is the result of a successful read of the claims.
--- a/messenger/command.go
+++ b/messenger/command.go
@@ -38,9 +38,11 @@
 	RepeatedStops
 	// BrokenGangs counts the gangs that ended as a whole, by the cause.
 	BrokenGangs
+	// EarlyRefusals counts the submissions that were refused by the expected wait, by queue.
+	EarlyRefusals
 )
 
-// Count increments a counter. Reason is its label, in kebab case.
+// Count increments a counter. Reason is its label: a reason in kebab case, or a queue.
 type Count struct {
 	Counter Counter
 	Reason  string
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -143,6 +143,9 @@
 	planner.adviceRequest = adviceRequest{}
 	planner.reservations, planner.gangReservations, planner.aging = reservations{}, gangReservations{}, aging{}
 	planner.waiting = waiting{}
+	if planner.queueWaits != nil {
+		planner.queueWaits = newQueueWaits()
+	}
 	planner.maintenance.reset()
 	for _, job := range planner.jobs {
 		job.reset()
--- a/planner/job.go
+++ b/planner/job.go
@@ -153,13 +153,13 @@
 }
 
 func newOccurrence(job *job, number int) *occurrence {
-	occurrence := &occurrence{job: job, number: number, dueAt: job.spec.DueTime(number), criticalPath: criticalPath(job.spec.Steps, 0)}
+	occurrence := &occurrence{job: job, number: number, dueAt: job.spec.DueTime(number), criticalPath: specifier.CriticalPath(job.spec.Steps, 0)}
 	firstTask := number * job.spec.TasksPerOccurrence()
 	for index := range job.spec.Steps {
 		spec := &job.spec.Steps[index]
 		occurrence.steps = append(occurrence.steps, &step{
 			occurrence: occurrence, number: index, spec: spec, tasks: make([]task, spec.Tasks), firstTask: firstTask,
-			criticalPath: criticalPath(job.spec.Steps, index),
+			criticalPath: specifier.CriticalPath(job.spec.Steps, index),
 		})
 		firstTask += spec.Tasks
 	}
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -26,6 +26,8 @@
 	GangReservations bool
 	// LossAwareStops chooses the runs to be stopped by the work that is lost.
 	LossAwareStops bool
+	// EarlyRefusals publishes the expected waits of the queues, by which entry VMs refuse jobs.
+	EarlyRefusals bool
 }
 
 // Leases.
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -41,6 +41,7 @@
 	planner.prepareSteps(now)
 	suspects := planner.suspectSteps(now)
 	steps := planner.waitingSteps(now)
+	planner.publishWaits(now, steps)
 	planner.passInterval = min(minPassInterval+time.Duration(len(steps))*passIntervalPerStep+
 		time.Duration(len(planner.minions))*passIntervalPerMinion, maxPassInterval)
 	if len(steps)+len(suspects) == 0 {
@@ -164,26 +165,10 @@
 // the queue's objective, by the submitter's estimates.
 func (step *step) latestStart(queue *specifier.Queue) time.Time {
 	occurrence := step.occurrence
-	objective := occurrence.dueAt.Add(time.Duration(queue.Stretch*float64(occurrence.criticalPath)) + queue.Slack)
+	objective := occurrence.dueAt.Add(queue.Objective(occurrence.criticalPath))
 	return objective.Add(-step.criticalPath)
 }
 
-// criticalPath returns the longest chain of estimated run times that starts at
-// the given step or a later one. With 0 it covers all steps.
-func criticalPath(steps []specifier.Step, from int) time.Duration {
-	endTimes := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for index := from; index < len(steps); index++ {
-		start := time.Duration(0)
-		for _, earlier := range steps[index].DependsOn {
-			start = max(start, endTimes[earlier])
-		}
-		endTimes[index] = start + steps[index].EstimatedRunTime
-		longest = max(longest, endTimes[index])
-	}
-	return longest
-}
-
 // compareUrgency orders waiting steps. Long-running tasks come first, because
 // they do no useful work while they are unavailable, then the queues by
 // priority, then the aged steps as far as their share allows, then those that can still
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -66,6 +66,8 @@
 	adviceRequest    adviceRequest
 	maintenance      maintenance
 	waiting          waiting
+	// queueWaits are published for the entry VMs, nil if the deployment does not enable it.
+	queueWaits *queueWaits
 
 	passNeeded bool
 	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
@@ -97,6 +99,9 @@
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
 	}
+	if features.EarlyRefusals {
+		planner.queueWaits = newQueueWaits()
+	}
 	return planner
 }
 
@@ -312,7 +317,11 @@
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
 	}
-	return querier.Answer{Gauges: append(planner.waitingGauges(now), []querier.Gauge{
+	gauges := planner.waitingGauges(now)
+	if planner.queueWaits != nil {
+		gauges = append(gauges, planner.queueWaits.starts.gauges()...)
+	}
+	return querier.Answer{Gauges: append(gauges, []querier.Gauge{
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
--- a/registrar/journal.go
+++ b/registrar/journal.go
@@ -17,6 +17,7 @@
 			job.submitted = true
 			job.queue, job.workspace = entry.Job.Queue, entry.Job.Workspace
 			job.scheduled = entry.Job.Schedule != nil
+			job.accelerators = firstAccelerators(&entry.Job)
 			job.withdrawn = job.withdrawn || registrar.tombstones[tombstoneOf(entry.Job.ID, entry.Job.Workspace)]
 		})
 	case messenger.Withdrawn:
@@ -29,7 +30,7 @@
 		registrar.updateJob(entry.Job, func(job *job) { job.state, job.failure = entry.Progress.State, entry.Progress.Reason })
 	case messenger.Deleted:
 		if job, ok := registrar.jobs[entry.Job]; ok {
-			registrar.countQueued(job, -1)
+			registrar.countJob(job, -1)
 			delete(registrar.jobs, entry.Job)
 		}
 	}
@@ -42,21 +43,22 @@
 		found = &job{}
 		registrar.jobs[id] = found
 	}
-	registrar.countQueued(found, -1)
+	registrar.countJob(found, -1)
 	update(found)
-	registrar.countQueued(found, 1)
+	registrar.countJob(found, 1)
 }
 
-// countQueued changes the length of the job's queue by the given number if the job is
-// queued.
-func (registrar *Registrar) countQueued(job *job, delta int) {
+// countJob changes the length of the job's queue by the given number if the job is queued, and
+// the demand of its workspace if it is open.
+func (registrar *Registrar) countJob(job *job, delta int) {
+	registrar.early.countDemand(job, delta)
 	if job.submitted && !job.withdrawn && job.state == specifier.Queued {
 		registrar.queueLengths[job.queue] += delta
 	}
 }
 
 // View answers JobState, QueueLength and Status.
-func (registrar *Registrar) View(_ time.Time, query querier.Query) querier.Answer {
+func (registrar *Registrar) View(now time.Time, query querier.Query) querier.Answer {
 	answer := querier.Answer{AsOf: registrar.asOf}
 	switch query.Kind {
 	case querier.JobState:
@@ -78,6 +80,7 @@
 			{Name: "journal-tombstones", Value: float64(len(registrar.tombstones))},
 			{Name: "open-commands", Value: float64(len(registrar.commands))},
 		}
+		answer.Gauges = append(answer.Gauges, registrar.early.gauges(now)...)
 	}
 	return answer
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -62,6 +62,8 @@
 	readFailed bool
 	// queueLengths are the numbers of queued jobs.
 	queueLengths map[identifier.Queue]int
+	// early refuses submissions by the expected wait, nil if the deployment does not enable it.
+	early *earlyRefusals
 }
 
 type job struct {
@@ -74,6 +76,8 @@
 	withdrawn bool
 	submitted bool
 	scheduled bool
+	// accelerators are those that the job's first step needs.
+	accelerators int32
 }
 
 // command is a submission or a cancellation without an answer.
@@ -94,17 +98,25 @@
 	// whether the job exists.
 	awaitsRead bool
 	attempts   int
+	// refusal is the answer to a submission that is refused by the expected wait unless the
+	// journal has the job, nil for others.
+	refusal *classifier.Error
 }
 
-// New returns the state machine of an entry VM.
-func New() *Registrar {
-	return &Registrar{
+// New returns the state machine of an entry VM. The decider refuses submissions by the expected
+// wait, nil if none are refused.
+func New(decider EarlyRefusalDecider) *Registrar {
+	registrar := &Registrar{
 		jobs:         make(map[identifier.Job]*job),
 		commands:     make(map[uint64]*command),
 		uncertain:    make(map[identifier.Job]uncertainSubmission),
 		tombstones:   make(map[messenger.Tombstone]bool),
 		queueLengths: make(map[identifier.Queue]int),
 	}
+	if decider != nil {
+		registrar.early = newEarlyRefusals(decider)
+	}
+	return registrar
 }
 
 // Step applies an event and returns the resulting actions.
@@ -122,6 +134,10 @@
 		return registrar.handleRead(now, event)
 	case messenger.Tick:
 		return registrar.handleTick(now)
+	case messenger.PolicyRead:
+		registrar.early.setPolicy(event.Policy)
+	case messenger.WaitsRead:
+		return registrar.early.setWaits(now, event)
 	}
 	return nil
 }
@@ -156,7 +172,7 @@
 		request: event.Request, job: event.Job.ID, workspace: event.Job.Workspace,
 		entry: submitted, arrived: now, deadline: event.Deadline.Add(-answerMargin),
 	}
-	return registrar.begin(command)
+	return registrar.beginSubmission(now, command, &submitted.Job)
 }
 
 // answerRepeat answers a submission whose job is already in the journal.
@@ -208,7 +224,7 @@
 }
 
 func (registrar *Registrar) send(id uint64, command *command) []messenger.Action {
-	command.retryAt = time.Time{}
+	command.retryAt, command.refusal = time.Time{}, nil
 	command.attempts++
 	actions := []messenger.Action{messenger.AppendEntries{ID: id, Entries: []messenger.JournalEntry{command.entry}}}
 	if command.attempts > 1 {
@@ -324,6 +340,9 @@
 		if exists {
 			return registrar.complete(now, id, command, "the journal has the job")
 		}
+		if command.refusal != nil && registrar.asOf.After(command.arrived) {
+			return registrar.refuseUnread(id, command)
+		}
 		return nil
 	}
 	if tombstone, isTombstone := command.entry.(messenger.Tombstone); isTombstone {
@@ -352,6 +371,8 @@
 		case !now.Before(command.deadline):
 			delete(registrar.commands, id)
 			actions = append(actions, registrar.expire(now, command)...)
+		case command.refusal != nil && !now.Before(command.retryAt):
+			actions = append(actions, registrar.acceptUnread(now, id, command)...)
 		case !command.retryAt.IsZero() && !now.Before(command.retryAt):
 			actions = append(actions, registrar.send(id, command)...)
 		}
--- a/specifier/job.go
+++ b/specifier/job.go
@@ -127,6 +127,22 @@
 	return false
 }
 
+// CriticalPath returns the longest chain of estimated run times that starts at the given
+// step or a later one. With 0 it covers all steps.
+func CriticalPath(steps []Step, from int) time.Duration {
+	endTimes := make([]time.Duration, len(steps))
+	longest := time.Duration(0)
+	for index := from; index < len(steps); index++ {
+		start := time.Duration(0)
+		for _, earlier := range steps[index].DependsOn {
+			start = max(start, endTimes[earlier])
+		}
+		endTimes[index] = start + steps[index].EstimatedRunTime
+		longest = max(longest, endTimes[index])
+	}
+	return longest
+}
+
 // Check returns an error with code BadRequest if the job is malformed.
 func (job *Job) Check() error {
 	if len(job.Payload) > MaxPayloadBytes {
--- a/specifier/policy.go
+++ b/specifier/policy.go
@@ -42,6 +42,12 @@
 	Advice *Advice
 }
 
+// Objective returns the time from its submission within which a job of the queue should be
+// done, by the length of its critical path.
+func (queue *Queue) Objective(criticalPath time.Duration) time.Duration {
+	return time.Duration(queue.Stretch*float64(criticalPath)) + queue.Slack
+}
+
 // Advice gives the duration of one call to the advice service, a fixed time and a
 // time for each minion, and how long its tickets are valid.
 type Advice struct {
