Compute waits by the rates of submitted and started work, and correct them by starts

Cause: the backlog divided by the whole capacity closed a queue after two minutes of twice the load, because work of higher priorities and gaps take a part of it.

Change: the capacity is what new work that comes before leaves. Once steps of a priority have waited for 30 s, the rate at which its work starts counts, as far as it is at most 2 times lower. Waits are corrected by the starts of jobs, those behind timely steps and those behind all apart. A job counts as one that can't be on time from 1.5 times its slack on.

--- a/admitter/change.go
+++ b/admitter/change.go
@@ -10,8 +10,9 @@
 )
 
 // quietTime is how long a queue must have had no refusal, nor a reason for one, until its refusals
-// count as ended. It bounds the number of log lines while the waits vary about the limit.
-const quietTime = 10 * time.Second
+// count as ended. It bounds the number of log lines while the waits vary about the limit, and on a
+// node that gets few submissions.
+const quietTime = time.Minute
 
 // Change is that the refusals of a queue have begun or ended.
 type Change struct {
--- a/admitter/objective.go
+++ b/admitter/objective.go
@@ -20,10 +20,15 @@
 // slack returns how long the job may wait and still be on time.
 func (objective objective) slack() time.Duration { return max(objective.total-objective.runTime, 0) }
 
+// timelyMargin is the factor by which the wait must exceed the slack until a job counts as one that
+// can't be on time. Declared run times are off by a factor of 2 to 3, and the steps before a job that
+// become late first give way to it.
+const timelyMargin = 1.5
+
 // expectedWait returns how long the job waits. One that can't be on time behind the timely work
 // before it comes after all other work of its priority.
 func (objective objective) expectedWait(wait *Wait) time.Duration {
-	if wait.Timely <= objective.slack() {
+	if float64(wait.Timely) <= timelyMargin*float64(objective.slack()) {
 		return wait.Timely
 	}
 	return max(wait.Timely, wait.Behind)
--- a/planner/queuewait.go
+++ b/planner/queuewait.go
@@ -24,6 +24,15 @@
 	// maxLackingShare is the largest share of the registered minions that may not accept runs.
 	// With more, steps wait because of these minions.
 	maxLackingShare = 0.25
+	// minLeftShare is the smallest share of the capacity that new jobs are expected to leave. A burst of
+	// jobs is over sooner than their mean tells, and aged steps get a share of the starts.
+	minLeftShare = 0.2
+	// minBusyTime is how long steps of a class must have waited until the rate of its starts is what
+	// the capacity allows. Most of the mean is from that time.
+	minBusyTime = 30 * time.Second
+	// maxRateError is the largest factor by which that rate may be below what the capacity would allow
+	// without gaps. A few gangs in the time of the mean tell little.
+	maxRateError = 2
 )
 
 // queueWaits are the expected waits of the queues. Without the feature there are none.
@@ -34,9 +43,15 @@
 	// isPublished means that the newest published waits are of at least one queue.
 	isPublished bool
 	starts      startTracker
+	// submitted and started are the work of new jobs, and that of jobs that have started.
+	submitted, started workRates
+	// busySince is the time since which steps of a class have waited for capacity without a pause.
+	busySince map[queueClass]time.Time
 }
 
-func newQueueWaits() *queueWaits { return &queueWaits{starts: newStartTracker()} }
+func newQueueWaits() *queueWaits {
+	return &queueWaits{starts: newStartTracker(), submitted: make(workRates), started: make(workRates)}
+}
 
 // publishWaits publishes the waits if they are due. The steps are those of a pass, in its order, with
 // the results of the pass before.
@@ -136,12 +151,38 @@
 	}
 }
 
-// computeWaits returns the waits of the queues whose jobs wait for capacity. They are those behind the
-// steps that wait already, divided by the whole capacity. The work that the runs have left, gaps that
-// can't be used and later jobs of higher priorities are left out, so that the waits are lower bounds if
-// the declared run times are right.
+// backlog is the work of the steps that wait for capacity, as a job of one queue finds it.
+type backlog struct {
+	// higher is that of higher priorities, timely that of steps of the same priority that come
+	// before a job that can still be on time, and all that of all steps of the same priority.
+	higher, timely, all resourceTime
+}
+
+// newBacklog returns the backlog that a job finds that must start by the given time.
+func newBacklog(order []*waitingStep, queue *specifier.Queue, latestStart time.Time) backlog {
+	var backlog backlog
+	for _, waitingStep := range order {
+		step := waitingStep.step
+		if waitingStep.queue.Service != queue.Service || waitingStep.queue.Priority > queue.Priority || step.passResult != waitsForCapacity {
+			continue
+		}
+		if waitingStep.queue.Priority < queue.Priority || step.spec.LongRunning {
+			backlog.higher.addTasks(step.spec, waitingStep.taskCount)
+			continue
+		}
+		backlog.all.addTasks(step.spec, waitingStep.taskCount)
+		if !waitingStep.late && !waitingStep.latestStart.After(latestStart) {
+			backlog.timely.addTasks(step.spec, waitingStep.taskCount)
+		}
+	}
+	return backlog
+}
+
+// computeWaits returns the waits of the queues whose jobs wait for capacity.
 func (planner *Planner) computeWaits(now time.Time, order []*waitingStep) []messenger.QueueWait {
-	var waits []messenger.QueueWait
+	waits := planner.queueWaits
+	waits.noteBusyClasses(now, order)
+	var computed []messenger.QueueWait
 	loads := planner.serviceLoads(now)
 	for index := range planner.policy.Queues {
 		queue := &planner.policy.Queues[index]
@@ -150,60 +191,47 @@
 			continue
 		}
 		wait := messenger.QueueWait{Queue: queue.Name, LargestMinion: load.largest}
-		wait.Tasks, wait.RunTime = planner.queueWaits.starts.usualJob(queue.Name)
-		latestStart := now.Add(queue.Objective(wait.RunTime) - wait.RunTime)
-		var timely, all resourceTime
-		for _, waitingStep := range order {
-			if waitingStep.queue.Service != queue.Service || waitingStep.queue.Priority > queue.Priority || waitingStep.step.passResult != waitsForCapacity {
-				continue
-			}
-			all.add(waitingStep)
-			if waitingStep.precedes(queue, latestStart) {
-				timely.add(waitingStep)
-			}
-		}
-		wait.TimelyWait, wait.Wait = timely.over(load.capacity), all.over(load.capacity)
-		waits = append(waits, wait)
-	}
-	return waits
-}
-
-// precedes reports whether a step comes before that of a job that can still be on time, which must
-// start by the given time.
-func (waitingStep *waitingStep) precedes(queue *specifier.Queue, latestStart time.Time) bool {
-	switch {
-	case waitingStep.step.spec.LongRunning, waitingStep.queue.Priority < queue.Priority:
-		return true
-	case waitingStep.rank == timelyRank:
-		return !waitingStep.latestStart.After(latestStart)
+		wait.Tasks, wait.RunTime = waits.starts.usualJob(queue.Name)
+		backlog := newBacklog(order, queue, now.Add(queue.Objective(wait.RunTime)-wait.RunTime))
+		wait.TimelyWait, wait.Wait = waits.expect(now, classOf(queue), backlog, load.capacity)
+		computed = append(computed, wait)
 	}
-	return waitingStep.rank == agedRank
-}
-
-// resourceTime is an amount of resources multiplied by the seconds for which they are needed.
-type resourceTime struct {
-	milliCPU, memoryMB, accelerators float64
+	return computed
 }
 
-func (resourceTime *resourceTime) add(waitingStep *waitingStep) {
-	request := requiredCapacity(waitingStep.step.spec)
-	seconds := waitingStep.step.spec.EstimatedRunTime.Seconds() * float64(waitingStep.taskCount)
-	resourceTime.milliCPU += seconds * float64(request.MilliCPU)
-	resourceTime.memoryMB += seconds * float64(request.MemoryMB)
-	resourceTime.accelerators += seconds * float64(request.Accelerators)
+// expect returns how long a job waits behind the timely steps of its class and those before it, and
+// behind all steps. The work before it is divided by the capacity that new jobs leave that come before:
+// those of higher priorities, and for a job that can't be on time also those of its own, because they can
+// be on time. What gangs can't use of it and errors of the declared run times show in the rate at which
+// the work of the class starts. It counts once steps have waited for so long that it is not the rate of
+// submissions.
+func (queueWaits *queueWaits) expect(now time.Time, class queueClass, backlog backlog, capacity specifier.Resources) (timely, all time.Duration) {
+	above, same := queueWaits.submitted.above(now, class), queueWaits.submitted.of(now, class)
+	higher := backlog.higher.over(capacity, above)
+	timely = backlog.timely.over(capacity, above)
+	above.add(same)
+	all = backlog.all.over(capacity, above)
+	if since, isBusy := queueWaits.busySince[class]; isBusy && now.Sub(since) >= minBusyTime {
+		started := queueWaits.started.of(now, class)
+		timely = min(backlog.timely.atRate(started, resourceTime{}), maxRateError*timely)
+		all = min(backlog.all.atRate(started, same), maxRateError*all)
+	}
+	return higher + timely, higher + max(timely, all)
 }
 
-// over returns how long the capacity needs for it, by the scarcest resource.
-func (resourceTime *resourceTime) over(capacity specifier.Resources) time.Duration {
-	seconds := 0.0
-	for _, pair := range [...][2]float64{
-		{resourceTime.milliCPU, float64(capacity.MilliCPU)},
-		{resourceTime.memoryMB, float64(capacity.MemoryMB)},
-		{resourceTime.accelerators, float64(capacity.Accelerators)},
-	} {
-		if pair[1] > 0 {
-			seconds = max(seconds, pair[0]/pair[1])
+// noteBusyClasses notes since when steps of each class have waited for capacity without a pause.
+func (queueWaits *queueWaits) noteBusyClasses(now time.Time, order []*waitingStep) {
+	busy := make(map[queueClass]time.Time, len(queueWaits.busySince))
+	for _, waitingStep := range order {
+		if waitingStep.step.passResult != waitsForCapacity {
+			continue
+		}
+		class := classOf(waitingStep.queue)
+		since, wasBusy := queueWaits.busySince[class]
+		if !wasBusy {
+			since = now
 		}
+		busy[class] = since
 	}
-	return time.Duration(seconds * float64(time.Second))
+	queueWaits.busySince = busy
 }
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -153,6 +153,8 @@
 	// operatorRead is the number of evacuation records that the node has read, negative before
 	// its first listing.
 	operatorRead int
+	// waits are the newest that the node's planner has computed.
+	waits *messenger.QueueWaits
 }
 
 func newSimulation(seed uint64, nodes, minions int) *simulation {
@@ -288,6 +290,8 @@
 			simulation.schedule(latency, func() { simulation.deliverReports(node) })
 			simulation.schedule(readInterval, func() { simulation.readReports(node) })
 		}
+	case messenger.WaitsComputed:
+		node.waits = action.Waits
 	case messenger.HolderFenced:
 		if node.token == action.Token {
 			node.token = 0
--- a/planner/starttracker.go
+++ b/planner/starttracker.go
@@ -19,6 +19,10 @@
 	// minComparedWait is the shortest wait that is compared with the actual one. Shorter ones
 	// consist of delays that are not waits for capacity.
 	minComparedWait = 2 * time.Second
+	// comparedFactor bounds the expected waits that are compared, in multiples of the job's objective.
+	// Jobs that start count at once, and the others only after the expected wait: with longer ones
+	// those that start early would decide alone.
+	comparedFactor = 3
 	// correctionWeight is the weight of one comparison. About ten that agree change the
 	// correction to what they say.
 	correctionWeight = 0.2
@@ -39,8 +43,9 @@
 	tasks    []int
 	runTimes []time.Duration
 	next     int
-	// correction is the mean share of the expected wait that jobs have waited, 1 at most.
-	correction float64
+	// timely and behind are the corrections of the wait behind timely steps and of that behind all
+	// steps: the mean share of the expected wait that jobs have waited, 1 at most.
+	timely, behind float64
 }
 
 // awaitedStart is an open job whose start is awaited.
@@ -48,6 +53,11 @@
 	seenAt time.Time
 	// expected is the expected wait without correction, zero if it is not compared any more.
 	expected time.Duration
+	// isTimely means that the job was expected to wait behind timely steps only.
+	isTimely bool
+	// isNew means that the job had not started when this holder read it, and hasStarted that it
+	// has started since.
+	isNew, hasStarted bool
 }
 
 func newStartTracker() startTracker {
@@ -72,8 +82,8 @@
 // correct returns a wait with the correction of its queue.
 func (tracker *startTracker) correct(wait messenger.QueueWait) messenger.QueueWait {
 	if starts := tracker.queues[wait.Queue]; starts != nil {
-		wait.TimelyWait = time.Duration(starts.correction * float64(wait.TimelyWait))
-		wait.Wait = time.Duration(starts.correction * float64(wait.Wait))
+		wait.TimelyWait = time.Duration(starts.timely * float64(wait.TimelyWait))
+		wait.Wait = time.Duration(starts.behind * float64(wait.Wait))
 	}
 	return wait
 }
@@ -91,6 +101,7 @@
 	slices.SortFunc(changed, func(one, other *job) int { return cmp.Compare(one.arrival, other.arrival) })
 	for _, job := range changed {
 		if awaited := tracker.jobs[job.spec.ID]; awaited != nil {
+			tracker.noteStart(now, planner, job, awaited)
 			tracker.compare(now, job, awaited)
 		} else if len(tracker.jobs) < maxTrackedJobs {
 			tracker.track(now, planner, job, waits)
@@ -107,14 +118,27 @@
 	if awaited == nil {
 		return true
 	}
-	return awaited.expected > 0 && (now.Sub(awaited.seenAt) >= awaited.expected || job.occurrences[0].steps[0].hasStarted(now))
+	hasWaited := awaited.expected > 0 && now.Sub(awaited.seenAt) >= awaited.expected
+	return hasWaited || (!awaited.hasStarted && job.occurrences[0].steps[0].hasStarted(now))
+}
+
+// noteStart notes the work of a job that has started.
+func (tracker *startTracker) noteStart(now time.Time, planner *Planner, job *job, awaited *awaitedStart) {
+	queue := planner.queue(job)
+	if awaited.hasStarted || queue == nil || !job.occurrences[0].steps[0].hasStarted(now) {
+		return
+	}
+	awaited.hasStarted = true
+	if awaited.isNew {
+		planner.queueWaits.started.add(now, classOf(queue), &job.spec)
+	}
 }
 
 // track begins to await the start of a job. One that a former holder has accepted is not compared.
 func (tracker *startTracker) track(now time.Time, planner *Planner, job *job, waits []messenger.QueueWait) {
 	starts := tracker.queues[job.spec.Queue]
 	if starts == nil {
-		starts = &queueStarts{correction: 1}
+		starts = &queueStarts{timely: 1, behind: 1}
 		tracker.queues[job.spec.Queue] = starts
 	}
 	criticalPath := job.occurrences[0].criticalPath
@@ -125,13 +149,15 @@
 	if queue == nil || job.mayHaveStarted {
 		return
 	}
+	planner.queueWaits.submitted.add(now, classOf(queue), &job.spec)
+	awaited.isNew = true
 	for _, wait := range waits {
 		if wait.Queue != queue.Name {
 			continue
 		}
-		awaited.expected = wait.TimelyWait
-		if wait.TimelyWait > queue.Objective(criticalPath)-criticalPath {
-			awaited.expected = wait.Wait
+		awaited.expected, awaited.isTimely = wait.TimelyWait, wait.TimelyWait <= queue.Objective(criticalPath)-criticalPath
+		if !awaited.isTimely {
+			awaited.expected = min(wait.Wait, comparedFactor*queue.Objective(criticalPath))
 		}
 	}
 	if awaited.expected < minComparedWait {
@@ -152,9 +178,16 @@
 // compare compares the expected wait of a job with the actual one, which is at least as long if the job
 // has not started.
 func (tracker *startTracker) compare(now time.Time, job *job, awaited *awaitedStart) {
+	if awaited.expected == 0 {
+		return
+	}
 	starts := tracker.queues[job.spec.Queue]
+	correction := &starts.behind
+	if awaited.isTimely {
+		correction = &starts.timely
+	}
 	share := min(float64(now.Sub(awaited.seenAt))/float64(awaited.expected), 1)
-	starts.correction = max(starts.correction+correctionWeight*(share-starts.correction), minCorrection)
+	*correction = max(*correction+correctionWeight*(share-*correction), minCorrection)
 	awaited.expected = 0
 }
 
@@ -167,7 +200,10 @@
 func (tracker *startTracker) gauges() []querier.Gauge {
 	var gauges []querier.Gauge
 	for _, name := range slices.Sorted(maps.Keys(tracker.queues)) {
-		gauges = append(gauges, querier.Gauge{Name: "wait-correction", Label: string(name), Value: tracker.queues[name].correction})
+		starts := tracker.queues[name]
+		gauges = append(gauges,
+			querier.Gauge{Name: "timely-wait-correction", Label: string(name), Value: starts.timely},
+			querier.Gauge{Name: "wait-correction", Label: string(name), Value: starts.behind})
 	}
 	return gauges
 }
--- a/planner/threequeues_test.go
+++ b/planner/threequeues_test.go
@@ -44,6 +44,8 @@
 	jobs []*loadJob
 	// firstStarts are the times at which tasks first started.
 	firstStarts map[specifier.Task]time.Time
+	// refuses reports whether a job is refused, nil if none is.
+	refuses func(job *specifier.Job, kind *loadKind) bool
 }
 
 type loadJob struct {
@@ -66,8 +68,12 @@
 
 // newLoadRun returns a load of the three kinds, which uses the minions' capacity by a factor.
 func newLoadRun(seed uint64, minions int, load float64, span time.Duration, reserves bool) *loadRun {
+	return newLoadRunWith(seed, minions, load, span, planner.Features{GangReservations: reserves})
+}
+
+func newLoadRunWith(seed uint64, minions int, load float64, span time.Duration, features planner.Features) *loadRun {
 	run := &loadRun{simulation: newSimulation(seed, 0, minions), firstStarts: make(map[specifier.Task]time.Time)}
-	run.features = planner.Features{GangReservations: reserves}
+	run.features = features
 	run.workTime = run.noteStart
 	run.addNode("n0")
 	run.makeHolder(run.nodes[0])
@@ -107,6 +113,9 @@
 			EstimatedRunTime: kind.runTime, Gang: kind.gang, Checkpoints: kind.priority == 2 && number%2 == 0,
 		}},
 	}
+	if loadRun.refuses != nil && loadRun.refuses(&job, kind) {
+		return
+	}
 	loadRun.submit(job)
 	loadRun.jobs = append(loadRun.jobs, &loadJob{kind: kind, spec: job, submittedAt: loadRun.now})
 }
