--- a/encoder/waits_test.go
+++ b/encoder/waits_test.go
@@ -20,7 +20,9 @@
 		return nil
 	}
 	valid := &messenger.QueueWaits{ComputedAt: validTime(waits.ComputedAt)}
-	duration := func(wait time.Duration) time.Duration { return time.Duration(uint64(wait)%3_600_000) * time.Millisecond }
+	duration := func(wait time.Duration) time.Duration {
+		return time.Duration(uint64(wait)%3_600_000) * time.Millisecond
+	}
 	amount := func(value int) int { return int(uint(value) % math.MaxInt32) }
 	for _, wait := range waits.Queues {
 		name := "q" + wait.Queue
@@ -70,12 +72,14 @@
 	c := quicktest.New(t)
 	valid := encoder.ClaimQueueWait{Queue: "q", Wait: 1000}
 	for name, change := range map[string]func(*encoder.ClaimWaits){
-		"negative wait":   func(waits *encoder.ClaimWaits) { waits.Queues[0].Wait = -1 },
-		"longest wait":    func(waits *encoder.ClaimWaits) { waits.Queues[0].TimelyWait = math.MaxInt64 },
-		"negative tasks":  func(waits *encoder.ClaimWaits) { waits.Queues[0].Tasks = -1 },
-		"empty name":      func(waits *encoder.ClaimWaits) { waits.Queues[0].Queue = "" },
-		"no time":         func(waits *encoder.ClaimWaits) { waits.ComputedAt = 0 },
-		"too many queues": func(waits *encoder.ClaimWaits) { waits.Queues = make([]encoder.ClaimQueueWait, messenger.MaxQueueWaits+1) },
+		"negative wait":  func(waits *encoder.ClaimWaits) { waits.Queues[0].Wait = -1 },
+		"longest wait":   func(waits *encoder.ClaimWaits) { waits.Queues[0].TimelyWait = math.MaxInt64 },
+		"negative tasks": func(waits *encoder.ClaimWaits) { waits.Queues[0].Tasks = -1 },
+		"empty name":     func(waits *encoder.ClaimWaits) { waits.Queues[0].Queue = "" },
+		"no time":        func(waits *encoder.ClaimWaits) { waits.ComputedAt = 0 },
+		"too many queues": func(waits *encoder.ClaimWaits) {
+			waits.Queues = make([]encoder.ClaimQueueWait, messenger.MaxQueueWaits+1)
+		},
 	} {
 		waits := encoder.ClaimWaits{ComputedAt: 1, Queues: []encoder.ClaimQueueWait{valid}}
 		change(&waits)
--- a/planner/queuewait.go
+++ b/planner/queuewait.go
@@ -141,7 +141,7 @@
 		load.used++
 	}
 	load.capacity = load.capacity.Add(minion.report.Capacity)
-	if weight(minion.report.Capacity) > weight(load.largest) {
+	if minion.report.Capacity.Weight() > load.largest.Weight() {
 		load.largest = minion.report.Capacity
 	}
 	for _, run := range minion.runs {
--- a/planner/workrate.go
+++ b/planner/workrate.go
@@ -102,7 +102,7 @@
 
 // weight returns the amount as one number.
 func (resourceTime *resourceTime) weight() float64 {
-	return resourceTime.milliCPU + acceleratorWeight*resourceTime.accelerators
+	return resourceTime.milliCPU + specifier.AcceleratorWeight*resourceTime.accelerators
 }
 
 // over returns how long the capacity that other work leaves needs for the amount, by the scarcest
