--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -46,6 +46,16 @@
 	token, fence identifier.Term
 	confirmedAt  time.Time
 	pending      []pendingEvent
+	// waitsRead are the waits that the claimer has reported, the newest last.
+	waitsRead []messenger.WaitsRead
+}
+
+// waits returns the waits that are in force, nil if there are none.
+func (member *member) waits() *messenger.QueueWaits {
+	if len(member.waitsRead) == 0 {
+		return nil
+	}
+	return member.waitsRead[len(member.waitsRead)-1].Waits
 }
 
 type pendingEvent struct {
@@ -84,6 +94,8 @@
 		switch action := action.(type) {
 		case messenger.HolderChanged:
 			member.token, member.fence, member.confirmedAt = action.Token, action.Fence, action.ConfirmedAt
+		case messenger.WaitsRead:
+			member.waitsRead = append(member.waitsRead, action)
 		case messenger.AppendClaim:
 			appended := messenger.ClaimAppended{Claim: action.Claim, SentAt: now, Err: classifier.New(classifier.OutcomeUnknown, "no answer")}
 			wait := 600 * time.Millisecond
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -195,65 +195,69 @@
 	rapid.Check(t, func(t *rapid.T) {
 		entryVM := newEntryVM(rapid.Uint64().Draw(t, "seed"))
 		entryVM.run(300 * time.Millisecond)
-		jobs := make(map[string]bool)
-		count := rapid.IntRange(1, 15).Draw(t, "commands")
-		refused := make(map[string]int)
-		sent := make(map[string]int)
-		lastSubmission := make(map[string]int)
-		for number := range count {
-			entryVM.run(time.Duration(rapid.IntRange(0, 600).Draw(t, "after")) * time.Millisecond)
-			id := fmt.Sprintf("j%d", rapid.IntRange(0, 4).Draw(t, "job"))
-			switch rapid.IntRange(0, 6).Draw(t, "kind") {
-			case 0:
-				entryVM.withdraw(fmt.Sprint("cancel-", number, "-", id), id)
-			case 1:
-				entryVM.refusing = !entryVM.refusing
-			case 2:
-				entryVM.unresponsive = !entryVM.unresponsive
-			case 3:
-				entryVM.lostAnswerShare = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "lose-answers")
-			case 4:
-				entryVM.appendDelay = rapid.SampledFrom([]time.Duration{0, 1200 * time.Millisecond, 5 * time.Second}).Draw(t, "append-delay")
-			default:
-				jobs[id] = true
-				sent[id]++
-				lastSubmission[id] = number
-				entryVM.submit(fmt.Sprint("submit-", number, "-", id), id)
-			}
+		checkAnswersMatchJournal(t, entryVM)
+	})
+}
+
+func checkAnswersMatchJournal(t *rapid.T, entryVM *entryVM) {
+	jobs := make(map[string]bool)
+	count := rapid.IntRange(1, 15).Draw(t, "commands")
+	refused := make(map[string]int)
+	sent := make(map[string]int)
+	lastSubmission := make(map[string]int)
+	for number := range count {
+		entryVM.run(time.Duration(rapid.IntRange(0, 600).Draw(t, "after")) * time.Millisecond)
+		id := fmt.Sprintf("j%d", rapid.IntRange(0, 4).Draw(t, "job"))
+		switch rapid.IntRange(0, 6).Draw(t, "kind") {
+		case 0:
+			entryVM.withdraw(fmt.Sprint("cancel-", number, "-", id), id)
+		case 1:
+			entryVM.refusing = !entryVM.refusing
+		case 2:
+			entryVM.unresponsive = !entryVM.unresponsive
+		case 3:
+			entryVM.lostAnswerShare = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "lose-answers")
+		case 4:
+			entryVM.appendDelay = rapid.SampledFrom([]time.Duration{0, 1200 * time.Millisecond, 5 * time.Second}).Draw(t, "append-delay")
+		default:
+			jobs[id] = true
+			sent[id]++
+			lastSubmission[id] = number
+			entryVM.submit(fmt.Sprint("submit-", number, "-", id), id)
 		}
-		entryVM.refusing, entryVM.unresponsive, entryVM.lostAnswerShare = false, false, 0
-		entryVM.appendDelay = 0
-		entryVM.run(6 * time.Second)
-		for request, answer := range entryVM.answers {
-			var kind, id string
-			var number int
-			if _, err := fmt.Sscanf(string(request), "submit-%d-%s", &number, &id); err == nil {
-				kind = "submit"
-			} else if _, err := fmt.Sscanf(string(request), "cancel-%d-%s", &number, &id); err != nil {
-				t.Fatalf("request %q", request)
-			}
-			switch {
-			case kind == "submit" && answer.Err == nil && !entryVM.has(messenger.Submitted{Job: specifier.Job{ID: identifier.Job(id)}}):
-				t.Fatalf("%s is acknowledged but not durable", request)
-			case kind == "submit" && answer.Err != nil && answer.Err.Code.Execution() == classifier.NotRun:
-				refused[id]++
-			case kind == "" && answer.Err == nil && !entryVM.has(messenger.Withdrawn{Job: identifier.Job(id)}) && !entryVM.has(tombstoneNamed(id)):
-				t.Fatalf("%s is acknowledged but not durable", request)
-			case kind == "" && answer.Err != nil && answer.Err.Code == classifier.UnknownJob && !entryVM.has(tombstoneNamed(id)):
-				t.Fatalf("%s is refused as unknown, but the journal has no tombstone for a late append of the job", request)
-			case kind == "" && answer.Err != nil && answer.Err.Code == classifier.UnknownJob && number > lastSubmission[id] && !entryVM.isCancelled(id):
-				t.Fatalf("%s is refused as unknown, but the journal contains the job", request)
-			}
+	}
+	entryVM.refusing, entryVM.unresponsive, entryVM.lostAnswerShare = false, false, 0
+	entryVM.appendDelay = 0
+	entryVM.run(6 * time.Second)
+	for request, answer := range entryVM.answers {
+		var kind, id string
+		var number int
+		if _, err := fmt.Sscanf(string(request), "submit-%d-%s", &number, &id); err == nil {
+			kind = "submit"
+		} else if _, err := fmt.Sscanf(string(request), "cancel-%d-%s", &number, &id); err != nil {
+			t.Fatalf("request %q", request)
 		}
-		for id := range jobs {
-			if refused[id] == sent[id] && entryVM.has(messenger.Submitted{Job: specifier.Job{ID: identifier.Job(id)}}) {
-				t.Fatalf("all submissions of %s were refused as not accepted, but the journal contains it", id)
-			}
+		switch {
+		case kind == "submit" && answer.Err == nil && !entryVM.has(messenger.Submitted{Job: specifier.Job{ID: identifier.Job(id)}}):
+			t.Fatalf("%s is acknowledged but not durable", request)
+		case kind == "submit" && answer.Err != nil && answer.Err.Code.Execution() == classifier.NotRun:
+			refused[id]++
+		case kind == "" && answer.Err == nil && !entryVM.has(messenger.Withdrawn{Job: identifier.Job(id)}) && !entryVM.has(tombstoneNamed(id)):
+			t.Fatalf("%s is acknowledged but not durable", request)
+		case kind == "" && answer.Err != nil && answer.Err.Code == classifier.UnknownJob && !entryVM.has(tombstoneNamed(id)):
+			t.Fatalf("%s is refused as unknown, but the journal has no tombstone for a late append of the job", request)
+		case kind == "" && answer.Err != nil && answer.Err.Code == classifier.UnknownJob && number > lastSubmission[id] && !entryVM.isCancelled(id):
+			t.Fatalf("%s is refused as unknown, but the journal contains the job", request)
 		}
-		if next := entryVM.registrar.Next(); !next.IsZero() {
-			t.Fatalf("a command is still unanswered; the next tick is due at %s", next)
+	}
+	for id := range jobs {
+		if refused[id] == sent[id] && entryVM.has(messenger.Submitted{Job: specifier.Job{ID: identifier.Job(id)}}) {
+			t.Fatalf("all submissions of %s were refused as not accepted, but the journal contains it", id)
 		}
-	})
+	}
+	if next := entryVM.registrar.Next(); !next.IsZero() {
+		t.Fatalf("a command is still unanswered; the next tick is due at %s", next)
+	}
 }
 
 // TestRefusalIsNotDelayed guards against a late refusal. The caller must be
