--- a/planner/queuewait.go
+++ b/planner/queuewait.go
@@ -53,10 +53,10 @@
 	return &queueWaits{starts: newStartTracker(), submitted: make(workRates), started: make(workRates)}
 }
 
-// publishWaits publishes the waits if they are due. The steps are those of a pass, in its order, with
-// the results of the pass before.
+// publishWaits publishes the waits if they are due. It is called in a pass, and so only while the claim
+// is valid. The steps are those of the pass, in its order, with the results of the one before.
 func (planner *Planner) publishWaits(now time.Time, order []*waitingStep) {
-	if planner.queueWaits == nil || now.Before(planner.queueWaits.nextAt) || !planner.holder.isClaimValid(now) {
+	if planner.queueWaits == nil || now.Before(planner.queueWaits.nextAt) {
 		return
 	}
 	waits := planner.queueWaits
@@ -116,7 +116,7 @@
 
 func (planner *Planner) serviceLoads(now time.Time) map[identifier.Service]*serviceLoad {
 	loads := make(map[identifier.Service]*serviceLoad)
-	for _, minion := range planner.minions {
+	for _, minion := range planner.sortedMinions() {
 		load := loads[minion.report.Service]
 		if load == nil {
 			load = &serviceLoad{}
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -153,8 +153,9 @@
 	// operatorRead is the number of evacuation records that the node has read, negative before
 	// its first listing.
 	operatorRead int
-	// waits are the newest that the node's planner has computed.
-	waits *messenger.QueueWaits
+	// waits are the newest that the node's planner has computed, waitsComputed how often it has.
+	waits         *messenger.QueueWaits
+	waitsComputed int
 }
 
 func newSimulation(seed uint64, nodes, minions int) *simulation {
@@ -292,6 +293,7 @@
 		}
 	case messenger.WaitsComputed:
 		node.waits = action.Waits
+		node.waitsComputed++
 	case messenger.HolderFenced:
 		if node.token == action.Token {
 			node.token = 0
--- a/planner/workrate.go
+++ b/planner/workrate.go
@@ -1,7 +1,10 @@
 package planner
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"corianderroad/identifier"
@@ -21,6 +24,10 @@
 
 func classOf(queue *specifier.Queue) queueClass { return queueClass{queue.Service, queue.Priority} }
 
+func compareClasses(one, other queueClass) int {
+	return cmp.Or(cmp.Compare(one.service, other.service), cmp.Compare(one.priority, other.priority))
+}
+
 // workRates are means of work per second.
 type workRates map[queueClass]*workRate
 
@@ -65,7 +72,7 @@
 // above returns the work per second of the classes of the service with a higher priority.
 func (rates workRates) above(now time.Time, class queueClass) resourceTime {
 	var total resourceTime
-	for other := range rates {
+	for _, other := range slices.SortedFunc(maps.Keys(rates), compareClasses) {
 		if other.service == class.service && other.priority < class.priority {
 			total.add(rates.of(now, other))
 		}
--- a/registrar/earlyrefusal.go
+++ b/registrar/earlyrefusal.go
@@ -139,7 +139,7 @@
 // of the journal first: another node may have accepted the job, and a refusal must be final.
 func (registrar *Registrar) beginSubmission(now time.Time, command *command, job *specifier.Job) []messenger.Action {
 	refusal := registrar.early.decide(now, job)
-	if refusal == nil || registrar.mayBecomeDurable(command) {
+	if refusal == nil {
 		return registrar.begin(command)
 	}
 	actions := registrar.early.logChanges(now)
@@ -167,7 +167,8 @@
 	return false
 }
 
-// refuseUnread refuses a submission whose job the journal does not have.
+// refuseUnread refuses a submission whose job the journal does not have, and will not get by an append
+// of this node.
 func (registrar *Registrar) refuseUnread(id uint64, command *command) []messenger.Action {
 	if registrar.mayBecomeDurable(command) {
 		return registrar.send(id, command)
--- a/registrar/earlyrefusal_test.go
+++ b/registrar/earlyrefusal_test.go
@@ -103,15 +103,30 @@
 	entryVM.run(300 * time.Millisecond)
 	c.Assert(entryVM.answers["s4"].Err == nil, quicktest.IsTrue)
 
-	decider.share = 0
+	// An append of a second submission is open when the journal is read for the first one.
 	entryVM.submit("s5", "open")
-	decider.share = 1
+	decider.share, entryVM.appendDelay = 0, 800*time.Millisecond
 	entryVM.submit("s6", "open")
-	entryVM.run(300 * time.Millisecond)
+	entryVM.appendDelay = 0
+	entryVM.run(3 * time.Second)
 	c.Assert(entryVM.answers["s5"].Err == nil, quicktest.IsTrue)
 	c.Assert(entryVM.answers["s6"].Err == nil, quicktest.IsTrue)
 }
 
+// TestEarlierReadRefusesNothing guards against a refusal by a read of the journal that was sent before the
+// submission arrived, and that may lack a job which another node has accepted since.
+func TestEarlierReadRefusesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	entryVM, _ := newRefusingEntryVM(1, 1)
+	sentAt := entryVM.now
+	entryVM.now = entryVM.now.Add(20 * time.Millisecond)
+	entryVM.submit("s1", "j1")
+	entryVM.step(messenger.JournalRead{SentAt: sentAt})
+	c.Assert(entryVM.answers, quicktest.HasLen, 0)
+	entryVM.step(messenger.JournalRead{SentAt: entryVM.now.Add(time.Millisecond), Entries: []messenger.JournalEntry{messenger.Submitted{Job: jobNamed("j1")}}})
+	c.Assert(entryVM.answers["s1"].Err == nil, quicktest.IsTrue)
+}
+
 // TestSlowStoreRefusesNothingEarly guards against a refusal although the journal could not be read, and
 // against a submission without an answer: a slow store has it appended, and one that does not answer
 // refuses it as any other.
