--- a/planner/refusalload_test.go
+++ b/planner/refusalload_test.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,16 +80,24 @@
 	return factor
 }
 
-// readWaits delivers the waits that the holder has published to all entry VMs.
+// readWaits delivers the waits that the holder has published to all entry VMs, unless the store does not
+// answer or there is no holder, and so no new renewal.
 func (run *refusalRun) readWaits() {
-	waits := run.nodes[0].waits
+	run.schedule(400*time.Millisecond, run.readWaits)
+	if run.store.down {
+		return
+	}
+	holders := slices.DeleteFunc(slices.Clone(run.nodes), func(node *node) bool { return !node.alive || node.token == 0 })
+	if len(holders) == 0 {
+		return
+	}
+	waits := holders[0].waits
 	run.schedule(readDelay, func() {
 		for _, entry := range run.entries {
 			entry.SetFigures(run.now, figuresOf(waits, run.now.Add(-latency)))
 			run.logged += len(entry.Changes(run.now))
 		}
 	})
-	run.schedule(400*time.Millisecond, run.readWaits)
 }
 
 func figuresOf(waits *messenger.QueueWaits, readAt time.Time) admitter.Figures {
