--- a/planner/evictionproperty_test.go
+++ b/planner/evictionproperty_test.go
@@ -21,7 +21,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		simulation := newSimulation(rapid.Uint64().Draw(t, "seed"), 0, 16)
-		simulation.features = planner.Features{LossAwareStops: true}
+		simulation.features = planner.Features{LossAwareStops: true, EarlyRefusals: true}
 		simulation.checkpoints = &fakeCheckpoints{
 			interval:    time.Duration(rapid.IntRange(500, 2000).Draw(t, "checkpoint-interval")) * time.Millisecond,
 			restartTime: time.Duration(rapid.IntRange(100, 600).Draw(t, "restart-time")) * time.Millisecond,
