--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -28,6 +28,8 @@
 	LossAwareStops bool
 	// EarlyRefusals publishes the expected waits of the queues, by which entry VMs refuse jobs.
 	EarlyRefusals bool
+	// MinionProfiles uses what minions did with earlier runs.
+	MinionProfiles bool
 }
 
 // Leases.
--- a/planner/queuewait.go
+++ b/planner/queuewait.go
@@ -122,18 +122,20 @@
 			load = &serviceLoad{}
 			loads[minion.report.Service] = load
 		}
-		load.add(minion, minion.availability(now))
+		// A half-open minion gets single runs only.
+		isUsable := minion.acceptsRuns(now) && !(planner.features.MinionProfiles && minion.health.isHalfOpen())
+		load.add(minion, isUsable)
 	}
 	return loads
 }
 
-func (load *serviceLoad) add(minion *minion, availability availability) {
-	if availability == unregistered {
+func (load *serviceLoad) add(minion *minion, isUsable bool) {
+	if !minion.registered {
 		return
 	}
 	load.registered++
-	load.isEvacuated = load.isEvacuated || availability == evacuated
-	if availability != accepting {
+	load.isEvacuated = load.isEvacuated || minion.isEvacuated()
+	if !isUsable {
 		return
 	}
 	load.available++
