--- a/planner/holder.go
+++ b/planner/holder.go
@@ -136,13 +136,16 @@
 	planner.holder = holderState{}
 	planner.minions, planner.minionsByName = make(map[identifier.Minion]*minion), nil
 	planner.minionsAt = make(map[netip.AddrPort]*minion)
-	planner.polls, planner.silentMinions, planner.missing = pollSchedule{}, nil, nil
+	planner.polls, planner.silentMinions, planner.missing, planner.headroom = pollSchedule{}, nil, nil, headroom{}
 	planner.silences, planner.births, planner.sentTokens = nil, nil, make(sentTokens)
 	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
 	planner.recording = newRecording()
 	planner.adviceRequest = adviceRequest{}
 	planner.reservations, planner.gangReservations, planner.aging = reservations{}, gangReservations{}, aging{}
 	planner.waiting = waiting{}
+	if planner.queueWaits != nil {
+		planner.queueWaits = newQueueWaits()
+	}
 	planner.maintenance.reset()
 	for _, job := range planner.jobs {
 		job.reset()
--- a/planner/job.go
+++ b/planner/job.go
@@ -103,6 +103,8 @@
 	isLikelyCause bool
 	// breakage is why the newest run of a gang that broke did so.
 	breakage accountant.Breakage
+	// isUrgent means that the priority of the queue was 0 when the step last waited.
+	isUrgent bool
 }
 
 // task is one task of a step.
@@ -156,13 +158,13 @@
 }
 
 func newOccurrence(job *job, number int) *occurrence {
-	occurrence := &occurrence{job: job, number: number, dueAt: job.spec.DueTime(number), criticalPath: criticalPath(job.spec.Steps, 0)}
+	occurrence := &occurrence{job: job, number: number, dueAt: job.spec.DueTime(number), criticalPath: specifier.CriticalPath(job.spec.Steps, 0)}
 	firstTask := number * job.spec.TasksPerOccurrence()
 	for index := range job.spec.Steps {
 		spec := &job.spec.Steps[index]
 		occurrence.steps = append(occurrence.steps, &step{
 			occurrence: occurrence, number: index, spec: spec, tasks: make([]task, spec.Tasks), firstTask: firstTask,
-			criticalPath: criticalPath(job.spec.Steps, index),
+			criticalPath: specifier.CriticalPath(job.spec.Steps, index),
 		})
 		firstTask += spec.Tasks
 	}
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -50,6 +50,7 @@
 	minionsAt     map[netip.AddrPort]*minion
 	polls         pollSchedule
 	silentMinions silentMinions
+	headroom      headroom
 	// silences are those of the last time, oldest first.
 	silences      []silence
 	births        []birth
@@ -69,6 +70,8 @@
 	adviceRequest    adviceRequest
 	maintenance      maintenance
 	waiting          waiting
+	// queueWaits are published for the entry VMs, nil if the deployment does not enable it.
+	queueWaits *queueWaits
 
 	passNeeded bool
 	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
@@ -100,6 +103,9 @@
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
 	}
+	if features.EarlyRefusals {
+		planner.queueWaits = newQueueWaits()
+	}
 	return planner
 }
 
--- a/planner/status.go
+++ b/planner/status.go
@@ -16,7 +16,11 @@
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
 	}
-	return querier.Answer{Gauges: append(planner.waitingGauges(now), []querier.Gauge{
+	gauges := planner.waitingGauges(now)
+	if planner.queueWaits != nil {
+		gauges = append(gauges, planner.queueWaits.starts.gauges()...)
+	}
+	return querier.Answer{Gauges: append(gauges, []querier.Gauge{
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
