Start copies of redundant tasks that lag behind

Cause: a task on a minion that is slow or stalls holds up its step, and copies were never started although jobs allow them (Redundant).

The first run that is done completes the task, the other one is stopped. A new holder accepts both runs, also the one with the lower number and its end. The minions' speeds are judged by changes of a run's own speed as well, and newer runs displace older evidence.

--- a/planner/job.go
+++ b/planner/job.go
@@ -102,6 +102,8 @@
 	breakage breakage
 	// moved are the tasks whose runs were moved because they had stalled, nil if there are none.
 	moved *movedTasks
+	// copies are the copies of tasks that lagged behind, by the index of the task.
+	copies map[int]*taskCopy
 }
 
 // task is one task of a step.
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -167,24 +167,29 @@
 	} // its pace is unknown; pacePercent starts at 0 and rises step by step
 	mayHaveLaterRun := report.Run < task.latestRun
 	minion.addRun(run)
-	if known := task.run; known != nil {
+	isValid := planner.adoptCopy(now, run)
+	if known := task.run; known != nil && !isValid {
 		planner.emitDecision(report.Task.String(), "duplicate-run", "another run of the task is known",
 			fmt.Sprintf("run=%d minion=%s known-run=%d known-minion=%s", report.Run, minion.report.Minion, known.number, known.minion.report.Minion),
 			now.Sub(known.startedAt))
 	}
 	switch {
+	case isValid:
 	case !step.occurrence.job.isOpen() || task.done || task.run != nil:
 		planner.stopRun(now, run, stopForTaskEnd, "the task has ended or runs elsewhere")
 		return run
 	case mayHaveLaterRun:
 		planner.stopRun(now, run, stopForLaterRun, "a later run may exist")
 		return run
+	default:
+		task.run = run
 	}
-	task.run = run
 	if task.isSuspect() {
 		run.onTrial, minion.trial = true, step
 	}
-	planner.markResolved(task)
+	if !mayHaveLaterRun { // the later run of a copied task may not have been found
+		planner.markResolved(task)
+	}
 	planner.emitDecision(report.Task.String(), "adopt", "found on a minion",
 		fmt.Sprintf("run=%d minion=%s percent=%d", report.Run, minion.report.Minion, report.ProgressPercent), 0)
 	return run
--- a/planner/profile.go
+++ b/planner/profile.go
@@ -13,6 +13,8 @@
 // workProfiler learns from the reports of runs how their minions carry out work.
 type workProfiler interface {
 	Observe(now time.Time, profile *profiler.Profile, run *profiler.Run, report profiler.Report)
+	// Lag returns the time that a run needs and that a copy of its task would need.
+	Lag(now time.Time, profile *profiler.Profile, run *profiler.Run, kind profiler.Kind, declared time.Duration, resumes bool) (profiler.Lag, bool)
 }
 
 // profiles are what the holder knows of how minions carry out work. Each life of a minion has its
@@ -48,13 +50,21 @@
 	}
 	isAway := spec.SameRack || (spec.DataRack != "" && spec.DataRack != minion.rack)
 	planner.profiles.profiler.Observe(now, &minion.profile, &run.profile, profiler.Report{
-		Kind:    profiler.Kind{Queue: run.job().spec.Queue, Step: run.step.number, Request: spec.Request, Gang: spec.Gang},
-		Percent: report.ProgressPercent, Declared: spec.EstimatedRunTime,
+		Kind: run.kind(), Percent: report.ProgressPercent, Declared: spec.EstimatedRunTime,
 		Siblings: minion.runsOfStep(run.step), IsOwnSpeed: !spec.Gang && !isAway && !now.Before(minion.coldUntil),
-		IsHeldBack: spec.Backfill && run.pacePercent < fullPercent,
+		IsHeldBack: run.isHeldBack(),
 	})
 }
 
+// kind returns the kind of work of the run.
+func (run *run) kind() profiler.Kind {
+	spec := run.step.spec
+	return profiler.Kind{Queue: run.job().spec.Queue, Step: run.step.number, Request: spec.Request, Gang: spec.Gang}
+}
+
+// isHeldBack reports whether the run has been ordered to work slowly.
+func (run *run) isHeldBack() bool { return run.step.spec.Backfill && run.pacePercent < fullPercent }
+
 func (minion *minion) runsOfStep(step *step) int {
 	count := 0
 	for _, run := range minion.runs {
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -38,7 +38,7 @@
 	}
 	planner.noteGangEnd(now, step, run, end)
 	planner.reportRunEnd(now, minion, run, end)
-	if end.Checkpoint != "" && !task.done {
+	if end.Checkpoint != "" && !task.done && !step.hasOtherRun(end.Task.Index, end.Run) {
 		planner.updateCheckpoint(step, end.Task.Index, end.Checkpoint)
 	}
 	planner.shareGangCheckpoint(step)
@@ -81,7 +81,7 @@
 	}
 	switch end.Kind {
 	case messenger.EndDone:
-		return end.Run != task.doneRun
+		return end.Run != task.doneRun && !planner.allowsCopies(step)
 	case messenger.EndFailed:
 		if step.spec.LongRunning {
 			return false
@@ -122,6 +122,7 @@
 		step.done++
 		planner.recording.markTaskDirty(step, index)
 		planner.noteMoveOutcome(step, index, number)
+		planner.stopOtherRuns(now, step, index, number)
 		if task.run != nil && index != id.Index && !step.spec.Gang {
 			planner.stopRun(now, task.run, stopForTaskEnd, "the task is done")
 		}
--- a/planner/stalledmove.go
+++ b/planner/stalledmove.go
@@ -45,6 +45,7 @@
 	}
 	profiles.nextMoveAt = now.Add(moveInterval)
 	planner.updateConditions(now)
+	planner.startCopies(now) // first, because a copy loses nothing
 	moves, stalledOn := planner.stalledMoves(now)
 	if len(moves) == 0 {
 		return
@@ -100,7 +101,7 @@
 			}
 			stalledOn[minion] = stalledOn[minion] || !run.step.spec.Gang
 			queue := planner.queue(run.job())
-			if queue == nil || !run.mayMoveForStall() || !stallOf(now, run).MovePays() {
+			if queue == nil || !run.mayMoveForStall(now) || !stallOf(now, run).MovePays() {
 				continue
 			}
 			known := byStep[run.step]
@@ -115,8 +116,8 @@
 }
 
 // mayMoveForStall reports whether the run, with its gang, may be stopped because it has stalled.
-func (run *run) mayMoveForStall() bool {
-	if run.step.hasMoved(run.id.Index) || run.step.hasSuspect() || run.onTrial {
+func (run *run) mayMoveForStall(now time.Time) bool {
+	if run.step.hasMoved(run.id.Index) || run.step.awaitsCopy(now, run.id.Index) || run.step.hasSuspect() || run.onTrial {
 		return false
 	}
 	return run.task().run == run && run.task().knownRuns == 1 && run.canMove()
--- a/planner/stalledmove_test.go
+++ b/planner/stalledmove_test.go
@@ -31,7 +31,9 @@
 	for index := range nodes {
 		simulation.nodes = append(simulation.nodes, simulation.newNode(fmt.Sprintf("n%d", index)))
 	}
-	simulation.makeHolder(simulation.nodes[0])
+	if nodes > 0 {
+		simulation.makeHolder(simulation.nodes[0])
+	}
 	return simulation
 }
 
--- a/profiler/profile.go
+++ b/profiler/profile.go
@@ -8,14 +8,15 @@
 const (
 	// slowFactor is the ratio to the usual speed below which a minion is slow.
 	slowFactor = 0.6
-	// speedDeviation is the standard deviation of the logarithm of a run's speed. Declared run
-	// times are off by a factor of up to 2 to 3.
-	speedDeviation = 0.6
-	// certainty is the number of standard errors by which a speed must be below slowFactor.
-	certainty = 1.0
+	// speedUncertainty is the uncertainty of the logarithm of one run's speed. Declared run times are
+	// off by a factor of up to 2 to 3. That of the mean falls with the number of runs.
+	speedUncertainty = 0.9
 	// maxSpeedFactor bounds what one run says, so that a single one does not decide: 3 of 100 run
 	// 7 times as long as declared.
-	maxSpeedFactor = 2.8
+	maxSpeedFactor = 4
+	// maxSpeedWeight and maxEndsWeight are the numbers of runs after which earlier ones count little.
+	maxSpeedWeight = 3
+	maxEndsWeight  = 8
 
 	// minStalledTime is the time without progress, in all runs, from which on a minion is
 	// stalling, and maxStalledTime the most that counts. A minion that gets no work after it
@@ -46,7 +47,7 @@
 	if failed {
 		value = 1
 	}
-	profile.ends.add(now, value, 1)
+	profile.ends.addBounded(now, value, 1, maxEndsWeight)
 }
 
 func (profile *Profile) addStalled(now time.Time, span time.Duration) {
@@ -91,7 +92,7 @@
 // minion is slow, 1 otherwise.
 func (profile *Profile) SpeedFactor(now time.Time) float64 {
 	mean, weight := profile.speed.mean(now)
-	if weight <= 0 || mean+certainty*speedDeviation/math.Sqrt(weight) >= math.Log(slowFactor) {
+	if weight <= 0 || mean+speedUncertainty/weight >= math.Log(slowFactor) {
 		return 1
 	}
 	return math.Exp(mean)
--- a/profiler/profiler.go
+++ b/profiler/profiler.go
@@ -99,6 +99,17 @@
 	average.updatedAt = now
 }
 
+// addBounded adds a value and keeps the weight within a limit, so that new observations soon displace
+// those from before the minion changed.
+func (average *average) addBounded(now time.Time, value, weight, limit float64) {
+	average.decay(now)
+	if rest := max(limit-weight, 0); average.weight > rest {
+		average.sum *= rest / average.weight
+		average.weight = rest
+	}
+	average.add(now, value, weight)
+}
+
 // mean returns the mean and its weight.
 func (average average) mean(now time.Time) (mean, weight float64) {
 	average.decay(now)
--- a/profiler/run.go
+++ b/profiler/run.go
@@ -22,6 +22,9 @@
 	// fullWeightTime is the working time after which a run has its full weight in the speed of
 	// its minion.
 	fullWeightTime = 3 * time.Second
+	// minSpeedChange is the change of the logarithm of a run's speed that is no inaccuracy of the
+	// progress in percent.
+	minSpeedChange = 0.5
 )
 
 // Report is what a poll shows of a run.
@@ -50,8 +53,11 @@
 	firstAt      time.Time
 	// stalledUntil is up to when the time without progress counts against the minion.
 	stalledUntil time.Time
-	// weight is that of the run in the speed of its minion.
-	weight float64
+	// sample is the progress from which on the speed is measured next.
+	sample sample
+	// weight is that of the run in the speed of its minion, up to 1. logSpeed is the logarithm of its
+	// speed in that time, and ratio the difference to the usual one.
+	weight, logSpeed, ratio float64
 	// hasStalled means that the run has made no progress for too long.
 	hasStalled bool
 }
@@ -65,6 +71,7 @@
 	case report.IsHeldBack:
 		run.percent, run.changedAt, run.stalledUntil, run.hasStalled = report.Percent, now, now, false
 		run.firstPercent, run.firstAt = report.Percent, now
+		run.sample = sample{report.Percent, now}
 	case report.Percent != run.percent:
 		run.advance(now, profile, usual, report)
 	default:
@@ -75,40 +82,61 @@
 
 // advance applies progress. That of a run which had stalled shows that its minion works again.
 func (run *Run) advance(now time.Time, profile *Profile, usual *average, report Report) {
-	span, done := now.Sub(run.changedAt), max(report.Percent-run.percent, 0)
 	if run.hasStalled {
 		profile.stalled = average{}
 	} else {
-		profile.addWorking(now, span)
+		profile.addWorking(now, now.Sub(run.changedAt))
 	}
-	if run.firstAt.IsZero() || run.hasStalled { // the time up to here says little about its speed
+	if run.firstAt.IsZero() || run.hasStalled || report.Percent < run.sample.percent { // the time up to here says little about its speed
 		run.firstPercent, run.firstAt = report.Percent, now
-	} else if (report.IsOwnSpeed || report.Kind.Gang) && report.Declared > 0 && span > 0 && done > 0 {
-		speed := float64(report.Declared) * float64(done) / fullPercent / float64(span)
-		run.addSpeed(now, profile, usual, observation{math.Log(speed), span, max(report.Siblings, 1), report.IsOwnSpeed})
+		run.sample = sample{report.Percent, now}
+	} else if done, span := report.Percent-run.sample.percent, now.Sub(run.sample.at); done >= minOwnPercent && span > 0 {
+		run.sample = sample{report.Percent, now}
+		if (report.IsOwnSpeed || report.Kind.Gang) && report.Declared > 0 {
+			logSpeed := math.Log(report.Declared.Seconds() * float64(done) / fullPercent / span.Seconds())
+			run.addSpeed(now, profile, usual, observation{logSpeed, span, report})
+		}
 	}
 	run.percent, run.changedAt, run.stalledUntil, run.hasStalled = report.Percent, now, now, false
 }
 
+// sample is the progress at a time.
+type sample struct {
+	percent int
+	at      time.Time
+}
+
 // observation is the logarithm of a speed, in seconds of declared work a second, over a span.
 type observation struct {
-	logSpeed   float64
-	span       time.Duration
-	siblings   int
-	isOwnSpeed bool
+	logSpeed float64
+	span     time.Duration
+	report   Report
 }
 
+// addSpeed adds an observation. The first ones are compared with the usual speed. Declared run times
+// are rough, so that all of them weigh no more than one run; later ones count only if they show that
+// the run has become slower or faster than it was.
 func (run *Run) addSpeed(now time.Time, profile *Profile, usual *average, observed observation) {
-	weight := min(observed.span.Seconds()/fullWeightTime.Seconds(), 1-run.weight)
-	if weight <= 0 {
+	weight := observed.span.Seconds() / fullWeightTime.Seconds()
+	value := run.ratio + observed.logSpeed - run.logSpeed
+	if run.weight < 1 {
+		mean, known := usual.mean(now)
+		weight = min(weight, 1-run.weight)
+		run.logSpeed = (run.logSpeed*run.weight + observed.logSpeed*weight) / (run.weight + weight)
+		run.weight += weight
+		usual.add(now, observed.logSpeed, weight)
+		if known <= 0 {
+			return
+		}
+		value = observed.logSpeed - mean
+		run.ratio = run.logSpeed - mean
+	} else if math.Abs(observed.logSpeed-run.logSpeed) < minSpeedChange {
 		return
 	}
-	run.weight += weight
-	if mean, known := usual.mean(now); known > 0 && observed.isOwnSpeed {
+	if observed.report.IsOwnSpeed {
 		limit := math.Log(maxSpeedFactor)
-		profile.speed.add(now, max(-limit, min(observed.logSpeed-mean, limit)), weight/float64(observed.siblings))
+		profile.speed.addBounded(now, max(-limit, min(value, limit)), weight/float64(max(observed.report.Siblings, 1)), maxSpeedWeight)
 	}
-	usual.add(now, observed.logSpeed, weight)
 }
 
 func (run *Run) checkStall(now time.Time, profile *Profile, usual *average, report Report) {
