Expect runs on slow minions to end later

Cause: reservations and stops count on the declared run time of a run whose speed is not measured yet, also on a minion that is known to be slow, and on the end of a run that makes no progress.

Change: with -minion-profiles the declared run time is divided by the speed of the minion, the end of a stalled run is unknown to stops, and reservations expect it to stall for as long again.

--- a/planner/forecast.go
+++ b/planner/forecast.go
@@ -80,7 +80,7 @@
 // stopTimeout at most.
 func (run *run) known(stopTimeout time.Duration) forecaster.Run {
 	return forecaster.Run{
-		StartedAt: run.startedAt, RunTime: run.step.spec.EstimatedRunTime, IsLongRunning: run.step.spec.LongRunning, IsAdopted: run.isAdopted,
+		StartedAt: run.startedAt, RunTime: run.minion.timeFor(run.step.spec.EstimatedRunTime), IsLongRunning: run.step.spec.LongRunning, IsAdopted: run.isAdopted,
 		IsStopping: run.state == stopping, StopsBy: run.stopOrderedAt.Add(stopTimeout),
 		Percent: run.progressPercent, ProgressAt: run.progressAt,
 		IsObserved: run.work.isObserved, FirstPercent: run.work.firstPercent, FirstAt: run.work.firstAt,
@@ -95,7 +95,11 @@
 
 // likelyEnd returns when a run is likely to end.
 func (planner *Planner) likelyEnd(now time.Time, run *run) time.Time {
-	return run.known(planner.bounds.StopTimeout).LikelyEnd(now)
+	end := run.known(planner.bounds.StopTimeout).LikelyEnd(now)
+	if run.state == stopping {
+		return end
+	}
+	return end.Add(run.profile.StalledFor()) // it is expected to make no progress for as long again
 }
 
 // likelyEndOf returns when the last of the runs is likely to end.
@@ -108,12 +112,12 @@
 }
 
 // expectedEndOf returns when the last of the runs is expected to end by their progress, the zero
-// time if it is not known of one.
+// time if it is not known of one, or if one makes no progress.
 func expectedEndOf(runs []*run) time.Time {
 	var last time.Time
 	for _, run := range runs {
 		end := run.known(0).EndByProgress()
-		if end.IsZero() {
+		if end.IsZero() || run.profile.HasStalled() {
 			return time.Time{}
 		}
 		last = latest(last, end)
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -88,6 +88,8 @@
 	profile   profiler.Profile
 	condition profiler.Condition
 	isAvoided bool
+	// speedFactor is the minion's speed as a ratio to the usual one, zero before the first check.
+	speedFactor float64
 	// closedForMaintenance means that no run is started on the minion because its
 	// VM awaits maintenance.
 	closedForMaintenance bool
--- a/planner/profile.go
+++ b/planner/profile.go
@@ -65,6 +65,14 @@
 // isHeldBack reports whether the run has been ordered to work slowly.
 func (run *run) isHeldBack() bool { return run.step.spec.Backfill && run.pacePercent < fullPercent }
 
+// timeFor returns the time that work with a declared run time needs on the minion.
+func (minion *minion) timeFor(declared time.Duration) time.Duration {
+	if minion.speedFactor <= 0 {
+		return declared
+	}
+	return time.Duration(float64(declared) / minion.speedFactor)
+}
+
 func (minion *minion) runsOfStep(step *step) int {
 	count := 0
 	for _, run := range minion.runs {
@@ -94,6 +102,7 @@
 				fmt.Sprintf("before=%s runs=%d speed=%.2f", minion.condition, len(minion.runs), minion.profile.SpeedFactor(now)), 0)
 			minion.condition = condition
 		}
+		minion.speedFactor = minion.profile.SpeedFactor(now)
 		profiles.counts[condition]++
 		minions[minion.report.Service]++
 		if condition == profiler.Stalling {
