--- a/planner/planner.go
+++ b/planner/planner.go
@@ -153,6 +153,7 @@
 	planner.saveLeaving(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
+		planner.updateConditions(now)
 		planner.runPass(now)
 		planner.moveEvacuatedRuns(now)
 		planner.moveStalledRuns(now)
--- a/planner/profile.go
+++ b/planner/profile.go
@@ -24,6 +24,8 @@
 	profiler workProfiler
 	// counts are the numbers of minions by condition, as of the last check.
 	counts [profiler.Conditions]int
+	// nextCheckAt is when the minions are next judged.
+	nextCheckAt time.Time
 	// nextMoveAt is when runs that should continue elsewhere are next searched for.
 	nextMoveAt time.Time
 	// lines counts the log lines since linesSince.
@@ -35,6 +37,9 @@
 // waiting steps.
 const maxProfileLines = 12
 
+// conditionInterval is the time between two judgements of the minions.
+const conditionInterval = 250 * time.Millisecond
+
 func newProfiles(features Features) profiles {
 	if !features.MinionProfiles {
 		return profiles{}
@@ -90,9 +95,13 @@
 	}
 }
 
-// updateConditions judges all minions.
+// updateConditions judges all minions when that is due.
 func (planner *Planner) updateConditions(now time.Time) {
 	profiles := &planner.profiles
+	if profiles.profiler == nil || now.Before(profiles.nextCheckAt) {
+		return
+	}
+	profiles.nextCheckAt = now.Add(conditionInterval)
 	profiles.counts = [profiler.Conditions]int{}
 	minions, stalling := make(map[identifier.Service]int), make(map[identifier.Service]int)
 	for _, minion := range planner.sortedMinions() {
--- a/planner/profileproperty_test.go
+++ b/planner/profileproperty_test.go
@@ -64,7 +64,7 @@
 		job := jobOf(fmt.Sprintf("r%02d", number), specifier.Step{
 			Tasks: rapid.IntRange(1, 8).Draw(t, "redundant-tasks"), Request: taskOf(1000, 1), Redundant: true,
 			EstimatedRunTime: drawMilliseconds(t, "redundant-time", 4000, 12000), Checkpoints: rapid.Bool().Draw(t, "redundant-checkpoints"),
-			MaxPerMinion: rapid.IntRange(0, 2).Draw(t, "redundant-per-minion"),
+			MaxPerMinion: rapid.IntRange(0, 2).Draw(t, "redundant-per-minion"), Gang: rapid.IntRange(0, 4).Draw(t, "redundant-gang") == 4,
 		})
 		simulation.schedule(drawMilliseconds(t, "redundant-at", 0, 2000), func() { simulation.submit(job) })
 	}
--- a/planner/simulationchecks_test.go
+++ b/planner/simulationchecks_test.go
@@ -36,7 +36,8 @@
 
 // allowsCopies reports whether two runs of a task may exist at the same time.
 func (simulation *simulation) allowsCopies(task specifier.Task) bool {
-	return simulation.features.MinionProfiles && simulation.jobs[task.Job].Steps[task.Step].Redundant
+	spec := &simulation.jobs[task.Job].Steps[task.Step]
+	return simulation.features.MinionProfiles && spec.Redundant && !spec.Gang
 }
 
 // copiesAllowed returns how many runs a task may have when another one starts.
@@ -47,6 +48,14 @@
 	return 0
 }
 
+// isRecorded reports whether the progress has the number of a run after the first of its task.
+func (simulation *simulation) isRecorded(run *fakeRun) bool {
+	restart := specifier.TaskRestart{Occurrence: run.task.Occurrence, Step: run.task.Step, Index: run.task.Index, LatestRun: run.number}
+	return slices.ContainsFunc(simulation.progress, func(record messenger.Progressed) bool {
+		return record.Job == run.task.Job && slices.Contains(record.Progress.Restarts, restart)
+	})
+}
+
 // checkStart checks the guarantees for each start. The bound after a
 // cancellation applies to the time of the order, because a minion may execute
 // it late.
@@ -58,6 +67,9 @@
 	if len(taskState.running) > simulation.copiesAllowed(run.task) {
 		simulation.reportViolation("%s: run %d starts while another runs", run.task, run.number)
 	}
+	if len(taskState.running) > 0 && !simulation.isRecorded(run) {
+		simulation.reportViolation("%s: the journal does not have run %d, which starts while another runs", run.task, run.number)
+	}
 	if taskState.endRecorded && !simulation.allowsCopies(run.task) {
 		simulation.reportViolation("%s: run %d starts after a recorded end", run.task, run.number)
 	}
--- a/planner/stalledmove.go
+++ b/planner/stalledmove.go
@@ -33,7 +33,7 @@
 // hasMoved reports whether the run of a task was moved before.
 func (step *step) hasMoved(index int) bool { return step.moved != nil && step.moved.stopped[index] > 0 }
 
-// moveStalledRuns judges the minions and moves the runs that have stalled.
+// moveStalledRuns moves the runs that have stalled, and copies the tasks that lag behind.
 func (planner *Planner) moveStalledRuns(now time.Time) {
 	profiles := &planner.profiles
 	if profiles.profiler == nil || now.Before(profiles.nextMoveAt) {
@@ -44,7 +44,6 @@
 		return // steps that wait come first
 	}
 	profiles.nextMoveAt = now.Add(moveInterval)
-	planner.updateConditions(now)
 	planner.startCopies(now) // first, because a copy loses nothing
 	moves, stalledOn := planner.stalledMoves(now)
 	if len(moves) == 0 {
--- a/planner/stalledmove_test.go
+++ b/planner/stalledmove_test.go
@@ -135,8 +135,8 @@
 	simulation := newProfilingSimulation(1, 1, 8)
 	simulation.submit(jobOf("others", specifier.Step{Tasks: 8, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, MaxPerMinion: 1}))
 	simulation.submit(jobOf("a", runsOneByOne(1)))
-	for range 30 {
-		simulation.advance(2 * time.Second)
+	for range 15 {
+		simulation.advance(4 * time.Second)
 		if minion := simulation.minionOf(specifier.Task{Job: "a"}); minion != nil {
 			simulation.speeds.set(minion, 0)
 		}
--- a/planner/unevenload_test.go
+++ b/planner/unevenload_test.go
@@ -56,7 +56,7 @@
 
 // newUnevenRun returns a load of the three kinds while minions are faulty in turn. The load and
 // the faults are the same with and without the rule.
-func newUnevenRun(seed uint64, fault unevenFault, profiles bool) *loadRun {
+func newUnevenRun(seed uint64, load float64, fault unevenFault, profiles bool) *loadRun {
 	run := &loadRun{simulation: newSimulation(seed, 0, unevenMinions), firstStarts: make(map[specifier.Task]time.Time)}
 	run.features = planner.Features{MinionProfiles: profiles, LossAwareStops: true}
 	run.speeds = newFakeSpeeds(run.simulation)
@@ -66,7 +66,7 @@
 	run.makeHolder(run.nodes[0])
 	random := rand.New(rand.NewPCG(seed, 3))
 	for index := range loadKinds {
-		run.scheduleKind(&loadKinds[index], random)
+		run.scheduleKind(&loadKinds[index], load, random)
 	}
 	minions := run.sortedMinions()
 	for at := 10 * time.Second; at < unevenSpan-unevenFaultTime; at += unevenFaultTime {
@@ -79,8 +79,8 @@
 }
 
 // scheduleKind submits the jobs of a kind at drawn times.
-func (loadRun *loadRun) scheduleKind(kind *loadKind, random *rand.Rand) {
-	interval := float64(time.Second) / (kind.jobsPerMinion * unevenMinions * unevenLoad)
+func (loadRun *loadRun) scheduleKind(kind *loadKind, load float64, random *rand.Rand) {
+	interval := float64(time.Second) / (kind.jobsPerMinion * unevenMinions * load)
 	for at, number := time.Duration(0), 0; at < unevenSpan; number++ {
 		job := specifier.Job{
 			ID: identifier.Job(fmt.Sprintf("%s%04d", kind.name, number)), Queue: kind.queue,
@@ -122,7 +122,7 @@
 	return hash
 }
 
-// unevenResult is what the jobs of all kinds got.
+// unevenResult is the share of jobs on time, by kind and of all.
 type unevenResult struct {
 	onTime map[string]float64
 	total  float64
@@ -130,22 +130,26 @@
 
 func playUneven(t *testing.T, seed uint64, fault unevenFault, profiles bool) unevenResult {
 	t.Helper()
-	run := newUnevenRun(seed, fault, profiles)
+	run := newUnevenRun(seed, unevenLoad, fault, profiles)
 	run.play(unevenSpan + 20*time.Second)
 	if len(run.violations) > 0 {
 		t.Fatalf("%s, seed %d: %v", fault.name, seed, run.violations)
 	}
-	result := unevenResult{onTime: make(map[string]float64)}
-	jobs := 0
+	result := run.unevenResult()
+	t.Logf("%s, seed %d, profiles %t: on time %.3f (large %.3f, small %.3f, wide %.3f); lost %.0f core-seconds; %v %v", fault.name, seed, profiles,
+		result.total, result.onTime["large"], result.onTime["small"], result.onTime["wide"], run.lostCoreSeconds, run.countsOf("copies "), run.countsOf("moves "))
+	return result
+}
+
+func (loadRun *loadRun) unevenResult() unevenResult {
+	result, jobs := unevenResult{onTime: make(map[string]float64)}, 0
 	for _, kind := range loadKinds {
-		got := run.result(kind.name)
+		got := loadRun.result(kind.name)
 		result.onTime[kind.name] = got.onTime
 		result.total += got.onTime * float64(got.jobs)
 		jobs += got.jobs
 	}
 	result.total /= float64(jobs)
-	t.Logf("%s, seed %d, profiles %t: on time %.3f (large %.3f, small %.3f, wide %.3f) of %d; lost %.0f core-seconds; %v", fault.name, seed, profiles,
-		result.total, result.onTime["large"], result.onTime["small"], result.onTime["wide"], jobs, run.lostCoreSeconds, run.counts)
 	return result
 }
 
--- a/profiler/profiler_test.go
+++ b/profiler/profiler_test.go
@@ -120,6 +120,24 @@
 	c.Assert(fleet.minions[0].run.HasStalled(), quicktest.IsFalse)
 }
 
+// TestShortPauseIsNoStall guards against a run that counts as stalled between two polls, or because its
+// percents take long.
+func TestShortPauseIsNoStall(t *testing.T) {
+	c := quicktest.New(t)
+	for _, pause := range []struct {
+		speed       float64
+		short, long time.Duration
+	}{{1, 2 * time.Second, 4 * time.Second}, {0.05, 12 * time.Second, 20 * time.Second}} {
+		fleet := newFleet(pause.speed, 1)
+		fleet.advance(time.Duration(0.55 / pause.speed * float64(declared)))
+		fleet.minions[0].speed = 0
+		fleet.advance(pause.short)
+		c.Assert(fleet.minions[0].run.HasStalled(), quicktest.IsFalse)
+		fleet.advance(pause.long - pause.short)
+		c.Assert(fleet.minions[0].run.HasStalled(), quicktest.IsTrue)
+	}
+}
+
 // TestStallWithoutRunsIsForgotten guards against a minion that gets no work and counts as stalling
 // for ever.
 func TestStallWithoutRunsIsForgotten(t *testing.T) {
