--- a/planner/choose.go
+++ b/planner/choose.go
@@ -84,6 +84,9 @@
 	if minion.isExpiring() {
 		limit = min(limit, minion.expiringRunLimit(step))
 	}
+	if !minion.probedAt.IsZero() {
+		limit = min(limit, minion.probeLimit(step))
+	}
 	return limit
 }
 
@@ -166,11 +169,13 @@
 	mixedLoad
 	outsideDataRack
 	slowAfterStart
+	halfOpen
 	stalledBefore
 )
 
 // assignTasks returns a minion for each task, up to the first task that does
-// not fit. Minions on which runs make progress come first, then those that are not cold, then those near the data, then
+// not fit. Minions on which runs make progress come first, then those that are
+// not half-open, then those that are not cold, then those near the data, then
 // those without a mix of serving and backfill tasks, then those with a ticket,
 // then those with the least capacity left, on the racks that are used most.
 func (planner *Planner) assignTasks(step *step, indexes []int, pool *pool, available []*minion) []*minion {
@@ -225,6 +230,9 @@
 		if minion.isAvoided || step.hasStalledOn(minion) {
 			penalty |= stalledBefore
 		}
+		if !minion.probedAt.IsZero() {
+			penalty |= halfOpen
+		}
 		if step.mixesLoad(minion) {
 			penalty |= mixedLoad
 		}
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -26,7 +26,8 @@
 	GangReservations bool
 	// LossAwareStops chooses the runs to be stopped by the work that is lost.
 	LossAwareStops bool
-	// MinionProfiles moves runs without progress, and starts copies of tasks that lag behind.
+	// MinionProfiles uses what minions did with earlier runs: which get new work, which runs move and
+	// which tasks are copied.
 	MinionProfiles bool
 }
 
