--- a/messenger/command.go
+++ b/messenger/command.go
@@ -43,9 +43,11 @@
 	Moves
 	// Copies counts the copies of tasks that lagged behind, and what became of them.
 	Copies
+	// EarlyRefusals counts the submissions that were refused by the expected wait, by queue.
+	EarlyRefusals
 )
 
-// Count increments a counter. Reason is its label, in kebab case.
+// Count increments a counter. Reason is its label: a reason in kebab case, or a queue.
 type Count struct {
 	Counter Counter
 	Reason  string
--- a/planner/unevenload_test.go
+++ b/planner/unevenload_test.go
@@ -102,19 +102,19 @@
 // of 100 jobs, and a fifth more or less for each task. All runs of a task need the same time.
 func (loadRun *loadRun) noteRoughStart(run *fakeRun) time.Duration {
 	loadRun.noteStart(run)
-	ofJob := rand.New(rand.NewPCG(1, hashOf(run.task)))
+	ofJob := rand.New(rand.NewPCG(1, hashOfJob(run.task)))
 	factor := 0.6 + 0.8*ofJob.Float64()
 	if ofJob.IntN(100) < 3 {
 		factor = 7
 	}
 	if !run.spec.Gang {
-		factor *= 0.8 + 0.4*rand.New(rand.NewPCG(uint64(run.task.Index), hashOf(run.task))).Float64()
+		factor *= 0.8 + 0.4*rand.New(rand.NewPCG(uint64(run.task.Index), hashOfJob(run.task))).Float64()
 	}
 	return time.Duration(factor * float64(run.spec.EstimatedRunTime))
 }
 
-// hashOf returns a number that is the same for all tasks of a job.
-func hashOf(task specifier.Task) uint64 {
+// hashOfJob returns a number that is the same for all tasks of a job.
+func hashOfJob(task specifier.Task) uint64 {
 	hash := uint64(14695981039346656037)
 	for _, char := range []byte(task.Job) {
 		hash = (hash ^ uint64(char)) * 1099511628211
