Merge minion profiles: moves of stalled runs and copies of slow tasks

Cause: a task on a minion whose tasks stall, or that has become slow, was late until the minion recovered.

--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -53,7 +53,7 @@
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
 	flags.BoolVar(&features.UrgentHeadroom, "urgent-headroom", false, "keep capacity free for urgent jobs while capacity is short")
 	flags.BoolVar(&features.EarlyRefusals, "early-refusals", false, "refuse jobs whose expected wait is so long that they earn nothing")
-	flags.BoolVar(&features.MinionProfiles, "minion-profiles", false, "use what minions did with earlier runs")
+	flags.BoolVar(&features.MinionProfiles, "minion-profiles", false, "use what minions did with earlier runs: probe, move and copy")
 }
 
 // Execute implements subcommands.Command.
--- a/planner/job.go
+++ b/planner/job.go
@@ -102,6 +102,10 @@
 	isLikelyCause bool
 	// breakage is why the newest run of a gang that broke did so.
 	breakage breakage
+	// moved are the tasks whose runs were moved because they had stalled, nil if there are none.
+	moved *movedTasks
+	// copies are the copies of tasks that lagged behind, by the index of the task.
+	copies map[int]*taskCopy
 	// isUrgent means that the priority of the queue was 0 when the step last waited.
 	isUrgent bool
 }
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -28,7 +28,8 @@
 	LossAwareStops bool
 	// EarlyRefusals publishes the expected waits of the queues, by which entry VMs refuse jobs.
 	EarlyRefusals bool
-	// MinionProfiles uses what minions did with earlier runs.
+	// MinionProfiles uses what minions did with earlier runs: which get new work, which runs move and
+	// which tasks are copied.
 	MinionProfiles bool
 	// UrgentHeadroom keeps capacity free for urgent jobs while capacity is short.
 	UrgentHeadroom bool
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -65,6 +65,7 @@
 	reservations     reservations
 	gangReservations gangReservations
 	aging            aging
+	profiles         profiles
 	evacuations      *evacuations
 	adviceRequest    adviceRequest
 	maintenance      maintenance
@@ -97,7 +98,7 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), profiles: newProfiles(features),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
@@ -160,8 +161,10 @@
 	planner.saveLeaving(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
+		planner.updateConditions(now)
 		planner.runPass(now)
 		planner.moveEvacuatedRuns(now)
+		planner.moveStalledRuns(now)
 	} else {
 		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
@@ -320,7 +323,7 @@
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
 	}
-	gauges := planner.waitingGauges(now)
+	gauges := append(planner.waitingGauges(now), planner.profileGauges()...)
 	if planner.queueWaits != nil {
 		gauges = append(gauges, planner.queueWaits.starts.gauges()...)
 	}
