--- a/accountant/rule.go
+++ b/accountant/rule.go
@@ -17,6 +17,7 @@
 	StopForBrokenGang
 	StopForAbandonedStart
 	StopForEvacuation // its failure domain is evacuated
+	StopForStall      // it makes no progress
 	rules             // the number of rules
 )
 
@@ -24,7 +25,7 @@
 func (rule Rule) String() string {
 	return [rules]string{
 		"drain", "maintenance", "preemption", "lease-expiry", "minion-restart", "job-end", "task-end", "later-run",
-		"incomplete-gang", "broken-gang", "abandoned-start", "evacuation",
+		"incomplete-gang", "broken-gang", "abandoned-start", "evacuation", "stall",
 	}[rule]
 }
 
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -66,6 +66,7 @@
 	reservations     reservations
 	gangReservations gangReservations
 	aging            aging
+	profiles         profiles
 	evacuations      *evacuations
 	adviceRequest    adviceRequest
 	maintenance      maintenance
@@ -98,7 +99,7 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), profiles: newProfiles(features),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
@@ -161,8 +162,10 @@
 	planner.saveLeaving(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
+		planner.updateConditions(now)
 		planner.runPass(now)
 		planner.moveEvacuatedRuns(now)
+		planner.moveStalledRuns(now)
 	} else {
 		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
--- a/planner/run.go
+++ b/planner/run.go
@@ -9,6 +9,7 @@
 	"corianderroad/accountant"
 	"corianderroad/classifier"
 	"corianderroad/messenger"
+	"corianderroad/profiler"
 	"corianderroad/specifier"
 )
 
@@ -63,6 +64,7 @@
 	progressPercent int
 	progressAt      time.Time
 	work            runWork
+	profile         profiler.Run
 	checkpoint      string
 	load            float64
 	// pacePercent is the share of its speed at which the run works, set at
@@ -313,6 +315,7 @@
 	if task.run == run {
 		task.run = nil
 	}
+	planner.releaseCopy(run)
 	planner.passNeeded = true
 	if !run.step.spec.Gang || run.step.isComplete() {
 		return
--- a/planner/status.go
+++ b/planner/status.go
@@ -16,7 +16,7 @@
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
 	}
-	gauges := planner.waitingGauges(now)
+	gauges := append(planner.waitingGauges(now), planner.profileGauges()...)
 	if planner.queueWaits != nil {
 		gauges = append(gauges, planner.queueWaits.starts.gauges()...)
 	}
