--- a/cmd/soak/stager/node.go
+++ b/cmd/soak/stager/node.go
@@ -19,8 +19,9 @@
 // Node is an entry VM: a process that is restarted whenever it ends.
 type Node struct {
 	Name string
-	// ClientAddress serves the calls of clients, ReadinessAddress the health checks.
-	ClientAddress, ReadinessAddress netip.AddrPort
+	// ClientAddress serves the calls of clients, ReadinessAddress the health checks, and
+	// MetricsAddress the queries of operators.
+	ClientAddress, ReadinessAddress, MetricsAddress netip.AddrPort
 	// StoreProxy is the proxy between the node and the store.
 	StoreProxy *toxiproxy.Proxy
 
@@ -31,9 +32,10 @@
 	mutex   sync.Mutex
 	process *os.Process
 	closed  bool
-	// disturbedAt is when the process was last sent a signal other than SIGHUP.
+	// disturbedAt is when the process was last sent a signal other than SIGHUP, and other than
+	// SIGTERM while it was stopping.
 	disturbedAt time.Time
-	// stoppingSince is when the process was sent SIGTERM, zero if it was not.
+	// stoppingSince is when the process was first sent SIGTERM, zero if it was not.
 	stoppingSince time.Time
 	ended         chan struct{}
 }
@@ -52,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	node.ClientAddress, node.ReadinessAddress = addresses[0], addresses[1]
+	node.ClientAddress, node.ReadinessAddress, node.MetricsAddress = addresses[0], addresses[1], addresses[2]
 	if node.settings, err = deployment.writeSettings(node.Name, addresses, proxy.Listen); err != nil {
 		return nil, err
 	}
@@ -119,10 +121,11 @@
 	if node.process == nil {
 		return
 	}
-	if signal != syscall.SIGHUP {
+	isRepeatedStop := signal == syscall.SIGTERM && !node.stoppingSince.IsZero()
+	if signal != syscall.SIGHUP && !isRepeatedStop {
 		node.disturbedAt = time.Now()
 	}
-	if signal == syscall.SIGTERM {
+	if signal == syscall.SIGTERM && !isRepeatedStop {
 		node.stoppingSince = node.disturbedAt
 	}
 	if err := node.process.Signal(signal); err != nil {
--- a/cmd/soak/stager/stager.go
+++ b/cmd/soak/stager/stager.go
@@ -138,7 +138,8 @@
 func (deployment *Deployment) register(minion *Minion) {
 	address := netip.MustParseAddrPort(minion.Proxy.Listen)
 	rack := fmt.Sprintf("r-%d", minion.index/minionsPerRack)
-	deployment.Store.Write("keyed.servers", minion.incarnation.Name, minion.incarnation.Report(service, rack, address))
+	deployment.Checker.Registered(minion.incarnation.Name, minion.domain())
+	deployment.Store.Write("keyed.servers", minion.incarnation.Name, minion.incarnation.Report(service, string(minion.domain()), rack, address))
 }
 
 // Crash ends a minion's incarnation and begins another after the given time. It has
@@ -164,9 +165,7 @@
 		minion.mutex.Lock()
 		defer minion.mutex.Unlock()
 		minion.incarnation, minion.down = deployment.pool.NewMinion(minion.name(), minion.clockRate()), false
-		if err := minion.Proxy.Update(&toxiproxy.Proxy{
-			Listen: minion.Proxy.Listen, Upstream: minion.incarnation.Listener.Addr().String(), Enabled: true,
-		}); err != nil {
+		if err := redirect(minion.Proxy, minion.incarnation.Address()); err != nil {
 			deployment.Checker.ReportViolation("the soak test could not restart a minion: %v", err)
 			return
 		}
@@ -174,6 +173,26 @@
 	})
 }
 
+// A restart of a proxy is tried again every restartInterval, up to maxRestarts times.
+const (
+	restartInterval = 10 * time.Millisecond
+	maxRestarts     = 200
+)
+
+// redirect restarts a proxy with another upstream on the same address. A process that was just
+// forked has a copy of the listening socket until it executes its program, so that the address may
+// still be in use. syscall.ForkLock does not help: the lock is free some time before the copy is
+// closed.
+func redirect(proxy *toxiproxy.Proxy, upstream netip.AddrPort) error {
+	restarted := &toxiproxy.Proxy{Listen: proxy.Listen, Upstream: upstream.String(), Enabled: true}
+	err := proxy.Update(restarted)
+	for tries := 1; tries < maxRestarts && errors.Is(err, syscall.EADDRINUSE); tries++ {
+		time.Sleep(restartInterval)
+		err = proxy.Update(restarted)
+	}
+	return err
+}
+
 // Downtime of a minion that a task has crashed.
 const (
 	minCrashDowntime  = 1500 * time.Millisecond
@@ -301,13 +320,14 @@
 // writeSettings writes the settings file of a node.
 func (deployment *Deployment) writeSettings(name string, addresses []netip.AddrPort, store string) (string, error) {
 	settings := map[string]any{
-		"nodeName": name, "zone": "a", "region": "r",
+		"nodeName": name, "zone": nodeDomain, "region": region, "zones": deployment.zones(),
 		"listen":    map[string]string{"front": addresses[0].String(), "readiness": addresses[1].String()},
 		"portRange": []uint16{addresses[2].Port(), addresses[2].Port()},
 		"limits":    map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": 256},
 		"bounds": map[string]any{
 			"graceS": 6, "revokeMs": checker.RevokeBound.Milliseconds(), "maxHoldMs": imitator.MaxLease.Milliseconds(),
 			"stopTimeoutMs": 200, "status_s": 600, "reclaimMs": 3000,
+			"evacuateMs": checker.EvacuationTime.Milliseconds(),
 		},
 		"platform": map[string]string{"address": store},
 	}
--- a/planner/copyrun.go
+++ b/planner/copyrun.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 )
 
@@ -67,10 +68,10 @@
 		copied.count(planner, outcome)
 	}
 	if run := step.tasks[index].run; run != nil && run.number != number {
-		planner.stopRun(now, run, stopForTaskEnd, "another run of the task is done")
+		planner.stopRun(now, run, accountant.StopForTaskEnd, "another run of the task is done")
 	}
 	if copied != nil && copied.run != nil && copied.run.number != number {
-		planner.stopRun(now, copied.run, stopForTaskEnd, "another run of the task is done")
+		planner.stopRun(now, copied.run, accountant.StopForTaskEnd, "another run of the task is done")
 	}
 }
 
--- a/planner/departure.go
+++ b/planner/departure.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/evictor"
 )
 
@@ -58,7 +59,7 @@
 // markLeftRunsLost marks the runs of a minion that has left as lost.
 func (planner *Planner) markLeftRunsLost(now time.Time, minion *minion) {
 	for _, run := range minion.sortedRuns() {
-		planner.markRunLost(now, run, endMinionGone, "its minion has left as announced")
+		planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has left as announced")
 		minion.lostRuns = append(minion.lostRuns, run)
 	}
 }
@@ -87,7 +88,7 @@
 		reason := fmt.Sprintf("its minion leaves in %s, its work needs %s, value %.0f core-seconds",
 			leaver.LeavesAt.Sub(now).Truncate(time.Millisecond), leaver.EndsAt.Sub(now).Truncate(time.Millisecond), leaver.Value)
 		for _, run := range groups[index] {
-			planner.stopRun(now, run, stopForDrain, reason)
+			planner.stopRun(now, run, accountant.StopForDrain, reason)
 		}
 	}
 }
--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/specifier"
 )
 
@@ -24,7 +25,7 @@
 	queue *specifier.Queue
 	runs  []*run
 	// rule and reason are why the runs are stopped.
-	rule   stopRule
+	rule   accountant.Rule
 	reason string
 }
 
@@ -68,7 +69,7 @@
 			}
 			known := byStep[run.step]
 			if known == nil {
-				known = &move{step: run.step, queue: queue, rule: stopForEvacuation, reason: "its failure domain is evacuated"}
+				known = &move{step: run.step, queue: queue, rule: accountant.StopForEvacuation, reason: "its failure domain is evacuated"}
 				byStep[run.step], moves = known, append(moves, known)
 			}
 			known.runs = append(known.runs, run)
@@ -182,6 +183,6 @@
 func (planner *Planner) abandonEvacuatedStart(now time.Time, run *run) {
 	planner.abandonStart(now, run, "the start in an evacuated domain was not answered")
 	if run.step.spec.Gang {
-		planner.stopMembers(now, run, stopForEvacuation, "a member in an evacuated domain has not started")
+		planner.stopMembers(now, run, accountant.StopForEvacuation, "a member in an evacuated domain has not started")
 	}
 }
--- a/planner/eviction.go
+++ b/planner/eviction.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/evictor"
 	"corianderroad/specifier"
 )
@@ -123,20 +124,17 @@
 		now.Sub(step.occurrence.dueAt))
 	for _, victim := range choice.Stopped {
 		for _, run := range eviction.room.runs[victim] {
-			planner.stopRun(now, run, stopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
+			planner.stopRun(now, run, accountant.StopForPreemption, "preempted for "+string(step.occurrence.job.spec.ID))
 		}
 	}
 	return true
 }
 
 func evictionReason(choice *evictor.Choice, guaranteed bool) string {
-	switch {
-	case len(choice.Stopped) == 0:
+	if len(choice.Stopped) == 0 {
 		return "enough comes free without a stop"
-	case guaranteed:
-		return "needed for the guarantee of its workspace"
 	}
-	return "needed for its objective"
+	return reclaimReason(guaranteed)
 }
 
 // requestStart reports whether the journal allows the job's tasks to be started, and
@@ -153,21 +151,9 @@
 // chooseEviction returns the cheapest choice on one rack if the step needs one, or on all
 // minions, nil if the tasks fit nowhere.
 func (planner *Planner) chooseEviction(now time.Time, request evictionRequest, pool *pool) *eviction {
-	step := request.step
-	needsRack := step.spec.SameRack && pool.fitsOnRack(step)
-	if !needsRack {
-		available := pool.available
-		if step.spec.DataRack != "" && pool.fitsOnRack(step) {
-			available = pool.availableOnRack(step.spec.DataRack)
-		}
-		return planner.chooseEvictionOn(now, request, available)
-	}
 	var best *eviction
-	for _, rack := range pool.racks {
-		if step.spec.DataRack != "" && rack.name != step.spec.DataRack {
-			continue
-		}
-		found := planner.chooseEvictionOn(now, request, rack.available)
+	for _, available := range pool.areasFor(request.step) {
+		found := planner.chooseEvictionOn(now, request, available)
 		if found != nil && (best == nil || found.choice.Loss.Price < best.choice.Loss.Price) {
 			best = found
 		}
--- a/planner/explain_test.go
+++ b/planner/explain_test.go
@@ -134,10 +134,8 @@
 	c.Assert(step.ExpectedStart.Sub(due).Abs() < 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", step.ExpectedStart.Sub(due)))
 }
 
-// TestExplainNamesReservation guards against a start that seems far away although capacity
-// has been reclaimed for it.
-func TestExplainNamesReservation(t *testing.T) {
-	c := quicktest.New(t)
+// reclaimMinion starts a task on the only minion, and stops it for an urgent job "b".
+func reclaimMinion() *simulation {
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
 	filler := wholeMinions(1, time.Minute)
@@ -150,6 +148,14 @@
 	for simulation.countsOf("stopped ")["preemption"] == 0 {
 		simulation.advance(10 * time.Millisecond)
 	}
+	return simulation
+}
+
+// TestExplainNamesReservation guards against a start that seems far away although capacity
+// has been reclaimed for it.
+func TestExplainNamesReservation(t *testing.T) {
+	c := quicktest.New(t)
+	simulation := reclaimMinion()
 	step := simulation.waitingSteps(c, simulation.nodes[0], "b")[0]
 	c.Assert(step.Basis, quicktest.Equals, querier.Reservation)
 	wait := step.ExpectedStart.Sub(simulation.now)
@@ -263,9 +269,8 @@
 	c.Assert(decisions(true), quicktest.DeepEquals, decisions(false))
 }
 
-// BenchmarkExplain measures a query beside 2,000 waiting steps and 350 minions.
-func BenchmarkExplain(b *testing.B) {
-	simulation := newSimulation(1, 1, 350)
+// addWaitingSteps fills a pool of 350 minions, and adds 2,000 steps that wait.
+func (simulation *simulation) addWaitingSteps() {
 	simulation.makeHolder(simulation.nodes[0])
 	for index := range 10 {
 		simulation.submit(jobOf(fmt.Sprintf("f%d", index), specifier.Step{Tasks: 350, Request: taskOf(3000, 0), EstimatedRunTime: time.Hour}))
@@ -275,6 +280,12 @@
 		simulation.submit(jobOf(fmt.Sprintf("w%d", index), wholeMinions(13, time.Second)))
 	}
 	simulation.advance(2 * time.Second)
+}
+
+// BenchmarkExplain measures a query beside 2,000 waiting steps and 350 minions.
+func BenchmarkExplain(b *testing.B) {
+	simulation := newSimulation(1, 1, 350)
+	simulation.addWaitingSteps()
 	for b.Loop() {
 		simulation.explain(simulation.nodes[0], "w1000")
 	}
--- a/planner/job.go
+++ b/planner/job.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/reserver"
@@ -101,7 +102,7 @@
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
 	isLikelyCause bool
 	// breakage is why the newest run of a gang that broke did so.
-	breakage breakage
+	breakage accountant.Breakage
 	// moved are the tasks whose runs were moved because they had stalled, nil if there are none.
 	moved *movedTasks
 	// copies are the copies of tasks that lagged behind, by the index of the task.
@@ -230,11 +231,9 @@
 	if job.spec.IsLongRunning() {
 		return false
 	}
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			if !step.isComplete() {
-				return false
-			}
+	for step := range job.steps() {
+		if !step.isComplete() {
+			return false
 		}
 	}
 	return true
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/evictor"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -255,7 +256,7 @@
 		return // the members of a gang end without an order
 	}
 	for _, run := range planner.runsOf(job) {
-		planner.stopRun(now, run, stopForJobEnd, reason)
+		planner.stopRun(now, run, accountant.StopForJobEnd, reason)
 	}
 }
 
@@ -304,9 +305,11 @@
 	}
 }
 
-// View answers queries at the holder. Other nodes have no answer.
+// View answers queries at the holder. Other nodes answer only what they know of the pool.
 func (planner *Planner) View(now time.Time, query querier.Query) querier.Answer {
 	switch {
+	case query.Kind == querier.PoolStatus:
+		return planner.poolStatus(now)
 	case !planner.holder.active:
 		return querier.Answer{}
 	case query.Kind == querier.Status:
@@ -316,22 +319,3 @@
 	}
 	return querier.Answer{}
 }
-
-// status returns the gauges of the holder.
-func (planner *Planner) status(now time.Time) querier.Answer {
-	runs := 0
-	for _, minion := range planner.minions {
-		runs += len(minion.runs)
-	}
-	gauges := append(planner.waitingGauges(now), planner.profileGauges()...)
-	if planner.queueWaits != nil {
-		gauges = append(gauges, planner.queueWaits.starts.gauges()...)
-	}
-	return querier.Answer{Gauges: append(gauges, []querier.Gauge{
-		{Name: "minions", Value: float64(len(planner.minions))},
-		{Name: "runs", Value: float64(runs)},
-		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
-		{Name: "gang-reservations", Value: float64(planner.gangReservations.countReservations())},
-		{Name: "evacuated-domains", Value: float64(len(planner.evacuations.requested))},
-	}...)}
-}
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
@@ -56,7 +57,7 @@
 		if run.onTrial && !run.hasPassed && task.done {
 			planner.passTrial(run)
 		}
-		planner.releaseRun(now, run, run.endCause(causeOfKind(end.Kind)))
+		planner.releaseRun(now, run, run.account.Cause(accountant.CauseOf(end.Kind)))
 	}
 	planner.endJobIfFinished(now, job)
 }
@@ -66,7 +67,7 @@
 	detail, age := fmt.Sprintf("run=%d minion=%s end=%d", end.Run, minion.report.Minion, end.Number), time.Duration(0)
 	if run != nil {
 		run.noteCheckpoint(now, cmp.Or(end.Checkpoint, run.checkpoint))
-		planner.noteBreakage(run, run.endCause(causeOfKind(end.Kind)))
+		planner.noteBreakage(run, run.account.Cause(accountant.CauseOf(end.Kind)))
 		detail, age = detail+" "+run.describeLoss(now), now.Sub(run.startedAt)
 	}
 	planner.emitDecision(end.Task.String(), "run-ended", end.Kind.String(), detail, age)
@@ -124,7 +125,7 @@
 		planner.noteMoveOutcome(step, index, number)
 		planner.stopOtherRuns(now, step, index, number)
 		if task.run != nil && index != id.Index && !step.spec.Gang {
-			planner.stopRun(now, task.run, stopForTaskEnd, "the task is done")
+			planner.stopRun(now, task.run, accountant.StopForTaskEnd, "the task is done")
 		}
 	}
 }
@@ -162,12 +163,10 @@
 	if queue == nil {
 		return
 	}
-	for _, occurrence := range job.occurrences {
-		for _, step := range occurrence.steps {
-			if step.hasUsedAttempts(queue.Attempts) {
-				planner.endJob(now, job, specifier.Failed, step.attemptsReason(queue.Attempts))
-				return
-			}
+	for step := range job.steps() {
+		if step.hasUsedAttempts(queue.Attempts) {
+			planner.endJob(now, job, specifier.Failed, step.attemptsReason(queue.Attempts))
+			return
 		}
 	}
 }
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -44,7 +44,7 @@
 // worked is known by its progress only, which is lost unless it has given a checkpoint or resumed
 // from one.
 func (run *run) lostTime(now time.Time) time.Duration {
-	lost := run.unsavedTime(now)
+	lost := run.account.UnsavedTime(now)
 	if run.isAdopted && (!run.step.spec.Checkpoints || run.checkpoint == "") {
 		lost = max(lost, run.step.spec.EstimatedRunTime*time.Duration(run.progressPercent)/fullPercent)
 	}
@@ -72,11 +72,16 @@
 	if !ended.step.spec.Gang {
 		return []*run{ended}
 	}
-	var members []*run
-	for index := range ended.step.tasks {
-		if member := ended.step.tasks[index].run; member != nil && member.state != stopping {
-			members = append(members, member)
+	return ended.step.runsToStop()
+}
+
+// runsToStop returns the runs of the step's tasks that are not being stopped.
+func (step *step) runsToStop() []*run {
+	var runs []*run
+	for index := range step.tasks {
+		if run := step.tasks[index].run; run != nil && run.state != stopping {
+			runs = append(runs, run)
 		}
 	}
-	return members
+	return runs
 }
--- a/planner/stalledmove.go
+++ b/planner/stalledmove.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"corianderroad/accountant"
 	"corianderroad/messenger"
 	"corianderroad/profiler"
 )
@@ -105,7 +106,7 @@
 			}
 			known := byStep[run.step]
 			if known == nil {
-				known = &move{step: run.step, queue: queue, rule: stopForStall, reason: "it makes no progress and can continue elsewhere"}
+				known = &move{step: run.step, queue: queue, rule: accountant.StopForStall, reason: "it makes no progress and can continue elsewhere"}
 				byStep[run.step], moves = known, append(moves, known)
 			}
 			known.runs = append(known.runs, run)
