Keep what few tasks need apart from the state of all tasks

Cause: the holder keeps 264 bytes for each task of each accepted job, and a job may have 65,536. Crashes, placements, failed runs, reserved numbers and the time of the next start concern only tasks that have failed, were refused or run again.

Change: these fields are in planner.taskHistory, which a task has when it needs one. The counts of runs and stops are 32 bits wide. The tests of verdicts set crashes through ownHistory, because the field has moved; what they check is unchanged.

Result: a task is 64 bytes.

--- a/planner/birth.go
+++ b/planner/birth.go
@@ -97,7 +97,7 @@
 	slices.SortFunc(steps, compareArrival)
 	for _, step := range steps {
 		for _, index := range step.crashedTasks {
-			crashes := step.tasks[index].crashes
+			crashes := step.tasks[index].history().crashes
 			for position := range crashes {
 				if crash := &crashes[position]; !crash.isSettled && crash.isCertain() && !now.Before(crash.settledAt) {
 					planner.settleCrash(step, crash)
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -187,7 +187,7 @@
 		if len(candidates) == 0 {
 			break
 		}
-		best := preferOtherThan(candidates, step.tasks[index].lastFailedOn)
+		best := preferOtherThan(candidates, step.tasks[index].history().lastFailedOn)
 		best.taskCapacity--
 		chosen = append(chosen, best.minion)
 	}
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -116,7 +116,7 @@
 func (step *step) isGangGivenUp(task *task) bool {
 	runs, isOnTrial := make(map[uint64]bool), false
 	for _, index := range step.crashedTasks {
-		for _, crash := range step.tasks[index].crashes {
+		for _, crash := range step.tasks[index].history().crashes {
 			if crash.isCertain() {
 				runs[crash.run] = true
 				isOnTrial = isOnTrial || crash.onTrial
@@ -140,7 +140,7 @@
 // countCrashes returns the number of crashes that have a property.
 func (task *task) countCrashes(has func(crash) bool) int {
 	count := 0
-	for _, crash := range task.crashes {
+	for _, crash := range task.history().crashes {
 		if has(crash) {
 			count++
 		}
@@ -192,8 +192,8 @@
 
 // forgetCrashes removes the crashes under the task of a run that has worked for long.
 func (planner *Planner) forgetCrashes(run *run) {
-	if task := run.task(); len(task.crashes) > 0 {
-		task.crashes = nil
+	if task := run.task(); len(task.history().crashes) > 0 {
+		task.ownHistory().crashes = nil
 		planner.recording.markCrashesDirty(run.step)
 	}
 }
@@ -205,13 +205,13 @@
 	if task.done || !job.isOpen() || !step.addCrash(index, added) {
 		return
 	}
-	task.lastFailedOn = added.minion
+	task.ownHistory().lastFailedOn = added.minion
 	task.delayUnproven(now)
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countSuspected})
 	planner.emitDecision(step.id(index).String(), "minion-crashed", "the minion of its run has crashed",
 		fmt.Sprintf("run=%d minion=%s age-at-death=%s on-trial=%t crashes=%d suspect=%t evidence=%s incarnation=%d next=%d silent-peers=%d",
-			added.run, added.minion, added.age.Round(time.Millisecond), added.onTrial, len(task.crashes), task.isSuspect(),
+			added.run, added.minion, added.age.Round(time.Millisecond), added.onTrial, len(task.history().crashes), task.isSuspect(),
 			added.evidence, added.incarnation, added.next, added.silentPeers), 0)
 	planner.passNeeded = true
 }
@@ -219,21 +219,21 @@
 // delayUnproven delays the next start of a task with many unproven crashes: it can't be given
 // up, and may cost a minion with each start.
 func (task *task) delayUnproven(now time.Time) {
-	excess := len(task.crashes) - task.countCrashes(crash.isCertain) - maxCrashes
+	excess := len(task.history().crashes) - task.countCrashes(crash.isCertain) - maxCrashes
 	if excess < 0 {
 		return
 	}
 	delay := min(minUnprovenDelay<<min(excess, maxDelayDoublings), maxUnprovenDelay)
-	if until := now.Add(delay); until.After(task.notBefore) {
-		task.notBefore = until
+	if until := now.Add(delay); until.After(task.history().notBefore) {
+		task.ownHistory().notBefore = until
 	}
 }
 
 // addCrash adds a crash, or better evidence of a known one. It reports whether anything is new.
 func (step *step) addCrash(index int, added crash) bool {
 	task := &step.tasks[index]
-	for position := range task.crashes {
-		known := &task.crashes[position]
+	for position := range task.history().crashes {
+		known := &task.history().crashes[position]
 		if known.run != added.run {
 			continue
 		}
@@ -244,7 +244,7 @@
 		known.settledAt, known.isSettled = added.settledAt, false
 		return true
 	}
-	task.crashes = append(task.crashes, added)
+	task.ownHistory().crashes = append(task.history().crashes, added)
 	step.passedTrials = 0
 	if !slices.Contains(step.crashedTasks, index) {
 		step.crashedTasks = append(step.crashedTasks, index)
@@ -257,11 +257,11 @@
 // had only been out of reach.
 func (planner *Planner) refuteCrash(step *step, index int, reported placement) {
 	task := &step.tasks[index]
-	kept := slices.DeleteFunc(task.crashes, func(known crash) bool { return known.placement.isSame(reported) })
-	if len(kept) == len(task.crashes) {
+	kept := slices.DeleteFunc(task.history().crashes, func(known crash) bool { return known.placement.isSame(reported) })
+	if len(kept) == len(task.history().crashes) {
 		return
 	}
-	task.crashes = kept
+	task.ownHistory().crashes = kept
 	planner.recording.markCrashesDirty(step)
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countRefuted})
 	planner.passNeeded = true
@@ -271,7 +271,7 @@
 // runs nor has ended anywhere, from where the former holder has placed it.
 func (planner *Planner) judgeFormerRun(now time.Time, step *step, index int) {
 	task := &step.tasks[index]
-	placement := task.placement
+	placement := task.history().placement
 	if !task.unresolved || placement.run == 0 || placement.run < task.latestRun {
 		return
 	}
@@ -295,7 +295,7 @@
 func (planner *Planner) countContemporaries(step *step, one *minion) int {
 	placedAt := make(map[netip.AddrPort]bool, len(step.tasks))
 	for index := range step.tasks {
-		placedAt[step.tasks[index].placement.address] = true
+		placedAt[step.tasks[index].history().placement.address] = true
 	}
 	count, begun := 0, time.UnixMilli(int64(one.report.Incarnation))
 	for _, other := range planner.minions {
@@ -312,7 +312,7 @@
 // of reach first.
 func (task *task) isEarlyLife(next *minion) bool {
 	born := time.UnixMilli(int64(next.report.Incarnation))
-	return task.placedAt.IsZero() || born.Sub(task.placedAt) <= unknownAge+maxPollWait+maxDownTime
+	return task.history().placedAt.IsZero() || born.Sub(task.history().placedAt) <= unknownAge+maxPollWait+maxDownTime
 }
 
 // laterLife returns a minion that is a later life of the one that was to start a run, nil if
--- a/planner/crashpart.go
+++ b/planner/crashpart.go
@@ -46,7 +46,7 @@
 
 func (step *step) recordedCrashes(index int) []specifier.TaskCrash {
 	var recorded []specifier.TaskCrash
-	for _, crash := range step.tasks[index].crashes {
+	for _, crash := range step.tasks[index].history().crashes {
 		recorded = append(recorded, specifier.TaskCrash{
 			Occurrence: step.occurrence.number, Step: step.number, Index: index,
 			Run: crash.run, Minion: crash.minion, Incarnation: crash.incarnation, Age: crash.age, OnTrial: crash.onTrial, Cleared: crash.cleared,
@@ -60,14 +60,14 @@
 // the run may not have ended.
 func (step *step) recordedPlacement(index int) []specifier.TaskPlacement {
 	task := &step.tasks[index]
-	placement := task.placement
-	if placement.run == 0 || placement.run != max(task.latestRun, task.reservedRun) {
+	placement := task.history().placement
+	if placement.run == 0 || placement.run != max(task.latestRun, task.history().reservedRun) {
 		return nil
 	}
 	return []specifier.TaskPlacement{{
 		Occurrence: step.occurrence.number, Step: step.number, Index: index,
 		Run: placement.run, Minion: placement.minion, Incarnation: placement.incarnation, Address: placement.address,
-		PlacedAt: task.placedAt,
+		PlacedAt: task.history().placedAt,
 	}}
 }
 
@@ -80,14 +80,13 @@
 				placement: placement{recorded.Run, recorded.Minion, recorded.Incarnation, recorded.Address}, age: recorded.Age, onTrial: recorded.OnTrial, cleared: recorded.Cleared,
 				evidence: recorded.Evidence, silentPeers: recorded.SilentPeers, next: recorded.NextIncarnation,
 			})
-			task.lastFailedOn = recorded.Minion
+			task.ownHistory().lastFailedOn = recorded.Minion
 		}
 	}
 	for _, recorded := range progress.Placements {
 		_, task := job.find(specifier.Task{Occurrence: recorded.Occurrence, Step: recorded.Step, Index: recorded.Index})
 		if task != nil {
-			task.placedAt = recorded.PlacedAt
-			task.placement = placement{recorded.Run, recorded.Minion, recorded.Incarnation, recorded.Address}
+			task.place(placement{recorded.Run, recorded.Minion, recorded.Incarnation, recorded.Address}, recorded.PlacedAt)
 		}
 	}
 	job.hasCrashPart = job.hasCrashPart || len(progress.Crashes)+len(progress.Placements) > 0
--- a/planner/failure.go
+++ b/planner/failure.go
@@ -14,7 +14,7 @@
 
 // crashReason returns why the job of a task fails that crashes its minions.
 func (step *step) crashReason(index int) string {
-	crashes := step.tasks[index].crashes
+	crashes := step.tasks[index].history().crashes
 	reason := fmt.Sprintf("task %s has crashed %d minions that started it", step.id(index), len(crashes))
 	var parts []string
 	for _, crash := range crashes {
@@ -28,10 +28,10 @@
 	var parts []string
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if len(task.failedRuns) == 0 || (!step.spec.Gang && (task.done || len(task.failedRuns) < attempts)) {
+		if len(task.history().failedRuns) == 0 || (!step.spec.Gang && (task.done || len(task.history().failedRuns) < attempts)) {
 			continue
 		}
-		parts = append(parts, fmt.Sprintf("%s in run %s", step.id(index), joinNumbers(task.failedRuns)))
+		parts = append(parts, fmt.Sprintf("%s in run %s", step.id(index), joinNumbers(task.history().failedRuns)))
 	}
 	return withEvidence("a task has used all its attempts", parts)
 }
--- a/planner/job.go
+++ b/planner/job.go
@@ -102,52 +102,37 @@
 	breakage breakage
 }
 
-// task is one task of a step.
+// task is one task of a step. A job may have 65,536, so that what few tasks need is in their
+// history.
 type task struct {
-	done bool
 	// doneRun is the run that completed the task.
 	doneRun uint64
 	// latestRun is the newest run that this holder has started or found, or that the
 	// journal allows former holders to have started.
-	latestRun uint64
-	// reservedRun is the number of the next run, zero if none is reserved. A run after
-	// the first starts only once the journal has its number.
-	reservedRun uint64
-	// recordedRun is the newest number in the journal of a run after the first, zero
-	// if there is none.
-	recordedRun uint64
-	// failedRuns are the numbers of the runs that failed.
-	failedRuns []uint64
+	latestRun  uint64
 	checkpoint string
 	// run is the run that may still be running, nil if there is none. knownRuns counts it
 	// and all others that minions may still have, such as one that is being stopped.
-	run       *run
-	knownRuns int
+	run *run
+	// past is nil for a task without a history.
+	past      *taskHistory
+	knownRuns int32
 	// stops is how often this holder has stopped a run of the task that must run again.
-	stops int
+	stops int32
+	done  bool
 	// inherited means that a former holder may have started the task.
 	inherited bool
 	// unresolved means that the newest run of a former holder has neither been found
 	// nor ended as far as this holder knows.
 	unresolved bool
-	// notBefore is the earliest time of the next start.
-	notBefore time.Time
-	// lastFailedOn is the minion on which the task failed last.
-	lastFailedOn identifier.Minion
-	// crashes are the crashes of minions that had a run of the task, oldest first.
-	crashes []crash
-	// placement is that of the newest run after the first, if it is known, and placedAt when
-	// it was chosen.
-	placement placement
-	placedAt  time.Time
 }
 
 // addFailure adds a failed run and reports whether it is new.
 func (task *task) addFailure(run uint64) bool {
-	if slices.Contains(task.failedRuns, run) {
+	if slices.Contains(task.history().failedRuns, run) {
 		return false
 	}
-	task.failedRuns = append(task.failedRuns, run)
+	task.ownHistory().failedRuns = append(task.history().failedRuns, run)
 	task.latestRun = max(task.latestRun, run)
 	return true
 }
@@ -212,7 +197,7 @@
 
 // isIdle reports whether the task waits for a run and is certain to have none.
 func (task *task) isIdle(now time.Time) bool {
-	return !task.done && task.knownRuns == 0 && !task.unresolved && !now.Before(task.notBefore)
+	return !task.done && task.knownRuns == 0 && !task.unresolved && !now.Before(task.history().notBefore)
 }
 
 // isOpen reports whether the job may still run tasks.
@@ -322,7 +307,7 @@
 	for _, restart := range progress.Restarts {
 		_, task := job.find(specifier.Task{Occurrence: restart.Occurrence, Step: restart.Step, Index: restart.Index})
 		if task != nil {
-			task.latestRun, task.recordedRun = max(task.latestRun, restart.LatestRun), max(task.recordedRun, restart.LatestRun)
+			task.latestRun, task.ownHistory().recordedRun = max(task.latestRun, restart.LatestRun), max(task.history().recordedRun, restart.LatestRun)
 		}
 	}
 }
--- a/planner/prepare.go
+++ b/planner/prepare.go
@@ -63,10 +63,10 @@
 func (step *step) hasExhaustedTask(now time.Time, queue *specifier.Queue) bool {
 	for index := range step.tasks {
 		task := &step.tasks[index]
-		if len(task.failedRuns) == 0 || !task.isIdle(now) {
+		if len(task.history().failedRuns) == 0 || !task.isIdle(now) {
 			continue
 		}
-		if len(task.failedRuns) >= queue.Attempts || (step.spec.Gang && step.failedAttempts() >= queue.Attempts) {
+		if len(task.history().failedRuns) >= queue.Attempts || (step.spec.Gang && step.failedAttempts() >= queue.Attempts) {
 			return true
 		}
 	}
--- a/planner/progress.go
+++ b/planner/progress.go
@@ -88,15 +88,15 @@
 	for step, index := range job.tasksOfPart(part) {
 		task := &step.tasks[index]
 		// The reserved run may start as soon as this record is durable.
-		if run := max(task.recordedRun, task.reservedRun); run > 0 && !task.done {
+		if run := max(task.history().recordedRun, task.history().reservedRun); run > 0 && !task.done {
 			recorded.Restarts = append(recorded.Restarts, specifier.TaskRestart{
 				Occurrence: step.occurrence.number, Step: step.number, Index: index, LatestRun: run,
 			})
 		}
-		if task.done || len(task.failedRuns) > 0 || task.checkpoint != "" {
+		if task.done || len(task.history().failedRuns) > 0 || task.checkpoint != "" {
 			recorded.Tasks = append(recorded.Tasks, specifier.TaskProgress{
 				Occurrence: step.occurrence.number, Step: step.number, Index: index,
-				Done: task.done, DoneRun: task.doneRun, FailedRuns: slices.Clone(task.failedRuns), Checkpoint: task.checkpoint,
+				Done: task.done, DoneRun: task.doneRun, FailedRuns: slices.Clone(task.history().failedRuns), Checkpoint: task.checkpoint,
 			})
 		}
 	}
--- a/planner/run.go
+++ b/planner/run.go
@@ -108,7 +108,7 @@
 	run.previousRun = step.tasks[index].latestRun
 	minion.addRun(run)
 	if task := &step.tasks[index]; run.previousRun > 0 || task.inherited {
-		task.placement, task.placedAt = minion.placement(number), now
+		task.place(minion.placement(number), now)
 		planner.recording.markCrashesDirty(step)
 	}
 	job := run.job()
@@ -223,7 +223,7 @@
 		planner.countFailedStart(now, run)
 	}
 	planner.emit(messenger.Count{Counter: messenger.Refusals, Reason: "start-" + event.Err.Code.Name()})
-	run.task().notBefore = now.Add(refusedStartDelay)
+	run.task().ownHistory().notBefore = now.Add(refusedStartDelay)
 	planner.abandonStart(now, run, "refused: "+event.Err.Code.Name())
 }
 
@@ -259,10 +259,10 @@
 // countUnlimitedFailure counts a failure that may repeat without limit. It counts against
 // the minion unless the task has failed on another one before: the task is then at fault.
 func (planner *Planner) countUnlimitedFailure(now time.Time, task *task, minion *minion) {
-	if task.lastFailedOn == "" || task.lastFailedOn == minion.report.Minion {
+	if task.history().lastFailedOn == "" || task.history().lastFailedOn == minion.report.Minion {
 		planner.countMinionFailure(now, minion)
 	}
-	task.lastFailedOn = minion.report.Minion
+	task.ownHistory().lastFailedOn = minion.report.Minion
 }
 
 // abandonStart releases a run whose start certainly did not arrive. Otherwise it
@@ -285,8 +285,8 @@
 		return
 	}
 	task.latestRun = run.previousRun
-	if task.recordedRun == run.number && !run.step.spec.Gang {
-		task.reservedRun = run.number
+	if task.history().recordedRun == run.number && !run.step.spec.Gang {
+		task.ownHistory().reservedRun = run.number
 	}
 }
 
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -94,11 +94,11 @@
 // attemptsWithFailure returns how many attempts of a task have failed if the given
 // run did. The members of a gang share their attempts.
 func (step *step) attemptsWithFailure(task *task, run uint64) int {
-	attempts, isCounted := len(task.failedRuns), slices.Contains(task.failedRuns, run)
+	attempts, isCounted := len(task.history().failedRuns), slices.Contains(task.history().failedRuns, run)
 	if step.spec.Gang {
 		attempts = step.failedAttempts()
 		for index := range step.tasks {
-			isCounted = isCounted || slices.Contains(step.tasks[index].failedRuns, run)
+			isCounted = isCounted || slices.Contains(step.tasks[index].history().failedRuns, run)
 		}
 	}
 	if isCounted {
@@ -132,12 +132,12 @@
 	task := &step.tasks[end.Task.Index]
 	if step.spec.LongRunning {
 		if run, ok := minion.runs[runKey{end.Task, end.Run}]; ok && now.Sub(run.startedAt) >= soundRunTime {
-			task.lastFailedOn = ""
+			task.ownHistory().lastFailedOn = ""
 		}
 		planner.countUnlimitedFailure(now, task, minion)
 		return
 	}
-	task.lastFailedOn = minion.report.Minion
+	task.ownHistory().lastFailedOn = minion.report.Minion
 	planner.countMinionFailure(now, minion)
 	if task.addFailure(end.Run) {
 		planner.recording.markTaskDirty(step, end.Task.Index)
@@ -175,7 +175,7 @@
 		return !step.isComplete() && step.failedAttempts() >= attempts
 	}
 	for index := range step.tasks {
-		if task := &step.tasks[index]; !task.done && len(task.failedRuns) >= attempts {
+		if task := &step.tasks[index]; !task.done && len(task.history().failedRuns) >= attempts {
 			return true
 		}
 	}
@@ -189,7 +189,7 @@
 	most := 0
 	runs := make(map[uint64]bool)
 	for index := range step.tasks {
-		failed := step.tasks[index].failedRuns
+		failed := step.tasks[index].history().failedRuns
 		most = max(most, len(failed))
 		for _, run := range failed {
 			runs[run] = true
--- a/planner/runwork.go
+++ b/planner/runwork.go
@@ -72,7 +72,7 @@
 	var work evictor.Work
 	for index, run := range runs {
 		work.Cores += float64(weight(run.step.spec.Request)) / milliPerCore
-		work.Stops = max(work.Stops, run.task().stops)
+		work.Stops = max(work.Stops, int(run.task().stops))
 		work.SavesAtStop = work.SavesAtStop || run.work.givesCheckpoints
 		if unsaved := run.lostTime(now); index == 0 || unsaved < work.Unsaved {
 			work.Unsaved = unsaved
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -80,7 +80,7 @@
 	most := 0
 	for _, index := range step.crashedTasks {
 		if task := &step.tasks[index]; !task.done {
-			most = max(most, len(task.crashes))
+			most = max(most, len(task.history().crashes))
 		}
 	}
 	return most
@@ -147,14 +147,14 @@
 	slices.SortStableFunc(indexes, func(one, other int) int {
 		return cmp.Or(
 			cmp.Compare(step.tasks[other].countCrashes(crash.isOnTrial), step.tasks[one].countCrashes(crash.isOnTrial)),
-			cmp.Compare(len(step.tasks[other].crashes), len(step.tasks[one].crashes)),
+			cmp.Compare(len(step.tasks[other].history().crashes), len(step.tasks[one].history().crashes)),
 		)
 	})
-	if step.trialWidth() == 1 && len(indexes) > 0 && step.awaitsRunEnd(len(step.tasks[indexes[0]].crashes)) {
+	if step.trialWidth() == 1 && len(indexes) > 0 && step.awaitsRunEnd(len(step.tasks[indexes[0]].history().crashes)) {
 		return nil // that task is tried first
 	}
 	room := max(0, step.trialWidth()-step.countUnpassedRuns())
-	if len(indexes) > 0 && len(step.tasks[indexes[0]].crashes) >= maxCrashes-1 {
+	if len(indexes) > 0 && len(step.tasks[indexes[0]].history().crashes) >= maxCrashes-1 {
 		room = min(room, 1)
 	}
 	return indexes[:min(room, len(indexes))]
@@ -166,7 +166,7 @@
 	for _, index := range step.crashedTasks {
 		task := &step.tasks[index]
 		isEnding := task.knownRuns > 0 && (task.run == nil || task.run.state == stopping)
-		if isEnding && task.isSuspect() && len(task.crashes) > crashes {
+		if isEnding && task.isSuspect() && len(task.history().crashes) > crashes {
 			return true
 		}
 	}
@@ -215,8 +215,8 @@
 		}
 		index := waitingStep.taskIndexes[position]
 		task := &step.tasks[index]
-		task.reservedRun = number
-		task.placement, task.placedAt = minion.placement(number), now
+		task.ownHistory().reservedRun = number
+		task.place(minion.placement(number), now)
 		step.trial.starts = append(step.trial.starts, plannedStart{index, number, minion})
 		minion.trial = step
 		if !minion.polling {
@@ -240,12 +240,12 @@
 		minion, task := start.minion, &step.tasks[start.index]
 		isUsable := planner.minions[minion.report.Minion] == minion && minion.availability(now) == onTrial &&
 			planner.reservations.freeCapacity(step, minion).Holds(demands[minion])
-		if !isUsable || !task.isIdle(now) || task.reservedRun != start.number {
+		if !isUsable || !task.isIdle(now) || task.history().reservedRun != start.number {
 			step.cancelTrial()
 			planner.passNeeded = true
 			return
 		}
-		if task.recordedRun < start.number {
+		if task.history().recordedRun < start.number {
 			step.passResult = waitsForRecord
 			return
 		}
@@ -256,7 +256,7 @@
 	}
 	step.trial = nil
 	for _, start := range trial.starts {
-		step.tasks[start.index].reservedRun = 0
+		step.tasks[start.index].ownHistory().reservedRun = 0
 		planner.startRun(now, step, start.index, start.minion, start.number, step.ticket(start.minion))
 	}
 }
@@ -264,8 +264,8 @@
 // cancelTrial gives up a trial that has not started.
 func (step *step) cancelTrial() {
 	for _, start := range step.trial.starts {
-		if task := &step.tasks[start.index]; task.reservedRun == start.number {
-			task.reservedRun = 0
+		if task := &step.tasks[start.index]; task.history().reservedRun == start.number {
+			task.ownHistory().reservedRun = 0
 		}
 		if start.minion.trial == step {
 			start.minion.trial = nil
--- a/planner/trialwidth.go
+++ b/planner/trialwidth.go
@@ -22,7 +22,7 @@
 // trial: beyond the age at which any earlier run may have crashed its minion.
 func (task *task) trialTime() time.Duration {
 	longest := time.Duration(0)
-	for _, crash := range task.crashes {
+	for _, crash := range task.history().crashes {
 		if !crash.cleared {
 			longest = max(longest, cmp.Or(crash.age, unknownAge))
 		}
@@ -34,7 +34,7 @@
 // crashes its minions, it does so at about the shortest age of a crash.
 func (planner *Planner) passTime(run *run) time.Duration {
 	var ages []time.Duration
-	for _, crash := range run.task().crashes {
+	for _, crash := range run.task().history().crashes {
 		if !crash.cleared {
 			ages = append(ages, crash.age)
 		}
@@ -87,7 +87,7 @@
 func (step *step) crashes() iter.Seq[crash] {
 	return func(yield func(crash) bool) {
 		for _, index := range step.crashedTasks {
-			for _, crash := range step.tasks[index].crashes {
+			for _, crash := range step.tasks[index].history().crashes {
 				if !yield(crash) {
 					return
 				}
@@ -129,11 +129,11 @@
 	if step.spec.Gang {
 		return true
 	}
-	placed := step.tasks[index].placement
+	placed := step.tasks[index].history().placement
 	for other := range step.tasks {
 		task := &step.tasks[other]
-		isThere := task.placement.minion == placed.minion && task.placement.incarnation == placed.incarnation
-		if other != index && isThere && !task.done && task.placement.run >= task.latestRun {
+		isThere := task.history().placement.minion == placed.minion && task.history().placement.incarnation == placed.incarnation
+		if other != index && isThere && !task.done && task.history().placement.run >= task.latestRun {
 			return false
 		}
 	}
@@ -155,8 +155,8 @@
 
 // clear ends the suspicion of a task. Its crashes still count until it is established.
 func (planner *Planner) clear(step *step, task *task) {
-	for index := range task.crashes {
-		task.crashes[index].cleared = true
+	for index := range task.history().crashes {
+		task.history().crashes[index].cleared = true
 	}
 	planner.recording.markCrashesDirty(step)
 }
@@ -183,7 +183,7 @@
 	planner.passNeeded = true
 	planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCleared})
 	planner.emitDecision(run.id.String(), "task-cleared", "its run has passed its trial",
-		fmt.Sprintf("run=%d minion=%s crashes=%d", run.number, run.minion.report.Minion, len(task.crashes)), worked)
+		fmt.Sprintf("run=%d minion=%s crashes=%d", run.number, run.minion.report.Minion, len(task.history().crashes)), worked)
 }
 
 // passTrial notes that a run has worked for long enough to let others of its step be tried.
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -16,11 +16,11 @@
 	c := quicktest.New(t)
 	neighbor := &task{}
 	for range maxCrashes {
-		neighbor.crashes = append(neighbor.crashes, crash{age: 2 * recentStart, evidence: specifier.Proven, cleared: true})
+		neighbor.ownHistory().crashes = append(neighbor.history().crashes, crash{age: 2 * recentStart, evidence: specifier.Proven, cleared: true})
 	}
 	c.Assert(neighbor.isGivenUp(), quicktest.IsFalse)
 	c.Assert(neighbor.isSuspect(), quicktest.IsTrue)
-	neighbor.crashes = append(neighbor.crashes, crash{evidence: specifier.Restarted, onTrial: true})
+	neighbor.ownHistory().crashes = append(neighbor.history().crashes, crash{evidence: specifier.Restarted, onTrial: true})
 	c.Assert(neighbor.isGivenUp(), quicktest.IsTrue)
 }
 
@@ -31,7 +31,7 @@
 	gang := &step{spec: &specifier.Step{Gang: true}, tasks: make([]task, 3), crashedTasks: []int{0, 1, 2}}
 	crashIn := func(run uint64, index int) {
 		added := crash{placement: placement{run: run}, evidence: specifier.Restarted, onTrial: run == maxCrashes}
-		gang.tasks[index].crashes = append(gang.tasks[index].crashes, added)
+		gang.tasks[index].ownHistory().crashes = append(gang.tasks[index].history().crashes, added)
 	}
 	for run := range uint64(maxCrashes) {
 		c.Assert(gang.hasGivenUpTask(time.Time{}), quicktest.IsFalse)
@@ -47,8 +47,8 @@
 	cleared := crash{placement: placement{run: 1}, age: time.Second, evidence: specifier.Proven, cleared: true}
 	late := crash{placement: placement{run: 2}, age: 2 * recentStart, evidence: specifier.Proven}
 	step := &step{spec: &specifier.Step{}, tasks: make([]task, 2), crashedTasks: []int{0, 1}, isLikelyCause: true}
-	step.tasks[0].crashes = []crash{cleared, late}
-	step.tasks[1].crashes = []crash{{placement: placement{run: 3}, age: time.Second, evidence: specifier.Proven}}
+	step.tasks[0].ownHistory().crashes = []crash{cleared, late}
+	step.tasks[1].ownHistory().crashes = []crash{{placement: placement{run: 3}, age: time.Second, evidence: specifier.Proven}}
 	c.Assert(step.tasks[0].isSuspect(), quicktest.IsFalse)
 	c.Assert(step.tasksForTrial(time.Time{}), quicktest.DeepEquals, []int{1})
 }
