Bound the memory of accepted jobs

Cause: nothing bounds the sum of the jobs that are accepted, and every node keeps all of them. A client with a valid key can bring down the holder with some tens of small requests, and then each node that takes over.

Change: package budgeter decides whether a job fits.

A workspace may use three times what stays free, so that a single one leaves a quarter of the limit. A submission beyond the limit is refused with 503 job-memory-short. Nodes that are not the holder drop the payload of an ended job once its record has none.

Existing tests: the stand-in of the store in the tests of registrar checks the condition of an append, and TestAnswersMatchJournal also draws a small limit. Both are stricter.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"corianderroad/authorizer"
+	"corianderroad/budgeter"
 	"corianderroad/buffer"
 	"corianderroad/claimer"
 	"corianderroad/committer"
@@ -83,6 +84,18 @@
 	Features planner.Features
 	// Clients are the limits of clients.
 	Clients ClientLimits
+	// JobMemory is the limit of the memory for accepted jobs, in bytes. Zero stands for its
+	// default, which follows from the settings.
+	JobMemory int64
+}
+
+// Check returns an error with code InvalidSettings if a limit does not suit the machine.
+func (options Options) Check(settings *platform.Settings) error {
+	if _, err := options.Clients.Complete(settings); err != nil {
+		return err
+	}
+	_, err := options.CompleteJobMemory(settings)
+	return err
 }
 
 // duty runs until its context ends.
@@ -90,8 +103,8 @@
 	Run(ctx context.Context) error
 }
 
-// New returns an Assembler with the given settings and options. The limits of clients get
-// their defaults, and must have been checked by Complete.
+// New returns an Assembler with the given settings and options. The limits get their
+// defaults, and must have been checked by Options.Check.
 func New(settings *platform.Settings, options Options, clock runner.Clock) *Assembler {
 	assembler := &Assembler{settings: settings, options: options, clock: clock, decisionLog: newDecisionLog(settings.Node, os.Stdout)}
 	assembler.makeRings()
@@ -141,6 +154,7 @@
 	settings, start := assembler.settings, assembler.clock()
 	incarnation := identifier.NewIncarnation(start)
 	source := rand.New(rand.NewPCG(uint64(incarnation), uint64(len(settings.Node)))) // nodes must not draw the same random delays
+	jobMemory, _ := assembler.options.CompleteJobMemory(settings)                    // checked by the caller
 	bounds := planner.Bounds{
 		MaxLease: settings.Bounds.MaxLease, StopTimeout: settings.Bounds.StopTimeout,
 		StatusRetention: settings.Bounds.StatusRetention + statusMargin,
@@ -149,7 +163,7 @@
 	dispatcher := actionDispatcher{assembler}
 	assembler.duties = append(assembler.duties,
 		runner.New(claimer.New(settings.Node, incarnation, claimDelay(settings.Cores), source), assembler.claims, assembler.claimQueries, dispatcher, assembler.clock),
-		runner.New(registrar.New(), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
+		runner.New(registrar.New(budgeter.New(jobMemory)), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
 		runner.New(planner.New(settings.Node, bounds, assembler.options.Features), assembler.plans, assembler.planQueries, dispatcher, assembler.clock),
 		assembler.answers)
 }
--- a/assembler/clients.go
+++ b/assembler/clients.go
@@ -46,10 +46,7 @@
 // Complete returns the limits with defaults for the machine. The error has code
 // InvalidSettings.
 func (limits ClientLimits) Complete(settings *platform.Settings) (ClientLimits, error) {
-	memory, descriptors := int64(settings.MemoryMB)<<20, settings.Descriptors
-	if memory == 0 {
-		memory = unknownMemoryMB << 20
-	}
+	memory, descriptors := machineMemory(settings), settings.Descriptors
 	if descriptors == 0 {
 		descriptors = unknownDescriptors
 	}
--- a/assembler/dispatch.go
+++ b/assembler/dispatch.go
@@ -27,6 +27,8 @@
 		if err := offer(assembler.entryAppends, action); err != nil {
 			return messenger.EntriesAppended{ID: action.ID, Err: err}, nil
 		}
+	case messenger.RefreshJournal:
+		assembler.journalTailer.Refresh()
 	case messenger.FenceJournal:
 		if err := offer(assembler.progressAppends, messenger.Action(action)); err != nil {
 			return messenger.JournalFenced{Token: action.Token, Err: err}, nil
--- a/classifier/code.go
+++ b/classifier/code.go
@@ -32,6 +32,7 @@
 	QuotaExceeded       Code = 305
 	RateLimited         Code = 306
 	MemoryShort         Code = 307
+	JobMemoryShort      Code = 308
 	NoMinion            Code = 401
 	LogUnavailable      Code = 402
 	Leaving             Code = 403
--- a/classifier/table.go
+++ b/classifier/table.go
@@ -39,6 +39,7 @@
 	{QuotaExceeded, "quota-exceeded", 429, exitLoad, NotRun, "The workspace is above its quota.", "Wait until work of the workspace ends, or raise the quota."},
 	{RateLimited, "rate-limited", 429, exitLoad, NotRun, "The node's rate limit for log appends is reached.", "Retry when the retry delay has passed."},
 	{MemoryShort, "memory-short", 503, exitLoad, NotRun, "The clients of the node use all the memory that it has for them.", "Retry when the retry delay has passed at another node; check for clients that send slowly."},
+	{JobMemoryShort, "job-memory-short", 503, exitLoad, NotRun, "The accepted jobs need all the memory that the nodes have for them, or the workspace uses more than its share.", "Retry when the retry delay has passed and jobs have ended; check for workspaces with very many tasks."},
 	{NoMinion, "no-minion", 503, exitUnavailable, NotRun, "No live minion of the service is known.", "Check the VM list and the minions."},
 	{LogUnavailable, "log-unavailable", 503, exitUnavailable, NotRun, "The log does not respond, and this operation needs it.", "Retry when the retry delay has passed; check the log service."},
 	{Leaving, "leaving", 503, exitUnavailable, NotRun, "The node is shutting down and accepts no new work.", "Use another node."},
--- a/committer/committer.go
+++ b/committer/committer.go
@@ -74,6 +74,9 @@
 	records []encoder.KeyedRecord
 	size    int
 	err     *classifier.Error
+	// atEnd means that it is appended alone, and only if the topic ends at end.
+	atEnd bool
+	end   identifier.Offset
 }
 
 // NewEntryAppender returns the duty that performs the actions in the ring.
@@ -112,12 +115,12 @@
 // needs few calls.
 func (entryAppender *EntryAppender) collectBatch(first entryAppend) []entryAppend {
 	batch, size := []entryAppend{first}, first.size
-	for len(batch) < maxBatch {
+	for len(batch) < maxBatch && !first.atEnd {
 		select {
 		case action := <-entryAppender.appends.Entries():
 			next := entryAppender.encode(action)
 			size += next.size
-			if size > min(entryAppender.limits.RequestBytes, maxBatchBytes) {
+			if next.atEnd || size > min(entryAppender.limits.RequestBytes, maxBatchBytes) {
 				entryAppender.overflow = &next
 				return batch
 			}
@@ -131,7 +134,7 @@
 
 // encode encodes the entries of an action. One that the store can't take fails here, alone.
 func (entryAppender *EntryAppender) encode(action messenger.AppendEntries) entryAppend {
-	encoded := entryAppend{id: action.ID}
+	encoded := entryAppend{id: action.ID, atEnd: action.AtEnd, end: action.End}
 	for _, entry := range action.Entries {
 		record, err := encoder.MarshalJournalEntry(entry)
 		if err != nil {
@@ -156,10 +159,7 @@
 	}
 	var failure *classifier.Error
 	if len(records) > 0 {
-		appendContext, cancel := context.WithTimeout(ctx, timeoutOf(records))
-		_, err := entryAppender.store.Append(appendContext, identifier.Journal, records)
-		cancel()
-		failure = classifier.Wrap(err)
+		failure = entryAppender.appendRecords(ctx, records, batch[0])
 	}
 	if isPermanent(failure) && len(batch) > 1 {
 		for index := range batch {
@@ -179,3 +179,16 @@
 	}
 	return nil
 }
+
+// appendRecords appends the records of a batch, which is a single action if that is conditional.
+func (entryAppender *EntryAppender) appendRecords(ctx context.Context, records []encoder.KeyedRecord, first entryAppend) *classifier.Error {
+	ctx, cancel := context.WithTimeout(ctx, timeoutOf(records))
+	defer cancel()
+	var err error
+	if first.atEnd {
+		_, err = entryAppender.store.AppendAt(ctx, identifier.Journal, records, first.end)
+	} else {
+		_, err = entryAppender.store.Append(ctx, identifier.Journal, records)
+	}
+	return classifier.Wrap(err)
+}
--- a/messenger/journal.go
+++ b/messenger/journal.go
@@ -78,8 +78,15 @@
 type AppendEntries struct {
 	ID      uint64
 	Entries []JournalEntry
+	// AtEnd means that the entries are appended only if the journal ends at End. Otherwise the
+	// code of the answer is Conflict.
+	AtEnd bool
+	End   identifier.Offset
 }
 
+// RefreshJournal requests a reading of the journal before its pace requires it.
+type RefreshJournal struct{}
+
 // EntriesAppended is the one answer to AppendEntries.
 type EntriesAppended struct {
 	ID uint64
@@ -160,6 +167,7 @@
 func (ProgressRecorded) event()  {}
 
 func (AppendEntries) action()  {}
+func (RefreshJournal) action() {}
 func (FenceJournal) action()   {}
 func (RecordProgress) action() {}
 func (FollowProgress) action() {}
--- a/planner/job.go
+++ b/planner/job.go
@@ -319,6 +319,9 @@
 	case messenger.Submitted:
 		job := planner.job(entry.Job.ID)
 		if job.submitted {
+			if job.state.IsFinal() && entry.Job.Payload == "" {
+				job.spec.Payload = "" // it is not needed any more
+			}
 			return job
 		}
 		planner.lastArrival++
--- a/registrar/journal.go
+++ b/registrar/journal.go
@@ -78,6 +78,7 @@
 			{Name: "journal-tombstones", Value: float64(len(registrar.tombstones))},
 			{Name: "open-commands", Value: float64(len(registrar.commands))},
 		}
+		answer.Gauges = append(answer.Gauges, registrar.memoryGauges()...)
 	}
 	return answer
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -8,10 +8,10 @@
 	"slices"
 	"time"
 
+	"corianderroad/budgeter"
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
-	"corianderroad/specifier"
 )
 
 // Durations of a command.
@@ -53,8 +53,13 @@
 	uncertain map[identifier.Job]uncertainSubmission
 	// tombstones are those of the journal.
 	tombstones map[messenger.Tombstone]bool
-	// asOf is the time up to which all acknowledged entries were read.
+	// budget counts the memory that the accepted jobs need.
+	budget *budgeter.Budgeter
+	// shortage is whether submissions are refused for want of that memory.
+	shortage shortage
+	// asOf is the time up to which all acknowledged entries were read, end the offset.
 	asOf time.Time
+	end  identifier.Offset
 	// storeRespondedAt is when a call to the store last succeeded.
 	storeRespondedAt time.Time
 	// readFailed means that a read of the journal has failed since
@@ -64,41 +69,10 @@
 	queueLengths map[identifier.Queue]int
 }
 
-type job struct {
-	queue     identifier.Queue
-	workspace identifier.Workspace
-	state     specifier.State
-	// failure is why the job has failed, empty otherwise.
-	failure string
-	// withdrawn may be set before submitted.
-	withdrawn bool
-	submitted bool
-	scheduled bool
-}
-
-// command is a submission or a cancellation without an answer.
-type command struct {
-	request   identifier.Request
-	job       identifier.Job
-	workspace identifier.Workspace
-	entry     messenger.JournalEntry
-	arrived   time.Time
-	deadline  time.Time
-	// retryAt is when the next append is sent, zero while one is pending.
-	retryAt time.Time
-	// retryDelay is the delay before that append.
-	retryDelay time.Duration
-	// maybeDurable means that an append without an answer may be in the journal.
-	maybeDurable bool
-	// awaitsRead means that the command waits for a read of the journal that shows
-	// whether the job exists.
-	awaitsRead bool
-	attempts   int
-}
-
-// New returns the state machine of an entry VM.
-func New() *Registrar {
+// New returns the state machine of an entry VM. The budget is for its use alone.
+func New(budget *budgeter.Budgeter) *Registrar {
 	return &Registrar{
+		budget: budget, shortage: shortage{refusals: make(map[budgeter.Verdict]int)},
 		jobs:         make(map[identifier.Job]*job),
 		commands:     make(map[uint64]*command),
 		uncertain:    make(map[identifier.Job]uncertainSubmission),
@@ -134,6 +108,9 @@
 		if !command.retryAt.IsZero() && command.retryAt.Before(at) {
 			at = command.retryAt
 		}
+		if command.mayBeRefused() && command.budgetDeadline().Before(at) {
+			at = command.budgetDeadline()
+		}
 		if next.IsZero() || at.Before(next) {
 			next = at
 		}
@@ -154,9 +131,9 @@
 	}
 	command := &command{
 		request: event.Request, job: event.Job.ID, workspace: event.Job.Workspace,
-		entry: submitted, arrived: now, deadline: event.Deadline.Add(-answerMargin),
+		entry: submitted, arrived: now, deadline: event.Deadline.Add(-answerMargin), bytes: budgeter.Cost(&event.Job),
 	}
-	return registrar.begin(command)
+	return registrar.admit(now, registrar.register(command), command)
 }
 
 // answerRepeat answers a submission whose job is already in the journal.
@@ -201,16 +178,17 @@
 	}
 }
 
-func (registrar *Registrar) begin(command *command) []messenger.Action {
+// register adds a command without an answer and returns its ID.
+func (registrar *Registrar) register(command *command) uint64 {
 	registrar.lastID++
 	registrar.commands[registrar.lastID] = command
-	return registrar.send(registrar.lastID, command)
+	return registrar.lastID
 }
 
 func (registrar *Registrar) send(id uint64, command *command) []messenger.Action {
 	command.retryAt = time.Time{}
 	command.attempts++
-	actions := []messenger.Action{messenger.AppendEntries{ID: id, Entries: []messenger.JournalEntry{command.entry}}}
+	actions := []messenger.Action{messenger.AppendEntries{ID: id, Entries: []messenger.JournalEntry{command.entry}, AtEnd: command.atEnd, End: registrar.end}}
 	if command.attempts > 1 {
 		actions = append(actions, messenger.Count{Counter: messenger.Retries, Reason: "append-entries"})
 	}
@@ -241,11 +219,10 @@
 		// Another entry VM may have just accepted the job, and this one has not read
 		// its entry yet.
 		command.awaitsRead = true
-		registrar.lastID++
-		registrar.commands[registrar.lastID] = command
+		registrar.register(command)
 		return nil
 	}
-	return registrar.begin(command)
+	return registrar.send(registrar.register(command), command)
 }
 
 func (registrar *Registrar) handleAppended(now time.Time, event messenger.EntriesAppended) []messenger.Action {
@@ -260,13 +237,16 @@
 		return registrar.complete(now, event.ID, command, "append was acknowledged")
 	}
 	if code := event.Err.Code; code == classifier.BodyTooLarge || code == classifier.BadRequest {
-		delete(registrar.commands, event.ID)
+		registrar.remove(event.ID, command)
 		return refuse(command.request, command.job, event.Err) // no append of it will ever succeed
 	}
+	if command.atEnd && event.Err.Code == classifier.Conflict {
+		return registrar.handleMovedEnd(command)
+	}
 	command.maybeDurable = command.maybeDurable || event.Err.Code.Execution() != classifier.NotRun
 	retryDeadline := command.arrived.Add(refusedAppendTimeout)
 	if !command.maybeDurable && now.Add(appendRetryDelay).After(retryDeadline) {
-		delete(registrar.commands, event.ID)
+		registrar.remove(event.ID, command)
 		return refuse(command.request, command.job, event.Err.WithRetryAfter(registrar.retryDelay(now)))
 	}
 	if command.maybeDurable && now.Sub(registrar.storeRespondedAt) > appendAbandonTimeout {
@@ -305,15 +285,17 @@
 func (registrar *Registrar) handleRead(now time.Time, event messenger.JournalRead) []messenger.Action {
 	for _, entry := range event.Entries {
 		registrar.apply(entry)
+		registrar.count(entry)
 	}
-	registrar.asOf = event.SentAt
+	registrar.asOf, registrar.end = event.SentAt, event.End
 	registrar.storeRespondedAt, registrar.readFailed = now, false
 	registrar.forgetUncertain(now)
 	var actions []messenger.Action
 	for _, id := range registrar.pendingIDs() {
 		actions = append(actions, registrar.recheck(now, id, registrar.commands[id])...)
 	}
-	return actions
+	actions = append(actions, registrar.admitWaiting(now)...)
+	return append(actions, registrar.updateShortage(now)...)
 }
 
 // recheck answers or continues a command according to the journal entries just read.
@@ -352,6 +334,9 @@
 		case !now.Before(command.deadline):
 			delete(registrar.commands, id)
 			actions = append(actions, registrar.expire(now, command)...)
+		case command.mayBeRefused() && !now.Before(command.budgetDeadline()):
+			delete(registrar.commands, id)
+			actions = append(actions, registrar.refuseForMemory(now, command, budgeter.Await)...)
 		case !command.retryAt.IsZero() && !now.Before(command.retryAt):
 			actions = append(actions, registrar.send(id, command)...)
 		}
@@ -368,6 +353,9 @@
 // An append may still be pending, so that the answer never states that the job was
 // not accepted.
 func (registrar *Registrar) expire(now time.Time, command *command) []messenger.Action {
+	if command.mayBeRefused() {
+		return registrar.refuseForMemory(now, command, budgeter.Await)
+	}
 	err := classifier.New(classifier.OutcomeUnknown, "the store did not answer %d appends", command.attempts)
 	if command.awaitsRead {
 		err = classifier.New(classifier.LogUnavailable, "it was not known in time whether the job exists")
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -9,6 +9,7 @@
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"corianderroad/budgeter"
 	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
@@ -55,9 +56,12 @@
 	entries []messenger.JournalEntry
 }
 
-func newEntryVM(seed uint64) *entryVM {
+func newEntryVM(seed uint64) *entryVM { return newSmallEntryVM(seed, 1<<30) }
+
+// newSmallEntryVM returns an entry VM with a limit of the memory for accepted jobs, in bytes.
+func newSmallEntryVM(seed uint64, memory int64) *entryVM {
 	return &entryVM{
-		registrar: registrar.New(), now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)),
+		registrar: registrar.New(budgeter.New(memory)), now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)),
 		answers: make(map[identifier.Request]messenger.CommandAnswered),
 	}
 }
@@ -78,6 +82,11 @@
 
 func (entryVM *entryVM) append(action messenger.AppendEntries) {
 	entryVM.appendedAt = append(entryVM.appendedAt, entryVM.now)
+	if action.AtEnd && action.End != identifier.Offset(len(entryVM.journal)) {
+		moved := messenger.EntriesAppended{ID: action.ID, Err: classifier.New(classifier.Conflict, "the journal ends at %d", len(entryVM.journal))}
+		entryVM.pending = append(entryVM.pending, pendingEvent{entryVM.now.Add(10 * time.Millisecond), moved})
+		return
+	}
 	appended := messenger.EntriesAppended{ID: action.ID}
 	delay, lateness := 10*time.Millisecond, entryVM.appendDelay
 	if _, isSubmission := action.Entries[0].(messenger.Submitted); isSubmission {
@@ -190,10 +199,11 @@
 // against a command without an answer, against an acknowledged cancellation that is not
 // durable, and against one that is refused as unknown although the job becomes durable
 // later. The store does not respond, refuses appends, loses answers, or carries out
-// appends late.
+// appends late, and the memory for accepted jobs may be short.
 func TestAnswersMatchJournal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		entryVM := newEntryVM(rapid.Uint64().Draw(t, "seed"))
+		memory := rapid.SampledFrom([]int64{1 << 30, 6 << 10}).Draw(t, "memory") // the smaller one holds three jobs
+		entryVM := newSmallEntryVM(rapid.Uint64().Draw(t, "seed"), memory)
 		entryVM.run(300 * time.Millisecond)
 		jobs := make(map[string]bool)
 		count := rapid.IntRange(1, 15).Draw(t, "commands")
@@ -357,7 +367,7 @@
 // without a retry delay.
 func TestOutageIsReportedAtOnce(t *testing.T) {
 	c := quicktest.New(t)
-	stateMachine, now := registrar.New(), time.Unix(1_000_000, 0)
+	stateMachine, now := registrar.New(budgeter.New(1<<30)), time.Unix(1_000_000, 0)
 	submit := func() (appends int, answer messenger.CommandAnswered) {
 		arrived := messenger.SubmitArrived{Request: "r", Job: specifier.Job{ID: "a"}, Deadline: now.Add(3 * time.Second)}
 		for _, action := range stateMachine.Step(now, arrived) {
--- a/registrar/uncertain.go
+++ b/registrar/uncertain.go
@@ -19,6 +19,7 @@
 func (registrar *Registrar) addUncertain(now time.Time, command *command) {
 	if _, isSubmission := command.entry.(messenger.Submitted); isSubmission {
 		registrar.uncertain[command.job] = uncertainSubmission{command.workspace, now.Add(messenger.MaxAppendDelay)}
+		registrar.budget.Settle(command.job)
 	}
 }
 
@@ -29,6 +30,7 @@
 		job, ok := registrar.jobs[id]
 		if (ok && job.submitted) || now.After(submission.until) {
 			delete(registrar.uncertain, id)
+			registrar.releaseUnlessKnown(id)
 		}
 	}
 }
