Read journals with large jobs after a restart, and cap the default for mixed machines

And every node has to hold what the largest machine accepts.

The specification of a job counts four times instead of twice: decoded, as a record, and in the encoded page. The default of -accepted-jobs-memory is at most 46 MiB, a quarter of the smallest machine in service.

--- a/assembler/jobmemory.go
+++ b/assembler/jobmemory.go
@@ -11,13 +11,16 @@
 	jobQuarters = 1
 	// minJobMemory is in bytes.
 	minJobMemory = 1 << 20
+	// maxDefaultJobMemory is the default of the smallest machines in service, of 184 MB: all nodes
+	// of a deployment have to hold the jobs that a larger one accepts.
+	maxDefaultJobMemory = 46 << 20
 )
 
 // CompleteJobMemory returns the limit of the memory for accepted jobs, in bytes: the given one, or
 // the default for the machine. The error has code InvalidSettings.
 func (options Options) CompleteJobMemory(settings *platform.Settings) (int64, error) {
 	memory, limit := machineMemory(settings), options.JobMemory
-	defaultTo(&limit, max(memory*jobQuarters/quarters, minJobMemory))
+	defaultTo(&limit, min(max(memory*jobQuarters/quarters, minJobMemory), maxDefaultJobMemory))
 	if limit < minJobMemory || limit > memory/2 {
 		return 0, classifier.New(classifier.InvalidSettings, "accepted-jobs-memory: %d bytes, %d to %d are allowed, half of limits.memoryMb", limit, minJobMemory, memory/2)
 	}
--- a/budgeter/cost.go
+++ b/budgeter/cost.go
@@ -11,9 +11,9 @@
 	specBytes = 160
 	// indexBytes is for a dependency.
 	indexBytes = 8
-	// recordCopies counts the specification as a record and decoded: a node that starts lists
-	// all records before it decodes them.
-	recordCopies = 2
+	// recordCopies counts the specification as decoded, as a record, and twice for the encoded
+	// page: a node that starts lists the records before it decodes them.
+	recordCopies = 4
 	// occurrenceBytes, stepBytes and taskBytes are for the state of execution, which the holder
 	// has. Any node may become the holder.
 	occurrenceBytes = 128
--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -49,7 +49,7 @@
 	flags.IntVar(&clients.Connections, "client-connections", 0, "limit of the connections of clients; default by limits.memoryMb and limits.maxFds")
 	flags.IntVar(&clients.ReadinessConnections, "readiness-connections", 0, "limit of the connections of health checks; default 32")
 	flags.IntVar(&clients.MetricsConnections, "metrics-connections", 0, "limit of the connections that read metrics; default 16")
-	flags.Var((*byteSize)(&enter.options.JobMemory), "accepted-jobs-memory", "limit of the memory for accepted jobs, with a unit (46MiB); default a quarter of limits.memoryMb")
+	flags.Var((*byteSize)(&enter.options.JobMemory), "accepted-jobs-memory", "limit of the memory for accepted jobs, with a unit (46MiB); default a quarter of limits.memoryMb, 46MiB at most")
 	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
 }
