--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -52,6 +52,7 @@
 	flags.Var((*byteSize)(&enter.options.JobMemory), "accepted-jobs-memory", "limit of the memory for accepted jobs, with a unit (46MiB); default a quarter of limits.memoryMb, 46MiB at most")
 	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
+	flags.BoolVar(&features.UrgentHeadroom, "urgent-headroom", false, "keep capacity free for urgent jobs while capacity is short")
 	flags.BoolVar(&features.MinionProfiles, "minion-profiles", false, "use what minions did with earlier runs")
 }
 
