--- a/classifier/code.go
+++ b/classifier/code.go
@@ -33,6 +33,7 @@
 	RateLimited         Code = 306
 	MemoryShort         Code = 307
 	JobMemoryShort      Code = 308
+	BacklogTooLong      Code = 309
 	NoMinion            Code = 401
 	LogUnavailable      Code = 402
 	Leaving             Code = 403
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -7,6 +7,7 @@
 
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/profiler"
 	"corianderroad/reserver"
 	"corianderroad/specifier"
 )
@@ -86,6 +87,13 @@
 	// out.
 	noCapacityDelay time.Duration
 	health          health
+	// profile is how the minion carries out work. condition is the judgement of it, and isAvoided
+	// whether runs are kept from the minion for it, as of the last check.
+	profile   profiler.Profile
+	condition profiler.Condition
+	isAvoided bool
+	// speedFactor is the minion's speed as a ratio to the usual one, zero before the first check.
+	speedFactor float64
 	// closedForMaintenance means that no run is started on the minion because its
 	// VM awaits maintenance.
 	closedForMaintenance bool
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -26,7 +26,10 @@
 	GangReservations bool
 	// LossAwareStops chooses the runs to be stopped by the work that is lost.
 	LossAwareStops bool
-	// MinionProfiles uses what minions did with earlier runs.
+	// EarlyRefusals publishes the expected waits of the queues, by which entry VMs refuse jobs.
+	EarlyRefusals bool
+	// MinionProfiles uses what minions did with earlier runs: which get new work, which runs move and
+	// which tasks are copied.
 	MinionProfiles bool
 	// UrgentHeadroom keeps capacity free for urgent jobs while capacity is short.
 	UrgentHeadroom bool
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -65,10 +65,13 @@
 	reservations     reservations
 	gangReservations gangReservations
 	aging            aging
+	profiles         profiles
 	evacuations      *evacuations
 	adviceRequest    adviceRequest
 	maintenance      maintenance
 	waiting          waiting
+	// queueWaits are published for the entry VMs, nil if the deployment does not enable it.
+	queueWaits *queueWaits
 
 	passNeeded bool
 	// hasWaitingSteps means that steps without suspects could start tasks in the last pass.
@@ -95,11 +98,14 @@
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
 		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(),
+		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), profiles: newProfiles(features),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
 	}
+	if features.EarlyRefusals {
+		planner.queueWaits = newQueueWaits()
+	}
 	return planner
 }
 
@@ -155,8 +161,10 @@
 	planner.saveLeaving(now)
 	if planner.holder.isClaimValid(now) {
 		planner.advanceWaves(now)
+		planner.updateConditions(now)
 		planner.runPass(now)
 		planner.moveEvacuatedRuns(now)
+		planner.moveStalledRuns(now)
 	} else {
 		planner.lastPassAt, planner.passInterval = now, idleInterval
 	}
@@ -315,7 +323,11 @@
 	for _, minion := range planner.minions {
 		runs += len(minion.runs)
 	}
-	return querier.Answer{Gauges: append(planner.waitingGauges(now), []querier.Gauge{
+	gauges := append(planner.waitingGauges(now), planner.profileGauges()...)
+	if planner.queueWaits != nil {
+		gauges = append(gauges, planner.queueWaits.starts.gauges()...)
+	}
+	return querier.Answer{Gauges: append(gauges, []querier.Gauge{
 		{Name: "minions", Value: float64(len(planner.minions))},
 		{Name: "runs", Value: float64(runs)},
 		{Name: "live-jobs", Value: float64(len(planner.openJobs))},
--- a/planner/runend.go
+++ b/planner/runend.go
@@ -52,6 +52,7 @@
 		}
 	}
 	if ok {
+		planner.profileEnd(now, minion, end.Kind)
 		if run.onTrial && !run.hasPassed && task.done {
 			planner.passTrial(run)
 		}
@@ -80,7 +81,7 @@
 	}
 	switch end.Kind {
 	case messenger.EndDone:
-		return end.Run != task.doneRun
+		return end.Run != task.doneRun && !planner.allowsCopies(step)
 	case messenger.EndFailed:
 		if step.spec.LongRunning {
 			return false
@@ -120,6 +121,8 @@
 		task.done, task.doneRun = true, number
 		step.done++
 		planner.recording.markTaskDirty(step, index)
+		planner.noteMoveOutcome(step, index, number)
+		planner.stopOtherRuns(now, step, index, number)
 		if task.run != nil && index != id.Index && !step.spec.Gang {
 			planner.stopRun(now, task.run, stopForTaskEnd, "the task is done")
 		}
--- a/registrar/admission.go
+++ b/registrar/admission.go
@@ -23,6 +23,7 @@
 // admit appends the job of a submission if there is memory for it, and otherwise refuses it or
 // lets it wait for the next reading of the journal.
 func (registrar *Registrar) admit(now time.Time, id uint64, command *command) []messenger.Action {
+	command.retryAt, command.refusal = time.Time{}, nil
 	verdict := registrar.budget.Admit(command.job, command.workspace, command.bytes)
 	switch {
 	case verdict.IsRefusal():
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"corianderroad/classifier"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
@@ -18,6 +19,8 @@
 	withdrawn bool
 	submitted bool
 	scheduled bool
+	// accelerators are those that the job's first step needs.
+	accelerators int32
 }
 
 // command is a submission or a cancellation without an answer.
@@ -44,4 +47,7 @@
 	bytes        int64
 	awaitsBudget bool
 	atEnd        bool
+	// refusal is the answer to a submission that is refused by the expected wait unless the
+	// journal has the job, nil for others.
+	refusal *classifier.Error
 }
--- a/registrar/memory_test.go
+++ b/registrar/memory_test.go
@@ -127,7 +127,7 @@
 		messenger.Submitted{Job: jobOf("a", "a-0", 500)}, messenger.Deleted{Job: "a-1"})
 	entryVM.run(300 * time.Millisecond)
 	used := gaugeOf(entryVM.registrar, "accepted-job-bytes", "")
-	restarted := registrar.New(budgeter.New(jobMemory))
+	restarted := registrar.New(budgeter.New(jobMemory), nil)
 	restarted.Step(entryVM.now, messenger.JournalRead{Entries: entryVM.journal, End: identifier.Offset(len(entryVM.journal)), SentAt: entryVM.now})
 	c.Assert(gaugeOf(restarted, "accepted-job-bytes", ""), quicktest.Equals, used)
 }
@@ -136,7 +136,7 @@
 func TestShortageIsLoggedOnce(t *testing.T) {
 	c := quicktest.New(t)
 	now := time.Unix(1_000_000, 0)
-	stateMachine := registrar.New(budgeter.New(jobMemory))
+	stateMachine := registrar.New(budgeter.New(jobMemory), nil)
 	outcomes := make(map[string]int)
 	step := func(event messenger.Event) {
 		for _, action := range stateMachine.Step(now, event) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -67,11 +67,14 @@
 	readFailed bool
 	// queueLengths are the numbers of queued jobs.
 	queueLengths map[identifier.Queue]int
+	// early refuses submissions by the expected wait, nil if the deployment does not enable it.
+	early *earlyRefusals
 }
 
-// New returns the state machine of an entry VM. The budget is for its use alone.
-func New(budget *budgeter.Budgeter) *Registrar {
-	return &Registrar{
+// New returns the state machine of an entry VM. The budget is for its use alone. The decider
+// refuses submissions by the expected wait, nil if none are refused.
+func New(budget *budgeter.Budgeter, decider EarlyRefusalDecider) *Registrar {
+	registrar := &Registrar{
 		budget: budget, shortage: shortage{refusals: make(map[budgeter.Verdict]int)},
 		jobs:         make(map[identifier.Job]*job),
 		commands:     make(map[uint64]*command),
@@ -79,6 +82,10 @@
 		tombstones:   make(map[messenger.Tombstone]bool),
 		queueLengths: make(map[identifier.Queue]int),
 	}
+	if decider != nil {
+		registrar.early = newEarlyRefusals(decider)
+	}
+	return registrar
 }
 
 // Step applies an event and returns the resulting actions.
@@ -96,6 +103,10 @@
 		return registrar.handleRead(now, event)
 	case messenger.Tick:
 		return registrar.handleTick(now)
+	case messenger.PolicyRead:
+		registrar.early.setPolicy(event.Policy)
+	case messenger.WaitsRead:
+		return registrar.early.setWaits(now, event)
 	}
 	return nil
 }
@@ -133,7 +144,7 @@
 		request: event.Request, job: event.Job.ID, workspace: event.Job.Workspace,
 		entry: submitted, arrived: now, deadline: event.Deadline.Add(-answerMargin), bytes: budgeter.Cost(&event.Job),
 	}
-	return registrar.admit(now, registrar.register(command), command)
+	return registrar.beginSubmission(now, command, &submitted.Job)
 }
 
 // answerRepeat answers a submission whose job is already in the journal.
@@ -186,7 +197,7 @@
 }
 
 func (registrar *Registrar) send(id uint64, command *command) []messenger.Action {
-	command.retryAt = time.Time{}
+	command.retryAt, command.refusal = time.Time{}, nil
 	command.attempts++
 	actions := []messenger.Action{messenger.AppendEntries{ID: id, Entries: []messenger.JournalEntry{command.entry}, AtEnd: command.atEnd, End: registrar.end}}
 	if command.attempts > 1 {
@@ -306,6 +317,9 @@
 		if exists {
 			return registrar.complete(now, id, command, "the journal has the job")
 		}
+		if command.refusal != nil && registrar.asOf.After(command.arrived) {
+			return registrar.refuseUnread(now, id, command)
+		}
 		return nil
 	}
 	if tombstone, isTombstone := command.entry.(messenger.Tombstone); isTombstone {
@@ -337,6 +351,8 @@
 		case command.mayBeRefused() && !now.Before(command.budgetDeadline()):
 			delete(registrar.commands, id)
 			actions = append(actions, registrar.refuseForMemory(now, command, budgeter.Await)...)
+		case command.refusal != nil && !now.Before(command.retryAt):
+			actions = append(actions, registrar.acceptUnread(now, id, command)...)
 		case !command.retryAt.IsZero() && !now.Before(command.retryAt):
 			actions = append(actions, registrar.send(id, command)...)
 		}
