--- a/planner/copy.go
+++ b/planner/copy.go
@@ -103,10 +103,10 @@
 	if !isLeft || queue == nil || !planner.allowsCopies(run.step) || run.step.advice != nil || !run.job().isOpen() {
 		return false
 	}
-	if run.state != running || run.minion.unresponsive || task.knownRuns != 1 || task.done || task.unresolved || len(task.failedRuns)+2 > queue.Attempts {
+	if run.state != running || run.minion.unresponsive || task.knownRuns != 1 || task.done || task.unresolved || len(task.history().failedRuns)+2 > queue.Attempts {
 		return false
 	}
-	if run.step.hasSuspect() || len(task.crashes) > 0 || run.isHeldBack() {
+	if run.step.hasSuspect() || len(task.history().crashes) > 0 || run.isHeldBack() {
 		return false
 	}
 	lag, isKnown := planner.profiles.profiler.Lag(now, &run.minion.profile, &run.profile, run.kind(), run.step.spec.EstimatedRunTime, run.checkpoint != "")
@@ -140,8 +140,8 @@
 			step.copies = make(map[int]*taskCopy)
 		}
 		step.copies[index] = &taskCopy{plannedAt: now}
-		if task.reservedRun == 0 {
-			task.reservedRun = planner.nextRunNumber()
+		if task.history().reservedRun == 0 {
+			task.ownHistory().reservedRun = planner.nextRunNumber()
 			planner.recording.markTaskDirty(step, index)
 		}
 	}
--- a/registrar/earlyrefusal.go
+++ b/registrar/earlyrefusal.go
@@ -140,7 +140,7 @@
 func (registrar *Registrar) beginSubmission(now time.Time, command *command, job *specifier.Job) []messenger.Action {
 	refusal := registrar.early.decide(now, job)
 	if refusal == nil {
-		return registrar.begin(command)
+		return registrar.admit(now, registrar.register(command), command)
 	}
 	actions := registrar.early.logChanges(now)
 	command.refusal = refusal
@@ -148,8 +148,7 @@
 	if last := command.deadline.Add(-minAppendTime); last.Before(command.retryAt) {
 		command.retryAt = last
 	}
-	registrar.lastID++
-	registrar.commands[registrar.lastID] = command
+	registrar.register(command)
 	return actions
 }
 
@@ -169,9 +168,9 @@
 
 // refuseUnread refuses a submission whose job the journal does not have, and will not get by an append
 // of this node.
-func (registrar *Registrar) refuseUnread(id uint64, command *command) []messenger.Action {
+func (registrar *Registrar) refuseUnread(now time.Time, id uint64, command *command) []messenger.Action {
 	if registrar.mayBecomeDurable(command) {
-		return registrar.send(id, command)
+		return registrar.admit(now, id, command)
 	}
 	delete(registrar.commands, id)
 	return []messenger.Action{
@@ -187,7 +186,7 @@
 		delete(registrar.commands, id)
 		return refusal
 	}
-	return registrar.send(id, command)
+	return registrar.admit(now, id, command)
 }
 
 // gauges returns the waits that the holder has published.
--- a/registrar/journal.go
+++ b/registrar/journal.go
@@ -80,6 +80,7 @@
 			{Name: "journal-tombstones", Value: float64(len(registrar.tombstones))},
 			{Name: "open-commands", Value: float64(len(registrar.commands))},
 		}
+		answer.Gauges = append(answer.Gauges, registrar.memoryGauges()...)
 		answer.Gauges = append(answer.Gauges, registrar.early.gauges(now)...)
 	}
 	return answer
