Repeat no start of a task that is done

A start got no answer, its gang was done 0.15 s before it was sent again, and the payload of an ended job is no longer kept since the memory of accepted jobs is bounded: the minion was told to run the task without payload.

Change: a start is not repeated once its task is done or its job has ended; its run is stopped, and the lost answer is no failure of the minion.

--- a/planner/run.go
+++ b/planner/run.go
@@ -233,7 +233,8 @@
 	run.mayHaveArrived = run.mayHaveArrived || code.Execution() != classifier.NotRun
 	isClaimValid := planner.holder.isClaimValid(now)
 	_, outdated := planner.outdatedReading(now, run.minion.report.Service)
-	mayRepeat := !run.onTrial && run.hasValidTicket(now) && !outdated && !run.minion.isEvacuated()
+	isNeeded := run.job().isOpen() && !run.task().done
+	mayRepeat := isNeeded && !run.onTrial && run.hasValidTicket(now) && !outdated && !run.minion.isEvacuated()
 	if run.startAttempts < maxStartAttempts && isClaimValid && mayRepeat {
 		planner.sendStart(now, run)
 		return
@@ -242,7 +243,7 @@
 		planner.abandonEvacuatedStart(now, run)
 		return
 	}
-	if code != classifier.RingFull && isClaimValid {
+	if isNeeded && code != classifier.RingFull && isClaimValid {
 		planner.countFailedStart(now, run)
 	}
 	planner.abandonStart(now, run, "the start was not answered")
