--- a/cmd/soak/stager/node.go
+++ b/cmd/soak/stager/node.go
@@ -71,7 +71,7 @@
 	defer close(node.ended)
 	defer output.Close() //nolint:errcheck // it is only the log of a test run
 	for {
-		command := exec.Command(node.binary, "enter", "-gang-reservations", "-loss-aware-stops")
+		command := exec.Command(node.binary, "enter", "-gang-reservations", "-loss-aware-stops", "-minion-profiles", "-urgent-headroom", "-early-refusals")
 		command.Env = append(os.Environ(), platform.SettingsVariable+"="+node.settings)
 		command.Stdout, command.Stderr = output, output
 		node.mutex.Lock()
