Test every kind of client that respects no limits, on all nodes, for long and on the smallest machine

Bodies piece by piece, whole chunked bodies, chunk extensions, trailers, Expect: 100-continue, nested bodies, long escapes, mixed crowds and valid jobs without a read answer had no test, and neither had crowds on all nodes at once with a takeover while the store is away, crowds that last, or the smallest machine. The bytes that the kernel holds were those of the queues, without what it allocates for them.

Change: tests only. Each check of the limits also adds what the kernel has allocated for the sockets (socket diagnostics) to the resident memory. The smallest machine is 160 MB, 4,100 descriptors, a process that is stopped for 88 of every 100 ms, and a relay of 2 Mbit/s that the store's calls share.

--- a/cmd/corianderroad/hostileclients/acceptedjobs_test.go
+++ b/cmd/corianderroad/hostileclients/acceptedjobs_test.go
@@ -95,8 +95,8 @@
 func (node *node) awaitCompletedJob(key string) {
 	path := "/q/" + newJobID()
 	node.await("an ordinary job has ended", func(ctx context.Context) bool {
-		_, _ = call(ctx, node.front, http.MethodPost, path, key, `{"steps":[{"count":1,"cpu":100,"estimateMs":10}]}`)
-		_, state := call(ctx, node.front, http.MethodGet, path, key, "")
+		_, _ = call(ctx, node.entrance, http.MethodPost, path, key, `{"steps":[{"count":1,"cpu":100,"estimateMs":10}]}`)
+		_, state := call(ctx, node.entrance, http.MethodGet, path, key, "")
 		return strings.Contains(state, "completed")
 	})
 }
--- a/cmd/corianderroad/hostileclients/crowd_test.go
+++ b/cmd/corianderroad/hostileclients/crowd_test.go
@@ -12,7 +12,8 @@
 	"github.com/frankban/quicktest"
 )
 
-// attack is what one client of a crowd sends. The text may be large and is shared by the crowd.
+// attack is what one client of a crowd sends. The text may be large and is shared by the crowd. An
+// empty part is a pause.
 type attack func(index int) []string
 
 // crowd is a number of connections that stay open until it is dismissed.
@@ -28,6 +29,8 @@
 	clientBufferBytes = 4 << 10
 	// sendTimeout ends a write to a process that reads no more.
 	sendTimeout = 5 * time.Second
+	// pauseTime is the time between two pieces of a body that is sent slowly.
+	pauseTime = 10 * time.Millisecond
 )
 
 // gather connects a crowd and returns when each of its clients has sent what the
@@ -79,8 +82,12 @@
 	if connection == nil {
 		return
 	}
-	_ = connection.SetWriteDeadline(time.Now().Add(sendTimeout)) // fails only if the connection is closed
 	for _, part := range parts {
+		if part == "" {
+			time.Sleep(pauseTime)
+			continue
+		}
+		_ = connection.SetWriteDeadline(time.Now().Add(sendTimeout)) // fails only if the connection is closed
 		if _, err := connection.Write([]byte(part)); err != nil {
 			return
 		}
--- a/cmd/corianderroad/hostileclients/hostileclients_test.go
+++ b/cmd/corianderroad/hostileclients/hostileclients_test.go
@@ -41,13 +41,17 @@
 // TestBodiesThatDecodeIntoMore guards against memory that grows with the decoded form of
 // small steps.
 func TestBodiesThatDecodeIntoMore(t *testing.T) {
-	const prefix, step, suffix = `{"steps":[`, `{},`, `{}]}`
 	// Few clients are enough for the fault, and do not use up the memory of the test's machine.
-	size := crowdSize / 20
-	body := prefix + strings.Repeat(step, (bodyBytes-len(prefix)-len(suffix))/len(step)) + suffix
+	size, body := crowdSize/20, emptySteps()
 	endure(t, size, sized(firstKey, body, len(body)))
 }
 
+// emptySteps returns the largest body of steps that say nothing.
+func emptySteps() string {
+	const prefix, step, suffix = `{"steps":[`, `{},`, `{}]}`
+	return prefix + strings.Repeat(step, (bodyBytes-len(prefix)-len(suffix))/len(step)) + suffix
+}
+
 // TestIndexesThatDecodeIntoMore guards against memory that grows with the decoded form of
 // lists of dependencies.
 func TestIndexesThatDecodeIntoMore(t *testing.T) {
--- a/cmd/corianderroad/hostileclients/measure_test.go
+++ b/cmd/corianderroad/hostileclients/measure_test.go
@@ -15,7 +15,13 @@
 const sampleInterval = 50 * time.Millisecond
 
 // peaks are the largest values of what a process and the kernel hold for it.
-type peaks struct{ resident, kernel, openFiles int64 }
+type peaks struct {
+	resident, openFiles int64
+	// kernel is what waits in the queues of connections, and allocated what the kernel uses for it.
+	kernel, allocated int64
+	// failure is the first error of a measurement.
+	failure error
+}
 
 // sampler records the peaks of a process. Only its goroutine uses them until it has ended.
 type sampler struct {
@@ -59,11 +65,19 @@
 	peaks := &sampler.peaks
 	peaks.resident = max(peaks.resident, peakMemory(sampler.process))
 	peaks.kernel = max(peaks.kernel, sampler.node.kernelBytes())
-	if files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", sampler.process)); err == nil {
+	allocated, err := socketMemory(sampler.node.front, sampler.node.readiness, sampler.node.metrics)
+	peaks.allocated = max(peaks.allocated, allocated)
+	if peaks.failure == nil {
+		peaks.failure = err
+	}
+	if files, err := os.ReadDir(descriptorsOf(sampler.process)); err == nil {
 		peaks.openFiles = max(peaks.openFiles, int64(len(files)))
 	}
 }
 
+// descriptorsOf returns the folder with an entry for each descriptor of a process.
+func descriptorsOf(process int) string { return fmt.Sprintf("/proc/%d/fd", process) }
+
 // awaitSample takes a further sample and returns the peaks.
 func (sampler *sampler) awaitSample() peaks {
 	answer := make(chan peaks, 1)
@@ -127,9 +141,13 @@
 
 // checkLimits checks peaks of memory and descriptors against the limits in the settings.
 func (node *node) checkLimits(peaks peaks) {
-	figures := quicktest.Commentf("resident %d kB, held by the kernel %d kB, %d descriptors", peaks.resident>>10, peaks.kernel>>10, peaks.openFiles)
+	figures := quicktest.Commentf("resident %d kB, held by the kernel %d kB, which uses %d kB for it, %d descriptors",
+		peaks.resident>>10, peaks.kernel>>10, peaks.allocated>>10, peaks.openFiles)
 	node.c.Logf("peaks: %s", figures)
+	memory := int64(node.machine.memoryMB) << 20
 	node.c.Check(peaks.resident > 0, quicktest.IsTrue)
-	node.c.Check(peaks.resident+peaks.kernel <= int64(memoryMB)<<20, quicktest.IsTrue, figures)
-	node.c.Check(peaks.openFiles <= int64(descriptors), quicktest.IsTrue, figures)
+	node.c.Check(peaks.resident+peaks.kernel <= memory, quicktest.IsTrue, figures)
+	node.c.Check(peaks.failure, quicktest.IsNil)
+	node.c.Check(peaks.resident+peaks.allocated <= memory, quicktest.IsTrue, figures)
+	node.c.Check(peaks.openFiles <= int64(node.machine.descriptors), quicktest.IsTrue, figures)
 }
--- a/cmd/corianderroad/hostileclients/stage_test.go
+++ b/cmd/corianderroad/hostileclients/stage_test.go
@@ -37,9 +37,9 @@
 // testTimeout limits the duration of a test. It is not a performance target.
 const testTimeout = 3 * time.Minute
 
-// binary is the path of the program under test. It is built without the race detector,
+// program is the path of the program under test. It is built without the race detector,
 // whose memory would count.
-var binary string
+var program string
 
 func limit(variable string, fallback int) int {
 	if value, err := strconv.Atoi(os.Getenv(variable)); err == nil {
@@ -56,18 +56,32 @@
 		panic(err)
 	}
 	defer os.RemoveAll(folder) //nolint:errcheck // it is only the folder of a test run
-	binary = filepath.Join(folder, "corianderroad")
-	if output, err := exec.Command("go", "build", "-o", binary, "corianderroad/cmd/corianderroad").CombinedOutput(); err != nil {
+	program = filepath.Join(folder, "corianderroad")
+	if output, err := exec.Command("go", "build", "-o", program, "corianderroad/cmd/corianderroad").CombinedOutput(); err != nil {
 		panic(string(output))
 	}
 	return m.Run()
 }
 
+// machine is the VM of a node.
+type machine struct {
+	memoryMB, descriptors int
+	cpuShare              float64
+}
+
+// ordinaryMachine has the limits that the environment sets.
+func ordinaryMachine() machine {
+	return machine{memoryMB: memoryMB, descriptors: descriptors, cpuShare: 1}
+}
+
 // node is a process under test.
 type node struct {
 	c                         *quicktest.C
+	machine                   machine
 	front, readiness, metrics netip.AddrPort
-	settings                  string
+	// entrance is where ordinary callers call: front, or the address of a link to it.
+	entrance netip.AddrPort
+	settings string
 	// command is nil while no process runs.
 	command *exec.Cmd
 	ended   chan error
@@ -112,17 +126,22 @@
 	return addresses
 }
 
-// newNode writes the settings of a node and starts it.
+// newNode starts a node on an ordinary machine.
 func newNode(c *quicktest.C, store *imitator.Imitator, name string) *node {
+	return newNodeOn(c, ordinaryMachine(), store.Address(), name)
+}
+
+// newNodeOn writes the settings of a node and starts it.
+func newNodeOn(c *quicktest.C, machine machine, store netip.AddrPort, name string) *node {
 	addresses := freeAddresses(c, 3)
-	node := &node{c: c, front: addresses[0], readiness: addresses[1], metrics: addresses[2]}
+	node := &node{c: c, machine: machine, front: addresses[0], readiness: addresses[1], metrics: addresses[2], entrance: addresses[0]}
 	encoded, err := json.Marshal(map[string]any{
 		"nodeName": name, "zone": "a", "region": "r",
 		"listen":    map[string]string{"front": node.front.String(), "readiness": node.readiness.String()},
 		"portRange": []uint16{node.metrics.Port(), node.metrics.Port()},
-		"limits":    map[string]any{"cpuShare": 1, "cores": 1, "memoryMb": memoryMB, "maxFds": descriptors},
+		"limits":    map[string]any{"cpuShare": machine.cpuShare, "cores": 1, "memoryMb": machine.memoryMB, "maxFds": machine.descriptors},
 		"bounds":    map[string]any{"graceS": 4, "maxHoldMs": 6000, "stopTimeoutMs": 500},
-		"platform":  map[string]string{"address": store.Address().String()},
+		"platform":  map[string]string{"address": store.String()},
 	})
 	c.Assert(err, quicktest.IsNil)
 	node.settings = filepath.Join(c.TempDir(), "settings")
@@ -134,7 +153,7 @@
 
 // start starts the process and waits until it is ready.
 func (node *node) start() {
-	node.command = exec.Command(binary, "enter")
+	node.command = exec.Command(program, "enter")
 	node.command.Env = append(os.Environ(), platform.SettingsVariable+"="+node.settings)
 	node.command.Stdout, node.command.Stderr = io.Discard, os.Stderr
 	node.c.Assert(node.command.Start(), quicktest.IsNil)
@@ -183,7 +202,7 @@
 	defer func() { node.c.Logf("accepted at attempt %d", attempts) }()
 	node.await("an ordinary job is accepted", func(ctx context.Context) bool {
 		attempts++
-		status, _ := call(ctx, node.front, http.MethodPost, path, key, `{"spec":"text","steps":[{"count":1,"cpu":100,"estimateMs":10}]}`)
+		status, _ := call(ctx, node.entrance, http.MethodPost, path, key, smallJob)
 		return status == http.StatusOK
 	})
 	return attempts
@@ -195,19 +214,25 @@
 
 // call sends one request on a connection of its own.
 func call(ctx context.Context, address netip.AddrPort, method, path, key, body string) (int, string) {
+	status, _, content := callWithHeader(ctx, address, method, path, key, body)
+	return status, content
+}
+
+// callWithHeader does the same as call, and returns the header of the answer as well.
+func callWithHeader(ctx context.Context, address netip.AddrPort, method, path, key, body string) (int, http.Header, string) {
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+address.String()+path, strings.NewReader(body))
 	if err != nil {
-		return 0, err.Error()
+		return 0, nil, err.Error()
 	}
 	request.Host, request.Close = host, true
 	request.Header.Set("Authorization", "Token "+key)
 	answer, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, err.Error()
+		return 0, nil, err.Error()
 	}
 	defer answer.Body.Close() //nolint:errcheck // the answer was read
 	content, _ := io.ReadAll(answer.Body)
-	return answer.StatusCode, string(content)
+	return answer.StatusCode, answer.Header, string(content)
 }
