Count payloads of accepted jobs twice, so that the default refuses no job of the largest deployment

Cause: payload and steps counted four times. Two of these were for the encoded page of a node that starts, but a node decodes pages one at a time: it has the records of all jobs, and then the decoded jobs beside them.

Change: budgeter.Cost counts them twice. The limits are unchanged.

Why it holds: TestLongPayloadsAndCrowd and TestManyStepsAndCrowd fill a real process of 160 MB with jobs, let 1,200 clients call it, restart it and let them call again.

--- a/budgeter/cost.go
+++ b/budgeter/cost.go
@@ -11,9 +11,10 @@
 	specBytes = 160
 	// indexBytes is for a dependency.
 	indexBytes = 8
-	// recordCopies counts the specification as decoded, as a record, and twice for the encoded
-	// page: a node that starts lists the records before it decodes them.
-	recordCopies = 4
+	// recordCopies counts the specification as decoded and as a record: a node that starts lists
+	// the records of all jobs before it decodes them. The pages of the store are encoded one at a
+	// time.
+	recordCopies = 2
 	// occurrenceBytes, stepBytes and taskBytes are for the state of execution, which the holder
 	// has. Any node may become the holder.
 	occurrenceBytes = 128
--- a/cmd/corianderroad/hostileclients/acceptedjobs_test.go
+++ b/cmd/corianderroad/hostileclients/acceptedjobs_test.go
@@ -23,6 +23,8 @@
 	slimJobs = 16
 	// largeJobs have the most steps that a job may have, in bodies of 70 KB.
 	largeJobs = 1600
+	// longJobs have the longest payload, in bodies of 4 KB.
+	longJobs = 8000
 )
 
 // absentLabel is a label that no minion has, so that the jobs of a crowd do not end.
@@ -52,6 +54,12 @@
 	return fmt.Sprintf(`{"spec":%q,"steps":[%s%s]}`, strings.Repeat("p", payloadBytes), first, strings.Repeat(further, steps-1))
 }
 
+// longJob returns a job with the longest payload.
+func longJob() string {
+	const payloadBytes = 4000
+	return fmt.Sprintf(`{"spec":%q,"steps":[{"count":1,"cpu":100,"estimateMs":10,"requiredLabel":%q}]}`, strings.Repeat("p", payloadBytes), absentLabel)
+}
+
 // submitAll submits jobs of the first workspace and returns how many were accepted. It may
 // cancel each of them at once.
 func (node *node) submitAll(count int, body string, cancel bool) int {
@@ -140,3 +148,33 @@
 	node.awaitCompletedJob(secondKey)
 	node.checkLimits(node.sampler.awaitSample())
 }
+
+// endureRestart fills the smallest machine with jobs of one workspace and lets a crowd call it
+// before and after a restart.
+func endureRestart(t *testing.T, count int, body string) {
+	c := quicktest.New(t)
+	node := newNodeOn(c, smallestMachine, newStore(c).Address(), "n1")
+	node.awaitCompletedJob(firstKey)
+	accepted := node.submitAll(count, body, false)
+	c.Logf("%d of %d jobs were accepted", accepted, count)
+	c.Check(accepted > 0 && accepted < count, quicktest.IsTrue)
+	node.awaitOpenJobs(accepted)
+	gather(c, node.front, 2*crowdSize, mixed())
+	node.awaitAnswer(secondKey)
+	node.checkLimits(node.sampler.awaitSample())
+	node.kill()
+	node.start()
+	gather(c, node.front, 2*crowdSize, mixed())
+	node.awaitOpenJobs(accepted)
+	node.awaitCompletedJob(secondKey)
+	node.checkLimits(node.sampler.awaitSample())
+}
+
+// TestLongPayloadsAndCrowd guards against jobs that leave no memory for clients, and against a node
+// that accepts more than it can hold when it starts: it has the records of all jobs in memory before
+// it decodes the first.
+func TestLongPayloadsAndCrowd(t *testing.T) { endureRestart(t, longJobs, longJob()) }
+
+// TestManyStepsAndCrowd guards against the same with records of 70 KB, of which a page of the store
+// may have 500.
+func TestManyStepsAndCrowd(t *testing.T) { endureRestart(t, largeJobs, largeJob()) }
