Tell callers that are refused for the memory of accepted jobs when there is room

Seen: a workspace that has filled its share of accepted jobs is refused until these expire, up to 150 s after their end, and each refusal says 3 s. Callers that follow it are refused some fifty times, which costs them and the node a request each.

Cause: the retry delay of job-memory-short was a constant. budgeter did not know when ended jobs expire.

Change: budgeter.New takes the retention, End and Read the time of the end, and RoomAt returns when so many ended jobs have expired that a job fits. registrar adds 2 s for the deletion and its reading, says 30 s while too few jobs have ended, and 3 s at least. Expiries of deleted jobs are removed, at most as many are kept as there are jobs.

Evidence: TestRefusalTellsWhenThereIsRoom is red with the constant; with the change a caller is accepted when it comes back at the time it was told. TestRoomComesWhenJobsExpire draws jobs that end in any order, are listed, deleted or submitted again: no room before the time, room at it. It is red without the sorting, without the check for outdated expiries, with expiries that count twice, and with a forecast that ignores the share of the workspace or the jobs of others.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -165,7 +165,7 @@
 	dispatcher := actionDispatcher{assembler}
 	assembler.duties = append(assembler.duties,
 		runner.New(claimer.New(settings.Node, incarnation, claimDelay(settings.Cores), source), assembler.claims, assembler.claimQueries, dispatcher, assembler.clock),
-		runner.New(assembler.newRegistrar(budgeter.New(jobMemory), source), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
+		runner.New(assembler.newRegistrar(budgeter.New(jobMemory, bounds.StatusRetention), source), assembler.entries, assembler.jobQueries, dispatcher, assembler.clock),
 		runner.New(planner.New(settings.Node, bounds, assembler.options.Features), assembler.plans, assembler.planQueries, dispatcher, assembler.clock),
 		assembler.answers)
 }
--- a/assembler/jobmemory_test.go
+++ b/assembler/jobmemory_test.go
@@ -54,6 +54,9 @@
 	burstTime, burstFactor = 10 * time.Second, 3
 )
 
+// startTime is that of the load.
+var startTime = time.Unix(1_000_000, 0)
+
 // jobLoad submits jobs to a budget and tells it of their ends.
 type jobLoad struct {
 	budget  *budgeter.Budgeter
@@ -77,11 +80,11 @@
 	}
 	bytes := budgeter.Cost(&job)
 	verdict := load.budget.Admit(id, workspace, bytes)
-	load.budget.Read(id, workspace, bytes, true)
+	load.budget.Read(id, workspace, bytes, time.Time{})
 	end := second + int(kind.open.Seconds())
 	load.due[end] = append(load.due[end], func() {
 		job.Payload = ""
-		load.budget.End(id)
+		load.budget.End(id, startTime.Add(time.Duration(end)*time.Second))
 		load.budget.Shrink(id, budgeter.Cost(&job))
 	})
 	expiry := end + int(largestRetention.Seconds())
@@ -97,7 +100,7 @@
 	limit, err := assembler.Options{}.CompleteJobMemory(&platform.Settings{MemoryMB: 160, Descriptors: 4100})
 	c.Assert(err, quicktest.IsNil)
 	for _, share := range []float64{0.5, 0.8, 0.99} {
-		load := &jobLoad{budget: budgeter.New(limit), largest: share, due: make(map[int][]func())}
+		load := &jobLoad{budget: budgeter.New(limit, largestRetention), largest: share, due: make(map[int][]func())}
 		arrived, highest := make([]float64, len(largestLoad)), int64(0)
 		for second := range int(loadTime.Seconds()) {
 			for _, call := range load.due[second] {
--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -3,7 +3,11 @@
 // All nodes count the same from the journal.
 package budgeter
 
-import "corianderroad/identifier"
+import (
+	"time"
+
+	"corianderroad/identifier"
+)
 
 const (
 	// nodes is how many nodes may accept jobs at the same time without seeing each other's. What
@@ -20,24 +24,30 @@
 
 // Budgeter counts the memory of the accepted jobs. Only one goroutine may use it.
 type Budgeter struct {
-	limit    int64
-	jobs     map[identifier.Job]entry
-	accounts map[identifier.Workspace]*account
-	held     int64
+	limit     int64
+	retention time.Duration
+	jobs      map[identifier.Job]entry
+	accounts  map[identifier.Workspace]*account
+	held      int64
 	// unread is the part of held that this node has accepted and not yet read.
 	unread int64
 	// openWorkspaces counts the workspaces with jobs that have not ended.
 	openWorkspaces int
+	expiries       expiries
 }
 
 // entry is what a job needs.
 type entry struct {
 	workspace identifier.Workspace
 	bytes     int64
-	isOpen    bool
 	isUnread  bool
+	// expiresAt is when the state of an ended job need not be readable any more, zero for an
+	// open job.
+	expiresAt time.Time
 }
 
+func (entry entry) isOpen() bool { return entry.expiresAt.IsZero() }
+
 // account is what the jobs of a workspace need.
 type account struct {
 	held int64
@@ -45,9 +55,10 @@
 	open int // jobs that have not ended
 }
 
-// New returns a Budgeter without jobs. The limit is in bytes.
-func New(limit int64) *Budgeter {
-	return &Budgeter{limit: limit, jobs: make(map[identifier.Job]entry), accounts: make(map[identifier.Workspace]*account)}
+// New returns a Budgeter without jobs. The limit is in bytes. The retention is how long the state
+// of an ended job stays readable, and so its memory in use.
+func New(limit int64, retention time.Duration) *Budgeter {
+	return &Budgeter{limit: limit, retention: retention, jobs: make(map[identifier.Job]entry), accounts: make(map[identifier.Workspace]*account)}
 }
 
 // Admit decides on a submission. A job that it accepts counts at once. A job that counts already
@@ -59,7 +70,7 @@
 	bytes = budgeter.counted(bytes)
 	verdict := budgeter.decide(workspace, bytes)
 	if verdict == Accept || verdict == AcceptAtEnd {
-		budgeter.put(job, entry{workspace: workspace, bytes: bytes, isOpen: true, isUnread: true})
+		budgeter.put(job, entry{workspace: workspace, bytes: bytes, isUnread: true})
 	}
 	return verdict
 }
@@ -79,36 +90,21 @@
 	}
 }
 
-// check compares a job with the limit and with what other workspaces must find free. A job fits
-// while no other is open, whatever is left of ended ones up to a quarter of the limit.
+// check compares a job with the limit and with what other workspaces must find free.
 func (budgeter *Budgeter) check(workspace identifier.Workspace, bytes int64) Verdict {
-	if budgeter.openWorkspaces == 0 && budgeter.held <= budgeter.limit/(freeMultiple+1) {
-		return Accept
-	}
-	free := budgeter.limit - budgeter.held - bytes
-	if free < 0 {
-		return RefuseLimit
-	}
-	workspaces, held := budgeter.openWorkspaces, bytes
-	if account, ok := budgeter.accounts[workspace]; ok {
-		held += account.held
-		if account.open > 0 {
-			workspaces--
-		}
-	}
-	// The equal share is that of one workspace more than there are, so that a further one
-	// finds room.
-	equalShare := budgeter.limit / int64(workspaces+2)
-	isModest := held <= equalShare && free >= budgeter.limit/reserveDivisor
-	if held > freeMultiple*free && !isModest {
-		return RefuseShare
-	}
-	return Accept
+	demand := budgeter.demand(workspace, bytes)
+	return demand.check()
 }
 
-// Read counts a job that the journal has, with what it needs now.
-func (budgeter *Budgeter) Read(job identifier.Job, workspace identifier.Workspace, bytes int64, isOpen bool) {
-	budgeter.put(job, entry{workspace: workspace, bytes: budgeter.counted(bytes), isOpen: isOpen})
+// Read counts a job that the journal has, with what it needs now. The time of its end is zero while
+// it is open.
+func (budgeter *Budgeter) Read(job identifier.Job, workspace identifier.Workspace, bytes int64, endedAt time.Time) {
+	read := entry{workspace: workspace, bytes: budgeter.counted(bytes)}
+	if endedAt.IsZero() {
+		budgeter.put(job, read)
+		return
+	}
+	budgeter.putEnded(job, read, endedAt)
 }
 
 // counted returns what counts of a job. The largest job may need more than a small machine has for
@@ -117,11 +113,19 @@
 	return min(bytes, budgeter.limit/(freeMultiple+1)*freeMultiple)
 }
 
-// End says that a job has ended. What it needs counts until Release.
-func (budgeter *Budgeter) End(job identifier.Job) {
+// End says that a job has ended at some time. What it needs counts until Release.
+func (budgeter *Budgeter) End(job identifier.Job, endedAt time.Time) {
 	if known, ok := budgeter.jobs[job]; ok {
-		known.isOpen = false
-		budgeter.put(job, known)
+		budgeter.putEnded(job, known, endedAt)
+	}
+}
+
+func (budgeter *Budgeter) putEnded(job identifier.Job, ended entry, endedAt time.Time) {
+	ended.expiresAt = endedAt.Add(budgeter.retention)
+	isKnown := budgeter.jobs[job].expiresAt.Equal(ended.expiresAt)
+	budgeter.put(job, ended)
+	if !isKnown {
+		budgeter.expiries.add(expiry{at: ended.expiresAt, job: job}, budgeter.jobs)
 	}
 }
 
@@ -156,7 +160,7 @@
 	account := budgeter.accounts[known.workspace]
 	account.held -= known.bytes
 	account.jobs--
-	if known.isOpen {
+	if known.isOpen() {
 		account.open--
 		if account.open == 0 {
 			budgeter.openWorkspaces--
@@ -181,7 +185,7 @@
 	}
 	owner.held += added.bytes
 	owner.jobs++
-	if added.isOpen {
+	if added.isOpen() {
 		owner.open++
 		if owner.open == 1 {
 			budgeter.openWorkspaces++
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -15,8 +16,12 @@
 	limit = 46 << 20 // bytes, the default of the smallest machine
 	// largestJob is the cost of a job of 65,536 tasks in as many steps, roughly.
 	largestJob = 29 << 20
+	// retention is how long the state of an ended job stays readable.
+	retention = 150 * time.Second
 )
 
+var startTime = time.Unix(1_000_000, 0)
+
 // record is a job in the journal.
 type record struct {
 	job       identifier.Job
@@ -36,7 +41,7 @@
 func newFleet(size int) *fleet {
 	fleet := &fleet{read: make([]int, size)}
 	for range size {
-		fleet.nodes = append(fleet.nodes, budgeter.New(limit))
+		fleet.nodes = append(fleet.nodes, budgeter.New(limit, retention))
 	}
 	return fleet
 }
@@ -63,7 +68,7 @@
 // readJournal lets a node read what the others have accepted.
 func (fleet *fleet) readJournal(node int) {
 	for _, record := range fleet.journal[fleet.read[node]:] {
-		fleet.nodes[node].Read(record.job, record.workspace, record.bytes, true)
+		fleet.nodes[node].Read(record.job, record.workspace, record.bytes, time.Time{})
 	}
 	fleet.read[node] = len(fleet.journal)
 }
@@ -124,13 +129,13 @@
 // keys, and against one that is refused although it uses less than an equal share.
 func TestWorkspacesAreApart(t *testing.T) {
 	c := quicktest.New(t)
-	budget, last := budgeter.New(limit), 0
+	budget, last := budgeter.New(limit, retention), 0
 	fill := func(workspace identifier.Workspace) (verdict budgeter.Verdict) {
 		for !verdict.IsRefusal() {
 			last++
 			job := identifier.Job(fmt.Sprint(last))
 			if verdict = budget.Admit(job, workspace, 50<<10); !verdict.IsRefusal() {
-				budget.Read(job, workspace, 50<<10, true)
+				budget.Read(job, workspace, 50<<10, time.Time{})
 			}
 		}
 		return verdict
@@ -148,9 +153,9 @@
 // of this node: other nodes have accepted them.
 func TestAcceptedJobsAreKept(t *testing.T) {
 	c := quicktest.New(t)
-	budget := budgeter.New(1 << 20)
+	budget := budgeter.New(1<<20, retention)
 	for number := range 10 {
-		budget.Read(identifier.Job(fmt.Sprint(number)), "a", 512<<10, true)
+		budget.Read(identifier.Job(fmt.Sprint(number)), "a", 512<<10, time.Time{})
 	}
 	c.Assert(budget.View(), quicktest.Equals, budgeter.Usage{Held: 5 << 20, Limit: 1 << 20})
 	c.Assert(budget.Admit("new", "b", 1), quicktest.Equals, budgeter.RefuseLimit)
@@ -161,7 +166,7 @@
 // journal, and against one that keeps its node from accepting others.
 func TestUnknownOutcomeCounts(t *testing.T) {
 	c := quicktest.New(t)
-	budget, share := budgeter.New(limit), int64(limit/80)
+	budget, share := budgeter.New(limit, retention), int64(limit/80)
 	c.Assert(budget.Admit("first", "a", share), quicktest.Equals, budgeter.Accept)
 	c.Assert(budget.Admit("second", "a", share/2), quicktest.Equals, budgeter.Await)
 	budget.Settle("first")
@@ -176,12 +181,12 @@
 // beyond the limit because it cancels each of them at once.
 func TestCancelledJobsDoNotMakeAWorkspaceAlone(t *testing.T) {
 	c := quicktest.New(t)
-	budget := budgeter.New(limit)
+	budget := budgeter.New(limit, retention)
 	for number := range 5 {
 		job := identifier.Job(fmt.Sprint(number))
 		if !budget.Admit(job, "a", largestJob).IsRefusal() {
-			budget.Read(job, "a", largestJob, true)
-			budget.End(job)
+			budget.Read(job, "a", largestJob, time.Time{})
+			budget.End(job, startTime)
 		}
 	}
 	c.Assert(budget.View().Held, quicktest.Equals, int64(largestJob))
--- a/planner/jobcost_test.go
+++ b/planner/jobcost_test.go
@@ -60,7 +60,7 @@
 		{name: "many occurrences", jobs: 5, steps: 1, tasks: 1, occurrences: 4096},
 		{name: "large bodies", jobs: 200, steps: 64, tasks: 1, occurrences: 1, payloadBytes: 4000, nameBytes: 240, links: 64},
 	} {
-		planner, entry := New("n", Bounds{}, Features{}), registrar.New(budgeter.New(1<<40), nil)
+		planner, entry := New("n", Bounds{}, Features{}), registrar.New(budgeter.New(1<<40, time.Minute), nil)
 		estimated, before := int64(0), liveBytes()
 		for number := range shape.jobs {
 			job := shape.job(number)
--- a/registrar/admission.go
+++ b/registrar/admission.go
@@ -16,8 +16,14 @@
 	// maxBudgetWait is how long a submission waits for a reading of the journal that shows
 	// whether there is memory for its job.
 	maxBudgetWait = time.Second
-	// budgetRetryDelay is the retry delay of a submission that was refused for want of memory.
-	budgetRetryDelay = 3 * time.Second
+	// minBudgetRetryDelay is the shortest retry delay of a submission that was refused for want
+	// of memory, and the one of a submission that awaited a reading.
+	minBudgetRetryDelay = 3 * time.Second
+	// unknownBudgetRetryDelay is the one while the jobs that have ended leave no room. Open jobs
+	// leave some when they end, as their payloads count no more, and the rest when they expire.
+	unknownBudgetRetryDelay = 30 * time.Second
+	// deletionDelay is the time from the expiry of a job until all nodes have read its deletion.
+	deletionDelay = 2 * time.Second
 )
 
 // admit appends the job of a submission if there is memory for it, and otherwise refuses it or
@@ -108,12 +114,25 @@
 
 // refuseForMemory refuses a submission of which no append was sent, or none was carried out.
 func (registrar *Registrar) refuseForMemory(now time.Time, command *command, verdict budgeter.Verdict) []messenger.Action {
-	err := classifier.New(classifier.JobMemoryShort, "%s: the job needs %d bytes", verdict, command.bytes).WithRetryAfter(budgetRetryDelay)
+	err := classifier.New(classifier.JobMemoryShort, "%s: the job needs %d bytes", verdict, command.bytes).WithRetryAfter(registrar.budgetRetryDelay(now, command, verdict))
 	actions := registrar.shortage.refuse(now, registrar.budget.View(), verdict)
 	return append(actions, messenger.CommandAnswered{Request: command.request, Err: err},
 		messenger.Count{Counter: messenger.Refusals, Reason: err.Code.Name()})
 }
 
+// budgetRetryDelay returns the time until the memory of ended jobs comes free that the job of a
+// refused submission needs.
+func (registrar *Registrar) budgetRetryDelay(now time.Time, command *command, verdict budgeter.Verdict) time.Duration {
+	if !verdict.IsRefusal() {
+		return minBudgetRetryDelay
+	}
+	roomAt, isKnown := registrar.budget.RoomAt(command.workspace, command.bytes)
+	if !isKnown {
+		return unknownBudgetRetryDelay
+	}
+	return max(roomAt.Sub(now)+deletionDelay, minBudgetRetryDelay)
+}
+
 // count counts the memory that a job needs after an entry of the journal. A job that has ended
 // counts until its state need not be readable any more, because the holder keeps its tasks until
 // then: their late ends must be recognized.
@@ -125,10 +144,10 @@
 			registrar.budget.Shrink(entry.Job.ID, bytes) // the payload is no longer recorded
 			return
 		}
-		registrar.budget.Read(entry.Job.ID, job.workspace, bytes, !job.state.IsFinal())
+		registrar.budget.Read(entry.Job.ID, job.workspace, bytes, job.endedAt)
 	case messenger.Progressed:
 		if entry.Progress.State.IsFinal() {
-			registrar.budget.End(entry.Job)
+			registrar.budget.End(entry.Job, entry.Progress.EndedAt)
 		}
 	case messenger.Deleted:
 		registrar.budget.Release(entry.Job)
--- a/registrar/command.go
+++ b/registrar/command.go
@@ -13,6 +13,8 @@
 	queue     identifier.Queue
 	workspace identifier.Workspace
 	state     specifier.State
+	// endedAt is zero until the state is final.
+	endedAt time.Time
 	// failure is why the job has failed, empty otherwise.
 	failure string
 	// withdrawn may be set before submitted.
--- a/registrar/earlyrefusal_test.go
+++ b/registrar/earlyrefusal_test.go
@@ -52,7 +52,7 @@
 func newRefusingEntryVM(seed uint64, share float64) (*entryVM, *refusingDecider) {
 	entryVM := newEntryVM(seed)
 	decider := &refusingDecider{random: rand.New(rand.NewPCG(seed, 5)), share: share}
-	entryVM.registrar = registrar.New(budgeter.New(1<<30), decider)
+	entryVM.registrar = registrar.New(budgeter.New(1<<30, jobRetention), decider)
 	entryVM.step(messenger.PolicyRead{Policy: refusalPolicy()})
 	entryVM.run(300 * time.Millisecond)
 	return entryVM, decider
--- a/registrar/journal.go
+++ b/registrar/journal.go
@@ -27,7 +27,9 @@
 	case messenger.TombstoneDeleted:
 		delete(registrar.tombstones, entry.Tombstone)
 	case messenger.Progressed:
-		registrar.updateJob(entry.Job, func(job *job) { job.state, job.failure = entry.Progress.State, entry.Progress.Reason })
+		registrar.updateJob(entry.Job, func(job *job) {
+			job.state, job.failure, job.endedAt = entry.Progress.State, entry.Progress.Reason, entry.Progress.EndedAt
+		})
 	case messenger.Deleted:
 		if job, ok := registrar.jobs[entry.Job]; ok {
 			registrar.countJob(job, -1)
--- a/registrar/manynodes_test.go
+++ b/registrar/manynodes_test.go
@@ -31,7 +31,7 @@
 func newManyNodes(count int, memory int64) *manyNodes {
 	nodes := &manyNodes{now: time.Unix(1_000_000, 0), answers: make(map[identifier.Request]*classifier.Error)}
 	for range count {
-		nodes.nodes = append(nodes.nodes, registrar.New(budgeter.New(memory), nil))
+		nodes.nodes = append(nodes.nodes, registrar.New(budgeter.New(memory, jobRetention), nil))
 	}
 	nodes.read(time.Millisecond)
 	return nodes
--- a/registrar/memory_test.go
+++ b/registrar/memory_test.go
@@ -19,6 +19,9 @@
 // jobMemory is a limit that holds a few hundred jobs of one task.
 const jobMemory = 1 << 20
 
+// jobRetention is how long the state of an ended job stays readable.
+const jobRetention = 150 * time.Second
+
 // jobOf returns a job of a workspace with some tasks.
 func jobOf(workspace identifier.Workspace, id string, tasks int) specifier.Job {
 	return specifier.Job{ID: identifier.Job(id), Queue: "q", Workspace: workspace, Steps: []specifier.Step{{Tasks: tasks}}}
@@ -115,6 +118,35 @@
 	c.Assert(entryVM.submitJob("again", jobOf("a", "a-again", 1000)) == nil, quicktest.IsTrue)
 }
 
+// TestRefusalTellsWhenThereIsRoom guards against callers who are told to come back long before the
+// jobs that fill the share of their workspace expire, and against a refusal at that time.
+func TestRefusalTellsWhenThereIsRoom(t *testing.T) {
+	const endInterval = 5 * time.Second
+	c := quicktest.New(t)
+	entryVM := newSmallEntryVM(1, jobMemory)
+	entryVM.run(300 * time.Millisecond)
+	accepted := entryVM.fill("a", 1000)
+	refusal := entryVM.answers[identifier.Request(fmt.Sprintf("submit-a-%d", accepted))].Err
+	c.Assert(refusal.RetryAfter, quicktest.Equals, 30*time.Second) // nothing has ended
+	firstEnd := entryVM.now
+	for number := range accepted {
+		entryVM.journal = append(entryVM.journal, messenger.Progressed{
+			Job:      identifier.Job(fmt.Sprintf("a-%d", number)),
+			Progress: specifier.Progress{State: specifier.Completed, EndedAt: firstEnd.Add(time.Duration(number) * endInterval)},
+		})
+	}
+	entryVM.run(time.Minute)
+	c.Assert(gaugeOf(entryVM.registrar, "accepted-job-refusals", "workspace-share"), quicktest.Equals, 1.0)
+	refusedAt := entryVM.now
+	refusal = entryVM.submitJob("early", jobOf("a", "early", 1000))
+	c.Assert(refusal.Code, quicktest.Equals, classifier.JobMemoryShort)
+	c.Assert(refusal.RetryAfter, quicktest.Equals, firstEnd.Add(jobRetention+2*time.Second).Sub(refusedAt))
+	entryVM.run(firstEnd.Add(jobRetention).Sub(entryVM.now))
+	entryVM.journal = append(entryVM.journal, messenger.Deleted{Job: "a-0"})
+	entryVM.run(refusedAt.Add(refusal.RetryAfter).Sub(entryVM.now))
+	c.Assert(entryVM.submitJob("again", jobOf("a", "again", 1000)) == nil, quicktest.IsTrue)
+}
+
 // TestRestartCountsTheSame guards against a node that counts other figures after a restart or a
 // takeover, and so accepts more than the others.
 func TestRestartCountsTheSame(t *testing.T) {
@@ -127,7 +159,7 @@
 		messenger.Submitted{Job: jobOf("a", "a-0", 500)}, messenger.Deleted{Job: "a-1"})
 	entryVM.run(300 * time.Millisecond)
 	used := gaugeOf(entryVM.registrar, "accepted-job-bytes", "")
-	restarted := registrar.New(budgeter.New(jobMemory), nil)
+	restarted := registrar.New(budgeter.New(jobMemory, jobRetention), nil)
 	restarted.Step(entryVM.now, messenger.JournalRead{Entries: entryVM.journal, End: identifier.Offset(len(entryVM.journal)), SentAt: entryVM.now})
 	c.Assert(gaugeOf(restarted, "accepted-job-bytes", ""), quicktest.Equals, used)
 }
@@ -136,7 +168,7 @@
 func TestShortageIsLoggedOnce(t *testing.T) {
 	c := quicktest.New(t)
 	now := time.Unix(1_000_000, 0)
-	stateMachine := registrar.New(budgeter.New(jobMemory), nil)
+	stateMachine := registrar.New(budgeter.New(jobMemory, jobRetention), nil)
 	outcomes := make(map[string]int)
 	step := func(event messenger.Event) {
 		for _, action := range stateMachine.Step(now, event) {
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -61,7 +61,7 @@
 // newSmallEntryVM returns an entry VM with a limit of the memory for accepted jobs, in bytes.
 func newSmallEntryVM(seed uint64, memory int64) *entryVM {
 	return &entryVM{
-		registrar: registrar.New(budgeter.New(memory), nil), now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)),
+		registrar: registrar.New(budgeter.New(memory, jobRetention), nil), now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 3)),
 		answers: make(map[identifier.Request]messenger.CommandAnswered),
 	}
 }
@@ -371,7 +371,7 @@
 // without a retry delay.
 func TestOutageIsReportedAtOnce(t *testing.T) {
 	c := quicktest.New(t)
-	stateMachine, now := registrar.New(budgeter.New(1<<30), nil), time.Unix(1_000_000, 0)
+	stateMachine, now := registrar.New(budgeter.New(1<<30, jobRetention), nil), time.Unix(1_000_000, 0)
 	submit := func() (appends int, answer messenger.CommandAnswered) {
 		arrived := messenger.SubmitArrived{Request: "r", Job: specifier.Job{ID: "a"}, Deadline: now.Add(3 * time.Second)}
 		for _, action := range stateMachine.Step(now, arrived) {
