--- a/planner/acknowledgement_test.go
+++ b/planner/acknowledgement_test.go
@@ -13,6 +13,7 @@
 // without runs: its record is answered while a poll of the minion is pending, and no further
 // poll is scheduled.
 func TestEndsAreAcknowledgedOnIdleMinions(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/adoptedlease_test.go
+++ b/planner/adoptedlease_test.go
@@ -14,6 +14,7 @@
 // on a minion for expired because it has sent no lease itself yet. The lease of the
 // former holder still lasts, so that the tasks would run twice at the same time.
 func TestAdoptedRunKeepsTheFormerLease(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/aging_test.go
+++ b/planner/aging_test.go
@@ -51,6 +51,7 @@
 // for as long as there are small steps of its priority that can be on time. Its job's
 // objective is 7 s, so that the step is aged after 21 s.
 func TestLateStepStartsBesideTimelyOnes(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	waited, started := lateStepStarts(true)
 	c.Assert(started && waited < 24*time.Second, quicktest.IsTrue, quicktest.Commentf("%v %s", started, waited))
--- a/planner/copy_test.go
+++ b/planner/copy_test.go
@@ -59,6 +59,7 @@
 // TestLaggingTaskIsCopied guards against a task that waits for its minion although it may be copied,
 // and against a run that is stopped for it.
 func TestLaggingTaskIsCopied(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, stalled := copySimulation(1, 8, redundantStep(5), copyTime)
 	c.Assert(len(simulation.taskState(copiedTask).running), quicktest.Equals, 2, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
@@ -75,6 +76,7 @@
 // TestSlowRunIsCopied guards against a run on a minion at a third of the usual speed for which all
 // others wait.
 func TestSlowRunIsCopied(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 16)
 	step := redundantStep(12)
@@ -90,6 +92,7 @@
 // TestOnlyAllowedTasksAreCopied guards against two runs of a task at the same time where the job, a
 // gang, a label, the limit per minion, the attempts or the flag forbid them.
 func TestOnlyAllowedTasksAreCopied(t *testing.T) {
+	t.Parallel()
 	label := redundantStep(4)
 	label.Label = "b"
 	gang := redundantStep(4)
@@ -125,6 +128,7 @@
 // TestTaskWithLastAttemptIsNotCopied guards against a copy that starts although the run which it
 // copies may be the last attempt of its task.
 func TestTaskWithLastAttemptIsNotCopied(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 8)
 	failures := 0
@@ -151,6 +155,7 @@
 
 // TestNoCopyWhileAStepWaits guards against a copy that takes capacity for which a step waits.
 func TestNoCopyWhileAStepWaits(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 8)
 	simulation.submit(jobOf("a", redundantStep(5)))
@@ -164,6 +169,7 @@
 // TestFirstRunToEndWins guards against a task that is not done by its original run, or whose copy runs
 // on, when the minion recovers before the copy has ended.
 func TestFirstRunToEndWins(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, stalled := copySimulation(1, 8, redundantStep(5), copyTime)
 	simulation.speeds.set(simulation.otherRun(stalled).minion, 0)
@@ -177,6 +183,7 @@
 // TestBothRunsEndAtTheSameMoment guards against a task whose second end holds up its minion or its
 // job.
 func TestBothRunsEndAtTheSameMoment(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, stalled := copySimulation(1, 8, redundantStep(5), copyTime)
 	other := simulation.otherRun(stalled)
@@ -192,6 +199,7 @@
 // TestCopyThatFailsLeavesTheOriginal guards against a task that starts a third run, or waits for
 // ever, when its copy or its original fails.
 func TestCopyThatFailsLeavesTheOriginal(t *testing.T) {
+	t.Parallel()
 	for _, copyFails := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation, stalled := copySimulation(1, 8, redundantStep(5), copyTime)
@@ -213,6 +221,7 @@
 // TestTakeoverFindsBothRuns guards against a new holder that stops one of two valid runs, starts a
 // third one, or takes the end of the earlier run for outdated.
 func TestTakeoverFindsBothRuns(t *testing.T) {
+	t.Parallel()
 	for _, originalWins := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation, stalled := copySimulation(2, 8, redundantStep(5), copyTime)
@@ -237,6 +246,7 @@
 // TestEndOfWinnerIsListedAgain guards against a task that runs a third time, or a copy that goes on,
 // when the end of the run that won is lost with the holder and listed to the next one.
 func TestEndOfWinnerIsListedAgain(t *testing.T) {
+	t.Parallel()
 	for _, originalWins := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation, stalled := copySimulation(2, 8, redundantStep(5), copyTime)
@@ -261,6 +271,7 @@
 // TestRefusedCopyLeavesTheOriginal guards against a task whose original run is forgotten when the
 // start of its copy is refused.
 func TestRefusedCopyLeavesTheOriginal(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, stalled := copySimulation(1, 8, redundantStep(5), time.Second)
 	for _, minion := range simulation.minions {
--- a/planner/crashshare_test.go
+++ b/planner/crashshare_test.go
@@ -68,6 +68,7 @@
 // others crash minions, and against such jobs that cost more than a few minions each. It logs
 // how many of the others are late.
 func TestJobsCompleteBesideCrashingJobs(t *testing.T) {
+	t.Parallel()
 	for _, tenths := range []int{0, 1, 3, 6} {
 		for _, takeovers := range []bool{false, true} {
 			t.Run(fmt.Sprintf("tenths=%d,takeovers=%t", tenths, takeovers), func(t *testing.T) {
--- a/planner/crowded_test.go
+++ b/planner/crowded_test.go
@@ -17,6 +17,7 @@
 // TestLongRunningTaskLeavesDataRackInCrowdedPool guards against a long-running task
 // that waits for ever for its full data rack while another rack is idle.
 func TestLongRunningTaskLeavesDataRackInCrowdedPool(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 12) // three racks of four
 	simulation.makeHolder(simulation.nodes[0])
@@ -40,6 +41,7 @@
 // task that has nothing running while the only room of a crowded pool is on minions
 // that another job's failures put in quarantine.
 func TestLongRunningTaskUsesQuarantinedMinionInCrowdedPool(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 12)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/deadlyjob_test.go
+++ b/planner/deadlyjob_test.go
@@ -37,6 +37,7 @@
 // TestCrashingTaskIsGivenUp guards against a task that crashes one minion after the other
 // for ever (BUDGET), with one holder and with holders that are killed again and again.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, delay := range crashDelays {
 		for _, renames := range []bool{false, true} {
 			for _, changes := range []bool{false, true} {
@@ -77,6 +78,7 @@
 // again (BUDGET) because its minions are down for so long after each crash that its runs might
 // have ended before: the connections that are refused show that they had not.
 func TestTaskThatCrashesMinionsForLongIsGivenUp(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.jobsCrash("bad", 50*time.Millisecond)
@@ -93,6 +95,7 @@
 // TestInnocentJobCompletesBesideCrashingTask guards against one bad job that stops its
 // neighbours: its task goes where the others work, again and again.
 func TestInnocentJobCompletesBesideCrashingTask(t *testing.T) {
+	t.Parallel()
 	for _, delay := range crashDelays {
 		t.Run(delay.String(), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -114,6 +117,7 @@
 // TestPoolWorksOnBesideCrashingJobs guards against a pool that a few bad jobs take down:
 // no job of anybody completes while each of their tasks crashes minion after minion.
 func TestPoolWorksOnBesideCrashingJobs(t *testing.T) {
+	t.Parallel()
 	const (
 		badJobs  = 10
 		goodJobs = 20
@@ -161,6 +165,7 @@
 // TestEstablishedTaskIsNotGivenUp guards against a long-running task that is given up for
 // crashes of its minions that lie months apart.
 func TestEstablishedTaskIsNotGivenUp(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 3)
 	simulation.makeHolder(simulation.nodes[0])
@@ -187,6 +192,7 @@
 // TestCrashesSurviveAHolderOfAnEarlierBuild guards against crashes that are forgotten when a
 // holder that does not know of them records the progress of the job.
 func TestCrashesSurviveAHolderOfAnEarlierBuild(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 8)
 	simulation.jobsCrash("bad", 50*time.Millisecond)
@@ -217,6 +223,7 @@
 // TestUnansweredStartForgetsNoCrash guards against crashes that are forgotten because a run
 // whose start was not answered is taken for one that has worked for long.
 func TestUnansweredStartForgetsNoCrash(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.jobsCrash("bad", 50*time.Millisecond)
@@ -239,6 +246,7 @@
 // TestCrashOfAllMinionsHoldsUpNoJob guards against jobs that wait for one trial after the
 // other because all minions have crashed soon after the starts, for a reason of their own.
 func TestCrashOfAllMinionsHoldsUpNoJob(t *testing.T) {
+	t.Parallel()
 	const (
 		jobs = 60
 		// maxRestartTime is the time from the return of the minions until all jobs run again:
@@ -288,6 +296,7 @@
 // crashes are not durable, so that they are lost with the holder. Only the crash under the
 // first run may be lost, if no holder has seen it.
 func TestCrashesAreRecordedBeforeTheNextStart(t *testing.T) {
+	t.Parallel()
 	for _, takeovers := range []bool{false, true} {
 		t.Run(fmt.Sprintf("takeovers=%t", takeovers), func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/deletedjob_test.go
+++ b/planner/deletedjob_test.go
@@ -32,6 +32,7 @@
 // its task was started again, and that is acknowledged once the job has been deleted and
 // another holder does not know it any more.
 func TestIgnoredEndOutlivesItsJob(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -51,6 +52,7 @@
 // TestIgnoredEndOutlivesTheProgressOfItsJob guards against the same after the progress of
 // the ended job has expired: the next holder knows the job, but not the numbers of its runs.
 func TestIgnoredEndOutlivesTheProgressOfItsJob(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -30,6 +30,7 @@
 // the minion of one member leaves, although a stop of all members would have saved it, and
 // against members that resume from different checkpoints.
 func TestGangOnLeavingMinionIsSavedAsAWhole(t *testing.T) {
+	t.Parallel()
 	for _, notice := range []time.Duration{2 * time.Second, 6500 * time.Millisecond} {
 		c := quicktest.New(t)
 		simulation := newEvictionSimulation(1, 4)
@@ -48,6 +49,7 @@
 // TestRunsThatEndInTimeStay guards against runs that are moved from a leaving minion although
 // they end before it leaves, and against work of the others that is lost.
 func TestRunsThatEndInTimeStay(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 2)
 	simulation.submit(jobOf("short", specifier.Step{Tasks: 4, Request: taskOf(1000, 1), EstimatedRunTime: 6 * time.Second, Checkpoints: true}))
@@ -67,6 +69,7 @@
 // TestLostRunStartsAgainAtOnce guards against a run without checkpoints that can't end before
 // its minion leaves and is started again only when the lease of that minion has expired.
 func TestLostRunStartsAgainAtOnce(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 2)
 	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 8 * time.Second}))
@@ -80,6 +83,7 @@
 // TestLostGangFreesItsPlaces guards against a gang without checkpoints that keeps its places on
 // other minions until one of its minions leaves, although it can't end before.
 func TestLostGangFreesItsPlaces(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 3)
 	simulation.submit(jobOf("gang", specifier.Step{Tasks: 3, Request: taskOf(1000, 8), EstimatedRunTime: 20 * time.Second, Gang: true}))
@@ -94,6 +98,7 @@
 // TestNoticeOutlivesTakeover guards against a gang that is not saved because a new holder reads the
 // notice late and counts it from then, or has not found the runs when it reads it.
 func TestNoticeOutlivesTakeover(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(2, 4)
 	simulation.submit(jobOf("gang", specifier.Step{Tasks: 3, Request: taskOf(1000, 8), EstimatedRunTime: 20 * time.Second, Gang: true, Checkpoints: true}))
@@ -118,6 +123,7 @@
 // TestRunWithoutProgressStaysIfItEndsInTime guards against a run that is moved from a leaving
 // minion although it ends before, because it reports no progress and counts as just started.
 func TestRunWithoutProgressStaysIfItEndsInTime(t *testing.T) {
+	t.Parallel()
 	for _, checkpoints := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation := newEvictionSimulation(1, 2)
@@ -134,6 +140,7 @@
 // TestSlowStartIsNoLowSpeed guards against a run that is stopped on a leaving minion although it
 // ends in time, because the time that it needed to begin counts as a low speed.
 func TestSlowStartIsNoLowSpeed(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 2)
 	simulation.checkpoints.restartTime = time.Second
@@ -150,6 +157,7 @@
 // TestGangOfMinionThatHasLeftStartsAgainAtOnce guards against a gang whose tasks wait for the
 // leases of a minion that has left as announced and refuses connections.
 func TestGangOfMinionThatHasLeftStartsAgainAtOnce(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 4)
 	simulation.hidesProgress = true // the gang might end in time, so that it is not stopped before
@@ -170,6 +178,7 @@
 // TestRunOnLeavingMinionThatIsCutOffWaits guards against a second run of a task whose minion
 // leaves and can't be reached, but has not ended.
 func TestRunOnLeavingMinionThatIsCutOffWaits(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 2)
 	simulation.hidesProgress = true
--- a/planner/duplicaterun_test.go
+++ b/planner/duplicaterun_test.go
@@ -15,6 +15,7 @@
 // TestDuplicateRunIsReported guards against two runs of one task that leave no line in
 // the log of the holder which finds the second one.
 func TestDuplicateRunIsReported(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	node := simulation.nodes[0]
--- a/planner/eachkind_test.go
+++ b/planner/eachkind_test.go
@@ -15,6 +15,7 @@
 // TestEachKindAndWorkspaceIsServed guards against a kind of job, or a workspace, that gets
 // nothing while others take all capacity, in three minutes with more work than fits.
 func TestEachKindAndWorkspaceIsServed(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	const span, window = 3 * time.Minute, 30 * time.Second
 	run := newLoadRun(1, 48, 1.2, span, true)
--- a/planner/earlyeviction_test.go
+++ b/planner/earlyeviction_test.go
@@ -27,6 +27,7 @@
 // of work with checkpoints, because runs are stopped for them only when they can just be on time by
 // a declared run time that is too short.
 func TestUrgentJobWithRoughEstimateIsOnTime(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newUrgencySimulation()
 	simulation.submit(jobOf("low", specifier.Step{Tasks: 8, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Checkpoints: true}))
@@ -47,6 +48,7 @@
 // TestNoRunIsStoppedEarlyForItsWholeWork guards against runs without checkpoints that are stopped
 // for an urgent job that can still be on time without the stop.
 func TestNoRunIsStoppedEarlyForItsWholeWork(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newUrgencySimulation()
 	simulation.submit(jobOf("low", specifier.Step{Tasks: 8, Request: taskOf(1000, 1), EstimatedRunTime: 6500 * time.Millisecond}))
@@ -61,6 +63,7 @@
 // because the new holder counts their unsaved work from its first poll: a run that has given no
 // checkpoint yet loses all of it.
 func TestTakeoverKeepsWorkWithoutCheckpoint(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(2, 1)
 	simulation.checkpoints.interval = 50 * time.Second
--- a/planner/earlysearch_test.go
+++ b/planner/earlysearch_test.go
@@ -31,6 +31,7 @@
 // in a backlog of urgent steps: a search passes through all runs (1.1 ms for 350 minions), and each
 // step that was not due searched after each 0.15 s.
 func TestUrgentStepsThatCanWaitAreSearchedForSeldom(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	const (
 		steps    = 300
@@ -52,6 +53,7 @@
 // TestEarlyStopsReachStepsBehindOthers guards against urgent steps for which little would be lost,
 // and that are never considered because more urgent steps find nothing in each pass.
 func TestEarlyStopsReachStepsBehindOthers(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newPatientSimulation(4)
 	for index := range 20 {
@@ -67,6 +69,7 @@
 // TestEarlySearchDelaysNoDueStop guards against an urgent step that is due and waits until it may
 // search again, because it has found nothing shortly before it was due.
 func TestEarlySearchDelaysNoDueStop(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	const (
 		dueAfter = 1100 * time.Millisecond // 2.1 s less the time of a stop, 1 s
--- a/planner/endsbehindignored_test.go
+++ b/planner/endsbehindignored_test.go
@@ -17,6 +17,7 @@
 // far as the holder knows: one end there must not be acknowledged, so that the minion
 // lists the same 500 ends for good.
 func TestEndsBehindAnIgnoredEndAreHeard(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -35,6 +36,7 @@
 // TestExpiredLeaseReleasesIgnoredEnds guards against an end that stays unacknowledged although
 // the lease has expired after it, so that an acknowledgement does not count any more.
 func TestExpiredLeaseReleasesIgnoredEnds(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -79,6 +81,7 @@
 // TestRunsOfAllLengthsEndBehindAnIgnoredEnd guards against an end that stays unacknowledged for
 // good because no run lasts for long enough, or none ends.
 func TestRunsOfAllLengthsEndBehindAnIgnoredEnd(t *testing.T) {
+	t.Parallel()
 	for _, runTime := range []time.Duration{40 * time.Millisecond, 100 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second} {
 		t.Run(runTime.String(), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -96,6 +99,7 @@
 // TestEndsBehindAnIgnoredEndAreHeardByTheNextHolder guards against the same after takeovers:
 // a new holder knows no more than what the minion lists.
 func TestEndsBehindAnIgnoredEndAreHeardByTheNextHolder(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{2 * time.Second, 4 * time.Second, 10 * time.Second} {
 		t.Run(after.String(), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -115,6 +119,7 @@
 // TestLongRunDoesNotHoldUpEndsBehindAnIgnoredEnd guards against a minion that takes no new
 // runs until a run of an hour there has ended.
 func TestLongRunDoesNotHoldUpEndsBehindAnIgnoredEnd(t *testing.T) {
+	t.Parallel()
 	for name, long := range map[string]specifier.Step{
 		"finite":       {EstimatedRunTime: time.Hour},
 		"checkpoints":  {EstimatedRunTime: time.Hour, Checkpoints: true},
@@ -137,6 +142,7 @@
 // TestGangsRunOnAMinionWithManyIgnoredEnds guards against a minion that takes no gang any
 // more, although no other work waits for it.
 func TestGangsRunOnAMinionWithManyIgnoredEnds(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, minion := withIgnoredEnd(c, 2, 1)
 	for number := range 160 {
@@ -155,6 +161,7 @@
 // TestServingTasksOutliveIgnoredEnds guards against more unavailable tasks of a serving step
 // than it allows, because an end that must not be acknowledged is dealt with.
 func TestServingTasksOutliveIgnoredEnds(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, minion := withIgnoredEnd(c, 3, 1)
 	simulation.submit(jobOf("s", specifier.Step{Tasks: 3, Request: taskOf(1000, 0), LongRunning: true, MaxUnavailable: 1, MaxPerMinion: 1}))
@@ -172,6 +179,7 @@
 // TestServingTaskStaysWhileOthersAreUnavailable guards against a stop of a serving task, or a
 // lease that expires under it, while as many others of its step are unavailable as it allows.
 func TestServingTaskStaysWhileOthersAreUnavailable(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, minion := withIgnoredEnd(c, 3, 1)
 	simulation.submit(jobOf("s", specifier.Step{Tasks: 3, Request: taskOf(1000, 0), LongRunning: true, MaxUnavailable: 1, MaxPerMinion: 1}))
--- a/planner/evacuation_test.go
+++ b/planner/evacuation_test.go
@@ -24,6 +24,7 @@
 // TestEvacuatedDomainGetsNoStart guards against starts in a domain, or in one of several, that
 // the operator has had evacuated, and against a domain that stays unused after the withdrawal.
 func TestEvacuatedDomainGetsNoStart(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 2, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -49,6 +50,7 @@
 // evacuation was requested before its claim, and against one that starts runs before it has
 // read the operator's topic.
 func TestTakeoverKeepsEvacuation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 2, 8)
 	simulation.evacuate("z0", true)
@@ -74,6 +76,7 @@
 // TestOutdatedReadingAllowsNoStart guards against starts of a holder that still renews its claim
 // and can't read the operator's topic: an evacuation may have been requested meanwhile.
 func TestOutdatedReadingAllowsNoStart(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -93,6 +96,7 @@
 // TestUnansweredStartIsNotRepeatedInEvacuatedDomain guards against a start without an answer
 // that is sent again after the request to evacuate its domain.
 func TestUnansweredStartIsNotRepeatedInEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/evacuationcapacity_test.go
+++ b/planner/evacuationcapacity_test.go
@@ -16,6 +16,7 @@
 // TestStepDoesNotWaitForEvacuatedDataRack guards against a step that waits for the rack of its
 // data while that rack is evacuated.
 func TestStepDoesNotWaitForEvacuatedDataRack(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -32,6 +33,7 @@
 // TestStepLeavesEvacuatedRack guards against a task that waits to join the others of its step on
 // a rack that is evacuated.
 func TestStepLeavesEvacuatedRack(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -57,6 +59,7 @@
 // TestEvacuatedMinionsAreNoCapacity guards against a pool that counts as not crowded because of
 // the minions of an evacuated domain: a step would run slowly away from its data.
 func TestEvacuatedMinionsAreNoCapacity(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 12)
 	simulation.makeHolder(simulation.nodes[0])
@@ -75,6 +78,7 @@
 // TestStepThatNeedsEvacuatedDomainWaits guards against a job that fails because only minions of
 // an evacuated domain have the label that it needs, and against a report that does not say so.
 func TestStepThatNeedsEvacuatedDomainWaits(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	for _, minion := range simulation.sortedMinions()[:4] {
@@ -109,6 +113,7 @@
 // TestEvacuationIsLoggedOnce guards against an evacuation without a line for its request, for
 // its last run and for its withdrawal, and against more than one of each.
 func TestEvacuationIsLoggedOnce(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -138,6 +143,7 @@
 // TestListingReplacesEvacuations guards against an evacuation that was withdrawn while the
 // records of the topic were dropped, and holds for ever.
 func TestListingReplacesEvacuations(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -158,6 +164,7 @@
 // restart while others are free, and against minions that count as slow for ever. Without
 // evacuations nothing changes.
 func TestColdMinionsRankAfterWarmOnes(t *testing.T) {
+	t.Parallel()
 	for _, sameRack := range []bool{false, true} {
 		t.Run(fmt.Sprint("same-rack=", sameRack), func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/evacuationmove_test.go
+++ b/planner/evacuationmove_test.go
@@ -53,6 +53,7 @@
 // stays in an evacuated domain although there is capacity elsewhere, and against the stop of
 // one that ends soon, that has no checkpoints, or for which there is no capacity elsewhere.
 func TestCheckpointedRunLeavesEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name        string
 		runTime     time.Duration
@@ -86,6 +87,7 @@
 // members in the evacuated domain are stopped, and against one that is not moved because its
 // members elsewhere occupy the capacity that it needs.
 func TestCheckpointedGangLeavesEvacuatedDomainAsAWhole(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(time.Second)
 	gang := wholeMinions(4, time.Minute)
@@ -106,6 +108,7 @@
 // TestGangWithSilentMemberIsNotMoved guards against a gang that is stopped while one of its
 // minions does not answer: it could not start again before the lease there has expired.
 func TestGangWithSilentMemberIsNotMoved(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(time.Second)
 	gang := wholeMinions(4, time.Minute)
@@ -127,6 +130,7 @@
 // TestLongRunningTasksLeaveEvacuatedDomainOneAfterAnother guards against a long-running step
 // with more tasks unavailable than it allows, and against tasks that stay in the domain.
 func TestLongRunningTasksLeaveEvacuatedDomainOneAfterAnother(t *testing.T) {
+	t.Parallel()
 	for _, maxUnavailable := range []int{0, 1} {
 		c := quicktest.New(t)
 		simulation := newOccupiedSimulation(500 * time.Millisecond)
@@ -150,6 +154,7 @@
 // TestGangIsStoppedWithItsUnansweredMember guards against members of a gang that wait for one
 // whose start in an evacuated domain got no answer and is not repeated.
 func TestGangIsStoppedWithItsUnansweredMember(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -176,6 +181,7 @@
 // TestPlannedTrialInEvacuatedDomainIsCancelled guards against a trial that waits for its record
 // while its domain is evacuated, and then starts there.
 func TestPlannedTrialInEvacuatedDomainIsCancelled(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(9 * time.Second)
 	simulation.submit(jobOf("a", wholeMinions(1, 3*time.Second)))
--- a/planner/evacuationrestart_test.go
+++ b/planner/evacuationrestart_test.go
@@ -14,6 +14,7 @@
 // evacuation, and then waits for the rack of its data instead of using the capacity for which
 // it was stopped.
 func TestRunThatWouldWaitForItsRackIsNotMoved(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 12)
 	simulation.makeHolder(simulation.nodes[0])
@@ -33,6 +34,7 @@
 // TestSameRackGangLeavesForAnotherRack guards against a gang that must stay together and is not
 // moved, because one of its members is on a rack that does not hold all of them.
 func TestSameRackGangLeavesForAnotherRack(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 12)
 	simulation.makeHolder(simulation.nodes[0])
@@ -56,6 +58,7 @@
 // evacuation and finds its capacity taken, because another run of its step has ended and
 // started again earlier.
 func TestCapacityOfLaterMovedRunStaysReserved(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(500 * time.Millisecond)
 	step := wholeMinions(2, time.Minute)
@@ -78,6 +81,7 @@
 // TestGangWithLimitPerMinionIsMoved guards against a gang that is not moved because its own
 // members, which end with it, count against the limit of its tasks per minion.
 func TestGangWithLimitPerMinionIsMoved(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(time.Second)
 	gang := specifier.Step{
@@ -98,6 +102,7 @@
 // TestWaitingStepsComeBeforeMoves guards against a move that takes capacity from a step that has
 // waited for it, because a run has ended since the last pass.
 func TestWaitingStepsComeBeforeMoves(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(3 * time.Second)
 	step := wholeMinions(4, time.Hour)
@@ -117,6 +122,7 @@
 // evacuation and find their capacity taken, because the store needs longer for the record of
 // their next start than the reservation lasts.
 func TestMovedRunsKeepTheirCapacityUntilTheyAreRecorded(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newOccupiedSimulation(500 * time.Millisecond)
 	step := wholeMinions(4, time.Minute)
@@ -138,6 +144,7 @@
 // TestMoveLeavesRoomReservedForGang guards against a run that is stopped for an evacuation, and
 // then may not use the capacity elsewhere because it is reserved for a gang that waits.
 func TestMoveLeavesRoomReservedForGang(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 0, 8)
 	simulation.features.GangReservations = true
--- a/planner/eviction_test.go
+++ b/planner/eviction_test.go
@@ -48,6 +48,7 @@
 // TestReclaimCountsOnlyWaitingTasks guards against runs that are stopped for tasks of a step
 // for which there was free room, and which have just been started.
 func TestReclaimCountsOnlyWaitingTasks(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 1)
 	simulation.submit(jobOf("low", specifier.Step{Tasks: 5, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute}))
@@ -61,6 +62,7 @@
 // TestNothingIsStoppedForRoomThatComesFree guards against stops for room that runs leave by
 // themselves before the stops would have ended.
 func TestNothingIsStoppedForRoomThatComesFree(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 1)
 	simulation.submit(jobOf("soon", specifier.Step{Tasks: 4, Request: taskOf(1000, 1), EstimatedRunTime: 4 * time.Second}))
@@ -76,6 +78,7 @@
 // TestNothingIsStoppedForJobWithoutRecord guards against runs that are stopped for a job
 // whose tasks can't start, because the store does not take the record that allows it.
 func TestNothingIsStoppedForJobWithoutRecord(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 1)
 	simulation.submit(jobOf("low", specifier.Step{Tasks: 8, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Checkpoints: true}))
@@ -90,6 +93,7 @@
 // TestGangIsNotStoppedAgainAtOnce guards against a gang that is stopped a second time as
 // soon as it runs again, because it has done the least work by then.
 func TestGangIsNotStoppedAgainAtOnce(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(1, 3)
 	wide := func(id string, tasks int, work time.Duration) specifier.Job {
@@ -118,6 +122,7 @@
 // the holder dies after its stops, and against a new holder that stops a task more than once
 // more.
 func TestHolderDiesBetweenStopAndStart(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvictionSimulation(2, 2)
 	simulation.submit(jobOf("gang", specifier.Step{Tasks: 4, Request: taskOf(1000, 2), EstimatedRunTime: 8 * time.Second, Gang: true, Checkpoints: true}))
--- a/planner/excluded_test.go
+++ b/planner/excluded_test.go
@@ -47,6 +47,7 @@
 // rack while most accelerators are in use, although the rack can hold only a part
 // of the gang at best. The gang needs processors, and few of those are in use.
 func TestGangLargerThanDataRackStarts(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 16)
 	simulation.makeHolder(simulation.nodes[0])
@@ -65,6 +66,7 @@
 // again because its start did not arrive and the minion refuses the stop of a run
 // that it does not have.
 func TestTaskIsReleasedWhenItsStopIsRefused(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -87,6 +89,7 @@
 // runs for the rest of its life because the platform has refused the maintenance
 // of its VM.
 func TestMinionReopensWhenMaintenanceIsRefused(t *testing.T) {
+	t.Parallel()
 	for _, code := range []classifier.Code{classifier.Infeasible, classifier.UnknownNode} {
 		t.Run(code.Name(), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -107,6 +110,7 @@
 // holder never asks again because an answer named an incarnation older than the
 // one in the store.
 func TestMinionIsPolledAfterAnswerOfOlderIncarnation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -128,6 +132,7 @@
 // for ever for the answer to its start because the answer named an incarnation
 // older than the one in the store.
 func TestStartAnsweredByOlderIncarnationIsRepeated(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -152,6 +157,7 @@
 // TestApprovedMinionMayReturn guards against a step that never starts because the
 // approved minion was missing when the advice arrived and counts as denied since.
 func TestApprovedMinionMayReturn(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion == "m00" }
@@ -179,6 +185,7 @@
 // TestWideSameRackStepStarts guards against a step on one rack, not a gang, that
 // has nothing running for ever because not all of its tasks fit at the same time.
 func TestWideSameRackStepStarts(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 16)
 	simulation.makeHolder(simulation.nodes[0])
@@ -195,6 +202,7 @@
 // for the rest of their lives because a new holder has requested a maintenance that
 // its predecessor had finished.
 func TestMinionReopensAfterTakeoverDuringWave(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -219,6 +227,7 @@
 // own fault and that leaves all sound minions in quarantine, so that no other job
 // starts.
 func TestFailingJobLeavesMinionsToOthers(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -233,6 +242,7 @@
 // TestTaskFindsItsApprovedMinion guards against a task that asks the advice service
 // about so few minions at a time that it does not find an approved one in time.
 func TestTaskFindsItsApprovedMinion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 60)
 	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion >= "m50" }
@@ -249,6 +259,7 @@
 // for the rest of its life because it has restarted after its wall clock was set
 // back, so that its start time is earlier than that of its former incarnation.
 func TestMinionIsUsedAfterItsClockWasSetBack(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	for _, minion := range simulation.sortedMinions() {
@@ -270,6 +281,7 @@
 // not answer which keep all tasks from sound minions, because they use up the
 // number of pending orders.
 func TestUnansweredStopsLeaveOthersRunning(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 64)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/explain_test.go
+++ b/planner/explain_test.go
@@ -44,6 +44,7 @@
 // TestExplainOfFullPool guards against an answer that does not say why a step waits, at
 // which place, and when it will start.
 func TestExplainOfFullPool(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := fillPool(20 * time.Second)
 	holder := simulation.nodes[0]
@@ -75,6 +76,7 @@
 // TestExplainCountsTheStepsBefore guards against a long queue each of whose steps is told that
 // it starts next.
 func TestExplainCountsTheStepsBefore(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.workTime = func(run *fakeRun) time.Duration {
@@ -98,6 +100,7 @@
 // TestExplainBehindOverdueRun guards against a start that is expected now for as long as a run
 // is overdue.
 func TestExplainBehindOverdueRun(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.workTime = func(*fakeRun) time.Duration { return time.Hour } // no progress is shown for 36 s
@@ -114,6 +117,7 @@
 // TestExplainAfterTakeover guards against an answer by a node that does not know what runs,
 // and against one that is lost with the former holder.
 func TestExplainAfterTakeover(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := fillPool(time.Minute)
 	first, second := simulation.nodes[0], simulation.nodes[1]
@@ -154,6 +158,7 @@
 // TestExplainNamesReservation guards against a start that seems far away although capacity
 // has been reclaimed for it.
 func TestExplainNamesReservation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := reclaimMinion()
 	step := simulation.waitingSteps(c, simulation.nodes[0], "b")[0]
@@ -164,6 +169,7 @@
 
 // TestExplainWithoutExpectation guards against a promise for steps whose start nobody knows.
 func TestExplainWithoutExpectation(t *testing.T) {
+	t.Parallel()
 	large := specifier.Step{Tasks: 1, Request: taskOf(64000, 0), EstimatedRunTime: time.Second}
 	labelled := wholeMinions(1, time.Second)
 	labelled.Label = "none-has-it"
@@ -196,6 +202,7 @@
 // TestExplainNamesEvacuatedDomain guards against an answer that differs from the report of the
 // same step: it does not lack capacity, but waits for the end of an evacuation.
 func TestExplainNamesEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 1, 8)
 	for _, minion := range simulation.sortedMinions()[:4] {
@@ -216,6 +223,7 @@
 // TestExplainDoesNotBeginAWait guards against a query that counts as the first pass over a
 // step: without a valid claim no pass has seen the step.
 func TestExplainDoesNotBeginAWait(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := fillPool(time.Minute)
 	simulation.nodes[0].token = 0 // no more renewals
@@ -231,6 +239,7 @@
 
 // TestExplainIsBounded guards against an answer whose cost grows with the size of the job.
 func TestExplainIsBounded(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := fillPool(time.Minute)
 	simulation.submit(jobOf("d", slices.Repeat([]specifier.Step{wholeMinions(1, time.Second)}, 12)...))
@@ -243,6 +252,7 @@
 // TestExplainChangesNothing guards against a query that changes what the holder decides: the
 // decisions of a load are the same with a query after each millisecond and without.
 func TestExplainChangesNothing(t *testing.T) {
+	t.Parallel()
 	decisions := func(asks bool) []string {
 		simulation := newSimulation(7, 2, 4)
 		simulation.lostAnswerShare = 0.05
--- a/planner/failedends_test.go
+++ b/planner/failedends_test.go
@@ -62,6 +62,7 @@
 // runs of a task, or of a gang, whose lease ran out or that were broken are counted with
 // those that failed. Every other run fails, and the minion of the others is cut off.
 func TestOnlyFailedEndsCountAsAttempts(t *testing.T) {
+	t.Parallel()
 	for name, members := range map[string]int{"task": 1, "gang": 3} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -99,6 +100,7 @@
 // after fewer failed runs than its attempts, because several members end a run as failed,
 // and against tasks of a step that share their attempts although they are no gang.
 func TestMembersOfAGangDoNotAddUpTheirFailures(t *testing.T) {
+	t.Parallel()
 	for name, isGang := range map[string]bool{"tasks": false, "gang": true} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -120,6 +122,7 @@
 // TestFewerAttemptsEndNoJobOfDoneTasks guards against a job that is shown as failed because
 // a new configuration allows as many attempts as a task that is done has failed before.
 func TestFewerAttemptsEndNoJobOfDoneTasks(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	first := specifier.Task{Job: "a"}
--- a/planner/failingtask_test.go
+++ b/planner/failingtask_test.go
@@ -20,6 +20,7 @@
 // TestFailingLastingTaskSetsNoMinionsAside guards against a long-running task that fails
 // wherever it starts, and for which one minion after the other is set aside.
 func TestFailingLastingTaskSetsNoMinionsAside(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.lastingFailsAfter = 200 * time.Millisecond
@@ -35,6 +36,7 @@
 // TestUnansweredTaskSetsNoMinionsAside guards against a task whose start no minion answers,
 // and for which one minion after the other is set aside.
 func TestUnansweredTaskSetsNoMinionsAside(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	for _, minion := range simulation.sortedMinions() {
--- a/planner/failure_test.go
+++ b/planner/failure_test.go
@@ -12,6 +12,7 @@
 // TestFailedJobTellsItsFailedRuns guards against a caller, and an operator, who can't tell which
 // task ended a job as failed, and by which runs.
 func TestFailedJobTellsItsFailedRuns(t *testing.T) {
+	t.Parallel()
 	for name, gang := range map[string]bool{"plain": false, "gang": true} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/forcedclearing_test.go
+++ b/planner/forcedclearing_test.go
@@ -14,6 +14,7 @@
 // TestLateWaveKeepsTasksAvailable guards against a wave that is about to be late and
 // stops a long-running task while as many others of its step are away as may be.
 func TestLateWaveKeepsTasksAvailable(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 3)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/formerholder_test.go
+++ b/planner/formerholder_test.go
@@ -14,6 +14,7 @@
 // reach the store and renews the leases on a minion that the new holder does not know,
 // for longer than the new holder waits before it starts the tasks again.
 func TestFormerHolderWithoutStoreEndsItsLeases(t *testing.T) {
+	t.Parallel()
 	for name, learnsAfter := range map[string]time.Duration{"reads late": 2 * time.Second, "cut off": 12 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/formerlease_test.go
+++ b/planner/formerlease_test.go
@@ -14,6 +14,7 @@
 // the former one, cut off from the store, renews them until a minion that the new one
 // has polled refuses its token.
 func TestFormerHolderMayRenewUntilMinionsAreFenced(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 3)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/formerlife_test.go
+++ b/planner/formerlife_test.go
@@ -15,6 +15,7 @@
 // task there and dies, and the minion is cut off. The next holder counted with the leases that
 // holders send, and started the task elsewhere while its run went on.
 func TestLeaseOfALifeThatBeganBeforeATakeover(t *testing.T) {
+	t.Parallel()
 	const longLease = 10 * time.Second
 	for name, isListed := range map[string]bool{"listed": true, "entry-removed-during-the-wait": false} {
 		t.Run(name, func(t *testing.T) {
@@ -58,6 +59,7 @@
 // that holders send, although no minion may have a longer one: those that began lately answer,
 // or have ended, and those that do not answer began long ago.
 func TestTakeoverWaitsForNoOtherMinion(t *testing.T) {
+	t.Parallel()
 	const longLease = 10 * time.Second
 	for name, disrupt := range map[string]func(minion *fakeMinion){
 		"answers":        func(minion *fakeMinion) { minion.start() },
@@ -96,6 +98,7 @@
 // takeover for a minion that began shortly before and is lost for good: no lease that was
 // received before the former holder's last order lasts longer than minions grant.
 func TestTakeoverEndsWithoutAMinionThatNeverReturns(t *testing.T) {
+	t.Parallel()
 	const longLease = 10 * time.Second
 	c := quicktest.New(t)
 	simulation := newLeasedSimulation(1, 2, 3, longLease)
--- a/planner/formerprogress_test.go
+++ b/planner/formerprogress_test.go
@@ -24,6 +24,7 @@
 // TestHolderAwaitsTheFormerProgress guards against a holder that acts on a part of what
 // former holders have recorded, and starts tasks again that are done.
 func TestHolderAwaitsTheFormerProgress(t *testing.T) {
+	t.Parallel()
 	const fence identifier.Offset = 9
 	now := time.Unix(1_000_000, 0)
 	complete := messenger.ProgressRead{End: 7, Complete: true}
@@ -54,6 +55,7 @@
 // TestDoneTasksStayDoneAfterTakeover guards against a new holder that knows the state of a
 // job, which every node reads, but not which of its tasks are done.
 func TestDoneTasksStayDoneAfterTakeover(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.workTime = func(run *fakeRun) time.Duration {
@@ -77,6 +79,7 @@
 // TestJobReadAfterItsProgress guards against tasks that start twice because the record of
 // their job is read after the holder is active, although a former holder has started them.
 func TestJobReadAfterItsProgress(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -106,6 +109,7 @@
 // TestProgressOfEndedJobsExpires guards against a takeover that reads the progress of all
 // jobs whose state is still readable.
 func TestProgressOfEndedJobsExpires(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/frozenholder_test.go
+++ b/planner/frozenholder_test.go
@@ -15,6 +15,7 @@
 // another node has claimed. The new holder does not know one of the minions, and waits
 // only for the leases from before its claim.
 func TestFrozenHolderRenewsNoLease(t *testing.T) {
+	t.Parallel()
 	const suspension = 3200 * time.Millisecond // shorter than a lease
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
@@ -38,6 +39,7 @@
 // TestHolderContinuesAfterSuspension guards against a holder that renews no lease any more
 // after a suspension in which no other node has claimed.
 func TestHolderContinuesAfterSuspension(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	node := simulation.nodes[0]
--- a/planner/gangfailure_test.go
+++ b/planner/gangfailure_test.go
@@ -40,6 +40,7 @@
 // TestReservationIsPlannedAnewAfterTakeover guards against a gang that waits without bound
 // because its reservation was in the memory of a holder that has died.
 func TestReservationIsPlannedAnewAfterTakeover(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newFullPool(c, 2)
 	simulation.nodes[0].alive = false
@@ -51,6 +52,7 @@
 // TestReservationOutlivesItsMinions guards against a reservation on minions that have died or
 // are leaving, which would never be met and hold room on the others.
 func TestReservationOutlivesItsMinions(t *testing.T) {
+	t.Parallel()
 	for name, fail := range map[string]func(simulation *simulation, minion *fakeMinion){
 		"die": func(_ *simulation, minion *fakeMinion) {
 			minion.crash()
@@ -83,6 +85,7 @@
 // TestReservationOfACancelledGangHoldsNoRoom guards against room that is held for a gang
 // that will never start.
 func TestReservationOfACancelledGangHoldsNoRoom(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newFullPool(c, 1)
 	simulation.cancel("gang")
@@ -94,6 +97,7 @@
 // TestExplainNamesGangReservation guards against a start that seems unknown, or as early as the
 // first capacity, although the gang has a reservation.
 func TestExplainNamesGangReservation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newFullPool(c, 1)
 	step := simulation.waitingSteps(c, simulation.nodes[0], "gang")[0]
--- a/planner/gangload_test.go
+++ b/planner/gangload_test.go
@@ -88,6 +88,7 @@
 // TestGangStartsInAFullPool guards against a gang of priority 1 that waits for as long as
 // single tasks of priority 2 take each place that becomes free.
 func TestGangStartsInAFullPool(t *testing.T) {
+	t.Parallel()
 	for _, tasks := range []int{2, 6} {
 		t.Run(fmt.Sprint("tasks=", tasks), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -107,6 +108,7 @@
 // TestGangStartsAlthoughRunsAreLonger guards against a gang that waits without bound because
 // runs take three times their declared time, so that its reservation is never met in time.
 func TestGangStartsAlthoughRunsAreLonger(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newReservingSimulation(1, 1, 8, true)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/gangrestart_test.go
+++ b/planner/gangrestart_test.go
@@ -14,6 +14,7 @@
 // a new holder hears the ends of its earlier run, while the latest one continues on minions
 // that are missing in the list of minions.
 func TestEndOfEarlierGangDoesNotRestartGang(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 9)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/guarantee_test.go
+++ b/planner/guarantee_test.go
@@ -42,6 +42,7 @@
 // guarantee that waits longer than the reclaim bound of 3 s because the work
 // that it would stop is worth more.
 func TestGuaranteedWorkStartsInTime(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	started := startDelay(c, 8)
 	c.Assert(started > 0 && started <= 3*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", started))
@@ -50,6 +51,7 @@
 // TestWorkBeyondGuaranteeWaits guards against stopping expensive work for cheap
 // work without a guarantee.
 func TestWorkBeyondGuaranteeWaits(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	c.Assert(startDelay(c, 7), quicktest.Equals, time.Duration(0))
 }
--- a/planner/halfopen_test.go
+++ b/planner/halfopen_test.go
@@ -80,6 +80,7 @@
 // as many tasks as it has room for after each quarantine, so that jobs use up their attempts and
 // gangs lose the work of all members.
 func TestUnreliableMinionsFailFewRuns(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed=", seed+1), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -103,6 +104,7 @@
 // TestRecoveredMinionIsUsedFully guards against a minion that gets single tasks for good, or
 // none, after it has failed some.
 func TestRecoveredMinionIsUsedFully(t *testing.T) {
+	t.Parallel()
 	const maxQuarantine, probes = 30 * time.Second, 10 * time.Second
 	c := quicktest.New(t)
 	pool := newUnreliablePool(1, true)
@@ -117,6 +119,7 @@
 // TestEarlierRunDoesNotShowThatMinionWorks guards against a quarantine that ends, and a minion
 // that gets many tasks, because a run that began before the first failure ends well.
 func TestEarlierRunDoesNotShowThatMinionWorks(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 0, 1)
 	simulation.features = planner.Features{MinionProfiles: true}
--- a/planner/headroom_test.go
+++ b/planner/headroom_test.go
@@ -82,6 +82,7 @@
 // TestUrgentStreamOverFullPoolIsOnTime guards against urgent jobs of which each waits for the stop
 // of other runs, because whatever comes free is given to work that could wait.
 func TestUrgentStreamOverFullPoolIsOnTime(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		t.Run(fmt.Sprint("seed=", seed+1), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -104,6 +105,7 @@
 // TestNewHolderKeepsHeadroom guards against a takeover after which urgent jobs are late for long,
 // because the new holder does not know how many come.
 func TestNewHolderKeepsHeadroom(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, _ := newStream(1, 2, planner.Features{GangReservations: true, LossAwareStops: true, UrgentHeadroom: true})
 	simulation.advance(18 * time.Second)
@@ -129,6 +131,7 @@
 // TestLabelledStepUsesHeadroom guards against a step of lower priority that waits because all
 // minions that can run it are kept for urgent work.
 func TestLabelledStepUsesHeadroom(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, _ := newStream(1, 1, planner.Features{UrgentHeadroom: true})
 	for _, minion := range simulation.sortedMinions()[1:] {
--- a/planner/idle_test.go
+++ b/planner/idle_test.go
@@ -13,6 +13,7 @@
 // TestHolderWithoutClaimDoesNotSpin guards against a holder that becomes active when its
 // claim is no longer confirmed, and asks for its next event at once, again and again.
 func TestHolderWithoutClaimDoesNotSpin(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	now := time.Unix(1_000_000, 0)
 	holder := planner.New("n", planner.Bounds{MaxLease: maxLease}, planner.Features{})
--- a/planner/innocentjob_test.go
+++ b/planner/innocentjob_test.go
@@ -81,6 +81,7 @@
 // their minions were out of reach again and again: their runs ended with their leases, and
 // what happened to the minions afterwards says nothing about the tasks.
 func TestMinionsOutOfReachFailNoJob(t *testing.T) {
+	t.Parallel()
 	const seeds = 12
 	for name, isolation := range isolations {
 		for _, gang := range []bool{false, true} {
@@ -143,6 +144,7 @@
 // all minions crashes at once, again and again: their callers lose them although the minions
 // crash for a reason of their own.
 func TestCrashesOfManyMinionsFailNoJob(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds        = 8
 		minions      = 48
@@ -199,6 +201,7 @@
 // one crash: the orders to start its next runs do not arrive, and the minions that were to
 // run them start anew many seconds later.
 func TestRunThatNeverBeganFailsNoJob(t *testing.T) {
+	t.Parallel()
 	const (
 		lossTime   = 40 * time.Second
 		rebornTime = 10 * time.Second
--- a/planner/journalsize_test.go
+++ b/planner/journalsize_test.go
@@ -15,6 +15,7 @@
 // of records of single tasks: every node reads the whole journal. A node has 20 KB/s for
 // control, and the large deployment submits 21 jobs a second.
 func TestJournalBytesDoNotGrowWithTasks(t *testing.T) {
+	t.Parallel()
 	const (
 		jobs           = 8
 		tasks          = 78
--- a/planner/largejob_test.go
+++ b/planner/largejob_test.go
@@ -45,6 +45,7 @@
 // of any caller is recorded or started, and against tasks of such a job that a new holder
 // starts again.
 func TestLargeJobHoldsUpNoOther(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 6)
 	simulation.store.recordBytes = smallRecordBytes
@@ -65,6 +66,7 @@
 // TestUnrecordableJobHoldsUpNoOther guards against one job whose progress the store will
 // never take, and with which nothing else is recorded.
 func TestUnrecordableJobHoldsUpNoOther(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 6)
 	simulation.store.recordBytes = 2 << 10 // less than one part
@@ -82,6 +84,7 @@
 // TestProgressInOneRecordIsKept guards against an upgrade that loses progress: earlier
 // versions recorded all tasks in the first part, which the next record replaces.
 func TestProgressInOneRecordIsKept(t *testing.T) {
+	t.Parallel()
 	const doneTasks = 600
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 6)
--- a/planner/lateanswers_test.go
+++ b/planner/lateanswers_test.go
@@ -15,6 +15,7 @@
 // hang on connections that have gone silent. No minion refuses the former one meanwhile,
 // and it renews its leases.
 func TestFormerLeasesAreCountedFromTheAnswers(t *testing.T) {
+	t.Parallel()
 	const silence = 1900 * time.Millisecond
 	for phase := time.Duration(0); phase < 1200*time.Millisecond; phase += 200 * time.Millisecond { // of the former one's polls
 		t.Run(phase.String(), func(t *testing.T) { checkFormerLeases(t, phase, silence) })
--- a/planner/latecrash_test.go
+++ b/planner/latecrash_test.go
@@ -16,6 +16,7 @@
 // crash their minions for ever (BUDGET): their crashes at the same age look like one common
 // cause, and count against none of them.
 func TestCrashingTasksThatStartTogetherAreGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{700 * time.Millisecond, 3 * time.Second, 5 * time.Second} {
 		for _, jobs := range []int{2, 6} {
 			t.Run(fmt.Sprintf("delay=%s,jobs=%d", delay, jobs), func(t *testing.T) {
@@ -42,6 +43,7 @@
 // varying ages and is started too often (BUDGET), because a run that has worked for a little
 // longer than the earlier ones makes the planner forget their crashes.
 func TestTaskWithCrashesOfVaryingAgeIsGivenUp(t *testing.T) {
+	t.Parallel()
 	const seeds = 40
 	for _, longest := range []time.Duration{3 * time.Second, 8 * time.Second, 15 * time.Second} {
 		t.Run(longest.String(), func(t *testing.T) {
@@ -71,6 +73,7 @@
 // because its tasks are on trial beside runs of others that crash their minions late, and
 // against starts of those others beyond BUDGET.
 func TestInnocentJobsBesideLateCrashesComplete(t *testing.T) {
+	t.Parallel()
 	const (
 		badJobs  = 10
 		goodJobs = 20
@@ -119,6 +122,7 @@
 // TestTaskThatCrashesMinionsLateIsGivenUp guards against a single task that is started too often
 // (BUDGET) because it crashes its minions seconds after its start.
 func TestTaskThatCrashesMinionsLateIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{3 * time.Second, 6 * time.Second, 8 * time.Second, 15 * time.Second, 40 * time.Second} {
 		for _, refuses := range []bool{false, true} {
 			for _, gang := range []bool{false, true} {
@@ -146,6 +150,7 @@
 // ever (BUDGET) because they are down for long and refuse no connections, as a virtual machine
 // that ends with its processes does.
 func TestTaskWhoseMinionsAreDownForLongIsGivenUp(t *testing.T) {
+	t.Parallel()
 	for _, downTime := range []time.Duration{5 * time.Second, 9 * time.Second, 20 * time.Second} {
 		for _, renames := range []bool{false, true} {
 			t.Run(fmt.Sprintf("down=%s,renames=%t", downTime, renames), func(t *testing.T) {
@@ -169,6 +174,7 @@
 // (BUDGET) because the record has no room for its crashes or placements, and each crash is
 // followed by a takeover.
 func TestCrashingTaskOfVeryWideStepIsGivenUp(t *testing.T) {
+	t.Parallel()
 	const minions = 80
 	for _, tasks := range []int{400, 600} {
 		t.Run(fmt.Sprint(tasks), func(t *testing.T) {
--- a/planner/latelist_test.go
+++ b/planner/latelist_test.go
@@ -12,6 +12,7 @@
 // the list of minions later than the journal and polls none of them before. A former
 // holder that is cut off from the store renews leases until those polls.
 func TestFormerLeasesAreCountedFromThePolls(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, _, second, unlisted := newCutOffHolder(c, 4)
 	for _, minion := range simulation.sortedMinions() {
--- a/planner/latemaintenance_test.go
+++ b/planner/latemaintenance_test.go
@@ -14,6 +14,7 @@
 // than a wave allows because a new holder begins that of one VM while the request of
 // the former holder for another is still on its way.
 func TestMaintenanceOfFormerHolderCounts(t *testing.T) {
+	t.Parallel()
 	for name, onTheWay := range map[string]time.Duration{"fast": 500 * time.Millisecond, "slow": 1400 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -51,6 +52,7 @@
 // TestMaintenanceOfAnotherWaveDoesNotCount guards against a wave that is reported as
 // completed because a list shows one of its VMs in the maintenance of another wave.
 func TestMaintenanceOfAnotherWaveDoesNotCount(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/latestart_test.go
+++ b/planner/latestart_test.go
@@ -14,6 +14,7 @@
 // first attempt to start it is carried out late, by the next incarnation of its minion, after
 // the second attempt has run and its end was acknowledged.
 func TestLateStartOfEndedRunIsStopped(t *testing.T) {
+	t.Parallel()
 	for name, restarts := range map[string]int{"restart": 1, "two-restarts": 2} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/limitedstep_test.go
+++ b/planner/limitedstep_test.go
@@ -25,6 +25,7 @@
 // TestReservationIsWhereTheStepMayRun guards against a reservation for an aged step on a minion
 // that already runs as many of its tasks as are allowed there, so that the step never starts.
 func TestReservationIsWhereTheStepMayRun(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newReservingSimulation(1, 1, 2, true)
 	simulation.workTime = func(run *fakeRun) time.Duration {
--- a/planner/loss_test.go
+++ b/planner/loss_test.go
@@ -76,6 +76,7 @@
 // TestLostWorkIsCountedByItsCause guards against work that is thrown away without being
 // counted, or counted for another cause, and against a completed run that counts as lost.
 func TestLostWorkIsCountedByItsCause(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		interrupt func(simulation *simulation)
 		causes    string
@@ -113,6 +114,7 @@
 // TestLossBeginsAtTheNewestCheckpoint guards against a loss that is assumed instead of
 // measured: a run with old checkpoints loses more than one with new ones.
 func TestLossBeginsAtTheNewestCheckpoint(t *testing.T) {
+	t.Parallel()
 	for interval, bounds := range map[time.Duration][2]float64{
 		time.Second:     {0, 15},
 		8 * time.Second: {12, 37}, // seen up to one poll after 8 s, and lost after 11 s
@@ -139,6 +141,7 @@
 // TestRepeatedStopIsCounted guards against a task that is stopped again and again without
 // a sign of it in the counters and lines.
 func TestRepeatedStopIsCounted(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 3)
 	simulation.makeHolder(simulation.nodes[0])
@@ -168,6 +171,7 @@
 // TestLongRunningTaskLosesNoWork guards against a sum that shows mostly services, whose
 // work is of use as it is done.
 func TestLongRunningTaskLosesNoWork(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -182,6 +186,7 @@
 // TestBrokenGangIsCountedOnce guards against a gang that breaks without a known cause, and
 // against one that is counted once for each member or for each end that follows.
 func TestBrokenGangIsCountedOnce(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		breakGang func(simulation *simulation)
 		cause     string
--- a/planner/lostrefusal_test.go
+++ b/planner/lostrefusal_test.go
@@ -13,6 +13,7 @@
 // holder assumes that the former one, cut off from the store, soon learns of the newer token.
 // The former one's next two polls of each minion that both know are lost.
 func TestFormerHolderMissesTwoRefusals(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, first, second, unlisted := newCutOffHolder(c, 3)
 	simulation.advance(claimTimeout)
--- a/planner/manyends_test.go
+++ b/planner/manyends_test.go
@@ -13,6 +13,7 @@
 // minion lists only so many ends at a time, and the end of the run is not among them.
 // The task would be started again after its end.
 func TestEndBeyondTheListIsNotLost(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/narrowtrial_test.go
+++ b/planner/narrowtrial_test.go
@@ -25,6 +25,7 @@
 // trials, of which each takes as long as earlier runs of its task, after crashes of minions
 // for which none is the reason.
 func TestNarrowJobsCompleteAfterOutages(t *testing.T) {
+	t.Parallel()
 	const jobs = 90
 	all := wideStep{tasks: jobs, minions: 12, runTime: 20 * time.Second}
 	rolling := rollingOutages(all.minions, 600*time.Millisecond)
--- a/planner/nextlife_test.go
+++ b/planner/nextlife_test.go
@@ -16,6 +16,7 @@
 // which life has given it. The holder then counted the run as one of the earlier life, gave it
 // up with that, as crashed by its task, and started the task elsewhere.
 func TestStartTakenByNextLifeRunsOnce(t *testing.T) {
+	t.Parallel()
 	for name, wait := range map[string]time.Duration{
 		"entry-read-before-the-answer": 10 * time.Millisecond,
 		"entry-read-after-the-answer":  60 * time.Millisecond,
@@ -49,6 +50,7 @@
 // is carried out seconds late, by the next life of a minion that the holder had removed in the
 // meantime, together with what it knew of the orders that could still arrive there.
 func TestLateStartAtNextLifeIsRefused(t *testing.T) {
+	t.Parallel()
 	for name, delay := range map[string]time.Duration{"a-second-after-the-restart": 7 * time.Second, "later": 9 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -86,6 +88,7 @@
 // although its token is that of an earlier life: the minion has restarted twice between two
 // renewals of the claim. Orders to the earlier life still have an effect there.
 func TestLifeWithTheTokenOfAnEarlierOneIsNotUsed(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
@@ -114,6 +117,7 @@
 // clock, as long as the minion grants it. The holder counted with the leases that it had sent
 // to the next life, gave up its runs when it was cut off, and started them elsewhere.
 func TestLeaseOfAnOrderToTheEarlierLife(t *testing.T) {
+	t.Parallel()
 	for name, isAnswered := range map[string]bool{"answered": true, "late": false} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -164,6 +168,7 @@
 // recorded end: the next life of a minion takes a start and ends it as done, and a poll for the
 // earlier life acknowledges that end by the earlier numbers before any holder has read it.
 func TestPollForTheEarlierLifeDiscardsNoEnd(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -209,6 +214,7 @@
 // TestMinionIsUsedAgainAfterAWrongClock guards against a minion that gets no runs any more because
 // one answer had a clock of the past, although no later life has taken its place.
 func TestMinionIsUsedAgainAfterAWrongClock(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	node, minion := simulation.nodes[0], simulation.minions["m00"]
--- a/planner/outage_test.go
+++ b/planner/outage_test.go
@@ -15,6 +15,7 @@
 // asks again because it did not answer for longer than a lease, so that its
 // capacity is lost until the holder changes.
 func TestMinionIsUsedAgainAfterOutage(t *testing.T) {
+	t.Parallel()
 	const (
 		outage = 9 * time.Second // longer than a lease
 		// startTime is how long a task may have nothing running although there is room.
@@ -53,6 +54,7 @@
 // records the end of a run while a minion that it can't reach has a later run of
 // the same task. That run would count as a start after a recorded end.
 func TestEndIsNotRecordedWhileALaterRunMayBeUnknown(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	first, second := simulation.nodes[0], simulation.nodes[1]
@@ -83,6 +85,7 @@
 // hears of after it has started the task again, and that counts as the last
 // attempt. The later start would count as one after the last attempt.
 func TestLateFailureDoesNotUseUpAttempts(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	node := simulation.nodes[0]
@@ -117,6 +120,7 @@
 // TestRestartDoesNotRegisterMinion guards against new runs on a minion whose entry
 // was removed, because an answer shows that the minion has restarted.
 func TestRestartDoesNotRegisterMinion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -136,6 +140,7 @@
 // end of a run although a former holder has started the task again since, and the
 // end of that start was recorded and forgotten.
 func TestEndBeforeAForgottenRunIsNotRecorded(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 3, 2)
 	first, second, third := simulation.nodes[0], simulation.nodes[1], simulation.nodes[2]
--- a/planner/outdatedlist_test.go
+++ b/planner/outdatedlist_test.go
@@ -36,6 +36,7 @@
 // started and arrives as the answer to a poll that was sent afterwards: the run counts as
 // lost and starts elsewhere, while it runs.
 func TestOutdatedListEndsNoRun(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.outdatedListShare = 0.5
--- a/planner/partition_test.go
+++ b/planner/partition_test.go
@@ -37,6 +37,7 @@
 // former holder that is cut off from the store, together with a few minions, renews their
 // leases, while the new one, which reaches none of them, starts their tasks elsewhere.
 func TestHolderInAMinorityEndsItsLeases(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 8)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/pending_test.go
+++ b/planner/pending_test.go
@@ -43,6 +43,7 @@
 // TestWaitingJobsAreNotRunning guards against jobs that wait for room and are shown as
 // running, so that none of them is counted as pending: all of them find the same room.
 func TestWaitingJobsAreNotRunning(t *testing.T) {
+	t.Parallel()
 	const jobs, minions = 20, 4
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, minions)
@@ -64,6 +65,7 @@
 // no minion has carried out a start of it: after its record is durable, the start is
 // refused, brings no answer, is lost with its minion, or the holder ends.
 func TestJobWithoutAStartIsNotRunning(t *testing.T) {
+	t.Parallel()
 	for name, fail := range map[string]func(simulation *simulation, minion *fakeMinion){
 		"refused": func(_ *simulation, minion *fakeMinion) {
 			minion.faults.refuse = func(order messenger.Order) classifier.Code {
@@ -111,6 +113,7 @@
 // pending for good, because its holder ended before it recorded that: the next one finds
 // the run.
 func TestBegunJobIsShownAsRunning(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 1)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -25,6 +25,7 @@
 // TestJobRunsToCompletion guards against a job with dependent steps and a gang
 // that does not reach its recorded end.
 func TestJobRunsToCompletion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 8)
 	simulation.makeHolder(simulation.nodes[0])
@@ -39,6 +40,7 @@
 // TestEndedJobStaysEndedAfterRestart guards against a new process that reads a
 // job before its progress and starts it again.
 func TestEndedJobStaysEndedAfterRestart(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -58,6 +60,7 @@
 // end is listed again to the next holder, and when two members of one gang fail
 // in the same run.
 func TestFailureCountsOnce(t *testing.T) {
+	t.Parallel()
 	for _, gang := range []bool{false, true} {
 		t.Run(fmt.Sprint("gang=", gang), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -261,6 +264,7 @@
 // becomes the holder again and relies on an end that it could not record. Its
 // minion would discard the end, and a later holder would run the task again.
 func TestUnrecordedEndIsDiscardedOnStepDown(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 3, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -283,6 +287,7 @@
 // TestIncompleteGangStopsAfterTakeover guards against a gang of which a new
 // holder finds only some members and that never becomes complete again.
 func TestIncompleteGangStopsAfterTakeover(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -299,6 +304,7 @@
 // TestRunMovesFromDrainingMinion guards against work with checkpoints that is
 // lost when its minion leaves.
 func TestRunMovesFromDrainingMinion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -318,6 +324,7 @@
 // beside them over its latency target, and against backfill tasks that are
 // never sped up again.
 func TestBackfillIsPaced(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
@@ -344,6 +351,7 @@
 // restart after its minion has crashed, and against one that still runs after
 // its job's cancellation.
 func TestLongRunningTaskRestarts(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -368,6 +376,7 @@
 // TestFailedTaskRunsOnOtherMinion guards against a faulty minion that uses up
 // all attempts of a task.
 func TestFailedTaskRunsOnOtherMinion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/pollschedule_test.go
+++ b/planner/pollschedule_test.go
@@ -12,6 +12,7 @@
 // TestOutdatedPollsAreNotSent guards against polls of a minion that has been removed or
 // replaced, of one whose poll is still pending, and against two polls for one time.
 func TestOutdatedPollsAreNotSent(t *testing.T) {
+	t.Parallel()
 	now := time.Unix(1_000_000, 0)
 	for name, test := range map[string]struct {
 		change func(planner *Planner, minion *minion)
--- a/planner/profileend_test.go
+++ b/planner/profileend_test.go
@@ -22,6 +22,7 @@
 // TestRunOnSlowMinionEndsLater guards against a reservation, or a stop that is left out, by an end that a
 // run on a slow minion can't meet.
 func TestRunOnSlowMinionEndsLater(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	started := time.Unix(1_000_000, 0)
 	now, planner := started.Add(10*time.Second), &Planner{}
@@ -36,6 +37,7 @@
 // TestEndOfStalledRunIsUnknown guards against an urgent step that waits for the end of a run which makes
 // no progress.
 func TestEndOfStalledRunIsUnknown(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	started := time.Unix(1_000_000, 0)
 	run, learned := profiledRun(started), profiler.New()
--- a/planner/queuewait_test.go
+++ b/planner/queuewait_test.go
@@ -58,6 +58,7 @@
 // TestWaitFollowsTheBacklog guards against waits that differ from the work that waits, that are published
 // without a backlog, or that end with it too late.
 func TestWaitFollowsTheBacklog(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	run.submitBacklog(6) // all of them fit
@@ -80,6 +81,7 @@
 
 // TestNoWaitsWithoutTheFeature guards against renewals that change where the rule is off.
 func TestNoWaitsWithoutTheFeature(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(planner.Features{GangReservations: true, LossAwareStops: true}, waitsMinions)
 	run.submitBacklog(60)
@@ -91,6 +93,7 @@
 // TestNoWaitsWhileMinionsAreMissing guards against refusals because minions do not answer: their work comes
 // back with them.
 func TestNoWaitsWhileMinionsAreMissing(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	run.submitBacklog(200)
@@ -112,6 +115,7 @@
 
 // TestNoWaitsDuringAnEvacuation guards against refusals because a failure domain is evacuated.
 func TestNoWaitsDuringAnEvacuation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, 24) // six domains
 	run.submitBacklog(200)
@@ -131,6 +135,7 @@
 // TestNewHolderPublishesAfterItsFirstPasses guards against waits of a holder that does not know what runs,
 // and against one that publishes none after a takeover.
 func TestNewHolderPublishesAfterItsFirstPasses(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	run.submitBacklog(300)
@@ -153,6 +158,7 @@
 
 // TestNoWaitsWhileMinionsAreIdle guards against refusals by the wait of steps that no minion can run.
 func TestNoWaitsWhileMinionsAreIdle(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	for number := range 100 {
@@ -168,6 +174,7 @@
 // TestNoWaitsWhileRecordsAreSlow guards against refusals because the store is slow: the steps have room, and
 // wait for the record of their first start.
 func TestNoWaitsWhileRecordsAreSlow(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	run.submit(specifier.Job{ID: "first", Queue: "wide", Steps: []specifier.Step{{
@@ -182,6 +189,7 @@
 
 // TestNoWaitsWithoutTheStore guards against waits that a holder computes while its claim is not confirmed.
 func TestNoWaitsWithoutTheStore(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	run.submitBacklog(300)
@@ -199,6 +207,7 @@
 // TestWaitThatIsTooLongIsCorrected guards against a queue that stays closed because declared run times are
 // five times too long.
 func TestWaitThatIsTooLongIsCorrected(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newWaitsRun(withRefusals, waitsMinions)
 	run.workTime = func(fakeRun *fakeRun) time.Duration { return fakeRun.spec.EstimatedRunTime / 5 }
--- a/planner/rebornminion_test.go
+++ b/planner/rebornminion_test.go
@@ -19,6 +19,7 @@
 // holder repeats at the next incarnation of a minion. That one may be of another kind,
 // and the start carried a longer lease than a new holder expects.
 func TestUnconfirmedStartDoesNotMoveToNextIncarnation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -56,6 +57,7 @@
 // restarted minion a longer lease than a new holder waits for, because a start to the
 // earlier incarnation may still arrive.
 func TestLeaseAfterRestartIsNotLonger(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/record_test.go
+++ b/planner/record_test.go
@@ -17,6 +17,7 @@
 // against progress that stays in the store for good, when a run of an expired job
 // ends while the job's deletion is under way.
 func TestEndAfterDeletionIsNotRecorded(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	node := simulation.nodes[0]
@@ -55,6 +56,7 @@
 // TestFailedFenceIsRepeatedAfterDelay guards against a new holder that repeats a
 // refused fence at once and without limit, and so keeps a busy store busy.
 func TestFailedFenceIsRepeatedAfterDelay(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	now := time.Unix(1_000_000, 0)
 	claimed := planner.New("n", planner.Bounds{MaxLease: maxLease}, planner.Features{})
--- a/planner/recordorder_test.go
+++ b/planner/recordorder_test.go
@@ -14,6 +14,7 @@
 // its run number while jobs with lower IDs have new progress for each record. The store
 // answers, but needs a second for each append.
 func TestRestartIsRecordedBesideBusyJobs(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -34,6 +35,7 @@
 // TestEndsAreAcknowledgedBesideBusyJobs guards against ends that are never acknowledged,
 // because more jobs have new progress all the time than one record holds.
 func TestEndsAreAcknowledgedBesideBusyJobs(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/refusal_test.go
+++ b/planner/refusal_test.go
@@ -18,6 +18,7 @@
 // time because its first start was not answered, the repeated one was refused, and
 // the minion carried out the first one later.
 func TestRefusedStartMayHaveArrivedBefore(t *testing.T) {
+	t.Parallel()
 	for _, code := range []classifier.Code{classifier.MinionBusy, classifier.NoCapacity} {
 		t.Run(code.Name(), func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/refusalfailure_test.go
+++ b/planner/refusalfailure_test.go
@@ -37,6 +37,7 @@
 // TestNothingIsRefusedWithoutAHolder guards against refusals by the figures of a holder that has ended, and by
 // those of a new one that does not know yet what runs. The rule must work again afterwards.
 func TestNothingIsRefusedWithoutAHolder(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newRefusingRun(c)
 	run.addNode("n1")
@@ -58,6 +59,7 @@
 
 // TestNothingIsRefusedWithoutTheStore guards against refusals by figures from before an outage of 5 s.
 func TestNothingIsRefusedWithoutTheStore(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	run := newRefusingRun(c)
 	downAt := run.now
--- a/planner/refusalload_test.go
+++ b/planner/refusalload_test.go
@@ -194,8 +194,10 @@
 // callers jobs that are on time, that delays jobs of priority 0, and that shuts out a workspace or a kind
 // of job.
 func TestEarlyRefusalsUnderTwiceTheLoad(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
 			c := quicktest.New(t)
 			without, with := playRefusals(seed, 2, false), playRefusals(seed, 2, true)
 			c.Assert(with.violations, quicktest.HasLen, 0)
@@ -221,13 +223,17 @@
 
 // TestNoJobInTimeIsRefusedBelowTheCapacity guards against refusals in bursts of a load that fits.
 func TestNoJobInTimeIsRefusedBelowTheCapacity(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
-		c := quicktest.New(t)
-		without, with := playRefusals(seed, 0.8, false), playRefusals(seed, 0.8, true)
-		for _, kind := range loadKinds {
-			c.Check(with.countRefusedInTime(without, kind.name), quicktest.Equals, 0, quicktest.Commentf("seed %d", seed))
-		}
-		t.Log(seed, len(with.refused))
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			without, with := playRefusals(seed, 0.8, false), playRefusals(seed, 0.8, true)
+			for _, kind := range loadKinds {
+				c.Check(with.countRefusedInTime(without, kind.name), quicktest.Equals, 0, quicktest.Commentf("seed %d", seed))
+			}
+			t.Log(seed, len(with.refused))
+		})
 	}
 }
 
--- a/planner/refusedconnection_test.go
+++ b/planner/refusedconnection_test.go
@@ -12,6 +12,7 @@
 // TestTaskLeavesMinionThatRefusesConnections guards against a task that waits for the
 // end of a lease although its start was certainly never sent.
 func TestTaskLeavesMinionThatRefusesConnections(t *testing.T) {
+	t.Parallel()
 	const maxIdle = 3 * time.Second // for which nothing of a job may run although there is room
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
--- a/planner/refusedstart_test.go
+++ b/planner/refusedstart_test.go
@@ -14,6 +14,7 @@
 // TestRefusedFirstStartNeedsNoRecord guards against a task that has certainly never been
 // started and waits for the record of a run number, because a minion has refused its start.
 func TestRefusedFirstStartNeedsNoRecord(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/refutedcrash_test.go
+++ b/planner/refutedcrash_test.go
@@ -14,6 +14,7 @@
 // a trial was planned on it for a task of which it turns out that no minion has crashed
 // under it: its minion had only been out of reach.
 func TestRefutedCrashOpensTheMinionOfItsTrial(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/relabelled_test.go
+++ b/planner/relabelled_test.go
@@ -13,6 +13,7 @@
 // without their label: it has restarted as one of another kind, and an answer shows that before
 // its entry tells the new kind.
 func TestRestartedMinionIsNotUsedWithItsFormerLabels(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -45,6 +46,7 @@
 // TestMinionWithAnOlderEntryIsUsedWithItsLabels guards against a minion that is used with the
 // labels of its earlier life because its wall clock was set back before it restarted.
 func TestMinionWithAnOlderEntryIsUsedWithItsLabels(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	restarted := simulation.minions["m00"]
--- a/planner/relisting_test.go
+++ b/planner/relisting_test.go
@@ -42,6 +42,7 @@
 // and deleted: a node that was cut off from the store meanwhile, for longer than the journal
 // retains its entries, still has the job as running and becomes the holder.
 func TestDeletedJobDoesNotRunAgain(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 4)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/repeatedstart_test.go
+++ b/planner/repeatedstart_test.go
@@ -15,6 +15,7 @@
 // its gang is done: a node keeps no payload of an ended job, so that the minion would be told to run
 // a task with another payload.
 func TestStartOfEndedJobIsNotRepeated(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/reservation_test.go
+++ b/planner/reservation_test.go
@@ -15,6 +15,7 @@
 // minion that the step can't use any more, and against a reservation without any part, which
 // would keep the step from another one.
 func TestReservationLosesPartInEvacuatedDomain(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	now := time.Unix(9, 0)
 	planner := New("n", Bounds{EvacuationTime: 5 * time.Second}, Features{})
--- a/planner/reservationbounds_test.go
+++ b/planner/reservationbounds_test.go
@@ -11,6 +11,7 @@
 // TestLongRunningTaskStartsBesideWaitingGangs guards against a long-running task that waits for
 // as long as gangs have reservations, because it ends after each of them begins.
 func TestLongRunningTaskStartsBesideWaitingGangs(t *testing.T) {
+	t.Parallel()
 	for _, reserves := range []bool{false, true} {
 		t.Run(fmt.Sprint("reserves=", reserves), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -35,6 +36,7 @@
 // TestReservationsOutliveOutdatedEvacuations guards against reservations, and the times that they
 // promise, that are lost while the evacuations are not read in time.
 func TestReservationsOutliveOutdatedEvacuations(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 0, 8)
 	simulation.features.GangReservations = true
@@ -57,6 +59,7 @@
 // TestNewHolderReservesAtOnce guards against a gang that has no reservation for seconds after a
 // takeover, because its first plan saw only the minions that had answered by then.
 func TestNewHolderReservesAtOnce(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newReservingSimulation(1, 2, 4, true)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/restart_test.go
+++ b/planner/restart_test.go
@@ -14,6 +14,7 @@
 // time: a new holder adopts a run although the journal allows a later one, which may
 // exist on a minion that has not reported.
 func TestRunBelowRecordedNumberIsStopped(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/retention_test.go
+++ b/planner/retention_test.go
@@ -14,6 +14,7 @@
 // right after it has ended: the holder that ended it had a clock that was behind that of the
 // next holder by more than the time for which states stay readable.
 func TestOtherClockDeletesNoJob(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 4)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/services_test.go
+++ b/planner/services_test.go
@@ -181,6 +181,7 @@
 // TestStartsUseValidTickets guards against a start on a minion that the advice
 // service did not approve, or with a ticket that has expired.
 func TestStartsUseValidTickets(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 12)
 	simulation.services.isApproved = func(minion identifier.Minion) bool { return minion >= "m08" }
@@ -201,6 +202,7 @@
 // that is reported as complete too soon. It also covers a wave that another
 // holder continues.
 func TestMaintenanceWave(t *testing.T) {
+	t.Parallel()
 	for _, takeover := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation := newSimulation(1, 2, 6)
--- a/planner/shrinkingminion_test.go
+++ b/planner/shrinkingminion_test.go
@@ -121,6 +121,7 @@
 // TestStepThatFitsNowhereWaits guards against a step that is started over the capacity of
 // minions that have shrunk, or of which nobody can see why it waits.
 func TestStepThatFitsNowhereWaits(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -145,6 +146,7 @@
 // TestUnansweredStartIsNotRepeatedOnAShrunkenMinion guards against a start that is sent
 // again, and then carried out, after its minion has shrunk below what runs there.
 func TestUnansweredStartIsNotRepeatedOnAShrunkenMinion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
@@ -170,6 +172,7 @@
 // TestNoStartByAnOldReport guards against a holder that renews its claim but can't read the
 // minions' reports any more, and starts tasks by the capacity that a minion had long ago.
 func TestNoStartByAnOldReport(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
@@ -209,6 +212,7 @@
 // TestNothingStartsOnAMinionOverItsCapacity guards against a start on a minion that has shrunk
 // below what runs there, of a task that needs nothing of the resource that lacks.
 func TestNothingStartsOnAMinionOverItsCapacity(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/silentminion_test.go
+++ b/planner/silentminion_test.go
@@ -13,6 +13,7 @@
 // nothing, though it stays registered, and so keeps the ends of all minions with a run
 // of the former holder from being recorded for ever.
 func TestEndsAreAcknowledgedWhileAMinionIsSilent(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 4)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/silentrun_test.go
+++ b/planner/silentrun_test.go
@@ -25,6 +25,7 @@
 // elsewhere, because its minion was silent for longer than the lease although it was alive
 // and listed in the store all the time.
 func TestRunOnSilentMinionIsNotRepeated(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	minion := startShortTask(c, simulation, "a")
@@ -39,6 +40,7 @@
 // TestRunOnLostMinionIsRepeated guards against work that waits for a minion that has left:
 // its entry in the store has lapsed.
 func TestRunOnLostMinionIsRepeated(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	minion := startShortTask(c, simulation, "a")
--- a/planner/slowadvice_test.go
+++ b/planner/slowadvice_test.go
@@ -12,6 +12,7 @@
 // TestStepRunsWithSlowAdvice guards against advice that is requested again for ever
 // with the same timeout, because its answer takes longer than that on a full link.
 func TestStepRunsWithSlowAdvice(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{500 * time.Millisecond, time.Second} {
 		t.Run(delay.String(), func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/stalledmove_test.go
+++ b/planner/stalledmove_test.go
@@ -64,6 +64,7 @@
 // TestStalledRunMoves guards against a task that is late until its minion recovers although
 // another minion is free, and against one that is started again where it has stalled.
 func TestStalledRunMoves(t *testing.T) {
+	t.Parallel()
 	for _, checkpoints := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation := newProfilingSimulation(1, 1, 4)
@@ -83,6 +84,7 @@
 
 // TestNothingMovesWithoutTheRule guards against moves in deployments that do not enable them.
 func TestNothingMovesWithoutTheRule(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSpeedSimulation(1, 1, 4, planner.Features{LossAwareStops: true})
 	simulation.submit(jobOf("a", runsOneByOne(3)))
@@ -96,6 +98,7 @@
 // TestStalledRunStaysWithoutCapacity guards against a run that is stopped although no other
 // minion has room for its task.
 func TestStalledRunStaysWithoutCapacity(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 4)
 	simulation.submit(jobOf("a", runsOneByOne(4)))
@@ -110,6 +113,7 @@
 // TestGangMovesAsAWhole guards against a gang that waits for a member on a minion whose runs stall,
 // and against one of which only some members move.
 func TestGangMovesAsAWhole(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 8)
 	gang := runsOneByOne(3)
@@ -131,6 +135,7 @@
 // TestTaskMovesOnce guards against a task that is stopped again and again because each minion on
 // which it runs stalls.
 func TestTaskMovesOnce(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 8)
 	simulation.submit(jobOf("others", specifier.Step{Tasks: 8, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, MaxPerMinion: 1}))
@@ -148,6 +153,7 @@
 // TestPoolThatStallsAsAWholeMovesNothing guards against runs that are stopped on all minions because
 // of a common cause.
 func TestPoolThatStallsAsAWholeMovesNothing(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 8)
 	simulation.submit(jobOf("a", runsOneByOne(5)))
@@ -162,6 +168,7 @@
 // TestSlowOrUnfinishedWorkIsNotStalled guards against moves of runs that are merely slow, that run
 // longer than declared, or that stall for shorter than it takes to be sure.
 func TestSlowOrUnfinishedWorkIsNotStalled(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 8)
 	simulation.workTime = func(run *fakeRun) time.Duration {
@@ -195,6 +202,7 @@
 // TestRecoveredMinionIsUsedAgain guards against a minion that gets no more work because it has
 // stalled, with runs left on it and without.
 func TestRecoveredMinionIsUsedAgain(t *testing.T) {
+	t.Parallel()
 	for _, leftRuns := range []bool{false, true} {
 		c := quicktest.New(t)
 		simulation := newProfilingSimulation(1, 1, 8)
@@ -225,6 +233,7 @@
 // TestTakeoverDuringAMove guards against a task that is lost, or runs twice, when the holder dies
 // between the stop of a stalled run and the start of the next one.
 func TestTakeoverDuringAMove(t *testing.T) {
+	t.Parallel()
 	for delay := range 8 {
 		c := quicktest.New(t)
 		simulation := newProfilingSimulation(1, 2, 8)
@@ -254,6 +263,7 @@
 
 // TestMovesAreReported guards against moves and profiles of which an operator sees nothing.
 func TestMovesAreReported(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newProfilingSimulation(1, 1, 4)
 	simulation.submit(jobOf("a", runsOneByOne(3)))
--- a/planner/startexpiry_test.go
+++ b/planner/startexpiry_test.go
@@ -13,6 +13,7 @@
 // or is sent again on a new connection, until the bound on starts in an evacuated domain has
 // passed. Without evacuations nothing changes.
 func TestStartExpiresWithItsReading(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	readAt := time.Unix(1000, 0)
 	planner := New("n", Bounds{EvacuationTime: 5 * time.Second}, Features{})
--- a/planner/startwithoutclaim_test.go
+++ b/planner/startwithoutclaim_test.go
@@ -14,6 +14,7 @@
 // new lease, when its claim is no longer valid. The lease can last longer than a new holder
 // waits from its claim on.
 func TestStartIsNotRepeatedWithoutClaim(t *testing.T) {
+	t.Parallel()
 	const claimValidity = 1100 * time.Millisecond
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
--- a/planner/status_test.go
+++ b/planner/status_test.go
@@ -21,6 +21,7 @@
 // TestStatusShowsEvacuation guards against an operator who can't see whether a domain is empty, at
 // the holder or, as far as a request has been read, at another node.
 func TestStatusShowsEvacuation(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 2, 8)
 	holder, other := simulation.nodes[0], simulation.nodes[1]
@@ -63,6 +64,7 @@
 // TestStatusCountsReservations guards against reclaimed capacity that no answer shows, and against
 // a query that changes what the planner does.
 func TestStatusCountsReservations(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := reclaimMinion()
 	for range 2 {
@@ -75,6 +77,7 @@
 // TestStatusAwaitsFormerRuns guards against an evacuated domain that an operator takes for empty
 // because a new holder has not heard of the runs there yet.
 func TestStatusAwaitsFormerRuns(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newEvacuationSimulation(1, 2, 4)
 	first, second := simulation.nodes[0], simulation.nodes[1]
@@ -104,6 +107,7 @@
 // TestStatusChangesNothing guards against a query that changes what the holder decides: the
 // decisions of a load with evacuations are the same with a query after each 10 ms and without.
 func TestStatusChangesNothing(t *testing.T) {
+	t.Parallel()
 	decisions := func(asks bool) []string {
 		simulation := newEvacuationSimulation(7, 2, 8)
 		simulation.lostAnswerShare = 0.05
--- a/planner/stoppedrun_test.go
+++ b/planner/stoppedrun_test.go
@@ -15,6 +15,7 @@
 // meanwhile, and starts the task once the former leases have expired, although the stop
 // has not been carried out.
 func TestRunBelowRecordedNumberEndsBeforeTheNext(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/supersededstart_test.go
+++ b/planner/supersededstart_test.go
@@ -14,6 +14,7 @@
 // because a run has ended without an order to stop: the answer to its start was lost, and the
 // minion refused the repetition after the run's end.
 func TestExplainBehindSupersededStart(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 1)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/tombstone_test.go
+++ b/planner/tombstone_test.go
@@ -14,6 +14,7 @@
 // was acknowledged before its append was carried out, against tombstones that stay in the
 // journal, and against one that goes before the end of its job is there.
 func TestTombstoneCancelsALateSubmission(t *testing.T) {
+	t.Parallel()
 	for name, takesOver := range map[string]bool{"same-holder": false, "next-holder": true} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/trialevidence_test.go
+++ b/planner/trialevidence_test.go
@@ -39,6 +39,7 @@
 // TestSharedTrialIsNoEvidence guards against a task that is given up for crashes of minions
 // on which others were on trial with it.
 func TestSharedTrialIsNoEvidence(t *testing.T) {
+	t.Parallel()
 	for _, delay := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 1900 * time.Millisecond, 4 * time.Second} {
 		for _, takeovers := range []bool{false, true} {
 			t.Run(fmt.Sprintf("delay=%s,takeovers=%t", delay, takeovers), func(t *testing.T) {
@@ -59,6 +60,7 @@
 // TestCrashOnTrialRequiresWholeTrial guards against a task that is cleared after a short trial
 // although a minion has crashed while it was alone on trial there.
 func TestCrashOnTrialRequiresWholeTrial(t *testing.T) {
+	t.Parallel()
 	const (
 		// age is for how long the runs work that crash their minions, wholeTrial the time that
 		// the next one then has to work.
--- a/planner/trialrestrictions_test.go
+++ b/planner/trialrestrictions_test.go
@@ -13,6 +13,7 @@
 // priority, because the reservation that restricted the step before its minion crashed is over
 // and another one has taken its place.
 func TestTrialIgnoresFormerRestrictions(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newReservingSimulation(1, 1, 5, true)
 	for _, minion := range simulation.sortedMinions()[:4] {
--- a/planner/unansweredstart_test.go
+++ b/planner/unansweredstart_test.go
@@ -20,6 +20,7 @@
 // placed for ever on a minion that answers polls but carries out no start, although
 // sound minions are idle.
 func TestStartsAvoidMinionThatAnswersOnlyPolls(t *testing.T) {
+	t.Parallel()
 	// waitTime covers three starts without an answer and their leases.
 	const waitTime = 30 * time.Second
 	refuseStarts := func(code classifier.Code) minionFaults {
--- a/planner/unevenload_test.go
+++ b/planner/unevenload_test.go
@@ -161,13 +161,37 @@
 	// Plays of the same load differ by up to 0.02 in the mean of three. A gain is expected with stalls only.
 	minGain := map[string]float64{"slow": -0.02, "stall": 0.01, "fail": -0.02}
 	for _, fault := range unevenFaults() {
-		c := quicktest.New(t)
-		var without, with float64
-		for seed := range uint64(3) {
-			without += playUneven(t, seed+1, fault, false).total / 3
-			with += playUneven(t, seed+1, fault, true).total / 3
+		t.Run(fault.name, func(t *testing.T) {
+			t.Parallel()
+			without, with := playUnevenSeeds(t, fault)
+			t.Logf("%s: %.3f without, %.3f with", fault.name, without, with)
+			quicktest.New(t).Assert(with >= without+minGain[fault.name], quicktest.IsTrue)
+		})
+	}
+}
+
+// playUnevenSeeds plays three loads side by side, each without and with profiles, and returns the
+// means of the share on time.
+func playUnevenSeeds(t *testing.T, fault unevenFault) (without, with float64) {
+	t.Helper()
+	const seeds = 3
+	var withoutProfiles, withProfiles [seeds]float64
+	t.Run("plays", func(t *testing.T) { // ends after its parallel subtests
+		for index := range seeds {
+			seed := uint64(index) + 1
+			t.Run(fmt.Sprint("without, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				withoutProfiles[index] = playUneven(t, seed, fault, false).total
+			})
+			t.Run(fmt.Sprint("with, seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				withProfiles[index] = playUneven(t, seed, fault, true).total
+			})
 		}
-		t.Logf("%s: %.3f without, %.3f with", fault.name, without, with)
-		c.Assert(with >= without+minGain[fault.name], quicktest.IsTrue)
+	})
+	for index := range seeds {
+		without += withoutProfiles[index] / seeds
+		with += withProfiles[index] / seeds
 	}
+	return without, with
 }
--- a/planner/unknownattempts_test.go
+++ b/planner/unknownattempts_test.go
@@ -14,6 +14,7 @@
 // a task that has been started again since, because no configuration has the job's queue
 // and the holder does not know how many attempts it allows.
 func TestLateFailureWithoutQueueIsNotRecorded(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	node := simulation.nodes[0]
--- a/planner/unknownpace_test.go
+++ b/planner/unknownpace_test.go
@@ -27,6 +27,7 @@
 // paused although it works at full speed, and so does not pause it while the serving task
 // beside it is over its latency target.
 func TestPaceOfAdoptedRunIsUnknown(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, run := newMixedLoad(c)
 	simulation.nodes[0].alive = false
@@ -40,6 +41,7 @@
 // TestLostPaceIsRepeated guards against a backfill run that works on beside a serving task
 // over its latency target because the order to pause it did not arrive.
 func TestLostPaceIsRepeated(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation, run := newMixedLoad(c)
 	minion := simulation.minions["m00"]
--- a/planner/unknownqueue_test.go
+++ b/planner/unknownqueue_test.go
@@ -25,6 +25,7 @@
 // of a task has failed while the holder did not know the limit, because no configuration
 // had the job's queue.
 func TestAttemptsUsedUpWithoutQueueEndTheJob(t *testing.T) {
+	t.Parallel()
 	for _, gang := range []bool{false, true} {
 		t.Run(fmt.Sprint("gang=", gang), func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/unknownruns_test.go
+++ b/planner/unknownruns_test.go
@@ -15,6 +15,7 @@
 // has not reported its runs to a new holder. The holder knows of no run there, and
 // the maintenance would end all of them.
 func TestMaintenanceWaitsForUnknownRuns(t *testing.T) {
+	t.Parallel()
 	for name, hide := range map[string]func(*fakeMinion, *node){
 		"not listed":      func(minion *fakeMinion, _ *node) { minion.unregistered = true },
 		"does not answer": func(minion *fakeMinion, node *node) { minion.unreachableFrom[node] = true },
--- a/planner/unknowntask_test.go
+++ b/planner/unknowntask_test.go
@@ -12,6 +12,7 @@
 // a task which the new holder does not know, because it could not read the job's record.
 // A minion that does not guard its capacity would be over it.
 func TestRunOfUnknownTaskOccupiesItsMinion(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 1)
 	first, second := simulation.nodes[0], simulation.nodes[1]
--- a/planner/unlistedminion_test.go
+++ b/planner/unlistedminion_test.go
@@ -22,6 +22,7 @@
 // time: a new holder hears the end of an earlier run and starts the task, while its
 // latest run continues on a minion that is missing in the list of minions.
 func TestEndOfEarlierRunDoesNotRestartTask(t *testing.T) {
+	t.Parallel()
 	for name, storeFails := range map[string]bool{"restart-recorded": false, "store-unavailable": true} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/unlistedvm_test.go
+++ b/planner/unlistedvm_test.go
@@ -14,6 +14,7 @@
 // completed because one list of VMs lacks a VM that stays and has not had its
 // maintenance.
 func TestWaveWaitsForVMMissingInOneList(t *testing.T) {
+	t.Parallel()
 	for name, vms := range map[string][]identifier.VM{"one of two": {"vm-m00", "vm-m01"}, "the only one": {"vm-m01"}} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
@@ -35,6 +36,7 @@
 // TestWaveEndsWithoutVMThatHasLeft guards against a wave that never ends because one
 // of its VMs has left the pools.
 func TestWaveEndsWithoutVMThatHasLeft(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
@@ -49,6 +51,7 @@
 // TestVMMissingInOneListKeepsItsRuns guards against maintenance of a VM that is not empty
 // yet, because one list lacks the VM and so does not name its minion.
 func TestVMMissingInOneListKeepsItsRuns(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 2)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/unreadablestart_test.go
+++ b/planner/unreadablestart_test.go
@@ -14,6 +14,7 @@
 // TestUnreadableAnswerOfAStart guards against two runs of a task at the same time: a minion
 // carries out a start, its answer can't be read, and the start counts as not carried out.
 func TestUnreadableAnswerOfAStart(t *testing.T) {
+	t.Parallel()
 	for _, code := range []classifier.Code{classifier.CorruptAnswer, classifier.Internal} {
 		t.Run(code.Name(), func(t *testing.T) {
 			c := quicktest.New(t)
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -13,6 +13,7 @@
 // its task was four times on a minion that another one crashed (soak, seed 40002): the crashes
 // make it suspect, and only one while it is alone on trial can end its job.
 func TestNeighborOfCrashingTasksIsNotGivenUp(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	neighbor := &task{}
 	for range maxCrashes {
@@ -27,6 +28,7 @@
 // TestGangWhoseMembersCrashInTurnIsGivenUp guards against a gang that is started too often
 // (BUDGET, soak, seed 50001), because each run crashes the minion of another member.
 func TestGangWhoseMembersCrashInTurnIsGivenUp(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	gang := &step{spec: &specifier.Step{Gang: true}, tasks: make([]task, 3), crashedTasks: []int{0, 1, 2}}
 	crashIn := func(run uint64, index int) {
@@ -43,6 +45,7 @@
 // TestClearedTaskHoldsUpNoTrial guards against a step that waits for ever (soak, seed 51020): a
 // task with more crashes than the suspect one is not suspect, and no run of it ends.
 func TestClearedTaskHoldsUpNoTrial(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	cleared := crash{placement: placement{run: 1}, age: time.Second, evidence: specifier.Proven, cleared: true}
 	late := crash{placement: placement{run: 2}, age: 2 * recentStart, evidence: specifier.Proven}
--- a/planner/waiting_test.go
+++ b/planner/waiting_test.go
@@ -39,6 +39,7 @@
 // TestWaitingStepIsReported guards against a step that waits without a log line
 // and a gauge that say why, and against a line for each pass.
 func TestWaitingStepIsReported(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
 	simulation.makeHolder(simulation.nodes[0])
--- a/planner/wavereport_test.go
+++ b/planner/wavereport_test.go
@@ -13,6 +13,7 @@
 // TestRefusedReportOfWaveIsRepeatedAfterDelay guards against a holder that repeats a
 // refused report of a wave as fast as the store refuses it.
 func TestRefusedReportOfWaveIsRepeatedAfterDelay(t *testing.T) {
+	t.Parallel()
 	const refusal = 2 * time.Second
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 4)
--- a/planner/widetrial_test.go
+++ b/planner/widetrial_test.go
@@ -92,6 +92,7 @@
 // TestWideStepCompletesAfterOutages guards against a job that its caller has lost because its
 // many tasks are tried one at a time, after crashes of minions for which none is the reason.
 func TestWideStepCompletesAfterOutages(t *testing.T) {
+	t.Parallel()
 	scenes := []struct {
 		name string
 		wideStep
@@ -132,6 +133,7 @@
 // TestCrashingTasksOfWideStepAreFound guards against tasks that crash their minions for ever
 // because the other tasks of their step hide them (BUDGET).
 func TestCrashingTasksOfWideStepAreFound(t *testing.T) {
+	t.Parallel()
 	for _, wide := range []wideStep{{90, 12, 20 * time.Second}, {200, 48, 20 * time.Second}} {
 		for _, delay := range append([]time.Duration{4 * time.Second, 10 * time.Second}, crashDelays...) {
 			for _, crashing := range []int{1, 3, wide.tasks} {
--- a/planner/wrongverdict_test.go
+++ b/planner/wrongverdict_test.go
@@ -18,6 +18,7 @@
 // racks crash at once: minions with runs of the same step, or with runs that have just
 // started, do not count as others that crashed with one.
 func TestCrashesOfBusyRacksFailNoJob(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds = 12
 		waves = 10
@@ -93,6 +94,7 @@
 // although each run of its task had ended as done, before its minion started anew: the minion
 // could not list the end.
 func TestRunThatEndedBehindCutFailsNoJob(t *testing.T) {
+	t.Parallel()
 	for _, refuses := range []bool{false, true} {
 		t.Run(fmt.Sprintf("refuses=%t", refuses), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -140,6 +142,7 @@
 // the wall clocks of minions are behind: their next lives seem to begin before the leases of
 // the runs ended.
 func TestWallClocksThatDifferFailNoJob(t *testing.T) {
+	t.Parallel()
 	for _, behind := range []time.Duration{0, 2 * time.Second, 3 * time.Second} {
 		t.Run(behind.String(), func(t *testing.T) {
 			c := quicktest.New(t)
@@ -188,6 +191,7 @@
 // run of one member had been broken behind a cut, because another member lost its minion, and
 // its own minion started anew later.
 func TestBrokenGangBehindCutFailsNoJob(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 12)
 	simulation.makeHolder(simulation.nodes[0])
@@ -219,6 +223,7 @@
 // TestStopWithLostAnswerFailsNoJob guards against a job that is shown as failed (LOST): a stop
 // reached a minion whose answers were lost, and the minion started anew after that run.
 func TestStopWithLostAnswerFailsNoJob(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 1, 12)
 	simulation.makeHolder(simulation.nodes[0])
@@ -248,6 +253,7 @@
 // TestUnsentTrialsFailNoJob guards against a job that is shown as failed (LOST): trials were
 // recorded by holders that ended before they sent the starts, and the minions started anew.
 func TestUnsentTrialsFailNoJob(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	simulation := newSimulation(1, 2, 8)
 	simulation.jobsCrash("none", 0)
@@ -296,6 +302,7 @@
 // crash at once while its task is alone on trial, and the holder that has noted it ends before
 // the other minions are back.
 func TestCommonCauseOutlivesTakeover(t *testing.T) {
+	t.Parallel()
 	const seeds = 12
 	for _, takeovers := range []bool{false, true} {
 		for _, stagger := range []time.Duration{0, 300 * time.Millisecond} {
