Limit the tasks that run at the same time

Cause: the estimate of the memory for accepted jobs counts 72 bytes for a task, but one that runs needs 3 to 4 KB at the holder. Jobs of 1 KB with 32,768 tasks of a thousandth of a processor each run as many tasks as the pool has room for, so that seven of them end the process on a small machine.

Change: planner.Bounds.MaxRuns, counted in each pass. A workspace may have three times the runs that stay free; a gang starts whole or waits. Flag -running-tasks, by default 96 for each MB of the machine's memory: 17,664 on the smallest one of the design size, which has 17,000 runs. Steps at the limit wait with the reason run-limit. A pass chooses minions for no more tasks of a step than may start; without that the limit held no task back (seen in TestRunLimit while it was built).

TestRunLimit, TestGangAtRunLimit and TestRunLimitHolds are red without the limit.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -89,6 +89,9 @@
 	// JobMemory is the limit of the memory for accepted jobs, in bytes. Zero stands for its
 	// default, which follows from the settings.
 	JobMemory int64
+	// MaxRuns limits the runs that the holder has at the same time. Zero stands for its default,
+	// which follows from the settings.
+	MaxRuns int
 }
 
 // Check returns an error with code InvalidSettings if a limit does not suit the machine.
@@ -96,7 +99,10 @@
 	if _, err := options.Clients.Complete(settings); err != nil {
 		return err
 	}
-	_, err := options.CompleteJobMemory(settings)
+	if _, err := options.CompleteJobMemory(settings); err != nil {
+		return err
+	}
+	_, err := options.CompleteMaxRuns(settings)
 	return err
 }
 
@@ -157,7 +163,9 @@
 	incarnation := identifier.NewIncarnation(start)
 	source := rand.New(rand.NewPCG(uint64(incarnation), uint64(len(settings.Node)))) // nodes must not draw the same random delays
 	jobMemory, _ := assembler.options.CompleteJobMemory(settings)                    // checked by the caller
+	maxRuns, _ := assembler.options.CompleteMaxRuns(settings)                        // as above
 	bounds := planner.Bounds{
+		MaxRuns:  maxRuns,
 		MaxLease: settings.Bounds.MaxLease, StopTimeout: settings.Bounds.StopTimeout,
 		StatusRetention: settings.Bounds.StatusRetention + statusMargin,
 		MaintenanceTime: settings.Bounds.MaintenanceTime, ReclaimTime: settings.Bounds.ReclaimTime, EvacuationTime: settings.Bounds.EvacuationTime,
--- /dev/null
+++ b/assembler/maxruns.go
@@ -0,0 +1,26 @@
+package assembler
+
+import (
+	"corianderroad/classifier"
+	"corianderroad/platform"
+)
+
+const (
+	// defaultRunsPerMB is for each MB of the machine's memory. A machine of 184 MB may thus have
+	// the 17,000 runs for which the system is designed.
+	defaultRunsPerMB = 96
+	// minMaxRuns is the number of tasks that a step may have, which start together in a gang, for
+	// each quarter of the limit: a workspace may use three of them.
+	minMaxRuns = 4 * 2048
+)
+
+// CompleteMaxRuns returns the limit of the runs that the holder has at the same time: the given one,
+// or the default for the machine. The error has code InvalidSettings.
+func (options Options) CompleteMaxRuns(settings *platform.Settings) (int, error) {
+	limit := options.MaxRuns
+	defaultTo(&limit, max(int(machineMemory(settings)>>20)*defaultRunsPerMB, minMaxRuns))
+	if limit < minMaxRuns {
+		return 0, classifier.New(classifier.InvalidSettings, "running-tasks: %d, at least %d are allowed", limit, minMaxRuns)
+	}
+	return limit, nil
+}
--- a/cmd/corianderroad/enter.go
+++ b/cmd/corianderroad/enter.go
@@ -50,6 +50,7 @@
 	flags.IntVar(&clients.ReadinessConnections, "readiness-connections", 0, "limit of the connections of health checks; default 32")
 	flags.IntVar(&clients.MetricsConnections, "metrics-connections", 0, "limit of the connections that read metrics; default 16")
 	flags.Var((*byteSize)(&enter.options.JobMemory), "accepted-jobs-memory", "limit of the memory for accepted jobs, with a unit (46MiB); default a quarter of limits.memoryMb, 46MiB at most")
+	flags.IntVar(&enter.options.MaxRuns, "running-tasks", 0, "limit of the tasks that run at the same time; default 96 for each MB of limits.memoryMb")
 	flags.BoolVar(&features.GangReservations, "gang-reservations", false, "reserve places for gangs while capacity is short")
 	flags.BoolVar(&features.LossAwareStops, "loss-aware-stops", false, "choose the runs to be stopped by the work that is lost")
 	flags.BoolVar(&features.UrgentHeadroom, "urgent-headroom", false, "keep capacity free for urgent jobs while capacity is short")
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -15,6 +15,9 @@
 	MaintenanceTime time.Duration
 	// ReclaimTime is the time within which guaranteed work must have started.
 	ReclaimTime time.Duration
+	// MaxRuns limits the runs that the holder has at the same time, zero for any number. After a
+	// takeover it may have more, of which none is stopped.
+	MaxRuns int
 	// EvacuationTime is the time from the request for the evacuation of a failure domain until
 	// no run may be started there, zero if the deployment has no evacuations.
 	EvacuationTime time.Duration
--- a/planner/pass.go
+++ b/planner/pass.go
@@ -61,6 +61,7 @@
 func (planner *Planner) placeSteps(now time.Time, steps []*waitingStep, pools map[identifier.Service]*pool) bool {
 	guarantees := &guarantees{planner: planner}
 	planner.earlySearches.beginPass(now)
+	planner.allowance = planner.newRunAllowance()
 	for index, waitingStep := range steps {
 		if len(planner.pendingOrders) >= maxPendingOrders {
 			planner.passNeeded = true
--- a/planner/place.go
+++ b/planner/place.go
@@ -10,6 +10,10 @@
 	if step.spec.Gang && waitingStep.taskCount < len(step.tasks)-step.done {
 		return true
 	}
+	if !planner.allowance.limitTasks(waitingStep) {
+		step.passResult = waitsForRunLimit
+		return true // stopped runs would make no room: it waits for ends
+	}
 	planner.updateRestrictions(now, waitingStep)
 	planner.updateTickets(now, waitingStep)
 	chosen := planner.findMinions(now, waitingStep, pool)
@@ -45,6 +49,7 @@
 		pool.addUsage(minion, requiredCapacity(step.spec))
 		planner.noteStartBesideReservations(step, minion)
 	}
+	planner.allowance.take(step.occurrence.job.spec.Workspace, len(chosen))
 	planner.releaseReservation(waitingStep, chosen)
 	planner.meetReservation(now, waitingStep)
 	planner.aging.noteStart(waitingStep, len(chosen))
@@ -64,7 +69,8 @@
 	if cacheable && pool.isInfeasible(demand, tasks) {
 		return nil
 	}
-	waitingStep.taskIndexes = step.startableTasks(now)
+	startable := step.startableTasks(now)
+	waitingStep.taskIndexes = startable[:min(waitingStep.taskCount, len(startable))]
 	chosen := planner.chooseMinions(waitingStep, pool, rackRequired)
 	if len(chosen) < tasks {
 		if cacheable {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -26,6 +26,8 @@
 	stops stopDecider
 	// earlySearches limits the searches of a pass.
 	earlySearches earlySearches
+	// allowance limits the starts of a pass, nil if they are not limited.
+	allowance *runAllowance
 	// nextDepartureAt is when the runs on leaving minions are next decided about, zero if
 	// there are none.
 	nextDepartureAt time.Time
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -39,7 +39,9 @@
 	features planner.Features
 	// evacuationTime is the bound of the nodes that are created from now on, zero for none.
 	evacuationTime time.Duration
-	operator       operatorTopic
+	// maxRuns is the limit of the nodes that are created from now on, zero for none.
+	maxRuns  int
+	operator operatorTopic
 	// addresses is the number of addresses that minions have.
 	addresses int
 	journal   []messenger.JournalEntry
@@ -189,7 +191,7 @@
 func (simulation *simulation) newNode(name string) *node {
 	node := &node{name: identifier.Node(name), alive: true, progressRead: -1, operatorRead: -1, started: simulation.now, planner: planner.New(identifier.Node(name), planner.Bounds{
 		MaxLease: simulation.maxLease, StopTimeout: 500 * time.Millisecond, StatusRetention: time.Hour,
-		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second, EvacuationTime: simulation.evacuationTime,
+		MaintenanceTime: 2 * time.Second, ReclaimTime: 3 * time.Second, EvacuationTime: simulation.evacuationTime, MaxRuns: simulation.maxRuns,
 	}, simulation.features)}
 	simulation.step(node, messenger.PolicyRead{Policy: testPolicy(), SentAt: simulation.now})
 	if simulation.evacuationTime > 0 {
--- a/planner/waiting.go
+++ b/planner/waiting.go
@@ -41,6 +41,7 @@
 	waitsForReports
 	waitsForOperator
 	waitsForEvacuated
+	waitsForRunLimit
 	waitReasons // the number of reasons
 )
 
@@ -49,7 +50,7 @@
 	return [...]string{
 		"pass-pending", "queue-unknown", "claim-unconfirmed", "former-runs-unresolved", "runs-ending", "starts-unanswered",
 		"start-refused", "orders-pending", "no-minions", "advice-pending", "record-pending", "no-capacity", "trial-pending", "reports-outdated",
-		"evacuations-outdated", "domain-evacuated",
+		"evacuations-outdated", "domain-evacuated", "run-limit",
 	}[reason]
 }
 
