--- a/cmd/corianderroad/hostileclients/runs_test.go
+++ b/cmd/corianderroad/hostileclients/runs_test.go
@@ -45,6 +45,9 @@
 	return fmt.Sprintf(`{"spec":%q,"steps":[%s%s]}`, imitator.Behaviour{Work: 10 * time.Minute}, strings.Repeat(step+",", steps-1), step)
 }
 
+// ordinaryRuns is less than what one workspace may have on the ordinary machine, 72 runs for each MB.
+func ordinaryRuns() int { return memoryMB * 6000 / 96 }
+
 var runsPattern = regexp.MustCompile(`(?m)^corianderroad_runs\{label=""\} (\S+)$`)
 
 // awaitRuns waits until the holder has that many runs.
@@ -65,8 +68,6 @@
 func TestTinyTasks(t *testing.T) {
 	const (
 		minions, jobs = 4, 16
-		// runs is less than the limit of a workspace on a machine of 96 MB, which is 6,912.
-		runs = 6000
 		// startTime is for the starts beyond the limit. Without one, the holder had 60,000 runs
 		// after less than half of it.
 		startTime = 30 * time.Second
@@ -79,8 +80,30 @@
 	accepted := node.submitAll(jobs, tinyTasks(), false)
 	c.Logf("%d of %d jobs were accepted", accepted, jobs)
 	c.Check(accepted > 0, quicktest.IsTrue)
-	node.awaitRuns(runs)
+	node.awaitRuns(ordinaryRuns())
 	time.Sleep(startTime)
 	c.Check(node.awaitAnswer(secondKey) < http.StatusMultipleChoices, quicktest.IsTrue)
 	node.checkLimits(node.sampler.awaitSample())
 }
+
+// TestTinyTasksAndCrowd guards against runs that leave no memory for clients, and against a node that
+// needs more when it learns of them from all minions at once.
+func TestTinyTasksAndCrowd(t *testing.T) {
+	const minions, jobs = 4, 16
+	c := quicktest.New(t)
+	store := newStore(c)
+	addPool(c, store, minions)
+	node := newNode(c, store, "n1")
+	node.await("the node is the holder", node.isHolder)
+	node.submitAll(jobs, tinyTasks(), false)
+	node.awaitRuns(ordinaryRuns())
+	gather(c, node.front, 2*crowdSize, mixed())
+	node.awaitAnswer(secondKey)
+	node.checkLimits(node.sampler.awaitSample())
+	node.kill()
+	node.start()
+	gather(c, node.front, 2*crowdSize, mixed())
+	node.awaitRuns(ordinaryRuns())
+	node.awaitAnswer(secondKey)
+	node.checkLimits(node.sampler.awaitSample())
+}
