Change nothing of a step that may not start a task

Cause: a step at the limit of runs kept a count of no tasks for the rest of the pass, with which a reservation could be planned for it (read, not seen). The least limit repeated the bound of a step's tasks.

Change: limitTasks leaves the step as it is if none of its tasks may start; minMaxRuns follows from specifier.MaxTasks.

Measured: the tests of the run limit pass; the value of the least limit is the same.

--- a/assembler/maxruns.go
+++ b/assembler/maxruns.go
@@ -3,15 +3,16 @@
 import (
 	"corianderroad/classifier"
 	"corianderroad/platform"
+	"corianderroad/specifier"
 )
 
 const (
 	// defaultRunsPerMB is for each MB of the machine's memory. A machine of 184 MB may thus have
 	// the 17,000 runs for which the system is designed.
 	defaultRunsPerMB = 96
-	// minMaxRuns is the number of tasks that a step may have, which start together in a gang, for
-	// each quarter of the limit: a workspace may use three of them.
-	minMaxRuns = 4 * 2048
+	// minMaxRuns leaves room for the largest gang in the quarter of the limit that a workspace may
+	// start while half of it is free.
+	minMaxRuns = 4 * specifier.MaxTasks
 )
 
 // CompleteMaxRuns returns the limit of the runs that the holder has at the same time: the given one,
--- a/planner/runlimit.go
+++ b/planner/runlimit.go
@@ -60,8 +60,8 @@
 	}
 }
 
-// limitTasks reduces the tasks of a step to those that may be started. A gang, or a step whose
-// tasks start together in one rack, has none if not all of them may. It reports whether any are left.
+// limitTasks reduces the tasks of a step to those that may be started. It returns false, and changes
+// nothing, if none may: of a gang, and of a step whose tasks start together in one rack, all or none.
 func (allowance *runAllowance) limitTasks(waitingStep *waitingStep) bool {
 	if allowance == nil {
 		return true
@@ -69,9 +69,9 @@
 	step := waitingStep.step
 	allowed := allowance.of(step.occurrence.job.spec.Workspace)
 	isWhole := step.spec.Gang || (step.spec.SameRack && !step.hasRuns())
-	if isWhole && allowed < waitingStep.taskCount {
+	if allowed == 0 || (isWhole && allowed < waitingStep.taskCount) {
 		return false
 	}
 	waitingStep.taskCount = min(waitingStep.taskCount, allowed)
-	return waitingStep.taskCount > 0
+	return true
 }
