Call the node during the starts of TestTinyTasks instead of sleeping

Cause: the test slept while the holder started tasks, so that an ordinary caller was only seen at its end.

Change: an ordinary job of another workspace is accepted each second meanwhile; time, crowd and bounds are the same.

--- a/cmd/corianderroad/hostileclients/runs_test.go
+++ b/cmd/corianderroad/hostileclients/runs_test.go
@@ -1,6 +1,7 @@
 package hostileclients_test
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -65,8 +66,9 @@
 	c.Logf("%d of %d jobs were accepted", accepted, jobs)
 	c.Check(accepted > 0, quicktest.IsTrue)
 	node.awaitRuns()
-	time.Sleep(startTime)
-	node.awaitAnswer(secondKey)
+	for end := time.Now().Add(startTime); time.Now().Before(end); wait(context.Background(), time.Second) {
+		node.awaitAnswer(secondKey)
+	}
 	node.checkLimits(node.sampler.awaitSample())
 }
 
