Give each play of the uneven load its own failing minions

Cause: the plays of a fault shared the map of failing minions, so that plays side by side raced on it.

Change: the map belongs to the play. The keys were minions of one play before as well, so that each play is as it was.

--- a/planner/threequeues_test.go
+++ b/planner/threequeues_test.go
@@ -46,6 +46,8 @@
 	firstStarts map[specifier.Task]time.Time
 	// refuses reports whether a job is refused, nil if none is.
 	refuses func(job *specifier.Job, kind *loadKind) bool
+	// failing are the minions whose runs may fail.
+	failing map[*fakeMinion]bool
 }
 
 type loadJob struct {
--- a/planner/unevenload_test.go
+++ b/planner/unevenload_test.go
@@ -39,14 +39,13 @@
 
 // failingFault lets 6 of 10 runs fail.
 func failingFault() unevenFault {
-	failing := make(map[*fakeMinion]bool)
 	return unevenFault{
 		name: "fail",
 		begin: func(run *loadRun, minion *fakeMinion) {
-			failing[minion] = true
-			run.fails = func(fake *fakeRun) bool { return failing[fake.minion] && run.random.IntN(10) < 6 }
+			run.failing[minion] = true
+			run.fails = func(fake *fakeRun) bool { return run.failing[fake.minion] && run.random.IntN(10) < 6 }
 		},
-		end: func(_ *loadRun, minion *fakeMinion) { delete(failing, minion) },
+		end: func(run *loadRun, minion *fakeMinion) { delete(run.failing, minion) },
 	}
 }
 
@@ -57,7 +56,7 @@
 // newUnevenRun returns a load of the three kinds while minions are faulty in turn. The load and
 // the faults are the same with and without the rule.
 func newUnevenRun(seed uint64, load float64, fault unevenFault, profiles bool) *loadRun {
-	run := &loadRun{simulation: newSimulation(seed, 0, unevenMinions), firstStarts: make(map[specifier.Task]time.Time)}
+	run := &loadRun{simulation: newSimulation(seed, 0, unevenMinions), firstStarts: make(map[specifier.Task]time.Time), failing: make(map[*fakeMinion]bool)}
 	run.features = planner.Features{MinionProfiles: profiles, LossAwareStops: true}
 	run.speeds = newFakeSpeeds(run.simulation)
 	run.checkpoints = &fakeCheckpoints{interval: time.Second, restartTime: 400 * time.Millisecond}
