--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -20,12 +20,12 @@
 // clientTimeout is how long a client waits for an answer.
 const clientTimeout = 3 * time.Second
 
-// configuration returns the operator's configuration with one queue.
-func configuration(attempts int) map[string]any {
+// configuration returns a version of the operator's configuration, with one queue.
+func configuration(version int, route string, attempts int) map[string]any {
 	return map[string]any{
-		"version": 7,
+		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-ce7ejsm", "host": host, "pathPrefix": prefix, "type": "mutating", "timeoutMs": clientTimeout.Milliseconds(),
+			"name": route, "host": host, "pathPrefix": prefix, "type": "mutating", "timeoutMs": clientTimeout.Milliseconds(),
 			"targetLatencyMs": 1500, "priority": 1, "service": serviceName, "attempts": attempts, "stretch": 3.0, "public": false,
 		}},
 		"services": []any{map[string]any{"name": serviceName, "healthPath": "/healthz", "maxConnections": 64, "protocol": "h1", "enforcesCapacity": true}},
--- a/review/standin-3/jobs.go
+++ b/review/standin-3/jobs.go
@@ -49,9 +49,10 @@
 type stepBody struct {
 	Count int `json:"count"`
 	resources
-	EstimateMS  int  `json:"estimateMs"`
-	Gang        bool `json:"gang,omitempty"`
-	LongRunning bool `json:"longRunning,omitempty"`
+	EstimateMS  int   `json:"estimateMs"`
+	DependsOn   []int `json:"dependsOn,omitempty"`
+	Gang        bool  `json:"gang,omitempty"`
+	LongRunning bool  `json:"longRunning,omitempty"`
 }
 
 func newJobs() *jobs {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -32,6 +32,7 @@
 	"service":  {playService, 3, 8, 4},
 	"restarts": {playRestarts, 3, 8, 4},
 	"reborn":   {playReborn, 3, 6, 4},
+	"rename":   {playRename, 3, 6, 4},
 }
 
 func main() {
@@ -89,7 +90,7 @@
 	store, jobs := newStore(), newJobs()
 	pool := newPool(store, log, jobs)
 	deployment := &deployment{store: store, log: log, jobs: jobs, pool: pool, cloud: newCloud(pool, log), folder: folder}
-	store.write("keyed.op", "config", configuration(plan.attempts))
+	store.write("keyed.op", "config", configuration(7, "r-ce7ejsm", plan.attempts))
 	cloudAddress, err := serve(deployment.cloud)
 	if err != nil {
 		return nil, err
