--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -20,13 +20,13 @@
 // clientTimeout is how long a client waits for an answer.
 const clientTimeout = 3 * time.Second
 
-// configuration returns a version of the operator's configuration, with one queue.
-func configuration(version int, route string, attempts int) map[string]any {
+// configuration returns the operator's configuration, with one queue.
+func configuration() map[string]any {
 	return map[string]any{
-		"version": version,
+		"version": 7,
 		"routes": []any{map[string]any{
-			"name": route, "host": host, "pathPrefix": prefix, "type": "mutating", "timeoutMs": clientTimeout.Milliseconds(),
-			"targetLatencyMs": 1500, "priority": 1, "service": serviceName, "attempts": attempts, "stretch": 3.0, "public": false,
+			"name": "r-ce7ejsm", "host": host, "pathPrefix": prefix, "type": "mutating", "timeoutMs": clientTimeout.Milliseconds(),
+			"targetLatencyMs": 1500, "priority": 1, "service": serviceName, "attempts": 4, "stretch": 3.0, "public": false,
 		}},
 		"services": []any{map[string]any{"name": serviceName, "healthPath": "/healthz", "maxConnections": 64, "protocol": "h1", "enforcesCapacity": true}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
@@ -62,14 +62,11 @@
 
 // submit submits a job, at one node after the other until one accepts it.
 func (deployment *deployment) submit(id string, work workSpec, steps []stepBody, firstNode int) bool {
-	submitted := deployment.jobs.add(id, steps)
+	deployment.jobs.add(id, steps)
 	spec, _ := json.Marshal(work) // plain data
 	for attempt := range 12 {
 		status, _ := deployment.call(deployment.nodes[(firstNode+attempt)%len(deployment.nodes)], http.MethodPost, id, map[string]any{"spec": string(spec), "steps": steps})
 		if status == http.StatusOK {
-			deployment.jobs.mutex.Lock()
-			submitted.isAccepted, submitted.acceptedAt = true, time.Now()
-			deployment.jobs.mutex.Unlock()
 			return true
 		}
 		time.Sleep(300 * time.Millisecond)
--- a/review/standin-3/jobs.go
+++ b/review/standin-3/jobs.go
@@ -28,12 +28,8 @@
 
 // job is one job as its client knows it.
 type job struct {
-	id         string
-	steps      []stepBody
-	isAccepted bool
-	acceptedAt time.Time
-	// ends counts the ends of runs by how they have ended, starts all starts.
-	ends   map[string]int
+	id     string
+	steps  []stepBody
 	starts []taskStart
 	// minion is the one that has last started a task of the job.
 	minion *minion
@@ -49,10 +45,8 @@
 type stepBody struct {
 	Count int `json:"count"`
 	resources
-	EstimateMS  int   `json:"estimateMs"`
-	DependsOn   []int `json:"dependsOn,omitempty"`
-	Gang        bool  `json:"gang,omitempty"`
-	LongRunning bool  `json:"longRunning,omitempty"`
+	EstimateMS  int  `json:"estimateMs"`
+	LongRunning bool `json:"longRunning,omitempty"`
 }
 
 func newJobs() *jobs {
@@ -62,7 +56,7 @@
 func (jobs *jobs) add(id string, steps []stepBody) *job {
 	jobs.mutex.Lock()
 	defer jobs.mutex.Unlock()
-	added := &job{id: id, steps: steps, ends: make(map[string]int)}
+	added := &job{id: id, steps: steps}
 	jobs.known[id] = added
 	return added
 }
@@ -94,15 +88,6 @@
 	}
 }
 
-func (jobs *jobs) noteEnd(ended *run, how string) {
-	jobs.noteRun(ended.task, -1)
-	jobs.mutex.Lock()
-	defer jobs.mutex.Unlock()
-	if found := jobs.known[strings.Split(ended.task, ".")[0]]; found != nil {
-		found.ends[how]++
-	}
-}
-
 // noteRun notes that a task that lasts has a run, or has none any more.
 func (jobs *jobs) noteRun(task string, delta int) {
 	jobs.mutex.Lock()
@@ -145,6 +130,13 @@
 	}
 }
 
+// overlapping returns the starts of tasks while another run of them went on.
+func (jobs *jobs) overlapping() []taskStart {
+	jobs.mutex.Lock()
+	defer jobs.mutex.Unlock()
+	return slices.Clone(jobs.overlaps)
+}
+
 // startedAgain returns the starts of tasks after an end done that was taken note of.
 func (jobs *jobs) startedAgain() []taskStart {
 	jobs.mutex.Lock()
@@ -166,24 +158,3 @@
 	defer jobs.mutex.Unlock()
 	return jobs.known[id].minion
 }
-
-// accepted returns the accepted jobs in the order of their IDs.
-func (jobs *jobs) accepted() []*job {
-	jobs.mutex.Lock()
-	defer jobs.mutex.Unlock()
-	var accepted []*job
-	for _, known := range jobs.known {
-		if known.isAccepted {
-			accepted = append(accepted, known)
-		}
-	}
-	slices.SortFunc(accepted, func(one, other *job) int { return strings.Compare(one.id, other.id) })
-	return accepted
-}
-
-// endsOf returns how many runs of a job have ended in a way.
-func (jobs *jobs) endsOf(id, how string) int {
-	jobs.mutex.Lock()
-	defer jobs.mutex.Unlock()
-	return jobs.known[id].ends[how]
-}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,15 +24,12 @@
 	scenario scenario
 	nodes    int
 	minions  int
-	attempts int
 }
 
 var plans = map[string]plan{
-	"wave":     {playWave, 3, 6, 4},
-	"service":  {playService, 3, 8, 4},
-	"restarts": {playRestarts, 3, 8, 4},
-	"reborn":   {playReborn, 3, 6, 4},
-	"rename":   {playRename, 3, 6, 4},
+	"service": {playService, 3, 8},
+	"reborn":  {playReborn, 3, 6},
+	"unknown": {playUnknown, 3, 6},
 }
 
 func main() {
@@ -89,8 +86,12 @@
 	}
 	store, jobs := newStore(), newJobs()
 	pool := newPool(store, log, jobs)
-	deployment := &deployment{store: store, log: log, jobs: jobs, pool: pool, cloud: newCloud(pool, log), folder: folder}
-	store.write("keyed.op", "config", configuration(7, "r-ce7ejsm", plan.attempts))
+	deployment := &deployment{store: store, log: log, jobs: jobs, pool: pool, cloud: &cloud{}, folder: folder}
+	store.write("keyed.op", "config", configuration())
+	storeAddress, err := serve(store)
+	if err != nil {
+		return nil, err
+	}
 	cloudAddress, err := serve(deployment.cloud)
 	if err != nil {
 		return nil, err
@@ -103,7 +104,7 @@
 		deployment.cloud.add(minion)
 	}
 	for index := range plan.nodes {
-		node, err := deployment.newNode(index, folder, cloudAddress, command)
+		node, err := deployment.newNode(index, folder, storeAddress, cloudAddress, command)
 		if err != nil {
 			return deployment, err
 		}
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +14,9 @@
 
 // Times of a minion.
 const (
-	heartbeat   = 1500 * time.Millisecond
-	maxHold     = 10 * time.Second
-	stopTime    = 300 * time.Millisecond
-	gangTimeout = 3 * time.Second
+	heartbeat = 1500 * time.Millisecond
+	maxHold   = 10 * time.Second
+	stopTime  = 300 * time.Millisecond
 	// startupTime is the time from the start of a run that lasts until it is at work.
 	startupTime = 300 * time.Millisecond
 )
@@ -45,14 +43,15 @@
 	log     *journal
 	jobs    *jobs
 	minions map[string]*minion
-	gangs   map[string][]*run
 	serial  int
+	// beats counts the heartbeats of each ID.
+	beats map[string]int
 	// delay draws the delays of orders, nil if none is late.
-	delay func(path string) time.Duration
+	delay func(minion *minion, path string) time.Duration
 }
 
 func newPool(store *store, log *journal, jobs *jobs) *pool {
-	return &pool{store: store, log: log, jobs: jobs, minions: make(map[string]*minion), gangs: make(map[string][]*run)}
+	return &pool{store: store, log: log, jobs: jobs, minions: make(map[string]*minion), beats: make(map[string]int)}
 }
 
 // minion is one life of a machine.
@@ -67,7 +66,9 @@
 	born     time.Time
 	server   *http.Server
 	stopped  chan struct{}
-	isUp     bool
+	// beatAt is when the minion has last written its entry.
+	beatAt time.Time
+	isUp   bool
 	// mode is how the minion answers. Orders are not carried out unless it is sound.
 	mode atomic.Int32
 
@@ -107,8 +108,7 @@
 
 // workSpec is the spec of the jobs of the cases.
 type workSpec struct {
-	MS      int `json:"ms"`
-	Members int `json:"members"`
+	MS int `json:"ms"`
 	// Lasts means that the run goes on until it is stopped.
 	Lasts bool `json:"lasts"`
 }
@@ -126,7 +126,7 @@
 	pool.serial++
 	id := fmt.Sprintf("i-%04d", pool.serial)
 	pool.mutex.Unlock()
-	return pool.launchAs(id, machine, zone, rack, listener, capacity, 0)
+	return pool.launchAs(id, machine, zone, rack, listener, capacity, 0, sound)
 }
 
 // relaunch starts the next life of a minion under its ID and at its address. Its first
@@ -136,16 +136,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return pool.launchAs(former.id, former.machine, former.zone, former.rack, listener, former.capacity, silence)
+	return pool.launchAs(former.id, former.machine, former.zone, former.rack, listener, former.capacity, silence, sound)
 }
 
-func (pool *pool) launchAs(id, machine, zone, rack string, listener net.Listener, capacity resources, silence time.Duration) (*minion, error) {
+// relaunchCutOff does the same with a minion that answers nothing until its mode is changed.
+func (pool *pool) relaunchCutOff(former *minion, silence time.Duration) (*minion, error) {
+	listener, err := net.Listen("tcp", former.address)
+	if err != nil {
+		return nil, err
+	}
+	return pool.launchAs(former.id, former.machine, former.zone, former.rack, listener, former.capacity, silence, silent)
+}
+
+func (pool *pool) launchAs(id, machine, zone, rack string, listener net.Listener, capacity resources, silence time.Duration, mode int32) (*minion, error) {
 	pool.mutex.Lock()
 	started := &minion{
 		pool: pool, id: id, machine: machine, zone: zone, rack: rack, address: listener.Addr().String(),
 		capacity: capacity, born: time.Now(), stopped: make(chan struct{}), isUp: true,
 		runs: make(map[string]*run), highest: make(map[string]uint64), changed: make(chan struct{}),
 	}
+	started.mode.Store(mode)
 	pool.minions[started.id] = started
 	pool.mutex.Unlock()
 	started.server = &http.Server{Handler: started}
@@ -160,26 +170,44 @@
 func (minion *minion) beat(silence time.Duration) {
 	time.Sleep(silence)
 	for sequence := 1; ; sequence++ {
-		minion.pool.store.write("keyed.servers", minion.id, map[string]any{
-			"service": serviceName, "address": minion.address, "zone": minion.zone, "version": "v1", "slots": 8, "state": "ready",
-			"coldRemainingMs": 0, "capacity": minion.capacity, "labels": []string{"a", minion.rack}, "clockMs": minion.clock().Milliseconds(),
-			"born": minion.born.UnixMilli(), "sequence": sequence,
-		})
+		minion.register(sequence)
 		select {
 		case <-time.After(heartbeat):
 		case <-minion.stopped:
-			time.Sleep(3 * heartbeat)
-			minion.pool.mutex.Lock()
-			_, isBack := minion.pool.minions[minion.id]
-			minion.pool.mutex.Unlock()
-			if !isBack {
-				minion.pool.store.write("keyed.servers", minion.id, nil)
-			}
+			minion.unregister()
 			return
 		}
 	}
 }
 
+// register writes the minion's entry.
+func (minion *minion) register(sequence int) {
+	minion.pool.mutex.Lock()
+	minion.pool.beats[minion.id]++
+	minion.pool.mutex.Unlock()
+	minion.beatAt = time.Now()
+	minion.pool.store.write("keyed.servers", minion.id, map[string]any{
+		"service": serviceName, "address": minion.address, "zone": minion.zone, "version": "v1", "slots": 8, "state": "ready",
+		"coldRemainingMs": 0, "capacity": minion.capacity, "labels": []string{"a", minion.rack}, "clockMs": minion.clock().Milliseconds(),
+		"born": minion.born.UnixMilli(), "sequence": sequence,
+	})
+}
+
+// unregister removes the entry after three missed heartbeats, unless the next life has written it.
+func (minion *minion) unregister() {
+	minion.pool.mutex.Lock()
+	beats := minion.pool.beats[minion.id]
+	minion.pool.mutex.Unlock()
+	time.Sleep(time.Until(minion.beatAt.Add(3 * heartbeat)))
+	minion.pool.mutex.Lock()
+	isWritten := minion.pool.beats[minion.id] != beats
+	minion.pool.mutex.Unlock()
+	if !isWritten {
+		minion.pool.store.write("keyed.servers", minion.id, nil)
+		minion.pool.log.add("the entry of minion %s is removed", minion.id)
+	}
+}
+
 // crash ends the minion. Its connections are reset, and nothing listens at its address.
 func (minion *minion) crash(reason string) {
 	minion.pool.mutex.Lock()
@@ -241,7 +269,7 @@
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if delay := minion.pool.drawDelay(request.URL.Path); delay > 0 {
+	if delay := minion.pool.drawDelay(minion, request.URL.Path); delay > 0 {
 		minion.applyLate(request.URL.Path, &received, delay)
 		<-request.Context().Done() // no answer
 		return
@@ -278,13 +306,13 @@
 
 // drawDelay returns after which time an order is carried out without an answer, zero for one
 // that is carried out at once.
-func (pool *pool) drawDelay(path string) time.Duration {
+func (pool *pool) drawDelay(minion *minion, path string) time.Duration {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	if pool.delay == nil {
 		return 0
 	}
-	return pool.delay(path)
+	return pool.delay(minion, path)
 }
 
 func (minion *minion) apply(path string, received *order) (int, string) {
@@ -324,15 +352,15 @@
 	return http.StatusOK, ""
 }
 
-// freeAccelerators returns the accelerators that no run occupies.
-func (pool *pool) freeAccelerators() int {
+// freeCPU returns the processors that no run occupies, in thousandths of a core.
+func (pool *pool) freeCPU() int {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	free := 0
 	for _, minion := range pool.minions {
-		free += minion.capacity.GPU
+		free += minion.capacity.CPU
 		for _, run := range minion.runs {
-			free -= run.needs.GPU
+			free -= run.needs.CPU
 		}
 	}
 	return free
@@ -402,11 +430,7 @@
 	minion.runs[begun.task], minion.highest[begun.task] = begun, begun.number
 	minion.pool.log.add("minion %s starts %s run %d", minion.id, begun.task, begun.number)
 	minion.pool.jobs.noteStart(begun)
-	switch {
-	case work.Lasts:
-	case work.Members > 1:
-		minion.pool.join(begun)
-	default:
+	if !work.Lasts {
 		minion.pool.after(begun.duration(), func() { minion.pool.end(begun, "done") })
 	}
 	return http.StatusOK, ""
@@ -414,32 +438,7 @@
 
 func (run *run) duration() time.Duration { return time.Duration(run.work.MS) * time.Millisecond }
 
-// gang names a run of a gang by its step and its number.
-func (run *run) gang() string {
-	return fmt.Sprintf("%s/%d", run.task[:strings.LastIndex(run.task, ".")], run.number)
-}
-
-// join adds a run to its gang, whose work begins when all members are present.
-func (pool *pool) join(joined *run) {
-	name := joined.gang()
-	pool.gangs[name] = append(pool.gangs[name], joined)
-	members := pool.gangs[name]
-	if len(members) < joined.work.Members {
-		pool.after(gangTimeout, func() {
-			if len(pool.gangs[name]) < joined.work.Members {
-				pool.end(joined, "alone")
-			}
-		})
-		return
-	}
-	pool.after(joined.duration(), func() {
-		for _, member := range members {
-			pool.end(member, "done")
-		}
-	})
-}
-
-// end ends a run, and the other members of its gang unless it is done.
+// end ends a run.
 func (pool *pool) end(ended *run, how string) {
 	if ended.isEnded {
 		return
@@ -448,17 +447,12 @@
 	minion := ended.minion
 	delete(minion.runs, ended.task)
 	pool.log.add("minion %s ends %s run %d: %s", minion.id, ended.task, ended.number, how)
-	pool.jobs.noteEnd(ended, how)
+	pool.jobs.noteRun(ended.task, -1)
 	if how != "lost" {
 		minion.lastEnd++
 		minion.ends = append(minion.ends, runEnd{number: minion.lastEnd, run: ended, how: how, at: time.Now()})
 		minion.wake()
 	}
-	if ended.work.Members > 1 && how != "done" {
-		for _, member := range pool.gangs[ended.gang()] {
-			pool.end(member, "broken")
-		}
-	}
 }
 
 // awaitEnd returns when an end is listed, or after the given time.
--- a/review/standin-3/node.go
+++ b/review/standin-3/node.go
@@ -12,8 +12,6 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -22,13 +20,11 @@
 	name      string
 	front     string
 	readiness string
-	gate      *gate
 	settings  string
 	logs      string
 	command   []string
 	process   *exec.Cmd
 	ended     chan struct{}
-	isStopped atomic.Bool
 }
 
 // deployment is the nodes with their platform.
@@ -92,19 +88,14 @@
 }
 
 // newNode prepares the settings of a node.
-func (deployment *deployment) newNode(index int, folder, cloudAddress string, command []string) (*node, error) {
+func (deployment *deployment) newNode(index int, folder, storeAddress, cloudAddress string, command []string) (*node, error) {
 	ports, err := freePorts(3)
 	if err != nil {
 		return nil, err
 	}
-	gate := &gate{store: deployment.store, node: int32(index)}
-	storeAddress, err := serve(gate)
-	if err != nil {
-		return nil, err
-	}
 	prepared := &node{
 		name: fmt.Sprintf("edge-gulf-a-%d", index+1), front: fmt.Sprintf("127.0.0.1:%d", ports[0]), readiness: fmt.Sprintf("127.0.0.1:%d", ports[1]),
-		gate: gate, command: command,
+		command: command,
 	}
 	prepared.settings, prepared.logs = filepath.Join(folder, prepared.name+".json"), filepath.Join(folder, prepared.name+".log")
 	content, err := json.Marshal(map[string]any{
@@ -115,8 +106,8 @@
 		"limits": map[string]any{"cpuShare": 0.4, "cores": 1, "memoryMb": 284, "maxFds": 4100, "linkMbps": 1000},
 		"bounds": map[string]any{
 			"contactMs": 4000, "ackTimeoutMs": 5000, "drainMs": 3000, "graceS": 6, "configApplyMs": 3000, "strictRevoke": true, "revokeMs": 5000,
-			"maxHoldMs": maxHold.Milliseconds(), "stopTimeoutMs": 900, "gangTimeoutMs": gangTimeout.Milliseconds(), "cancel_ms": 3000, "visible_ms": 3000,
-			"finish_s": 14, "status_s": 120, "noticeMs": 5500, "maintenanceS": maintenanceTime.Seconds(), "requireFencing": true, "leaseMs": 3000, "reclaimMs": 3400,
+			"maxHoldMs": maxHold.Milliseconds(), "stopTimeoutMs": 900, "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000,
+			"finish_s": 14, "status_s": 120, "noticeMs": 5500, "maintenanceS": 2, "requireFencing": true, "leaseMs": 3000, "reclaimMs": 3400,
 		},
 		"controlMode": "call",
 		"platform":    map[string]any{"address": storeAddress, "form": "log", "writesPerS": 800, "readsPerS": 2000, "recordBytes": 262144, "requestBytes": 2097152},
@@ -128,7 +119,7 @@
 	return prepared, os.WriteFile(prepared.settings, content, 0o600)
 }
 
-// start starts the node's process, which starts again half a second after it has ended.
+// start starts the node's process.
 func (node *node) start(log *journal) error {
 	file, err := os.OpenFile(node.logs, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -152,26 +143,8 @@
 	return nil
 }
 
-// signal sends a signal to the node's process.
-func (node *node) signal(log *journal, signal syscall.Signal) {
-	log.add("%s is sent to %s", signal, node.name)
-	_ = node.process.Process.Signal(signal) // an error means that it has ended
-}
-
-// restart starts the process again once it has ended.
-func (node *node) restart(log *journal, delay time.Duration) {
-	<-node.ended
-	time.Sleep(delay)
-	if !node.isStopped.Load() {
-		if err := node.start(log); err != nil {
-			log.add("%s does not start: %v", node.name, err)
-		}
-	}
-}
-
 // stop ends the node's process.
 func (node *node) stop() {
-	node.isStopped.Store(true)
 	if node.process == nil {
 		return
 	}
@@ -179,14 +152,6 @@
 	<-node.ended
 }
 
-// holder returns the node that has last written to the store under a condition, nil if none has.
-func (deployment *deployment) holder() *node {
-	if index := deployment.store.lastConditional.Load(); index >= 0 {
-		return deployment.nodes[index]
-	}
-	return nil
-}
-
 // awaitReady waits until all nodes report that they are ready.
 func (deployment *deployment) awaitReady(ctx context.Context) error {
 	for _, node := range deployment.nodes {
--- a/review/standin-3/reborn.go
+++ b/review/standin-3/reborn.go
@@ -31,7 +31,7 @@
 	if isTroubled {
 		var once sync.Once
 		pool.mutex.Lock()
-		pool.delay = func(path string) (delay time.Duration) {
+		pool.delay = func(_ *minion, path string) (delay time.Duration) {
 			if path == "/api/run-start" {
 				once.Do(func() {
 					delay = startDelay
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -10,18 +10,15 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
 // store is the platform's store: a log with keyed topics of one partition each. It keeps its
-// whole history, and answers all calls of one node through the node's gate.
+// whole history.
 type store struct {
 	mutex   sync.Mutex
 	topics  map[string]*topic
 	changed chan struct{}
-	// lastConditional is the node that has last written under a condition.
-	lastConditional atomic.Int32
 }
 
 type topic struct {
@@ -52,9 +49,7 @@
 const pageSize = 500
 
 func newStore() *store {
-	store := &store{topics: make(map[string]*topic), changed: make(chan struct{})}
-	store.lastConditional.Store(-1)
-	return store
+	return &store{topics: make(map[string]*topic), changed: make(chan struct{})}
 }
 
 func (store *store) topic(name string) *topic {
@@ -81,65 +76,40 @@
 	store.changed = make(chan struct{})
 }
 
-// newest returns the newest value of a key, nil if there is none.
-func (store *store) newest(name, key string) []byte {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	for _, record := range slices.Backward(store.topic(name).records) {
-		if record.key == key {
-			return record.value
-		}
-	}
-	return nil
-}
-
-// gate is the store's address for one node. It can refuse the node's calls.
-type gate struct {
-	store *store
-	node  int32
-	// isDown means that calls are answered with 503.
-	isDown atomic.Bool
-}
-
 // ServeHTTP implements http.Handler.
-func (gate *gate) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
 	}
-	if gate.isDown.Load() {
-		writer.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	switch request.URL.Path {
 	case "/api/log-append":
-		gate.append(writer, request, body)
+		store.append(writer, request, body)
 	case "/api/log-read":
-		gate.read(writer, request)
+		store.read(writer, request)
 	case "/api/log-newest":
-		gate.list(writer, request)
+		store.list(writer, request)
 	default:
 		writer.WriteHeader(http.StatusNotFound)
 	}
 }
 
-func (gate *gate) append(writer http.ResponseWriter, request *http.Request, body []byte) {
+func (store *store) append(writer http.ResponseWriter, request *http.Request, body []byte) {
 	time.Sleep(4 * time.Millisecond)
 	records, ok := decodeRecords(body)
 	if !ok {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	gate.store.mutex.Lock()
-	defer gate.store.mutex.Unlock()
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
 	query := request.URL.Query()
-	topic := gate.store.topic(query.Get("topic"))
+	topic := store.topic(query.Get("topic"))
 	if at := query.Get("at"); at != "" {
 		if at != strconv.Itoa(len(topic.records)) {
 			answer(writer, http.StatusPreconditionFailed, appendAnswer{EndOffset: len(topic.records)})
 			return
 		}
-		gate.store.lastConditional.Store(gate.node)
 	}
 	done := appendAnswer{Offset: len(topic.records), EndOffset: len(topic.records) + len(records)}
 	if name := query.Get("producer"); name != "" {
@@ -151,7 +121,7 @@
 			return
 		}
 	}
-	gate.store.add(topic, records...)
+	store.add(topic, records...)
 	answer(writer, http.StatusOK, done)
 }
 
@@ -205,15 +175,15 @@
 	return records, true
 }
 
-func (gate *gate) read(writer http.ResponseWriter, request *http.Request) {
+func (store *store) read(writer http.ResponseWriter, request *http.Request) {
 	query := request.URL.Query()
 	from, _ := strconv.Atoi(query.Get("from"))
 	wait, _ := strconv.Atoi(query.Get("waitMs"))
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for isLast := wait == 0; ; {
-		gate.store.mutex.Lock()
-		records, changed := gate.store.topic(query.Get("topic")).records, gate.store.changed
-		gate.store.mutex.Unlock()
+		store.mutex.Lock()
+		records, changed := store.topic(query.Get("topic")).records, store.changed
+		store.mutex.Unlock()
 		if from < len(records) || isLast {
 			_, _ = writer.Write(encodeRead(records, from))
 			return
@@ -239,15 +209,15 @@
 	return body
 }
 
-func (gate *gate) list(writer http.ResponseWriter, request *http.Request) {
+func (store *store) list(writer http.ResponseWriter, request *http.Request) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
 		Offset int    `json:"offset"`
 	}
-	gate.store.mutex.Lock()
-	defer gate.store.mutex.Unlock()
-	records := gate.store.topic(request.URL.Query().Get("topic")).records
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	records := store.topic(request.URL.Query().Get("topic")).records
 	newest := make(map[string]int)
 	for offset, record := range records {
 		newest[record.key] = offset
