End the nodes of a review case when it is stopped

A signal to the script ended the stand-in and left the nodes running. A case whose start is never sent ends with its time instead of waiting.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -16,6 +18,9 @@
 	couldNotRun
 )
 
+// caseTime bounds the time of a case.
+const caseTime = 115 * time.Second
+
 // scenario plays a case. It reports whether the rule was broken.
 type scenario func(ctx context.Context, deployment *deployment, isTroubled bool) (bool, error)
 
@@ -51,7 +56,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return couldNotRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 115*time.Second)
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(stopped, caseTime)
 	defer cancel()
 	deployment, err := build(ctx, plan, log)
 	if deployment != nil {
@@ -132,7 +139,7 @@
 func pause(ctx context.Context, duration time.Duration) error {
 	select {
 	case <-ctx.Done():
-		return fmt.Errorf("the time of the case is over")
+		return fmt.Errorf("the case was stopped: %w", ctx.Err())
 	case <-time.After(duration):
 		return nil
 	}
--- a/review/standin-3/unknown.go
+++ b/review/standin-3/unknown.go
@@ -45,7 +45,12 @@
 		return false, fmt.Errorf("the job is not accepted")
 	}
 	if isTroubled {
-		former := <-sent
+		var former *minion
+		select {
+		case former = <-sent:
+		case <-ctx.Done():
+			return false, fmt.Errorf("no start was sent: %w", ctx.Err())
+		}
 		former.mode.Store(silent)
 		deployment.log.add("minion %s is cut off", former.id)
 		former.crash("it crashes behind the cut")
