Log which answers and clocks a lost run and a repeated order rest on

No line had the connection on which an answer came, nor the clock by which a list or a refusal was believed.

Change: each answer carries on which connection it came, the minion's clock in the answer before on that connection, and why the order was sent twice. run-lost has these with the clocks of the start, the stop and the bound, or the lease and what the store says of the minion. order-resent is a new line. No decision changes.

--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -1,6 +1,7 @@
 package messenger
 
 import (
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -133,11 +134,55 @@
 	// not acknowledged.
 	Running []RunReport
 	Ended   []RunEnd
+	// Exchange tells how the answer came.
+	Exchange Exchange
 	// IsRepeat means that the order was sent twice: the first answer may have been that of
 	// another order, or its connection broke.
 	IsRepeat bool
 }
 
+// Exchange tells on which connection an order was answered, and why it was sent twice, for the log
+// lines about what is concluded from the answer.
+type Exchange struct {
+	// IsReused means that the connection had carried another order before.
+	IsReused bool
+	// PreviousClock is the minion's clock in the answer before on the same connection, zero if
+	// there was none.
+	PreviousClock time.Duration
+	// Doubt is why the order was sent again on a connection of its own.
+	Doubt Doubt
+	// DoubtedClock is the minion's clock in the answer that was not taken, zero if it had none.
+	DoubtedClock time.Duration
+}
+
+// Doubt is a reason why the first answer to an order is not taken for its answer.
+type Doubt uint8
+
+// Reasons not to take an answer.
+const (
+	NoDoubt Doubt = iota
+	// NoAnswer means that the connection has broken, or that what came on it can't be decoded.
+	NoAnswer
+	// NoClock means that the answer has no clock that tells it from that of an earlier order.
+	NoClock
+	// EarlierClock means that the answer's clock shows that of an earlier order.
+	EarlierClock
+)
+
+// String returns the reason in kebab case.
+func (doubt Doubt) String() string {
+	names := [...]string{"none", "no-answer", "no-clock", "earlier-clock"}
+	if int(doubt) < len(names) {
+		return names[doubt]
+	}
+	return names[0]
+}
+
+// String returns the exchange as key=value pairs of a log line.
+func (exchange Exchange) String() string {
+	return fmt.Sprintf("reused=%t previous-clock=%s doubt=%s doubted-clock=%s", exchange.IsReused, exchange.PreviousClock, exchange.Doubt, exchange.DoubtedClock)
+}
+
 // RunReport is a run that a minion has.
 type RunReport struct {
 	Task       specifier.Task
--- a/planner/departure.go
+++ b/planner/departure.go
@@ -59,7 +59,7 @@
 // markLeftRunsLost marks the runs of a minion that has left as lost.
 func (planner *Planner) markLeftRunsLost(now time.Time, minion *minion) {
 	for _, run := range minion.sortedRuns() {
-		planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has left as announced")
+		planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has left as announced", describeStore(minion))
 		minion.lostRuns = append(minion.lostRuns, run)
 	}
 }
--- a/planner/evacuationmove.go
+++ b/planner/evacuationmove.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"corianderroad/accountant"
+	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
 
@@ -180,8 +181,8 @@
 
 // abandonEvacuatedStart gives up a start without an answer on a minion of an evacuated domain.
 // The other members of its gang would wait for it in vain.
-func (planner *Planner) abandonEvacuatedStart(now time.Time, run *run) {
-	planner.abandonStart(now, run, "the start in an evacuated domain was not answered")
+func (planner *Planner) abandonEvacuatedStart(now time.Time, run *run, event messenger.OrderAnswered) {
+	planner.abandonStart(now, run, "the start in an evacuated domain was not answered", describeAnswer(&event))
 	if run.step.spec.Gang {
 		planner.stopMembers(now, run, accountant.StopForEvacuation, "a member in an evacuated domain has not started")
 	}
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -94,7 +94,7 @@
 	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
 		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
-			planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has restarted")
+			planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has restarted", describeNextLife(earlier, next.report.Incarnation))
 			continue
 		}
 		earlier.removeRun(run)
@@ -115,7 +115,7 @@
 func (planner *Planner) removeDeadMinion(now time.Time, minion *minion, next identifier.Incarnation, reason string) {
 	planner.noteDeath(now, newDeath(now, minion, next, countReplaced, reason))
 	for _, run := range minion.sortedRuns() {
-		planner.markRunLost(now, run, accountant.EndMinionGone, reason)
+		planner.markRunLost(now, run, accountant.EndMinionGone, reason, describeNextLife(minion, next))
 	}
 	planner.removeMinion(minion)
 }
@@ -158,7 +158,7 @@
 	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
 	for _, run := range minion.sortedRuns() {
 		if run.step.spec.LongRunning || !isAlive {
-			planner.markRunLost(now, run, accountant.EndLeasesExpired, "the lease has expired")
+			planner.markRunLost(now, run, accountant.EndLeasesExpired, "the lease has expired", minion.describeSilence(now))
 			minion.lostRuns = append(minion.lostRuns, run)
 		}
 	}
@@ -232,7 +232,7 @@
 		return
 	}
 	if event.IsRepeat {
-		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "order-resent"})
+		planner.noteResentOrder(&event, run)
 	}
 	planner.updateResponsiveness(now, minion, event)
 	if event.Clock > 0 && !minion.polled {
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -120,7 +120,7 @@
 		// A list with the token of the life was made after orders to the earlier one were barred.
 		barred := run.isOfEarlierLife && minion.polled && event.Sent.Token == minion.token
 		if stopped || vanished || void || barred {
-			planner.markRunLost(now, run, accountant.EndUnreported, "its minion does not report it")
+			planner.markRunLost(now, run, accountant.EndUnreported, "its minion does not report it", run.describeList(&event))
 		}
 	}
 }
--- a/planner/run.go
+++ b/planner/run.go
@@ -206,7 +206,7 @@
 	run.mayHaveArrived = run.mayHaveArrived || event.Err.MayHaveRun
 	switch event.Err.Code {
 	case classifier.MinionUnreachable, classifier.OutcomeUnknown, classifier.RingFull, classifier.CorruptAnswer, classifier.Internal:
-		planner.handleUnansweredStart(now, run, event.Err.Code)
+		planner.handleUnansweredStart(now, run, event)
 		return
 	case classifier.SupersededRun:
 		// The minion carried out an earlier attempt of this start, and the run has
@@ -223,12 +223,13 @@
 	}
 	planner.emit(messenger.Count{Counter: messenger.Refusals, Reason: "start-" + event.Err.Code.Name()})
 	run.task().ownHistory().notBefore = now.Add(refusedStartDelay)
-	planner.abandonStart(now, run, "refused: "+event.Err.Code.Name())
+	planner.abandonStart(now, run, "refused: "+event.Err.Code.Name(), describeAnswer(&event))
 }
 
 // handleUnansweredStart repeats a start without an answer, or gives it up after some
 // attempts or without a valid claim, because another node may have claimed.
-func (planner *Planner) handleUnansweredStart(now time.Time, run *run, code classifier.Code) {
+func (planner *Planner) handleUnansweredStart(now time.Time, run *run, event messenger.OrderAnswered) {
+	code := event.Err.Code
 	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "start-" + code.Name()})
 	run.mayHaveArrived = run.mayHaveArrived || code.Execution() != classifier.NotRun
 	isClaimValid := planner.holder.isClaimValid(now)
@@ -240,13 +241,13 @@
 		return
 	}
 	if run.minion.isEvacuated() {
-		planner.abandonEvacuatedStart(now, run)
+		planner.abandonEvacuatedStart(now, run, event)
 		return
 	}
 	if isNeeded && code != classifier.RingFull && isClaimValid {
 		planner.countFailedStart(now, run)
 	}
-	planner.abandonStart(now, run, "the start was not answered")
+	planner.abandonStart(now, run, "the start was not answered", describeAnswer(&event))
 }
 
 // countFailedStart counts a start that its minion did not carry out, so that the
@@ -267,14 +268,14 @@
 
 // abandonStart releases a run whose start certainly did not arrive. Otherwise it
 // stops the run: an attempt without an answer may still be carried out, and the
-// minion refuses it once it has the order to stop.
-func (planner *Planner) abandonStart(now time.Time, run *run, reason string) {
+// minion refuses it once it has the order to stop. The evidence is the answer, for the log.
+func (planner *Planner) abandonStart(now time.Time, run *run, reason, evidence string) {
 	if run.mayHaveArrived {
 		planner.stopRun(now, run, accountant.StopForAbandonedStart, reason)
 		return
 	}
 	run.withdraw()
-	planner.markRunLost(now, run, accountant.Cause(accountant.StopForAbandonedStart), reason)
+	planner.markRunLost(now, run, accountant.Cause(accountant.StopForAbandonedStart), reason, evidence)
 }
 
 // withdraw undoes the start of a run that certainly did not arrive. A number that is in
@@ -291,8 +292,8 @@
 }
 
 // markRunLost releases a run that certainly does not run although its minion
-// has not listed its end.
-func (planner *Planner) markRunLost(now time.Time, run *run, cause accountant.Cause, reason string) {
+// has not listed its end. The evidence is what shows that, for the log.
+func (planner *Planner) markRunLost(now time.Time, run *run, cause accountant.Cause, reason, evidence string) {
 	if run.checkpoint != "" {
 		planner.updateCheckpoint(run.step, run.id.Index, run.checkpoint)
 		planner.shareGangCheckpoint(run.step)
@@ -300,7 +301,7 @@
 	cause = run.account.Cause(cause)
 	planner.noteBreakage(run, cause)
 	planner.emitDecision(run.id.String(), "run-lost", reason,
-		fmt.Sprintf("run=%d minion=%s percent=%d %s", run.number, run.minion.report.Minion, run.progressPercent, run.describeLoss(now)),
+		fmt.Sprintf("run=%d minion=%s percent=%d attempts=%d %s %s", run.number, run.minion.report.Minion, run.progressPercent, run.startAttempts, evidence, run.describeLoss(now)),
 		now.Sub(run.startedAt))
 	planner.releaseRun(now, run, cause)
 }
