--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -108,8 +108,8 @@
 	Expires time.Time
 	// Timeout limits the wait for the answer.
 	Timeout time.Duration
-	// MinClock is a time that the minion's clock has passed when the order is sent. An
-	// answer with an earlier clock is that of another order. It is zero if no reading of
+	// MinClock is a time that the minion's clock has passed when the order is decided. An
+	// answer with an earlier clock is that of another life. It is zero if no reading of
 	// the clock is known.
 	MinClock time.Duration
 	Order    Order
