Give the receivers of topics one type for what they share

Three of the five receivers of tailed topics had the same Fail, and all the same two fields, set in eight places. topicSink has both. No behaviour changes; go test ./assembler passes.

--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -240,14 +240,14 @@
 	newTailer := func(options tailer.Options, receiver tailer.Sink) *tailer.Tailer {
 		return tailer.New(options, storeClient, receiver, assembler.clock)
 	}
-	assembler.minionTailer = newTailer(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{sink, dependency{topic: "minions"}})
-	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace, RefreshPace: refreshPace}, &journalSink{sink, dependency{topic: "journal"}})
-	assembler.progressTailer = newTailer(tailer.Options{Topic: identifier.Progress, Wait: journalWait, Paused: true}, &progressSink{sink, dependency{topic: "progress"}})
+	assembler.minionTailer = newTailer(tailer.Options{Topic: platform.MinionTopic(), Wait: minionWait, Pace: minionPace, Paused: true}, &minionSink{newTopicSink(assembler, "minions")})
+	assembler.journalTailer = newTailer(tailer.Options{Topic: identifier.Journal, Wait: journalWait, Pace: journalPace, RefreshPace: refreshPace}, &journalSink{newTopicSink(assembler, "journal")})
+	assembler.progressTailer = newTailer(tailer.Options{Topic: identifier.Progress, Wait: journalWait, Paused: true}, &progressSink{newTopicSink(assembler, "progress")})
 	serviceClient := platform.NewServiceClient(settings, storeClient, refusalObserver{assembler})
 	assembler.duties = append(assembler.duties,
-		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{sink, dependency{topic: "operator"}}),
+		newTailer(tailer.Options{Topic: platform.OperatorTopic(), Wait: policyWait}, &policySink{newTopicSink(assembler, "operator")}),
 		assembler.journalTailer, assembler.progressTailer,
-		newTailer(tailer.Options{Topic: identifier.Claims, Wait: claimWait, Pace: claimPace(settings.Cores)}, &claimSink{sink, dependency{topic: "claims"}}),
+		newTailer(tailer.Options{Topic: identifier.Claims, Wait: claimWait, Pace: claimPace(settings.Cores)}, &claimSink{newTopicSink(assembler, "claims")}),
 		assembler.minionTailer,
 		committer.NewEntryAppender(assembler.entryAppends, storeClient, limits, sink),
 		committer.NewProgressAppender(assembler.progressAppends, storeClient, limits, sink),
--- a/assembler/evacuation_test.go
+++ b/assembler/evacuation_test.go
@@ -40,7 +40,7 @@
 				Bounds: platform.Bounds{EvacuationTime: test.bound}, Zones: map[identifier.FailureDomain]identifier.Region{"east-a": "east"},
 			},
 		}
-		sink := &policySink{eventSink{assembler}, dependency{topic: "operator"}}
+		sink := &policySink{newTopicSink(assembler, "operator")}
 		c.Assert(sink.Deliver(context.Background(), test.reading), quicktest.IsNil)
 		for _, expected := range test.expected {
 			c.Assert(<-assembler.plans.Entries(), quicktest.DeepEquals, expected)
--- a/assembler/journalready_test.go
+++ b/assembler/journalready_test.go
@@ -22,7 +22,7 @@
 		entries: buffer.New[messenger.Event]("entries", 1), plans: buffer.New[messenger.Event]("plans", 1),
 		clock: func() time.Time { return now },
 	}
-	sink := &journalSink{eventSink{assembler}, dependency{topic: "journal"}}
+	sink := &journalSink{newTopicSink(assembler, "journal")}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // Deliver does not wait for room
 	c.Assert(assembler.entries.Offer(messenger.Tick{}), quicktest.IsNil)
--- a/assembler/quietreports_test.go
+++ b/assembler/quietreports_test.go
@@ -17,7 +17,7 @@
 func TestReadingWithoutReportsIsDelivered(t *testing.T) {
 	c := quicktest.New(t)
 	assembler := &Assembler{plans: buffer.New[messenger.Event]("plan-events", 1), clock: time.Now}
-	sink := &minionSink{eventSink{assembler}, dependency{topic: "minions"}}
+	sink := &minionSink{newTopicSink(assembler, "minions")}
 	sentAt := time.Unix(1_000_000, 0)
 	c.Assert(sink.Deliver(context.Background(), tailer.Reading{SentAt: sentAt}), quicktest.IsNil)
 	select {
--- a/assembler/sinks.go
+++ b/assembler/sinks.go
@@ -10,12 +10,28 @@
 	"corianderroad/tailer"
 )
 
-// policySink receives the operator's records.
-type policySink struct {
+// topicSink receives the records of a topic. A failed read has no effect beyond the log and
+// the counters.
+type topicSink struct {
 	eventSink
 	dependency
 }
 
+func newTopicSink(assembler *Assembler, topic string) topicSink {
+	return topicSink{eventSink{assembler}, dependency{topic: topic}}
+}
+
+// Fail implements tailer.Sink.
+func (sink *topicSink) Fail(_ context.Context, err error) error {
+	sink.recordFailure(sink.assembler, err)
+	return nil
+}
+
+// policySink receives the operator's records.
+type policySink struct {
+	topicSink
+}
+
 // Deliver implements tailer.Sink.
 func (sink *policySink) Deliver(ctx context.Context, reading tailer.Reading) error {
 	assembler := sink.assembler
@@ -62,16 +78,9 @@
 	return sink.eventSink.Deliver(ctx, read)
 }
 
-// Fail implements tailer.Sink.
-func (sink *policySink) Fail(_ context.Context, err error) error {
-	sink.recordFailure(sink.assembler, err)
-	return nil
-}
-
 // journalSink receives the entries of the journal.
 type journalSink struct {
-	eventSink
-	dependency
+	topicSink
 }
 
 // Deliver implements tailer.Sink.
@@ -82,6 +91,12 @@
 	return sink.eventSink.Deliver(ctx, read)
 }
 
+// Fail implements tailer.Sink.
+func (sink *journalSink) Fail(ctx context.Context, err error) error {
+	sink.recordFailure(sink.assembler, err)
+	return sink.eventSink.Deliver(ctx, messenger.JournalReadFailed{})
+}
+
 // decodeJournal decodes the records of the journal. It returns an error for each
 // record that it ignores.
 func decodeJournal(reading tailer.Reading) (messenger.JournalRead, []error) {
@@ -100,8 +115,7 @@
 
 // progressSink receives the progress of tasks while this node takes over.
 type progressSink struct {
-	eventSink
-	dependency
+	topicSink
 }
 
 // Deliver implements tailer.Sink.
@@ -118,22 +132,9 @@
 	return sink.eventSink.Deliver(ctx, progress)
 }
 
-// Fail implements tailer.Sink.
-func (sink *progressSink) Fail(_ context.Context, err error) error {
-	sink.recordFailure(sink.assembler, err)
-	return nil
-}
-
-// Fail implements tailer.Sink.
-func (sink *journalSink) Fail(ctx context.Context, err error) error {
-	sink.recordFailure(sink.assembler, err)
-	return sink.eventSink.Deliver(ctx, messenger.JournalReadFailed{})
-}
-
 // claimSink receives the claims.
 type claimSink struct {
-	eventSink
-	dependency
+	topicSink
 }
 
 // Deliver implements tailer.Sink.
@@ -171,8 +172,7 @@
 
 // minionSink receives the reports of minions.
 type minionSink struct {
-	eventSink
-	dependency
+	topicSink
 }
 
 // Deliver implements tailer.Sink.
@@ -183,12 +183,6 @@
 	return sink.eventSink.Deliver(ctx, read)
 }
 
-// Fail implements tailer.Sink.
-func (sink *minionSink) Fail(_ context.Context, err error) error {
-	sink.recordFailure(sink.assembler, err)
-	return nil
-}
-
 // reportIgnoredRecords logs and counts records that are ignored because they are
 // invalid.
 func (assembler *Assembler) reportIgnoredRecords(failures []error) {
