Give the nodes of assembler's tests a loopback host of their own

TestEvacuatedZoneGetsNoStart once waited 30 s for a node whose port refused connections, beside soaks and other tests. Its log was not kept. The likely cause is a port that was free when the test looked, and that an outgoing connection of another process from 127.0.0.1 had taken when the node listened. A host of 127/8 that only this process uses rules that out.

--- a/assembler/assembler_test.go
+++ b/assembler/assembler_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -19,9 +20,12 @@
 	"corianderroad/timekeeper"
 )
 
-// freeAddress returns a local address on which no process listens.
+// freeAddress returns a local address on which no process listens. The host is one of this process
+// alone: on 127.0.0.1 an outgoing connection of another process could take the port meanwhile.
 func freeAddress(c *quicktest.C) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	host := netip.AddrFrom4([4]byte{127, 1 + byte(pid>>16&0x3f), byte(pid >> 8), byte(pid)})
+	listener, err := net.Listen("tcp", netip.AddrPortFrom(host, 0).String())
 	c.Assert(err, quicktest.IsNil)
 	defer func() { c.Check(listener.Close(), quicktest.IsNil) }()
 	return netip.MustParseAddrPort(listener.Addr().String())
