Let second answers come directly before the next answer

Cause: most repetitions of the soak's fault come while no order waits on the connection, which the client then closes. None is taken for another answer.

--- a/cmd/soak/stutterer/stutterer.go
+++ b/cmd/soak/stutterer/stutterer.go
@@ -21,6 +21,10 @@
 	Share float64 `json:"share"`
 	// DelayMS is the longest time from an answer to its repetition, in milliseconds.
 	DelayMS int64 `json:"delay-ms"`
+	// BeforeNext sends the repetition directly before the next answer on the connection, if
+	// that comes within the delay. It then falls on the next request however short the time
+	// to the answer of that is.
+	BeforeNext bool `json:"before-next"`
 }
 
 // Pipe implements toxics.Toxic.
@@ -39,6 +43,10 @@
 				stub.Close()
 				return
 			}
+			if repeatAt != nil && stutterer.BeforeNext {
+				stub.Output <- &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}
+				repeatAt = nil
+			}
 			if repeatAt == nil && rand.Float64() < stutterer.Share {
 				repeated = bytes.Clone(chunk.Data)
 				repeatAt = time.After(time.Duration(1+rand.Int64N(stutterer.DelayMS)) * time.Millisecond)
