Play outages of the store under many small tasks in the soak

Its only outage was a refusal, minions took every start, few starts came together, and no entry of a minion lapsed.

Change: -outages plays what that deployment does: callers with many small tasks and bounded unfinished jobs, outages of 3 to 6 s that first refuse and then are silent, entries that lapse and return, and minions around the end that refuse some starts, answer twice, or whose connections are reset. -keep keeps all logs.

--- a/cmd/soak/checker/checker.go
+++ b/cmd/soak/checker/checker.go
@@ -225,13 +225,24 @@
 	defer checker.mutex.Unlock()
 	var unfinished []identifier.Job
 	for id, job := range checker.jobs {
-		if !job.acceptedAt.IsZero() && !job.cancelSent && job.completedAt.IsZero() && !job.crashes {
+		if job.isUnfinished() {
 			unfinished = append(unfinished, id)
 		}
 	}
 	return unfinished
 }
 
+// IsUnfinished reports whether Unfinished has the job.
+func (checker *Checker) IsUnfinished(id identifier.Job) bool {
+	checker.mutex.Lock()
+	defer checker.mutex.Unlock()
+	return checker.jobs[id].isUnfinished()
+}
+
+func (job *job) isUnfinished() bool {
+	return !job.acceptedAt.IsZero() && !job.cancelSent && job.completedAt.IsZero() && !job.crashes
+}
+
 func (checker *Checker) task(name string) *task {
 	existing, ok := checker.tasks[name]
 	if !ok {
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"corianderroad/cmd/soak/disturber"
+	"corianderroad/cmd/soak/interrupter"
 	"corianderroad/cmd/soak/stager"
 	"corianderroad/cmd/soak/submitter"
 )
@@ -32,6 +33,8 @@
 	flag.IntVar(&options.minions, "minions", 9, "number of minions")
 	flag.IntVar(&options.callers, "callers", 4, "number of callers")
 	flag.DurationVar(&options.span, "span", 20*time.Second, "time during which faults are injected")
+	flag.BoolVar(&options.keep, "keep", false, "keep the logs of all seeds, not only of those that fail")
+	flag.BoolVar(&options.outages, "outages", false, "play outages of the store and callers with many small tasks in place of the other faults")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -58,6 +61,10 @@
 	seeds                   int
 	nodes, minions, callers int
 	span                    time.Duration
+	// outages selects outages of the store under many small tasks.
+	outages bool
+	// keep keeps the logs of seeds that do not fail.
+	keep bool
 }
 
 // completionTimeout is how long jobs may take to complete after the faults have ended.
@@ -79,6 +86,9 @@
 		deployment.Close()
 		return false, err
 	}
+	if options.outages {
+		deployment.RefuseOverload()
+	}
 	runWorkload(ctx, options, seed, deployment, faultLog)
 	deployment.Close()
 	violations := deployment.Checker.Violations()
@@ -89,11 +99,11 @@
 	for _, violation := range violations {
 		fmt.Println("  " + violation)
 	}
-	if len(violations) == 0 {
+	if len(violations) == 0 && !options.keep {
 		return false, os.RemoveAll(folder)
 	}
 	fmt.Println("  logs are in " + folder)
-	return true, nil
+	return len(violations) > 0, nil
 }
 
 // Streams of random numbers beside those of the faults and of the callers' jobs, so that
@@ -119,11 +129,30 @@
 	group := &errgroup.Group{}
 	var callers []*submitter.Submitter
 	for number := range options.callers {
-		caller := submitter.New(deployment, number, rand.New(rand.NewPCG(seed, uint64(number)+1)),
-			rand.New(rand.NewPCG(seed, uint64(number)+firstCrashStream)))
+		caller := newCaller(options, seed, deployment, uint64(number))
 		callers = append(callers, caller)
 		group.Go(func() error { return caller.Run(faultsCtx) })
 	}
+	if options.outages {
+		group.Go(func() error { return interrupter.New(deployment, rand.New(rand.NewPCG(seed, 0)), log).Run(faultsCtx) })
+	} else {
+		startDisturbers(faultsCtx, group, seed, deployment, log)
+	}
+	_ = group.Wait() // neither callers nor faults return errors
+	awaitCompletion(ctx, deployment, callers[0])
+}
+
+func newCaller(options options, seed uint64, deployment *stager.Deployment, number uint64) *submitter.Submitter {
+	random := rand.New(rand.NewPCG(seed, number+1))
+	if options.outages {
+		return submitter.New(deployment, random, submitter.NewSmallJobs(random), submitter.BoundedPace)
+	}
+	crashRandom := rand.New(rand.NewPCG(seed, number+firstCrashStream))
+	return submitter.New(deployment, random, submitter.NewMixedJobs(random, crashRandom), submitter.FastPace)
+}
+
+// startDisturbers starts random faults, changes of the capacity of minions, and evacuations.
+func startDisturbers(faultsCtx context.Context, group *errgroup.Group, seed uint64, deployment *stager.Deployment, log func(format string, arguments ...any)) {
 	group.Go(func() error { return disturber.New(deployment, rand.New(rand.NewPCG(seed, 0)), log).Run(faultsCtx) })
 	group.Go(func() error {
 		return disturber.New(deployment, rand.New(rand.NewPCG(seed, resizeStream)), log).RunResizes(faultsCtx)
@@ -132,8 +161,6 @@
 		random := rand.New(rand.NewPCG(seed, uint64(index)+firstEvacuationStream))
 		group.Go(func() error { return disturber.New(deployment, random, log).RunEvacuations(faultsCtx, domain) })
 	}
-	_ = group.Wait() // neither callers nor faults return errors
-	awaitCompletion(ctx, deployment, callers[0])
 }
 
 // awaitCompletion queries the unfinished jobs until all have completed.
--- a/cmd/soak/submitter/submitter.go
+++ b/cmd/soak/submitter/submitter.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -16,7 +17,6 @@
 
 	"corianderroad/cmd/soak/stager"
 	"corianderroad/identifier"
-	"corianderroad/platform/imitator"
 )
 
 // Behaviour of a caller.
@@ -37,17 +37,17 @@
 	deployment *stager.Deployment
 	random     *rand.Rand
 	client     *http.Client
-	number     int
-	// crashRandom draws the jobs that crash minions, so that the other jobs of a seed do not
-	// depend on them.
-	crashRandom *rand.Rand
-	jobs        []identifier.Job
+	source     Jobs
+	pace       Pace
+	jobs       []identifier.Job
+	// unfinished are the jobs that count for the pace.
+	unfinished []identifier.Job
 }
 
-// New returns a caller that draws its jobs from a random source.
-func New(deployment *stager.Deployment, number int, random, crashRandom *rand.Rand) *Submitter {
+// New returns a caller of the jobs of a source. It draws all else from random.
+func New(deployment *stager.Deployment, random *rand.Rand, source Jobs, pace Pace) *Submitter {
 	transport := &http.Transport{MaxIdleConnsPerHost: 2, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}
-	return &Submitter{deployment: deployment, random: random, crashRandom: crashRandom, number: number, client: &http.Client{Transport: transport, Timeout: callTimeout}}
+	return &Submitter{deployment: deployment, random: random, source: source, pace: pace, client: &http.Client{Transport: transport, Timeout: callTimeout}}
 }
 
 // Run submits, queries and cancels jobs until the context ends.
@@ -58,30 +58,49 @@
 		if len(submitter.jobs) > 0 {
 			submitter.CheckState(ctx, submitter.jobs[submitter.random.IntN(len(submitter.jobs))])
 		}
-		submitter.pause(ctx)
+		submitter.pause(ctx, submitter.pace.MaxPause)
+		submitter.awaitFinished(ctx)
 	}
 	return nil
 }
 
-func (submitter *Submitter) pause(ctx context.Context) {
+// awaitFinished queries the caller's jobs until few enough are unfinished.
+func (submitter *Submitter) awaitFinished(ctx context.Context) {
+	if submitter.pace.MaxUnfinished == 0 {
+		return
+	}
+	for ctx.Err() == nil {
+		submitter.unfinished = slices.DeleteFunc(submitter.unfinished, func(id identifier.Job) bool {
+			submitter.CheckState(ctx, id)
+			return !submitter.deployment.Checker.IsUnfinished(id)
+		})
+		if len(submitter.unfinished) < submitter.pace.MaxUnfinished {
+			return
+		}
+		submitter.pause(ctx, maxPause)
+	}
+}
+
+func (submitter *Submitter) pause(ctx context.Context, longest time.Duration) {
 	select {
-	case <-time.After(time.Duration(submitter.random.Int64N(int64(maxPause)))):
+	case <-time.After(time.Duration(submitter.random.Int64N(int64(longest)))):
 	case <-ctx.Done():
 	}
 }
 
-// submit submits a job repeatedly until it is accepted or maxAttempts is reached.
+// submit submits a job repeatedly until it is accepted or the attempts of its pace are used up.
 func (submitter *Submitter) submit(ctx context.Context) {
 	id := identifier.Job(fmt.Sprintf("%016x", submitter.random.Uint64()))
-	body, behaviour, tasks, firstStepTasks := submitter.drawJob()
-	submitter.deployment.Checker.Submitted(id, behaviour.String(), tasks, firstStepTasks, behaviour.Crashes)
+	job := submitter.source.Draw()
+	body := job.encode()
+	submitter.deployment.Checker.Submitted(id, job.behaviour.String(), job.tasks, job.firstStepTasks, job.behaviour.Crashes)
 	refused := true
-	for range maxAttempts {
+	for range submitter.pace.MaxAttempts {
 		answer := submitter.call(ctx, http.MethodPost, id, body)
 		switch {
 		case answer.status == http.StatusOK:
 			submitter.deployment.Checker.Accepted(id)
-			submitter.jobs = append(submitter.jobs, id)
+			submitter.jobs, submitter.unfinished = append(submitter.jobs, id), append(submitter.unfinished, id)
 			if submitter.random.Float64() < cancelFraction {
 				submitter.cancel(ctx, id)
 			}
@@ -89,63 +108,13 @@
 		case answer.status != http.StatusTooManyRequests && answer.status != http.StatusServiceUnavailable:
 			refused = false
 		}
-		submitter.pause(ctx)
+		submitter.pause(ctx, maxPause)
 	}
 	if refused {
 		submitter.deployment.Checker.Refused(id)
 	}
 }
 
-// drawJob draws a job of one or two steps. It returns the encoded job, the behaviour of
-// its tasks, their number and that of the tasks of the first step.
-func (submitter *Submitter) drawJob() (body string, behaviour imitator.Behaviour, tasks, firstStepTasks int) {
-	random := submitter.random
-	firstStepTasks = 1 + random.IntN(4)
-	gang := 0
-	if random.IntN(2) == 0 {
-		gang = firstStepTasks
-	}
-	work := 50 + random.IntN(900)
-	if random.IntN(3) == 0 {
-		work += 1000 + random.IntN(4000) // exceeds the time for which an answer is awaited
-	}
-	behaviour = imitator.Behaviour{Work: time.Duration(work) * time.Millisecond, Members: gang, Accelerators: 1 << random.IntN(3)}
-	submitter.drawCrash(&behaviour)
-	step := func(count int, dependsOn []int) map[string]any {
-		return map[string]any{
-			"count": count, "cpu": 1000, "memMb": 100, "gpu": behaviour.Accelerators, "estimateMs": 500,
-			"gang": gang > 0, "sameRack": random.IntN(3) == 0, "dependsOn": dependsOn,
-		}
-	}
-	steps := []map[string]any{step(firstStepTasks, nil)}
-	tasks = firstStepTasks
-	if random.IntN(3) == 0 {
-		steps = append(steps, step(firstStepTasks, []int{0}))
-		tasks += firstStepTasks
-	}
-	encoded, _ := json.Marshal(map[string]any{"spec": behaviour.String(), "steps": steps}) // cannot fail on strings and numbers
-	return string(encoded), behaviour, tasks, firstStepTasks
-}
-
-// crashShare is the fraction of jobs whose tasks crash their minions, and maxCrashDelay the
-// longest time from the start to the crash.
-const (
-	crashShare    = 0.05
-	maxCrashDelay = 1200 * time.Millisecond
-)
-
-// drawCrash lets some jobs crash the minions that start their tasks, at once or later.
-func (submitter *Submitter) drawCrash(behaviour *imitator.Behaviour) {
-	if submitter.crashRandom.Float64() >= crashShare {
-		return
-	}
-	behaviour.Crashes = true
-	if submitter.crashRandom.IntN(2) == 0 {
-		behaviour.CrashAfter = time.Duration(submitter.crashRandom.Int64N(int64(maxCrashDelay)))
-	}
-	behaviour.Work = max(behaviour.Work, 2*maxCrashDelay)
-}
-
 func (submitter *Submitter) cancel(ctx context.Context, id identifier.Job) {
 	submitter.deployment.Checker.CancelSent(id)
 	for range maxAttempts {
@@ -153,7 +122,7 @@
 			submitter.deployment.Checker.Cancelled(id)
 			return
 		}
-		submitter.pause(ctx)
+		submitter.pause(ctx, maxPause)
 	}
 }
 
