--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -191,3 +191,26 @@
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 	c.Assert(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1)
 }
+
+// TestDrainingMinionThatRefusesConnectionsKeepsItsRuns guards against a second run of a task whose
+// minion has announced its departure and then refuses connections for a moment while it lives: before
+// the announced time, or after it, for as long as the store lists the minion.
+func TestDrainingMinionThatRefusesConnectionsKeepsItsRuns(t *testing.T) {
+	t.Parallel()
+	for _, notice := range []time.Duration{3 * time.Second, 100 * time.Millisecond} {
+		c := quicktest.New(t)
+		simulation := newEvictionSimulation(1, 2)
+		simulation.onDecision = simulation.checkLostRun
+		simulation.hidesProgress = true // the run might end in time, so that it is not stopped before
+		simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 4 * time.Second}))
+		simulation.advance(time.Second)
+		draining := simulation.sortedMinions()[0]
+		draining.faults.draining, draining.faults.remaining = true, notice
+		simulation.deliverAllReports()
+		simulation.advance(500 * time.Millisecond)
+		simulation.refuseConnections(draining, 2*time.Second)
+		simulation.advance(10 * time.Second)
+		c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("notice %s", notice))
+		c.Check(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1, quicktest.Commentf("notice %s", notice))
+	}
+}
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -25,6 +25,10 @@
 	// delays returns the time after which the minion carries out an order that it does not
 	// answer, zero for an order that it answers. It may be nil.
 	delays func(order messenger.Order) time.Duration
+	// repeats returns the time after which the minion carries out the first copy of an order that is
+	// sent twice, zero for an order that is sent once. The answer is that to the second copy. It may
+	// be nil.
+	repeats func(order messenger.Order) time.Duration
 	// isDark means that orders that arrive while the minion is down wait for its next life.
 	isDark bool
 	// refusesConnections means that no order is ever sent to the minion, which the
@@ -65,6 +69,12 @@
 	return answered
 }
 
+// repeated returns the answer to an order as the sender reads it if the order was sent twice.
+func repeated(answered messenger.OrderAnswered) messenger.OrderAnswered {
+	answered.IsRepeat, answered.Err = true, answered.Err.OfRepeat()
+	return answered
+}
+
 // isLost reports whether an order never reaches the minion.
 func (minionFaults *minionFaults) isLost(node *node, order messenger.Order) bool {
 	if minionFaults.losesFrom != nil && minionFaults.losesFrom(node, order) {
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -44,6 +44,7 @@
 		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 		return
 	}
+	isRepeated := simulation.sendFirstCopy(minion, order, sentAt)
 	lost := simulation.random.Float64() < simulation.lostAnswerShare
 	simulation.schedule(minion.faults.delay+latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() {
 		execute(func(answered messenger.OrderAnswered) {
@@ -52,11 +53,32 @@
 				return
 			}
 			answered = simulation.withOutdatedList(minion, minion.garbled(answered))
+			if isRepeated {
+				answered = repeated(answered)
+			}
 			simulation.schedule(minion.faults.delay+latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() { simulation.step(node, answered) })
 		})
 	})
 }
 
+// sendFirstCopy sends the first copy of an order that is sent twice, and reports whether it is. The
+// copy reaches no later life of the minion.
+func (simulation *simulation) sendFirstCopy(minion *fakeMinion, order messenger.OrderMinion, sentAt time.Time) bool {
+	if minion.faults.repeats == nil {
+		return false
+	}
+	delay, incarnation := minion.faults.repeats(order.Order), minion.incarnation
+	if delay == 0 {
+		return false
+	}
+	simulation.schedule(delay, func() {
+		if minion.alive && minion.incarnation == incarnation {
+			minion.execute(order, sentAt, func(messenger.OrderAnswered) {})
+		}
+	})
+	return true
+}
+
 // orderDelay returns the time after which a minion carries out an order that it does not
 // answer, zero for an order that it answers.
 func (simulation *simulation) orderDelay(minion *fakeMinion, order messenger.Order) time.Duration {
--- a/planner/simulation_test.go
+++ b/planner/simulation_test.go
@@ -61,6 +61,8 @@
 	services   *fakeServices
 	violations []string
 	decisions  []string
+	// onDecision is called with each decision. It may be nil.
+	onDecision func(messenger.Decision)
 	// counts are the sums of the counters, by their name and reason.
 	counts map[string]float64
 
@@ -261,6 +263,9 @@
 func (simulation *simulation) perform(node *node, action messenger.Action) {
 	switch action := action.(type) {
 	case messenger.Decision:
+		if simulation.onDecision != nil {
+			simulation.onDecision(action)
+		}
 		simulation.decisions = append(simulation.decisions, fmt.Sprintf("%s %s %s %s: %s %s",
 			simulation.now.Format("05.000"), node.name, action.Subject, action.Outcome, action.Reason, action.Detail))
 	case messenger.Count:
@@ -387,14 +392,3 @@
 	simulation.appendEntry(messenger.Withdrawn{Job: id})
 	simulation.cancelled[id] = simulation.now
 }
-
-// recordedState returns the newest recorded state of a job.
-func (simulation *simulation) recordedState(id identifier.Job) specifier.State {
-	state := specifier.Queued
-	for _, entry := range simulation.journal {
-		if progressed, ok := entry.(messenger.Progressed); ok && progressed.Job == id {
-			state = progressed.Progress.State
-		}
-	}
-	return state
-}
--- a/planner/simulationresult_test.go
+++ b/planner/simulationresult_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 
+	"corianderroad/identifier"
+	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
 
@@ -31,3 +33,14 @@
 	}
 	return found
 }
+
+// recordedState returns the newest recorded state of a job.
+func (simulation *simulation) recordedState(id identifier.Job) specifier.State {
+	state := specifier.Queued
+	for _, entry := range simulation.journal {
+		if progressed, ok := entry.(messenger.Progressed); ok && progressed.Job == id {
+			state = progressed.Progress.State
+		}
+	}
+	return state
+}
