Count a minion as left only when the store has removed its entry as announced

A minion that had announced its departure refused two connections 150 ms apart while it lived, and all its runs counted as lost and started elsewhere.

Cause: refused connections counted as proof that the minion had ended, also before the announced time and while the store listed it. A process that shuts down may close its port before its runs end, and a connection may be refused on the way.

Change: a minion has left if the announced time has passed, its entry was removed in normal operation of the store, and it refuses connections as before. During an outage, and until lapsed entries are back, a missing entry says nothing; then, as without any of the three signs, the tasks wait for the leases. The times of the readings get a type of their own, which the other rules about readings use as well.

Evidence: TestDrainingMinionThatRefusesConnectionsKeepsItsRuns was red and is green; TestGangOfMinionThatHasLeftStartsAgainAtOnce, for which the rule was made, stays green. What a play with real minions that leave loses by the wait for the entry was not measured.

--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -125,7 +125,7 @@
 	// MinionUnreachable if the order was not sent, OutcomeUnknown if the minion may
 	// have received it. CorruptAnswer if no answer can be used.
 	Err *classifier.Error
-	// ConnectionRefused means that nothing listens at the minion's address, so that it has ended.
+	// ConnectionRefused means that nothing listens at the minion's address.
 	ConnectionRefused bool
 	// Clock and Incarnation are those of the minion, zero without an answer.
 	Clock       time.Duration
--- a/planner/departure.go
+++ b/planner/departure.go
@@ -11,8 +11,9 @@
 const (
 	// departureCheckInterval is the time between two decisions while minions leave.
 	departureCheckInterval = 100 * time.Millisecond
-	// minRefusalTime is the time between two refused connections after which a minion counts as
-	// ended. A single one may be due to a short lack of resources at its machine.
+	// minRefusalTime is the time between two refused connections after which a minion that has
+	// announced its departure may count as ended. A single one may be due to a short lack of
+	// resources at its machine.
 	minRefusalTime = 150 * time.Millisecond
 )
 
@@ -51,10 +52,16 @@
 	minion.hasEnded = now.Sub(minion.refusedAt) >= minRefusalTime
 }
 
-// hasLeft reports whether a minion that has given notice has ended. Whatever ran on it ended
-// with it, so that the tasks need not wait until its leases have expired. Without a notice they
-// wait, because their minion may have crashed under one of them, which its next life shows.
-func (minion *minion) hasLeft() bool { return minion.report.Draining && minion.hasEnded }
+// hasLeft reports whether a minion that has given notice has ended: the announced time has passed,
+// the store has removed its entry, and nothing listens at its address. Whatever ran on it ended
+// with it, so that the tasks need not wait until its leases have expired. Refused connections alone
+// do not show that, because a process that shuts down may close its port before its runs end.
+// Without a notice the tasks wait, because their minion may have crashed under one of them, which
+// its next life shows.
+func (planner *Planner) hasLeft(now time.Time, minion *minion) bool {
+	isRemoved := !minion.registered && planner.readings.areSettled(now)
+	return minion.report.Draining && minion.hasEnded && isRemoved && !now.Before(minion.departure(now))
+}
 
 // markLeftRunsLost marks the runs of a minion that has left as lost.
 func (planner *Planner) markLeftRunsLost(now time.Time, minion *minion) {
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -18,9 +18,8 @@
 	if planner.holder.token == 0 {
 		return
 	}
-	if event.SentAt.After(planner.reportsAsOf) {
-		planner.passNeeded = planner.passNeeded || now.Sub(planner.reportsAsOf) > maxReportAge
-		planner.reportsAsOf = event.SentAt
+	if planner.readings.note(now, event.SentAt) {
+		planner.passNeeded = true
 	}
 	if !event.Complete && len(event.Reports)+len(event.Removed) == 0 {
 		return
@@ -127,7 +126,7 @@
 		if len(minion.runs) > 0 && minion.leasesExpired(now) {
 			planner.markExpiredRunsLost(now, minion)
 		}
-		if planner.stops != nil && minion.hasLeft() {
+		if planner.stops != nil && planner.hasLeft(now, minion) {
 			planner.markLeftRunsLost(now, minion)
 		}
 		isAwaited := !planner.holder.reconciled && planner.mayHaveFormerRuns(minion)
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -41,10 +41,9 @@
 	// journalEnd is the offset up to which the node has read the journal.
 	journalEnd identifier.Offset
 
-	holder  holderState
-	minions map[identifier.Minion]*minion
-	// reportsAsOf is a time up to which all reports of minions were read.
-	reportsAsOf time.Time
+	holder   holderState
+	minions  map[identifier.Minion]*minion
+	readings readings
 	// minionsByName holds the minions in the order of their names, nil if it must
 	// be built again.
 	minionsByName []*minion
--- a/planner/pool.go
+++ b/planner/pool.go
@@ -90,7 +90,7 @@
 // hasCurrentReports reports whether tasks may be started on the minions of a service. Those
 // that do not guard their capacity may have shrunk since their last reports were read.
 func (planner *Planner) hasCurrentReports(now time.Time, service identifier.Service) bool {
-	return now.Sub(planner.reportsAsOf) <= maxReportAge || slices.Contains(planner.policy.GuardedServices, service)
+	return planner.readings.areCurrent(now) || slices.Contains(planner.policy.GuardedServices, service)
 }
 
 // outdatedReading returns the reason if tasks may not be started on the minions of a service
--- a/planner/queuewait.go
+++ b/planner/queuewait.go
@@ -85,7 +85,7 @@
 // hasSettled reports whether this holder knows the runs of the minions and has made its first passes.
 func (planner *Planner) hasSettled(now time.Time) bool {
 	waits := planner.queueWaits
-	if !planner.holder.reconciled || planner.reportsAsOf.IsZero() {
+	if !planner.holder.reconciled || planner.readings.asOf.IsZero() {
 		return false
 	}
 	if waits.settledAt.IsZero() {
