Poll the VM list on connections of their own

Cause: a list, or the answer that it is unchanged, names no request. A second answer to an earlier poll on the kept connection counts as that to the newest one: the list is outdated, and with its entity tag it stays so.

Change: each poll has a connection of its own. There is one a second, or fewer.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -133,6 +133,9 @@
 	if err != nil {
 		return answer{}, errors.Wrap(err, "VM list")
 	}
+	// A list names no request. On a connection of its own no second answer to an earlier poll
+	// is taken for it.
+	request.Close = true
 	if lister.entityTag != "" {
 		request.Header.Set("If-None-Match", lister.entityTag)
 	}
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 
 	"corianderroad/messenger"
+	"corianderroad/platform/imitator"
 )
 
 // recordingSink records the delivered lists.
@@ -55,6 +58,23 @@
 	c.Assert(sink.events[1].VMs[0].Leaving, quicktest.IsTrue)
 }
 
+// TestSecondAnswerIsNotThatOfTheNextPoll guards against an outdated list that is taken for the answer
+// to a later poll, and with its entity tag holds until the next change.
+func TestSecondAnswerIsNotThatOfTheNextPoll(t *testing.T) {
+	c := quicktest.New(t)
+	var polls atomic.Int32
+	address := imitator.Repeater{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(writer, `{"vms":[{"name":"w-%d","role":"worker","address":"10.0.0.1:80"}]}`, polls.Add(1))
+	}), IsRepeated: imitator.Always}.Listen(c)
+	lister := New(&http.Client{}, "http://"+address.String(), nil, nil)
+	for _, name := range []string{"w-1", "w-2", "w-3"} {
+		answer, err := lister.poll(t.Context())
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(answer.vms, quicktest.HasLen, 1)
+		c.Assert(answer.vms[0].Name, quicktest.Equals, name)
+	}
+}
+
 // TestPollsWithoutTagAreWithinTrafficLimit guards against polls of a long list that
 // use more than their part of the control traffic.
 func TestPollsWithoutTagAreWithinTrafficLimit(t *testing.T) {
