Close a connection on which a minion has answered a call twice

Cause: an answer is checked against the attempt that it names, but the connection stayed in use after an answer to another one, and all later answers on it were those of the calls before: the outcome of each call was unknown, and its minion's busy slots those of an earlier moment. The answer to a query for slots names nothing, so that the second answer to one was taken for that of the next.

Change: the connection is closed when an answer names another attempt, and nothing is read from that answer. The connection of a query for slots carries no other query after it, and the answer to a call is not taken for that to a query.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -41,9 +42,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
-	var connected atomic.Bool
+	var connection atomic.Pointer[net.Conn]
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { connection.Store(&info.Conn) },
 	})
 	request, err := newRequest(ctx, call)
 	if err != nil {
@@ -54,17 +55,23 @@
 	// the body again.
 	response, err := dispatcher.transport.RoundTrip(request)
 	if err != nil {
-		result.Err = classifyFailure(ctx, err, connected.Load())
+		result.Err = classifyFailure(ctx, err, connection.Load() != nil)
 		return result
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, commander.MaxBodyBytes+1))
+	if result.Err = verifyAttempt(call, response); result.Err != nil {
+		// The minion has answered an earlier request twice, so that the answer to this one
+		// would be taken for that of the next.
+		_ = (*connection.Load()).Close() // an error means that it is closed already
+		return result
+	}
 	readMinionState(response, &result)
 	if err != nil {
 		result.Err = classifyFailure(ctx, err, true)
 		return result
 	}
-	result.Body, result.Err = verifyAnswer(call, response, body)
+	result.Body, result.Err = verifyAnswer(response, body)
 	return result
 }
 
@@ -122,14 +129,19 @@
 	result.Leaving = response.Header.Get(headerLeaving) == "true"
 }
 
-// verifyAnswer returns the body if it is the complete answer to this attempt.
-func verifyAnswer(call messenger.CallMinion, response *http.Response, body []byte) ([]byte, *classifier.Error) {
+// verifyAttempt returns an error if an answer is not that of this attempt.
+func verifyAttempt(call messenger.CallMinion, response *http.Response) *classifier.Error {
+	request, attempt := response.Header.Get(headerRequest), response.Header.Get(headerAttempt)
+	if request != string(call.Request) || attempt != strconv.FormatUint(uint64(call.Attempt), 10) {
+		return classifier.New(classifier.CorruptAnswer, "the answer belongs to attempt %s of request %q", attempt, request)
+	}
+	return nil
+}
+
+// verifyAnswer returns the body if the answer to this attempt is complete.
+func verifyAnswer(response *http.Response, body []byte) ([]byte, *classifier.Error) {
 	header := response.Header
-	attempt := strconv.FormatUint(uint64(call.Attempt), 10)
 	switch {
-	case header.Get(headerRequest) != string(call.Request) || header.Get(headerAttempt) != attempt:
-		return nil, classifier.New(classifier.CorruptAnswer, "the answer belongs to attempt %s of request %q",
-			header.Get(headerAttempt), header.Get(headerRequest))
 	case response.StatusCode == http.StatusServiceUnavailable && header.Get(headerNotRun) == "true":
 		return nil, classifier.New(classifier.MinionBusy, "the minion refused the request")
 	case response.StatusCode != http.StatusOK:
--- a/dispatcher/slots.go
+++ b/dispatcher/slots.go
@@ -27,12 +27,19 @@
 		result.Err = classifier.New(classifier.BadRequest, "the request could not be created: %v", err)
 		return result
 	}
+	// An answer names no query. No other query follows on its connection, so that no second
+	// answer to this one can be taken for that of the next.
+	request.Close = true
 	response, err := dispatcher.transport.RoundTrip(request)
 	if err != nil {
 		result.Err = classifier.New(classifier.MinionUnreachable, "the query for the minion's slots failed: %v", err)
 		return result
 	}
 	defer response.Body.Close()
+	if attempt := response.Header.Get(headerAttempt); attempt != "" {
+		result.Err = classifier.New(classifier.CorruptAnswer, "the minion's answer to the query for its slots belongs to attempt %s of a request", attempt)
+		return result
+	}
 	answer, err := decodeSlots(response.Body)
 	if err != nil || response.StatusCode != http.StatusOK {
 		result.Err = classifier.New(classifier.CorruptAnswer, "the minion's answer to the query for its slots has status %d or invalid content", response.StatusCode)
