Give each call to a worker its own connection

Cause: the answer of a worker names no call. A second answer that arrives while the next call on the kept connection waits is taken for its answer: a start that is carried out counts as refused, and an older list of tasks as that of a renewal, so that a task that runs counts as lost and is started elsewhere.

Change: a connection carries one call. A worker is called when a gang is placed or ends and once per renewal period, and at most 512 connections were kept for all workers. The parameter for their number goes.

Result: TestSecondAnswerIsNotThatOfTheNextCall failed before the change, and passes; go test -race ./controller passes. The cost of the renewals on new connections is not measured.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -29,9 +29,6 @@
 	// Timeout bounds a call, 2 s if zero. The grace period of a checkpoint is
 	// added to it.
 	Timeout time.Duration
-	// IdleConnections bounds the idle connections to all workers in total, 512 if
-	// zero.
-	IdleConnections int
 }
 
 // Controller calls workers. It is safe for concurrent use.
@@ -48,13 +45,12 @@
 func New(ring *buffer.Ring[messenger.CallWorker], eventSink EventSink, parameters Parameters) *Controller {
 	parameters.MaxCalls = cmp.Or(parameters.MaxCalls, 32)
 	parameters.Timeout = cmp.Or(parameters.Timeout, 2*time.Second)
-	parameters.IdleConnections = cmp.Or(parameters.IdleConnections, 512)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: parameters.Timeout}).DialContext,
-		MaxIdleConns:        parameters.IdleConnections,
-		MaxIdleConnsPerHost: 2,
-		MaxConnsPerHost:     8,
-		IdleConnTimeout:     90 * time.Second,
+		DialContext:     (&net.Dialer{Timeout: parameters.Timeout}).DialContext,
+		MaxConnsPerHost: 8,
+		// An answer names no call. On a connection of its own no second answer to an earlier
+		// call is taken for it.
+		DisableKeepAlives: true,
 	}
 	return &Controller{
 		ring: ring, eventSink: eventSink, client: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}, parameters: parameters,
@@ -67,9 +63,7 @@
 	for range controller.parameters.MaxCalls {
 		group.Go(func() error { return controller.serve(ctx) })
 	}
-	err := group.Wait()
-	controller.client.CloseIdleConnections()
-	return err
+	return group.Wait()
 }
 
 func (controller *Controller) serve(ctx context.Context) error {
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -20,6 +20,7 @@
 	"corianderroad/controller"
 	"corianderroad/identifier"
 	"corianderroad/messenger"
+	"corianderroad/platform/imitator"
 	"corianderroad/specifier"
 )
 
@@ -108,6 +109,25 @@
 	}
 }
 
+// TestSecondAnswerIsNotThatOfTheNextCall guards against a refusal, or a list of tasks, that is taken for
+// the answer to a later call: tasks that run count as refused or lost, and are started elsewhere.
+func TestSecondAnswerIsNotThatOfTheNextCall(t *testing.T) {
+	ring, answers := run(t)
+	address := imitator.Repeater{Handler: http.HandlerFunc(func(response http.ResponseWriter, request *http.Request) {
+		if request.URL.Path == "/reserve" {
+			respond(409, `{"code":705,"message":"full","term":1}`)(response, request)
+			return
+		}
+		respond(200, `{"worker":"w1","term":1,"mark":"2s"}`)(response, request)
+	}), IsRepeated: imitator.Always}.Listen(t)
+	for _, kind := range []messenger.WorkerCallKind{messenger.ReserveTask, messenger.StartTask, messenger.ReserveTask, messenger.RenewTasks} {
+		quicktest.Assert(t, ring.Offer(messenger.CallWorker{Worker: "w1", Address: address, Kind: kind, Term: 1}), quicktest.IsNil)
+		answer := <-answers
+		isRefused := answer.Err != nil && answer.Err.Code == classifier.NoCapacity
+		quicktest.Assert(t, isRefused, quicktest.Equals, kind == messenger.ReserveTask, quicktest.Commentf("%v: %v", kind, answer.Err))
+	}
+}
+
 // TestCallsFollowTheProtocol guards against calls and answers that differ from
 // docs/WORKER-PROTOCOL.md, and against calls without exactly one answer.
 func TestCallsFollowTheProtocol(t *testing.T) {
