Send each request to a node on a connection of its own

Cause: the answer to a command or query names no request, so that a second answer to the one before on the kept connection is taken for it.

Change: a connection carries one request. The command line sends few, and a request is still never repeated on its own.

Result: TestSecondAnswerIsNotThatOfTheNextRequest failed before the change, and passes; go test -race ./requester passes.

--- a/requester/requester.go
+++ b/requester/requester.go
@@ -26,9 +26,12 @@
 }
 
 // New returns a Requester that tries the nodes in the given order. The timeout
-// bounds each request.
+// bounds each request. An answer names no request, so that each request has a connection
+// of its own, on which no second answer to an earlier one is taken for it.
 func New(nodes []netip.AddrPort, token string, timeout time.Duration) *Requester {
-	return &Requester{nodes: nodes, token: token, client: &http.Client{Timeout: timeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DisableKeepAlives = true
+	return &Requester{nodes: nodes, token: token, client: &http.Client{Timeout: timeout, Transport: transport}}
 }
 
 // Request is one request to a node.
--- a/requester/requester_test.go
+++ b/requester/requester_test.go
@@ -1,6 +1,7 @@
 package requester_test
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -12,6 +13,7 @@
 	"github.com/frankban/quicktest"
 
 	"corianderroad/classifier"
+	"corianderroad/platform/imitator"
 	"corianderroad/requester"
 )
 
@@ -52,8 +54,8 @@
 	c.Assert(classifier.ExecutionOf(err), quicktest.Equals, classifier.Unknown)
 	c.Assert(err.(*classifier.Error).RetryAfter, quicktest.Equals, 1500*time.Millisecond)
 	for _, body := range []string{"x", ""} {
-		// The first answer leaves an idle connection, which net/http uses again.
-		// When that connection ends, net/http would repeat the request.
+		// If the first answer left an idle connection, net/http would use it again, and
+		// repeat the request when that connection ends.
 		_, err = post("/whole", body)
 		c.Assert(err, quicktest.IsNil)
 		sent.Store(0)
@@ -63,6 +65,21 @@
 	}
 }
 
+// TestSecondAnswerIsNotThatOfTheNextRequest guards against a command that is reported as accepted by the
+// second answer to the one before.
+func TestSecondAnswerIsNotThatOfTheNextRequest(t *testing.T) {
+	c := quicktest.New(t)
+	node := imitator.Repeater{Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, request.URL.Path)
+	}), IsRepeated: imitator.Always}.Listen(c)
+	requests := requester.New([]netip.AddrPort{node}, "token", 5*time.Second)
+	for _, path := range []string{"/one", "/two", "/three"} {
+		body, err := requests.Do(t.Context(), requester.Request{Method: http.MethodPost, Path: path})
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(string(body), quicktest.Equals, path)
+	}
+}
+
 func address(c *quicktest.C, url string) netip.AddrPort {
 	parsed, err := netip.ParseAddrPort(strings.TrimPrefix(url, "http://"))
 	c.Assert(err, quicktest.IsNil)
