Refuse a second answer of the log service to an append

Cause: the answer to an append names no request. A second answer to the append before is taken for it, and a record counts as appended that the log has not, or as refused that it has. The answer to an append passes for an empty page of the log.

Change: an answer with an offset below that of the next append leaves the outcome unknown, which the read-back settles. The connection is kept only after a success, no request follows a read on its connection, and a page must have its end.

Still open: the page of an earlier read-back, and all reads of the follower.

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -214,7 +214,7 @@
 	if err := appender.limiter.Wait(ctx); err != nil {
 		return false, err
 	}
-	offset, outcome := appender.log.post(ctx, batch.id, payload)
+	offset, outcome := appender.log.post(ctx, batch.id, payload, appender.minOffset)
 	switch outcome {
 	case appended:
 		appender.appended.Add(1)
--- a/appender/appender_test.go
+++ b/appender/appender_test.go
@@ -94,6 +94,9 @@
 	return recorder.Result(), nil
 }
 
+// CloseIdleConnections implements appender.Client.
+func (service *service) CloseIdleConnections() {}
+
 // appendOthers adds appends of other clients, more than one page of a read-back.
 func (service *service) appendOthers() {
 	service.mutex.Lock()
--- a/appender/log.go
+++ b/appender/log.go
@@ -22,6 +22,7 @@
 // Client sends HTTP requests. *http.Client is one.
 type Client interface {
 	Do(request *http.Request) (*http.Response, error)
+	CloseIdleConnections()
 }
 
 const (
@@ -61,8 +62,21 @@
 	stallTimeout time.Duration
 }
 
-// post sends one request to append a payload.
-func (log log) post(ctx context.Context, id string, payload []byte) (uint64, outcome) {
+// post sends one request to append a payload, whose offset is at least minOffset. An answer
+// names no request: one with an earlier offset is a second answer to an earlier append. Two
+// refusals are equal, so that the connection is kept only after a success.
+func (log log) post(ctx context.Context, id string, payload []byte, minOffset uint64) (uint64, outcome) {
+	offset, outcome := log.postOnce(ctx, id, payload)
+	if outcome == appended && offset < minOffset {
+		outcome = unknown
+	}
+	if outcome != appended {
+		log.client.CloseIdleConnections()
+	}
+	return offset, outcome
+}
+
+func (log log) postOnce(ctx context.Context, id string, payload []byte) (uint64, outcome) {
 	body, err := json.Marshal(encoder.AppendRequest{ID: id, Payload: payload})
 	if err != nil {
 		return 0, refused
@@ -138,7 +152,13 @@
 	if status != http.StatusOK && status != http.StatusGone {
 		return answer, status, classifier.New(classifier.LogUnavailable, "log service answered with status %d", status)
 	}
-	return answer, status, errors.WithStack(json.Unmarshal(body, &answer))
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return answer, status, errors.WithStack(err)
+	}
+	if answer.Next == 0 {
+		return answer, status, classifier.New(classifier.LogUnavailable, "the answer to a read of the log service has no end")
+	}
+	return answer, status, nil
 }
 
 // do sends one request. It fails when neither the request nor the answer advances for
@@ -156,6 +176,9 @@
 		request.Body = io.NopCloser(watched.Reader(bytes.NewReader(body)))
 	}
 	request.Header.Set("Content-Type", "application/json")
+	// A read is rare. No request follows it on its connection, so that no second answer to it
+	// can be taken for that of another.
+	request.Close = method == http.MethodGet
 	response, err := log.client.Do(request)
 	if err != nil {
 		return 0, nil, err
