Count an entry as removed in normal operation only if no outage was just over

The entries of live minions lapse also in outages of the store that are shorter than maxReportAge. A draining minion whose entry had lapsed in an outage of 1.7 s, and that refused connections for a moment, counted as left, and its task started elsewhere while it ran on (TestEntryThatLapsedInAShortOutageEndsNoRun, red before).

--- a/planner/readings.go
+++ b/planner/readings.go
@@ -6,11 +6,16 @@
 // meanwhile are back, with a reading. The platform bounds their return to about 2 s.
 const entryReturnTime = 2500 * time.Millisecond
 
+// maxReadingInterval is the longest time between the requests of two readings in normal operation.
+// A reading without news takes 1 s. Entries may lapse in an outage that is shorter than
+// maxReportAge, so that the age of a reading does not show it.
+const maxReadingInterval = 1500 * time.Millisecond
+
 // readings are those of the minions' reports in the store.
 type readings struct {
 	// asOf is a time up to which all reports were read.
 	asOf time.Time
-	// resumedAt is when the newest reading arrived that followed a gap.
+	// resumedAt is when the newest reading arrived that followed a gap, or that was requested late.
 	resumedAt time.Time
 }
 
@@ -20,7 +25,7 @@
 		return false
 	}
 	endsGap := !readings.areCurrent(now)
-	if endsGap {
+	if endsGap || sentAt.Sub(readings.asOf) > maxReadingInterval {
 		readings.resumedAt = now
 	}
 	readings.asOf = sentAt
