Conclude the end of former runs only from lasting refusals and settled entries

After a takeover, one refused connection, or the entry of a draining minion that had lapsed in an outage, counted as the end of a minion that may have a longer lease than holders send. Its task started elsewhere while it ran on (TestRefusedConnectionEndsNoLongLease, TestLapsedEntryEndsNoLongLease, red before).

--- a/planner/formerlife_test.go
+++ b/planner/formerlife_test.go
@@ -16,30 +16,12 @@
 // holders send, and started the task elsewhere while its run went on.
 func TestLeaseOfALifeThatBeganBeforeATakeover(t *testing.T) {
 	t.Parallel()
-	const longLease = 10 * time.Second
 	for name, isListed := range map[string]bool{"listed": true, "entry-removed-during-the-wait": false} {
 		t.Run(name, func(t *testing.T) {
 			c := quicktest.New(t)
-			simulation := newLeasedSimulation(1, 2, 3, longLease)
-			first, second := simulation.nodes[0], simulation.nodes[1]
-			restarted := simulation.minions["m00"]
-			simulation.makeHolder(first)
-			simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Label: "a"}))
-			simulation.advance(40 * time.Second)
-			simulation.minions["m01"].kind, simulation.minions["m02"].kind = "b", "b"
-			simulation.deliverAllReports()
-			c.Assert(restarted.runs, quicktest.HasLen, 1)
-			restarted.crash()
-			simulation.advance(600 * time.Millisecond)
-			restarted.start()
-			simulation.schedule(3*time.Second, simulation.deliverAllReports) // a poll comes before
-			for len(restarted.runs) == 0 && simulation.now.Sub(restarted.started) < 10*time.Second {
-				simulation.advance(time.Millisecond)
-			}
-			c.Assert(restarted.lease-restarted.clock() > longestLease, quicktest.IsTrue)
-			first.alive = false
+			simulation, restarted := newLifeWithLongLease(c)
+			second := simulation.nodes[1]
 			restarted.unreachableFrom[second] = true
-			simulation.minions["m01"].kind = "a"
 			simulation.advance(claimTimeout)
 			simulation.makeHolder(second)
 			if !isListed {
@@ -55,6 +37,73 @@
 	}
 }
 
+// TestRefusedConnectionEndsNoLongLease guards against two runs of a task in the case above, if the
+// minion refuses connections for a moment before it is cut off. It runs its task all the while.
+func TestRefusedConnectionEndsNoLongLease(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation, restarted := newLifeWithLongLease(c)
+	second := simulation.nodes[1]
+	restarted.faults.refusesConnections = true
+	simulation.advance(claimTimeout)
+	simulation.makeHolder(second)
+	simulation.schedule(500*time.Millisecond, func() {
+		restarted.faults.refusesConnections, restarted.unreachableFrom[second] = false, true
+	})
+	simulation.advance(40 * time.Second)
+	c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Assert(simulation.countWorking("a"), quicktest.Equals, 1)
+}
+
+// TestLapsedEntryEndsNoLongLease guards against two runs of a task in the case above, if the minion has
+// announced its departure and its entry lapses in an outage of the store. It runs its task all the while.
+func TestLapsedEntryEndsNoLongLease(t *testing.T) {
+	t.Parallel()
+	for _, outage := range []struct{ from, span time.Duration }{
+		{2 * time.Second, 3500 * time.Millisecond}, {3 * time.Second, 2 * time.Second}, {3500 * time.Millisecond, 1750 * time.Millisecond},
+	} {
+		c := quicktest.New(t)
+		simulation, restarted := newLifeWithLongLease(c)
+		second := simulation.nodes[1]
+		restarted.faults.draining, restarted.faults.remaining = true, time.Minute
+		restarted.unreachableFrom[second] = true
+		simulation.advance(claimTimeout)
+		simulation.makeHolder(second)
+		simulation.advance(outage.from)
+		simulation.stopStore([]*fakeMinion{restarted})
+		simulation.advance(outage.span)
+		simulation.returnStore()
+		simulation.advance(40 * time.Second)
+		c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%v %s", outage, simulation.decisionsAbout("a.")))
+		c.Check(simulation.countWorking("a"), quicktest.Equals, 1)
+	}
+}
+
+// newLifeWithLongLease returns a simulation of two nodes whose first has died as the holder, and a minion
+// with a run of job a. An order to an earlier life has given it a longer lease than holders send.
+func newLifeWithLongLease(c *quicktest.C) (*simulation, *fakeMinion) {
+	const longLease = 10 * time.Second
+	simulation := newLeasedSimulation(1, 2, 3, longLease)
+	restarted := simulation.minions["m00"]
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Label: "a"}))
+	simulation.advance(40 * time.Second)
+	simulation.minions["m01"].kind, simulation.minions["m02"].kind = "b", "b"
+	simulation.deliverAllReports()
+	c.Assert(restarted.runs, quicktest.HasLen, 1)
+	restarted.crash()
+	simulation.advance(600 * time.Millisecond)
+	restarted.start()
+	simulation.schedule(3*time.Second, simulation.deliverAllReports) // a poll comes before
+	for len(restarted.runs) == 0 && simulation.now.Sub(restarted.started) < 10*time.Second {
+		simulation.advance(time.Millisecond)
+	}
+	c.Assert(restarted.lease-restarted.clock() > longestLease, quicktest.IsTrue)
+	simulation.nodes[0].alive = false
+	simulation.minions["m01"].kind = "a"
+	return simulation, restarted
+}
+
 // TestTakeoverWaitsForNoOtherMinion guards against a takeover that takes longer than the leases
 // that holders send, although no minion may have a longer one: those that began lately answer,
 // or have ended, and those that do not answer began long ago.
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -79,7 +79,7 @@
 		return true
 	}
 	for _, minion := range planner.minions {
-		if planner.mayHaveFormerRuns(minion) {
+		if planner.mayHaveFormerRuns(now, minion) {
 			return false
 		}
 	}
@@ -88,12 +88,12 @@
 
 // mayHaveFormerRuns reports whether a minion that has not answered may run tasks of a former
 // holder with a longer lease than holders send, because it took orders to its earlier life.
-func (planner *Planner) mayHaveFormerRuns(minion *minion) bool {
+func (planner *Planner) mayHaveFormerRuns(now time.Time, minion *minion) bool {
 	if minion.polled || !planner.mayGetFormerStrays(minion) {
 		return false
 	}
-	hasLeft := minion.report.Draining && !minion.registered
-	hasEnded := hasLeft || !minion.refusedAt.IsZero() || planner.laterLife(minion.placement(0)) != nil
+	hasLeft := minion.report.Draining && !minion.registered && planner.readings.areSettled(now)
+	hasEnded := hasLeft || minion.hasEnded || planner.laterLife(minion.placement(0)) != nil
 	return !hasEnded
 }
 
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -109,7 +109,7 @@
 	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
 	// connection to it was first refused since, zero if none was. It had ended then.
 	answeredAt, refusedAt time.Time
-	// hasEnded means that a later connection was refused as well.
+	// hasEnded means that a later connection was refused as well, and so was that of the newest order.
 	hasEnded bool
 	lease    leaseReading
 	// outlook is when capacity becomes free, with the room of reservations.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -129,7 +129,7 @@
 		if planner.stops != nil && planner.hasLeft(now, minion) {
 			planner.markLeftRunsLost(now, minion)
 		}
-		isAwaited := !planner.holder.reconciled && planner.mayHaveFormerRuns(minion)
+		isAwaited := !planner.holder.reconciled && planner.mayHaveFormerRuns(now, minion)
 		if !minion.registered && len(minion.runs) == 0 && !isAwaited {
 			planner.removeMinion(minion)
 			planner.noteAbsence(now, minion)
@@ -320,6 +320,8 @@
 	}
 	if event.ConnectionRefused {
 		minion.noteRefusedConnection(now)
+	} else {
+		minion.hasEnded = false
 	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
