--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -147,7 +147,7 @@
 	// IsReused means that the connection had carried another order before.
 	IsReused bool
 	// PreviousClock is the minion's clock in the answer before on the same connection, zero if
-	// there was none.
+	// there was none. If the order was sent twice, that is the connection of the first time.
 	PreviousClock time.Duration
 	// Doubt is why the order was sent again on a connection of its own.
 	Doubt Doubt
