Count no append as stored by the answer to an earlier one

An answer whose offset is below that of the next append is that of an earlier append on the connection. The batch then counted as stored without being in the log (TestSecondAnswerAcknowledgesNoOtherAppend, red before).

--- a/appender/appender.go
+++ b/appender/appender.go
@@ -215,6 +215,9 @@
 		return false, err
 	}
 	offset, outcome := appender.log.post(ctx, batch.id, payload)
+	if outcome == appended && offset < appender.minOffset {
+		outcome = unknown // the answer is that of an earlier append
+	}
 	switch outcome {
 	case appended:
 		appender.appended.Add(1)
