Poll idle minions while a start without an answer may still arrive

Cause: a start that got no answer may be carried out for maxOrderDelay, also by the next life of its minion. That life refuses it once it has answered a poll with a token of its own, but a minion without runs was not polled, so that its restart showed only in its entry in the store.

Change: such a start is outstanding for maxOrderDelay, by the name of the minion, also while the minion is not in the table. An idle minion with an outstanding start is polled each second, and every 200 ms while it does not answer. A new run does not wait for that poll. A poll with a wait, as for busy minions, was tried: it was on its way when a new run crashed its minion, so that the restart showed later, and TestPoolWorksOnBesideCrashingJobs had 52 crashes in place of 50.

--- a/planner/holder.go
+++ b/planner/holder.go
@@ -138,6 +138,7 @@
 	planner.minionsAt = make(map[netip.AddrPort]*minion)
 	planner.polls, planner.silentMinions, planner.missing, planner.headroom = pollSchedule{}, nil, nil, headroom{}
 	planner.silences, planner.births, planner.sentTokens = nil, nil, make(sentTokens)
+	planner.outstandingStarts = make(outstandingStarts)
 	planner.pendingOrders, planner.stopRetries = make(map[uint64]*run), nil
 	planner.recording = newRecording()
 	planner.adviceRequest = adviceRequest{}
--- a/planner/latestart_test.go
+++ b/planner/latestart_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -49,3 +50,50 @@
 		})
 	}
 }
+
+// delayFirstStart lets a minion carry out the first order to start a run after the given time and
+// without an answer. The order is also carried out by a next life of the minion.
+func delayFirstStart(minion *fakeMinion, delay time.Duration) {
+	starts := 0
+	minion.faults.delays = func(order messenger.Order) time.Duration {
+		if !isStart(order) || starts > 0 {
+			return 0
+		}
+		starts++
+		return delay
+	}
+}
+
+// TestLateStartAfterRestartOfIdleMinionIsRefused guards against a run that starts after its recorded
+// end: its minion restarts while it is idle and its entry is not written, so that no poll noticed.
+func TestLateStartAfterRestartOfIdleMinionIsRefused(t *testing.T) {
+	t.Parallel()
+	for restarts, crashes := range map[int][]time.Duration{
+		1: {2 * time.Second, 3300 * time.Millisecond, 4500 * time.Millisecond},
+		2: {2 * time.Second, 3300 * time.Millisecond},
+	} {
+		for _, crashAt := range crashes {
+			t.Run(fmt.Sprintf("%d-%s", restarts, crashAt), func(t *testing.T) {
+				c := quicktest.New(t)
+				simulation := newSimulation(1, 1, 1)
+				simulation.makeHolder(simulation.nodes[0])
+				simulation.advance(time.Second)
+				minion := simulation.minions["m00"]
+				delayFirstStart(minion, 6*time.Second)
+				simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 200 * time.Millisecond}))
+				simulation.advance(crashAt)
+				c.Assert(simulation.taskState(specifier.Task{Job: "a"}).endRecorded, quicktest.IsTrue)
+				entry := minion.report()
+				minion.formerEntry = &entry
+				for range restarts {
+					minion.crash()
+					simulation.advance(300 * time.Millisecond)
+					minion.start()
+					simulation.advance(400 * time.Millisecond)
+				}
+				simulation.advance(10 * time.Second)
+				c.Assert(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+			})
+		}
+	}
+}
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -52,6 +52,9 @@
 	polling bool
 	// nextPollAt is when the next poll is due, zero if none is scheduled.
 	nextPollAt time.Time
+	// isIdlePoll means that this poll is only for a start that may be outstanding, so that a
+	// new run does not wait for it.
+	isIdlePoll bool
 	polls      *pollSchedule
 	// evacuations are those of all failure domains.
 	evacuations *evacuations
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -180,7 +180,7 @@
 		planner.holder.polledAt = now
 	}
 	minion.polling = true
-	minion.nextPollAt = time.Time{}
+	minion.nextPollAt, minion.isIdlePoll = time.Time{}, false
 	planner.sendOrder(now, minion, poll, answerTimeout+poll.Wait, nil)
 }
 
@@ -208,6 +208,7 @@
 	if !planner.holder.active || event.Sent.Token < planner.holder.token {
 		return
 	}
+	planner.noteOutcome(now, &event)
 	minion, ok := planner.minions[event.Sent.Minion]
 	if !ok || event.Sent.Incarnation != minion.report.Incarnation {
 		return // the order was addressed to an incarnation that has ended
@@ -259,7 +260,7 @@
 		_, task := planner.findTask(report.Task)
 		minion.hasUnknownRuns = minion.hasUnknownRuns || task == nil
 	}
-	if minion.hasUnknownRuns && minion.nextPollAt.IsZero() {
+	if minion.hasUnknownRuns && (minion.nextPollAt.IsZero() || minion.isIdlePoll) {
 		minion.schedulePoll(now.Add(pollRetryDelay))
 	}
 }
--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -74,6 +74,8 @@
 	// runs nothing. Together with answerTimeout it leaves the minion unused for less
 	// than 3 s after it can be reached again.
 	maxIdleRetryDelay = 1600 * time.Millisecond
+	// idlePollInterval is the time between polls of an idle minion with an outstanding start.
+	idlePollInterval = time.Second
 	// answerTimeout bounds the time of an order beyond its requested wait. It
 	// covers two round trips between regions, a new connection and a full ring of
 	// orders.
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -54,11 +54,12 @@
 	silentMinions silentMinions
 	headroom      headroom
 	// silences are those of the last time, oldest first.
-	silences      []silence
-	births        []birth
-	missing       missingMinions
-	sentTokens    sentTokens
-	pendingOrders map[uint64]*run
+	silences          []silence
+	births            []birth
+	missing           missingMinions
+	sentTokens        sentTokens
+	outstandingStarts outstandingStarts
+	pendingOrders     map[uint64]*run
 	// stopRetries are the stops that are repeated, the next one first.
 	stopRetries   []stopRetry
 	lastOrderID   uint64
@@ -100,8 +101,8 @@
 		node: node, bounds: bounds, features: features, policy: &specifier.Policy{},
 		jobs: make(map[identifier.Job]*job), openJobs: make(map[identifier.Job]*job), tombstones: make(tombstones),
 		minions: make(map[identifier.Minion]*minion), minionsAt: make(map[netip.AddrPort]*minion), pendingOrders: make(map[uint64]*run),
-		sentTokens: make(sentTokens),
-		recording:  newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), profiles: newProfiles(features),
+		sentTokens: make(sentTokens), outstandingStarts: make(outstandingStarts),
+		recording: newRecording(), maintenance: newMaintenance(), evacuations: newEvacuations(), profiles: newProfiles(features),
 	}
 	if features.LossAwareStops {
 		planner.stops = evictor.New(evictor.Bounds{StopTimeout: bounds.StopTimeout, OrderTime: stopOrderSlack})
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -12,7 +12,7 @@
 // handlePollAnswer handles the answer to a poll.
 func (planner *Planner) handlePollAnswer(now time.Time, minion *minion, event messenger.OrderAnswered) {
 	if event.Err != nil {
-		minion.schedulePollRetry(now)
+		planner.schedulePollRetry(now, minion)
 		return
 	}
 	if event.Clock < minion.listClock { // the answer to an earlier poll
@@ -58,6 +58,9 @@
 		minion.schedulePoll(now.Add(unrecordedPollDelay))
 	case len(minion.runs) > 0:
 		minion.schedulePoll(now)
+	case planner.hasOutstandingStart(now, minion):
+		minion.schedulePoll(now.Add(idlePollInterval))
+		minion.isIdlePoll = true
 	}
 }
 
@@ -74,9 +77,9 @@
 // schedulePollRetry schedules the poll after a failed one. A minion that does not
 // answer is polled even if it runs nothing, because only an answer shows that it
 // can be used again.
-func (minion *minion) schedulePollRetry(now time.Time) {
+func (planner *Planner) schedulePollRetry(now time.Time, minion *minion) {
 	switch {
-	case len(minion.runs) > 0 || !minion.polled || minion.recordedEnd < minion.recordableEnd():
+	case len(minion.runs) > 0 || planner.hasOutstandingStart(now, minion) || !minion.polled || minion.recordedEnd < minion.recordableEnd():
 		minion.schedulePoll(now.Add(pollRetryDelay))
 	case minion.unresponsive:
 		minion.schedulePoll(now.Add(minion.idleRetryDelay))
--- a/planner/pollschedule.go
+++ b/planner/pollschedule.go
@@ -41,7 +41,7 @@
 
 // schedulePoll sets when the minion is polled next.
 func (minion *minion) schedulePoll(at time.Time) {
-	minion.nextPollAt = at
+	minion.nextPollAt, minion.isIdlePoll = at, false
 	heap.Push(&minion.polls.entries, scheduledPoll{at, minion})
 }
 
--- a/planner/run.go
+++ b/planner/run.go
@@ -175,7 +175,7 @@
 			planner.scheduleStop(now, run)
 		}
 	}
-	if !minion.polling && len(minion.runs) > 0 && minion.nextPollAt.IsZero() {
+	if !minion.polling && len(minion.runs) > 0 && (minion.nextPollAt.IsZero() || minion.isIdlePoll) {
 		minion.schedulePoll(now)
 	}
 }
