Keep a run whose start may still arrive behind a cut

Cause: an order to start a run got no answer, and its minion was cut off, crashed and started again behind the cut. The holder gave the run up when the leases that it knew had expired, but the next life carried the order out later, with a lease of its own.

Change: a run with a start that was left unanswered within maxOrderDelay of the minion's last sign is kept until the minion answers, refuses connections, has been silent for maxSilence (12 s), or another minion is listed at its address. Refused connections do not count once an order that was sent later gets no answer: the minion may be back. Runs that last are given up as before, because they must be at work again sooner.

Cost: a task whose start met a crash that shows as nothing but silence starts again after 12 s in place of 4.7 s. The lines run-lost ("the lease has expired", clock-age of 12 s) and step-waits show it.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -48,6 +48,7 @@
 	if minion.refusedAt.IsZero() {
 		minion.refusedAt = now
 	}
+	minion.lastRefusedAt, minion.mayListenAgain = now, false
 	minion.hasEnded = now.Sub(minion.refusedAt) >= minRefusalTime
 }
 
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -114,7 +114,11 @@
 	answeredAt, refusedAt time.Time
 	// hasEnded means that a later connection was refused as well.
 	hasEnded bool
-	lease    leaseReading
+	// lastRefusedAt is when the newest connection was refused. mayListenAgain means that an order
+	// that was sent later got no answer, so that a later life may be there.
+	lastRefusedAt  time.Time
+	mayListenAgain bool
+	lease          leaseReading
 	// outlook is when capacity becomes free, with the room of reservations.
 	outlook reserver.Minion
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -153,11 +153,12 @@
 
 // markExpiredRunsLost marks the runs of a silent minion as lost whose leases have expired.
 // A run that may have ended before keeps its task from another start while the minion is
-// listed in the store, and so is alive: it will list the end.
+// listed in the store, and so is alive: it will list the end. So does one that a later life may
+// have.
 func (planner *Planner) markExpiredRunsLost(now time.Time, minion *minion) {
 	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
 	for _, run := range minion.sortedRuns() {
-		if run.step.spec.LongRunning || !isAlive {
+		if (run.step.spec.LongRunning || !isAlive) && !planner.mayStartLate(now, run) {
 			planner.markRunLost(now, run, accountant.EndLeasesExpired, "the lease has expired", minion.describeSilence(now))
 			minion.lostRuns = append(minion.lostRuns, run)
 		}
@@ -322,6 +323,8 @@
 	}
 	if event.ConnectionRefused {
 		minion.noteRefusedConnection(now)
+	} else if event.SentAt.After(minion.lastRefusedAt) {
+		minion.mayListenAgain = true
 	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
--- a/planner/outstandingstart.go
+++ b/planner/outstandingstart.go
@@ -45,3 +45,16 @@
 func (planner *Planner) hasOutstandingStart(now time.Time, minion *minion) bool {
 	return now.Before(planner.outstandingStarts[minion.report.Minion])
 }
+
+// mayStartLate reports whether a later life of a silent minion may carry out an attempt to start
+// the run, or have done so, although the leases of the known life have expired. The run is then
+// kept until the minion answers, refuses connections, or has been silent for maxSilence, or another
+// one is listed at its address. A task that lasts must be at work again sooner.
+func (planner *Planner) mayStartLate(now time.Time, run *run) bool {
+	minion := run.minion
+	hasEnded := (minion.hasEnded && !minion.mayListenAgain) || planner.laterLife(minion.placement(0)) != nil
+	if run.step.spec.LongRunning || hasEnded || now.Sub(minion.clockAt) >= maxSilence {
+		return false
+	}
+	return minion.clockAt.Before(run.unansweredAt.Add(maxOrderDelay))
+}
--- a/planner/run.go
+++ b/planner/run.go
@@ -37,6 +37,9 @@
 	startAttempts int
 	// mayHaveArrived means that a start without an answer may still be carried out.
 	mayHaveArrived bool
+	// unansweredAt is when the newest attempt to start the run went without an answer, zero if
+	// none did.
+	unansweredAt time.Time
 	// isOfEarlierLife means that the order to start the run was sent to an earlier life of the
 	// minion.
 	isOfEarlierLife bool
@@ -200,6 +203,9 @@
 		}
 		return
 	}
+	if isOutstanding(&event) && run.state != running {
+		run.unansweredAt = now
+	}
 	if run.state != starting {
 		return
 	}
