--- a/planner/departure.go
+++ b/planner/departure.go
@@ -49,6 +49,7 @@
 	if minion.refusedAt.IsZero() {
 		minion.refusedAt = now
 	}
+	minion.lastRefusedAt = now
 	minion.hasEnded = now.Sub(minion.refusedAt) >= minRefusalTime
 }
 
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -52,6 +52,9 @@
 	polling bool
 	// nextPollAt is when the next poll is due, zero if none is scheduled.
 	nextPollAt time.Time
+	// isIdlePoll means that this poll is only for a start that may be outstanding, so that a
+	// new run does not wait for it.
+	isIdlePoll bool
 	polls      *pollSchedule
 	// evacuations are those of all failure domains.
 	evacuations *evacuations
@@ -109,9 +112,11 @@
 	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
 	// connection to it was first refused since, zero if none was. It had ended then.
 	answeredAt, refusedAt time.Time
-	// hasEnded means that a later connection was refused as well, and so was that of the newest order.
-	hasEnded bool
-	lease    leaseReading
+	// lastRefusedAt is when the newest connection was refused. hasEnded means that an earlier one was
+	// refused as well, and that no order that was sent later has gone without an answer.
+	lastRefusedAt time.Time
+	hasEnded      bool
+	lease         leaseReading
 	// outlook is when capacity becomes free, with the room of reservations.
 	outlook reserver.Minion
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -152,11 +152,12 @@
 
 // markExpiredRunsLost marks the runs of a silent minion as lost whose leases have expired.
 // A run that may have ended before keeps its task from another start while the minion is
-// listed in the store, and so is alive: it will list the end.
+// listed in the store, and so is alive: it will list the end. So does one that a later life may
+// have.
 func (planner *Planner) markExpiredRunsLost(now time.Time, minion *minion) {
 	isAlive := minion.registered && now.Sub(minion.clockAt) < maxSilence
 	for _, run := range minion.sortedRuns() {
-		if run.step.spec.LongRunning || !isAlive {
+		if (run.step.spec.LongRunning || !isAlive) && !planner.mayStartLate(now, run) {
 			planner.markRunLost(now, run, accountant.EndLeasesExpired, "the lease has expired", minion.describeSilence(now))
 			minion.lostRuns = append(minion.lostRuns, run)
 		}
@@ -179,7 +180,7 @@
 		planner.holder.polledAt = now
 	}
 	minion.polling = true
-	minion.nextPollAt = time.Time{}
+	minion.nextPollAt, minion.isIdlePoll = time.Time{}, false
 	planner.sendOrder(now, minion, poll, answerTimeout+poll.Wait, nil)
 }
 
@@ -207,6 +208,7 @@
 	if !planner.holder.active || event.Sent.Token < planner.holder.token {
 		return
 	}
+	planner.noteOutcome(now, &event)
 	minion, ok := planner.minions[event.Sent.Minion]
 	if !ok || event.Sent.Incarnation != minion.report.Incarnation {
 		return // the order was addressed to an incarnation that has ended
@@ -258,7 +260,7 @@
 		_, task := planner.findTask(report.Task)
 		minion.hasUnknownRuns = minion.hasUnknownRuns || task == nil
 	}
-	if minion.hasUnknownRuns && minion.nextPollAt.IsZero() {
+	if minion.hasUnknownRuns && (minion.nextPollAt.IsZero() || minion.isIdlePoll) {
 		minion.schedulePoll(now.Add(pollRetryDelay))
 	}
 }
@@ -320,8 +322,8 @@
 	}
 	if event.ConnectionRefused {
 		minion.noteRefusedConnection(now)
-	} else {
-		minion.hasEnded = false
+	} else if event.SentAt.After(minion.lastRefusedAt) {
+		minion.hasEnded = false // a later life may be there, or the minion itself
 	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
