Let a crash of hidden age not end the trial of a lasting task too soon

What was at fault: a job whose tasks last and all crash their minions 1.8 s after the start cost six minions with takeovers in between (BUDGET asks for a verdict after three). A takeover leaves a crash without an age. It counted as an age of zero, so that the next run on trial passed after 1 s, before it could crash its minion, and others of the step followed it.

Change: a task that lasts passes its trial by the shortest age that is known. Tasks that end by themselves keep the old rule: with the new one TestWideStepCompletesAfterOutages (racks-short with a takeover) was late, in a trial.

Evidence: TestCrashingTasksThatLastAreGivenUp was red on the commit before for 4 and 60 tasks with takeovers, six crashes against a bound of five, and is green with four. Without takeovers nothing changes: three.

--- a/planner/trialwidth.go
+++ b/planner/trialwidth.go
@@ -31,16 +31,17 @@
 }
 
 // passTime returns for how long a run on trial has to work until it passes. If its task
-// crashes its minions, it does so at about the shortest age of a crash.
+// crashes its minions, it does so at about the shortest age of a crash. A task that lasts may be
+// followed by all others of its step, so that an age that a takeover has hidden does not count.
 func (planner *Planner) passTime(run *run) time.Duration {
 	var ages []time.Duration
 	for _, crash := range run.task().history().crashes {
-		if !crash.cleared {
+		if !crash.cleared && (crash.age > 0 || !run.step.spec.LongRunning) {
 			ages = append(ages, crash.age)
 		}
 	}
 	if len(ages) == 0 {
-		return minTrial // a member of a gang with a suspect one
+		return minTrial // no age is known, or it is a member of a gang with a suspect one
 	}
 	passTime := min(max(slices.Min(ages)+trialMargin, minTrial), maxTrial)
 	if run.step.passedTrials > 0 || planner.awaitedTrials[run.minion.report.Service] {
