Try the tasks that last together once one of them has passed

Cause: the width of trials counted tasks: 1, 2, 6 and 18 at a time, each round 2.5 s. It did not depend on what a trial can cost, which is its minion, however many tasks share it, nor on what waiting costs.

Change, for steps whose tasks last, which are copies of one program: - The first trial after a crash is of one task alone, as before, so that a crash is certainly due to it. Once it has passed, all others may be tried. - What limits them is the number of minions: twice as many at a time as have passed, or as many as have crashed before if that is more. The suspects of a crash have shared a minion and fit on one again. - After a second crash one task may differ from the others. Its group is spread evenly over the minions, so that a crash halves the suspects. Tasks with three crashes are still tried alone. Steps that end by themselves are tried as before: their tasks have inputs of their own.

--- a/planner/choose.go
+++ b/planner/choose.go
@@ -77,6 +77,9 @@
 		return 0
 	}
 	limit := step.maxPerMinion()
+	if step.maxTrialTasks > 0 {
+		limit = min(limit, step.maxTrialTasks)
+	}
 	if step.spec.MaxPerMinion > 0 {
 		for _, run := range minion.runs {
 			if run.step == step {
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -245,7 +245,7 @@
 		return true
 	}
 	task.ownHistory().crashes = append(task.history().crashes, added)
-	step.passedTrials = 0
+	step.passedTrials, step.passedMinions = 0, 0
 	if !slices.Contains(step.crashedTasks, index) {
 		step.crashedTasks = append(step.crashedTasks, index)
 	}
--- a/planner/job.go
+++ b/planner/job.go
@@ -95,8 +95,12 @@
 	// the time since which the step has waited for one, zero if it does not.
 	trial            *trial
 	trialWantedSince time.Time
-	// passedTrials counts the runs on trial that have passed since the last crash.
-	passedTrials int
+	// passedTrials counts the runs on trial that have passed since the last crash, passedMinions
+	// the minions that had them.
+	passedTrials, passedMinions int
+	// maxTrialTasks is how many of the step's tasks a minion may get, set while tasks are spread
+	// evenly over the minions of a trial, otherwise zero.
+	maxTrialTasks int
 	// gangCheckpoint is the newest checkpoint of the members of a gang.
 	gangCheckpoint gangCheckpoint
 	// isLikelyCause means that the step had the youngest run on a minion that crashed.
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -148,6 +148,9 @@
 	if step.trialWidth() == 1 && len(indexes) > 0 && step.awaitsRunEnd(len(step.tasks[indexes[0]].history().crashes)) {
 		return nil // that task is tried first
 	}
+	if step.trialMinions() <= 0 {
+		return nil
+	}
 	room := max(0, step.trialWidth()-step.countUnpassedRuns())
 	if len(indexes) > 0 && len(step.tasks[indexes[0]].history().crashes) >= maxCrashes-1 {
 		room = min(room, 1)
--- a/planner/trialminions.go
+++ b/planner/trialminions.go
@@ -17,9 +17,7 @@
 	if waitingStep.step.spec.Gang {
 		return planner.minionsForGang(now, waitingStep, pool, idle)
 	}
-	if waitingStep.step.passedTrials == 0 {
-		allowed = 1
-	}
+	allowed = min(allowed, waitingStep.step.trialMinions())
 	return planner.minionsForTasks(now, waitingStep, pool, idle, allowed)
 }
 
@@ -79,7 +77,34 @@
 	if len(chosen) == 0 && step.hasWaitedForIdleMinion(now) {
 		return planner.chooseByLoss(now, waitingStep, pool)
 	}
-	return firstMinions(chosen, allowed)
+	chosen = firstMinions(chosen, allowed)
+	if step.spec.LongRunning && step.mostCrashes() > 1 { // one of the tasks may differ from the others
+		return planner.spreadEvenly(waitingStep, idle, chosen, allowed)
+	}
+	return chosen
+}
+
+// spreadEvenly spreads as many tasks as there are chosen minions for evenly over the allowed
+// number of idle minions. If one crashes, the tasks on the others are not suspect of that. If the
+// tasks do not fit so, it returns the chosen minions.
+func (planner *Planner) spreadEvenly(waitingStep *waitingStep, idle *pool, chosen []*minion, allowed int) []*minion {
+	step, usable := waitingStep.step, 0
+	for _, minion := range idle.available {
+		if planner.taskCapacity(step, minion) > 0 {
+			usable++
+		}
+	}
+	limit := min(allowed, usable)
+	if limit == 0 {
+		return chosen
+	}
+	step.maxTrialTasks = (len(chosen) + limit - 1) / limit
+	spread := firstMinions(planner.chooseMinions(waitingStep, idle, false), limit)
+	step.maxTrialTasks = 0
+	if len(spread) < len(chosen) {
+		return chosen
+	}
+	return spread
 }
 
 // firstMinions returns the longest prefix with at most a number of different minions.
--- a/planner/trialwidth.go
+++ b/planner/trialwidth.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// trialGrowth is how many more tasks of a step may be on trial for each one that passes.
+	// trialGrowth is how many more tasks of a step may be on trial for each one that passes, or
+	// how many more minions may have its trials for each one whose trials pass.
 	trialGrowth = 2
 	// laterPassTime is the longest time after which a run on trial passes if others of its step
 	// have passed before, or other steps wait for a trial. It exceeds recentStart.
@@ -52,14 +53,57 @@
 
 // trialWidth returns how many tasks of the step may be on trial at a time. It is one after a
 // crash, so that the next one is certainly due to that task, and grows with those that pass.
-// After a single crash it is not limited if another step is more likely the reason.
+// After a single crash it is not limited if another step is more likely the reason, nor once a
+// task that lasts has passed: the others are copies of it, and must not wait for long. What they
+// can cost is limited by the number of minions, see trialMinions.
 func (step *step) trialWidth() int {
 	if step.mostCrashes() == 1 && !step.isLikelyCause {
 		return len(step.tasks)
 	}
+	if step.spec.LongRunning && step.passedTrials > 0 {
+		return len(step.tasks)
+	}
 	return max(1, trialGrowth*step.passedTrials)
 }
 
+// trialMinions returns on how many more minions the step may have tasks on trial, as far as the
+// tasks themselves decide it. A minion is lost at most once, however many of them it has, so that
+// a step whose tasks last shares few minions in place of trying few tasks. Once one has passed, the
+// others may cost as many minions as they have cost before.
+func (step *step) trialMinions() int {
+	switch {
+	case step.passedTrials == 0:
+		return 1
+	case step.spec.LongRunning:
+		return max(trialGrowth*step.passedMinions, step.countCrashedMinions()) - step.countUnpassedMinions()
+	}
+	return len(step.tasks)
+}
+
+// countCrashedMinions returns the number of minions that crashed and make tasks of the step
+// suspect, each life of a minion by itself.
+func (step *step) countCrashedMinions() int {
+	crashed := make(map[placement]bool)
+	for crash := range step.crashes() {
+		if !crash.cleared {
+			crashed[crash.crashed()] = true
+		}
+	}
+	return len(crashed)
+}
+
+// countUnpassedMinions returns the number of minions with a run of the step on trial that has
+// not passed.
+func (step *step) countUnpassedMinions() int {
+	unpassed := make(map[*minion]bool)
+	for _, index := range step.crashedTasks {
+		if run := step.tasks[index].run; run != nil && run.onTrial && !run.hasPassed {
+			unpassed[run.minion] = true
+		}
+	}
+	return len(unpassed)
+}
+
 // updateLikelyCauses notes which of the steps had the youngest run on a minion that crashed.
 func updateLikelyCauses(steps []*waitingStep) {
 	youngest := make(map[placement]time.Duration)
@@ -189,13 +233,26 @@
 
 // passTrial notes that a run has worked for long enough to let others of its step be tried.
 func (planner *Planner) passTrial(run *run) {
-	run.hasPassed, run.trialEndsAt = true, run.startConfirmedAt.Add(run.task().trialTime())
 	if run.onTrial {
 		run.step.passedTrials++
 	}
+	if run.onTrial && !run.minion.hasPassedTrialOf(run.step) {
+		run.step.passedMinions++
+	}
+	run.hasPassed, run.trialEndsAt = true, run.startConfirmedAt.Add(run.task().trialTime())
 	planner.passNeeded = true
 }
 
+// hasPassedTrialOf reports whether a run of the step has passed on the minion.
+func (minion *minion) hasPassedTrialOf(step *step) bool {
+	for _, run := range minion.runs {
+		if run.step == step && run.hasPassed {
+			return true
+		}
+	}
+	return false
+}
+
 // awaitsTrial reports whether a suspect task of the step has no run that has passed. The other
 // tasks are not started meanwhile: they may crash their minions too.
 func (step *step) awaitsTrial() bool {
