Bound the first trial of tasks that last by the time that they may wait

What was at fault: two crashes of the minion of 60 tasks that last, 12 s after their start and again 12 s later, left 59 of them without a run for over 9 s in an almost empty pool (LOST).

Cause: the first run on trial passes after as long as the runs had worked at the crash, and the others wait for that.

Change: the first trial of a step whose tasks last lets the others follow after 5 s: the 9 s of the rule, less the time until a crash is known and a second for records and starts. Its task stays suspect, and its minion on trial, for the whole time as before, so that a crash there still counts against it alone. A task with three crashes keeps the whole time: the next crash may decide.

Cost: a step whose tasks all crash their minions 6 to 15 s after the start costs six minions in place of four, and seven in place of five with takeovers: the two that the others are tried on.

Evidence: TestTasksThatLastRunAgainInTimeAfterLateCrashes, red on the commit before with 12 and 40 s, is green, as are the other tests of the planner.

--- a/planner/lastingtrial_test.go
+++ b/planner/lastingtrial_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// TestTasksThatLastRunAgainInTimeAfterLateCrashes guards against tasks that last and wait (LOST)
+// while the first of their step works on trial for as long as it had worked before its minion
+// crashed for the second time, for which none of them is the reason.
+func TestTasksThatLastRunAgainInTimeAfterLateCrashes(t *testing.T) {
+	t.Parallel()
+	for _, age := range []time.Duration{3 * time.Second, 6 * time.Second, 12 * time.Second, 40 * time.Second} {
+		scene := lastingScene{tasks: 60, minions: 8, crashes: []int{1, 1}, age: age, interval: age + restartTime}
+		t.Run(fmt.Sprintf("age=%s", age), scene.check)
+	}
+}
+
 // unseenCrash returns a scene in which a takeover hides a second crash.
 func unseenCrash(age time.Duration) lastingScene {
 	return lastingScene{tasks: 60, minions: 8, crashes: []int{1, 1}, age: age, interval: 6 * time.Second, takeover: true}
--- a/planner/run.go
+++ b/planner/run.go
@@ -76,6 +76,8 @@
 	// its trial then ends.
 	onTrial, hasPassed bool
 	trialEndsAt        time.Time
+	// clearTime is for how long a run that has passed has to work until its task is cleared.
+	clearTime time.Duration
 	// isAnsweredByOther means that another incarnation or minion has answered the only order
 	// to start the run.
 	isAnsweredByOther bool
--- a/planner/trialwidth.go
+++ b/planner/trialwidth.go
@@ -17,6 +17,11 @@
 	// laterPassTime is the longest time after which a run on trial passes if others of its step
 	// have passed before, or other steps wait for a trial. It exceeds recentStart.
 	laterPassTime = recentStart + trialMargin
+	// maxLastingWait is how long a task that lasts may be without a run, and maxLastingPassTime the
+	// longest time after which the first run of its step on trial passes. It leaves the time until
+	// the crash is known, and a second for records and starts.
+	maxLastingWait     = 9 * time.Second
+	maxLastingPassTime = maxLastingWait - maxUndecidedTime - time.Second
 )
 
 // trialTime returns for how long a crash of the minion is evidence against a run of the task on
@@ -31,10 +36,10 @@
 	return min(max(longest+longest/2+trialMargin, minTrial), maxTrial)
 }
 
-// passTime returns for how long a run on trial has to work until it passes. If its task
-// crashes its minions, it does so at about the shortest age of a crash. A task that lasts may be
-// followed by all others of its step, so that an age that a takeover has hidden does not count.
-func (planner *Planner) passTime(run *run) time.Duration {
+// clearTime returns for how long a run on trial has to work until its task is cleared. If its
+// task crashes its minions, it does so at about the shortest age of a crash. A task that lasts may
+// be followed by all others of its step, so that an age that a takeover has hidden does not count.
+func (planner *Planner) clearTime(run *run) time.Duration {
 	var ages []time.Duration
 	for _, crash := range run.task().history().crashes {
 		if !crash.cleared && (crash.age > 0 || !run.step.spec.LongRunning) {
@@ -44,11 +49,22 @@
 	if len(ages) == 0 {
 		return minTrial // no age is known, or it is a member of a gang with a suspect one
 	}
-	passTime := min(max(slices.Min(ages)+trialMargin, minTrial), maxTrial)
+	clearTime := min(max(slices.Min(ages)+trialMargin, minTrial), maxTrial)
 	if run.step.passedTrials > 0 || planner.awaitedTrials[run.minion.report.Service] {
-		passTime = min(passTime, laterPassTime)
+		clearTime = min(clearTime, laterPassTime)
+	}
+	return clearTime
+}
+
+// passTime returns for how long a run on trial has to work until it passes, so that others of its
+// step may be tried. Tasks that last can't wait longer for that than the rule allows, unless the
+// next crash may be the one after which the task is given up.
+func (planner *Planner) passTime(run *run) time.Duration {
+	clearTime := planner.clearTime(run)
+	if run.step.spec.LongRunning && len(run.task().history().crashes) < maxCrashes-1 {
+		return min(clearTime, maxLastingPassTime)
 	}
-	return passTime
+	return clearTime
 }
 
 // trialWidth returns how many tasks of the step may be on trial at a time. It is one after a
@@ -217,11 +233,12 @@
 		if worked < planner.passTime(run) {
 			return
 		}
+		run.clearTime = planner.clearTime(run) // its own pass would make it shorter
 		planner.passTrial(run)
 	}
 	isOver := !now.Before(run.trialEndsAt)
 	run.onTrial = run.onTrial && !isOver
-	if task.countCrashes(crash.isUncleared) == 0 || (task.countCrashes(crash.isOnTrial) > 0 && !isOver) {
+	if worked < run.clearTime || task.countCrashes(crash.isUncleared) == 0 || (task.countCrashes(crash.isOnTrial) > 0 && !isOver) {
 		return
 	}
 	planner.clear(run.step, task)
