End the fault of second answers also behind one that has reset the connection

Cause: the fault waited without end to pass an answer on to a reset on the same connection, which receives no more. Its removal then held the lock of the proxy, and the soak did not end.

Change: the send ends when the fault is interrupted.

--- a/cmd/soak/stutterer/stutterer.go
+++ b/cmd/soak/stutterer/stutterer.go
@@ -36,7 +36,9 @@
 		case <-stub.Interrupt:
 			return
 		case <-repeatAt:
-			stub.Output <- &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}
+			if !send(stub, &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}) {
+				return
+			}
 			repeatAt = nil
 		case chunk := <-stub.Input:
 			if chunk == nil {
@@ -44,17 +46,37 @@
 				return
 			}
 			if repeatAt != nil && stutterer.BeforeNext {
-				stub.Output <- &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}
+				if !send(stub, &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}) {
+					return
+				}
 				repeatAt = nil
 			}
 			if repeatAt == nil && rand.Float64() < stutterer.Share {
 				repeated = bytes.Clone(chunk.Data)
 				repeatAt = time.After(time.Duration(1+rand.Int64N(stutterer.DelayMS)) * time.Millisecond)
 			}
-			stub.Output <- chunk
+			if !send(stub, chunk) {
+				return
+			}
 		}
 	}
 }
 
+// send reports whether a chunk was sent before the fault was interrupted. A fault behind it that
+// has closed the connection does not receive any more.
+func send(stub *toxics.ToxicStub, chunk *stream.StreamChunk) bool {
+	select {
+	case stub.Output <- chunk:
+		return true
+	default:
+	}
+	select {
+	case stub.Output <- chunk:
+		return true
+	case <-stub.Interrupt:
+		return false
+	}
+}
+
 // Register makes the fault known to all proxies of the process.
 func Register() { toxics.Register(Kind, new(Stutterer)) }
--- a/cmd/soak/stutterer/stutterer_test.go
+++ b/cmd/soak/stutterer/stutterer_test.go
@@ -29,3 +29,24 @@
 	}
 	c.Assert(sent, quicktest.DeepEquals, []string{"first", "first", "second", "second", "third"})
 }
+
+// TestInterruptWhileConnectionIsReset guards against a soak that never ends because a fault waits for
+// one behind it that has reset the connection.
+func TestInterruptWhileConnectionIsReset(t *testing.T) {
+	c := quicktest.New(t)
+	input, output := make(chan *stream.StreamChunk), make(chan *stream.StreamChunk)
+	stub := toxics.NewToxicStub(input, output)
+	fault := &stutterer.Stutterer{Share: 1, DelayMS: time.Hour.Milliseconds()}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		fault.Pipe(stub)
+	}()
+	input <- &stream.StreamChunk{Data: []byte("answer")} // nothing receives the output
+	select {
+	case stub.Interrupt <- struct{}{}:
+	case <-time.After(5 * time.Second):
+		c.Fatal("the fault does not end")
+	}
+	<-ended
+}
