--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -149,18 +149,19 @@
 	// PreviousClock is the minion's clock in the answer before on the same connection, zero if
 	// there was none. If the order was sent twice, that is the connection of the first time.
 	PreviousClock time.Duration
-	// Doubt is why the order was sent again on a connection of its own.
-	Doubt Doubt
-	// DoubtedClock is the minion's clock in the answer that was not taken, zero if it had none.
-	DoubtedClock time.Duration
+	// Rejection is why the first answer was not taken, and the order sent again on a connection of
+	// its own.
+	Rejection Rejection
+	// RejectedClock is the minion's clock in the answer that was not taken, zero if it had none.
+	RejectedClock time.Duration
 }
 
-// Doubt is a reason why the first answer to an order is not taken for its answer.
-type Doubt uint8
+// Rejection is a reason why the first answer to an order is not taken for its answer.
+type Rejection uint8
 
 // Reasons not to take an answer.
 const (
-	NoDoubt Doubt = iota
+	NotRejected Rejection = iota
 	// NoAnswer means that the connection has broken, or that what came on it can't be decoded.
 	NoAnswer
 	// NoClock means that the answer has no clock that tells it from that of an earlier order.
@@ -170,17 +171,17 @@
 )
 
 // String returns the reason in kebab case.
-func (doubt Doubt) String() string {
+func (rejection Rejection) String() string {
 	names := [...]string{"none", "no-answer", "no-clock", "earlier-clock"}
-	if int(doubt) < len(names) {
-		return names[doubt]
+	if int(rejection) < len(names) {
+		return names[rejection]
 	}
 	return names[0]
 }
 
 // String returns the exchange as key=value pairs of a log line.
 func (exchange Exchange) String() string {
-	return fmt.Sprintf("reused=%t previous-clock=%s doubt=%s doubted-clock=%s", exchange.IsReused, exchange.PreviousClock, exchange.Doubt, exchange.DoubtedClock)
+	return fmt.Sprintf("reused=%t previous-clock=%s rejected=%s rejected-clock=%s", exchange.IsReused, exchange.PreviousClock, exchange.Rejection, exchange.RejectedClock)
 }
 
 // RunReport is a run that a minion has.
--- a/planner/answerdetail.go
+++ b/planner/answerdetail.go
@@ -50,6 +50,6 @@
 	if event.Err != nil {
 		code = event.Err.Code
 	}
-	planner.emitDecision(subject, "order-resent", event.Exchange.Doubt.String(),
+	planner.emitDecision(subject, "order-resent", event.Exchange.Rejection.String(),
 		fmt.Sprintf("minion=%s order-kind=%s result=%s %s", event.Sent.Minion, kind, code.Name(), describeAnswer(event)), time.Duration(0))
 }
