Take a minion for ended only after two refused connections in crash evidence

The first refused connection counted as the time of a minion's end when its next life showed itself. New connections can be refused while a minion lives and answers on its open ones.

Callers saw a job as failed (LOST) although no minion had crashed under it: the minion refused one connection and was cut off, the run ended with its lease or by an order to stop it, and the minion started anew later. The first refusal fell within the lease and a short time after the last answer, so that the crash counted as proven, a cut of 12 s did not count as one, and a stop that was sent later counted as not arrived. Three of them end a job. No task starts twice by it: endedBy decides about crash evidence and log lines only.

refusedSince gives the time of the first refusal only while hasEnded holds, as for the runs of draining minions: two refusals at least minRefusalTime apart, and no order sent after the last one without an answer. Otherwise the start of the next life bounds the end, as for minions that refuse nothing. mayHaveCompleted keeps the first refusal: the minion ended then or later, so that the run had at least that time.

--- a/planner/death.go
+++ b/planner/death.go
@@ -31,8 +31,8 @@
 	if next > 0 && born.Before(now) && born.After(minion.answeredAt) {
 		minion.endedBy = born
 	}
-	if !minion.refusedAt.IsZero() && minion.refusedAt.Before(minion.endedBy) {
-		minion.endedBy = minion.refusedAt
+	if refusedSince := minion.refusedSince(); !refusedSince.IsZero() && refusedSince.Before(minion.endedBy) {
+		minion.endedBy = refusedSince
 	}
 }
 
@@ -92,7 +92,7 @@
 	minion.noteRestart(now, next)
 	return &death{
 		minion: minion, at: now, isCertain: true, next: next,
-		wasOutOfReach: minion.unresponsive && minion.refusedAt.IsZero() && now.Sub(minion.endedBy) > maxReachDelay,
+		wasOutOfReach: minion.unresponsive && !minion.hasEnded && now.Sub(minion.endedBy) > maxReachDelay,
 		counted:       counted, reason: reason,
 	}
 }
@@ -100,7 +100,7 @@
 // latest returns until when the minion may have worked.
 func (death *death) latest() time.Time {
 	endedBy := death.minion.endedBy
-	if endedBy.Before(death.at) && !endedBy.Equal(death.minion.refusedAt) {
+	if endedBy.Before(death.at) && !endedBy.Equal(death.minion.refusedSince()) {
 		return endedBy.Add(maxWallClockSkew) // by the wall clock of the next incarnation
 	}
 	return endedBy
--- a/planner/departure.go
+++ b/planner/departure.go
@@ -53,6 +53,15 @@
 	minion.hasEnded = now.Sub(minion.refusedAt) >= minRefusalTime
 }
 
+// refusedSince returns since when the minion has refused connections because it had ended, zero if
+// it is not known to have ended. A single refused connection does not show that.
+func (minion *minion) refusedSince() time.Time {
+	if !minion.hasEnded {
+		return time.Time{}
+	}
+	return minion.refusedAt
+}
+
 // hasLeft reports whether a minion that has given notice has ended: the announced time has passed,
 // the store has removed its entry, and nothing listens at its address. Whatever ran on it ended
 // with it, so that the tasks need not wait until its leases have expired. Refused connections alone
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -90,14 +90,14 @@
 }
 
 // mayHaveBeenStopped reports whether the run may have ended because it was ordered to. The
-// order did not arrive if connections to its minion were refused before.
+// order did not arrive if its minion had ended before, as refused connections show.
 func (run *run) mayHaveBeenStopped() bool {
-	refusedAt := run.minion.refusedAt
-	return run.state == stopping && (refusedAt.IsZero() || run.account.StoppedAt.Before(refusedAt))
+	refusedSince := run.minion.refusedSince()
+	return run.state == stopping && (refusedSince.IsZero() || run.account.StoppedAt.Before(refusedSince))
 }
 
 // mayHaveCompleted reports whether the run may have ended by itself, by its submitter's
-// estimate, before connections to its minion were refused.
+// estimate, before a connection to its minion was first refused. It ended then, or later.
 func (run *run) mayHaveCompleted() bool {
 	refusedAt := run.minion.refusedAt
 	return !run.step.spec.LongRunning && !refusedAt.IsZero() && refusedAt.Sub(run.startedAt) >= run.step.spec.EstimatedRunTime
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -34,6 +34,8 @@
 	// refusesConnections means that no order is ever sent to the minion, which the
 	// sender learns at once.
 	refusesConnections bool
+	// refusedConnections is the number of the next orders that are never sent for that reason.
+	refusedConnections int
 	// refusesUnknownStop means that a stop of a run that the minion has never had
 	// is refused with BadRequest.
 	refusesUnknownStop bool
@@ -51,6 +53,15 @@
 	addedLatency float64
 }
 
+// refusesConnection reports whether the connection for the next order is refused.
+func (minionFaults *minionFaults) refusesConnection() bool {
+	if minionFaults.refusedConnections > 0 {
+		minionFaults.refusedConnections--
+		return true
+	}
+	return minionFaults.refusesConnections
+}
+
 func (minionFaults *minionFaults) refusal(order messenger.Order) classifier.Code {
 	if minionFaults.refuse == nil {
 		return classifier.OK
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -110,7 +110,7 @@
 	// seenAt is when this incarnation first showed itself.
 	seenAt time.Time
 	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
-	// connection to it was first refused since, zero if none was. It had ended then.
+	// connection to it was first refused since, zero if none was. It may live on, see hasEnded.
 	answeredAt, refusedAt time.Time
 	// lastRefusedAt is when the newest connection was refused. hasEnded means that an earlier one was
 	// refused as well, and that no order that was sent later has gone without an answer.
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -12,7 +12,7 @@
 	minion := simulation.minions[order.Minion]
 	sentAt := simulation.now
 	unknown := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.OutcomeUnknown, "no answer")}
-	if minion.faults.refusesConnections {
+	if minion.faults.refusesConnection() {
 		refused := messenger.OrderAnswered{Sent: order, SentAt: sentAt, Err: classifier.New(classifier.MinionUnreachable, "connection refused")}
 		refused.ConnectionRefused = true
 		simulation.schedule(latency, func() { simulation.step(node, refused) })
