Count no draining minion as gone that answers without an entry

Callers saw two runs of a task at once (TWICE): a minion announced its departure, could not reach the store, went on beyond the announced time, and refused connections for a moment after its entry had lapsed. Its runs counted as ended and their tasks were started elsewhere. After a takeover an entry that lapsed before the announced time ended the wait for a longer lease of the former holder.

Cause: a removed entry was taken for a departure. The store removes the entry of a minion that has left, and that of one that has not written for three heartbeat intervals, which a cut between that minion and the store brings about while everything else works.

A minion that has answered since its entry was removed has not left, so that its runs wait for their leases. isRemovedAsAnnounced has the whole rule, also for the wait after a takeover, where the announced time was not looked at. A minion that leaves as announced gives no answer after the removal of its entry, and its tasks start as soon as before.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -62,15 +62,21 @@
 	return minion.refusedAt
 }
 
-// hasLeft reports whether a minion that has given notice has ended: the announced time has passed,
-// the store has removed its entry, and nothing listens at its address. Whatever ran on it ended
-// with it, so that the tasks need not wait until its leases have expired. Refused connections alone
-// do not show that, because a process that shuts down may close its port before its runs end.
-// Without a notice the tasks wait, because their minion may have crashed under one of them, which
-// its next life shows.
+// hasLeft reports whether a minion that has given notice has ended: it is removed as announced, and
+// nothing listens at its address. Whatever ran on it ended with it, so that the tasks need not
+// wait until its leases have expired. Refused connections alone do not show that, because a
+// process that shuts down may close its port before its runs end. Without a notice the tasks
+// wait, because their minion may have crashed under one of them, which its next life shows.
 func (planner *Planner) hasLeft(now time.Time, minion *minion) bool {
-	isRemoved := !minion.registered && planner.readings.areSettled(now)
-	return minion.report.Draining && minion.hasEnded && isRemoved && !now.Before(minion.departure(now))
+	return minion.hasEnded && planner.isRemovedAsAnnounced(now, minion)
+}
+
+// isRemovedAsAnnounced reports whether the store has removed the entry of a minion in normal
+// operation, after the time at which it announced to leave. An entry lapses as well while its minion
+// alone can't reach the store. A minion that answers without an entry has therefore not left.
+func (planner *Planner) isRemovedAsAnnounced(now time.Time, minion *minion) bool {
+	isRemoved := !minion.registered && !minion.answersUnlisted && planner.readings.areSettled(now)
+	return minion.report.Draining && isRemoved && !now.Before(minion.departure(now))
 }
 
 // markLeftRunsLost marks the runs of a minion that has left as lost.
--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -214,3 +214,31 @@
 		c.Check(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1, quicktest.Commentf("notice %s", notice))
 	}
 }
+
+// TestDrainingMinionThatCannotReachTheStoreKeepsItsRuns guards against a second run of a task (TWICE)
+// whose minion has announced its departure and goes on beyond the announced time. It alone can't
+// reach the store, so that its entry lapses in normal operation, and refuses connections for a moment
+// some time later.
+func TestDrainingMinionThatCannotReachTheStoreKeepsItsRuns(t *testing.T) {
+	t.Parallel()
+	for _, refusedAfter := range []time.Duration{1300 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		c := quicktest.New(t)
+		simulation := newEvictionSimulation(1, 2)
+		simulation.onDecision = simulation.checkLostRun
+		simulation.hidesProgress = true // the run might end in time, so that it is not stopped before
+		simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 15 * time.Second}))
+		simulation.advance(time.Second)
+		draining := simulation.sortedMinions()[0]
+		draining.faults.draining, draining.faults.remaining = true, 100*time.Millisecond
+		simulation.deliverAllReports()
+		simulation.advance(entryLifetime)
+		draining.unregistered = true
+		simulation.deliverAllReports()
+		simulation.advance(refusedAfter)
+		simulation.refuseConnections(draining, time.Second)
+		simulation.advance(15 * time.Second)
+		comment := quicktest.Commentf("refused after %s\n%s", refusedAfter, simulation.decisionsAbout("a."))
+		c.Check(simulation.violations, quicktest.HasLen, 0, comment)
+		c.Check(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1, comment)
+	}
+}
--- a/planner/formerlife_test.go
+++ b/planner/formerlife_test.go
@@ -79,6 +79,27 @@
 	}
 }
 
+// TestEntryThatLapsesBeforeTheDepartureEndsNoLongLease guards against two runs of a task in the case above,
+// if the minion is cut off from the store as well, so that its entry lapses in normal operation long
+// before the departure that it has announced.
+func TestEntryThatLapsesBeforeTheDepartureEndsNoLongLease(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation, restarted := newLifeWithLongLease(c)
+	second := simulation.nodes[1]
+	restarted.faults.draining, restarted.faults.remaining = true, time.Minute
+	restarted.unreachableFrom[second] = true
+	simulation.advance(claimTimeout)
+	simulation.makeHolder(second)
+	simulation.schedule(3*time.Second, func() {
+		restarted.unregistered = true
+		simulation.deliverAllReports()
+	})
+	simulation.advance(40 * time.Second)
+	c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Check(simulation.countWorking("a"), quicktest.Equals, 1)
+}
+
 // newLifeWithLongLease returns a simulation of two nodes whose first has died as the holder, and a minion
 // with a run of job a. An order to an earlier life has given it a longer lease than holders send.
 func newLifeWithLongLease(c *quicktest.C) (*simulation, *fakeMinion) {
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -92,8 +92,7 @@
 	if minion.polled || !planner.mayGetFormerStrays(minion) {
 		return false
 	}
-	hasLeft := minion.report.Draining && !minion.registered && planner.readings.areSettled(now)
-	hasEnded := hasLeft || minion.hasEnded || planner.laterLife(minion.placement(0)) != nil
+	hasEnded := minion.hasEnded || planner.isRemovedAsAnnounced(now, minion) || planner.laterLife(minion.placement(0)) != nil
 	return !hasEnded
 }
 
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -18,6 +18,9 @@
 	rack   identifier.Rack
 	// registered means that the minion is listed in the store.
 	registered bool
+	// answersUnlisted means that an answer has arrived since the store removed the newest entry, so
+	// that the entry was not removed because the minion has left.
+	answersUnlisted bool
 	// listedIncarnation is the incarnation in the store. It differs from that of the
 	// report while only an answer, or only the entry, shows a restart.
 	listedIncarnation identifier.Incarnation
@@ -135,7 +138,7 @@
 // update applies a newer report of the same incarnation.
 func (minion *minion) update(report messenger.MinionReport, now time.Time) {
 	minion.report = report
-	minion.registered, minion.listedIncarnation, minion.olderEntry = true, report.Incarnation, nil
+	minion.registered, minion.answersUnlisted, minion.listedIncarnation, minion.olderEntry = true, false, report.Incarnation, nil
 	minion.rack = rackOf(report.Labels)
 	minion.leavesAt = time.Time{}
 	if report.Draining {
