Verify refusals on used connections to minions

Callers saw a task started elsewhere while its run went on: an answer that was made anew for an earlier order on a connection, with a later clock, counted as the refusal of the next start on it.

Cause: on a used connection only the place and the clock relate an answer to its order, and a later clock shows no more than that the answer is no copy.

Change: a refusal that releases something (of a start, 421, "fence") is taken from the first answer on a connection only.

--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -168,11 +168,14 @@
 	NoClock
 	// EarlierClock means that the answer's clock shows that of an earlier order.
 	EarlierClock
+	// UnverifiedRefusal means that the answer is a refusal that may have been made a second time, with
+	// a later clock, for an earlier order on the connection.
+	UnverifiedRefusal
 )
 
 // String returns the reason in kebab case.
 func (rejection Rejection) String() string {
-	names := [...]string{"none", "no-answer", "no-clock", "earlier-clock"}
+	names := [...]string{"none", "no-answer", "no-clock", "earlier-clock", "unverified-refusal"}
 	if int(rejection) < len(names) {
 		return names[rejection]
 	}
