Let the soak make second answers of minions anew

With -outages -answers-anew the second answer of a minion has the clock of its time. Lists of runs are not repeated then, because an old list with a new clock would not be true.

--- a/cmd/soak/interrupter/interrupter.go
+++ b/cmd/soak/interrupter/interrupter.go
@@ -42,11 +42,13 @@
 	deployment *stager.Deployment
 	random     *rand.Rand
 	log        func(format string, arguments ...any)
+	// answersAnew means that the second answers of minions have a later clock.
+	answersAnew bool
 }
 
 // New returns an interrupter that writes each outage to log.
-func New(deployment *stager.Deployment, random *rand.Rand, log func(format string, arguments ...any)) *Interrupter {
-	return &Interrupter{deployment: deployment, random: random, log: log}
+func New(deployment *stager.Deployment, random *rand.Rand, answersAnew bool, log func(format string, arguments ...any)) *Interrupter {
+	return &Interrupter{deployment: deployment, random: random, answersAnew: answersAnew, log: log}
 }
 
 // Run plays outages until the context ends. The last one ends after its time.
@@ -128,7 +130,7 @@
 	if interrupter.random.IntN(2) == 0 {
 		delay = minRepeatDelayMS + interrupter.random.IntN(maxRepeatDelayMS)
 	}
-	repeated := fmt.Sprintf(`{"share":%.2f,"delay-ms":%d,"before-next":%t}`, 0.5+0.5*interrupter.random.Float64(), delay, interrupter.random.IntN(2) == 0)
+	repeated := fmt.Sprintf(`{"share":%.2f,"delay-ms":%d,"before-next":%t,"made-anew":%t}`, 0.5+0.5*interrupter.random.Float64(), delay, interrupter.random.IntN(2) == 0, interrupter.answersAnew)
 	interrupter.log("%s answers twice, %s, latency %s", proxy.Name, repeated, delayed)
 	time.AfterFunc(after, func() {
 		interrupter.deployment.Impair(proxy, "latency", "upstream", delayed, connectionLead+connectionSpan)
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -35,6 +35,7 @@
 	flag.DurationVar(&options.span, "span", 20*time.Second, "time during which faults are injected")
 	flag.BoolVar(&options.keep, "keep", false, "keep the logs of all seeds, not only of those that fail")
 	flag.BoolVar(&options.outages, "outages", false, "play outages of the store and callers with many small tasks in place of the other faults")
+	flag.BoolVar(&options.answersAnew, "answers-anew", false, "with -outages: second answers of minions are made anew, with a later clock")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
@@ -63,6 +64,8 @@
 	span                    time.Duration
 	// outages selects outages of the store under many small tasks.
 	outages bool
+	// answersAnew gives the second answers of minions a later clock.
+	answersAnew bool
 	// keep keeps the logs of seeds that do not fail.
 	keep bool
 }
@@ -134,7 +137,9 @@
 		group.Go(func() error { return caller.Run(faultsCtx) })
 	}
 	if options.outages {
-		group.Go(func() error { return interrupter.New(deployment, rand.New(rand.NewPCG(seed, 0)), log).Run(faultsCtx) })
+		group.Go(func() error {
+			return interrupter.New(deployment, rand.New(rand.NewPCG(seed, 0)), options.answersAnew, log).Run(faultsCtx)
+		})
 	} else {
 		startDisturbers(faultsCtx, group, seed, deployment, log)
 	}
--- a/cmd/soak/stutterer/stutterer.go
+++ b/cmd/soak/stutterer/stutterer.go
@@ -1,5 +1,5 @@
 // Package stutterer declares a fault of a proxy: answers that come twice, the second time
-// late.
+// late, as a copy or made anew.
 package stutterer
 
 import (
@@ -25,18 +25,37 @@
 	// that comes within the delay. It then falls on the next request however short the time
 	// to the answer of that is.
 	BeforeNext bool `json:"before-next"`
+	// MadeAnew gives the repetition the clock of its time, as that of a minion that answers the
+	// same request again. Lists of runs are not repeated then.
+	MadeAnew bool `json:"made-anew"`
+}
+
+// repetition is an answer that is sent again.
+type repetition struct {
+	answer []byte
+	// madeAt is when the answer was sent first.
+	madeAt time.Time
+}
+
+// repeat returns what is sent the second time.
+func (stutterer *Stutterer) repeat(repeated *repetition) *stream.StreamChunk {
+	answer := repeated.answer
+	if stutterer.MadeAnew {
+		answer = madeAnew(answer, time.Since(repeated.madeAt))
+	}
+	return &stream.StreamChunk{Data: answer, Timestamp: time.Now()}
 }
 
 // Pipe implements toxics.Toxic.
 func (stutterer *Stutterer) Pipe(stub *toxics.ToxicStub) {
-	var repeated []byte
+	var repeated repetition
 	var repeatAt <-chan time.Time
 	for {
 		select {
 		case <-stub.Interrupt:
 			return
 		case <-repeatAt:
-			if !send(stub, &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}) {
+			if !send(stub, stutterer.repeat(&repeated)) {
 				return
 			}
 			repeatAt = nil
@@ -46,13 +65,13 @@
 				return
 			}
 			if repeatAt != nil && stutterer.BeforeNext {
-				if !send(stub, &stream.StreamChunk{Data: repeated, Timestamp: time.Now()}) {
+				if !send(stub, stutterer.repeat(&repeated)) {
 					return
 				}
 				repeatAt = nil
 			}
-			if repeatAt == nil && rand.Float64() < stutterer.Share {
-				repeated = bytes.Clone(chunk.Data)
+			if repeatAt == nil && rand.Float64() < stutterer.Share && (!stutterer.MadeAnew || canBeMadeAnew(chunk.Data)) {
+				repeated = repetition{bytes.Clone(chunk.Data), time.Now()}
 				repeatAt = time.After(time.Duration(1+rand.Int64N(stutterer.DelayMS)) * time.Millisecond)
 			}
 			if !send(stub, chunk) {
--- a/cmd/soak/stutterer/stutterer_test.go
+++ b/cmd/soak/stutterer/stutterer_test.go
@@ -50,3 +50,24 @@
 	}
 	<-ended
 }
+
+// TestRepetitionIsMadeAnew guards against a fault that no check could miss because the second answer has
+// the clock of the first one, and against a list of runs with a clock at which it was not true.
+func TestRepetitionIsMadeAnew(t *testing.T) {
+	c := quicktest.New(t)
+	input, output := make(chan *stream.StreamChunk), make(chan *stream.StreamChunk, 8)
+	fault := &stutterer.Stutterer{Share: 1, DelayMS: time.Hour.Milliseconds(), BeforeNext: true, MadeAnew: true}
+	go fault.Pipe(toxics.NewToxicStub(input, output))
+	for _, answer := range []string{`{"clockMs":1000,"reason":"room"}`, `{"clockMs":2000,"running":[]}`, "last"} {
+		input <- &stream.StreamChunk{Data: []byte(answer)}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(input)
+	var sent []string
+	for range 4 {
+		sent = append(sent, string((<-output).Data))
+	}
+	c.Assert([]string{sent[0], sent[2], sent[3]}, quicktest.DeepEquals, []string{`{"clockMs":1000,"reason":"room"}`, `{"clockMs":2000,"running":[]}`, "last"})
+	c.Assert(sent[1], quicktest.Matches, `{"clockMs":1\d\d\d,"reason":"room"}`)
+	c.Assert(sent[1] > sent[0], quicktest.IsTrue)
+}
