Count refused connections only in an unbroken series

Callers saw two runs of a task at once (TWICE): a minion that was cut off refused one connection, brought no answer for seconds, and refused another one. Both together counted as its end, for the runs of a draining minion beyond its announced time, and for the wait for a longer lease of the former holder after a takeover.

Cause: refusedAt stayed at the first refusal since the last answer. An order without an answer took hasEnded back, but the next refusal was then far enough from the first one at once.

An order that was sent after the newest refusal and gets no answer now ends the series, as an answer does. Two refusals at least minRefusalTime apart with nothing else between them are needed again. The crash evidence gets a later time of the end from it, which proves less.

TestScatteredRefusalsEndNoRun and TestScatteredRefusalsEndNoLongLease failed before ("starts while another runs") and pass.

--- a/planner/departure_test.go
+++ b/planner/departure_test.go
@@ -242,3 +242,27 @@
 		c.Check(simulation.taskState(specifier.Task{Job: "a"}).startedRuns, quicktest.HasLen, 1, comment)
 	}
 }
+
+// TestScatteredRefusalsEndNoRun guards against a second run of a task (TWICE) whose minion has announced
+// its departure and goes on beyond the announced time: it is cut off, its entry lapses, and it refuses
+// single connections seconds apart. All orders between them bring no answer.
+func TestScatteredRefusalsEndNoRun(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation := newEvictionSimulation(1, 2)
+	simulation.onDecision = simulation.checkLostRun
+	simulation.hidesProgress = true // the run might end in time, so that it is not stopped before
+	simulation.submit(jobOf("a", specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: 15 * time.Second}))
+	simulation.advance(time.Second)
+	draining := simulation.sortedMinions()[0]
+	draining.faults.draining, draining.faults.remaining = true, 100*time.Millisecond
+	simulation.deliverAllReports()
+	simulation.advance(3 * time.Second)
+	draining.faults.refusedConnections = 1
+	simulation.setReachable(false, draining.name)
+	simulation.schedule(1300*time.Millisecond, func() { simulation.cutOff(true, draining.name) }) // after its last answer
+	simulation.schedule(2500*time.Millisecond, func() { draining.faults.refusedConnections = 1 })
+	simulation.advance(15 * time.Second)
+	comment := quicktest.Commentf("%s", strings.Join(simulation.decisions, "\n"))
+	c.Check(simulation.violations, quicktest.HasLen, 0, comment)
+}
--- a/planner/formerlife_test.go
+++ b/planner/formerlife_test.go
@@ -55,6 +55,25 @@
 	c.Assert(simulation.countWorking("a"), quicktest.Equals, 1)
 }
 
+// TestScatteredRefusalsEndNoLongLease guards against two runs of a task in the case above, if the minion
+// refuses single connections seconds apart. All orders between them bring no answer.
+func TestScatteredRefusalsEndNoLongLease(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation, restarted := newLifeWithLongLease(c)
+	second := simulation.nodes[1]
+	restarted.unreachableFrom[second] = true
+	simulation.advance(claimTimeout)
+	restarted.faults.refusedConnections = 1
+	simulation.makeHolder(second)
+	for delay := time.Second; delay < 8*time.Second; delay += time.Second {
+		simulation.schedule(delay, func() { restarted.faults.refusedConnections = 1 })
+	}
+	simulation.advance(40 * time.Second)
+	c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Check(simulation.countWorking("a"), quicktest.Equals, 1)
+}
+
 // TestLapsedEntryEndsNoLongLease guards against two runs of a task in the case above, if the minion has
 // announced its departure and its entry lapses in an outage of the store. It runs its task all the while.
 func TestLapsedEntryEndsNoLongLease(t *testing.T) {
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -112,14 +112,14 @@
 	endedBy time.Time
 	// seenAt is when this incarnation first showed itself.
 	seenAt time.Time
-	// answeredAt is when its last answer arrived, zero if there was none, and refusedAt when a
-	// connection to it was first refused since, zero if none was. It may live on, see hasEnded.
-	answeredAt, refusedAt time.Time
-	// lastRefusedAt is when the newest connection was refused. hasEnded means that an earlier one was
-	// refused as well, and that no order that was sent later has gone without an answer.
-	lastRefusedAt time.Time
-	hasEnded      bool
-	lease         leaseReading
+	// answeredAt is when its last answer arrived, zero if there was none.
+	answeredAt time.Time
+	// refusedAt is when the present series of refused connections began, zero if there is none. An
+	// answer ends it, and so does an order without one. lastRefusedAt is when the newest connection
+	// was refused. hasEnded means that the series has lasted for minRefusalTime.
+	refusedAt, lastRefusedAt time.Time
+	hasEnded                 bool
+	lease                    leaseReading
 	// outlook is when capacity becomes free, with the room of reservations.
 	outlook reserver.Minion
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -324,7 +324,7 @@
 	if event.ConnectionRefused {
 		minion.noteRefusedConnection(now)
 	} else if event.SentAt.After(minion.lastRefusedAt) {
-		minion.hasEnded = false // a later life may be there, or the minion itself
+		minion.refusedAt, minion.hasEnded = time.Time{}, false // a later life may be there, or the minion itself
 	}
 	if !minion.unresponsive {
 		minion.unresponsive, minion.unresponsiveSince, minion.idleRetryDelay = true, now, pollRetryDelay
