End the wait for a former lease only after refusals since the takeover

Callers saw two runs of a task at once (TWICE): after a takeover a minion that may hold a longer lease than holders send brought no answer, and refused connections for 0.4 to 2 s when the leases of the others had expired. Two refusals 150 ms apart counted as its end, although its run went on.

Cause: new connections can be refused for a moment while a minion lives. The rule for draining minions asks the store as well, this one asked nothing else.

A minion now counts as ended there if every order of this holder was refused, from the first one on. The tests that bound the wait pass unchanged.

TestRefusalsAfterASilenceEndNoLongLease failed before in its three cases and passes.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -62,6 +62,12 @@
 	return minion.refusedAt
 }
 
+// hasOnlyRefused reports whether the minion has ended before it fell silent: it has refused all
+// connections since. One that lives refuses them for a short time only.
+func (minion *minion) hasOnlyRefused() bool {
+	return minion.hasEnded && minion.refusedAt.Equal(minion.unresponsiveSince)
+}
+
 // hasLeft reports whether a minion that has given notice has ended: it is removed as announced, and
 // nothing listens at its address. Whatever ran on it ended with it, so that the tasks need not
 // wait until its leases have expired. Refused connections alone do not show that, because a
--- a/planner/formerlife_test.go
+++ b/planner/formerlife_test.go
@@ -74,6 +74,27 @@
 	c.Check(simulation.countWorking("a"), quicktest.Equals, 1)
 }
 
+// TestRefusalsAfterASilenceEndNoLongLease guards against two runs of a task in the case above, if the
+// minion brings no answer at first and refuses connections for a moment when the takeover is to end.
+func TestRefusalsAfterASilenceEndNoLongLease(t *testing.T) {
+	t.Parallel()
+	for _, refusal := range []struct{ from, span time.Duration }{
+		{4 * time.Second, 2 * time.Second}, {5 * time.Second, time.Second}, {6 * time.Second, 400 * time.Millisecond},
+	} {
+		c := quicktest.New(t)
+		simulation, restarted := newLifeWithLongLease(c)
+		second := simulation.nodes[1]
+		restarted.unreachableFrom[second] = true
+		simulation.advance(claimTimeout)
+		simulation.makeHolder(second)
+		simulation.schedule(refusal.from, func() { restarted.faults.refusesConnections = true })
+		simulation.schedule(refusal.from+refusal.span, func() { restarted.faults.refusesConnections = false })
+		simulation.advance(40 * time.Second)
+		c.Check(simulation.violations, quicktest.HasLen, 0, quicktest.Commentf("%v %s", refusal, simulation.decisionsAbout("a.")))
+		c.Check(simulation.countWorking("a"), quicktest.Equals, 1)
+	}
+}
+
 // TestLapsedEntryEndsNoLongLease guards against two runs of a task in the case above, if the minion has
 // announced its departure and its entry lapses in an outage of the store. It runs its task all the while.
 func TestLapsedEntryEndsNoLongLease(t *testing.T) {
--- a/planner/holder.go
+++ b/planner/holder.go
@@ -92,7 +92,7 @@
 	if minion.polled || !planner.mayGetFormerStrays(minion) {
 		return false
 	}
-	hasEnded := minion.hasEnded || planner.isRemovedAsAnnounced(now, minion) || planner.laterLife(minion.placement(0)) != nil
+	hasEnded := minion.hasOnlyRefused() || planner.isRemovedAsAnnounced(now, minion) || planner.laterLife(minion.placement(0)) != nil
 	return !hasEnded
 }
 
