Keep a run whose start another answer confirmed until a stop bars it

Callers saw a task started a second time: an answer that was made anew for an earlier order on a connection counted as the confirmation of a start, or of a stop, that was still on its way. A list that was made before the start then counted as the loss of the run.

Cause: markMissingRunsLost took a confirmation on a used connection for proof that the minion had carried out the order.

Change: a run whose start was confirmed and that no list has shown is not lost when a list lacks it. It is stopped, and the stop of a run that no list has shown (BarsStart) has a connection of its own, whose first answer is certainly that of the stop. A minion refuses a start after the stop, so that a list that is made after it tells whether the run is there. A run that a list of this life has shown needs neither.

Lists and ends are taken as before: a list that is made anew is true at its clock.

--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -71,6 +71,9 @@
 type StopRun struct {
 	Task specifier.Task
 	Run  uint64
+	// BarsStart means that the order to start the run may still be on its way. The answer must
+	// then certainly be that of this order, which bars the start.
+	BarsStart bool
 }
 
 // PaceRun limits a run to a percentage of its full speed.
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -25,6 +25,9 @@
 	// delays returns the time after which the minion carries out an order that it does not
 	// answer, zero for an order that it answers. It may be nil.
 	delays func(order messenger.Order) time.Duration
+	// confirmsEarly returns the time after which the minion carries out an order that it seems to confirm
+	// at once, because the answer to another one is taken for its, zero for no such order. It may be nil.
+	confirmsEarly func(order messenger.Order) time.Duration
 	// repeats returns the time after which the minion carries out the first copy of an order that is
 	// sent twice, zero for an order that is sent once. The answer is that to the second copy. It may
 	// be nil.
@@ -75,6 +78,14 @@
 	return answered
 }
 
+// confirmationLead returns how long an order seems to be confirmed before it is carried out, zero if it is not.
+func (minionFaults *minionFaults) confirmationLead(order messenger.Order) time.Duration {
+	if minionFaults.confirmsEarly == nil {
+		return 0
+	}
+	return minionFaults.confirmsEarly(order)
+}
+
 // isLost reports whether an order never reaches the minion.
 func (minionFaults *minionFaults) isLost(node *node, order messenger.Order) bool {
 	if minionFaults.losesFrom != nil && minionFaults.losesFrom(node, order) {
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -44,6 +44,13 @@
 		simulation.schedule(order.Timeout, func() { simulation.step(node, unknown) })
 		return
 	}
+	if delay := minion.faults.confirmationLead(order.Order); delay > 0 {
+		simulation.schedule(delay, func() { execute(func(messenger.OrderAnswered) {}) })
+		simulation.schedule(latency, func() {
+			simulation.step(node, messenger.OrderAnswered{Sent: order, SentAt: sentAt, Incarnation: minion.incarnation, Clock: minion.clock()})
+		})
+		return
+	}
 	isRepeated := simulation.sendFirstCopy(minion, order, sentAt)
 	lost := simulation.random.Float64() < simulation.lostAnswerShare
 	simulation.schedule(minion.faults.delay+latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() {
--- a/planner/outstandingstart.go
+++ b/planner/outstandingstart.go
@@ -23,14 +23,19 @@
 	if _, isStart := event.Sent.Order.(messenger.StartRun); !isStart || !isOutstanding(event) {
 		return
 	}
-	maps.DeleteFunc(planner.outstandingStarts, func(_ identifier.Minion, until time.Time) bool { return now.After(until) })
-	planner.outstandingStarts[event.Sent.Minion] = now.Add(maxOrderDelay)
+	planner.addOutstandingStart(now, event.Sent.Minion)
 	minion := planner.minions[event.Sent.Minion]
 	if minion != nil && !minion.polling && minion.nextPollAt.IsZero() {
 		minion.schedulePoll(now)
 	}
 }
 
+// addOutstandingStart notes that a minion may still carry out a start.
+func (planner *Planner) addOutstandingStart(now time.Time, minion identifier.Minion) {
+	maps.DeleteFunc(planner.outstandingStarts, func(_ identifier.Minion, until time.Time) bool { return now.After(until) })
+	planner.outstandingStarts[minion] = now.Add(maxOrderDelay)
+}
+
 // isOutstanding reports whether an order may be carried out after this event.
 func isOutstanding(event *messenger.OrderAnswered) bool {
 	if event.Err == nil {
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -107,7 +107,7 @@
 }
 
 // markMissingRunsLost marks runs as lost that the minion does not report although
-// an order was confirmed before it made its list, or that can't start any more
+// it had listed them, or an order to stop them was confirmed before it made its list, or that can't start any more
 // because the lease in their start had expired by then, or because the minion refuses orders to
 // its earlier life. The minion's clock tells when it made the list: an answer can be late, and
 // that of an earlier poll.
@@ -122,12 +122,26 @@
 		void := run.state == stopping && run.startConfirmedAt.IsZero() && !run.isOfEarlierLife && event.Clock > run.startLeaseUntil
 		// A list with the token of the life was made after orders to the earlier one were barred.
 		barred := run.isOfEarlierLife && minion.polled && event.Sent.Token == minion.token
+		if vanished && !run.isListed() && !stopped {
+			planner.distrustConfirmation(now, run)
+			continue
+		}
 		if stopped || vanished || void || barred {
 			planner.markRunLost(now, run, accountant.EndUnreported, "its minion does not report it", run.describeList(&event))
 		}
 	}
 }
 
+// distrustConfirmation stops a run whose start was confirmed and that no list has shown. The
+// confirmation may have been that of another order on its connection, so that the start may still be
+// on its way. The run counts as lost once the stop bars the start.
+func (planner *Planner) distrustConfirmation(now time.Time, run *run) {
+	run.startConfirmedAt, run.startConfirmedClock = time.Time{}, 0
+	run.mayHaveArrived, run.unansweredAt = true, now
+	planner.addOutstandingStart(now, run.minion.report.Minion)
+	planner.stopRun(now, run, accountant.StopForAbandonedStart, "its minion does not report it")
+}
+
 // applyRunReport applies the reported state of a run.
 func (planner *Planner) applyRunReport(now time.Time, minion *minion, report messenger.RunReport) {
 	run, ok := minion.runs[runKey{report.Task, report.Run}]
--- a/planner/run.go
+++ b/planner/run.go
@@ -161,9 +161,13 @@
 
 func (planner *Planner) sendStop(now time.Time, run *run) {
 	run.nextStopAt = time.Time{}
-	planner.sendOrder(now, run.minion, messenger.StopRun{Task: run.id, Run: run.number}, answerTimeout, run)
+	planner.sendOrder(now, run.minion, messenger.StopRun{Task: run.id, Run: run.number, BarsStart: !run.isListed()}, answerTimeout, run)
 }
 
+// isListed reports whether a list of this life of its minion has had the run, so that no start of
+// it can take effect any more.
+func (run *run) isListed() bool { return run.work.isObserved && !run.isOfEarlierLife }
+
 // handleRunOrderAnswer handles the answer to a start or a stop.
 func (planner *Planner) handleRunOrderAnswer(now time.Time, run *run, event messenger.OrderAnswered) {
 	minion := run.minion
