Log rejected answers also when no time is left to send again

Operators saw no order-resent line for an order whose first answer was rejected when its time had ended: the order looked like one that its minion had not answered, and nothing showed that answers come twice.

Change: the line is written for every rejected answer, with resent=false if the order was not sent again. retries_total counts orders that were sent again, as before. An order without any answer has no such line; minion-lost tells it.

--- a/planner/answerdetail.go
+++ b/planner/answerdetail.go
@@ -38,9 +38,18 @@
 	return fmt.Sprintf("%s next-incarnation=%d", describeStore(minion), next)
 }
 
-// noteResentOrder logs that an order was sent twice. The run is nil if the order concerns none.
+// isRejected reports whether an order got an answer that was not taken for its own. A connection that has not
+// brought any answer in time is no rejection.
+func isRejected(event *messenger.OrderAnswered) bool {
+	return event.Exchange.Rejection != messenger.NotRejected && event.Exchange.Rejection != messenger.NoAnswer
+}
+
+// noteResentOrder logs that an order was sent twice, or would have been if its time had not ended. The run is
+// nil if the order concerns none.
 func (planner *Planner) noteResentOrder(event *messenger.OrderAnswered, run *run) {
-	planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "order-resent"})
+	if event.IsRepeat {
+		planner.emit(messenger.Count{Counter: messenger.Retries, Reason: "order-resent"})
+	}
 	subject := string(event.Sent.Minion)
 	if run != nil {
 		subject = run.id.String()
@@ -51,5 +60,5 @@
 		code = event.Err.Code
 	}
 	planner.emitDecision(subject, "order-resent", event.Exchange.Rejection.String(),
-		fmt.Sprintf("minion=%s order-kind=%s result=%s %s", event.Sent.Minion, kind, code.Name(), describeAnswer(event)), time.Duration(0))
+		fmt.Sprintf("minion=%s order-kind=%s result=%s resent=%t %s", event.Sent.Minion, kind, code.Name(), event.IsRepeat, describeAnswer(event)), time.Duration(0))
 }
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -17,6 +17,8 @@
 	// garbles returns the code of an order that the minion carries out and whose answer
 	// can't be read, OK for none. It may be nil.
 	garbles func(order messenger.Order) classifier.Code
+	// exchange is how such an answer came.
+	exchange messenger.Exchange
 	// loses reports whether an order never reaches the minion, although others do. It
 	// may be nil.
 	loses func(order messenger.Order) bool
@@ -67,7 +69,7 @@
 		return answered
 	}
 	if code := minion.faults.garbles(answered.Sent.Order); code != classifier.OK {
-		return messenger.OrderAnswered{Sent: answered.Sent, SentAt: answered.SentAt, Err: classifier.New(code, "unreadable")}
+		return messenger.OrderAnswered{Sent: answered.Sent, SentAt: answered.SentAt, Err: classifier.New(code, "unreadable"), Exchange: minion.faults.exchange}
 	}
 	return answered
 }
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -232,7 +232,7 @@
 		planner.handleAnswerOfLaterLife(now, minion, run, event)
 		return
 	}
-	if event.IsRepeat {
+	if event.IsRepeat || isRejected(&event) {
 		planner.noteResentOrder(&event, run)
 	}
 	planner.updateResponsiveness(now, minion, event)
