Cancel a planned trial when its task is given up

A task with four certain crashes is not started a fifth time because its trial had been planned before the fourth crash was known. The trial is cancelled, and the job ends as failed once the crash is settled.

Cause: the lease of a run expires while the entry of its minion is still in the store, so that the run is lost without a crash. The next trial is planned, and waits for its record. The next life of the minion then shows the crash, but startTrial checked only the minions and the record.

startTrial now also checks that none of its tasks is given up or awaits evidence, and planTrial checks all tasks of a trial, not only the first one, so that it plans none that would be cancelled at once.

--- a/planner/trial.go
+++ b/planner/trial.go
@@ -182,7 +182,7 @@
 	if step.trialWantedSince.IsZero() {
 		step.trialWantedSince = now
 	}
-	if step.tasks[waitingStep.taskIndexes[0]].awaitsEvidence(now) {
+	if slices.ContainsFunc(waitingStep.taskIndexes, func(index int) bool { return step.tasks[index].awaitsEvidence(now) }) {
 		step.passResult = waitsForTrial
 		planner.passNeeded = true
 		return
@@ -232,8 +232,8 @@
 	planner.recording.markCrashesDirty(step)
 }
 
-// startTrial starts a trial once it is recorded, or gives it up if one of its minions can't
-// be used any more.
+// startTrial starts a trial once it is recorded, or gives it up if one of its minions can't be
+// used any more, or a crash has become known since after which one of its tasks must not start.
 func (planner *Planner) startTrial(now time.Time, step *step, trial *trial) {
 	demands := make(map[*minion]specifier.Resources)
 	for _, start := range trial.starts {
@@ -243,7 +243,7 @@
 		minion, task := start.minion, &step.tasks[start.index]
 		isUsable := planner.minions[minion.report.Minion] == minion && minion.availability(now) == onTrial &&
 			planner.reservations.freeCapacity(step, minion).Holds(demands[minion])
-		if !isUsable || !task.isIdle(now) || task.history().reservedRun != start.number {
+		if !isUsable || !task.isIdle(now) || task.history().reservedRun != start.number || step.mustNotStart(now, task) {
 			step.cancelTrial()
 			planner.passNeeded = true
 			return
@@ -264,6 +264,11 @@
 	}
 }
 
+// mustNotStart reports whether a task is given up, or may be once more is known about its crashes.
+func (step *step) mustNotStart(now time.Time, task *task) bool {
+	return task.isGivenUp() || (step.spec.Gang && step.isGangGivenUp(task)) || task.awaitsEvidence(now)
+}
+
 // cancelTrial gives up a trial that has not started.
 func (step *step) cancelTrial() {
 	for _, start := range step.trial.starts {
