Give a store that needs long for a page the time that it needs

Callers see a node that is never ready after its start, and a new holder that never learns the minions and the progress, although the store answers: if the store begins a page of a listing only after 1.5 s, the node gives the page up and requests the same one again, with the same timeout, for ever. The store pays for each request.

The timeout of a page now grows to a quarter of the time spent on requests for it that stalled, up to 12 s as for the VM list, and is kept for the rest of the listing. A request that fails sooner, such as a refused connection, does not count. The listing reaches any page time up to 12 s, and after a longer outage it goes on at most a quarter of the outage later; the first four requests, 6 s, have the timeout of before. A connection whose other side acknowledges nothing is still closed after 1.5 s.

TestSlowPagesAreListed was red before: a page of 1.6 s was not listed in 5 minutes of virtual time. TestListingGoesOnSoonAfterAnOutage bounds the delay after outages of 1 to 60 s.

--- a/tailer/tailer.go
+++ b/tailer/tailer.go
@@ -14,10 +14,9 @@
 
 // Durations of a Tailer.
 const (
-	// readStallTimeout and listStallTimeout bound the time without progress of a read
-	// and of a page. A connection that no longer responds is detected only by that.
+	// readStallTimeout bounds the time without progress of a read. A connection that no
+	// longer responds is detected only by that.
 	readStallTimeout = 800 * time.Millisecond
-	listStallTimeout = 1500 * time.Millisecond
 	// retryStallTimeout is that of a read after a failed one. On a full link with a
 	// long queue an answer does not begin sooner.
 	retryStallTimeout = 1600 * time.Millisecond
@@ -120,6 +119,8 @@
 	// requested again, because many nodes that start at once fill the link to the
 	// store.
 	partial partialListing
+	// pageTimeout is that of the listing's next page.
+	pageTimeout pageTimeout
 	// listedOffsets holds the offsets of listed records that were written after the
 	// first page, until reads have passed the older records of the same keys.
 	listedOffsets map[string]identifier.Offset
@@ -204,7 +205,7 @@
 func (tailer *Tailer) setFollowing(enabled bool) {
 	tailer.following = enabled
 	tailer.isListed = false
-	tailer.partial = partialListing{}
+	tailer.partial, tailer.pageTimeout = partialListing{}, pageTimeout{}
 	clear(tailer.keys)
 }
 
@@ -243,7 +244,7 @@
 func (tailer *Tailer) list(ctx context.Context, started time.Time) error {
 	listing := &tailer.partial
 	for more := true; more; {
-		page, err := tailer.log.Newest(ctx, tailer.options.Topic, listing.after, listStallTimeout)
+		page, err := tailer.requestPage(ctx, listing.after)
 		if err != nil {
 			return err
 		}
@@ -279,10 +280,22 @@
 		Records: records, End: listing.end, Complete: true, SentAt: listing.begun, RoundTrip: tailer.clock().Sub(listing.begun),
 	}
 	tailer.coverage = coverage{until: listing.begun}
-	tailer.next, tailer.isListed, tailer.partial = listing.end, true, partialListing{}
+	tailer.next, tailer.isListed, tailer.partial, tailer.pageTimeout = listing.end, true, partialListing{}, pageTimeout{}
 	return tailer.sink.Deliver(ctx, reading)
 }
 
+// requestPage returns the page after a key.
+func (tailer *Tailer) requestPage(ctx context.Context, after string) (Page, error) {
+	sentAt := tailer.clock()
+	page, err := tailer.log.Newest(ctx, tailer.options.Topic, after, tailer.pageTimeout.current())
+	if err != nil {
+		tailer.pageTimeout.recordFailure(tailer.clock().Sub(sentAt))
+		return Page{}, err
+	}
+	tailer.pageTimeout.recordSuccess()
+	return page, nil
+}
+
 // dropSuperseded removes records for whose keys a listing has returned newer ones.
 func (tailer *Tailer) dropSuperseded(records []Record) []Record {
 	if len(tailer.listedOffsets) == 0 {
