Close a connection with a second answer before another call gets it

A call whose answer belongs to an earlier attempt closes its connection. It read the body first, and net/http gives a connection to the next request as soon as the body has been read. A call that got it in between failed with an unknown outcome ("use of closed network connection"), although its minion had answered one other call twice. The fault is one of the product, and doesn't need a pause.

The attempt is now verified before the body is read. A response whose body is closed unread makes net/http close the connection instead of keeping it.

TestSecondAnswerAffectsNoWaitingCall lets a call wait for the connection.

Open: net/http keeps the connection of an answer with an empty body before the call sees it.

--- a/dispatcher/call.go
+++ b/dispatcher/call.go
@@ -59,13 +59,14 @@
 		return result
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, commander.MaxBodyBytes+1))
 	if result.Err = verifyAttempt(call, response); result.Err != nil {
 		// The minion has answered an earlier request twice, so that the answer to this one
-		// would be taken for that of the next.
+		// would be taken for that of the next. The body is left unread: once it is read, the
+		// transport gives the connection to the next request, also when it is closed meanwhile.
 		_ = (*connection.Load()).Close() // an error means that it is closed already
 		return result
 	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, commander.MaxBodyBytes+1))
 	readMinionState(response, &result)
 	if err != nil {
 		result.Err = classifyFailure(ctx, err, true)
--- a/dispatcher/secondanswer_test.go
+++ b/dispatcher/secondanswer_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// TestSecondAnswerAffectsNoWaitingCall guards against a call that waits for a connection, gets the one on which the
+// call before has received a second answer, and fails with an unknown outcome when that call closes it.
+func TestSecondAnswerAffectsNoWaitingCall(t *testing.T) {
+	harness := startDispatcher(t, dispatcher.Parameters{Connections: 1})
+	address := imitator.Repeater{
+		Handler: &countingMinion{}, IsRepeated: func(number int) bool { return number == 2 },
+	}.Listen(t)
+	first := harness.await(t, harness.newCall(address, 1, "body"))
+	quicktest.Assert(t, first.Err == nil, quicktest.IsTrue, quicktest.Commentf("%v", first.Err))
+	for attempt := identifier.Attempt(2); attempt <= 3; attempt++ {
+		quicktest.Assert(t, harness.calls.Offer(harness.newCall(address, attempt, "body")), quicktest.IsNil)
+	}
+	codes := make(map[classifier.Code]int) // either call may be the one that waits
+	for range 2 {
+		answer := (<-harness.results).(messenger.MinionAnswered)
+		code := classifier.OK
+		if answer.Err != nil {
+			code = answer.Err.Code
+			t.Logf("attempt %d: %v", answer.Attempt, answer.Err)
+		}
+		codes[code]++
+	}
+	quicktest.Assert(t, codes, quicktest.DeepEquals, map[classifier.Code]int{classifier.OK: 1, classifier.CorruptAnswer: 1})
+}
+
 // TestSecondAnswerOfSlots guards against an answer to a query for slots that is taken for that of the
 // next query, and against the answer to a call that is: its body can look like one.
 func TestSecondAnswerOfSlots(t *testing.T) {
