Keep the first refusal since the last answer for runs that may have completed

One refused connection showed that the run had the time, and the orders after it got no answer.

Cause: an order without an answer ends a series of refusals there, and took the time of the first one along, which mayHaveCompleted needs. A minion ends at that time or later, whether or not the refusals went on.

firstRefusedAt keeps it until the next answer. All other uses ask for the series.

--- a/planner/departure.go
+++ b/planner/departure.go
@@ -46,6 +46,9 @@
 
 // noteRefusedConnection notes that nothing listens at the minion's address.
 func (minion *minion) noteRefusedConnection(now time.Time) {
+	if minion.firstRefusedAt.IsZero() {
+		minion.firstRefusedAt = now
+	}
 	if minion.refusedAt.IsZero() {
 		minion.refusedAt = now
 	}
--- a/planner/evidence.go
+++ b/planner/evidence.go
@@ -99,7 +99,7 @@
 // mayHaveCompleted reports whether the run may have ended by itself, by its submitter's
 // estimate, before a connection to its minion was first refused. It ended then, or later.
 func (run *run) mayHaveCompleted() bool {
-	refusedAt := run.minion.refusedAt
+	refusedAt := run.minion.firstRefusedAt
 	return !run.step.spec.LongRunning && !refusedAt.IsZero() && refusedAt.Sub(run.startedAt) >= run.step.spec.EstimatedRunTime
 }
 
--- a/planner/minion.go
+++ b/planner/minion.go
@@ -114,6 +114,8 @@
 	seenAt time.Time
 	// answeredAt is when its last answer arrived, zero if there was none.
 	answeredAt time.Time
+	// firstRefusedAt is when a connection was first refused since the last answer, zero if none was.
+	firstRefusedAt time.Time
 	// refusedAt is when the present series of refused connections began, zero if there is none. An
 	// answer ends it, and so does an order without one. lastRefusedAt is when the newest connection
 	// was refused. hasEnded means that the series has lasted for minRefusalTime.
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -311,7 +311,7 @@
 		}
 		minion.unresponsive, minion.lostRuns = false, nil
 		planner.silentMinions.remove(minion)
-		minion.answeredAt, minion.refusedAt, minion.hasEnded = now, time.Time{}, false
+		minion.answeredAt, minion.firstRefusedAt, minion.refusedAt, minion.hasEnded = now, time.Time{}, time.Time{}, false
 		minion.answersUnlisted = minion.answersUnlisted || !minion.registered
 		if event.Clock > 0 {
 			minion.updateClock(event.Clock, now)
--- a/planner/refusedconnection_test.go
+++ b/planner/refusedconnection_test.go
@@ -107,3 +107,33 @@
 	c.Check(simulation.violations, quicktest.HasLen, 0, comment)
 	c.Assert(simulation.recordedState(id), quicktest.Equals, specifier.Completed, comment)
 }
+
+// TestRunThatMayHaveCompletedFailsNoJob guards against a job that is shown as failed (LOST) because the
+// crash of a minion counts as proven although its run had ended as done before: a refused connection shows
+// that the run had the time, and the orders after it bring no answer.
+func TestRunThatMayHaveCompletedFailsNoJob(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 8)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	simulation.submit(jobOf("good", smallStep(1, 600*time.Millisecond)))
+	strikes := 0
+	simulation.cutEachRun(specifier.Task{Job: "good"}, time.Minute, 300*time.Millisecond, func(minion *fakeMinion) {
+		if strikes++; strikes > crashesOfGivenUpTask {
+			return
+		}
+		minion.faults.garbles = func(messenger.Order) classifier.Code { return classifier.OutcomeUnknown }
+		simulation.schedule(600*time.Millisecond, func() {
+			minion.faults.refusedConnections = 1
+			simulation.setReachable(false, minion.name)
+		})
+		simulation.schedule(3*time.Second, func() {
+			minion.faults.garbles = nil
+			minion.start()
+			simulation.setReachable(true, minion.name)
+			simulation.deliverAllReports()
+		})
+	})
+	simulation.checkNotGivenUp(c, "good")
+}
