Hold a gang on trial back for its first member only

planTrial and startTrial now share one check, which looks at the first member of a gang, as planTrial did before. Plain steps are held back for each task of the trial.

A gang whose other members crash minions may still be started once more, as before.

--- a/planner/trial.go
+++ b/planner/trial.go
@@ -52,6 +52,15 @@
 	minion *minion
 }
 
+// indexes returns the indexes of the tasks of the trial.
+func (trial *trial) indexes() []int {
+	indexes := make([]int, len(trial.starts))
+	for position, start := range trial.starts {
+		indexes[position] = start.index
+	}
+	return indexes
+}
+
 // runTrials plans and starts the trials of the suspect tasks whose turn has come.
 func (planner *Planner) runTrials(now time.Time, suspects []*waitingStep, pools map[identifier.Service]*pool) {
 	updateLikelyCauses(suspects)
@@ -182,7 +191,7 @@
 	if step.trialWantedSince.IsZero() {
 		step.trialWantedSince = now
 	}
-	if slices.ContainsFunc(waitingStep.taskIndexes, func(index int) bool { return step.tasks[index].awaitsEvidence(now) }) {
+	if step.isHeldBack(now, waitingStep.taskIndexes) {
 		step.passResult = waitsForTrial
 		planner.passNeeded = true
 		return
@@ -235,6 +244,11 @@
 // startTrial starts a trial once it is recorded, or gives it up if one of its minions can't be
 // used any more, or a crash has become known since after which one of its tasks must not start.
 func (planner *Planner) startTrial(now time.Time, step *step, trial *trial) {
+	if step.isHeldBack(now, trial.indexes()) {
+		step.cancelTrial()
+		planner.passNeeded = true
+		return
+	}
 	demands := make(map[*minion]specifier.Resources)
 	for _, start := range trial.starts {
 		demands[start.minion] = demands[start.minion].Add(requiredCapacity(step.spec))
@@ -243,7 +257,7 @@
 		minion, task := start.minion, &step.tasks[start.index]
 		isUsable := planner.minions[minion.report.Minion] == minion && minion.availability(now) == onTrial &&
 			planner.reservations.freeCapacity(step, minion).Holds(demands[minion])
-		if !isUsable || !task.isIdle(now) || task.history().reservedRun != start.number || step.mustNotStart(now, task) {
+		if !isUsable || !task.isIdle(now) || task.history().reservedRun != start.number {
 			step.cancelTrial()
 			planner.passNeeded = true
 			return
@@ -264,9 +278,17 @@
 	}
 }
 
-// mustNotStart reports whether a task is given up, or may be once more is known about its crashes.
-func (step *step) mustNotStart(now time.Time, task *task) bool {
-	return task.isGivenUp() || (step.spec.Gang && step.isGangGivenUp(task)) || task.awaitsEvidence(now)
+// isHeldBack reports whether a trial of tasks must not start, because one of them is given up or
+// may be once more is known about its crashes. A gang waits for its first member only: if it waited
+// for each, more gangs without a fault would be given up when whole racks crash.
+func (step *step) isHeldBack(now time.Time, indexes []int) bool {
+	if step.spec.Gang {
+		indexes = indexes[:1]
+	}
+	return slices.ContainsFunc(indexes, func(index int) bool {
+		task := &step.tasks[index]
+		return task.isGivenUp() || task.awaitsEvidence(now)
+	})
 }
 
 // cancelTrial gives up a trial that has not started.
