Count unproven crashes beside three certain ones

A task that crashes its minions is given up after three certain crashes if one that proves nothing comes on top and two of the three were alone on trial, or if two on trial come on top and one of the three was.

Cause: a takeover may hide one crash, and others are unproven because many minions fell silent with them or their silence was long. With two such crashes the fourth certain one is the sixth crash, and the task is started a third time after three minions have crashed under it (BUDGET).

Three certain crashes remain necessary. Those on trial must be isolated: fewer than two minions without a trial came back with them, so that waves of crashes, and minions out of reach, don't lower the limit. A start waits for a crash that is still undecided if that could end the job.

--- a/planner/birth.go
+++ b/planner/birth.go
@@ -17,6 +17,8 @@
 	steps []*step
 	// isExplained means that a task of the earlier life may be the reason for its end.
 	isExplained bool
+	// hadTrial means that the earlier life had runs on trial.
+	hadTrial bool
 }
 
 const (
@@ -36,8 +38,9 @@
 		return
 	}
 	planner.births = slices.DeleteFunc(planner.births, func(known birth) bool { return now.Sub(known.at) > silenceRetention })
-	added := birth{at: at, isExplained: earlier.mayHaveCrashedUnderTask()}
+	added := birth{at: at, isExplained: earlier.mayHaveCrashedUnderTask(), hadTrial: earlier.trial != nil}
 	for _, run := range append(earlier.sortedRuns(), earlier.lostRuns...) {
+		added.hadTrial = added.hadTrial || run.onTrial
 		if !slices.Contains(added.steps, run.step) {
 			added.steps = append(added.steps, run.step)
 		}
@@ -70,6 +73,18 @@
 	return false
 }
 
+// isIsolatedBirth reports whether fewer than minSilentPeers minions without a trial came back at
+// the same time as one that had a trial, whether a task explains that or not.
+func (planner *Planner) isIsolatedBirth(next identifier.Incarnation) bool {
+	count, at := 0, time.UnixMilli(int64(next))
+	for _, birth := range planner.births {
+		if !birth.hadTrial && birth.at.Sub(at).Abs() <= maxBirthSpread {
+			count++
+		}
+	}
+	return next > 0 && count < minSilentPeers
+}
+
 // countBornPeers returns the number of other minions that came back at the same time as one
 // that has crashed under a task of the step, and that no task explains.
 func (planner *Planner) countBornPeers(step *step, next identifier.Incarnation) int {
@@ -115,6 +130,7 @@
 		}
 	}
 	crash.silentPeers = max(crash.silentPeers, planner.countBornPeers(step, crash.next))
+	crash.isIsolated = crash.isIsolated && planner.isIsolatedBirth(crash.next)
 	if planner.isMassSilence(crash.silentPeers) {
 		crash.evidence = specifier.Unproven
 		planner.emit(messenger.Count{Counter: messenger.Crashes, Reason: countCommonCause})
--- a/planner/crash.go
+++ b/planner/crash.go
@@ -86,6 +86,9 @@
 	next identifier.Incarnation
 	// silentPeers is the number of other minions that fell silent at the same moment.
 	silentPeers int
+	// isIsolated means that hardly any minion without a trial came back at the same time, as far
+	// as this holder knows.
+	isIsolated bool
 	// undecidedUntil is the time until which the next life of the minion may still show that
 	// the crash is certain, zero for a crash that a former holder has noted.
 	undecidedUntil time.Time
@@ -104,11 +107,23 @@
 
 // isGivenUp reports whether the task must not start again, because it crashes its minions.
 func (task *task) isGivenUp() bool {
-	if task.done {
-		return false
+	return !task.done && (task.hasRepeatedCrashes(crash.isCertain) || task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes)
+}
+
+// hasRepeatedCrashes reports whether a task has so many crashes that it must not start again,
+// though they are not conclusive: maxCrashes that are certain, or one less and unproven ones. A
+// takeover may hide a crash too, so that a task that waited for the last certain one would be
+// started too often.
+func (task *task) hasRepeatedCrashes(isCertain func(crash) bool) bool {
+	certain := task.countCrashes(isCertain)
+	onTrial := task.countCrashes(func(crash crash) bool { return isCertain(crash) && crash.onTrial })
+	if certain != maxCrashes-1 {
+		return certain >= maxCrashes && onTrial > 0
 	}
-	isRepeated := task.countCrashes(crash.isCertain) >= maxCrashes && task.countCrashes(crash.isCertainOnTrial) > 0
-	return isRepeated || task.countCrashes(crash.isConclusive) >= maxConclusiveCrashes
+	isolated := task.countCrashes(func(crash crash) bool { return isCertain(crash) && crash.onTrial && crash.isIsolated })
+	unproven := len(task.history().crashes) - certain
+	unprovenOnTrial := task.countCrashes(crash.isOnTrial) - onTrial
+	return (isolated > 1 && unproven > 0) || (isolated > 0 && unprovenOnTrial > 1)
 }
 
 // isGangGivenUp reports whether the gang of the task must not start again: each of its runs may
@@ -133,8 +148,8 @@
 		return true
 	}
 	isUndecided := func(crash crash) bool { return !crash.isCertain() && now.Before(crash.undecidedUntil) }
-	undecided := task.countCrashes(isUndecided)
-	return undecided > 0 && task.countCrashes(crash.isCertain)+undecided >= maxCrashes
+	mayBeCertain := func(crash crash) bool { return crash.isCertain() || isUndecided(crash) }
+	return task.countCrashes(isUndecided) > 0 && (task.countCrashes(mayBeCertain) >= maxCrashes || task.hasRepeatedCrashes(mayBeCertain))
 }
 
 // countCrashes returns the number of crashes that have a property.
@@ -159,9 +174,6 @@
 // isCertain reports whether the minion has certainly ended.
 func (crash crash) isCertain() bool { return crash.evidence >= specifier.Restarted }
 
-// isCertainOnTrial reports whether the minion has certainly ended and the run was on trial.
-func (crash crash) isCertainOnTrial() bool { return crash.isCertain() && crash.onTrial }
-
 // isOnTrial reports whether the run was on trial.
 func (crash crash) isOnTrial() bool { return crash.onTrial }
 
@@ -241,7 +253,7 @@
 			return false
 		}
 		known.evidence, known.next, known.silentPeers = added.evidence, added.next, max(known.silentPeers, added.silentPeers)
-		known.settledAt, known.isSettled = added.settledAt, false
+		known.settledAt, known.isSettled, known.isIsolated = added.settledAt, false, added.isIsolated
 		return true
 	}
 	task.ownHistory().crashes = append(task.history().crashes, added)
--- a/planner/death.go
+++ b/planner/death.go
@@ -170,7 +170,7 @@
 	}
 	planner.addCrash(now, run.step, run.id.Index, crash{
 		placement: run.placement(), age: age, onTrial: run.isAloneOnTrial() && run.hasCertainlyRun(),
-		evidence: planner.weighEvidence(evidence, run, age, silentPeers), next: death.next, silentPeers: silentPeers,
+		evidence: planner.weighEvidence(evidence, run, age, silentPeers), next: death.next, silentPeers: silentPeers, isIsolated: true,
 		undecidedUntil: now.Add(maxUndecidedTime), settledAt: now.Add(settlingTime),
 	})
 }
--- a/planner/verdict_test.go
+++ b/planner/verdict_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/identifier"
 	"corianderroad/specifier"
 )
 
@@ -55,3 +56,50 @@
 	c.Assert(step.tasks[0].isSuspect(), quicktest.IsFalse)
 	c.Assert(step.tasksForTrial(time.Time{}), quicktest.DeepEquals, []int{1})
 }
+
+// TestUnprovenCrashesEndNoJobByThemselves guards against a job that is shown as failed (LOST) for
+// crashes that prove nothing: they count beside three certain ones only, of which the task was
+// alone on trial in some that no other minions shared.
+func TestUnprovenCrashesEndNoJobByThemselves(t *testing.T) {
+	t.Parallel()
+	unproven := crash{age: time.Second}
+	onTrial := crash{age: time.Second, onTrial: true}
+	certain := crash{age: time.Second, evidence: specifier.Restarted}
+	shared := crash{age: time.Second, evidence: specifier.Restarted, onTrial: true}
+	isolated := crash{age: time.Second, evidence: specifier.Restarted, onTrial: true, isIsolated: true}
+	cases := []struct {
+		crashes   []crash
+		isGivenUp bool
+	}{
+		{[]crash{unproven, onTrial, onTrial, onTrial, isolated, isolated}, false},
+		{[]crash{certain, isolated, isolated}, false},
+		{[]crash{unproven, certain, certain, isolated}, false},
+		{[]crash{unproven, unproven, certain, certain, isolated}, false},
+		{[]crash{unproven, certain, shared, shared}, false},
+		{[]crash{certain, certain, onTrial, onTrial, shared}, false},
+		{[]crash{unproven, certain, isolated, isolated}, true},
+		{[]crash{certain, certain, onTrial, onTrial, isolated}, true},
+		{[]crash{certain, certain, certain, shared}, true},
+	}
+	for number, test := range cases {
+		task := &task{}
+		task.ownHistory().crashes = test.crashes
+		quicktest.New(t).Check(task.isGivenUp(), quicktest.Equals, test.isGivenUp, quicktest.Commentf("case %d", number))
+	}
+}
+
+// TestCrashBesideOthersIsNotIsolated guards against a job that is shown as failed (LOST) for
+// crashes of its trials in which other minions crashed as well, also if tasks explain those.
+func TestCrashBesideOthersIsNotIsolated(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	at := time.UnixMilli(1_000_000)
+	next := identifier.Incarnation(at.UnixMilli())
+	planner := &Planner{births: []birth{{at: at, hadTrial: true}, {at: at.Add(maxBirthSpread), hadTrial: true}}}
+	c.Assert(planner.isIsolatedBirth(next), quicktest.IsTrue)
+	planner.births = append(planner.births, birth{at: at, isExplained: true}, birth{at: at.Add(2 * maxBirthSpread), isExplained: true})
+	c.Assert(planner.isIsolatedBirth(next), quicktest.IsTrue)
+	planner.births = append(planner.births, birth{at: at.Add(-maxBirthSpread), isExplained: true})
+	c.Assert(planner.isIsolatedBirth(next), quicktest.IsFalse)
+	c.Assert(planner.isIsolatedBirth(0), quicktest.IsFalse)
+}
