Bound only the call to a silent worker by time in the controller's tests

All calls of the controller's tests had a timeout of 200 ms of real time, which only the worker that never answers needs. When the test process was paused during another call, that call was reported as timed out or as not sent, and the test failed: TestErrorCodesStateWhetherCallTookEffect, in six different cases, TestSecondAnswerIsNotThatOfTheNextCall and TestSecondAnswerRefusesNoOtherCall.

The silent worker has a test of its own in virtual time, TestSilentWorkerTimesOut, which also checks that the call ends exactly at its timeout. The calls that are answered have a timeout that only limits the duration of a test that fails; their checks are unchanged.

The new test fails if the timeout is doubled, or missing, and if a call that has a connection counts as not sent.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -37,18 +38,25 @@
 	}
 }
 
+// testTimeout limits the duration of a call that is answered. It is not a performance target.
+const testTimeout = 30 * time.Second
+
 // run starts a controller and returns its ring and the inbox of its answers.
 func run(t *testing.T) (*buffer.Ring[messenger.CallWorker], inbox) {
 	ring, answers := buffer.New[messenger.CallWorker]("workers", 64), make(inbox)
+	start(t, controller.New(ring, answers, controller.Parameters{MaxCalls: 4, Timeout: testTimeout}))
+	return ring, answers
+}
+
+// start runs a controller until the test ends.
+func start(t *testing.T, client *controller.Controller) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	client := controller.New(ring, answers, controller.Parameters{MaxCalls: 4, Timeout: 200 * time.Millisecond})
 	go func() { ended <- client.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		quicktest.Check(t, <-ended, quicktest.ErrorIs, context.Canceled)
 	})
-	return ring, answers
 }
 
 func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
@@ -64,13 +72,6 @@
 	}
 }
 
-// hang never answers. It reads the request, because otherwise the server does not
-// notice that the client disconnected.
-func hang(_ http.ResponseWriter, request *http.Request) {
-	_, _ = io.Copy(io.Discard, request.Body)
-	<-request.Context().Done()
-}
-
 func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 // TestErrorCodesStateWhetherCallTookEffect guards against a call that is reported
@@ -96,7 +97,6 @@
 		"other worker":  {serve(t, respond(200, `{"worker":"w2","mark":"1s"}`)), classifier.OutcomeUnknown, 0},
 		"unknown state": {serve(t, respond(200, `{"worker":"w1","mark":"1s","tasks":[{"state":"odd","progress":"0s"}]}`)), classifier.OutcomeUnknown, 0},
 		"broken off":    {serve(t, abort), classifier.OutcomeUnknown, 0},
-		"silent":        {serve(t, hang), classifier.TimedOut, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			quicktest.Assert(t, ring.Offer(messenger.CallWorker{Sequence: 7, Worker: "w1", Address: test.address, Kind: messenger.ReleaseTask, Term: 1}), quicktest.IsNil)
@@ -109,6 +109,31 @@
 	}
 }
 
+// TestSilentWorkerTimesOut guards against a call that lasts longer than its timeout, and against one without
+// an answer that is reported as not executed although the worker has its request.
+func TestSilentWorkerTimesOut(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		ring, answers := buffer.New[messenger.CallWorker]("workers", 1), make(inbox)
+		client := controller.New(ring, answers, controller.Parameters{MaxCalls: 4, Timeout: timeout})
+		client.SetDialer(func(context.Context) (net.Conn, error) {
+			connection, accepted := net.Pipe()
+			go func() { _, _ = io.Copy(io.Discard, accepted) }() // until the client closes the connection
+			return connection, nil
+		})
+		start(t, client)
+		begun := time.Now()
+		call := messenger.CallWorker{Sequence: 7, Worker: "w1", Address: netip.MustParseAddrPort("10.0.0.1:80"), Kind: messenger.ReleaseTask, Term: 1}
+		quicktest.Assert(t, ring.Offer(call), quicktest.IsNil)
+		answer := <-answers
+		quicktest.Assert(t, time.Since(begun), quicktest.Equals, timeout)
+		quicktest.Assert(t, answer.Err, quicktest.Not(quicktest.IsNil))
+		quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.TimedOut, quicktest.Commentf("%v", answer.Err))
+		quicktest.Assert(t, answer.HighestTerm, quicktest.Equals, identifier.Term(0))
+		quicktest.Assert(t, answer.Sequence, quicktest.Equals, uint64(7))
+	})
+}
+
 // TestSecondAnswerIsNotThatOfTheNextCall guards against a refusal, or a list of tasks, that is taken for
 // the answer to a later call: tasks that run count as refused or lost, and are started elsewhere.
 func TestSecondAnswerIsNotThatOfTheNextCall(t *testing.T) {
