Check the end of a timed-out call to a minion in virtual time

TestTimeoutClosesConnection had a timeout of 50 ms of real time.

It still fails if the timeout is doubled, if a call that has a connection counts as unreachable, and if the context doesn't end the exchange.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -44,13 +45,20 @@
 }
 
 func startDispatcher(t *testing.T, parameters dispatcher.Parameters) harness {
+	return startDispatcherWith(t, parameters, func(*dispatcher.Dispatcher) {})
+}
+
+// startDispatcherWith does the same as startDispatcher after a change of the Dispatcher.
+func startDispatcherWith(t *testing.T, parameters dispatcher.Parameters, change func(*dispatcher.Dispatcher)) harness {
 	harness := harness{
 		calls:   buffer.New[messenger.CallMinion]("calls", 64),
 		queries: buffer.New[messenger.QuerySlots]("asks", 64), results: make(sink, 64),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
-	go func() { done <- dispatcher.New(harness.calls, harness.queries, harness.results, parameters).Run(ctx) }()
+	started := dispatcher.New(harness.calls, harness.queries, harness.results, parameters)
+	change(started)
+	go func() { done <- started.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-done
@@ -181,18 +189,33 @@
 // TestTimeoutClosesConnection guards against a connection that stays open after its
 // request timed out: its late answer would be read as that of the next request.
 func TestTimeoutClosesConnection(t *testing.T) {
-	closed := make(chan struct{})
-	address := startMinion(t, func(_ http.ResponseWriter, request *http.Request, _ []byte) bool {
-		<-request.Context().Done()
-		close(closed)
-		return false
+	const timeout = 50 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		closed := make(chan struct{})
+		harness := startDispatcherWith(t, dispatcher.Parameters{}, func(started *dispatcher.Dispatcher) {
+			started.SetDialer(func(context.Context) (net.Conn, error) {
+				connection, accepted := net.Pipe()
+				t.Cleanup(func() { _ = connection.Close() }) // the dispatcher may have closed it
+				go func() {
+					_, _ = io.Copy(io.Discard, accepted) // until the dispatcher closes the connection
+					close(closed)
+				}()
+				return connection, nil
+			})
+		})
+		begun := time.Now()
+		call := harness.newCall(netip.MustParseAddrPort("10.0.0.1:80"), 1, "body")
+		call.Timeout = timeout
+		answer := harness.await(t, call)
+		quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.TimedOut)
+		quicktest.Assert(t, time.Since(begun), quicktest.Equals, timeout)
+		synctest.Wait()
+		select {
+		case <-closed:
+		default:
+			t.Error("the connection is open after the timeout")
+		}
 	})
-	harness := startDispatcher(t, dispatcher.Parameters{})
-	call := harness.newCall(address, 1, "body")
-	call.Timeout = 50 * time.Millisecond
-	answer := harness.await(t, call)
-	quicktest.Assert(t, answer.Err.Code, quicktest.Equals, classifier.TimedOut)
-	<-closed
 }
 
 // TestRequestIsSentOnce guards against the retry of net/http, which sends a request
