Keep the reserved number of a run without the task's whole history

A node that becomes the holder needs up to 22 MB more than the estimate of the accepted jobs covers, for some 120,000 waiting tasks: it reserves the number of the next run for each task that its predecessor may have started, and allocated the task's history for it, with failures, crashes and placement.

The two numbers are now in a state of their own, which refers to the history if there is one. What is decided does not change.

--- a/planner/copy.go
+++ b/planner/copy.go
@@ -140,8 +140,8 @@
 			step.copies = make(map[int]*taskCopy)
 		}
 		step.copies[index] = &taskCopy{plannedAt: now}
-		if task.history().reservedRun == 0 {
-			task.ownHistory().reservedRun = planner.nextRunNumber()
+		if task.restart().reservedRun == 0 {
+			task.ownRestart().reservedRun = planner.nextRunNumber()
 			planner.recording.markTaskDirty(step, index)
 		}
 	}
--- a/planner/crashpart.go
+++ b/planner/crashpart.go
@@ -59,7 +59,7 @@
 func (step *step) recordedPlacement(index int) []specifier.TaskPlacement {
 	task := &step.tasks[index]
 	placement := task.history().placement
-	if placement.run == 0 || placement.run != max(task.latestRun, task.history().reservedRun) {
+	if placement.run == 0 || placement.run != max(task.latestRun, task.restart().reservedRun) {
 		return nil
 	}
 	return []specifier.TaskPlacement{{
--- a/planner/job.go
+++ b/planner/job.go
@@ -127,9 +127,9 @@
 	// run is the run that may still be running, nil if there is none. knownRuns counts it
 	// and all others that minions may still have, such as one that is being stopped.
 	run *run
-	// past is nil for a task without a history.
-	past      *taskHistory
-	knownRuns int32
+	// restartState is nil for a task that has none.
+	restartState *taskRestart
+	knownRuns    int32
 	// stops is how often this holder has stopped a run of the task that must run again.
 	stops int32
 	done  bool
@@ -318,7 +318,7 @@
 	for _, restart := range progress.Restarts {
 		_, task := job.find(specifier.Task{Occurrence: restart.Occurrence, Step: restart.Step, Index: restart.Index})
 		if task != nil {
-			task.latestRun, task.ownHistory().recordedRun = max(task.latestRun, restart.LatestRun), max(task.history().recordedRun, restart.LatestRun)
+			task.latestRun, task.ownRestart().recordedRun = max(task.latestRun, restart.LatestRun), max(task.restart().recordedRun, restart.LatestRun)
 		}
 	}
 }
--- a/planner/jobcost_test.go
+++ b/planner/jobcost_test.go
@@ -80,6 +80,36 @@
 	}
 }
 
+// TestReservedRunNumbersNeedLittleMemory guards against a new holder that needs several times the
+// memory of the accepted jobs: it reserves a number for each task that its predecessor may have
+// started, and kept the whole history of a task for it, 192 bytes.
+func TestReservedRunNumbersNeedLittleMemory(t *testing.T) {
+	const bytesPerTask = 32 // two numbers, a pointer and the marks of the next record
+	c, now := quicktest.New(t), time.Unix(1_000_000, 0)
+	shape := jobShape{jobs: 5, steps: 32, tasks: 2048, occurrences: 1}
+	planner, tasks := New("n", Bounds{}, Features{}), shape.jobs*shape.steps*shape.tasks
+	for number := range shape.jobs {
+		job := planner.applyEntry(now, messenger.Submitted{Job: shape.job(number)})
+		job.prepareExecution(nil)
+		job.markInheritedTasks()
+	}
+	before := liveBytes()
+	for _, job := range planner.jobs {
+		for step := range job.steps() {
+			for index := range step.tasks {
+				step.tasks[index].unresolved = false
+			}
+			planner.reserveRuns(now, step)
+			c.Assert(step.needsRunNumbers(now), quicktest.IsFalse)
+		}
+	}
+	measured := liveBytes() - before
+	runtime.KeepAlive(planner)
+	figures := quicktest.Commentf("%d bytes for each of %d tasks", measured/int64(tasks), tasks)
+	t.Log(figures)
+	c.Assert(measured > 0 && measured <= int64(bytesPerTask*tasks), quicktest.IsTrue, figures)
+}
+
 // TestPayloadOfEndedJobIsReleased guards against payloads that a node keeps although the journal
 // has them no more, until the state of the job has expired.
 func TestPayloadOfEndedJobIsReleased(t *testing.T) {
--- a/planner/progress.go
+++ b/planner/progress.go
@@ -88,7 +88,7 @@
 	for step, index := range job.tasksOfPart(part) {
 		task := &step.tasks[index]
 		// The reserved run may start as soon as this record is durable.
-		if run := max(task.history().recordedRun, task.history().reservedRun); run > 0 && !task.done {
+		if run := max(task.restart().recordedRun, task.restart().reservedRun); run > 0 && !task.done {
 			recorded.Restarts = append(recorded.Restarts, specifier.TaskRestart{
 				Occurrence: step.occurrence.number, Step: step.number, Index: index, LatestRun: run,
 			})
--- a/planner/restart.go
+++ b/planner/restart.go
@@ -16,8 +16,8 @@
 
 // mayStart reports whether the journal allows the next run of the task.
 func (task *task) mayStart() bool {
-	if task.history().reservedRun > 0 {
-		return task.history().reservedRun <= task.history().recordedRun
+	if task.restart().reservedRun > 0 {
+		return task.restart().reservedRun <= task.restart().recordedRun
 	}
 	return !task.isRestart()
 }
@@ -25,7 +25,7 @@
 // needsRunNumber reports whether the task waits for a run after its first and has no
 // number for it.
 func (task *task) needsRunNumber(now time.Time) bool {
-	return task.isIdle(now) && task.isRestart() && task.history().reservedRun == 0
+	return task.isIdle(now) && task.isRestart() && task.restart().reservedRun == 0
 }
 
 // needsRunNumbers reports whether numbers must be reserved for tasks of the step.
@@ -47,7 +47,7 @@
 // needsGangRunNumber reports whether all members of the gang wait for a run, one of them
 // for a run after its first, and have no common number for it.
 func (step *step) needsGangRunNumber(now time.Time) bool {
-	common := step.tasks[0].history().reservedRun
+	common := step.tasks[0].restart().reservedRun
 	isRestart, isReserved := false, common > 0
 	for index := range step.tasks {
 		task := &step.tasks[index]
@@ -55,7 +55,7 @@
 			return false
 		}
 		isRestart = isRestart || task.isRestart()
-		isReserved = isReserved && task.history().reservedRun == common
+		isReserved = isReserved && task.restart().reservedRun == common
 	}
 	return isRestart && !isReserved
 }
@@ -65,14 +65,14 @@
 	if step.spec.Gang {
 		number := planner.nextRunNumber()
 		for index := range step.tasks {
-			step.tasks[index].ownHistory().reservedRun = number
+			step.tasks[index].ownRestart().reservedRun = number
 			planner.recording.markTaskDirty(step, index)
 		}
 		return
 	}
 	for index := range step.tasks {
 		if task := &step.tasks[index]; task.needsRunNumber(now) {
-			task.ownHistory().reservedRun = planner.nextRunNumber()
+			task.ownRestart().reservedRun = planner.nextRunNumber()
 			planner.recording.markTaskDirty(step, index)
 		}
 	}
@@ -81,8 +81,8 @@
 // takeRunNumber returns the number of the task's next run, the reserved one if there is
 // one.
 func (planner *Planner) takeRunNumber(task *task) uint64 {
-	if reserved := task.history().reservedRun; reserved > 0 {
-		task.ownHistory().reservedRun = 0
+	if reserved := task.restart().reservedRun; reserved > 0 {
+		task.ownRestart().reservedRun = 0
 		return reserved
 	}
 	return planner.nextRunNumber()
@@ -92,8 +92,8 @@
 func (job *job) noteRecordedRuns(restarts []specifier.TaskRestart) {
 	for _, restart := range restarts {
 		_, task := job.find(specifier.Task{Occurrence: restart.Occurrence, Step: restart.Step, Index: restart.Index})
-		if task != nil && task.history().reservedRun == restart.LatestRun {
-			task.ownHistory().recordedRun = restart.LatestRun
+		if task != nil && task.restart().reservedRun == restart.LatestRun {
+			task.ownRestart().recordedRun = restart.LatestRun
 		}
 	}
 }
--- a/planner/run.go
+++ b/planner/run.go
@@ -294,8 +294,8 @@
 		return
 	}
 	task.latestRun = run.previousRun
-	if task.history().recordedRun == run.number && !run.step.spec.Gang {
-		task.ownHistory().reservedRun = run.number
+	if task.restart().recordedRun == run.number && !run.step.spec.Gang {
+		task.ownRestart().reservedRun = run.number
 	}
 }
 
--- a/planner/trial.go
+++ b/planner/trial.go
@@ -219,7 +219,7 @@
 		}
 		index := waitingStep.taskIndexes[position]
 		task := &step.tasks[index]
-		task.ownHistory().reservedRun = number
+		task.ownRestart().reservedRun = number
 		task.place(minion.placement(number), now)
 		step.trial.starts = append(step.trial.starts, plannedStart{index, number, minion})
 		minion.trial = step
@@ -243,12 +243,12 @@
 		minion, task := start.minion, &step.tasks[start.index]
 		isUsable := planner.minions[minion.report.Minion] == minion && minion.availability(now) == onTrial &&
 			planner.reservations.freeCapacity(step, minion).Holds(demands[minion])
-		if !isUsable || !task.isIdle(now) || task.history().reservedRun != start.number {
+		if !isUsable || !task.isIdle(now) || task.restart().reservedRun != start.number {
 			step.cancelTrial()
 			planner.passNeeded = true
 			return
 		}
-		if task.history().recordedRun < start.number {
+		if task.restart().recordedRun < start.number {
 			step.passResult = waitsForRecord
 			return
 		}
@@ -259,7 +259,7 @@
 	}
 	step.trial = nil
 	for _, start := range trial.starts {
-		step.tasks[start.index].ownHistory().reservedRun = 0
+		step.tasks[start.index].ownRestart().reservedRun = 0
 		planner.startRun(now, step, start.index, start.minion, start.number, step.ticket(start.minion))
 	}
 }
@@ -267,8 +267,8 @@
 // cancelTrial gives up a trial that has not started.
 func (step *step) cancelTrial() {
 	for _, start := range step.trial.starts {
-		if task := &step.tasks[start.index]; task.history().reservedRun == start.number {
-			task.ownHistory().reservedRun = 0
+		if task := &step.tasks[start.index]; task.restart().reservedRun == start.number {
+			task.ownRestart().reservedRun = 0
 		}
 		if start.minion.trial == step {
 			start.minion.trial = nil
