--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -174,11 +174,14 @@
 	// UnverifiedRefusal means that the answer is a refusal that may have been made a second time, with
 	// a later clock, for an earlier order on the connection.
 	UnverifiedRefusal
+	// LowerToken means that the connection has carried a poll with a lower token, whose list shows
+	// nothing about the token of this one.
+	LowerToken
 )
 
 // String returns the reason in kebab case.
 func (rejection Rejection) String() string {
-	names := [...]string{"none", "no-answer", "no-clock", "earlier-clock", "unverified-refusal"}
+	names := [...]string{"none", "no-answer", "no-clock", "earlier-clock", "unverified-refusal", "lower-token"}
 	if int(rejection) < len(names) {
 		return names[rejection]
 	}
--- a/planner/resentorder_test.go
+++ b/planner/resentorder_test.go
@@ -16,7 +16,7 @@
 func TestRejectedAnswerIsLogged(t *testing.T) {
 	t.Parallel()
 	for rejection, isLogged := range map[messenger.Rejection]bool{
-		messenger.NotRejected: false, messenger.NoAnswer: false, messenger.NoClock: true, messenger.EarlierClock: true, messenger.UnverifiedRefusal: true,
+		messenger.NotRejected: false, messenger.NoAnswer: false, messenger.NoClock: true, messenger.EarlierClock: true, messenger.UnverifiedRefusal: true, messenger.LowerToken: true,
 	} {
 		c := quicktest.New(t)
 		simulation := newSimulation(1, 1, 1)
