Check at once whether a barred run is there

Cause: such a refusal is not certain, so that the run is stopped and waits for a list that was made after the stop. The poll that waits at the minion brings none, and the next one waits for an end as well.

Change: once the stop of a run that no list has shown is confirmed, its minion is polled beside the waiting poll, with a wait of 2 ms, which lets the clock in the list be later than that of the stop. That poll renews no lease, acknowledges no end and leaves the schedule of the other polls alone. The list counts by its clock, so that it may have been requested in the same instant as the stop was confirmed.

Measured: TestUncertainRefusalDelaysTaskBriefly (400 ms of virtual time) was red and is green. Package planner, known red tests left out: green.

--- a/planner/answermadeanew_test.go
+++ b/planner/answermadeanew_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"corianderroad/classifier"
 	"corianderroad/messenger"
 	"corianderroad/specifier"
 )
@@ -113,3 +114,32 @@
 	simulation.advance(6 * time.Second) // three polls
 	c.Assert(simulation.countWorking("a"), quicktest.Equals, 2, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
 }
+
+// TestUncertainRefusalDelaysTaskBriefly guards against a task that waits for up to two polls, 2.4 s, because its start
+// was refused, but on a connection that had been used before, so that the refusal is not certain.
+func TestUncertainRefusalDelaysTaskBriefly(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 4)
+	simulation.makeHolder(simulation.nodes[0])
+	for _, minion := range simulation.sortedMinions() { // a poll waits at each of them
+		simulation.submit(jobOf("busy-"+string(minion.name), specifier.Step{Tasks: 1, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute}))
+	}
+	simulation.advance(3 * time.Second)
+	refused := 0
+	for _, minion := range simulation.sortedMinions() {
+		minion.faults.refusesTwice = true
+		minion.faults.refuse = func(order messenger.Order) classifier.Code {
+			if !isStart(order) || refused > 0 {
+				return classifier.OK
+			}
+			refused++
+			return classifier.NoCapacity
+		}
+	}
+	submitTwoTasks(simulation)
+	simulation.advance(400 * time.Millisecond)
+	c.Assert(refused, quicktest.Equals, 1)
+	c.Assert(simulation.countWorking("a"), quicktest.Equals, 2, quicktest.Commentf("%s", simulation.decisionsAbout("a.")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
--- a/planner/faults_test.go
+++ b/planner/faults_test.go
@@ -19,6 +19,8 @@
 	garbles func(order messenger.Order) classifier.Code
 	// exchange is how such an answer came.
 	exchange messenger.Exchange
+	// refusesTwice means that orders that are refused were sent twice, and refused both times.
+	refusesTwice bool
 	// loses reports whether an order never reaches the minion, although others do. It
 	// may be nil.
 	loses func(order messenger.Order) bool
--- a/planner/minions.go
+++ b/planner/minions.go
@@ -222,7 +222,7 @@
 		event = withoutAnswer(event)
 	}
 	_, isPoll := event.Sent.Order.(messenger.PollRuns)
-	if isPoll {
+	if isPoll && run == nil {
 		minion.polling = false
 	}
 	if planner.answeredByOtherIncarnation(now, minion, run, event) {
@@ -240,11 +240,12 @@
 		// Orders of former holders and to earlier lives may have arrived before this answer.
 		minion.leaseLimit.addForeign(event.Clock, planner.longestForeignLease(minion))
 	}
-	if isPoll {
+	switch {
+	case run != nil:
+		planner.handleRunOrderAnswer(now, run, event)
+	case isPoll:
 		planner.handlePollAnswer(now, minion, event)
 		planner.updateUnknownRuns(now, minion, event)
-	} else if run != nil {
-		planner.handleRunOrderAnswer(now, run, event)
 	}
 	planner.passNeeded = true
 }
--- a/planner/network_test.go
+++ b/planner/network_test.go
@@ -60,7 +60,7 @@
 				return
 			}
 			answered = simulation.withOutdatedList(minion, minion.garbled(answered))
-			if isRepeated {
+			if isRepeated || (minion.faults.refusesTwice && answered.Err != nil) {
 				answered = repeated(answered)
 			}
 			simulation.schedule(minion.faults.delay+latency+time.Duration(simulation.random.Int64N(int64(simulation.delayVariation+1))), func() { simulation.step(node, answered) })
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -20,6 +20,13 @@
 		minion.schedulePoll(now.Add(pollRetryDelay))
 		return
 	}
+	planner.applyLists(now, minion, event)
+	minion.acknowledgedEnd = max(minion.acknowledgedEnd, event.Sent.Order.(messenger.PollRuns).AcknowledgedEnd)
+	planner.scheduleNextPoll(now, minion)
+}
+
+// applyLists applies the lists of runs and ends in the answer to a poll.
+func (planner *Planner) applyLists(now time.Time, minion *minion, event messenger.OrderAnswered) {
 	minion.listClock = event.Clock
 	minion.refuteLaterLife(&event)
 	if !minion.polled && minion.isFencedBy(&event) {
@@ -48,7 +55,10 @@
 	planner.expireLease(now, minion)
 	planner.clearDraining(now, minion)
 	planner.paceBackfillRuns(now, minion)
-	minion.acknowledgedEnd = max(minion.acknowledgedEnd, event.Sent.Order.(messenger.PollRuns).AcknowledgedEnd)
+}
+
+// scheduleNextPoll schedules the poll after an answered one.
+func (planner *Planner) scheduleNextPoll(now time.Time, minion *minion) {
 	switch {
 	case !minion.polled: // the token of its orders must rise first
 		minion.schedulePoll(now.Add(pollRetryDelay))
@@ -117,7 +127,7 @@
 			continue
 		}
 		stopped := run.state == stopping && !run.stopAcknowledgedAt.IsZero() &&
-			run.stopAcknowledgedAt.Before(event.SentAt) && run.stopAcknowledgedClock < event.Clock
+			!run.stopAcknowledgedAt.After(event.SentAt) && run.stopAcknowledgedClock < event.Clock
 		vanished := !run.startConfirmedAt.IsZero() && run.startConfirmedAt.Before(event.SentAt) && run.startConfirmedClock < event.Clock
 		void := run.state == stopping && run.startConfirmedAt.IsZero() && !run.isOfEarlierLife && event.Clock > run.startLeaseUntil
 		// A list with the token of the life was made after orders to the earlier one were barred.
--- a/planner/run.go
+++ b/planner/run.go
@@ -175,11 +175,15 @@
 		return
 	}
 	switch event.Sent.Order.(type) {
+	case messenger.PollRuns:
+		planner.handleCheckAnswer(now, minion, event)
+		return
 	case messenger.StartRun:
 		planner.handleStartAnswer(now, run, event)
 	case messenger.StopRun:
 		if event.Err == nil {
 			run.stopAcknowledgedAt, run.stopAcknowledgedClock = now, event.Clock
+			planner.checkBarredRun(now, run, event)
 		} else {
 			planner.scheduleStop(now, run)
 		}
