Check barred runs only where their start may not have arrived

Cause: every stop that bars a start was followed by a check. The end of a run whose start was confirmed comes with the poll that waits, so that only runs that may not have arrived are checked.

Measured: the tests of uncertain refusals, foreign confirmations and unanswered starts are green.

--- a/planner/barredrun.go
+++ b/planner/barredrun.go
@@ -14,10 +14,11 @@
 // answer to the stop.
 const checkWait = 2 * time.Millisecond
 
-// checkBarredRun polls the minion of a run that no list has shown, whose stop has been confirmed,
-// beside the poll that waits. It renews no lease and acknowledges no end.
+// checkBarredRun polls the minion of a run that may not have arrived, whose stop has been confirmed, beside
+// the poll that waits. It renews no lease and acknowledges no end. The end of a run whose start was confirmed
+// comes with the waiting poll.
 func (planner *Planner) checkBarredRun(now time.Time, run *run, event messenger.OrderAnswered) {
-	if stop := event.Sent.Order.(messenger.StopRun); stop.BarsStart && !run.isListed() {
+	if stop := event.Sent.Order.(messenger.StopRun); stop.BarsStart && run.mayHaveArrived && !run.isListed() {
 		planner.sendOrder(now, run.minion, messenger.PollRuns{Wait: checkWait}, answerTimeout, run)
 	}
 }
