--- a/messenger/orders.go
+++ b/messenger/orders.go
@@ -174,7 +174,7 @@
 	// UnverifiedRefusal means that the answer is a refusal that may have been made a second time, with
 	// a later clock, for an earlier order on the connection.
 	UnverifiedRefusal
-	// LowerToken means that the connection has carried an order with a lower token, whose answer shows
+	// LowerToken means that the connection has carried a poll with a lower token, whose list shows
 	// nothing about the token of this one.
 	LowerToken
 )
