Stop a gang at once when the start of a member is given up

Callers saw the members of a gang wait for one whose start its minion had refused on a used connection: 2.4 s, in which their work is lost, and until they end alone (GANG) if the list that shows the refusal is late. gangTimeoutMs is 3 s on several sites.

Cause: a start that may have arrived is stopped, and the members stop only when the run is released, after a list of its minion. The same held for starts without an answer, and for a run whose confirmation is distrusted.

The other members now stop with the run whose start is given up: whether it is there or not, the gang can't work.

--- a/planner/poll.go
+++ b/planner/poll.go
@@ -152,7 +152,7 @@
 	run.startConfirmedAt, run.startConfirmedClock = time.Time{}, 0
 	run.mayHaveArrived, run.unansweredAt = true, now
 	planner.addOutstandingStart(now, run.minion.report.Minion)
-	planner.stopRun(now, run, accountant.StopForAbandonedStart, "its minion does not report it")
+	planner.stopUnlistedRun(now, run, "its minion does not report it")
 }
 
 // applyRunReport applies the reported state of a run.
--- a/planner/run.go
+++ b/planner/run.go
@@ -283,13 +283,22 @@
 // minion refuses it once it has the order to stop. The evidence is the answer, for the log.
 func (planner *Planner) abandonStart(now time.Time, run *run, reason, evidence string) {
 	if run.mayHaveArrived {
-		planner.stopRun(now, run, accountant.StopForAbandonedStart, reason)
+		planner.stopUnlistedRun(now, run, reason)
 		return
 	}
 	run.withdraw()
 	planner.markRunLost(now, run, accountant.Cause(accountant.StopForAbandonedStart), reason, evidence)
 }
 
+// stopUnlistedRun stops a run of which it is not known whether it is there. The other members of a gang stop at once:
+// until it is known they would wait for it, and end alone after a few seconds.
+func (planner *Planner) stopUnlistedRun(now time.Time, run *run, reason string) {
+	planner.stopRun(now, run, accountant.StopForAbandonedStart, reason)
+	if run.step.spec.Gang && run.task().run == run {
+		planner.stopMembers(now, run, accountant.StopForBrokenGang, "the start of another member of its gang is given up")
+	}
+}
+
 // withdraw undoes the start of a run that certainly did not arrive. A number that is in
 // the journal can be used again, but for the members of a gang, which have a common one.
 func (run *run) withdraw() {
--- a/planner/unverifiedrefusal_test.go
+++ b/planner/unverifiedrefusal_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -48,3 +49,35 @@
 	c.Assert(simulation.decisionsAbout("a."), quicktest.Contains, "refused: no-capacity")
 	c.Assert(simulation.violations, quicktest.HasLen, 0)
 }
+
+// TestMemberRefusedTwiceStopsItsGang guards against the members of a gang that wait for one whose start was refused
+// on a used connection until they end alone (GANG): it counts as lost only after a later list of its minion.
+func TestMemberRefusedTwiceStopsItsGang(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	simulation := newSimulation(1, 1, 4)
+	simulation.makeHolder(simulation.nodes[0])
+	simulation.advance(time.Second)
+	const members = 4
+	refuseOnce(simulation, members-1)
+	simulation.submit(jobOf("g", specifier.Step{Tasks: members, Request: taskOf(1000, 1), EstimatedRunTime: time.Minute, Gang: true}))
+	for simulation.countWorking("g") < members-1 {
+		simulation.advance(time.Millisecond)
+	}
+	known := len(simulation.decisions)
+	simulation.advance(50 * time.Millisecond)
+	stops := 0
+	for _, decision := range simulation.decisions[known:] {
+		if isStopOfMember(decision) {
+			stops++
+		}
+	}
+	c.Check(stops, quicktest.Equals, members-1, quicktest.Commentf("%s", simulation.decisionsAbout("g.")))
+	simulation.advance(2 * time.Second)
+	c.Assert(simulation.countWorking("g"), quicktest.Equals, members, quicktest.Commentf("%s", simulation.decisionsAbout("g.")))
+	c.Assert(simulation.violations, quicktest.HasLen, 0)
+}
+
+func isStopOfMember(decision string) bool {
+	return strings.Contains(decision, "stop: the start of another member of its gang")
+}
