Leave the wait of polls alone while a run is stopped that no list has shown

The poll beside the waiting one (planner/barredrun.go) also helps while a long poll is under way at the minion, and needs no shorter polls.

--- a/planner/parameters.go
+++ b/planner/parameters.go
@@ -68,9 +68,6 @@
 	// recorded. A poll with a wait would return at once, because those ends are
 	// still listed.
 	unrecordedPollDelay = 900 * time.Millisecond
-	// unlistedStopPollWait is how long a poll waits while the stop of a run that no list has shown is not
-	// acknowledged. The task can't start again before the poll after that.
-	unlistedStopPollWait = 100 * time.Millisecond
 	// pollRetryDelay is the time before a poll without an answer is repeated.
 	pollRetryDelay = 200 * time.Millisecond
 	// maxIdleRetryDelay bounds the time between polls of an unresponsive minion that
--- a/planner/poll.go
+++ b/planner/poll.go
@@ -98,8 +98,7 @@
 }
 
 // pollWait returns how long a poll waits for an end. It does not wait longer than
-// until a run that may never have started is void, and then asks at once. So it does once the order to
-// stop such a run is acknowledged, because the list then shows whether the run is there.
+// until a run that may never have started is void, and then asks at once.
 func (minion *minion) pollWait(now time.Time) time.Duration {
 	wait := maxPollWait
 	if minion.hasMixedLoad() {
@@ -109,9 +108,6 @@
 		wait = min(wait, trialPollWait)
 	}
 	for _, run := range minion.runs {
-		if run.state == stopping && !run.work.isObserved {
-			wait = min(wait, run.unlistedStopWait())
-		}
 		if run.state == stopping && run.startConfirmedAt.IsZero() && !run.isOfEarlierLife {
 			untilVoid := time.Duration(float64(run.startLeaseUntil-minion.clockLowerBound(now)) / minClockRate)
 			wait = max(0, min(wait, untilVoid+time.Millisecond))
@@ -120,15 +116,6 @@
 	return wait.Truncate(time.Millisecond)
 }
 
-// unlistedStopWait returns how long a poll waits for the end of a run that is being stopped and that no list has
-// shown. A list from before the acknowledgement of the stop shows nothing about the run.
-func (run *run) unlistedStopWait() time.Duration {
-	if run.stopAcknowledgedAt.IsZero() {
-		return unlistedStopPollWait
-	}
-	return 0
-}
-
 // markMissingRunsLost marks runs as lost that the minion does not report although
 // it had listed them, or an order to stop them was confirmed before it made its list, or that can't start any more
 // because the lease in their start had expired by then, or because the minion refuses orders to
