Stop a run that no list has shown at the next life of its minion

Callers saw a task started a second time while its run went on (TWICE): the answer to another order confirmed a start that was still on its way, the minion began its next life meanwhile, and carried the start out before it had seen a token of that life.

Cause: replaceIncarnation counted a run with a confirmed start as ended with the earlier life.

A run that no list of the earlier life has shown now moves to the next one, as one whose start got no answer does, and is stopped there. Its task starts again once that life has answered a poll with its own token. A run that has been listed ends with its life, as before.

Not mended, by reading: mayStartLate lets the task of such a run start again when the leases of a silent minion expire; to wait there as after a start without an answer would add 7 s to each crash in the first second of a run.

--- a/planner/minions.go
+++ b/planner/minions.go
@@ -88,11 +88,12 @@
 // replaceIncarnation replaces an incarnation with the next one under the same
 // name. The runs of the earlier one have ended. Runs with an attempt to start them that the
 // earlier one has not answered move to the next one, because that order may still reach it, and
-// are stopped there: it may be of another kind, or have less capacity.
+// are stopped there: it may be of another kind, or have less capacity. So do runs that no list of the
+// earlier one has shown, because the answer to another order may have confirmed them.
 func (planner *Planner) replaceIncarnation(now time.Time, earlier, next *minion) {
 	planner.noteDeath(now, newDeath(now, earlier, next.report.Incarnation, countRestarted, "it has restarted"))
 	for _, run := range earlier.sortedRuns() {
-		if !run.startConfirmedAt.IsZero() && !run.mayHaveArrived {
+		if run.isListed() && !run.mayHaveArrived {
 			planner.markRunLost(now, run, accountant.EndMinionGone, "its minion has restarted", describeNextLife(earlier, next.report.Incarnation))
 			continue
 		}
